--- /dev/null
+++ b/crates/celerycrank-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent process: the only way to its backend server.
--- /dev/null
+++ b/crates/celerycrank-bench/src/routing.rs
@@ -0,0 +1,14 @@
+//! Placeholder until its measurement lands.
+
+/// Arguments of the measurement.
+#[derive(Debug, clap::Args)]
+pub(crate) struct RoutingArgs {
+    /// Seed of every random choice.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// Runs the measurement and prints its table.
+pub(crate) fn run(args: &RoutingArgs) {
+    println!("no measurement yet; seed {}", args.seed);
+}
--- /dev/null
+++ b/crates/celerycrank-chart/src/lib.rs
@@ -0,0 +1,192 @@
+//! State charts read from JSON files and interpreted.
+//!
+//! A chart lists its states, the events each state accepts, and for each event the
+//! next state and the actions to perform. The interpreter owns no state and performs
+//! no action: [`StateChart::step`] returns both, and the caller carries them out.
+//!
+//! ```json
+//! {
+//!   "initial": "idle",
+//!   "states": {
+//!     "idle": { "start": { "to": "busy", "do": ["send"] } },
+//!     "busy": { "finish": { "to": "done" }, "start": "ignore" },
+//!     "done": "final"
+//!   }
+//! }
+//! ```
+
+use std::{collections::BTreeMap, fmt::Debug, sync::Arc};
+
+use serde::{Deserialize, de::DeserializeOwned};
+
+/// Why a chart's text cannot be used.
+#[derive(Debug, displaydoc::Display)]
+pub enum ChartFault {
+    /// the chart is not valid: {0}
+    Syntax(serde_json::Error),
+    /// the chart names the state {0}, which it does not describe
+    MissingState(Arc<str>),
+}
+
+impl std::error::Error for ChartFault {}
+
+/// What a chart says of one event in one state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChartStep<'chart, S, A> {
+    /// The chart moves to `state` and `actions` are performed in order.
+    Moved {
+        /// The next state.
+        state: S,
+        /// What to perform, in order.
+        actions: &'chart [A],
+    },
+    /// The event is expected here and changes nothing.
+    Ignored,
+    /// The chart has no place for this event in this state.
+    Unexpected,
+}
+
+/// An interpreted state chart over closed sets of states, events and actions.
+#[derive(Debug, Clone)]
+pub struct StateChart<S, E, A> {
+    initial: S,
+    /// Invariant: holds every state that any rule leads to.
+    states: BTreeMap<S, StateRule<S, E, A>>,
+}
+
+impl<S, E, A> StateChart<S, E, A>
+where
+    S: Copy + Ord + Debug + DeserializeOwned,
+    E: Copy + Ord + DeserializeOwned,
+    A: DeserializeOwned,
+{
+    /// Reads a chart from JSON and checks that every state it names is described.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is not a chart of these states, events and actions, or if a
+    /// rule leads to a state without a description.
+    pub fn parse(text: &str) -> Result<Self, ChartFault> {
+        let file = serde_json::from_str::<ChartFile<S, E, A>>(text).map_err(ChartFault::Syntax)?;
+        let chart = Self {
+            initial: file.initial,
+            states: file.states,
+        };
+        chart.check()?;
+        Ok(chart)
+    }
+
+    /// The state in which every run of the chart begins.
+    #[must_use]
+    pub const fn initial(&self) -> S {
+        self.initial
+    }
+
+    /// What the chart says of `event` in `state`.
+    #[must_use]
+    pub fn step(&self, state: S, event: E) -> ChartStep<'_, S, A> {
+        let Some(StateRule::Events(events)) = self.states.get(&state) else {
+            return ChartStep::Unexpected;
+        };
+        match events.get(&event) {
+            Some(EventRule::Move(rule)) => ChartStep::Moved {
+                state: rule.to,
+                actions: &rule.actions,
+            },
+            Some(EventRule::Word(EventWord::Ignore)) => ChartStep::Ignored,
+            None => ChartStep::Unexpected,
+        }
+    }
+
+    /// Whether no event leads out of `state`.
+    #[must_use]
+    pub fn is_final(&self, state: S) -> bool {
+        matches!(
+            self.states.get(&state),
+            Some(StateRule::Word(StateWord::Final))
+        )
+    }
+
+    /// The states that the chart describes, in order.
+    pub fn states(&self) -> impl Iterator<Item = S> + '_ {
+        self.states.keys().copied()
+    }
+
+    fn check(&self) -> Result<(), ChartFault> {
+        let targets = self.states.values().flat_map(StateRule::targets);
+        match targets
+            .chain([self.initial])
+            .find(|state| !self.states.contains_key(state))
+        {
+            Some(state) => Err(ChartFault::MissingState(format!("{state:?}").into())),
+            None => Ok(()),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+#[serde(bound(
+    deserialize = "S: Ord + Deserialize<'de>, E: Ord + Deserialize<'de>, A: Deserialize<'de>"
+))]
+struct ChartFile<S, E, A> {
+    initial: S,
+    states: BTreeMap<S, StateRule<S, E, A>>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(untagged)]
+#[serde(bound(
+    deserialize = "S: Deserialize<'de>, E: Ord + Deserialize<'de>, A: Deserialize<'de>"
+))]
+enum StateRule<S, E, A> {
+    Word(StateWord),
+    Events(BTreeMap<E, EventRule<S, A>>),
+}
+
+impl<S: Copy, E, A> StateRule<S, E, A> {
+    fn targets(&self) -> Vec<S> {
+        match self {
+            Self::Word(StateWord::Final) => Vec::new(),
+            Self::Events(events) => events.values().filter_map(EventRule::target).collect(),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum StateWord {
+    Final,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(untagged)]
+#[serde(bound(deserialize = "S: Deserialize<'de>, A: Deserialize<'de>"))]
+enum EventRule<S, A> {
+    Word(EventWord),
+    Move(MoveRule<S, A>),
+}
+
+impl<S: Copy, A> EventRule<S, A> {
+    fn target(&self) -> Option<S> {
+        match self {
+            Self::Word(EventWord::Ignore) => None,
+            Self::Move(rule) => Some(rule.to),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum EventWord {
+    Ignore,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[serde(bound(deserialize = "S: Deserialize<'de>, A: Deserialize<'de>"))]
+struct MoveRule<S, A> {
+    to: S,
+    #[serde(default = "Vec::new", rename = "do")]
+    actions: Vec<A>,
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The celerycrank binary: both process roles and the operators' commands.
+
+fn main() {}
--- /dev/null
+++ b/crates/celerycrank-config/src/key.rs
@@ -0,0 +1,76 @@
+//! API keys of callers, kept only as hashes.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+const HASH_BYTES: usize = 32;
+const HASH_PREFIX: &str = "sha256:";
+
+/// the key hash `{0}` is not `sha256:` followed by 32 bytes in base64 without padding
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub struct KeyFault(pub Arc<str>);
+
+impl std::error::Error for KeyFault {}
+
+/// The SHA-256 hash of a caller's API key, written `sha256:<base64>`.
+///
+/// Keys are long random texts, so an unsalted fast hash keeps them secret.
+#[derive(Debug, Clone, Copy, serde::Serialize, serde::Deserialize)]
+#[serde(try_from = "Arc<str>", into = "Arc<str>")]
+pub struct KeyHash([u8; HASH_BYTES]);
+
+impl KeyHash {
+    /// Hashes a key as a caller presents it.
+    #[must_use]
+    pub fn of_key(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// The hash's bytes, for indexing. Comparing them is not constant in time.
+    #[must_use]
+    pub const fn as_bytes(&self) -> &[u8; HASH_BYTES] {
+        &self.0
+    }
+}
+
+impl PartialEq for KeyHash {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for KeyHash {}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{HASH_PREFIX}{}", STANDARD_NO_PAD.encode(self.0))
+    }
+}
+
+impl FromStr for KeyHash {
+    type Err = KeyFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fault = || KeyFault(text.into());
+        let encoded = text.strip_prefix(HASH_PREFIX).ok_or_else(fault)?;
+        let bytes = STANDARD_NO_PAD.decode(encoded).ok().ok_or_else(fault)?;
+        bytes.try_into().map(Self).ok().ok_or_else(fault)
+    }
+}
+
+impl TryFrom<Arc<str>> for KeyHash {
+    type Error = KeyFault;
+
+    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<KeyHash> for Arc<str> {
+    fn from(hash: KeyHash) -> Self {
+        hash.to_string().into()
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: accepts callers and hands requests to agents.
--- /dev/null
+++ b/crates/celerycrank-link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Mutually authenticated QUIC connections between the processes.
--- /dev/null
+++ b/crates/celerycrank-requests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about one request: outcomes, retries and at-most-once claims.
--- /dev/null
+++ b/crates/celerycrank-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about which backend server takes a request.
--- /dev/null
+++ b/crates/celerycrank-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and backend servers, never shipped.
--- /dev/null
+++ b/crates/celerycrank-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Runs one stand-in as a process.
+
+fn main() {}
--- /dev/null
+++ b/crates/celerycrank-types/src/id.rs
@@ -0,0 +1,191 @@
+//! Identifiers, each a type of its own.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+/// Longest textual identifier, in bytes.
+const MAX_ID_BYTES: usize = 64;
+
+/// Why a text is not an identifier.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum IdFault {
+    /// an identifier must not be empty
+    Empty,
+    /// an identifier has at most 64 bytes, not {0}
+    TooLong(usize),
+    /// an identifier consists of a-z, 0-9, `-`, `_` and `.`, not `{0}`
+    BadCharacter(char),
+    /// `{0}` is not a number of the expected form
+    BadNumber(Arc<str>),
+}
+
+impl std::error::Error for IdFault {}
+
+fn check_text(text: &str) -> Result<(), IdFault> {
+    if text.is_empty() {
+        return Err(IdFault::Empty);
+    }
+    if text.len() > MAX_ID_BYTES {
+        return Err(IdFault::TooLong(text.len()));
+    }
+    match text
+        .chars()
+        .find(|c| !matches!(c, 'a'..='z' | '0'..='9' | '-' | '_' | '.'))
+    {
+        Some(character) => Err(IdFault::BadCharacter(character)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Serialize, serde::Deserialize)]
+        #[serde(try_from = "Arc<str>", into = "Arc<str>")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The identifier as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdFault;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                check_text(text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<Arc<str>> for $name {
+            type Error = IdFault;
+
+            fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
+                check_text(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for Arc<str> {
+            fn from(id: $name) -> Self {
+                id.0
+            }
+        }
+    };
+}
+
+text_id! {
+    /// A client account.
+    AccountId
+}
+text_id! {
+    /// A plan that client accounts hold.
+    PlanId
+}
+text_id! {
+    /// A model that model engines serve.
+    ModelId
+}
+text_id! {
+    /// A plain service that stands beside the model engines.
+    ServiceId
+}
+text_id! {
+    /// A backend server.
+    BackendId
+}
+text_id! {
+    /// One life of a VM: a VM replaced at the same address has another id.
+    VmId
+}
+text_id! {
+    /// A failure domain.
+    DomainId
+}
+text_id! {
+    /// An entry process.
+    EntryId
+}
+text_id! {
+    /// A lock-step group of ranks.
+    GroupId
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Serialize, serde::Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The number that follows this one.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdFault;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                match text.parse() {
+                    Ok(number) => Ok(Self(number)),
+                    Err(_) => Err(IdFault::BadNumber(text.into())),
+                }
+            }
+        }
+    };
+}
+
+number_id! {
+    /// The version of the accepted configuration; larger is newer.
+    Revision
+}
+number_id! {
+    /// One life of a process or of a lock-step group; larger is newer.
+    Incarnation
+}
+
+/// One request, named by the entry that accepted it.
+///
+/// Invariant: drawn at random from 128 bits, so that no two requests share an id.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = IdFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match u128::from_str_radix(text, 16) {
+            Ok(number) => Ok(Self(number)),
+            Err(_) => Err(IdFault::BadNumber(text.into())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-types/src/unit.rs
@@ -0,0 +1,242 @@
+//! Sizes, counts, rates and weights, each with its written form.
+
+use std::{
+    fmt,
+    ops::{Add, AddAssign},
+    str::FromStr,
+    sync::Arc,
+};
+
+const BYTES_PER_KIB: u64 = 1 << 10;
+const BYTES_PER_MIB: u64 = 1 << 20;
+const BYTES_PER_GIB: u64 = 1 << 30;
+
+/// Units of a written size, longest suffix first.
+const SIZE_UNITS: [(&str, u64); 4] = [
+    ("GiB", BYTES_PER_GIB),
+    ("MiB", BYTES_PER_MIB),
+    ("KiB", BYTES_PER_KIB),
+    ("B", 1),
+];
+
+/// Why a text is not a quantity.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum UnitFault {
+    /// the size `{0}` is not a number with one of the units B, KiB, MiB, GiB
+    Size(Arc<str>),
+    /// the rate `{0}` is not a number of tokens followed by `/s`
+    Rate(Arc<str>),
+    /// `{0}` is not a whole number
+    Count(Arc<str>),
+    /// a share must be above 0
+    Share,
+}
+
+impl std::error::Error for UnitFault {}
+
+/// A number of bytes, written `64KiB`.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(try_from = "Arc<str>", into = "Arc<str>")]
+pub struct ByteSize(pub u64);
+
+impl fmt::Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (suffix, unit) = SIZE_UNITS
+            .iter()
+            .find(|(_, unit)| self.0 >= *unit && self.0.is_multiple_of(*unit))
+            .unwrap_or(&SIZE_UNITS[3]);
+        write!(f, "{}{suffix}", self.0 / unit)
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = UnitFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fault = || UnitFault::Size(text.into());
+        let (suffix, unit) = SIZE_UNITS
+            .iter()
+            .find(|(suffix, _)| text.ends_with(suffix))
+            .ok_or_else(fault)?;
+        let digits = &text[..text.len() - suffix.len()];
+        let number = digits.parse::<u64>().ok().ok_or_else(fault)?;
+        number.checked_mul(*unit).map(Self).ok_or_else(fault)
+    }
+}
+
+impl TryFrom<Arc<str>> for ByteSize {
+    type Error = UnitFault;
+
+    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<ByteSize> for Arc<str> {
+    fn from(size: ByteSize) -> Self {
+        size.to_string().into()
+    }
+}
+
+/// A number of tokens, the unit in which work is accounted.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct TokenCount(pub u64);
+
+impl Add for TokenCount {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl AddAssign for TokenCount {
+    fn add_assign(&mut self, rhs: Self) {
+        *self = *self + rhs;
+    }
+}
+
+impl fmt::Display for TokenCount {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for TokenCount {
+    type Err = UnitFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.parse()
+            .map(Self)
+            .ok()
+            .ok_or_else(|| UnitFault::Count(text.into()))
+    }
+}
+
+/// Tokens in a second, written `1200/s`.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(try_from = "Arc<str>", into = "Arc<str>")]
+pub struct TokenRate(pub u64);
+
+impl fmt::Display for TokenRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for TokenRate {
+    type Err = UnitFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fault = || UnitFault::Rate(text.into());
+        let digits = text.strip_suffix("/s").ok_or_else(fault)?;
+        digits.parse().map(Self).ok().ok_or_else(fault)
+    }
+}
+
+impl TryFrom<Arc<str>> for TokenRate {
+    type Error = UnitFault;
+
+    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<TokenRate> for Arc<str> {
+    fn from(rate: TokenRate) -> Self {
+        rate.to_string().into()
+    }
+}
+
+/// A plan's part of contended capacity, relative to the other plans.
+///
+/// Invariant: above zero.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "u32", into = "u32")]
+pub struct ShareWeight(u32);
+
+impl ShareWeight {
+    /// The weight of one.
+    pub const ONE: Self = Self(1);
+
+    /// The weight as a number above zero.
+    #[must_use]
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl TryFrom<u32> for ShareWeight {
+    type Error = UnitFault;
+
+    fn try_from(weight: u32) -> Result<Self, Self::Error> {
+        if weight == 0 {
+            Err(UnitFault::Share)
+        } else {
+            Ok(Self(weight))
+        }
+    }
+}
+
+impl From<ShareWeight> for u32 {
+    fn from(weight: ShareWeight) -> Self {
+        weight.0
+    }
+}
+
+impl fmt::Display for ShareWeight {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for ShareWeight {
+    type Err = UnitFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let weight = text
+            .parse::<u32>()
+            .ok()
+            .ok_or_else(|| UnitFault::Count(text.into()))?;
+        Self::try_from(weight)
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-types/tests/text.rs
@@ -0,0 +1,58 @@
+//! Every written form reads back as the value that it was written from.
+
+use std::{fmt::Display, str::FromStr};
+
+use celerycrank_types::{
+    AccountId, ByteSize, RefusalReason, RequestId, RetryReason, ShareWeight, TimeSpan, TokenRate,
+    UnknownReason,
+};
+
+fn reads_back<T>(value: &T)
+where
+    T: Display + FromStr + PartialEq + std::fmt::Debug,
+    T::Err: std::fmt::Debug,
+{
+    assert_eq!(value.to_string().parse::<T>().unwrap(), *value);
+}
+
+#[test]
+fn quantities_read_back() {
+    arbtest::arbtest(|u| {
+        reads_back(&TimeSpan(u.arbitrary()?));
+        reads_back(&ByteSize(u.arbitrary()?));
+        reads_back(&TokenRate(u.arbitrary()?));
+        reads_back(&RequestId(u.arbitrary()?));
+        Ok(())
+    })
+    .seed(0x0000_0001_0000_0040);
+}
+
+#[test]
+fn labels_read_back() {
+    RefusalReason::ALL.iter().for_each(reads_back);
+    RetryReason::ALL.iter().for_each(reads_back);
+    UnknownReason::ALL.iter().for_each(reads_back);
+}
+
+#[test]
+fn written_forms() {
+    assert_eq!(TimeSpan::from_millis(250).to_string(), "250ms");
+    assert_eq!(TimeSpan::from_secs(120).to_string(), "2m");
+    assert_eq!(ByteSize(65_536).to_string(), "64KiB");
+    assert_eq!(TokenRate(1_200).to_string(), "1200/s");
+}
+
+#[test]
+fn bad_texts_are_refused() {
+    for text in ["", "5", "ms", "-1s", "1.5s", "5 s", "99999999999999999h"] {
+        assert!(text.parse::<TimeSpan>().is_err(), "{text}");
+    }
+    for text in ["", "5", "KiB", "5kb", "99999999999999999GiB"] {
+        assert!(text.parse::<ByteSize>().is_err(), "{text}");
+    }
+    for text in ["", "Lisboa", "a b", "é", "a/b"] {
+        assert!(text.parse::<AccountId>().is_err(), "{text}");
+    }
+    "0".parse::<ShareWeight>().unwrap_err();
+    serde_json::from_str::<ShareWeight>("0").unwrap_err();
+}
--- /dev/null
+++ b/crates/celerycrank-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed, versioned messages between the processes.
