--- /dev/null
+++ b/crates/celerycrank-platform/src/call.rs
@@ -0,0 +1,109 @@
+//! Counts of the calls made, since the key-value service has a limited rate.
+
+use std::cell::Cell;
+
+/// The kinds of call that the key-value service counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CallKind {
+    /// A read of one key or of a prefix.
+    Range,
+    /// A compare-and-swap.
+    Txn,
+    /// An unconditional delete.
+    Delete,
+    /// The start of a watch.
+    Watch,
+    /// A new lease.
+    LeaseGrant,
+    /// A heartbeat of a lease.
+    LeaseKeepalive,
+    /// The end of a lease.
+    LeaseRevoke,
+}
+
+impl CallKind {
+    /// Every kind, in declaration order.
+    pub const ALL: [Self; 7] = [
+        Self::Range,
+        Self::Txn,
+        Self::Delete,
+        Self::Watch,
+        Self::LeaseGrant,
+        Self::LeaseKeepalive,
+        Self::LeaseRevoke,
+    ];
+
+    /// The label of this kind in metrics.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Range => "range",
+            Self::Txn => "txn",
+            Self::Delete => "delete",
+            Self::Watch => "watch",
+            Self::LeaseGrant => "lease_grant",
+            Self::LeaseKeepalive => "lease_keepalive",
+            Self::LeaseRevoke => "lease_revoke",
+        }
+    }
+
+    pub(crate) const fn path(self) -> &'static str {
+        match self {
+            Self::Range => "/v3/kv/range",
+            Self::Txn => "/v3/kv/txn",
+            Self::Delete => "/v3/kv/deleterange",
+            Self::Watch => "/v3/watch",
+            Self::LeaseGrant => "/v3/lease/grant",
+            Self::LeaseKeepalive => "/v3/lease/keepalive",
+            Self::LeaseRevoke => "/v3/lease/revoke",
+        }
+    }
+}
+
+/// Counts of calls by kind, and the watches that wait now.
+#[derive(Debug, Default)]
+pub struct CallCounters {
+    sent: [Cell<u64>; CallKind::ALL.len()],
+    failed: [Cell<u64>; CallKind::ALL.len()],
+    waiting: Cell<u64>,
+}
+
+impl CallCounters {
+    /// Calls of a kind that were sent, one for each address tried.
+    #[must_use]
+    pub fn sent(&self, kind: CallKind) -> u64 {
+        self.sent[kind as usize].get()
+    }
+
+    /// Calls of a kind that ended in a fault.
+    #[must_use]
+    pub fn failed(&self, kind: CallKind) -> u64 {
+        self.failed[kind as usize].get()
+    }
+
+    /// Watches that wait now; the service counts each as one call.
+    #[must_use]
+    pub fn waiting_watches(&self) -> u64 {
+        self.waiting.get()
+    }
+
+    pub(crate) fn count_sent(&self, kind: CallKind) {
+        increment(&self.sent[kind as usize]);
+    }
+
+    pub(crate) fn count_failed(&self, kind: CallKind) {
+        increment(&self.failed[kind as usize]);
+    }
+
+    pub(crate) fn open_watch(&self) {
+        increment(&self.waiting);
+    }
+
+    pub(crate) fn close_watch(&self) {
+        self.waiting.set(self.waiting.get().saturating_sub(1));
+    }
+}
+
+fn increment(cell: &Cell<u64>) {
+    cell.set(cell.get() + 1);
+}
--- /dev/null
+++ b/crates/celerycrank-platform/src/client.rs
@@ -0,0 +1,346 @@
+//! Reads, compare-and-swap and deletes.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use actix_rt::time::timeout;
+use awc::{
+    Client, ClientResponse, Connector,
+    error::{ConnectError, SendRequestError},
+};
+use bytes::Bytes;
+use celerycrank_types::{ByteSize, TimeSpan};
+use serde::{Serialize, de::DeserializeOwned};
+use smallvec::SmallVec;
+
+use crate::{
+    AnswerFault, CallCounters, CallKind, KeyValueFault, KeyValueRecord, LeaseId, ModRevision,
+    RangeSnapshot, SendFault,
+    gateway::{
+        DeleteResponse, EncodedBytes, GatewayRecord, NumberText, PutRequest, RangeRequest,
+        RangeResponse, TxnCompare, TxnOperation, TxnRequest, TxnResponse, prefix_end,
+    },
+};
+
+/// Largest value that the key-value service takes.
+pub const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Largest answer that is read; a range may hold many values.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Longest part of a refusal that is kept.
+const MAX_MESSAGE_BYTES: usize = 4 << 10;
+
+/// What a key must hold for a compare-and-swap to be carried out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expected {
+    /// The key does not exist.
+    Absent,
+    /// The key was last modified at this revision.
+    At(ModRevision),
+}
+
+/// What a compare-and-swap did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SwapOutcome {
+    /// The value was written at this revision.
+    Written(ModRevision),
+    /// Nothing was written, since the key holds this.
+    Conflict(Option<KeyValueRecord>),
+}
+
+/// A client of the key-value service.
+///
+/// Addresses are tried in turn, but a write is sent to a second one only when the first
+/// is proved not to have received it.
+#[derive(Debug, Clone)]
+pub struct KeyValueClient {
+    shared: Rc<ClientState>,
+}
+
+#[derive(Debug)]
+struct ClientState {
+    addresses: SmallVec<[Arc<str>; 1]>,
+    timeout: Duration,
+    counters: CallCounters,
+    http: HttpClient,
+}
+
+/// The HTTP client, which has no `Debug` of its own.
+struct HttpClient(Client);
+
+impl std::fmt::Debug for HttpClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("HttpClient")
+    }
+}
+
+impl KeyValueClient {
+    /// Creates a client of the service at these base addresses, such as `http://10.0.0.2:2379`.
+    ///
+    /// `timeout` bounds each call on each address.
+    #[must_use]
+    pub fn new(addresses: &[Arc<str>], timeout: TimeSpan) -> Self {
+        let duration = timeout.as_duration();
+        let connector = Connector::new().timeout(duration);
+        let http = Client::builder()
+            .connector(connector)
+            .timeout(duration)
+            .disable_redirects()
+            .finish();
+        let state = ClientState {
+            addresses: addresses.iter().cloned().collect(),
+            timeout: duration,
+            counters: CallCounters::default(),
+            http: HttpClient(http),
+        };
+        Self {
+            shared: Rc::new(state),
+        }
+    }
+
+    /// Counts of the calls made by this client and its clones.
+    #[must_use]
+    pub fn counters(&self) -> &CallCounters {
+        &self.shared.counters
+    }
+
+    /// Reads one key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address gives an answer to use.
+    pub async fn get(&self, key: &str) -> Result<Option<KeyValueRecord>, KeyValueFault> {
+        let request = RangeRequest {
+            key: key.into(),
+            range_end: None,
+        };
+        let response = self.read::<RangeResponse>(&request).await?;
+        Ok(first_record(response))
+    }
+
+    /// Reads every key with this prefix, all at one revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address gives an answer to use.
+    pub async fn range(&self, prefix: &str) -> Result<RangeSnapshot, KeyValueFault> {
+        let request = RangeRequest {
+            key: prefix.into(),
+            range_end: Some(prefix_end(prefix)),
+        };
+        let response = self.read::<RangeResponse>(&request).await?;
+        let records = response.kvs.into_iter().map(GatewayRecord::into_record);
+        Ok(RangeSnapshot {
+            revision: ModRevision(response.header.revision.0),
+            records: records.collect(),
+        })
+    }
+
+    /// Writes a value if the key holds what is expected.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`KeyValueFault::Unknown`] if the write may have been carried out.
+    pub async fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: Bytes,
+    ) -> Result<SwapOutcome, KeyValueFault> {
+        self.swap(key, expected, value, None).await
+    }
+
+    /// Like [`Self::compare_and_swap`], for a key that goes when the lease ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`KeyValueFault::Unknown`] if the write may have been carried out.
+    pub async fn compare_and_swap_leased(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: Bytes,
+        lease: LeaseId,
+    ) -> Result<SwapOutcome, KeyValueFault> {
+        self.swap(key, expected, value, Some(NumberText(lease.0)))
+            .await
+    }
+
+    /// Deletes a key and says whether it existed.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`KeyValueFault::Unknown`] if the key may have been deleted.
+    pub async fn delete(&self, key: &str) -> Result<bool, KeyValueFault> {
+        let request = RangeRequest {
+            key: key.into(),
+            range_end: None,
+        };
+        let response = self.call::<DeleteResponse>(CallKind::Delete, &request);
+        Ok(response.await?.deleted.0 > 0)
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: Bytes,
+        lease: Option<NumberText>,
+    ) -> Result<SwapOutcome, KeyValueFault> {
+        if value.len() > MAX_VALUE_BYTES {
+            let size = ByteSize(value.len() as u64);
+            return Err(KeyValueFault::NotSent(SendFault::ValueTooLarge(size)));
+        }
+        let request = swap_request(key, expected, value, lease);
+        let response = self.call::<TxnResponse>(CallKind::Txn, &request).await?;
+        if response.succeeded {
+            return Ok(SwapOutcome::Written(ModRevision(
+                response.header.revision.0,
+            )));
+        }
+        let found = response.responses.into_iter().next();
+        let range = found.and_then(|result| result.response_range);
+        Ok(SwapOutcome::Conflict(range.and_then(first_record)))
+    }
+
+    /// Sends a read, which may be repeated on the next address whatever the fault.
+    async fn read<T: DeserializeOwned>(&self, request: &RangeRequest) -> Result<T, KeyValueFault> {
+        let mut last = KeyValueFault::NotSent(SendFault::NoAddress);
+        for address in &self.shared.addresses {
+            match self.call_at(address, CallKind::Range, request).await {
+                Ok(answer) => return Ok(answer),
+                Err(fault) => last = fault,
+            }
+        }
+        Err(last)
+    }
+
+    /// Sends a call to the first address that can be reached.
+    pub(crate) async fn call<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        request: &impl Serialize,
+    ) -> Result<T, KeyValueFault> {
+        let mut last = KeyValueFault::NotSent(SendFault::NoAddress);
+        for address in &self.shared.addresses {
+            match self.call_at(address, kind, request).await {
+                Err(fault @ KeyValueFault::NotSent(_)) => last = fault,
+                decided => return decided,
+            }
+        }
+        Err(last)
+    }
+
+    async fn call_at<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        kind: CallKind,
+        request: &impl Serialize,
+    ) -> Result<T, KeyValueFault> {
+        let exchange = async {
+            let mut response = self.send(address, kind, request).await?;
+            read_answer(&mut response).await
+        };
+        let result = match timeout(self.shared.timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(KeyValueFault::Unknown(AnswerFault::Timeout)),
+        };
+        if result.is_err() {
+            self.shared.counters.count_failed(kind);
+        }
+        result
+    }
+
+    /// Sends one request and returns the response once its head has arrived.
+    pub(crate) async fn send(
+        &self,
+        address: &str,
+        kind: CallKind,
+        request: &impl Serialize,
+    ) -> Result<ClientResponse, KeyValueFault> {
+        self.shared.counters.count_sent(kind);
+        let url = format!("{address}{}", kind.path());
+        let sent = self.shared.http.0.post(url).send_json(request).await;
+        let mut response = sent.map_err(|e| send_fault(&e))?;
+        let status = response.status().as_u16();
+        match status {
+            200 => Ok(response),
+            400..=499 => Err(KeyValueFault::Refused {
+                status,
+                message: read_message(&mut response).await,
+            }),
+            _ => Err(KeyValueFault::Unknown(AnswerFault::Status(status))),
+        }
+    }
+
+    pub(crate) fn addresses(&self) -> &[Arc<str>] {
+        &self.shared.addresses
+    }
+}
+
+fn swap_request(
+    key: &str,
+    expected: Expected,
+    value: Bytes,
+    lease: Option<NumberText>,
+) -> TxnRequest {
+    let revision = match expected {
+        Expected::Absent => ModRevision::default(),
+        Expected::At(revision) => revision,
+    };
+    TxnRequest {
+        compare: [TxnCompare {
+            key: key.into(),
+            target: "MOD",
+            result: "EQUAL",
+            mod_revision: NumberText(revision.0),
+        }],
+        success: [TxnOperation::RequestPut(PutRequest {
+            key: key.into(),
+            value: EncodedBytes(value),
+            lease,
+        })],
+        failure: [TxnOperation::RequestRange(RangeRequest {
+            key: key.into(),
+            range_end: None,
+        })],
+    }
+}
+
+fn first_record(response: RangeResponse) -> Option<KeyValueRecord> {
+    let kv = response.kvs.into_iter().next()?;
+    Some(kv.into_record())
+}
+
+async fn read_answer<T: DeserializeOwned>(
+    response: &mut ClientResponse,
+) -> Result<T, KeyValueFault> {
+    let body = response.body().limit(MAX_ANSWER_BYTES).await;
+    let bytes =
+        body.map_err(|e| KeyValueFault::Unknown(AnswerFault::Lost(e.to_string().into())))?;
+    serde_json::from_slice(&bytes)
+        .map_err(|e| KeyValueFault::Unknown(AnswerFault::Malformed(e.to_string().into())))
+}
+
+async fn read_message(response: &mut ClientResponse) -> Arc<str> {
+    let bytes = response.body().limit(MAX_MESSAGE_BYTES).await;
+    let text = bytes.unwrap_or_default();
+    String::from_utf8_lossy(&text).trim().into()
+}
+
+/// Tells a call that was never sent from one that may have been carried out.
+///
+/// The HTTP client reports a connection lost after sending as `Disconnected`, so that
+/// one connect error is no proof.
+pub(crate) fn send_fault(error: &SendRequestError) -> KeyValueFault {
+    match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            KeyValueFault::Unknown(AnswerFault::Lost(error.to_string().into()))
+        }
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
+            KeyValueFault::NotSent(SendFault::Connect(error.to_string().into()))
+        }
+        SendRequestError::Timeout => KeyValueFault::Unknown(AnswerFault::Timeout),
+        _ => KeyValueFault::Unknown(AnswerFault::Lost(error.to_string().into())),
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-platform/src/gateway.rs
@@ -0,0 +1,221 @@
+//! JSON messages of etcd's v3 gateway: keys and values in base64, integers as text.
+
+use std::sync::Arc;
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize, de::Error};
+
+use crate::{KeyValueRecord, ModRevision};
+
+/// Bytes in base64.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub(crate) struct EncodedBytes(pub Bytes);
+
+impl From<&str> for EncodedBytes {
+    fn from(text: &str) -> Self {
+        Self(Bytes::copy_from_slice(text.as_bytes()))
+    }
+}
+
+impl Serialize for EncodedBytes {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for EncodedBytes {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let bytes = STANDARD.decode(text).map_err(D::Error::custom)?;
+        Ok(Self(bytes.into()))
+    }
+}
+
+/// A 64-bit integer, which the gateway writes as text and reads in either form.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct NumberText(pub u64);
+
+impl Serialize for NumberText {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for NumberText {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        #[derive(Deserialize)]
+        #[serde(untagged)]
+        enum EitherForm {
+            Number(u64),
+            Text(String),
+        }
+        match EitherForm::deserialize(deserializer)? {
+            EitherForm::Number(number) => Ok(Self(number)),
+            EitherForm::Text(text) => text.parse().map(Self).map_err(D::Error::custom),
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct RangeRequest {
+    pub key: EncodedBytes,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<EncodedBytes>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct RangeResponse {
+    pub header: ResponseHeader,
+    pub kvs: Vec<GatewayRecord>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct ResponseHeader {
+    pub revision: NumberText,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct GatewayRecord {
+    pub key: EncodedBytes,
+    pub value: EncodedBytes,
+    pub mod_revision: NumberText,
+}
+
+impl GatewayRecord {
+    pub(crate) fn into_record(self) -> KeyValueRecord {
+        KeyValueRecord {
+            key: String::from_utf8_lossy(&self.key.0).into(),
+            value: self.value.0,
+            revision: ModRevision(self.mod_revision.0),
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct TxnRequest {
+    pub compare: [TxnCompare; 1],
+    pub success: [TxnOperation; 1],
+    pub failure: [TxnOperation; 1],
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct TxnCompare {
+    pub key: EncodedBytes,
+    pub target: &'static str,
+    pub result: &'static str,
+    pub mod_revision: NumberText,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum TxnOperation {
+    RequestPut(PutRequest),
+    RequestRange(RangeRequest),
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct PutRequest {
+    pub key: EncodedBytes,
+    pub value: EncodedBytes,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub lease: Option<NumberText>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct TxnResponse {
+    pub header: ResponseHeader,
+    pub succeeded: bool,
+    pub responses: Vec<TxnResult>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct TxnResult {
+    pub response_range: Option<RangeResponse>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct DeleteResponse {
+    pub deleted: NumberText,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct WatchRequest {
+    pub create_request: WatchCreate,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct WatchCreate {
+    pub key: EncodedBytes,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<EncodedBytes>,
+    pub start_revision: NumberText,
+}
+
+/// One line of a streamed answer.
+#[derive(Debug, Deserialize)]
+pub(crate) struct StreamLine<T> {
+    pub result: T,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct WatchResponse {
+    pub header: ResponseHeader,
+    pub canceled: bool,
+    pub cancel_reason: Option<Arc<str>>,
+    pub events: Vec<GatewayEvent>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct GatewayEvent {
+    #[serde(rename = "type")]
+    pub kind: EventKind,
+    pub kv: GatewayRecord,
+}
+
+/// What happened to a key; the gateway leaves out `PUT`.
+#[derive(Debug, Default, Clone, Copy, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(crate) enum EventKind {
+    #[default]
+    Put,
+    Delete,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct LeaseRequest {
+    #[serde(rename = "TTL", skip_serializing_if = "Option::is_none")]
+    pub ttl: Option<NumberText>,
+    #[serde(rename = "ID")]
+    pub id: NumberText,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+pub(crate) struct LeaseResponse {
+    #[serde(rename = "ID")]
+    pub id: NumberText,
+    #[serde(rename = "TTL")]
+    pub ttl: NumberText,
+}
+
+/// The end of the range that holds every key with this prefix.
+pub(crate) fn prefix_end(prefix: &str) -> EncodedBytes {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return EncodedBytes(end.into());
+        }
+    }
+    // A single zero byte stands for the end of all keys.
+    EncodedBytes(Bytes::from_static(&[0]))
+}
--- a/crates/celerycrank-platform/src/lib.rs
+++ b/crates/celerycrank-platform/src/lib.rs
@@ -1,1 +1,23 @@
 //! Clients of the platform's key-value service and VM list.
+//!
+//! The key-value service speaks etcd's v3 JSON protocol, the VM list is a Kubernetes
+//! `EndpointSlice` list. Clients are cheap to clone and stay on one arbiter.
+
+mod call;
+mod client;
+mod fault;
+mod gateway;
+mod lease;
+mod record;
+mod vm;
+mod watch;
+
+pub use crate::{
+    call::{CallCounters, CallKind},
+    client::{Expected, KeyValueClient, MAX_VALUE_BYTES, SwapOutcome},
+    fault::{AnswerFault, KeyValueFault, SendFault},
+    lease::{LeaseGrant, LeaseId},
+    record::{KeyValueRecord, ModRevision, RangeSnapshot},
+    vm::{VmListClient, VmListFault, VmOffer, VmRecord, VmState},
+    watch::{KeyValueWatch, WatchEvent, WatchTarget},
+};
--- /dev/null
+++ b/crates/celerycrank-platform/src/vm.rs
@@ -0,0 +1,247 @@
+//! The platform's VM list, published as Kubernetes `EndpointSlice` objects.
+
+use std::{
+    cell::Cell,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    sync::Arc,
+};
+
+use awc::Client;
+use celerycrank_types::{DomainId, ModelId, ServiceId, TimeSpan, VmId};
+use serde::Deserialize;
+
+/// Largest VM list that is read.
+const MAX_LIST_BYTES: usize = 64 << 20;
+
+/// Label that names what a slice's VMs offer.
+const SERVICE_LABEL: &str = "kubernetes.io/service-name";
+
+/// Label that says whether that name is a model's or a plain service's.
+const KIND_LABEL: &str = "celerycrank/kind";
+
+/// Name of the port on which agents listen for the link.
+const LINK_PORT: &str = "link";
+
+/// Why the VM list could not be read.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum VmListFault {
+    /// the VM list could not be fetched: {0}
+    Unreachable(Arc<str>),
+    /// the VM list answered with status {0}
+    Status(u16),
+    /// the VM list is malformed: {0}
+    Malformed(Arc<str>),
+}
+
+impl std::error::Error for VmListFault {}
+
+/// One VM with an agent, as the platform last saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmRecord {
+    /// This life of the VM.
+    pub vm: VmId,
+    /// The failure domain in which it runs.
+    pub domain: DomainId,
+    /// Where its agent listens for the link.
+    pub address: SocketAddr,
+    /// What its backend server offers.
+    pub offers: VmOffer,
+    /// Whether it is leaving.
+    pub state: VmState,
+}
+
+/// What a backend server offers.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum VmOffer {
+    /// A model.
+    Model(ModelId),
+    /// A plain service.
+    Service(ServiceId),
+}
+
+/// Whether a VM is live, as the platform last saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum VmState {
+    /// Takes new work.
+    Live,
+    /// Terminating, or not ready; takes no new work.
+    Leaving,
+}
+
+/// A client of the VM list.
+#[derive(Debug, Clone)]
+pub struct VmListClient {
+    shared: Rc<ListState>,
+}
+
+struct ListState {
+    url: Arc<str>,
+    http: Client,
+    fetches: Cell<u64>,
+}
+
+impl std::fmt::Debug for ListState {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "ListState({})", self.url)
+    }
+}
+
+impl VmListClient {
+    /// Creates a client of the list at this URL; `timeout` bounds each fetch.
+    #[must_use]
+    pub fn new(url: Arc<str>, timeout: TimeSpan) -> Self {
+        let http = Client::builder().timeout(timeout.as_duration()).finish();
+        let state = ListState {
+            url,
+            http,
+            fetches: Cell::new(0),
+        };
+        Self {
+            shared: Rc::new(state),
+        }
+    }
+
+    /// Fetches made by this client and its clones.
+    #[must_use]
+    pub fn fetches(&self) -> u64 {
+        self.shared.fetches.get()
+    }
+
+    /// Fetches the whole list.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the list cannot be fetched or any of its entries cannot be read: a list
+    /// read in part would pass VMs off as gone.
+    pub async fn fetch(&self) -> Result<Vec<VmRecord>, VmListFault> {
+        self.shared.fetches.set(self.shared.fetches.get() + 1);
+        let sent = self.shared.http.get(&*self.shared.url).send().await;
+        let mut response = sent.map_err(|e| VmListFault::Unreachable(e.to_string().into()))?;
+        if !response.status().is_success() {
+            return Err(VmListFault::Status(response.status().as_u16()));
+        }
+        let body = response.body().limit(MAX_LIST_BYTES).await;
+        let bytes = body.map_err(|e| VmListFault::Unreachable(e.to_string().into()))?;
+        read_list(&bytes)
+    }
+}
+
+/// Reads an `EndpointSlice` list.
+fn read_list(bytes: &[u8]) -> Result<Vec<VmRecord>, VmListFault> {
+    let list = serde_json::from_slice::<SliceList>(bytes).map_err(|e| malformed(&e.to_string()))?;
+    let mut records = Vec::new();
+    for slice in &list.items {
+        let Some(port) = slice.link_port() else {
+            continue;
+        };
+        let offers = slice.offers()?;
+        for endpoint in &slice.endpoints {
+            records.push(endpoint.read(port, offers.clone())?);
+        }
+    }
+    Ok(records)
+}
+
+#[derive(Debug, Deserialize)]
+struct SliceList {
+    items: Vec<EndpointSlice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EndpointSlice {
+    metadata: SliceMetadata,
+    #[serde(default)]
+    endpoints: Vec<SliceEndpoint>,
+    #[serde(default)]
+    ports: Vec<SlicePort>,
+}
+
+#[derive(Debug, Deserialize)]
+struct SliceMetadata {
+    #[serde(default)]
+    labels: std::collections::BTreeMap<Arc<str>, Arc<str>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct SlicePort {
+    name: Option<Arc<str>>,
+    port: Option<u16>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct SliceEndpoint {
+    addresses: Vec<IpAddr>,
+    #[serde(default)]
+    conditions: EndpointConditions,
+    zone: Option<DomainId>,
+    target_ref: Option<TargetRef>,
+}
+
+/// Conditions of an endpoint; an absent `ready` counts as ready, as Kubernetes has it.
+#[derive(Debug, Default, Deserialize)]
+struct EndpointConditions {
+    ready: Option<bool>,
+    terminating: Option<bool>,
+}
+
+#[derive(Debug, Deserialize)]
+struct TargetRef {
+    uid: VmId,
+}
+
+impl EndpointSlice {
+    fn link_port(&self) -> Option<u16> {
+        let named = |port: &&SlicePort| port.name.as_deref() == Some(LINK_PORT);
+        self.ports.iter().find(named)?.port
+    }
+
+    fn offers(&self) -> Result<VmOffer, VmListFault> {
+        let labels = &self.metadata.labels;
+        let name = labels
+            .get(SERVICE_LABEL)
+            .ok_or_else(|| malformed("a slice has no service name"))?;
+        match labels.get(KIND_LABEL).map(|kind| &**kind) {
+            Some("model") => name.parse().map(VmOffer::Model),
+            Some("service") => name.parse().map(VmOffer::Service),
+            _ => return Err(malformed("a slice is neither a model's nor a service's")),
+        }
+        .map_err(|e| malformed(&e.to_string()))
+    }
+}
+
+impl SliceEndpoint {
+    fn read(&self, port: u16, offers: VmOffer) -> Result<VmRecord, VmListFault> {
+        let address = self.addresses.first();
+        let target = self.target_ref.as_ref();
+        let domain = self.zone.clone();
+        Ok(VmRecord {
+            vm: target
+                .ok_or_else(|| malformed("an endpoint has no uid"))?
+                .uid
+                .clone(),
+            domain: domain.ok_or_else(|| malformed("an endpoint has no zone"))?,
+            address: SocketAddr::new(
+                *address.ok_or_else(|| malformed("an endpoint has no address"))?,
+                port,
+            ),
+            offers,
+            state: self.conditions.state(),
+        })
+    }
+}
+
+impl EndpointConditions {
+    fn state(&self) -> VmState {
+        if self.ready.unwrap_or(true) && !self.terminating.unwrap_or(false) {
+            VmState::Live
+        } else {
+            VmState::Leaving
+        }
+    }
+}
+
+fn malformed(message: &str) -> VmListFault {
+    VmListFault::Malformed(message.into())
+}
--- /dev/null
+++ b/crates/celerycrank-platform/tests/key_value.rs
@@ -0,0 +1,208 @@
+//! The key-value client against the stand-in: effects, conflicts and what faults prove.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use celerycrank_platform::{
+    AnswerFault, CallKind, Expected, KeyValueClient, KeyValueFault, MAX_VALUE_BYTES, ModRevision,
+    SendFault, SwapOutcome, WatchEvent, WatchTarget,
+};
+use celerycrank_standin::{KeyValueFaults, KeyValueStandin, OutageKind};
+use celerycrank_types::TimeSpan;
+
+const TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+async fn start() -> (KeyValueStandin, KeyValueClient) {
+    let standin = KeyValueStandin::start(loopback()).await.unwrap();
+    let client = KeyValueClient::new(&[standin.url().into()], TIMEOUT);
+    (standin, client)
+}
+
+fn written(outcome: SwapOutcome) -> ModRevision {
+    match outcome {
+        SwapOutcome::Written(revision) => revision,
+        SwapOutcome::Conflict(found) => panic!("conflict with {found:?}"),
+    }
+}
+
+#[actix_rt::test]
+async fn a_swap_is_carried_out_only_at_the_expected_revision() {
+    let (_standin, client) = start().await;
+    assert_eq!(client.get("a").await.unwrap(), None);
+    let first = client.compare_and_swap("a", Expected::Absent, "one".into());
+    let first = written(first.await.unwrap());
+    let second = client.compare_and_swap("a", Expected::At(first), "two".into());
+    let second = written(second.await.unwrap());
+    assert!(second > first);
+    for stale in [Expected::Absent, Expected::At(first)] {
+        let outcome = client.compare_and_swap("a", stale, "three".into()).await;
+        let SwapOutcome::Conflict(Some(found)) = outcome.unwrap() else {
+            panic!("a stale swap was carried out");
+        };
+        assert_eq!((&*found.value, found.revision), (&b"two"[..], second));
+    }
+    assert!(client.delete("a").await.unwrap());
+    assert!(!client.delete("a").await.unwrap());
+    let outcome = client.compare_and_swap("a", Expected::At(second), "x".into());
+    assert_eq!(outcome.await.unwrap(), SwapOutcome::Conflict(None));
+}
+
+#[actix_rt::test]
+async fn a_range_holds_the_keys_of_its_prefix() {
+    let (_standin, client) = start().await;
+    for key in ["a/1", "a/2", "a0", "b"] {
+        let swap = client.compare_and_swap(key, Expected::Absent, "v".into());
+        written(swap.await.unwrap());
+    }
+    let snapshot = client.range("a/").await.unwrap();
+    let keys = snapshot.records.iter().map(|record| &*record.key);
+    assert_eq!(keys.collect::<Vec<_>>(), ["a/1", "a/2"]);
+    assert_eq!(snapshot.revision, ModRevision(4));
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_is_unknown_and_the_write_stands() {
+    let (standin, client) = start().await;
+    standin.set_faults(KeyValueFaults {
+        lost_answers: 1,
+        ..KeyValueFaults::default()
+    });
+    let fault = client.compare_and_swap("a", Expected::Absent, "one".into());
+    let fault = fault.await.unwrap_err();
+    assert!(
+        matches!(fault, KeyValueFault::Unknown(AnswerFault::Lost(_))),
+        "{fault}"
+    );
+    assert_eq!(client.get("a").await.unwrap().unwrap().value, "one");
+}
+
+#[actix_rt::test]
+async fn an_outage_is_told_by_what_it_proves() {
+    let (standin, client) = start().await;
+    for outage in [OutageKind::Refuse, OutageKind::Close, OutageKind::Hang] {
+        standin.set_faults(KeyValueFaults {
+            outage,
+            ..KeyValueFaults::default()
+        });
+        let fault = client.compare_and_swap("a", Expected::Absent, "one".into());
+        let fault = fault.await.unwrap_err();
+        assert!(!fault.proves_no_effect(), "{outage:?}: {fault}");
+    }
+    let address = standin.url().into();
+    drop(standin);
+    let client = KeyValueClient::new(&[address], TIMEOUT);
+    let fault = client.compare_and_swap("a", Expected::Absent, "one".into());
+    let fault = fault.await.unwrap_err();
+    assert!(
+        matches!(fault, KeyValueFault::NotSent(SendFault::Connect(_))),
+        "{fault}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_write_goes_to_the_next_address_only_if_proved_unsent() {
+    let down = KeyValueStandin::start(loopback()).await.unwrap();
+    let down_url = Arc::<str>::from(down.url());
+    drop(down);
+    let (live, _) = start().await;
+    let (hung, _) = start().await;
+    hung.set_faults(KeyValueFaults {
+        outage: OutageKind::Hang,
+        ..KeyValueFaults::default()
+    });
+    let client = KeyValueClient::new(&[down_url, live.url().into()], TIMEOUT);
+    let swap = client.compare_and_swap("a", Expected::Absent, "one".into());
+    written(swap.await.unwrap());
+    let client = KeyValueClient::new(&[hung.url().into(), live.url().into()], TIMEOUT);
+    let swap = client.compare_and_swap("b", Expected::Absent, "one".into());
+    assert_eq!(
+        swap.await,
+        Err(KeyValueFault::Unknown(AnswerFault::Timeout))
+    );
+    assert_eq!(client.get("b").await.unwrap(), None);
+    assert_eq!(client.counters().sent(CallKind::Txn), 1);
+    assert_eq!(client.counters().sent(CallKind::Range), 2);
+    assert_eq!(client.counters().failed(CallKind::Range), 1);
+}
+
+#[actix_rt::test]
+async fn a_value_above_the_limit_is_not_sent() {
+    let (standin, client) = start().await;
+    let value = vec![0; MAX_VALUE_BYTES + 1].into();
+    let fault = client.compare_and_swap("a", Expected::Absent, value).await;
+    let fault = fault.unwrap_err();
+    assert!(matches!(
+        fault,
+        KeyValueFault::NotSent(SendFault::ValueTooLarge(_))
+    ));
+    let value = vec![0; MAX_VALUE_BYTES].into();
+    let swap = client.compare_and_swap("a", Expected::Absent, value).await;
+    written(swap.unwrap());
+    assert_eq!(
+        client.get("a").await.unwrap().unwrap().value.len(),
+        MAX_VALUE_BYTES
+    );
+    assert_eq!(standin.counts().writes, 1);
+}
+
+#[actix_rt::test]
+async fn a_watch_tells_every_change_in_order() {
+    let (standin, client) = start().await;
+    let swap = client.compare_and_swap("a/1", Expected::Absent, "one".into());
+    let first = written(swap.await.unwrap());
+    let target = WatchTarget::Prefix("a/".into());
+    let mut watch = client.watch(&target, first).await.unwrap();
+    assert_eq!(client.counters().waiting_watches(), 1);
+    let swap = client.compare_and_swap("a/1", Expected::At(first), "two".into());
+    let second = written(swap.await.unwrap());
+    client.delete("a/1").await.unwrap();
+    let WatchEvent::Put(record) = watch.next().await.unwrap() else {
+        panic!("the first event is not a write");
+    };
+    assert_eq!((&*record.value, record.revision), (&b"one"[..], first));
+    assert_eq!(watch.next().await.unwrap().revision(), second);
+    let deleted = watch.next().await.unwrap();
+    assert!(matches!(&deleted, WatchEvent::Deleted { key, .. } if &**key == "a/1"));
+    let nothing = watch.next_within(TimeSpan::from_millis(5)).await;
+    assert_eq!(nothing.unwrap(), None);
+    standin.set_faults(KeyValueFaults {
+        outage: OutageKind::Refuse,
+        ..KeyValueFaults::default()
+    });
+    watch.next().await.unwrap_err();
+    drop(watch);
+    assert_eq!(client.counters().waiting_watches(), 0);
+}
+
+#[actix_rt::test]
+async fn a_leased_key_goes_with_its_lease() {
+    let (_standin, client) = start().await;
+    let grant = client.grant_lease(TimeSpan::from_secs(60)).await.unwrap();
+    let swap = client.compare_and_swap_leased("a", Expected::Absent, "one".into(), grant.id);
+    let revision = written(swap.await.unwrap());
+    let kept = client.keep_lease_alive(grant.id).await.unwrap();
+    assert_eq!(kept, Some(grant));
+    let target = WatchTarget::Key("a".into());
+    let mut watch = client.watch(&target, revision.next()).await.unwrap();
+    client.revoke_lease(grant.id).await.unwrap();
+    let event = watch.next().await.unwrap();
+    assert!(matches!(event, WatchEvent::Deleted { .. }));
+    assert_eq!(client.keep_lease_alive(grant.id).await.unwrap(), None);
+    let fault = client.revoke_lease(grant.id).await.unwrap_err();
+    assert!(fault.proves_no_effect(), "{fault}");
+}
+
+#[actix_rt::test]
+async fn a_lease_that_is_not_renewed_ends() {
+    let (_standin, client) = start().await;
+    let grant = client.grant_lease(TimeSpan::from_millis(1)).await.unwrap();
+    let swap = client.compare_and_swap_leased("a", Expected::Absent, "one".into(), grant.id);
+    let revision = written(swap.await.unwrap());
+    let target = WatchTarget::Key("a".into());
+    let mut watch = client.watch(&target, revision.next()).await.unwrap();
+    let event = watch.next().await.unwrap();
+    assert!(matches!(event, WatchEvent::Deleted { .. }));
+}
--- /dev/null
+++ b/crates/celerycrank-platform/tests/vm_list.rs
@@ -0,0 +1,50 @@
+//! The VM list client against the stand-in.
+
+use std::net::SocketAddr;
+
+use celerycrank_platform::{VmListClient, VmListFault, VmOffer, VmState};
+use celerycrank_standin::{ListedOffer, ListedVm, VmListStandin};
+use celerycrank_types::TimeSpan;
+
+fn listed(vm: &str, leaving: bool, offers: ListedOffer) -> ListedVm {
+    ListedVm {
+        vm: vm.parse().unwrap(),
+        domain: "borba".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 4_433)),
+        offers,
+        leaving,
+    }
+}
+
+#[actix_rt::test]
+async fn the_list_is_read_whole_and_lags() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let standin = VmListStandin::start(address).await.unwrap();
+    let client = VmListClient::new(standin.url().into(), TimeSpan::from_secs(5));
+    assert_eq!(client.fetch().await.unwrap(), []);
+
+    let engine = listed(
+        "vm-1",
+        false,
+        ListedOffer::Model("drafter".parse().unwrap()),
+    );
+    let ledger = listed("vm-2", true, ListedOffer::Service("bids".parse().unwrap()));
+    standin.set_vms(vec![engine, ledger]);
+    let records = client.fetch().await.unwrap();
+    assert_eq!(records.len(), 2);
+    assert_eq!(records[0].vm.as_str(), "vm-1");
+    assert_eq!(records[0].state, VmState::Live);
+    assert_eq!(
+        records[0].offers,
+        VmOffer::Model("drafter".parse().unwrap())
+    );
+    assert_eq!(records[1].state, VmState::Leaving);
+    assert_eq!(records[1].offers, VmOffer::Service("bids".parse().unwrap()));
+
+    standin.set_lag(TimeSpan::from_secs(3_600));
+    standin.set_vms(Vec::new());
+    assert_eq!(client.fetch().await.unwrap(), records);
+    standin.set_outage(true);
+    assert_eq!(client.fetch().await, Err(VmListFault::Status(503)));
+    assert_eq!(client.fetches(), 4);
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/key_value/mod.rs
@@ -0,0 +1,421 @@
+//! A stand-in for the key-value service, speaking etcd's v3 JSON protocol.
+
+mod message;
+mod store;
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_http::{Response, StatusCode, body::BodyStream};
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use celerycrank_types::TimeSpan;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use crate::{
+    HttpAnswer, HttpCall, HttpHandler, StandinServer,
+    key_value::{
+        message::{
+            LeaseRequest, PutRequest, RangeRequest, TxnOperation, TxnRequest, WatchCreate,
+            WatchRequest,
+        },
+        store::{KeyRange, KeyValueStore, StoreFault},
+    },
+};
+
+/// How often ended leases are looked for.
+const LEASE_TICK: Duration = Duration::from_millis(20);
+
+/// How the service fails while it is down.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OutageKind {
+    /// It works.
+    #[default]
+    None,
+    /// It answers 503.
+    Refuse,
+    /// It closes the connection.
+    Close,
+    /// It never answers.
+    Hang,
+}
+
+/// The faults that the stand-in shows until told otherwise.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct KeyValueFaults {
+    /// How it fails while it is down.
+    pub outage: OutageKind,
+    /// How long each answer takes.
+    pub delay: TimeSpan,
+    /// How long events reach a watch after the change.
+    pub watch_delay: TimeSpan,
+    /// How many of the next writes take effect and lose their answer.
+    pub lost_answers: u32,
+}
+
+/// Counts of what the stand-in was asked.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyValueCounts {
+    /// Reads.
+    pub reads: u64,
+    /// Writes, whether or not they changed anything.
+    pub writes: u64,
+    /// Lease calls.
+    pub leases: u64,
+    /// Watches started.
+    pub watches: u64,
+    /// Watches that wait now.
+    pub waiting: u64,
+}
+
+/// A running stand-in for the key-value service.
+#[derive(Debug)]
+pub struct KeyValueStandin {
+    server: StandinServer,
+    service: Rc<KeyValueService>,
+}
+
+#[derive(Debug)]
+struct KeyValueService {
+    origin: Instant,
+    store: RefCell<KeyValueStore>,
+    faults: Cell<KeyValueFaults>,
+    counts: Cell<KeyValueCounts>,
+    watchers: RefCell<Vec<Watcher>>,
+}
+
+#[derive(Debug)]
+struct Watcher {
+    range: KeyRange,
+    lines: mpsc::UnboundedSender<Bytes>,
+}
+
+impl KeyValueStandin {
+    /// Starts an empty service at this address; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let service = Rc::new(KeyValueService {
+            origin: Instant::now(),
+            store: RefCell::default(),
+            faults: Cell::default(),
+            counts: Cell::default(),
+            watchers: RefCell::default(),
+        });
+        let handler: Rc<dyn HttpHandler> = Rc::<KeyValueService>::clone(&service);
+        let server = StandinServer::start(address, handler).await?;
+        actix_rt::spawn(end_leases(Rc::downgrade(&service)));
+        Ok(Self { server, service })
+    }
+
+    /// Where the service listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The service's base URL.
+    #[must_use]
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Sets the faults shown from now on.
+    pub fn set_faults(&self, faults: KeyValueFaults) {
+        self.service.set_faults(faults);
+    }
+
+    /// Counts of what was asked so far.
+    #[must_use]
+    pub fn counts(&self) -> KeyValueCounts {
+        self.service.counts()
+    }
+}
+
+async fn end_leases(service: std::rc::Weak<KeyValueService>) {
+    loop {
+        sleep(LEASE_TICK).await;
+        let Some(service) = service.upgrade() else {
+            return;
+        };
+        let now = service.now();
+        service.store.borrow_mut().end_leases(now);
+        service.publish();
+    }
+}
+
+impl HttpHandler for KeyValueService {
+    fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer> {
+        async move {
+            match call.path.as_str() {
+                "/standin/faults" => self.take_order(&call),
+                "/standin/counts" => HttpAnswer::json(StatusCode::OK, &self.counts()),
+                _ => self.answer_client(&call).await,
+            }
+        }
+        .boxed_local()
+    }
+}
+
+impl KeyValueService {
+    fn now(&self) -> TimeSpan {
+        self.origin.elapsed().into()
+    }
+
+    fn counts(&self) -> KeyValueCounts {
+        let watchers = self.watchers.borrow();
+        let waiting = watchers.iter().filter(|w| !w.lines.is_closed()).count();
+        KeyValueCounts {
+            waiting: waiting as u64,
+            ..self.counts.get()
+        }
+    }
+
+    fn count(&self, increment: impl FnOnce(&mut KeyValueCounts)) {
+        let mut counts = self.counts.get();
+        increment(&mut counts);
+        self.counts.set(counts);
+    }
+
+    fn set_faults(&self, faults: KeyValueFaults) {
+        self.faults.set(faults);
+        if faults.outage != OutageKind::None {
+            // An outage ends the watches as well.
+            self.watchers.borrow_mut().clear();
+        }
+    }
+
+    fn take_order(&self, call: &HttpCall) -> HttpAnswer {
+        if !call.body.is_empty() {
+            match serde_json::from_slice(&call.body) {
+                Ok(faults) => self.set_faults(faults),
+                Err(e) => return HttpAnswer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+            }
+        }
+        HttpAnswer::json(StatusCode::OK, &self.faults.get())
+    }
+
+    async fn answer_client(&self, call: &HttpCall) -> HttpAnswer {
+        let faults = self.faults.get();
+        sleep(faults.delay.as_duration()).await;
+        match faults.outage {
+            OutageKind::None => self.answer_live(call),
+            OutageKind::Refuse => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "outage"),
+            OutageKind::Close => HttpAnswer::Close,
+            OutageKind::Hang => std::future::pending().await,
+        }
+    }
+
+    fn answer_live(&self, call: &HttpCall) -> HttpAnswer {
+        let result = match call.path.as_str() {
+            "/v3/watch" => return self.open_watch(&call.body),
+            "/v3/kv/range" => self.range(&call.body),
+            "/v3/kv/put" => self.write(&call.body, Self::put),
+            "/v3/kv/txn" => self.write(&call.body, Self::txn),
+            "/v3/kv/deleterange" => self.write(&call.body, Self::delete),
+            "/v3/lease/grant" => self.lease(&call.body, Self::grant),
+            "/v3/lease/keepalive" => self.lease(&call.body, |service, request| {
+                Ok(service.keep_alive(request))
+            }),
+            "/v3/lease/revoke" => self.lease(&call.body, Self::revoke),
+            _ => return HttpAnswer::text(StatusCode::NOT_FOUND, "no such call"),
+        };
+        self.publish();
+        match result {
+            Ok(answer) if self.loses_answer(&call.path) => {
+                drop(answer);
+                HttpAnswer::Close
+            }
+            Ok(answer) => HttpAnswer::json(StatusCode::OK, &answer),
+            Err(fault) => refuse(&fault),
+        }
+    }
+
+    fn loses_answer(&self, path: &str) -> bool {
+        let mut faults = self.faults.get();
+        let write = path.starts_with("/v3/kv/") && path != "/v3/kv/range";
+        if !write || faults.lost_answers == 0 {
+            return false;
+        }
+        faults.lost_answers -= 1;
+        self.faults.set(faults);
+        true
+    }
+
+    fn range(&self, body: &[u8]) -> Result<Value, StoreFault> {
+        self.count(|counts| counts.reads += 1);
+        let request = read::<RangeRequest>(body)?;
+        Ok(self.store.borrow().range(&request.range()))
+    }
+
+    fn write(
+        &self,
+        body: &[u8],
+        carry_out: impl FnOnce(&Self, &[u8]) -> Result<Value, StoreFault>,
+    ) -> Result<Value, StoreFault> {
+        self.count(|counts| counts.writes += 1);
+        carry_out(self, body)
+    }
+
+    fn lease(
+        &self,
+        body: &[u8],
+        carry_out: impl FnOnce(&Self, &LeaseRequest) -> Result<Value, StoreFault>,
+    ) -> Result<Value, StoreFault> {
+        self.count(|counts| counts.leases += 1);
+        carry_out(self, &read::<LeaseRequest>(body)?)
+    }
+
+    fn put(&self, body: &[u8]) -> Result<Value, StoreFault> {
+        let request = read::<PutRequest>(body)?;
+        let mut store = self.store.borrow_mut();
+        store.begin();
+        store.put(request.key.0, request.value.0, request.lease.0)?;
+        Ok(json!({ "header": store.header() }))
+    }
+
+    fn delete(&self, body: &[u8]) -> Result<Value, StoreFault> {
+        let request = read::<RangeRequest>(body)?;
+        let mut store = self.store.borrow_mut();
+        store.begin();
+        let deleted = store.delete(&request.range());
+        Ok(json!({ "header": store.header(), "deleted": deleted.to_string() }))
+    }
+
+    fn txn(&self, body: &[u8]) -> Result<Value, StoreFault> {
+        let request = read::<TxnRequest>(body)?;
+        let mut store = self.store.borrow_mut();
+        let mut holds = true;
+        for compare in &request.compare {
+            holds &= store.compare(compare)?;
+        }
+        let operations = if holds {
+            request.success
+        } else {
+            request.failure
+        };
+        store.begin();
+        let mut responses = Vec::new();
+        for operation in operations {
+            responses.push(carry_out(&mut store, operation)?);
+        }
+        let mut answer = json!({ "header": store.header(), "responses": responses });
+        if holds {
+            answer["succeeded"] = json!(true);
+        }
+        Ok(answer)
+    }
+
+    fn grant(&self, request: &LeaseRequest) -> Result<Value, StoreFault> {
+        let now = self.now();
+        let mut store = self.store.borrow_mut();
+        let id = store.grant_lease(request.ttl.0, now)?;
+        Ok(json!({
+            "header": store.header(), "ID": id.to_string(), "TTL": request.ttl.0.to_string(),
+        }))
+    }
+
+    fn keep_alive(&self, request: &LeaseRequest) -> Value {
+        let now = self.now();
+        let mut store = self.store.borrow_mut();
+        let mut result = json!({ "header": store.header(), "ID": request.id.0.to_string() });
+        if let Some(ttl) = store.renew_lease(request.id.0, now) {
+            result["TTL"] = json!(ttl.to_string());
+        }
+        json!({ "result": result })
+    }
+
+    fn revoke(&self, request: &LeaseRequest) -> Result<Value, StoreFault> {
+        let mut store = self.store.borrow_mut();
+        store.revoke_lease(request.id.0)?;
+        Ok(json!({ "header": store.header() }))
+    }
+
+    fn open_watch(&self, body: &[u8]) -> HttpAnswer {
+        self.count(|counts| counts.watches += 1);
+        let create = match read::<WatchRequest>(body) {
+            Ok(request) => request.create_request,
+            Err(fault) => return refuse(&fault),
+        };
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.begin_watch(&create, sender);
+        let delay = self.faults.get().watch_delay.as_duration();
+        let stream = futures_util::stream::unfold(receiver, move |mut receiver| async move {
+            let line = receiver.recv().await?;
+            sleep(delay).await;
+            Some((Ok::<_, io::Error>(line), receiver))
+        });
+        let body = BodyStream::new(Box::pin(stream));
+        HttpAnswer::Respond(Response::ok().set_body(body).map_into_boxed_body())
+    }
+
+    fn begin_watch(&self, create: &WatchCreate, lines: mpsc::UnboundedSender<Bytes>) {
+        let store = self.store.borrow();
+        let range = create.range();
+        let opening = json!({ "header": store.header(), "created": true });
+        let mut sent = lines.send(watch_line(&opening));
+        for events in store.history(&range, create.start_revision.0) {
+            sent = sent.and_then(|()| lines.send(watch_line(&events)));
+        }
+        if sent.is_ok() {
+            self.watchers.borrow_mut().push(Watcher { range, lines });
+        }
+    }
+
+    /// Sends what has changed to the watches that cover it.
+    fn publish(&self) {
+        let changes = self.store.borrow_mut().take_changes();
+        let mut watchers = self.watchers.borrow_mut();
+        watchers.retain(|watcher| !watcher.lines.is_closed());
+        for change in &changes {
+            for watcher in watchers.iter().filter(|w| w.range.covers(change.key())) {
+                // A watch that has just ended is dropped at the next change.
+                drop(watcher.lines.send(watch_line(&change.message())));
+            }
+        }
+    }
+}
+
+fn carry_out(store: &mut KeyValueStore, operation: TxnOperation) -> Result<Value, StoreFault> {
+    match operation {
+        TxnOperation::Put(request) => {
+            store.put(request.key.0, request.value.0, request.lease.0)?;
+            Ok(json!({ "response_put": { "header": store.header() } }))
+        }
+        TxnOperation::Range(request) => {
+            Ok(json!({ "response_range": store.range(&request.range()) }))
+        }
+        TxnOperation::Delete(request) => {
+            let deleted = store.delete(&request.range()).to_string();
+            Ok(json!({ "response_delete_range": { "deleted": deleted } }))
+        }
+    }
+}
+
+fn watch_line(result: &Value) -> Bytes {
+    format!("{}\n", json!({ "result": result })).into()
+}
+
+fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, StoreFault> {
+    serde_json::from_slice(body).map_err(|e| StoreFault::Malformed(e.to_string()))
+}
+
+fn refuse(fault: &StoreFault) -> HttpAnswer {
+    let message = fault.to_string();
+    HttpAnswer::json(
+        StatusCode::BAD_REQUEST,
+        &json!({ "error": message, "code": 3, "message": message }),
+    )
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/key_value/store.rs
@@ -0,0 +1,266 @@
+//! The state of the key-value stand-in: keys with versions, leases and a history.
+
+use std::collections::BTreeMap;
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use celerycrank_types::TimeSpan;
+use serde_json::{Value, json};
+
+use crate::key_value::message::{CompareResult, CompareTarget, TxnCompare};
+
+/// Largest value that the service takes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// Most changes that are kept for watches that begin in the past.
+const MAX_HISTORY: usize = 10_000;
+
+/// Why the store did not carry out a request.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub(crate) enum StoreFault {
+    /// request is malformed: {0}
+    Malformed(String),
+    /// request is too large
+    TooLarge,
+    /// requested lease not found
+    NoLease,
+}
+
+/// The keys that a request covers.
+#[derive(Debug, Clone)]
+pub(crate) struct KeyRange {
+    start: Bytes,
+    /// Empty for the one key; a zero byte for all keys from the start on.
+    end: Bytes,
+}
+
+impl KeyRange {
+    pub(crate) const fn new(start: Bytes, end: Bytes) -> Self {
+        Self { start, end }
+    }
+
+    pub(crate) fn covers(&self, key: &[u8]) -> bool {
+        match &*self.end {
+            [] => key == self.start,
+            [0] => key >= &*self.start,
+            end => key >= &*self.start && key < end,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct StoredValue {
+    value: Bytes,
+    created: u64,
+    modified: u64,
+    version: u64,
+    /// Zero for a key without a lease.
+    lease: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct StoredLease {
+    seconds: u64,
+    end: TimeSpan,
+}
+
+/// One change of one key.
+#[derive(Debug, Clone)]
+pub(crate) struct StoredChange {
+    key: Bytes,
+    revision: u64,
+    /// `None` for a delete.
+    stored: Option<StoredValue>,
+}
+
+impl StoredChange {
+    pub(crate) fn key(&self) -> &[u8] {
+        &self.key
+    }
+
+    pub(crate) fn message(&self) -> Value {
+        let event = match &self.stored {
+            Some(stored) => json!({ "kv": record(&self.key, stored) }),
+            None => json!({
+                "type": "DELETE",
+                "kv": {
+                    "key": STANDARD.encode(&self.key),
+                    "mod_revision": self.revision.to_string(),
+                },
+            }),
+        };
+        json!({ "header": { "revision": self.revision.to_string() }, "events": [event] })
+    }
+}
+
+/// Keys with versions, leases and a history of changes.
+#[derive(Debug, Default)]
+pub(crate) struct KeyValueStore {
+    revision: u64,
+    /// Whether the current transaction has already advanced the revision.
+    advanced: bool,
+    values: BTreeMap<Bytes, StoredValue>,
+    leases: BTreeMap<u64, StoredLease>,
+    last_lease: u64,
+    changes: Vec<StoredChange>,
+    /// Invariant: every change up to `changes` that was not compacted.
+    history: Vec<StoredChange>,
+}
+
+impl KeyValueStore {
+    pub(crate) fn header(&self) -> Value {
+        json!({ "revision": self.revision.to_string() })
+    }
+
+    /// Begins a transaction; all of its changes share one revision.
+    pub(crate) const fn begin(&mut self) {
+        self.advanced = false;
+    }
+
+    pub(crate) fn range(&self, range: &KeyRange) -> Value {
+        let found = self.values.iter().filter(|(key, _)| range.covers(key));
+        let records = found.map(|(key, stored)| record(key, stored));
+        let kvs = records.collect::<Vec<_>>();
+        let count = kvs.len().to_string();
+        json!({ "header": self.header(), "kvs": kvs, "count": count })
+    }
+
+    pub(crate) fn compare(&self, compare: &TxnCompare) -> Result<bool, StoreFault> {
+        if compare.key.0.is_empty() {
+            return Err(StoreFault::Malformed("key is not provided".into()));
+        }
+        let stored = self.values.get(&compare.key.0);
+        let (found, wanted) = match compare.target {
+            CompareTarget::Mod => (stored.map(|s| s.modified), compare.mod_revision),
+            CompareTarget::Create => (stored.map(|s| s.created), compare.create_revision),
+            CompareTarget::Version => (stored.map(|s| s.version), compare.version),
+        };
+        let number = found.unwrap_or(0);
+        Ok(match compare.result {
+            CompareResult::Equal => number == wanted.0,
+            CompareResult::NotEqual => number != wanted.0,
+            CompareResult::Greater => number > wanted.0,
+            CompareResult::Less => number < wanted.0,
+        })
+    }
+
+    pub(crate) fn put(&mut self, key: Bytes, value: Bytes, lease: u64) -> Result<(), StoreFault> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(StoreFault::TooLarge);
+        }
+        if lease != 0 && !self.leases.contains_key(&lease) {
+            return Err(StoreFault::NoLease);
+        }
+        let revision = self.advance();
+        let old = self.values.get(&key);
+        let stored = StoredValue {
+            value,
+            created: old.map_or(revision, |old| old.created),
+            modified: revision,
+            version: old.map_or(1, |old| old.version + 1),
+            lease,
+        };
+        self.values.insert(key.clone(), stored.clone());
+        self.record_change(key, Some(stored));
+        Ok(())
+    }
+
+    pub(crate) fn delete(&mut self, range: &KeyRange) -> usize {
+        let covered = self.values.keys().filter(|key| range.covers(key));
+        let keys = covered.cloned().collect::<Vec<_>>();
+        self.delete_keys(keys)
+    }
+
+    pub(crate) fn grant_lease(&mut self, seconds: u64, now: TimeSpan) -> Result<u64, StoreFault> {
+        if seconds == 0 {
+            return Err(StoreFault::Malformed("TTL must be above 0".into()));
+        }
+        self.last_lease += 1;
+        let end = now + TimeSpan::from_secs(seconds);
+        self.leases
+            .insert(self.last_lease, StoredLease { seconds, end });
+        Ok(self.last_lease)
+    }
+
+    pub(crate) fn renew_lease(&mut self, id: u64, now: TimeSpan) -> Option<u64> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.end = now + TimeSpan::from_secs(lease.seconds);
+        Some(lease.seconds)
+    }
+
+    pub(crate) fn revoke_lease(&mut self, id: u64) -> Result<(), StoreFault> {
+        self.leases.remove(&id).ok_or(StoreFault::NoLease)?;
+        self.begin();
+        let held = self.values.iter().filter(|(_, stored)| stored.lease == id);
+        let keys = held.map(|(key, _)| key.clone()).collect::<Vec<_>>();
+        self.delete_keys(keys);
+        Ok(())
+    }
+
+    pub(crate) fn end_leases(&mut self, now: TimeSpan) {
+        let ended = self.leases.iter().filter(|(_, lease)| lease.end <= now);
+        for id in ended.map(|(id, _)| *id).collect::<Vec<_>>() {
+            // The lease was found just above, so that revoking it can't fail.
+            drop(self.revoke_lease(id));
+        }
+    }
+
+    /// Past changes of a range, from this revision on; none if `start` is zero.
+    pub(crate) fn history(&self, range: &KeyRange, start: u64) -> Vec<Value> {
+        let wanted = |change: &&StoredChange| {
+            start != 0 && change.revision >= start && range.covers(&change.key)
+        };
+        let changes = self.history.iter().filter(wanted);
+        changes.map(StoredChange::message).collect()
+    }
+
+    /// Takes the changes that no watch has been told yet.
+    pub(crate) fn take_changes(&mut self) -> Vec<StoredChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn delete_keys(&mut self, keys: Vec<Bytes>) -> usize {
+        let count = keys.len();
+        for key in keys {
+            self.advance();
+            self.values.remove(&key);
+            self.record_change(key, None);
+        }
+        count
+    }
+
+    const fn advance(&mut self) -> u64 {
+        if !self.advanced {
+            self.revision += 1;
+            self.advanced = true;
+        }
+        self.revision
+    }
+
+    fn record_change(&mut self, key: Bytes, stored: Option<StoredValue>) {
+        let change = StoredChange {
+            key,
+            revision: self.revision,
+            stored,
+        };
+        if self.history.len() >= MAX_HISTORY {
+            self.history.drain(..MAX_HISTORY / 2);
+        }
+        self.history.push(change.clone());
+        self.changes.push(change);
+    }
+}
+
+fn record(key: &[u8], stored: &StoredValue) -> Value {
+    let mut record = json!({
+        "key": STANDARD.encode(key),
+        "value": STANDARD.encode(&stored.value),
+        "create_revision": stored.created.to_string(),
+        "mod_revision": stored.modified.to_string(),
+        "version": stored.version.to_string(),
+    });
+    if stored.lease != 0 {
+        record["lease"] = json!(stored.lease.to_string());
+    }
+    record
+}
--- a/crates/celerycrank-standin/src/main.rs
+++ b/crates/celerycrank-standin/src/main.rs
@@ -1,3 +1,64 @@
 //! Runs one stand-in as a process.
 
-fn main() {}
+use std::{io, net::SocketAddr, path::PathBuf};
+
+use celerycrank_standin::{KeyValueStandin, VmListStandin};
+use clap::{Parser, Subcommand};
+
+/// Stand-ins for the platform and backend servers.
+#[derive(Debug, Parser)]
+#[command(name = "celerycrank-standin")]
+struct StandinArguments {
+    /// Where to listen; port 0 lets the system choose.
+    #[arg(long, global = true, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// File that receives the address once the stand-in listens.
+    #[arg(long, global = true)]
+    ready_file: Option<PathBuf>,
+    #[command(subcommand)]
+    role: StandinRole,
+}
+
+/// What to stand in for.
+#[derive(Debug, Subcommand)]
+enum StandinRole {
+    /// The key-value service.
+    KeyValue,
+    /// The VM list.
+    VmList,
+}
+
+#[actix_rt::main]
+async fn main() -> io::Result<()> {
+    let arguments = StandinArguments::parse();
+    match &arguments.role {
+        StandinRole::KeyValue => {
+            let standin = KeyValueStandin::start(arguments.listen).await?;
+            run(&arguments, standin.address()).await
+        }
+        StandinRole::VmList => {
+            let standin = VmListStandin::start(arguments.listen).await?;
+            run(&arguments, standin.address()).await
+        }
+    }
+}
+
+/// Tells the address and waits for the signal to stop.
+async fn run(arguments: &StandinArguments, address: SocketAddr) -> io::Result<()> {
+    println!("listening on {address}");
+    if let Some(path) = &arguments.ready_file {
+        write_whole(path, &address.to_string())?;
+    }
+    let mut stop = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    tokio::select! {
+        _ = stop.recv() => Ok(()),
+        interrupted = tokio::signal::ctrl_c() => interrupted,
+    }
+}
+
+/// Writes a file so that no reader sees a part of it.
+fn write_whole(path: &PathBuf, text: &str) -> io::Result<()> {
+    let partial = path.with_extension("partial");
+    std::fs::write(&partial, text)?;
+    std::fs::rename(&partial, path)
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/server.rs
@@ -0,0 +1,220 @@
+//! A small HTTP server for the current arbiter, whose handlers can cut their connection.
+
+use std::{
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    fmt, io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use actix_http::{
+    HttpMessage, HttpService, Method, Request, Response, StatusCode,
+    body::BoxBody,
+    header::{CONTENT_TYPE, HeaderMap},
+};
+use actix_rt::{net::TcpStream, task::JoinHandle};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::{StreamExt, future::LocalBoxFuture};
+use serde::Serialize;
+use tokio::{net::TcpListener, sync::Notify};
+
+/// A request that has arrived whole.
+#[derive(Debug)]
+pub struct HttpCall {
+    /// The method.
+    pub method: Method,
+    /// The path, without the query.
+    pub path: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl HttpCall {
+    /// The value of a header, if it is text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// What a handler wants done with a request.
+#[derive(Debug)]
+pub enum HttpAnswer {
+    /// This response is sent.
+    Respond(Response<BoxBody>),
+    /// The connection is closed without an answer.
+    Close,
+}
+
+impl HttpAnswer {
+    /// A response with this status and JSON body.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the value has no JSON form.
+    #[must_use]
+    pub fn json(status: StatusCode, value: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(value).expect("the value has a JSON form");
+        let mut builder = Response::build(status);
+        builder.insert_header((CONTENT_TYPE, "application/json"));
+        Self::Respond(builder.body(body).map_into_boxed_body())
+    }
+
+    /// A response with this status and text.
+    #[must_use]
+    pub fn text(status: StatusCode, text: &str) -> Self {
+        let body = text.to_owned();
+        Self::Respond(Response::build(status).body(body).map_into_boxed_body())
+    }
+}
+
+/// What answers requests: the logic of one stand-in.
+pub trait HttpHandler: 'static {
+    /// Answers one request.
+    fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer>;
+}
+
+/// A running stand-in; dropping it closes every connection.
+#[derive(Debug)]
+pub struct StandinServer {
+    address: SocketAddr,
+    connections: Rc<ConnectionSet>,
+    acceptor: JoinHandle<()>,
+}
+
+/// The connections that are open, so that a stopped server leaves none behind.
+#[derive(Default)]
+struct ConnectionSet {
+    handles: RefCell<Vec<JoinHandle<()>>>,
+    accepted: Cell<u64>,
+}
+
+impl fmt::Debug for ConnectionSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "ConnectionSet({} accepted)", self.accepted.get())
+    }
+}
+
+/// Cuts the connection on which a request came.
+#[derive(Clone)]
+struct ConnectionCut(Rc<Notify>);
+
+impl StandinServer {
+    /// Listens at this address; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn start(address: SocketAddr, handler: Rc<dyn HttpHandler>) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        let connections = Rc::new(ConnectionSet::default());
+        let accepting = accept_connections(listener, handler, Rc::clone(&connections));
+        Ok(Self {
+            address: bound,
+            connections,
+            acceptor: actix_rt::spawn(accepting),
+        })
+    }
+
+    /// Where the stand-in listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The stand-in's base URL.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// How many connections were accepted.
+    #[must_use]
+    pub fn accepted_connections(&self) -> u64 {
+        self.connections.accepted.get()
+    }
+}
+
+impl Drop for StandinServer {
+    fn drop(&mut self) {
+        self.acceptor.abort();
+        for handle in self.connections.handles.take() {
+            handle.abort();
+        }
+    }
+}
+
+async fn accept_connections(
+    listener: TcpListener,
+    handler: Rc<dyn HttpHandler>,
+    connections: Rc<ConnectionSet>,
+) {
+    while let Ok((stream, peer)) = listener.accept().await {
+        // Small frames of a token stream must not wait for one another.
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        connections.accepted.set(connections.accepted.get() + 1);
+        let serving = serve_connection(stream, peer, Rc::clone(&handler));
+        let mut open = connections.handles.borrow_mut();
+        open.retain(|connection| !connection.is_finished());
+        open.push(actix_rt::spawn(serving));
+    }
+}
+
+async fn serve_connection(stream: TcpStream, peer: SocketAddr, handler: Rc<dyn HttpHandler>) {
+    let cut = ConnectionCut(Rc::new(Notify::new()));
+    let notify = Rc::clone(&cut.0);
+    let factory = HttpService::build().h1(fn_service(move |request: Request| {
+        let handler = Rc::clone(&handler);
+        let cut = cut.clone();
+        async move { Ok::<_, Infallible>(handle_request(request, handler, cut).await) }
+    }));
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    tokio::select! {
+        // A connection that breaks is the client's affair.
+        _ = service.call((stream, Some(peer))) => {}
+        () = notify.notified() => {}
+    }
+}
+
+async fn handle_request(
+    mut request: Request,
+    handler: Rc<dyn HttpHandler>,
+    cut: ConnectionCut,
+) -> Response<BoxBody> {
+    let Some(body) = read_body(&mut request).await else {
+        return Response::build(StatusCode::BAD_REQUEST)
+            .finish()
+            .map_into_boxed_body();
+    };
+    let call = HttpCall {
+        method: request.method().clone(),
+        path: request.path().to_owned(),
+        headers: request.headers().clone(),
+        body,
+    };
+    match handler.answer(call).await {
+        HttpAnswer::Respond(response) => response,
+        HttpAnswer::Close => {
+            cut.0.notify_one();
+            std::future::pending().await
+        }
+    }
+}
+
+async fn read_body(request: &mut Request) -> Option<Bytes> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        body.extend_from_slice(&chunk.ok()?);
+    }
+    Some(body.freeze())
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/vm_list.rs
@@ -0,0 +1,219 @@
+//! A stand-in for the VM list, published as Kubernetes `EndpointSlice` objects.
+
+use std::{
+    cell::RefCell,
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_http::StatusCode;
+use celerycrank_types::{DomainId, ModelId, ServiceId, TimeSpan, VmId};
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::{HttpAnswer, HttpCall, HttpHandler, StandinServer};
+
+/// One VM as the stand-in lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListedVm {
+    /// This life of the VM.
+    pub vm: VmId,
+    /// The failure domain in which it runs.
+    pub domain: DomainId,
+    /// Where its agent listens for the link.
+    pub address: SocketAddr,
+    /// The model or plain service that it offers.
+    pub offers: ListedOffer,
+    /// Whether it is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// What a listed VM offers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedOffer {
+    /// A model.
+    Model(ModelId),
+    /// A plain service.
+    Service(ServiceId),
+}
+
+/// A running stand-in for the VM list.
+#[derive(Debug)]
+pub struct VmListStandin {
+    server: StandinServer,
+    service: Rc<VmListService>,
+}
+
+#[derive(Debug, Default)]
+struct VmListService {
+    state: RefCell<ListState>,
+}
+
+#[derive(Debug, Default)]
+struct ListState {
+    /// How long a change stays unseen.
+    lag: Duration,
+    /// What readers see now.
+    published: Vec<ListedVm>,
+    /// Lists that are not seen yet, oldest first.
+    pending: VecDeque<(Instant, Vec<ListedVm>)>,
+    outage: bool,
+    reads: u64,
+}
+
+/// An order to the stand-in; absent parts stay as they are.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct ListOrder {
+    lag: Option<TimeSpan>,
+    outage: Option<bool>,
+    vms: Option<Vec<ListedVm>>,
+}
+
+impl VmListStandin {
+    /// Starts a list at this address; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let service = Rc::new(VmListService::default());
+        let handler: Rc<dyn HttpHandler> = Rc::<VmListService>::clone(&service);
+        let server = StandinServer::start(address, handler).await?;
+        Ok(Self { server, service })
+    }
+
+    /// Where the stand-in listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The URL of the list.
+    #[must_use]
+    pub fn url(&self) -> String {
+        format!(
+            "{}/apis/discovery.k8s.io/v1/endpointslices",
+            self.server.url()
+        )
+    }
+
+    /// Sets the list; readers see it once the lag has passed.
+    pub fn set_vms(&self, vms: Vec<ListedVm>) {
+        self.service.state.borrow_mut().set_vms(vms);
+    }
+
+    /// Sets how long later changes stay unseen.
+    pub fn set_lag(&self, lag: TimeSpan) {
+        self.service.state.borrow_mut().lag = lag.as_duration();
+    }
+
+    /// Sets whether the list answers with 503.
+    pub fn set_outage(&self, outage: bool) {
+        self.service.state.borrow_mut().outage = outage;
+    }
+
+    /// How often the list was read.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        self.service.state.borrow().reads
+    }
+}
+
+impl HttpHandler for VmListService {
+    fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer> {
+        let answer = match call.path.as_str() {
+            "/standin/vms" => self.take_order(&call),
+            _ => self.state.borrow_mut().read(),
+        };
+        std::future::ready(answer).boxed_local()
+    }
+}
+
+impl VmListService {
+    fn take_order(&self, call: &HttpCall) -> HttpAnswer {
+        let mut state = self.state.borrow_mut();
+        if !call.body.is_empty() {
+            match serde_json::from_slice::<ListOrder>(&call.body) {
+                Ok(order) => state.apply(order),
+                Err(e) => return HttpAnswer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+            }
+        }
+        HttpAnswer::json(StatusCode::OK, &state.published)
+    }
+}
+
+impl ListState {
+    fn apply(&mut self, order: ListOrder) {
+        if let Some(lag) = order.lag {
+            self.lag = lag.as_duration();
+        }
+        if let Some(outage) = order.outage {
+            self.outage = outage;
+        }
+        if let Some(vms) = order.vms {
+            self.set_vms(vms);
+        }
+    }
+
+    fn set_vms(&mut self, vms: Vec<ListedVm>) {
+        self.pending.push_back((Instant::now() + self.lag, vms));
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        let now = Instant::now();
+        while let Some((due, _)) = self.pending.front()
+            && *due <= now
+        {
+            if let Some((_, vms)) = self.pending.pop_front() {
+                self.published = vms;
+            }
+        }
+    }
+
+    fn read(&mut self) -> HttpAnswer {
+        self.reads += 1;
+        if self.outage {
+            return HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        self.publish();
+        let items = self.published.iter().map(slice).collect::<Vec<_>>();
+        let list = json!({
+            "apiVersion": "discovery.k8s.io/v1",
+            "kind": "EndpointSliceList",
+            "items": items,
+        });
+        HttpAnswer::json(StatusCode::OK, &list)
+    }
+}
+
+/// Writes one VM as a slice of its own, since a slice has one port for all endpoints.
+fn slice(vm: &ListedVm) -> Value {
+    let (kind, name) = match &vm.offers {
+        ListedOffer::Model(model) => ("model", model.as_str()),
+        ListedOffer::Service(service) => ("service", service.as_str()),
+    };
+    let family = if vm.address.is_ipv4() { "IPv4" } else { "IPv6" };
+    json!({
+        "addressType": family,
+        "metadata": {
+            "name": format!("{name}-{}", vm.vm),
+            "labels": { "kubernetes.io/service-name": name, "celerycrank/kind": kind },
+        },
+        "ports": [{ "name": "link", "protocol": "UDP", "port": vm.address.port() }],
+        "endpoints": [{
+            "addresses": [vm.address.ip()],
+            "conditions": { "ready": !vm.leaving, "serving": true, "terminating": vm.leaving },
+            "zone": vm.domain,
+            "targetRef": { "kind": "Node", "name": vm.vm, "uid": vm.vm },
+        }],
+    })
+}
