Decide revisions, watchers, members and planned stops without I/O

Ruled out: a watch per process (1,560 waiting calls at the design size); starting from any single peer while the service is down (a frozen peer could take a fresh process back). Before: nothing. Conclusion: a revision reaches 1,560 processes of 14 domains within 5 s of logical time with two of three watchers lost; 42 entries watch.

--- /dev/null
+++ b/crates/celerycrank-membership/src/bootstrap.rs
@@ -0,0 +1,64 @@
+//! How a process that starts while the key-value service is down learns a revision.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use celerycrank_types::{Revision, VmId};
+
+/// What a starting process may do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BootstrapOutcome<T> {
+    /// Too few watchers have answered; serve nothing.
+    Waiting {
+        /// Watchers that have answered.
+        answered: usize,
+        /// Watchers that must answer.
+        needed: usize,
+    },
+    /// The newest document among a majority of the watchers.
+    Learnt(Revision, Arc<T>),
+}
+
+/// Collects the documents of a failure domain's watchers until a majority has answered.
+///
+/// A single watcher may have been frozen since before the last change. Among a majority
+/// at least one was not, as long as a majority of a domain's watchers is never frozen
+/// at once; the newest answer is therefore not older than what was in force.
+#[derive(Debug)]
+pub struct BootstrapQuorum<T> {
+    /// Invariant: the watchers that are asked, each once.
+    asked: Vec<VmId>,
+    /// Invariant: only watchers that were asked.
+    answers: BTreeMap<VmId, (Revision, Option<Arc<T>>)>,
+}
+
+impl<T> BootstrapQuorum<T> {
+    /// Begins to ask these watchers.
+    #[must_use]
+    pub fn new(watchers: &[VmId]) -> Self {
+        Self {
+            asked: watchers.to_vec(),
+            answers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes one watcher's answer; an answer of a process that was not asked is dropped.
+    pub fn answer(&mut self, watcher: &VmId, revision: Revision, document: Option<Arc<T>>) {
+        if self.asked.contains(watcher) {
+            self.answers.insert(watcher.clone(), (revision, document));
+        }
+    }
+
+    /// What the process may do now.
+    #[must_use]
+    pub fn outcome(&self) -> BootstrapOutcome<T> {
+        let needed = self.asked.len() / 2 + 1;
+        let answered = self.answers.len();
+        let newest = self.answers.values().max_by_key(|(revision, _)| *revision);
+        match newest {
+            Some((revision, Some(document))) if answered >= needed => {
+                BootstrapOutcome::Learnt(*revision, Arc::clone(document))
+            }
+            _ => BootstrapOutcome::Waiting { answered, needed },
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-membership/src/member.rs
@@ -0,0 +1,383 @@
+//! What is known of each VM, merged from all evidence by one rule.
+//!
+//! The order of trust, strongest first: the VM was replaced or left the list; the
+//! agent's own word; the operators' announcements; the VM list's leaving mark; what
+//! requests show; the VM list's live mark. The chart `charts/member.json` is the rule.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::LazyLock,
+};
+
+use celerycrank_chart::{ChartStep, StateChart};
+use celerycrank_types::{
+    BackendId, DomainId, GroupId, ModelId, ServiceId, TimePoint, TimeSpan, VmId,
+};
+use serde::{Deserialize, Serialize};
+
+static CHART: LazyLock<StateChart<MemberState, MemberEvidence, MemberAction>> =
+    LazyLock::new(|| {
+        StateChart::parse(include_str!("../charts/member.json")).expect("the member chart is valid")
+    });
+
+/// What a VM does in the deployment.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmRole {
+    /// It runs an entry.
+    Entry,
+    /// It runs an agent beside a model engine.
+    Engine(ModelId),
+    /// It runs an agent beside a plain service.
+    Service(ServiceId),
+}
+
+/// The unchanging facts about one life of a VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmFact {
+    /// The VM's id; a VM replaced at the same address has another.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Where its process listens for peers.
+    pub address: SocketAddr,
+    /// What it does.
+    pub role: VmRole,
+    /// The backend server on it, where that is known.
+    pub backend: Option<BackendId>,
+    /// The lock-step group that it belongs to, if any.
+    pub group: Option<GroupId>,
+}
+
+/// How a VM stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberState {
+    /// Nothing is known.
+    Unseen,
+    /// It takes a growing part of its work.
+    Ramping,
+    /// It takes work.
+    Live,
+    /// It failed and gets no work until it is probed.
+    Suspect,
+    /// It failed and may get one request, to see whether it is back.
+    Probing,
+    /// Operators announced its stop; it gets no new work.
+    Stopping,
+    /// It is leaving and never gets new work again.
+    Leaving,
+    /// It no longer exists.
+    Gone,
+}
+
+impl MemberState {
+    /// Whether new work may be sent.
+    #[must_use]
+    pub const fn takes_work(self) -> bool {
+        matches!(self, Self::Ramping | Self::Live | Self::Probing)
+    }
+}
+
+/// One piece of evidence about a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberEvidence {
+    /// The VM list names it as live.
+    Listed,
+    /// The VM list names it as leaving.
+    ListLeaving,
+    /// The VM list no longer names it.
+    ListGone,
+    /// Another VM is live at its address.
+    Replaced,
+    /// An operator's announced stop has begun.
+    StopAnnounced,
+    /// The announcement was withdrawn.
+    StopWithdrawn,
+    /// Its agent says that it is leaving.
+    AgentLeaving,
+    /// Its agent answered.
+    Answered,
+    /// A connection to it failed, or it fell silent.
+    Failed,
+    /// Its slow start has ended.
+    RampEnded,
+    /// It is time to probe it.
+    ProbeDue,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum MemberAction {
+    StartRamp,
+    ScheduleProbe,
+    ClearFailures,
+}
+
+/// The part of its usual work that a member gets, in thousandths.
+///
+/// Invariant: from 0 to 1000.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RampWeight(u16);
+
+impl RampWeight {
+    /// The whole of the usual work.
+    pub const FULL: Self = Self(1_000);
+    /// No work.
+    pub const NONE: Self = Self(0);
+    /// The least weight of a member that takes work.
+    const LEAST: Self = Self(50);
+
+    /// The weight in thousandths.
+    #[must_use]
+    pub const fn thousandths(self) -> u16 {
+        self.0
+    }
+}
+
+/// Spans that govern suspicion and slow start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberTimings {
+    /// Length of the slow start.
+    pub ramp: TimeSpan,
+    /// Wait before the first probe; doubled after each failure.
+    pub first_probe: TimeSpan,
+    /// Longest wait between probes.
+    pub longest_probe: TimeSpan,
+    /// A VM that answered within this span is not taken as gone because the list, which
+    /// lags, does not name it.
+    pub list_lag: TimeSpan,
+    /// How long a gone VM is remembered, so that a late list cannot bring it back.
+    pub tombstone: TimeSpan,
+}
+
+impl Default for MemberTimings {
+    fn default() -> Self {
+        Self {
+            ramp: TimeSpan::from_secs(10),
+            first_probe: TimeSpan::from_secs(1),
+            longest_probe: TimeSpan::from_secs(15),
+            list_lag: TimeSpan::from_secs(30),
+            tombstone: TimeSpan::from_secs(600),
+        }
+    }
+}
+
+/// One member as the router sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberView<'table> {
+    /// The VM's facts.
+    pub fact: &'table VmFact,
+    /// How it stands.
+    pub state: MemberState,
+    /// The part of its usual work that it gets.
+    pub weight: RampWeight,
+}
+
+#[derive(Debug)]
+struct MemberRecord {
+    fact: VmFact,
+    /// Invariant: once `Leaving`, only `Gone` follows.
+    state: MemberState,
+    ramp_since: TimePoint,
+    failures: u32,
+    probe_at: TimePoint,
+    answered_at: Option<TimePoint>,
+    /// Invariant: present exactly while the state is `Gone`.
+    gone_at: Option<TimePoint>,
+}
+
+/// Every VM that this process knows.
+#[derive(Debug, Default)]
+pub struct MemberTable {
+    timings: MemberTimings,
+    /// Invariant: at most one record that is not gone at each address.
+    records: BTreeMap<VmId, MemberRecord>,
+}
+
+impl MemberTable {
+    /// A table that knows nobody.
+    #[must_use]
+    pub fn new(timings: MemberTimings) -> Self {
+        Self {
+            timings,
+            records: BTreeMap::new(),
+        }
+    }
+
+    /// Takes one whole reading of the VM list.
+    ///
+    /// Each fact comes with whether the list marks the VM as leaving. Members that the
+    /// reading does not name are gone, unless they answered lately.
+    pub fn on_list(&mut self, facts: &[(VmFact, bool)], now: TimePoint) {
+        for (fact, leaving) in facts {
+            let evidence = if *leaving {
+                MemberEvidence::ListLeaving
+            } else {
+                MemberEvidence::Listed
+            };
+            self.insert(fact, now);
+            self.observe(&fact.vm, evidence, now);
+        }
+        let named = facts
+            .iter()
+            .map(|(fact, _)| &fact.vm)
+            .collect::<BTreeSet<_>>();
+        let missing = self
+            .records
+            .iter()
+            .filter(|(vm, record)| !named.contains(vm) && !record.answered(self.timings, now))
+            .map(|(vm, _)| vm.clone())
+            .collect::<Vec<_>>();
+        for vm in missing {
+            self.observe(&vm, MemberEvidence::ListGone, now);
+        }
+    }
+
+    /// Takes one piece of evidence; evidence about an unknown VM is dropped.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the chart lets a leaving VM take work again.
+    pub fn observe(&mut self, vm: &VmId, evidence: MemberEvidence, now: TimePoint) {
+        let timings = self.timings;
+        let Some(record) = self.records.get_mut(vm) else {
+            return;
+        };
+        if evidence == MemberEvidence::Answered {
+            record.answered_at = Some(now);
+        }
+        let ChartStep::Moved { state, actions } = CHART.step(record.state, evidence) else {
+            return;
+        };
+        let may_change = !matches!(record.state, MemberState::Leaving);
+        assert!(
+            may_change || state == MemberState::Gone,
+            "a leaving VM never takes work again"
+        );
+        record.state = state;
+        if state == MemberState::Gone {
+            record.gone_at = Some(now);
+        }
+        for action in actions {
+            record.perform(*action, timings, now);
+        }
+    }
+
+    /// Ends slow starts, begins probes whose time has come and forgets VMs long gone.
+    pub fn on_tick(&mut self, now: TimePoint) {
+        let tombstone = self.timings.tombstone;
+        self.records
+            .retain(|_, record| record.gone_at.is_none_or(|at| now.since(at) < tombstone));
+        let due = self
+            .records
+            .values()
+            .filter_map(|record| Some((record.fact.vm.clone(), record.due(self.timings, now)?)))
+            .collect::<Vec<_>>();
+        for (vm, evidence) in due {
+            self.observe(&vm, evidence, now);
+        }
+    }
+
+    /// How a VM stands.
+    #[must_use]
+    pub fn state(&self, vm: &VmId) -> MemberState {
+        self.records
+            .get(vm)
+            .map_or(MemberState::Unseen, |record| record.state)
+    }
+
+    /// The facts about every VM that is not gone, in order of id.
+    pub fn facts(&self) -> impl Iterator<Item = &VmFact> {
+        self.present().map(|record| &record.fact)
+    }
+
+    /// Every VM that is not gone as the router sees it, in order of id.
+    pub fn views(&self, now: TimePoint) -> impl Iterator<Item = MemberView<'_>> {
+        self.present().map(move |record| MemberView {
+            fact: &record.fact,
+            state: record.state,
+            weight: record.weight(self.timings, now),
+        })
+    }
+
+    fn present(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.records
+            .values()
+            .filter(|record| record.state != MemberState::Gone)
+    }
+
+    fn insert(&mut self, fact: &VmFact, now: TimePoint) {
+        if self.records.contains_key(&fact.vm) {
+            return;
+        }
+        let replaced = self
+            .records
+            .values()
+            .filter(|record| record.fact.address == fact.address && record.gone_at.is_none())
+            .map(|record| record.fact.vm.clone())
+            .collect::<Vec<_>>();
+        for vm in replaced {
+            self.observe(&vm, MemberEvidence::Replaced, now);
+        }
+        let record = MemberRecord {
+            fact: fact.clone(),
+            state: CHART.initial(),
+            ramp_since: now,
+            failures: 0,
+            probe_at: now,
+            answered_at: None,
+            gone_at: None,
+        };
+        self.records.insert(fact.vm.clone(), record);
+    }
+}
+
+impl MemberRecord {
+    fn perform(&mut self, action: MemberAction, timings: MemberTimings, now: TimePoint) {
+        match action {
+            MemberAction::StartRamp => self.ramp_since = now,
+            MemberAction::ClearFailures => self.failures = 0,
+            MemberAction::ScheduleProbe => {
+                let doublings = self.failures.min(u64::BITS - 1);
+                let wait = timings.first_probe.0.saturating_mul(1 << doublings);
+                self.probe_at = now + TimeSpan(wait.min(timings.longest_probe.0));
+                self.failures = self.failures.saturating_add(1);
+            }
+        }
+    }
+
+    fn answered(&self, timings: MemberTimings, now: TimePoint) -> bool {
+        self.answered_at
+            .is_some_and(|at| now.since(at) < timings.list_lag)
+    }
+
+    fn due(&self, timings: MemberTimings, now: TimePoint) -> Option<MemberEvidence> {
+        match self.state {
+            MemberState::Ramping if now.since(self.ramp_since) >= timings.ramp => {
+                Some(MemberEvidence::RampEnded)
+            }
+            MemberState::Suspect if now >= self.probe_at => Some(MemberEvidence::ProbeDue),
+            _ => None,
+        }
+    }
+
+    fn weight(&self, timings: MemberTimings, now: TimePoint) -> RampWeight {
+        match self.state {
+            MemberState::Live => RampWeight::FULL,
+            MemberState::Probing => RampWeight::LEAST,
+            MemberState::Ramping => ramp_weight(now.since(self.ramp_since), timings.ramp),
+            _ => RampWeight::NONE,
+        }
+    }
+}
+
+fn ramp_weight(elapsed: TimeSpan, ramp: TimeSpan) -> RampWeight {
+    let full = u64::from(RampWeight::FULL.0);
+    let part = (elapsed.0.saturating_mul(full) / ramp.0.max(1)).min(full);
+    let part = u16::try_from(part).unwrap_or(RampWeight::FULL.0);
+    RampWeight(part.max(RampWeight::LEAST.0))
+}
--- /dev/null
+++ b/crates/celerycrank-membership/src/roster.rs
@@ -0,0 +1,88 @@
+//! Which entries watch the key-value service for each failure domain.
+
+use celerycrank_types::{DomainId, VmId};
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Entries that watch for one failure domain.
+///
+/// Three keep a domain informed while one is replaced and another is frozen.
+pub const WATCHERS_PER_DOMAIN: usize = 3;
+
+/// One process as the roster sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerFact {
+    /// The VM of the process.
+    pub vm: VmId,
+    /// The failure domain of the VM.
+    pub domain: DomainId,
+}
+
+/// The entries ranked as watchers, computed by each process from its own view.
+///
+/// Views that differ cost an additional watcher or a missing one, never correctness.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct WatcherRoster {
+    /// Invariant: one item a domain, at most [`WATCHERS_PER_DOMAIN`] watchers each.
+    domains: Vec<(DomainId, SmallVec<[VmId; WATCHERS_PER_DOMAIN]>)>,
+}
+
+impl WatcherRoster {
+    /// Ranks `entries` for every domain in `domains` by rendezvous hashing.
+    ///
+    /// Entries of the domain itself rank before all others, so that a domain cut off
+    /// from the rest keeps its watchers.
+    #[must_use]
+    pub fn compute(entries: &[PeerFact], domains: &[DomainId]) -> Self {
+        let domains = domains
+            .iter()
+            .map(|domain| (domain.clone(), rank_watchers(entries, domain)))
+            .collect();
+        Self { domains }
+    }
+
+    /// The watchers of one domain, first rank first.
+    #[must_use]
+    pub fn watchers(&self, domain: &DomainId) -> &[VmId] {
+        self.domains
+            .iter()
+            .find(|(name, _)| name == domain)
+            .map_or(&[], |(_, watchers)| watchers.as_slice())
+    }
+
+    /// The domains for which `vm` watches, with its rank in each.
+    pub fn duties<'roster>(
+        &'roster self,
+        vm: &'roster VmId,
+    ) -> impl Iterator<Item = (&'roster DomainId, usize)> {
+        self.domains.iter().filter_map(move |(domain, watchers)| {
+            watchers
+                .iter()
+                .position(|watcher| watcher == vm)
+                .map(|rank| (domain, rank))
+        })
+    }
+
+    /// Whether `vm` watches for any domain.
+    #[must_use]
+    pub fn is_watcher(&self, vm: &VmId) -> bool {
+        self.duties(vm).next().is_some()
+    }
+}
+
+fn rank_watchers(entries: &[PeerFact], domain: &DomainId) -> SmallVec<[VmId; WATCHERS_PER_DOMAIN]> {
+    let seed = xxh3_64_with_seed(domain.as_str().as_bytes(), 0);
+    let mut ranked = entries
+        .iter()
+        .map(|entry| {
+            let score = xxh3_64_with_seed(entry.vm.as_str().as_bytes(), seed);
+            (entry.domain != *domain, score, &entry.vm)
+        })
+        .collect::<Vec<_>>();
+    ranked.sort_unstable();
+    ranked
+        .into_iter()
+        .take(WATCHERS_PER_DOMAIN)
+        .map(|(.., vm)| vm.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/celerycrank-membership/src/spread.rs
@@ -0,0 +1,90 @@
+//! Whom a watcher tells of a new revision, and when.
+
+use celerycrank_types::{TimePoint, TimeSpan, VmId};
+
+use crate::WATCHERS_PER_DOMAIN;
+
+/// How often a watcher offers its revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SpreadTimings {
+    /// Every peer is offered the revision once in this span by each watcher.
+    pub round: TimeSpan,
+}
+
+impl Default for SpreadTimings {
+    fn default() -> Self {
+        Self {
+            round: TimeSpan::from_secs(3),
+        }
+    }
+}
+
+/// The offers of one watcher to the peers of one failure domain.
+///
+/// On a new revision the watcher of rank `r` tells every third peer at once, beginning
+/// with the `r`-th; the rounds reach the others even if the other watchers are lost.
+#[derive(Debug)]
+pub struct SpreadPlanner {
+    timings: SpreadTimings,
+    rank: usize,
+    /// Invariant: sorted, so that all watchers number the peers alike.
+    peers: Vec<VmId>,
+    /// Next peer of the present round.
+    next: usize,
+    last_offer: TimePoint,
+}
+
+impl SpreadPlanner {
+    /// A planner for the watcher of this rank.
+    #[must_use]
+    pub fn new(timings: SpreadTimings, rank: usize, now: TimePoint) -> Self {
+        Self {
+            timings,
+            rank,
+            peers: Vec::new(),
+            next: 0,
+            last_offer: now,
+        }
+    }
+
+    /// Takes the peers of the domain, in any order.
+    pub fn set_peers(&mut self, mut peers: Vec<VmId>) {
+        peers.sort_unstable();
+        peers.dedup();
+        self.peers = peers;
+        self.next = self.next.min(self.peers.len());
+    }
+
+    /// The peers to tell at once of a revision just learnt.
+    pub fn on_learnt(&self) -> impl Iterator<Item = &VmId> {
+        self.peers
+            .iter()
+            .skip(self.rank % WATCHERS_PER_DOMAIN)
+            .step_by(WATCHERS_PER_DOMAIN)
+    }
+
+    /// The peers whose turn in the round has come by `now`.
+    pub fn on_tick(&mut self, now: TimePoint) -> Vec<VmId> {
+        let Some(count) = u64::try_from(self.peers.len())
+            .ok()
+            .filter(|count| *count > 0)
+        else {
+            self.last_offer = now;
+            return Vec::new();
+        };
+        let interval = TimeSpan((self.timings.round.0 / count).max(1));
+        let due = now.since(self.last_offer).0 / interval.0;
+        self.last_offer = self.last_offer + TimeSpan(due * interval.0);
+        let due = usize::try_from(due.min(count)).unwrap_or(usize::MAX);
+        (0..due).map(|_| self.take_next()).collect()
+    }
+
+    fn take_next(&mut self) -> VmId {
+        if self.next >= self.peers.len() {
+            self.next = 0;
+        }
+        let peer = self.peers[self.next].clone();
+        self.next += 1;
+        peer
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-membership/src/stop.rs
@@ -0,0 +1,97 @@
+//! Planned stops, and what would be left if they all took place.
+
+use std::collections::BTreeMap;
+
+use celerycrank_types::{BackendId, DomainId, EntryId, GroupId, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::{MemberTable, VmFact, VmRole};
+
+/// Least part of the live members of a role that planned stops may leave, in percent.
+const LEAST_REMAINING_PERCENT: usize = 50;
+
+/// What an operator announces a stop of.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StopTarget {
+    /// One backend server.
+    Backend(BackendId),
+    /// One VM with whatever runs on it.
+    Vm(VmId),
+    /// One entry.
+    Entry(EntryId),
+    /// Every VM of a lock-step group.
+    Group(GroupId),
+    /// Every VM of a failure domain.
+    Domain(DomainId),
+}
+
+impl StopTarget {
+    /// Whether the stop concerns this VM.
+    #[must_use]
+    pub fn covers(&self, fact: &VmFact) -> bool {
+        match self {
+            Self::Backend(backend) => fact.backend.as_ref() == Some(backend),
+            Self::Vm(vm) => fact.vm == *vm,
+            Self::Entry(entry) => fact.role == VmRole::Entry && fact.vm.as_str() == entry.as_str(),
+            Self::Group(group) => fact.group.as_ref() == Some(group),
+            Self::Domain(domain) => fact.domain == *domain,
+        }
+    }
+}
+
+/// A role with too few members left.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ModelShortfall {
+    /// The model, service or entry role.
+    pub role: VmRole,
+    /// Members that take work now.
+    pub live: usize,
+    /// Members that would remain.
+    pub remaining: usize,
+}
+
+/// What planned stops would leave of each role.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopImpact {
+    /// VMs that the stops concern and that take work now.
+    pub affected: usize,
+    /// Roles with too few members left, in order.
+    pub shortfalls: Vec<ModelShortfall>,
+}
+
+impl StopImpact {
+    /// Works out what is left of each role once `targets` have stopped.
+    #[must_use]
+    pub fn of(table: &MemberTable, targets: &[StopTarget]) -> Self {
+        let mut counts = BTreeMap::<VmRole, (usize, usize)>::new();
+        let mut affected = 0;
+        for fact in table
+            .facts()
+            .filter(|fact| table.state(&fact.vm).takes_work())
+        {
+            let count = counts.entry(fact.role.clone()).or_default();
+            count.0 += 1;
+            if targets.iter().any(|target| target.covers(fact)) {
+                affected += 1;
+            } else {
+                count.1 += 1;
+            }
+        }
+        let shortfalls = counts
+            .into_iter()
+            .filter(|(_, (live, remaining))| {
+                remaining < live && remaining * 100 < live * LEAST_REMAINING_PERCENT
+            })
+            .map(|(role, (live, remaining))| ModelShortfall {
+                role,
+                live,
+                remaining,
+            })
+            .collect();
+        Self {
+            affected,
+            shortfalls,
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-membership/tests/drain.rs
@@ -0,0 +1,71 @@
+//! A planned stop turns unready first, then refuses, then ends when nothing is in flight.
+
+use celerycrank_membership::{DrainState, DrainTracker, PendingWork};
+use celerycrank_types::{TimePoint, TimeSpan};
+
+/// Runs of each property; a seed's low half is the size of its input.
+const RUNS: u64 = 256;
+
+fn seeds(first: u64) -> impl Iterator<Item = u64> {
+    (0..RUNS).map(move |run| ((first + run) << 32) | 0x800)
+}
+
+#[test]
+fn ends_only_with_nothing_in_flight() {
+    for seed in seeds(0x3300) {
+        arbtest::arbtest(|u| {
+            let delay = TimeSpan::from_secs(u.int_in_range(0..=5)?);
+            let mut tracker = DrainTracker::new(delay);
+            let mut stopped_at = None;
+            for step in 0..40 {
+                let now = TimePoint::default() + TimeSpan::from_secs(step);
+                match u.int_in_range(0..=5)? {
+                    0 => {
+                        tracker.request_stop(now);
+                        stopped_at.get_or_insert(now);
+                    }
+                    1 => {
+                        tracker.withdraw_stop();
+                        if tracker.state() == DrainState::Serving {
+                            stopped_at = None;
+                        }
+                    }
+                    _ => {}
+                }
+                let requests = u.int_in_range(0..=1)?;
+                let pending = PendingWork {
+                    requests,
+                    ..PendingWork::default()
+                };
+                let before = tracker.state();
+                let after = tracker.on_tick(now, pending);
+                if before != DrainState::Finished && after == DrainState::Finished {
+                    assert_eq!(requests, 0);
+                }
+                if !tracker.takes_work() {
+                    let since = stopped_at.expect("only a stop ends the taking of work");
+                    assert!(
+                        now.since(since) >= delay,
+                        "the balancer had its time to leave"
+                    );
+                }
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+#[test]
+fn says_what_it_waits_for() {
+    let pending = PendingWork {
+        requests: 2,
+        oldest: TimeSpan::from_secs(90),
+        claims: 1,
+    };
+    assert_eq!(
+        pending.to_string(),
+        "2 requests in flight, the oldest for 90s; 1 open claims"
+    );
+    assert_eq!(PendingWork::default().to_string(), "nothing in flight");
+}
--- /dev/null
+++ b/crates/celerycrank-membership/tests/gate.rs
@@ -0,0 +1,97 @@
+//! A process's revision never decreases, and a starting process learns what was in force.
+
+use std::sync::Arc;
+
+use celerycrank_membership::{
+    BootstrapOutcome, BootstrapQuorum, GateOutcome, PeerVerdict, RevisionGate,
+};
+use celerycrank_types::{Revision, VmId};
+
+/// Runs of each property; a seed's low half is the size of its input.
+const RUNS: u64 = 256;
+
+fn seeds(first: u64) -> impl Iterator<Item = u64> {
+    (0..RUNS).map(move |run| ((first + run) << 32) | 0x800)
+}
+
+#[test]
+fn never_goes_back() {
+    for seed in seeds(0x300) {
+        arbtest::arbtest(|u| {
+            let mut gate = RevisionGate::new();
+            let mut newest = Revision(0);
+            for _ in 0..64 {
+                let offered = Revision(u.int_in_range(1..=20)?);
+                let outcome = gate.offer(offered, Arc::new(offered));
+                newest = newest.max(offered);
+                assert_eq!(gate.revision(), newest);
+                assert_eq!(gate.document().map(|document| **document), Some(newest));
+                assert_eq!(outcome == GateOutcome::Older, offered < newest);
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+#[test]
+fn tells_who_is_behind() {
+    let mut gate = RevisionGate::new();
+    assert_eq!(gate.judge(Revision(0)), PeerVerdict::BothEmpty);
+    assert_eq!(gate.judge(Revision(3)), PeerVerdict::SelfBehind);
+    gate.offer(Revision(3), Arc::new(()));
+    assert_eq!(gate.judge(Revision(3)), PeerVerdict::Equal);
+    assert_eq!(gate.judge(Revision(2)), PeerVerdict::PeerBehind);
+    assert_eq!(gate.judge(Revision(0)), PeerVerdict::PeerBehind);
+    assert_eq!(gate.judge(Revision(4)), PeerVerdict::SelfBehind);
+}
+
+#[test]
+fn a_majority_is_needed_to_start_without_the_service() {
+    let watchers = ["a", "b", "c"].map(|name| name.parse::<VmId>().unwrap());
+    let mut quorum = BootstrapQuorum::new(&watchers);
+    let stranger = "d".parse().unwrap();
+    quorum.answer(&stranger, Revision(9), Some(Arc::new(9)));
+    quorum.answer(&watchers[0], Revision(4), Some(Arc::new(4)));
+    quorum.answer(&watchers[0], Revision(4), Some(Arc::new(4)));
+    assert_eq!(
+        quorum.outcome(),
+        BootstrapOutcome::Waiting {
+            answered: 1,
+            needed: 2
+        }
+    );
+    quorum.answer(&watchers[2], Revision(5), Some(Arc::new(5)));
+    assert_eq!(
+        quorum.outcome(),
+        BootstrapOutcome::Learnt(Revision(5), Arc::new(5))
+    );
+}
+
+#[test]
+fn a_frozen_watcher_cannot_take_a_starting_process_back() {
+    for seed in seeds(0x500) {
+        arbtest::arbtest(|u| {
+            let watchers = ["a", "b", "c"].map(|name| name.parse::<VmId>().unwrap());
+            let in_force = Revision(u.int_in_range(2..=100)?);
+            let frozen = u.choose_index(watchers.len())?;
+            let mut quorum = BootstrapQuorum::new(&watchers);
+            let mut order = vec![0, 1, 2];
+            order.swap(0, u.choose_index(3)?);
+            order.swap(1, 1 + u.choose_index(2)?);
+            for index in order {
+                let revision = if index == frozen {
+                    Revision(1)
+                } else {
+                    in_force
+                };
+                quorum.answer(&watchers[index], revision, Some(Arc::new(revision)));
+                if let BootstrapOutcome::Learnt(learnt, _) = quorum.outcome() {
+                    assert_eq!(learnt, in_force);
+                }
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-membership/tests/member.rs
@@ -0,0 +1,170 @@
+//! The merging rule for evidence about backend servers.
+
+use celerycrank_membership::{
+    MemberEvidence, MemberState, MemberTable, MemberTimings, RampWeight, StopImpact, StopTarget,
+    VmFact, VmRole,
+};
+use celerycrank_types::{TimePoint, TimeSpan, VmId};
+
+/// Runs of each property; a seed's low half is the size of its input.
+const RUNS: u64 = 256;
+
+fn seeds(first: u64) -> impl Iterator<Item = u64> {
+    (0..RUNS).map(move |run| ((first + run) << 32) | 0x800)
+}
+
+const EVIDENCE: [MemberEvidence; 11] = [
+    MemberEvidence::Listed,
+    MemberEvidence::ListLeaving,
+    MemberEvidence::ListGone,
+    MemberEvidence::Replaced,
+    MemberEvidence::StopAnnounced,
+    MemberEvidence::StopWithdrawn,
+    MemberEvidence::AgentLeaving,
+    MemberEvidence::Answered,
+    MemberEvidence::Failed,
+    MemberEvidence::RampEnded,
+    MemberEvidence::ProbeDue,
+];
+
+fn seconds(count: u64) -> TimePoint {
+    TimePoint::default() + TimeSpan::from_secs(count)
+}
+
+fn fact(name: &str, port: u16, domain: &str) -> VmFact {
+    VmFact {
+        vm: name.parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        address: ([127, 0, 0, 1], port).into(),
+        role: VmRole::Engine("drafting".parse().unwrap()),
+        backend: None,
+        group: None,
+    }
+}
+
+fn table_of(facts: &[VmFact]) -> MemberTable {
+    let mut table = MemberTable::new(MemberTimings::default());
+    let reading = facts
+        .iter()
+        .map(|fact| (fact.clone(), false))
+        .collect::<Vec<_>>();
+    table.on_list(&reading, seconds(0));
+    table
+}
+
+#[test]
+fn a_leaving_vm_never_takes_work_again() {
+    for seed in seeds(0x2300) {
+        arbtest::arbtest(|u| {
+            let vm = "a".parse::<VmId>().unwrap();
+            let mut table = table_of(&[fact("a", 1, "borba")]);
+            let mut left = false;
+            for step in 0..40 {
+                let evidence = *u.choose(&EVIDENCE)?;
+                table.observe(&vm, evidence, seconds(step));
+                left |= matches!(
+                    evidence,
+                    MemberEvidence::AgentLeaving
+                        | MemberEvidence::ListLeaving
+                        | MemberEvidence::ListGone
+                        | MemberEvidence::Replaced
+                );
+                assert!(!left || !table.state(&vm).takes_work());
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+#[test]
+fn a_failed_vm_gets_no_work_until_it_is_probed_and_then_starts_slowly() {
+    let vm = "a".parse::<VmId>().unwrap();
+    let mut table = table_of(&[fact("a", 1, "borba")]);
+    table.on_tick(seconds(10));
+    assert_eq!(table.state(&vm), MemberState::Live);
+    table.observe(&vm, MemberEvidence::Failed, seconds(11));
+    assert!(!table.state(&vm).takes_work());
+    table.on_tick(seconds(12));
+    assert_eq!(table.state(&vm), MemberState::Probing);
+    table.observe(&vm, MemberEvidence::Failed, seconds(12));
+    table.on_tick(seconds(13));
+    assert_eq!(
+        table.state(&vm),
+        MemberState::Suspect,
+        "the second wait is twice the first"
+    );
+    table.on_tick(seconds(14));
+    assert_eq!(table.state(&vm), MemberState::Probing);
+    table.observe(&vm, MemberEvidence::Answered, seconds(15));
+    let weight = |table: &MemberTable, at| table.views(seconds(at)).next().unwrap().weight;
+    assert!(weight(&table, 16) < weight(&table, 20));
+    assert!(weight(&table, 20) < RampWeight::FULL);
+    table.on_tick(seconds(25));
+    assert_eq!(weight(&table, 25), RampWeight::FULL);
+}
+
+#[test]
+fn a_withdrawn_stop_brings_a_vm_back_unless_it_is_leaving() {
+    let vm = "a".parse::<VmId>().unwrap();
+    let mut table = table_of(&[fact("a", 1, "borba")]);
+    table.observe(&vm, MemberEvidence::StopAnnounced, seconds(1));
+    assert!(!table.state(&vm).takes_work());
+    table.observe(&vm, MemberEvidence::Listed, seconds(2));
+    table.observe(&vm, MemberEvidence::Answered, seconds(2));
+    assert!(
+        !table.state(&vm).takes_work(),
+        "the list and old answers do not undo a stop"
+    );
+    table.observe(&vm, MemberEvidence::StopWithdrawn, seconds(3));
+    assert!(table.state(&vm).takes_work());
+    table.observe(&vm, MemberEvidence::AgentLeaving, seconds(4));
+    table.observe(&vm, MemberEvidence::StopWithdrawn, seconds(5));
+    assert_eq!(table.state(&vm), MemberState::Leaving);
+}
+
+#[test]
+fn a_vm_replaced_at_the_same_address_is_a_new_one() {
+    let mut table = table_of(&[fact("old", 1, "borba")]);
+    let old = "old".parse::<VmId>().unwrap();
+    let new = "new".parse::<VmId>().unwrap();
+    table.observe(&old, MemberEvidence::Failed, seconds(1));
+    table.on_list(&[(fact("new", 1, "borba"), false)], seconds(2));
+    assert_eq!(table.state(&old), MemberState::Gone);
+    assert_eq!(table.state(&new), MemberState::Ramping);
+    assert_eq!(table.facts().count(), 1);
+}
+
+#[test]
+fn a_late_list_neither_revives_the_gone_nor_removes_the_answering() {
+    let both = [fact("a", 1, "borba"), fact("b", 2, "borba")];
+    let mut table = table_of(&both);
+    let names = ["a", "b"].map(|name| name.parse::<VmId>().unwrap());
+    table.observe(&names[1], MemberEvidence::Answered, seconds(1));
+    table.on_list(&[], seconds(2));
+    assert_eq!(table.state(&names[0]), MemberState::Gone);
+    assert!(table.state(&names[1]).takes_work());
+    let late = both.map(|fact| (fact, false));
+    table.on_list(&late, seconds(3));
+    assert_eq!(table.state(&names[0]), MemberState::Gone);
+}
+
+#[test]
+fn stops_that_leave_too_little_are_named() {
+    let facts = [
+        fact("a", 1, "estremoz"),
+        fact("b", 2, "borba"),
+        fact("c", 3, "vila-vicosa"),
+        fact("d", 4, "borba"),
+    ];
+    let table = table_of(&facts);
+    let one = StopImpact::of(&table, &[StopTarget::Vm("a".parse().unwrap())]);
+    assert_eq!((one.affected, one.shortfalls.len()), (1, 0));
+    let domains = ["borba", "estremoz"].map(|name| StopTarget::Domain(name.parse().unwrap()));
+    let many = StopImpact::of(&table, &domains);
+    assert_eq!(many.affected, 3);
+    assert_eq!(
+        (many.shortfalls[0].live, many.shortfalls[0].remaining),
+        (4, 1)
+    );
+}
--- /dev/null
+++ b/crates/celerycrank-membership/tests/spread.rs
@@ -0,0 +1,133 @@
+//! A revision reaches every process of the design size in time, with watchers lost.
+
+use std::sync::Arc;
+
+use celerycrank_membership::{
+    PeerFact, RevisionGate, SpreadPlanner, SpreadTimings, WATCHERS_PER_DOMAIN, WatcherRoster,
+};
+use celerycrank_types::{DomainId, Revision, TimePoint, TimeSpan, VmId};
+
+const DOMAINS: usize = 14;
+const ENTRIES: usize = 360;
+const AGENTS: usize = 1_200;
+const TICK: TimeSpan = TimeSpan::from_millis(100);
+const IN_FORCE: TimeSpan = TimeSpan::from_secs(5);
+
+fn domain(number: usize) -> DomainId {
+    format!("domain-{number}").parse().unwrap()
+}
+
+fn peers(kind: &str, count: usize) -> Vec<PeerFact> {
+    let peer = |number: usize| PeerFact {
+        vm: format!("{kind}-{number}").parse().unwrap(),
+        domain: domain(number % DOMAINS),
+    };
+    (0..count).map(peer).collect()
+}
+
+/// Spreads one revision in one domain with some watchers dead; the time that it took.
+fn spread_time(
+    roster: &WatcherRoster,
+    everyone: &[PeerFact],
+    name: &DomainId,
+    dead: usize,
+) -> TimeSpan {
+    let start = TimePoint::default();
+    let members = everyone
+        .iter()
+        .filter(|peer| peer.domain == *name)
+        .map(|peer| peer.vm.clone());
+    let members = members.collect::<Vec<VmId>>();
+    let mut planners = (dead..WATCHERS_PER_DOMAIN)
+        .map(|rank| SpreadPlanner::new(SpreadTimings::default(), rank, start))
+        .collect::<Vec<_>>();
+    let mut gates = members
+        .iter()
+        .map(|vm| (vm.clone(), RevisionGate::<()>::new()))
+        .collect::<std::collections::BTreeMap<_, _>>();
+    let dead_watchers = &roster.watchers(name)[..dead];
+    let mut now = start;
+    for planner in &mut planners {
+        planner.set_peers(members.clone());
+        for vm in planner.on_learnt() {
+            gates.get_mut(vm).unwrap().offer(Revision(1), Arc::new(()));
+        }
+    }
+    while gates
+        .iter()
+        .any(|(vm, gate)| gate.revision() == Revision(0) && !dead_watchers.contains(vm))
+    {
+        now = now + TICK;
+        for planner in &mut planners {
+            for vm in planner.on_tick(now) {
+                gates.get_mut(&vm).unwrap().offer(Revision(1), Arc::new(()));
+            }
+        }
+    }
+    now.since(start)
+}
+
+#[test]
+fn in_force_within_five_seconds_with_two_of_three_watchers_lost() {
+    let entries = peers("entry", ENTRIES);
+    let everyone = entries
+        .iter()
+        .cloned()
+        .chain(peers("agent", AGENTS))
+        .collect::<Vec<_>>();
+    let domains = (0..DOMAINS).map(domain).collect::<Vec<_>>();
+    let roster = WatcherRoster::compute(&entries, &domains);
+    for name in &domains {
+        assert_eq!(spread_time(&roster, &everyone, name, 0), TimeSpan::ZERO);
+        for dead in 1..WATCHERS_PER_DOMAIN {
+            assert!(spread_time(&roster, &everyone, name, dead) <= IN_FORCE);
+        }
+    }
+}
+
+#[test]
+fn few_watch_and_each_domain_has_its_own() {
+    let entries = peers("entry", ENTRIES);
+    let domains = (0..DOMAINS).map(domain).collect::<Vec<_>>();
+    let roster = WatcherRoster::compute(&entries, &domains);
+    let watchers = entries
+        .iter()
+        .filter(|entry| roster.is_watcher(&entry.vm))
+        .count();
+    assert_eq!(watchers, DOMAINS * WATCHERS_PER_DOMAIN);
+    for name in &domains {
+        for watcher in roster.watchers(name) {
+            let own = entries.iter().find(|entry| entry.vm == *watcher).unwrap();
+            assert_eq!(own.domain, *name);
+        }
+    }
+}
+
+#[test]
+fn the_loss_of_one_entry_moves_only_its_own_duties() {
+    let entries = peers("entry", ENTRIES);
+    let domains = (0..DOMAINS).map(domain).collect::<Vec<_>>();
+    let before = WatcherRoster::compute(&entries, &domains);
+    let lost = before.watchers(&domains[0])[0].clone();
+    let rest = entries
+        .into_iter()
+        .filter(|entry| entry.vm != lost)
+        .collect::<Vec<_>>();
+    let after = WatcherRoster::compute(&rest, &domains);
+    assert_eq!(before.watchers(&domains[1]), after.watchers(&domains[1]));
+    let kept = &before.watchers(&domains[0])[1..];
+    assert_eq!(
+        kept,
+        &after.watchers(&domains[0])[..WATCHERS_PER_DOMAIN - 1]
+    );
+}
+
+#[test]
+fn today_three_entries_watch_for_all_domains() {
+    let entries = peers("entry", 3);
+    let domains = (0..4).map(domain).collect::<Vec<_>>();
+    let roster = WatcherRoster::compute(&entries, &domains);
+    for name in &domains {
+        assert_eq!(roster.watchers(name).len(), WATCHERS_PER_DOMAIN);
+    }
+}
