Run a request by a chart at the entry, and an attempt by another at the agent

Cause: the shells need one place that decides what a caller may be told and what may be started. RequestMachine (entry) and StartLedger (agent) take events and return actions; both follow JSON charts.

Ruled out: deadlines as remaining spans. They grow while a message waits in the socket of a frozen agent; PeerClock tells them in the agent's own clock. Ruled out: answering a copy meant for another incarnation, or one older than the ledger reaches, with a refusal: an earlier copy may have run, so such copies are told as unproved.

Not yet proved by random runs; these follow.

--- a/crates/celerycrank-requests/src/lib.rs
+++ b/crates/celerycrank-requests/src/lib.rs
@@ -1,1 +1,27 @@
-//! Decisions about one request: outcomes, retries and at-most-once claims.
+//! Decisions about one request: its outcome, its retries, and claims for keyed calls.
+//!
+//! At the entry a [`RequestMachine`] drives one request to its one outcome. Beside the
+//! backend server a [`StartLedger`] decides whether an attempt may start, and can prove
+//! later that one never did. Nothing here performs I/O or reads a clock.
+
+mod attempt;
+mod claim;
+mod clock;
+mod request;
+mod retry;
+mod start;
+
+pub use crate::{
+    attempt::{AttemptId, LinkNumber},
+    claim::{CallStatus, ClaimAnswer},
+    clock::PeerClock,
+    request::{
+        RequestAction, RequestActions, RequestContext, RequestEvent, RequestMachine, RequestPolicy,
+        RequestState, RevokeAnswer,
+    },
+    retry::{RetryBackoff, RetryBudget, is_retryable},
+    start::{
+        AttemptAction, AttemptActions, AttemptEvent, AttemptState, CallKind, StartLedger,
+        StartSettings,
+    },
+};
--- /dev/null
+++ b/crates/celerycrank-requests/src/request/classify.rs
@@ -0,0 +1,300 @@
+//! The guards of a request: what an event means in its present state.
+
+use celerycrank_chart::ChartStep;
+use celerycrank_config::RepeatRule;
+use celerycrank_types::{RefusalReason, RetryReason, TimePoint, UnknownReason};
+use rand::Rng;
+
+use super::{
+    event::{EventKind, RequestEvent, RequestState, RevokeAnswer},
+    machine::{AttemptProgress, LinkState, REQUEST_CHART, RequestContext, RequestMachine},
+};
+use crate::{AttemptId, LinkNumber, is_retryable};
+
+impl RequestMachine {
+    /// Names the event as the chart does; none if it does not concern the request now.
+    pub(super) fn classify<R: Rng>(
+        &mut self,
+        event: &RequestEvent,
+        context: &mut RequestContext<'_, R>,
+    ) -> Option<EventKind> {
+        match event {
+            RequestEvent::Chosen(backend) => {
+                self.backend = self
+                    .accepts(EventKind::Chosen)
+                    .then(|| backend.clone())
+                    .or(self.backend.take());
+                Some(EventKind::Chosen)
+            }
+            RequestEvent::NoneChosen(reason) => self.none_chosen(*reason),
+            RequestEvent::Connected {
+                link,
+                incarnation,
+                clock,
+            } => {
+                self.is_current(*link)?;
+                self.accepts(EventKind::Connected).then_some(())?;
+                self.incarnation = *incarnation;
+                self.agent_deadline = clock.deadline(self.deadline);
+                Some(EventKind::Connected)
+            }
+            RequestEvent::ConnectFailed(link) => {
+                self.is_current(*link)?;
+                self.connect_failed(context)
+            }
+            RequestEvent::LinkLost(link) => {
+                self.is_current(*link)?;
+                Some(self.link_lost(context))
+            }
+            RequestEvent::Refused(attempt, reason) => {
+                self.is_latest(*attempt)?;
+                self.proved(*reason, RetryReason::Refused, context)
+            }
+            RequestEvent::Unproved(attempt, reason) => {
+                self.is_latest(*attempt)?;
+                Some(self.unproved(*reason, context))
+            }
+            RequestEvent::Head(attempt) => {
+                self.is_latest(*attempt)?;
+                Some(EventKind::Head)
+            }
+            RequestEvent::Chunk {
+                attempt,
+                offset,
+                length,
+            } => {
+                self.is_latest(*attempt)?;
+                self.chunk(*offset, *length, context)
+            }
+            RequestEvent::End { attempt, length } => {
+                self.is_latest(*attempt)?;
+                self.end(*length, context)
+            }
+            RequestEvent::RevokeAnswered(attempt, answer) => {
+                self.is_latest(*attempt)?;
+                self.revoke_answered(*answer, context)
+            }
+            RequestEvent::RevokeFailed(attempt) => {
+                self.is_latest(*attempt)?;
+                None
+            }
+            RequestEvent::Woke => self.woke(context),
+            RequestEvent::CallerLeft => Some(EventKind::CallerLeft),
+        }
+    }
+
+    fn is_latest(&self, attempt: AttemptId) -> Option<()> {
+        (attempt == self.attempt()).then_some(())
+    }
+
+    fn is_current(&self, link: LinkNumber) -> Option<()> {
+        (link == self.link).then_some(())
+    }
+
+    fn accepts(&self, kind: EventKind) -> bool {
+        matches!(
+            REQUEST_CHART.step(self.state, kind),
+            ChartStep::Moved { .. }
+        )
+    }
+
+    fn none_chosen(&mut self, reason: RefusalReason) -> Option<EventKind> {
+        self.accepts(EventKind::NotRun).then_some(())?;
+        self.refusal = reason;
+        Some(self.not_run())
+    }
+
+    /// Not run, unless an earlier attempt of a repeatable call may have run.
+    fn not_run(&mut self) -> EventKind {
+        match self.doubt {
+            Some(reason) => {
+                self.unknown = reason;
+                EventKind::Unproved
+            }
+            None => EventKind::NotRun,
+        }
+    }
+
+    fn connect_failed<R: Rng>(&mut self, context: &mut RequestContext<'_, R>) -> Option<EventKind> {
+        (self.state == RequestState::Connecting).then_some(())?;
+        self.refusal = RefusalReason::AgentUnreachable;
+        if self.may_try_again(context.now) {
+            self.back_off(RetryReason::ConnectFailed, context);
+            return Some(EventKind::Retry);
+        }
+        Some(self.not_run())
+    }
+
+    /// The latest attempt will never start: try again if the budget allows.
+    fn proved<R: Rng>(
+        &mut self,
+        refusal: RefusalReason,
+        retry: RetryReason,
+        context: &mut RequestContext<'_, R>,
+    ) -> Option<EventKind> {
+        self.accepts(EventKind::NotRun).then_some(())?;
+        self.progress = AttemptProgress::Idle;
+        self.refusal = refusal;
+        if !is_retryable(refusal) || !self.may_try_again(context.now) {
+            return Some(self.not_run());
+        }
+        if !context.budget.spend() {
+            self.refusal = RefusalReason::RetryBudget;
+            return Some(self.not_run());
+        }
+        self.paid = true;
+        self.back_off(retry, context);
+        Some(EventKind::Retry)
+    }
+
+    /// Nothing is known of the latest attempt: only a repeatable call goes on.
+    fn unproved<R: Rng>(
+        &mut self,
+        reason: UnknownReason,
+        context: &mut RequestContext<'_, R>,
+    ) -> EventKind {
+        self.unknown = reason;
+        let may_repeat = self.policy.repeat == RepeatRule::Repeatable
+            && !self.head_delivered
+            && self.accepts(EventKind::Repeat)
+            && self.may_try_again(context.now);
+        if !may_repeat || !context.budget.spend() {
+            return EventKind::Unproved;
+        }
+        self.paid = true;
+        self.progress = AttemptProgress::Idle;
+        self.doubt = Some(reason);
+        self.back_off(RetryReason::Repeatable, context);
+        EventKind::Repeat
+    }
+
+    fn may_try_again(&self, now: TimePoint) -> bool {
+        self.tries < self.policy.tries && now < self.deadline
+    }
+
+    fn back_off<R: Rng>(&mut self, reason: RetryReason, context: &mut RequestContext<'_, R>) {
+        self.retry = reason;
+        self.settle_at = None;
+        self.wait_until = context.now + self.policy.backoff.wait(self.tries, &mut *context.random);
+        if let Some(backend) = &self.backend
+            && !self.avoid.contains(backend)
+        {
+            self.avoid.push(backend.clone());
+        }
+    }
+
+    fn link_lost<R: Rng>(&mut self, context: &mut RequestContext<'_, R>) -> EventKind {
+        self.link_state = LinkState::Lost;
+        self.retry = RetryReason::StreamResumed;
+        match self.state {
+            RequestState::Revoking if self.progress == AttemptProgress::Started => {
+                EventKind::Started
+            }
+            RequestState::Resuming => {
+                let tries = self.link.0;
+                self.wait_until =
+                    context.now + self.policy.backoff.wait(tries, &mut *context.random);
+                EventKind::LinkLost
+            }
+            _ => EventKind::LinkLost,
+        }
+    }
+
+    fn chunk<R: Rng>(
+        &mut self,
+        offset: u64,
+        length: u64,
+        context: &mut RequestContext<'_, R>,
+    ) -> Option<EventKind> {
+        if offset > self.delivered || !self.head_delivered {
+            return self.gap(context);
+        }
+        (offset + length > self.delivered).then_some(EventKind::Chunk)
+    }
+
+    fn end<R: Rng>(
+        &mut self,
+        length: u64,
+        context: &mut RequestContext<'_, R>,
+    ) -> Option<EventKind> {
+        if length < self.delivered {
+            return Some(self.unproved(UnknownReason::BadAnswer, context));
+        }
+        if length > self.delivered || !self.head_delivered {
+            return self.gap(context);
+        }
+        Some(EventKind::End)
+    }
+
+    /// Part of the answer is missing: as good as a lost link, unless a resumption is under way.
+    fn gap<R: Rng>(&mut self, context: &mut RequestContext<'_, R>) -> Option<EventKind> {
+        match self.state {
+            RequestState::Waiting | RequestState::Streaming => Some(self.link_lost(context)),
+            _ => None,
+        }
+    }
+
+    fn revoke_answered<R: Rng>(
+        &mut self,
+        answer: RevokeAnswer,
+        context: &mut RequestContext<'_, R>,
+    ) -> Option<EventKind> {
+        (self.state == RequestState::Revoking).then_some(())?;
+        match answer {
+            RevokeAnswer::NeverStarted if context.now >= self.deadline => self.proved(
+                RefusalReason::DeadlineUnreachable,
+                RetryReason::Revoked,
+                context,
+            ),
+            RevokeAnswer::NeverStarted => {
+                self.proved(RefusalReason::Revoked, RetryReason::Revoked, context)
+            }
+            RevokeAnswer::Started | RevokeAnswer::Finished => Some(self.found_started()),
+            RevokeAnswer::Unproved(reason) => Some(self.unproved(reason, context)),
+            RevokeAnswer::Forgotten => Some(self.unproved(UnknownReason::LinkLost, context)),
+            RevokeAnswer::OtherIncarnation => {
+                Some(self.unproved(UnknownReason::AgentRestarted, context))
+            }
+        }
+    }
+
+    fn found_started(&mut self) -> EventKind {
+        self.progress = AttemptProgress::Started;
+        if self.link_state == LinkState::Up {
+            self.wait_until = self.settle_at.unwrap_or(self.wait_until);
+            return EventKind::Running;
+        }
+        self.retry = RetryReason::StreamResumed;
+        EventKind::Started
+    }
+
+    fn woke<R: Rng>(&mut self, context: &mut RequestContext<'_, R>) -> Option<EventKind> {
+        (self.wake_at()? <= context.now).then_some(())?;
+        let settled = self.settle_at.is_some_and(|at| at <= context.now);
+        match self.state {
+            RequestState::Waiting => Some(EventKind::Deadline),
+            RequestState::BackingOff if context.now < self.deadline => Some(EventKind::WaitOver),
+            RequestState::Revoking | RequestState::Resuming if settled => {
+                Some(self.settle(context))
+            }
+            RequestState::Revoking => Some(EventKind::AskAgain),
+            RequestState::Resuming => {
+                self.retry = RetryReason::StreamResumed;
+                Some(EventKind::AskAgain)
+            }
+            RequestState::Streaming => Some(self.link_lost(context)),
+            _ => Some(self.not_run()),
+        }
+    }
+
+    fn settle<R: Rng>(&mut self, context: &mut RequestContext<'_, R>) -> EventKind {
+        let reason = match (self.progress, self.link_state) {
+            (AttemptProgress::Started, LinkState::Up) => UnknownReason::BackendTimeout,
+            _ => UnknownReason::LinkLost,
+        };
+        match self.unproved(reason, context) {
+            EventKind::Unproved => EventKind::Settle,
+            other => other,
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-requests/src/request/machine.rs
@@ -0,0 +1,360 @@
+//! The life of one request at the entry, run by `charts/request.json`.
+
+use std::sync::LazyLock;
+
+use celerycrank_chart::{ChartStep, StateChart};
+use celerycrank_types::{
+    BackendId, Incarnation, RefusalReason, RequestId, RequestOutcome, RetryReason, TimePoint,
+    UnknownReason,
+};
+use rand::Rng;
+use smallvec::SmallVec;
+
+use super::{
+    event::{ActionKind, EventKind, RequestAction, RequestEvent, RequestState},
+    policy::RequestPolicy,
+};
+use crate::{AttemptId, LinkNumber, RetryBudget};
+
+/// What the entry has to do next, in order.
+pub type RequestActions = SmallVec<[RequestAction; 2]>;
+
+pub(super) static REQUEST_CHART: LazyLock<StateChart<RequestState, EventKind, ActionKind>> =
+    LazyLock::new(|| {
+        StateChart::parse(include_str!("../../charts/request.json"))
+            .expect("the chart in the binary is valid")
+    });
+
+/// What a request borrows from its entry for one event.
+#[derive(Debug)]
+pub struct RequestContext<'entry, R> {
+    /// The entry's clock.
+    pub now: TimePoint,
+    /// The retry budget of the request's account.
+    pub budget: &'entry mut RetryBudget,
+    /// The generator that jitter is drawn from.
+    pub random: &'entry mut R,
+}
+
+/// Whether a link may still bring something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LinkState {
+    Up,
+    Lost,
+}
+
+/// What is known of the latest attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AttemptProgress {
+    /// It was not sent, or will never start.
+    Idle,
+    /// It was sent and may have started.
+    Sent,
+    /// Its agent said that it started.
+    Started,
+}
+
+/// The life of one request at the entry.
+///
+/// The shell starts it, hands it events, and carries out the actions that it returns.
+#[derive(Debug, Clone)]
+pub struct RequestMachine {
+    pub(super) request: RequestId,
+    pub(super) policy: RequestPolicy,
+    pub(super) state: RequestState,
+    /// When the head of the answer is due.
+    pub(super) deadline: TimePoint,
+    /// Choices of a backend server so far.
+    pub(super) tries: u32,
+    /// Invariant: equals the number of the latest attempt.
+    pub(super) sends: u32,
+    /// Whether the budget has already paid for the next sending.
+    pub(super) paid: bool,
+    pub(super) link: LinkNumber,
+    /// Whether the current link may still bring something.
+    pub(super) link_state: LinkState,
+    pub(super) backend: Option<BackendId>,
+    pub(super) incarnation: Incarnation,
+    /// When the latest attempt must have started, on its agent's clock.
+    pub(super) agent_deadline: TimePoint,
+    pub(super) avoid: SmallVec<[BackendId; 2]>,
+    /// What is known of the latest attempt.
+    ///
+    /// Invariant: back to `Idle` only on proof, or for a call that may be repeated.
+    pub(super) progress: AttemptProgress,
+    /// Why nothing is known of an earlier attempt of a repeatable call.
+    pub(super) doubt: Option<UnknownReason>,
+    pub(super) head_delivered: bool,
+    /// Bytes of the body that the caller has.
+    pub(super) delivered: u64,
+    /// When the state's own wait is over.
+    pub(super) wait_until: TimePoint,
+    /// When finding out about the attempt ends.
+    pub(super) settle_at: Option<TimePoint>,
+    pub(super) refusal: RefusalReason,
+    pub(super) unknown: UnknownReason,
+    pub(super) retry: RetryReason,
+    /// Invariant: set once.
+    outcome: Option<RequestOutcome>,
+}
+
+impl RequestMachine {
+    /// Accepts a request; the first action asks for a backend server.
+    pub fn start(
+        request: RequestId,
+        policy: RequestPolicy,
+        now: TimePoint,
+        budget: &mut RetryBudget,
+    ) -> (Self, RequestActions) {
+        budget.earn();
+        let machine = Self {
+            request,
+            policy,
+            state: REQUEST_CHART.initial(),
+            deadline: now + policy.deadline,
+            tries: 0,
+            sends: 0,
+            paid: false,
+            link: LinkNumber::default(),
+            link_state: LinkState::Lost,
+            backend: None,
+            incarnation: Incarnation::default(),
+            agent_deadline: TimePoint::default(),
+            avoid: SmallVec::new(),
+            progress: AttemptProgress::Idle,
+            doubt: None,
+            head_delivered: false,
+            delivered: 0,
+            wait_until: now,
+            settle_at: None,
+            refusal: RefusalReason::DeadlineUnreachable,
+            unknown: UnknownReason::LinkLost,
+            retry: RetryReason::Refused,
+            outcome: None,
+        };
+        let first = RequestAction::Choose {
+            avoid: SmallVec::new(),
+        };
+        (machine, SmallVec::from_iter([first]))
+    }
+
+    /// Takes in an event and returns what to do about it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an invariant of the request is broken.
+    pub fn handle<R: Rng>(
+        &mut self,
+        event: &RequestEvent,
+        context: &mut RequestContext<'_, R>,
+    ) -> RequestActions {
+        let Some(kind) = self.classify(event, context) else {
+            return SmallVec::new();
+        };
+        match REQUEST_CHART.step(self.state, kind) {
+            ChartStep::Moved { state, actions } => {
+                self.state = state;
+                actions
+                    .iter()
+                    .filter_map(|action| self.perform(*action, event, context))
+                    .collect()
+            }
+            ChartStep::Ignored | ChartStep::Unexpected => SmallVec::new(),
+        }
+    }
+
+    /// When [`RequestEvent::Woke`] is due, if ever.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<TimePoint> {
+        match self.state {
+            RequestState::Choosing | RequestState::Connecting | RequestState::Waiting => {
+                Some(self.deadline)
+            }
+            RequestState::BackingOff => Some(self.wait_until.min(self.deadline)),
+            RequestState::Revoking | RequestState::Resuming => Some(
+                self.settle_at
+                    .map_or(self.wait_until, |at| at.min(self.wait_until)),
+            ),
+            RequestState::Streaming => Some(self.wait_until),
+            RequestState::Answered
+            | RequestState::Refused
+            | RequestState::Unknown
+            | RequestState::Left => None,
+        }
+    }
+
+    /// The request's id.
+    #[must_use]
+    pub const fn request(&self) -> RequestId {
+        self.request
+    }
+
+    /// The attempt that was sent last.
+    #[must_use]
+    pub const fn attempt(&self) -> AttemptId {
+        AttemptId {
+            request: self.request,
+            number: self.sends,
+        }
+    }
+
+    /// When the head of the answer is due, on the entry's clock.
+    #[must_use]
+    pub const fn deadline(&self) -> TimePoint {
+        self.deadline
+    }
+
+    /// Attempts sent so far.
+    #[must_use]
+    pub const fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// The state that the request is in.
+    #[must_use]
+    pub const fn state(&self) -> RequestState {
+        self.state
+    }
+
+    /// The outcome, once the caller was told.
+    #[must_use]
+    pub const fn outcome(&self) -> Option<RequestOutcome> {
+        self.outcome
+    }
+
+    /// Whether nothing more will happen.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        REQUEST_CHART.is_final(self.state)
+    }
+
+    fn perform<R: Rng>(
+        &mut self,
+        action: ActionKind,
+        event: &RequestEvent,
+        context: &mut RequestContext<'_, R>,
+    ) -> Option<RequestAction> {
+        match action {
+            ActionKind::Choose => Some(RequestAction::Choose {
+                avoid: self.avoid.clone(),
+            }),
+            ActionKind::Connect => self.connect(),
+            ActionKind::Send => Some(self.send()),
+            ActionKind::Revoke => self.revoke(context.now),
+            ActionKind::Resume => self.resume(context.now),
+            ActionKind::DeliverHead => self.deliver_head(context.now),
+            ActionKind::Deliver => self.deliver(event, context.now),
+            ActionKind::Cancel => Some(RequestAction::Cancel {
+                attempt: self.attempt(),
+                backend: self.backend.clone()?,
+            }),
+            ActionKind::CountRetry => Some(RequestAction::CountRetry(self.retry)),
+            ActionKind::Report => Some(self.report()),
+        }
+    }
+
+    fn connect(&mut self) -> Option<RequestAction> {
+        self.tries += 1;
+        self.link = self.link.next();
+        Some(RequestAction::Connect {
+            link: self.link,
+            backend: self.backend.clone()?,
+        })
+    }
+
+    fn send(&mut self) -> RequestAction {
+        assert!(
+            self.progress == AttemptProgress::Idle && !self.head_delivered,
+            "an attempt was sent while an earlier one may run"
+        );
+        assert!(
+            self.sends == 0 || self.paid,
+            "a further attempt was sent without budget"
+        );
+        self.paid = false;
+        self.sends += 1;
+        self.progress = AttemptProgress::Sent;
+        self.link_state = LinkState::Up;
+        RequestAction::Send {
+            link: self.link,
+            attempt: self.attempt(),
+            incarnation: self.incarnation,
+            deadline: self.agent_deadline,
+        }
+    }
+
+    fn revoke(&mut self, now: TimePoint) -> Option<RequestAction> {
+        self.begin_settling(now);
+        Some(RequestAction::Revoke {
+            attempt: self.attempt(),
+            backend: self.backend.clone()?,
+            incarnation: self.incarnation,
+            deadline: self.agent_deadline,
+        })
+    }
+
+    fn resume(&mut self, now: TimePoint) -> Option<RequestAction> {
+        self.begin_settling(now);
+        self.link = self.link.next();
+        self.link_state = LinkState::Up;
+        Some(RequestAction::Resume {
+            link: self.link,
+            attempt: self.attempt(),
+            backend: self.backend.clone()?,
+            incarnation: self.incarnation,
+            offset: self.delivered,
+        })
+    }
+
+    fn begin_settling(&mut self, now: TimePoint) {
+        self.wait_until = now + self.policy.ask_again;
+        self.settle_at.get_or_insert(now + self.policy.settle);
+    }
+
+    fn note_progress(&mut self, now: TimePoint) {
+        self.settle_at = None;
+        self.wait_until = now + self.policy.stall;
+    }
+
+    fn deliver_head(&mut self, now: TimePoint) -> Option<RequestAction> {
+        self.note_progress(now);
+        if self.head_delivered {
+            return None;
+        }
+        self.head_delivered = true;
+        Some(RequestAction::DeliverHead)
+    }
+
+    fn deliver(&mut self, event: &RequestEvent, now: TimePoint) -> Option<RequestAction> {
+        let RequestEvent::Chunk { offset, length, .. } = event else {
+            return None;
+        };
+        assert!(
+            self.head_delivered && *offset <= self.delivered,
+            "bytes would be delivered out of order"
+        );
+        let skip = self.delivered - offset;
+        self.delivered = offset + length;
+        self.note_progress(now);
+        Some(RequestAction::Deliver { skip })
+    }
+
+    fn report(&mut self) -> RequestAction {
+        assert!(self.outcome.is_none(), "two outcomes for one request");
+        let outcome = match self.state {
+            RequestState::Answered => RequestOutcome::Answered,
+            RequestState::Refused => {
+                assert!(
+                    self.progress == AttemptProgress::Idle
+                        && self.doubt.is_none()
+                        && !self.head_delivered,
+                    "a request is told as not run without proof"
+                );
+                RequestOutcome::NotRun(self.refusal)
+            }
+            _ => RequestOutcome::Unknown(self.unknown),
+        };
+        self.outcome = Some(outcome);
+        RequestAction::Report(outcome)
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-requests/src/start/ledger.rs
@@ -0,0 +1,343 @@
+//! What an agent knows of each attempt, run by `charts/attempt.json`.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::LazyLock,
+};
+
+use celerycrank_chart::{ChartStep, StateChart};
+use celerycrank_types::{Incarnation, RefusalReason, TimePoint, TimeSpan, UnknownReason};
+use smallvec::SmallVec;
+
+use super::event::{ActionKind, AttemptAction, AttemptEvent, AttemptState, CallKind, EventKind};
+use crate::{AttemptId, CallStatus, ClaimAnswer, RevokeAnswer};
+
+/// What the agent has to do next, in order.
+pub type AttemptActions = SmallVec<[AttemptAction; 2]>;
+
+static ATTEMPT_CHART: LazyLock<StateChart<AttemptState, EventKind, ActionKind>> =
+    LazyLock::new(|| {
+        StateChart::parse(include_str!("../../charts/attempt.json"))
+            .expect("the chart in the binary is valid")
+    });
+
+/// Bounds of a start ledger.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartSettings {
+    /// Most attempts that are known at a time.
+    pub capacity: usize,
+    /// How long a finished attempt is known.
+    pub retention: TimeSpan,
+}
+
+impl Default for StartSettings {
+    fn default() -> Self {
+        Self {
+            capacity: 65_536,
+            retention: TimeSpan::from_secs(60),
+        }
+    }
+}
+
+/// What an agent knows of each attempt that reached it or was revoked.
+///
+/// An attempt is dropped only after its deadline, and none starts after its deadline.
+/// So whatever was once refused or revoked stays refused, however late a copy arrives.
+#[derive(Debug, Clone)]
+pub struct StartLedger {
+    incarnation: Incarnation,
+    settings: StartSettings,
+    /// Invariant: never goes back, even if the process's clock does.
+    clock: TimePoint,
+    /// Invariant: at most `settings.capacity` attempts.
+    attempts: HashMap<AttemptId, AttemptEntry>,
+    /// Attempts that may be dropped, by when.
+    expiries: BTreeSet<(TimePoint, AttemptId)>,
+    /// Unknown attempts with a deadline up to this one never start.
+    refused_until: TimePoint,
+    /// A started attempt with this deadline was dropped; later ones were not.
+    forgotten_until: TimePoint,
+}
+
+/// What is known of one attempt.
+#[derive(Debug, Clone, Copy)]
+struct AttemptEntry {
+    state: AttemptState,
+    deadline: TimePoint,
+    call: CallKind,
+    refusal: RefusalReason,
+    unknown: UnknownReason,
+    status: Option<CallStatus>,
+}
+
+impl StartLedger {
+    /// An empty ledger for one life of the agent.
+    #[must_use]
+    pub fn new(incarnation: Incarnation, settings: StartSettings) -> Self {
+        Self {
+            incarnation,
+            settings,
+            clock: TimePoint::default(),
+            attempts: HashMap::new(),
+            expiries: BTreeSet::new(),
+            refused_until: TimePoint::default(),
+            forgotten_until: TimePoint::default(),
+        }
+    }
+
+    /// The agent's incarnation.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// How many attempts are known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Whether no attempt is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// What is known of an attempt.
+    #[must_use]
+    pub fn state(&self, attempt: AttemptId) -> AttemptState {
+        self.attempts
+            .get(&attempt)
+            .map_or(AttemptState::Absent, |entry| entry.state)
+    }
+
+    /// Takes in an event and returns what to do about it.
+    pub fn handle(
+        &mut self,
+        attempt: AttemptId,
+        event: AttemptEvent,
+        now: TimePoint,
+    ) -> AttemptActions {
+        self.clock = self.clock.max(now);
+        self.drop_expired();
+        match self.attempts.get(&attempt).copied() {
+            Some(entry) => self.advance(attempt, entry, event),
+            None => self.begin(attempt, event),
+        }
+    }
+
+    /// An event for an attempt that is not in the ledger.
+    fn begin(&mut self, attempt: AttemptId, event: AttemptEvent) -> AttemptActions {
+        match event {
+            AttemptEvent::Arrived {
+                incarnation,
+                deadline,
+                call,
+            } => self.admit(attempt, incarnation, deadline, call),
+            AttemptEvent::Revoked {
+                incarnation,
+                deadline,
+            } => self.revoke_unknown(attempt, incarnation, deadline),
+            _ => SmallVec::new(),
+        }
+    }
+
+    fn admit(
+        &mut self,
+        attempt: AttemptId,
+        incarnation: Incarnation,
+        deadline: TimePoint,
+        call: CallKind,
+    ) -> AttemptActions {
+        if incarnation != self.incarnation {
+            return one(AttemptAction::TellUnproved(UnknownReason::AgentRestarted));
+        }
+        if deadline <= self.forgotten_until {
+            return one(AttemptAction::TellUnproved(UnknownReason::LinkLost));
+        }
+        if deadline <= self.clock {
+            return one(AttemptAction::Refuse(RefusalReason::DeadlineUnreachable));
+        }
+        if deadline <= self.refused_until || self.is_full() {
+            self.refused_until = self.refused_until.max(deadline);
+            return one(AttemptAction::Refuse(RefusalReason::QueueFull));
+        }
+        let kind = match call {
+            CallKind::Plain => EventKind::Arrived,
+            CallKind::Keyed => EventKind::ArrivedKeyed,
+        };
+        self.step(attempt, AttemptEntry::new(deadline, call), kind)
+    }
+
+    fn revoke_unknown(
+        &mut self,
+        attempt: AttemptId,
+        incarnation: Incarnation,
+        deadline: TimePoint,
+    ) -> AttemptActions {
+        if incarnation != self.incarnation {
+            return one(AttemptAction::Answer(RevokeAnswer::OtherIncarnation));
+        }
+        if deadline <= self.forgotten_until {
+            return one(AttemptAction::Answer(RevokeAnswer::Forgotten));
+        }
+        if deadline <= self.clock || self.is_full() {
+            self.refused_until = self.refused_until.max(deadline);
+            return one(AttemptAction::Answer(RevokeAnswer::NeverStarted));
+        }
+        let mut entry = AttemptEntry::new(deadline, CallKind::Plain);
+        entry.refusal = RefusalReason::Revoked;
+        self.step(attempt, entry, EventKind::Revoked)
+    }
+
+    /// An event for an attempt that is in the ledger.
+    fn advance(
+        &mut self,
+        attempt: AttemptId,
+        mut entry: AttemptEntry,
+        event: AttemptEvent,
+    ) -> AttemptActions {
+        let kind = match event {
+            AttemptEvent::Arrived { call, .. } => match call {
+                CallKind::Plain => EventKind::Arrived,
+                CallKind::Keyed => EventKind::ArrivedKeyed,
+            },
+            AttemptEvent::Claimed(answer) => entry.note_claim(answer),
+            AttemptEvent::TurnedAway(reason) => entry.refuse(reason),
+            AttemptEvent::SlotFree if entry.deadline <= self.clock => {
+                entry.refuse(RefusalReason::DeadlineUnreachable)
+            }
+            AttemptEvent::SlotFree => EventKind::SlotFree,
+            AttemptEvent::Finished(status) => {
+                entry.status = status;
+                EventKind::Finished
+            }
+            AttemptEvent::Revoked { incarnation, .. } if incarnation != self.incarnation => {
+                return one(AttemptAction::Answer(RevokeAnswer::OtherIncarnation));
+            }
+            AttemptEvent::Revoked { .. } => EventKind::Revoked,
+            AttemptEvent::Cancelled => EventKind::Cancelled,
+        };
+        self.step(attempt, entry, kind)
+    }
+
+    fn step(
+        &mut self,
+        attempt: AttemptId,
+        mut entry: AttemptEntry,
+        kind: EventKind,
+    ) -> AttemptActions {
+        let ChartStep::Moved { state, actions } = ATTEMPT_CHART.step(entry.state, kind) else {
+            return SmallVec::new();
+        };
+        assert!(
+            state != AttemptState::Started
+                || matches!(entry.state, AttemptState::Queued | AttemptState::Started),
+            "an attempt was started twice or after it was refused"
+        );
+        if entry.state != state {
+            entry.state = state;
+            self.note_expiry(attempt, &entry);
+        }
+        self.attempts.insert(attempt, entry);
+        actions
+            .iter()
+            .filter_map(|action| entry.action(*action))
+            .collect()
+    }
+
+    /// Notes when an attempt that is over may be dropped: never before its deadline.
+    fn note_expiry(&mut self, attempt: AttemptId, entry: &AttemptEntry) {
+        let expiry = match entry.state {
+            AttemptState::Absent
+            | AttemptState::Claiming
+            | AttemptState::Queued
+            | AttemptState::Started => return,
+            AttemptState::Tombstone => entry.deadline,
+            AttemptState::Finished | AttemptState::Unproved | AttemptState::Replayed => {
+                entry.deadline.max(self.clock + self.settings.retention)
+            }
+        };
+        self.expiries.insert((expiry, attempt));
+    }
+
+    fn drop_expired(&mut self) {
+        while let Some(&(expiry, attempt)) = self.expiries.first()
+            && expiry <= self.clock
+        {
+            self.expiries.pop_first();
+            let dropped = self.attempts.remove(&attempt);
+            if let Some(entry) = dropped
+                && entry.state != AttemptState::Tombstone
+            {
+                self.forgotten_until = self.forgotten_until.max(entry.deadline);
+            }
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.attempts.len() >= self.settings.capacity
+    }
+}
+
+impl AttemptEntry {
+    const fn new(deadline: TimePoint, call: CallKind) -> Self {
+        Self {
+            state: AttemptState::Absent,
+            deadline,
+            call,
+            refusal: RefusalReason::Revoked,
+            unknown: UnknownReason::ClaimedElsewhere,
+            status: None,
+        }
+    }
+
+    fn refuse(&mut self, reason: RefusalReason) -> EventKind {
+        if self.state != AttemptState::Tombstone {
+            self.refusal = reason;
+        }
+        EventKind::Refused
+    }
+
+    fn note_claim(&mut self, answer: ClaimAnswer) -> EventKind {
+        match answer {
+            ClaimAnswer::Won => EventKind::Claimed,
+            ClaimAnswer::Recorded(status) => {
+                self.status = Some(status);
+                EventKind::Recorded
+            }
+            ClaimAnswer::ClaimedElsewhere => EventKind::Unproved,
+            ClaimAnswer::KeyReused => self.refuse(RefusalReason::KeyReused),
+            ClaimAnswer::KeyExpired => self.refuse(RefusalReason::KeyExpired),
+            ClaimAnswer::Unavailable => self.refuse(RefusalReason::ClaimUnavailable),
+        }
+    }
+
+    fn action(&self, kind: ActionKind) -> Option<AttemptAction> {
+        let is_keyed = self.call == CallKind::Keyed;
+        match kind {
+            ActionKind::Claim => Some(AttemptAction::Claim),
+            ActionKind::Queue => Some(AttemptAction::Queue),
+            ActionKind::Start => Some(AttemptAction::Start),
+            ActionKind::ReleaseClaim => is_keyed.then_some(AttemptAction::ReleaseClaim),
+            ActionKind::RecordClaim if is_keyed => self.status.map(AttemptAction::RecordClaim),
+            ActionKind::RecordClaim => None,
+            ActionKind::Refuse => Some(AttemptAction::Refuse(self.refusal)),
+            ActionKind::TellUnproved => Some(AttemptAction::TellUnproved(self.unknown)),
+            ActionKind::Replay => self.status.map(AttemptAction::Replay),
+            ActionKind::AnswerNeverStarted => {
+                Some(AttemptAction::Answer(RevokeAnswer::NeverStarted))
+            }
+            ActionKind::AnswerStarted => Some(AttemptAction::Answer(RevokeAnswer::Started)),
+            ActionKind::AnswerFinished => Some(AttemptAction::Answer(RevokeAnswer::Finished)),
+            ActionKind::AnswerUnproved => {
+                Some(AttemptAction::Answer(RevokeAnswer::Unproved(self.unknown)))
+            }
+            ActionKind::Cancel => Some(AttemptAction::Cancel),
+        }
+    }
+}
+
+fn one(action: AttemptAction) -> AttemptActions {
+    SmallVec::from_iter([action])
+}
