--- /dev/null
+++ b/crates/celerycrank-bench/src/capacity/probe.rs
@@ -0,0 +1,264 @@
+//! Probes of the mechanisms that every node runs.
+
+use std::{alloc::System, hint::black_box, sync::Arc};
+
+use celerycrank_config::{
+    AccountEntry, Configuration, KeyHash, ModelUse, PlanEntry, PriorityClass, UseEntry,
+};
+use celerycrank_membership::{
+    ConfigurationDelta, MemberTable, MemberTimings, PeerFact, RevisionGate, SpreadPlanner,
+    SpreadTimings, VmFact, VmRole, WatcherRoster,
+};
+use celerycrank_types::{DomainId, Revision, ShareWeight, TimePoint, TimeSpan};
+use cpu_time::ThreadTime;
+use smallvec::smallvec;
+use stats_alloc::{Region, StatsAlloc};
+
+use crate::capacity::slope::{ProbePoint, ProbeSweep};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
+const DOMAINS: usize = 14;
+/// Bytes of an offer on the wire: packet headers, seals and two revisions.
+const OFFER_BYTES: f64 = 96.0;
+/// Bytes of one record of the VM list, as its protocol writes it.
+const LIST_RECORD_BYTES: f64 = 12.0;
+
+/// Readings of the VM list taken into a member table; the size counts VMs.
+#[derive(Debug)]
+pub(super) struct MemberProbe;
+
+impl MemberProbe {
+    /// Runs the probe at all sizes.
+    pub(super) fn sweep(&self, repeats: usize) -> ProbeSweep {
+        let sizes = [100, 300, 600, 1_200];
+        sweep(
+            "one reading of the VM list and one tick; x counts VMs",
+            &sizes,
+            |size| {
+                let region = Region::new(ALLOCATOR);
+                let facts = vm_facts(size);
+                let held = held_bytes(&region);
+                let mut table = MemberTable::new(MemberTimings::default());
+                let region = Region::new(ALLOCATOR);
+                table.on_list(&facts, TimePoint::default());
+                let memory_bytes = held_bytes(&region) + held;
+                let now = TimePoint::default() + TimeSpan::from_secs(1);
+                let cpu_micros = median_micros(repeats, || {
+                    table.on_list(&facts, now);
+                    table.on_tick(now);
+                });
+                // A conditional reading that finds nothing new costs its headers alone; the
+                // records themselves travel only when the fleet changes.
+                let wire_bytes = size as f64 * LIST_RECORD_BYTES / 86_400.0 * 318.0;
+                ProbePoint {
+                    size: size as f64,
+                    cpu_micros,
+                    memory_bytes,
+                    wire_bytes,
+                }
+            },
+        )
+    }
+}
+
+/// One change taken as a delta; the size counts client accounts.
+#[derive(Debug)]
+pub(super) struct ConfigurationProbe;
+
+impl ConfigurationProbe {
+    /// Runs the probe at all sizes.
+    pub(super) fn sweep(&self, repeats: usize) -> ProbeSweep {
+        let sizes = [10, 100, 340, 680];
+        sweep(
+            "one configuration change taken as a delta; x counts accounts",
+            &sizes,
+            |size| {
+                let region = Region::new(ALLOCATOR);
+                let old = configuration(size, Revision(1));
+                let memory_bytes = held_bytes(&region);
+                let mut new = configuration(size, Revision(2));
+                new.customers.accounts[size / 2].plan = "plan-1".parse().expect("a valid id");
+                let delta = ConfigurationDelta::between(&old, &new);
+                let cpu_micros = median_micros(repeats, || {
+                    let mut gate = RevisionGate::new();
+                    let next = delta
+                        .apply(&old)
+                        .expect("the delta begins at the old revision");
+                    gate.offer(next.revision, Arc::new(next));
+                    black_box(&gate);
+                });
+                let wire_bytes = serde_json::to_vec(&delta)
+                    .expect("a delta has a JSON form")
+                    .len();
+                let wire_bytes = wire_bytes as f64;
+                ProbePoint {
+                    size: size as f64,
+                    cpu_micros,
+                    memory_bytes,
+                    wire_bytes,
+                }
+            },
+        )
+    }
+}
+
+/// The roster computed anew; the size counts entries.
+#[derive(Debug)]
+pub(super) struct RosterProbe;
+
+impl RosterProbe {
+    /// Runs the probe at all sizes.
+    pub(super) fn sweep(&self, repeats: usize) -> ProbeSweep {
+        let sizes = [50, 100, 200, 400];
+        sweep(
+            "the watcher roster of 14 domains; x counts entries",
+            &sizes,
+            |size| {
+                let region = Region::new(ALLOCATOR);
+                let entries = peer_facts(size);
+                let domains = (0..DOMAINS).map(domain).collect::<Vec<_>>();
+                let roster = WatcherRoster::compute(&entries, &domains);
+                let memory_bytes = held_bytes(&region);
+                let cpu_micros = median_micros(repeats, || {
+                    black_box(WatcherRoster::compute(&entries, &domains));
+                });
+                black_box(&roster);
+                ProbePoint {
+                    size: size as f64,
+                    cpu_micros,
+                    memory_bytes,
+                    wire_bytes: 0.0,
+                }
+            },
+        )
+    }
+}
+
+/// A second of a watcher's offers; the size counts peers of its domain.
+#[derive(Debug)]
+pub(super) struct SpreadProbe;
+
+impl SpreadProbe {
+    /// Runs the probe at all sizes.
+    pub(super) fn sweep(&self, repeats: usize) -> ProbeSweep {
+        let sizes = [50, 100, 200, 400];
+        sweep(
+            "a second of one watcher's revision offers; x counts peers",
+            &sizes,
+            |size| {
+                let region = Region::new(ALLOCATOR);
+                let peers = peer_facts(size).into_iter().map(|fact| fact.vm).collect();
+                let mut now = TimePoint::default();
+                let mut planner = SpreadPlanner::new(SpreadTimings::default(), 0, now);
+                planner.set_peers(peers);
+                let memory_bytes = held_bytes(&region);
+                let mut offers = 0;
+                let cpu_micros = median_micros(repeats, || {
+                    now = now + TimeSpan::from_secs(1);
+                    offers = planner.on_tick(now).len();
+                });
+                let wire_bytes = offers as f64 * OFFER_BYTES;
+                ProbePoint {
+                    size: size as f64,
+                    cpu_micros,
+                    memory_bytes,
+                    wire_bytes,
+                }
+            },
+        )
+    }
+}
+
+fn sweep(
+    title: &'static str,
+    sizes: &[usize],
+    measure: impl FnMut(usize) -> ProbePoint,
+) -> ProbeSweep {
+    ProbeSweep::new(title, sizes.iter().copied().map(measure).collect())
+}
+
+fn median_micros(repeats: usize, mut operation: impl FnMut()) -> f64 {
+    let mut samples = (0..repeats.max(1))
+        .map(|_| {
+            let start = ThreadTime::now();
+            operation();
+            start.elapsed().as_secs_f64() * 1e6
+        })
+        .collect::<Vec<_>>();
+    samples.sort_by(f64::total_cmp);
+    samples[samples.len() / 2]
+}
+
+fn held_bytes(region: &Region<'_, System>) -> f64 {
+    let change = region.change();
+    change.bytes_allocated as f64 - change.bytes_deallocated as f64
+}
+
+fn domain(number: usize) -> DomainId {
+    format!("domain-{number}").parse().expect("a valid id")
+}
+
+fn peer_facts(count: usize) -> Vec<PeerFact> {
+    let peer = |number: usize| PeerFact {
+        vm: format!("entry-{number}").parse().expect("a valid id"),
+        domain: domain(number % DOMAINS),
+    };
+    (0..count).map(peer).collect()
+}
+
+fn vm_facts(count: usize) -> Vec<(VmFact, bool)> {
+    let fact = |number: usize| VmFact {
+        vm: format!("vm-{number:08}").parse().expect("a valid id"),
+        domain: domain(number % DOMAINS),
+        address: (
+            [
+                10,
+                0,
+                (number >> 8).to_le_bytes()[0],
+                number.to_le_bytes()[0],
+            ],
+            7_000,
+        )
+            .into(),
+        role: VmRole::Engine(format!("model-{}", number % 5).parse().expect("a valid id")),
+        backend: format!("backend-{number}").parse().ok(),
+        group: format!("group-{}", number / 8).parse().ok(),
+    };
+    (0..count).map(|number| (fact(number), false)).collect()
+}
+
+fn configuration(accounts: usize, revision: Revision) -> Configuration {
+    let mut configuration = Configuration {
+        revision,
+        ..Configuration::default()
+    };
+    configuration.customers.accounts = (0..accounts).map(account).collect();
+    configuration.plans.plans = (0..8).map(plan).collect();
+    configuration
+}
+
+fn account(number: usize) -> AccountEntry {
+    AccountEntry {
+        account: format!("account-{number:04}").parse().expect("a valid id"),
+        plan: format!("plan-{}", number % 8).parse().expect("a valid id"),
+        keys: smallvec![KeyHash::of_key(&number.to_string())],
+    }
+}
+
+fn plan(number: u32) -> PlanEntry {
+    let model = |number: usize| ModelUse {
+        model: format!("model-{number}").parse().expect("a valid id"),
+    };
+    PlanEntry {
+        plan: format!("plan-{number}").parse().expect("a valid id"),
+        share: ShareWeight::try_from(number + 1).expect("above zero"),
+        priority: PriorityClass::Normal,
+        rate: None,
+        deadline: TimeSpan::from_secs(1),
+        uses: (0..5)
+            .map(|number| UseEntry::Model(model(number)))
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-bench/src/capacity/slope.rs
@@ -0,0 +1,114 @@
+//! Points measured at growing sizes, and the straight lines through them.
+
+use std::fmt;
+
+/// What one size costs.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ProbePoint {
+    /// The size.
+    pub(super) size: f64,
+    /// Processor time of one operation, in microseconds.
+    pub(super) cpu_micros: f64,
+    /// Memory held, in bytes.
+    pub(super) memory_bytes: f64,
+    /// Bytes sent or received for one operation.
+    pub(super) wire_bytes: f64,
+}
+
+/// A straight line fitted by least squares.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SlopeFit {
+    intercept: f64,
+    slope: f64,
+}
+
+impl SlopeFit {
+    fn through(points: &[ProbePoint], value: impl Fn(&ProbePoint) -> f64) -> Self {
+        let count = points.len() as f64;
+        let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+        let mean_value = points.iter().map(&value).sum::<f64>() / count;
+        let spread = points
+            .iter()
+            .map(|point| (point.size - mean_size).powi(2))
+            .sum::<f64>();
+        let joint = points
+            .iter()
+            .map(|point| (point.size - mean_size) * (value(point) - mean_value))
+            .sum::<f64>();
+        let slope = if spread > 0.0 { joint / spread } else { 0.0 };
+        Self {
+            intercept: mean_value - slope * mean_size,
+            slope,
+        }
+    }
+
+    /// The line's value at a size, never below zero.
+    pub(super) fn at(self, size: f64) -> f64 {
+        self.slope.mul_add(size, self.intercept).max(0.0)
+    }
+}
+
+impl fmt::Display for SlopeFit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3} + {:.5} x", self.intercept, self.slope)
+    }
+}
+
+/// One probe's points with the lines through them.
+#[derive(Debug)]
+pub(super) struct ProbeSweep {
+    /// What was run, and what its size counts.
+    pub(super) title: &'static str,
+    /// Invariant: at least two sizes.
+    points: Vec<ProbePoint>,
+    /// Processor time of one operation.
+    pub(super) cpu: SlopeFit,
+    /// Memory held.
+    pub(super) memory: SlopeFit,
+    /// Bytes of one operation.
+    pub(super) wire: SlopeFit,
+}
+
+impl ProbeSweep {
+    /// Fits the lines through the points.
+    pub(super) fn new(title: &'static str, points: Vec<ProbePoint>) -> Self {
+        let cpu = SlopeFit::through(&points, |point| point.cpu_micros);
+        let memory = SlopeFit::through(&points, |point| point.memory_bytes);
+        let wire = SlopeFit::through(&points, |point| point.wire_bytes);
+        Self {
+            title,
+            points,
+            cpu,
+            memory,
+            wire,
+        }
+    }
+}
+
+impl fmt::Display for ProbeSweep {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "### {}\n", self.title)?;
+        writeln!(
+            f,
+            "| size | processor time, us | memory, bytes | wire, bytes |"
+        )?;
+        writeln!(f, "|---:|---:|---:|---:|")?;
+        for point in &self.points {
+            let ProbePoint {
+                size,
+                cpu_micros,
+                memory_bytes,
+                wire_bytes,
+            } = point;
+            writeln!(
+                f,
+                "| {size} | {cpu_micros:.1} | {memory_bytes:.0} | {wire_bytes:.0} |"
+            )?;
+        }
+        writeln!(
+            f,
+            "| line | {} | {} | {} |",
+            self.cpu, self.memory, self.wire
+        )
+    }
+}
