--- a/crates/celerycrank-bench/src/capacity/mod.rs
+++ b/crates/celerycrank-bench/src/capacity/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::capacity::{
     budget::{CapacityLine, CapacityTable},
-    probe::{ConfigurationProbe, MemberProbe, RosterProbe, SpreadProbe},
+    probe::{configuration_sweep, member_sweep, roster_sweep, spread_sweep},
 };
 
 /// Arguments of the measurement.
@@ -37,10 +37,10 @@
 
 /// Runs the measurement and prints its table.
 pub(crate) fn run(args: &CapacityArgs) {
-    let members = MemberProbe.sweep(args.repeats);
-    let deltas = ConfigurationProbe.sweep(args.repeats);
-    let rosters = RosterProbe.sweep(args.repeats);
-    let offers = SpreadProbe.sweep(args.repeats);
+    let members = member_sweep(args.repeats);
+    let deltas = configuration_sweep(args.repeats);
+    let rosters = roster_sweep(args.repeats);
+    let offers = spread_sweep(args.repeats);
     let fleet = ENTRIES + AGENTS;
     let lines = [
         CapacityLine::new(
--- a/crates/celerycrank-bench/src/capacity/probe.rs
+++ b/crates/celerycrank-bench/src/capacity/probe.rs
@@ -26,149 +26,125 @@
 const LIST_RECORD_BYTES: f64 = 12.0;
 
 /// Readings of the VM list taken into a member table; the size counts VMs.
-#[derive(Debug)]
-pub(super) struct MemberProbe;
-
-impl MemberProbe {
-    /// Runs the probe at all sizes.
-    pub(super) fn sweep(&self, repeats: usize) -> ProbeSweep {
-        let sizes = [100, 300, 600, 1_200];
-        sweep(
-            "one reading of the VM list and one tick; x counts VMs",
-            &sizes,
-            |size| {
-                let region = Region::new(ALLOCATOR);
-                let facts = vm_facts(size);
-                let held = held_bytes(&region);
-                let mut table = MemberTable::new(MemberTimings::default());
-                let region = Region::new(ALLOCATOR);
-                table.on_list(&facts, TimePoint::default());
-                let memory_bytes = held_bytes(&region) + held;
-                let now = TimePoint::default() + TimeSpan::from_secs(1);
-                let cpu_micros = median_micros(repeats, || {
-                    table.on_list(&facts, now);
-                    table.on_tick(now);
-                });
-                // A conditional reading that finds nothing new costs its headers alone; the
-                // records themselves travel only when the fleet changes.
-                let wire_bytes = size as f64 * LIST_RECORD_BYTES / 86_400.0 * 318.0;
-                ProbePoint {
-                    size: size as f64,
-                    cpu_micros,
-                    memory_bytes,
-                    wire_bytes,
-                }
-            },
-        )
-    }
+pub(super) fn member_sweep(repeats: usize) -> ProbeSweep {
+    let sizes = [100, 300, 600, 1_200];
+    sweep(
+        "one reading of the VM list and one tick; x counts VMs",
+        &sizes,
+        |size| {
+            let region = Region::new(ALLOCATOR);
+            let facts = vm_facts(size);
+            let held = held_bytes(&region);
+            let mut table = MemberTable::new(MemberTimings::default());
+            let region = Region::new(ALLOCATOR);
+            table.on_list(&facts, TimePoint::default());
+            let memory_bytes = held_bytes(&region) + held;
+            let now = TimePoint::default() + TimeSpan::from_secs(1);
+            let cpu_micros = median_micros(repeats, || {
+                table.on_list(&facts, now);
+                table.on_tick(now);
+            });
+            // A conditional reading that finds nothing new costs its headers alone; the
+            // records themselves travel only when the fleet changes.
+            let wire_bytes = size as f64 * LIST_RECORD_BYTES / 86_400.0 * 318.0;
+            ProbePoint {
+                size: size as f64,
+                cpu_micros,
+                memory_bytes,
+                wire_bytes,
+            }
+        },
+    )
 }
 
 /// One change taken as a delta; the size counts client accounts.
-#[derive(Debug)]
-pub(super) struct ConfigurationProbe;
-
-impl ConfigurationProbe {
-    /// Runs the probe at all sizes.
-    pub(super) fn sweep(&self, repeats: usize) -> ProbeSweep {
-        let sizes = [10, 100, 340, 680];
-        sweep(
-            "one configuration change taken as a delta; x counts accounts",
-            &sizes,
-            |size| {
-                let region = Region::new(ALLOCATOR);
-                let old = configuration(size, Revision(1));
-                let memory_bytes = held_bytes(&region);
-                let mut new = configuration(size, Revision(2));
-                new.customers.accounts[size / 2].plan = "plan-1".parse().expect("a valid id");
-                let delta = ConfigurationDelta::between(&old, &new);
-                let cpu_micros = median_micros(repeats, || {
-                    let mut gate = RevisionGate::new();
-                    let next = delta
-                        .apply(&old)
-                        .expect("the delta begins at the old revision");
-                    gate.offer(next.revision, Arc::new(next));
-                    black_box(&gate);
-                });
-                let wire_bytes = serde_json::to_vec(&delta)
-                    .expect("a delta has a JSON form")
-                    .len();
-                let wire_bytes = wire_bytes as f64;
-                ProbePoint {
-                    size: size as f64,
-                    cpu_micros,
-                    memory_bytes,
-                    wire_bytes,
-                }
-            },
-        )
-    }
+pub(super) fn configuration_sweep(repeats: usize) -> ProbeSweep {
+    let sizes = [10, 100, 340, 680];
+    sweep(
+        "one configuration change taken as a delta; x counts accounts",
+        &sizes,
+        |size| {
+            let region = Region::new(ALLOCATOR);
+            let old = configuration(size, Revision(1));
+            let memory_bytes = held_bytes(&region);
+            let mut new = configuration(size, Revision(2));
+            new.customers.accounts[size / 2].plan = "plan-1".parse().expect("a valid id");
+            let delta = ConfigurationDelta::between(&old, &new);
+            let cpu_micros = median_micros(repeats, || {
+                let mut gate = RevisionGate::new();
+                let next = delta
+                    .apply(&old)
+                    .expect("the delta begins at the old revision");
+                gate.offer(next.revision, Arc::new(next));
+                black_box(&gate);
+            });
+            let wire_bytes = serde_json::to_vec(&delta)
+                .expect("a delta has a JSON form")
+                .len();
+            let wire_bytes = wire_bytes as f64;
+            ProbePoint {
+                size: size as f64,
+                cpu_micros,
+                memory_bytes,
+                wire_bytes,
+            }
+        },
+    )
 }
 
 /// The roster computed anew; the size counts entries.
-#[derive(Debug)]
-pub(super) struct RosterProbe;
-
-impl RosterProbe {
-    /// Runs the probe at all sizes.
-    pub(super) fn sweep(&self, repeats: usize) -> ProbeSweep {
-        let sizes = [50, 100, 200, 400];
-        sweep(
-            "the watcher roster of 14 domains; x counts entries",
-            &sizes,
-            |size| {
-                let region = Region::new(ALLOCATOR);
-                let entries = peer_facts(size);
-                let domains = (0..DOMAINS).map(domain).collect::<Vec<_>>();
-                let roster = WatcherRoster::compute(&entries, &domains);
-                let memory_bytes = held_bytes(&region);
-                let cpu_micros = median_micros(repeats, || {
-                    black_box(WatcherRoster::compute(&entries, &domains));
-                });
-                black_box(&roster);
-                ProbePoint {
-                    size: size as f64,
-                    cpu_micros,
-                    memory_bytes,
-                    wire_bytes: 0.0,
-                }
-            },
-        )
-    }
+pub(super) fn roster_sweep(repeats: usize) -> ProbeSweep {
+    let sizes = [50, 100, 200, 400];
+    sweep(
+        "the watcher roster of 14 domains; x counts entries",
+        &sizes,
+        |size| {
+            let region = Region::new(ALLOCATOR);
+            let entries = peer_facts(size);
+            let domains = (0..DOMAINS).map(domain).collect::<Vec<_>>();
+            let roster = WatcherRoster::compute(&entries, &domains);
+            let memory_bytes = held_bytes(&region);
+            let cpu_micros = median_micros(repeats, || {
+                black_box(WatcherRoster::compute(&entries, &domains));
+            });
+            black_box(&roster);
+            ProbePoint {
+                size: size as f64,
+                cpu_micros,
+                memory_bytes,
+                wire_bytes: 0.0,
+            }
+        },
+    )
 }
 
 /// A second of a watcher's offers; the size counts peers of its domain.
-#[derive(Debug)]
-pub(super) struct SpreadProbe;
-
-impl SpreadProbe {
-    /// Runs the probe at all sizes.
-    pub(super) fn sweep(&self, repeats: usize) -> ProbeSweep {
-        let sizes = [50, 100, 200, 400];
-        sweep(
-            "a second of one watcher's revision offers; x counts peers",
-            &sizes,
-            |size| {
-                let region = Region::new(ALLOCATOR);
-                let peers = peer_facts(size).into_iter().map(|fact| fact.vm).collect();
-                let mut now = TimePoint::default();
-                let mut planner = SpreadPlanner::new(SpreadTimings::default(), 0, now);
-                planner.set_peers(peers);
-                let memory_bytes = held_bytes(&region);
-                let mut offers = 0;
-                let cpu_micros = median_micros(repeats, || {
-                    now = now + TimeSpan::from_secs(1);
-                    offers = planner.on_tick(now).len();
-                });
-                let wire_bytes = offers as f64 * OFFER_BYTES;
-                ProbePoint {
-                    size: size as f64,
-                    cpu_micros,
-                    memory_bytes,
-                    wire_bytes,
-                }
-            },
-        )
-    }
+pub(super) fn spread_sweep(repeats: usize) -> ProbeSweep {
+    let sizes = [50, 100, 200, 400];
+    sweep(
+        "a second of one watcher's revision offers; x counts peers",
+        &sizes,
+        |size| {
+            let region = Region::new(ALLOCATOR);
+            let peers = peer_facts(size).into_iter().map(|fact| fact.vm).collect();
+            let mut now = TimePoint::default();
+            let mut planner = SpreadPlanner::new(SpreadTimings::default(), 0, now);
+            planner.set_peers(peers);
+            let memory_bytes = held_bytes(&region);
+            let mut offers = 0;
+            let cpu_micros = median_micros(repeats, || {
+                now = now + TimeSpan::from_secs(1);
+                offers = planner.on_tick(now).len();
+            });
+            let wire_bytes = offers as f64 * OFFER_BYTES;
+            ProbePoint {
+                size: size as f64,
+                cpu_micros,
+                memory_bytes,
+                wire_bytes,
+            }
+        },
+    )
 }
 
 fn sweep(
