Claim keys by group commit, with every doubt settled against the record's revision

Cause: a keyed call may be sent again to any entry at any time, and the answer to a compare-and-swap may be lost after it took effect or before it does.

The record of a key follows from the time that the caller wrote into the key, so that a replay looks in the same place whenever it comes. Records form a ring; a record that is used again for a later span of time tells, without any clock, that keys of the earlier span are too old (KeyExpired).

Ruled out: reading back and not finding one's claim as proof that the write failed. It may still be under way; only a moved revision or a write of one's own against the same revision settles it.

--- a/crates/celerycrank-requests/src/claim/mod.rs
+++ b/crates/celerycrank-requests/src/claim/mod.rs
@@ -1,5 +1,17 @@
 //! Claims: the record that makes one attempt the only one to start a keyed call.
 
 mod answer;
+mod key;
+mod ledger;
+mod operation;
+mod page;
+mod record;
 
-pub use self::answer::{CallStatus, ClaimAnswer};
+pub use self::{
+    answer::{CallStatus, ClaimAnswer},
+    key::{CallKey, CallKeyFault, KeyTime, RequestDigest},
+    ledger::{ClaimLedger, ClaimOutput, ClaimSettings},
+    operation::{ClaimOperation, ClaimReply, OperationId, RecordRevision},
+    page::ClaimOrder,
+    record::{ClaimLayout, ClaimantId, RecordName},
+};
--- /dev/null
+++ b/crates/celerycrank-requests/src/claim/record.rs
@@ -0,0 +1,196 @@
+//! The records in which claims are kept, and their encoding.
+
+use std::fmt;
+
+use celerycrank_types::{ByteSize, TimeSpan};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    answer::{CallStatus, ClaimAnswer},
+    key::{CallKey, KeyDigest, RequestDigest},
+};
+
+/// The encoding that this program writes.
+const RECORD_VERSION: u8 = 1;
+
+/// Most bytes that one entry takes.
+const ENTRY_BYTES: u64 = 36;
+
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// Who claims a key: one attempt, drawn at random from 64 bits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ClaimantId([u8; 8]);
+
+impl From<u64> for ClaimantId {
+    fn from(number: u64) -> Self {
+        Self(number.to_be_bytes())
+    }
+}
+
+/// How claims are spread over records, the same in every process of a deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, bon::Builder)]
+pub struct ClaimLayout {
+    /// Records for one span of time, chosen by the key's digest.
+    #[builder(default = 8)]
+    pub shards: u16,
+    /// Keys whose times fall into one such span share a record.
+    #[builder(default = TimeSpan::from_secs(5))]
+    pub bucket: TimeSpan,
+    /// Spans after which a record is used again; bounds how long keys are known.
+    #[builder(default = 1_440)]
+    pub slots: u32,
+    /// Largest record.
+    #[builder(default = ByteSize(900 << 10))]
+    pub record_limit: ByteSize,
+}
+
+/// The name of one record in the key-value service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RecordName {
+    shard: u16,
+    slot: u32,
+}
+
+impl fmt::Display for RecordName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "claims/{}/{}", self.shard, self.slot)
+    }
+}
+
+/// The number of a span of time since 1970.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(super) struct BucketNumber(u64);
+
+impl ClaimLayout {
+    /// The record that holds a key, and the span of time that the key belongs to.
+    pub(super) fn place(&self, key: &CallKey) -> (RecordName, BucketNumber) {
+        let seconds = (self.bucket.0 / MICROS_PER_SECOND).max(1);
+        let bucket = key.time.0 / seconds;
+        let [high, low, ..] = key.hash.0;
+        let name = RecordName {
+            shard: u16::from_be_bytes([high, low]) % self.shards,
+            slot: u32::try_from(bucket % u64::from(self.slots)).unwrap_or_default(),
+        };
+        (name, BucketNumber(bucket))
+    }
+}
+
+/// The claims of one shard in one span of time.
+///
+/// Invariant: `bucket` never falls, so that a key of an earlier span is known to be too
+/// old whatever any process's clock says.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct ClaimRecord {
+    bucket: BucketNumber,
+    /// Invariant: sorted by key, no key twice.
+    entries: Vec<ClaimEntry>,
+}
+
+/// One claimed key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct ClaimEntry {
+    key: KeyDigest,
+    request: RequestDigest,
+    claimant: ClaimantId,
+    /// How the call was answered, once it was.
+    status: Option<CallStatus>,
+}
+
+impl ClaimRecord {
+    /// Reads a record; none if this program does not know its encoding.
+    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
+        let (version, rest) = bytes.split_first()?;
+        if *version != RECORD_VERSION {
+            return None;
+        }
+        postcard::from_bytes(rest).ok()
+    }
+
+    /// Writes the record.
+    pub(super) fn encode(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![RECORD_VERSION])
+            .expect("a record of plain data can be encoded")
+    }
+
+    /// Claims a key, or says why it cannot be claimed.
+    pub(super) fn claim(
+        &mut self,
+        bucket: BucketNumber,
+        key: &CallKey,
+        request: RequestDigest,
+        claimant: ClaimantId,
+        limit: ByteSize,
+    ) -> ClaimAnswer {
+        if self.bucket > bucket {
+            return ClaimAnswer::KeyExpired;
+        }
+        if self.bucket < bucket {
+            self.bucket = bucket;
+            self.entries.clear();
+        }
+        match self.find(key) {
+            Ok(index) => self.entries[index].answer(request, claimant),
+            Err(_) if (self.entries.len() as u64 + 1) * ENTRY_BYTES > limit.0 => {
+                ClaimAnswer::Unavailable
+            }
+            Err(index) => {
+                let entry = ClaimEntry {
+                    key: key.hash,
+                    request,
+                    claimant,
+                    status: None,
+                };
+                self.entries.insert(index, entry);
+                ClaimAnswer::Won
+            }
+        }
+    }
+
+    /// Records how the claimant's call was answered.
+    pub(super) fn finish(
+        &mut self,
+        bucket: BucketNumber,
+        key: &CallKey,
+        claimant: ClaimantId,
+        status: CallStatus,
+    ) {
+        if let Some(index) = self.find_own(bucket, key, claimant) {
+            self.entries[index].status = Some(status);
+        }
+    }
+
+    /// Drops the claimant's claim on a call that was not and will not be started.
+    pub(super) fn release(&mut self, bucket: BucketNumber, key: &CallKey, claimant: ClaimantId) {
+        if let Some(index) = self.find_own(bucket, key, claimant) {
+            self.entries.remove(index);
+        }
+    }
+
+    fn find(&self, key: &CallKey) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&key.hash, |entry| entry.key)
+    }
+
+    fn find_own(&self, bucket: BucketNumber, key: &CallKey, claimant: ClaimantId) -> Option<usize> {
+        if self.bucket != bucket {
+            return None;
+        }
+        let index = self.find(key).ok()?;
+        let entry = &self.entries[index];
+        (entry.claimant == claimant && entry.status.is_none()).then_some(index)
+    }
+}
+
+impl ClaimEntry {
+    fn answer(&self, request: RequestDigest, claimant: ClaimantId) -> ClaimAnswer {
+        if self.request != request {
+            return ClaimAnswer::KeyReused;
+        }
+        match self.status {
+            Some(status) => ClaimAnswer::Recorded(status),
+            None if self.claimant == claimant => ClaimAnswer::Won,
+            None => ClaimAnswer::ClaimedElsewhere,
+        }
+    }
+}
--- a/crates/celerycrank-requests/src/lib.rs
+++ b/crates/celerycrank-requests/src/lib.rs
@@ -13,7 +13,11 @@
 
 pub use crate::{
     attempt::{AttemptId, LinkNumber},
-    claim::{CallStatus, ClaimAnswer},
+    claim::{
+        CallKey, CallKeyFault, CallStatus, ClaimAnswer, ClaimLayout, ClaimLedger, ClaimOperation,
+        ClaimOrder, ClaimOutput, ClaimReply, ClaimSettings, ClaimantId, KeyTime, OperationId,
+        RecordName, RecordRevision, RequestDigest,
+    },
     clock::PeerClock,
     request::{
         RequestAction, RequestActions, RequestContext, RequestEvent, RequestMachine, RequestPolicy,
--- a/crates/celerycrank-requests/src/start/event.rs
+++ b/crates/celerycrank-requests/src/start/event.rs
@@ -100,6 +100,7 @@
     ArrivedKeyed,
     Claimed,
     Recorded,
+    ClaimRefused,
     Unproved,
     Refused,
     SlotFree,
--- a/crates/celerycrank-requests/src/start/ledger.rs
+++ b/crates/celerycrank-requests/src/start/ledger.rs
@@ -203,9 +203,9 @@
                 CallKind::Keyed => EventKind::ArrivedKeyed,
             },
             AttemptEvent::Claimed(answer) => entry.note_claim(answer),
-            AttemptEvent::TurnedAway(reason) => entry.refuse(reason),
+            AttemptEvent::TurnedAway(reason) => entry.refuse(reason, EventKind::Refused),
             AttemptEvent::SlotFree if entry.deadline <= self.clock => {
-                entry.refuse(RefusalReason::DeadlineUnreachable)
+                entry.refuse(RefusalReason::DeadlineUnreachable, EventKind::Refused)
             }
             AttemptEvent::SlotFree => EventKind::SlotFree,
             AttemptEvent::Finished(status) => {
@@ -292,11 +292,11 @@
         }
     }
 
-    fn refuse(&mut self, reason: RefusalReason) -> EventKind {
+    fn refuse(&mut self, reason: RefusalReason, kind: EventKind) -> EventKind {
         if self.state != AttemptState::Tombstone {
             self.refusal = reason;
         }
-        EventKind::Refused
+        kind
     }
 
     fn note_claim(&mut self, answer: ClaimAnswer) -> EventKind {
@@ -307,9 +307,15 @@
                 EventKind::Recorded
             }
             ClaimAnswer::ClaimedElsewhere => EventKind::Unproved,
-            ClaimAnswer::KeyReused => self.refuse(RefusalReason::KeyReused),
-            ClaimAnswer::KeyExpired => self.refuse(RefusalReason::KeyExpired),
-            ClaimAnswer::Unavailable => self.refuse(RefusalReason::ClaimUnavailable),
+            ClaimAnswer::KeyReused => {
+                self.refuse(RefusalReason::KeyReused, EventKind::ClaimRefused)
+            }
+            ClaimAnswer::KeyExpired => {
+                self.refuse(RefusalReason::KeyExpired, EventKind::ClaimRefused)
+            }
+            ClaimAnswer::Unavailable => {
+                self.refuse(RefusalReason::ClaimUnavailable, EventKind::ClaimRefused)
+            }
         }
     }
 
