Add stand-ins for a model engine and a ledger service

Each token names the prompt that it answers, so that a piece of another answer shows. The ledger records a call before it delays or spoils the answer: what it ran can always be read back.

Ruled out: to cancel a completion as soon as its connection breaks. A broken stream could then never be resumed; a resume window decides instead.

--- /dev/null
+++ b/crates/celerycrank-standin/src/engine/batch.rs
@@ -0,0 +1,107 @@
+//! Continuous batching: a limited number of slots, and a step that slows as they fill.
+
+use std::{
+    cell::{Cell, RefCell},
+    cmp::Reverse,
+    collections::BinaryHeap,
+    rc::Rc,
+};
+
+use celerycrank_types::TimeSpan;
+use tokio::sync::oneshot;
+
+/// The slots of one engine.
+#[derive(Debug)]
+pub(crate) struct BatchSlots {
+    capacity: usize,
+    running: Cell<usize>,
+    arrivals: Cell<u64>,
+    waiting: RefCell<BinaryHeap<WaitingRequest>>,
+}
+
+#[derive(Debug)]
+struct WaitingRequest {
+    /// A smaller number goes first, as in the usual engines.
+    rank: Reverse<(i64, u64)>,
+    admitted: oneshot::Sender<()>,
+}
+
+impl PartialEq for WaitingRequest {
+    fn eq(&self, other: &Self) -> bool {
+        self.rank == other.rank
+    }
+}
+
+impl Eq for WaitingRequest {}
+
+impl PartialOrd for WaitingRequest {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for WaitingRequest {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.rank.cmp(&other.rank)
+    }
+}
+
+/// One slot in use; dropping it lets the next request in.
+#[derive(Debug)]
+pub(crate) struct BatchSlot(Rc<BatchSlots>);
+
+impl BatchSlots {
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            running: Cell::new(0),
+            arrivals: Cell::new(0),
+            waiting: RefCell::default(),
+        }
+    }
+
+    pub(crate) const fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    pub(crate) fn waiting(&self) -> usize {
+        let waiting = self.waiting.borrow();
+        waiting.iter().filter(|w| !w.admitted.is_closed()).count()
+    }
+
+    /// Waits for a slot, behind requests with a smaller priority number.
+    pub(crate) async fn enter(self: &Rc<Self>, priority: i64) -> BatchSlot {
+        if self.running.get() >= self.capacity {
+            let (admitted, wait) = oneshot::channel();
+            self.arrivals.set(self.arrivals.get() + 1);
+            let rank = Reverse((priority, self.arrivals.get()));
+            self.waiting
+                .borrow_mut()
+                .push(WaitingRequest { rank, admitted });
+            // The sender lives in these slots, which outlive the wait.
+            drop(wait.await);
+        } else {
+            self.running.set(self.running.get() + 1);
+        }
+        BatchSlot(Rc::clone(self))
+    }
+
+    /// How long one step takes with the requests that run now.
+    pub(crate) fn step_time(&self, alone: TimeSpan, each_more: TimeSpan) -> TimeSpan {
+        let others = self.running.get().saturating_sub(1) as u64;
+        TimeSpan(alone.0 + each_more.0 * others)
+    }
+}
+
+impl Drop for BatchSlot {
+    fn drop(&mut self) {
+        let mut waiting = self.0.waiting.borrow_mut();
+        while let Some(next) = waiting.pop() {
+            // Whoever has left meanwhile is passed over.
+            if next.admitted.send(()).is_ok() {
+                return;
+            }
+        }
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/engine/cache.rs
@@ -0,0 +1,103 @@
+//! A limited prefix cache that publishes its events late and with gaps.
+
+use std::{
+    collections::VecDeque,
+    hash::{DefaultHasher, Hash, Hasher},
+};
+
+use celerycrank_types::{TimePoint, TimeSpan};
+use serde::Serialize;
+
+/// Tokens in one cached block.
+const BLOCK_TOKENS: usize = 16;
+
+/// One change of the cache, as published.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct CacheEvent {
+    sequence: u64,
+    stored: Option<u64>,
+    removed: Option<u64>,
+    #[serde(skip)]
+    visible: TimePoint,
+}
+
+/// Blocks of prompt prefixes, the least recently used one evicted first.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    /// Invariant: at most `capacity` hashes, no hash twice.
+    blocks: VecDeque<u64>,
+    capacity: usize,
+    events: Vec<CacheEvent>,
+    sequence: u64,
+    event_lag: TimeSpan,
+    /// Every so many events one is lost; zero loses none.
+    gap_every: u64,
+}
+
+impl PrefixCache {
+    pub(crate) const fn new(capacity: usize, event_lag: TimeSpan, gap_every: u64) -> Self {
+        Self {
+            blocks: VecDeque::new(),
+            capacity,
+            events: Vec::new(),
+            sequence: 0,
+            event_lag,
+            gap_every,
+        }
+    }
+
+    /// Looks a prompt up, stores its blocks, and returns how many tokens were cached.
+    pub(crate) fn admit(&mut self, prompt: &[&str], now: TimePoint) -> usize {
+        let hashes = block_hashes(prompt);
+        let held = hashes.iter().take_while(|hash| self.blocks.contains(hash));
+        let hits = held.count();
+        for hash in hashes {
+            self.touch(hash, now);
+        }
+        hits * BLOCK_TOKENS
+    }
+
+    /// Events after this sequence number that have become visible.
+    pub(crate) fn events_after(&self, sequence: u64, now: TimePoint) -> Vec<CacheEvent> {
+        let wanted = |event: &&CacheEvent| event.sequence > sequence && event.visible <= now;
+        self.events.iter().filter(wanted).cloned().collect()
+    }
+
+    fn touch(&mut self, hash: u64, now: TimePoint) {
+        if let Some(place) = self.blocks.iter().position(|block| *block == hash) {
+            self.blocks.remove(place);
+        } else {
+            self.publish(Some(hash), None, now);
+        }
+        self.blocks.push_back(hash);
+        while self.blocks.len() > self.capacity {
+            let removed = self.blocks.pop_front();
+            self.publish(None, removed, now);
+        }
+    }
+
+    fn publish(&mut self, stored: Option<u64>, removed: Option<u64>, now: TimePoint) {
+        self.sequence += 1;
+        if self.gap_every != 0 && self.sequence.is_multiple_of(self.gap_every) {
+            return;
+        }
+        self.events.push(CacheEvent {
+            sequence: self.sequence,
+            stored,
+            removed,
+            visible: now + self.event_lag,
+        });
+    }
+}
+
+/// Hashes of the prompt's whole blocks, each covering everything before it.
+fn block_hashes(prompt: &[&str]) -> Vec<u64> {
+    let mut hasher = DefaultHasher::new();
+    let blocks = prompt.chunks_exact(BLOCK_TOKENS);
+    blocks
+        .map(|block| {
+            block.hash(&mut hasher);
+            hasher.finish()
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/engine/control.rs
@@ -0,0 +1,126 @@
+//! What the engine tells of itself, and the orders that it takes.
+
+use std::cell::{Cell, RefCell};
+
+use actix_http::StatusCode;
+use celerycrank_types::TimePoint;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::{HttpAnswer, HttpCall, engine::EngineService};
+
+/// Header that carries the fencing number of an order.
+const FENCING_HEADER: &str = "x-fencing-number";
+
+/// An order to an engine.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum EngineOrder {
+    LoadModel(String),
+    ChangeRole(String),
+}
+
+/// Takes orders, and refuses old ones if the engine checks fencing numbers.
+#[derive(Debug)]
+pub(crate) struct OrderDesk {
+    fencing: bool,
+    highest: Cell<u64>,
+    carried_out: RefCell<Vec<EngineOrder>>,
+    refused: Cell<u64>,
+    load: Cell<LoadSample>,
+}
+
+/// The load as it was last sampled.
+#[derive(Debug, Default, Clone, Copy)]
+struct LoadSample {
+    taken: TimePoint,
+    running: usize,
+    waiting: usize,
+}
+
+impl OrderDesk {
+    pub(crate) fn new(fencing: bool) -> Self {
+        Self {
+            fencing,
+            highest: Cell::new(0),
+            carried_out: RefCell::default(),
+            refused: Cell::new(0),
+            load: Cell::default(),
+        }
+    }
+
+    fn take(&self, number: u64, order: EngineOrder) -> bool {
+        if self.fencing && number < self.highest.get() {
+            self.refused.set(self.refused.get() + 1);
+            return false;
+        }
+        self.highest.set(self.highest.get().max(number));
+        self.carried_out.borrow_mut().push(order);
+        true
+    }
+}
+
+impl EngineService {
+    pub(crate) fn answer_control(&self, call: &HttpCall) -> HttpAnswer {
+        match call.path.as_str() {
+            "/metrics" => self.report_load(),
+            "/cache/events" => {
+                let after = call.header("last-event-id").and_then(|id| id.parse().ok());
+                let cache = self.cache.borrow();
+                let events = cache.events_after(after.unwrap_or(0), self.now());
+                HttpAnswer::json(StatusCode::OK, &events)
+            }
+            "/orders" => self.take_order(call),
+            "/standin/counts" => HttpAnswer::json(StatusCode::OK, &self.counts.get()),
+            "/standin/orders" => {
+                let desk = &self.desk;
+                let counts = json!({
+                    "carried_out": *desk.carried_out.borrow(),
+                    "refused": desk.refused.get(),
+                    "highest": desk.highest.get(),
+                });
+                HttpAnswer::json(StatusCode::OK, &counts)
+            }
+            "/standin/faults" => match serde_json::from_slice(&call.body) {
+                Ok(faults) => {
+                    self.faults.set(faults);
+                    HttpAnswer::json(StatusCode::OK, &faults)
+                }
+                Err(e) => HttpAnswer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            _ => HttpAnswer::text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn take_order(&self, call: &HttpCall) -> HttpAnswer {
+        let number = call.header(FENCING_HEADER).and_then(|n| n.parse().ok());
+        let order = match serde_json::from_slice::<EngineOrder>(&call.body) {
+            Ok(order) => order,
+            Err(e) => return HttpAnswer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+        if self.desk.take(number.unwrap_or(0), order) {
+            HttpAnswer::text(StatusCode::OK, "carried out")
+        } else {
+            HttpAnswer::text(StatusCode::CONFLICT, "the fencing number is old")
+        }
+    }
+
+    /// Reports the load as it was up to the lag ago.
+    fn report_load(&self) -> HttpAnswer {
+        let now = self.now();
+        let mut sample = self.desk.load.get();
+        if now.since(sample.taken) >= self.options.load_lag {
+            sample = LoadSample {
+                taken: now,
+                running: self.slots.running(),
+                waiting: self.slots.waiting(),
+            };
+            self.desk.load.set(sample);
+        }
+        let text = format!(
+            "engine_requests_running {}\nengine_requests_waiting {}\n",
+            sample.running, sample.waiting
+        );
+        HttpAnswer::text(StatusCode::OK, &text)
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/engine/mod.rs
@@ -0,0 +1,365 @@
+//! A stand-in for a model engine with the usual chat-completions interface.
+
+mod batch;
+mod cache;
+mod completion;
+mod control;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Instant,
+};
+
+use actix_http::{Response, StatusCode, body::BodyStream};
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use celerycrank_types::{ModelId, TimePoint, TimeSpan};
+use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    HttpAnswer, HttpCall, HttpHandler, REQUEST_ID_HEADER, StandinServer,
+    engine::{
+        batch::BatchSlots,
+        cache::PrefixCache,
+        completion::{Completion, CompletionRequest},
+        control::OrderDesk,
+    },
+};
+
+/// How the engine is built.
+#[derive(Debug, Clone, bon::Builder)]
+pub struct EngineOptions {
+    /// The model that it serves.
+    pub model: ModelId,
+    /// Requests in one batch.
+    #[builder(default = 16)]
+    pub batch: usize,
+    /// Time for a token with one request in the batch.
+    #[builder(default = TimeSpan::from_millis(5))]
+    pub token_time: TimeSpan,
+    /// Time that each further request adds to a token.
+    #[builder(default = TimeSpan(250))]
+    pub crowding: TimeSpan,
+    /// Time to prefill one token that is not cached.
+    #[builder(default = TimeSpan(100))]
+    pub prefill: TimeSpan,
+    /// Prefix blocks that the cache holds.
+    #[builder(default = 1_024)]
+    pub cache_blocks: usize,
+    /// How late cache events appear.
+    #[builder(default)]
+    pub event_lag: TimeSpan,
+    /// Every so many cache events one is lost; zero loses none.
+    #[builder(default)]
+    pub event_gap: u64,
+    /// How old the reported load is.
+    #[builder(default)]
+    pub load_lag: TimeSpan,
+    /// How long a stream without a reader can be resumed before it is cancelled.
+    #[builder(default)]
+    pub resume_window: TimeSpan,
+    /// Whether an order with an old fencing number is refused.
+    #[builder(default)]
+    pub fencing: bool,
+}
+
+/// How the engine spoils a streamed answer, until told otherwise.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// After this many tokens the connection is closed.
+    pub close_after: Option<usize>,
+    /// After this many tokens nothing more is sent.
+    pub stall_after: Option<usize>,
+    /// The answer is not what was asked for.
+    pub garbage: bool,
+    /// The answer names another request.
+    pub other_id: bool,
+}
+
+/// Counts of what the engine did.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineCounts {
+    /// Completions started.
+    pub started: u64,
+    /// Completions that ran to their end.
+    pub finished: u64,
+    /// Completions cancelled since nobody read them any more.
+    pub cancelled: u64,
+    /// Streams resumed.
+    pub resumed: u64,
+    /// Prompt tokens found in the cache.
+    pub cached_tokens: u64,
+    /// Prompt tokens that had to be prefilled.
+    pub prefilled_tokens: u64,
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct EngineStandin {
+    server: StandinServer,
+    service: Rc<EngineService>,
+}
+
+#[derive(Debug)]
+struct EngineService {
+    options: EngineOptions,
+    origin: Instant,
+    slots: Rc<BatchSlots>,
+    cache: RefCell<PrefixCache>,
+    completions: RefCell<HashMap<String, Rc<Completion>>>,
+    faults: Cell<EngineFaults>,
+    counts: Cell<EngineCounts>,
+    desk: OrderDesk,
+}
+
+impl EngineStandin {
+    /// Starts an idle engine at this address; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn start(address: SocketAddr, options: EngineOptions) -> io::Result<Self> {
+        let cache = PrefixCache::new(options.cache_blocks, options.event_lag, options.event_gap);
+        let service = Rc::new(EngineService {
+            origin: Instant::now(),
+            slots: Rc::new(BatchSlots::new(options.batch)),
+            cache: RefCell::new(cache),
+            completions: RefCell::default(),
+            faults: Cell::default(),
+            counts: Cell::default(),
+            desk: OrderDesk::new(options.fencing),
+            options,
+        });
+        let handler: Rc<dyn HttpHandler> = Rc::<EngineService>::clone(&service);
+        let server = StandinServer::start(address, handler).await?;
+        Ok(Self { server, service })
+    }
+
+    /// Where the engine listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets the faults shown from now on.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.service.faults.set(faults);
+    }
+
+    /// Counts of what it did so far.
+    #[must_use]
+    pub fn counts(&self) -> EngineCounts {
+        self.service.counts.get()
+    }
+}
+
+impl HttpHandler for EngineService {
+    fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer> {
+        async move {
+            match call.path.as_str() {
+                "/v1/chat/completions" => self.complete(&call).await,
+                _ => self.answer_control(&call),
+            }
+        }
+        .boxed_local()
+    }
+}
+
+impl EngineService {
+    fn now(&self) -> TimePoint {
+        TimePoint::default() + self.origin.elapsed().into()
+    }
+
+    fn count(&self, increment: impl FnOnce(&mut EngineCounts)) {
+        let mut counts = self.counts.get();
+        increment(&mut counts);
+        self.counts.set(counts);
+    }
+
+    async fn complete(self: &Rc<Self>, call: &HttpCall) -> HttpAnswer {
+        if let Some(place) = call.header("last-event-id") {
+            return self.resume(place, call);
+        }
+        let request = match serde_json::from_slice::<CompletionRequest>(&call.body) {
+            Ok(request) => request,
+            Err(e) => return HttpAnswer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+        if request.model != self.options.model.as_str() {
+            return HttpAnswer::text(StatusCode::NOT_FOUND, "the model is not served here");
+        }
+        let completion = self.begin(&request, call);
+        if request.stream {
+            return self.stream(completion, 0, call);
+        }
+        let reader = CompletionReader::new(completion);
+        reader.read_to(usize::MAX).await;
+        let value = reader.completion.whole(request.prompt().len());
+        self.respond(call, value.to_string().into())
+    }
+
+    /// Starts a completion, which runs on whether or not anyone reads it yet.
+    fn begin(self: &Rc<Self>, request: &CompletionRequest, call: &HttpCall) -> Rc<Completion> {
+        self.count(|counts| counts.started += 1);
+        let number = self.counts.get().started;
+        let id = match call.header(REQUEST_ID_HEADER) {
+            Some(id) => id.to_owned(),
+            None => format!("cmpl-{number}"),
+        };
+        let completion = Rc::new(Completion::new(
+            id.clone(),
+            request.model.clone(),
+            prompt_tag(&request.prompt()),
+        ));
+        let mut completions = self.completions.borrow_mut();
+        completions.insert(id, Rc::clone(&completion));
+        let prompt = request.prompt();
+        let cached = self.cache.borrow_mut().admit(&prompt, self.now());
+        let prefilled = prompt.len() - cached;
+        self.count(|counts| {
+            counts.cached_tokens += cached as u64;
+            counts.prefilled_tokens += prefilled as u64;
+        });
+        let prefill = TimeSpan(self.options.prefill.0 * prefilled as u64);
+        let running = Rc::clone(&completion);
+        let generation =
+            Rc::clone(self).generate(running, request.priority, prefill, request.token_count());
+        actix_rt::spawn(generation);
+        completion
+    }
+
+    async fn generate(
+        self: Rc<Self>,
+        completion: Rc<Completion>,
+        priority: i64,
+        prefill: TimeSpan,
+        tokens: usize,
+    ) {
+        let slot = self.slots.enter(priority).await;
+        sleep(prefill.as_duration()).await;
+        let mut unread = TimeSpan::ZERO;
+        while completion.len() < tokens {
+            let step = self
+                .slots
+                .step_time(self.options.token_time, self.options.crowding);
+            sleep(step.as_duration()).await;
+            unread = match completion.readers.get() {
+                0 => unread + step,
+                _ => TimeSpan::ZERO,
+            };
+            if unread > self.options.resume_window {
+                self.count(|counts| counts.cancelled += 1);
+                self.completions.borrow_mut().remove(&completion.id);
+                return;
+            }
+            completion.push_token();
+        }
+        drop(slot);
+        self.count(|counts| counts.finished += 1);
+        completion.finish();
+    }
+
+    fn resume(self: &Rc<Self>, place: &str, call: &HttpCall) -> HttpAnswer {
+        let parsed = place.rsplit_once(':');
+        let index = parsed.and_then(|(_, index)| index.parse::<usize>().ok());
+        let id = parsed.map_or("", |(id, _)| id);
+        let found = self.completions.borrow().get(id).cloned();
+        match (found, index) {
+            (Some(completion), Some(index)) => {
+                self.count(|counts| counts.resumed += 1);
+                self.stream(completion, index + 1, call)
+            }
+            _ => HttpAnswer::text(StatusCode::NOT_FOUND, "the stream cannot be resumed"),
+        }
+    }
+
+    fn stream(
+        self: &Rc<Self>,
+        completion: Rc<Completion>,
+        from: usize,
+        call: &HttpCall,
+    ) -> HttpAnswer {
+        let faults = self.faults.get();
+        if faults.garbage {
+            return self.respond(call, Bytes::from_static(b"\0\xff not an event"));
+        }
+        let reader = CompletionReader::new(completion);
+        let events = stream::unfold(Some((reader, from)), move |state| async move {
+            let (reader, index) = state?;
+            reader.next_event(index, faults).await
+        });
+        let mut builder = Response::build(StatusCode::OK);
+        builder.insert_header(("content-type", "text/event-stream"));
+        builder.insert_header((REQUEST_ID_HEADER, self.answer_id(call)));
+        let body = BodyStream::new(events.boxed_local());
+        HttpAnswer::Respond(builder.body(body).map_into_boxed_body())
+    }
+
+    fn respond(&self, call: &HttpCall, body: Bytes) -> HttpAnswer {
+        let mut builder = Response::build(StatusCode::OK);
+        builder.insert_header(("content-type", "application/json"));
+        builder.insert_header((REQUEST_ID_HEADER, self.answer_id(call)));
+        HttpAnswer::Respond(builder.body(body).map_into_boxed_body())
+    }
+
+    fn answer_id<'call>(&self, call: &'call HttpCall) -> &'call str {
+        if self.faults.get().other_id {
+            return "00000000000000000000000000000bad";
+        }
+        call.header(REQUEST_ID_HEADER).unwrap_or_default()
+    }
+}
+
+/// One reader of a completion; the engine cancels a completion that has none.
+struct CompletionReader {
+    completion: Rc<Completion>,
+}
+
+type NextEvent = Option<(io::Result<Bytes>, Option<(CompletionReader, usize)>)>;
+
+impl CompletionReader {
+    fn new(completion: Rc<Completion>) -> Self {
+        completion.readers.set(completion.readers.get() + 1);
+        Self { completion }
+    }
+
+    /// Waits until this many tokens are there, or all of them.
+    async fn read_to(&self, count: usize) {
+        while self.completion.len() < count && !self.completion.finished.get() {
+            self.completion.changed.notified().await;
+        }
+    }
+
+    async fn next_event(self, index: usize, faults: EngineFaults) -> NextEvent {
+        if faults.close_after.is_some_and(|after| index >= after) {
+            return Some((Err(io::Error::other("the stand-in breaks off")), None));
+        }
+        if faults.stall_after.is_some_and(|after| index >= after) {
+            std::future::pending::<()>().await;
+        }
+        self.read_to(index + 1).await;
+        if index < self.completion.len() {
+            return Some((Ok(self.completion.event(index)), Some((self, index + 1))));
+        }
+        Some((Ok(Bytes::from_static(b"data: [DONE]\n\n")), None))
+    }
+}
+
+impl Drop for CompletionReader {
+    fn drop(&mut self) {
+        let readers = &self.completion.readers;
+        readers.set(readers.get() - 1);
+    }
+}
+
+fn prompt_tag(prompt: &[&str]) -> String {
+    let mut hasher = DefaultHasher::new();
+    prompt.hash(&mut hasher);
+    format!("{:08x}", hasher.finish() & 0xffff_ffff)
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/ledger.rs
@@ -0,0 +1,209 @@
+//! A stand-in for a plain service that keeps a ledger: it records every call that it ran.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use actix_http::{Response, StatusCode, body::BodyStream};
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use celerycrank_types::TimeSpan;
+use futures_util::{FutureExt, StreamExt, future::LocalBoxFuture, stream};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::{HttpAnswer, HttpCall, HttpHandler, REQUEST_ID_HEADER, StandinServer};
+
+const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+/// How the ledger spoils an answer, after it ran the call.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerSpoiler {
+    /// The answer is right.
+    #[default]
+    None,
+    /// The connection is closed without an answer.
+    Close,
+    /// The connection is closed in the middle of the body.
+    CloseMidway,
+    /// The head is sent, and then nothing.
+    Stall,
+    /// The body is not what was asked for.
+    Garbage,
+    /// The answer names another request.
+    OtherId,
+}
+
+/// The faults that the ledger shows until told otherwise.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LedgerFaults {
+    /// How long a call takes to run.
+    pub delay: TimeSpan,
+    /// How answers are spoilt.
+    pub spoiler: AnswerSpoiler,
+    /// How many of the next answers are spoilt.
+    pub spoilt_answers: u32,
+}
+
+/// One call that the ledger ran.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerRecord {
+    /// The method.
+    pub method: String,
+    /// The path.
+    pub path: String,
+    /// The request's id, if it carried one.
+    pub request: Option<String>,
+    /// The idempotency key, if it carried one.
+    pub key: Option<String>,
+    /// The body, as text.
+    pub body: String,
+}
+
+/// A running ledger.
+#[derive(Debug)]
+pub struct LedgerStandin {
+    server: StandinServer,
+    service: Rc<LedgerService>,
+}
+
+#[derive(Debug, Default)]
+struct LedgerService {
+    records: RefCell<Vec<LedgerRecord>>,
+    faults: Cell<LedgerFaults>,
+}
+
+impl LedgerStandin {
+    /// Starts an empty ledger at this address; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let service = Rc::new(LedgerService::default());
+        let handler: Rc<dyn HttpHandler> = Rc::<LedgerService>::clone(&service);
+        let server = StandinServer::start(address, handler).await?;
+        Ok(Self { server, service })
+    }
+
+    /// Where the ledger listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets the faults shown from now on.
+    pub fn set_faults(&self, faults: LedgerFaults) {
+        self.service.faults.set(faults);
+    }
+
+    /// The calls that ran, in order.
+    #[must_use]
+    pub fn records(&self) -> Vec<LedgerRecord> {
+        self.service.records.borrow().clone()
+    }
+
+    /// How often calls with this idempotency key ran.
+    #[must_use]
+    pub fn runs_of_key(&self, key: &str) -> usize {
+        let records = self.service.records.borrow();
+        let matching = |record: &&LedgerRecord| record.key.as_deref() == Some(key);
+        records.iter().filter(matching).count()
+    }
+}
+
+impl HttpHandler for LedgerService {
+    fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer> {
+        async move {
+            match call.path.as_str() {
+                "/standin/records" => HttpAnswer::json(StatusCode::OK, &*self.records.borrow()),
+                "/standin/faults" => self.take_order(&call),
+                _ => self.run(&call).await,
+            }
+        }
+        .boxed_local()
+    }
+}
+
+impl LedgerService {
+    fn take_order(&self, call: &HttpCall) -> HttpAnswer {
+        match serde_json::from_slice(&call.body) {
+            Ok(faults) => self.faults.set(faults),
+            Err(e) => return HttpAnswer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+        }
+        HttpAnswer::json(StatusCode::OK, &self.faults.get())
+    }
+
+    /// Records the call before the delay: it has taken effect even if nobody waits for it.
+    async fn run(&self, call: &HttpCall) -> HttpAnswer {
+        let number = self.record(call);
+        sleep(self.faults.get().delay.as_duration()).await;
+        let request = call.header(REQUEST_ID_HEADER).unwrap_or_default();
+        let body = json!({ "recorded": number, "path": call.path, "request": request });
+        match self.next_spoiler() {
+            AnswerSpoiler::None => respond(request, body.to_string().into()),
+            AnswerSpoiler::Close => HttpAnswer::Close,
+            AnswerSpoiler::CloseMidway => break_off(request, &body.to_string()),
+            AnswerSpoiler::Stall => stall(request),
+            AnswerSpoiler::Garbage => respond(request, Bytes::from_static(b"\0\xff not JSON {")),
+            AnswerSpoiler::OtherId => {
+                respond("00000000000000000000000000000bad", body.to_string().into())
+            }
+        }
+    }
+
+    fn record(&self, call: &HttpCall) -> usize {
+        let text = |name| call.header(name).map(str::to_owned);
+        let mut records = self.records.borrow_mut();
+        records.push(LedgerRecord {
+            method: call.method.to_string(),
+            path: call.path.clone(),
+            request: text(REQUEST_ID_HEADER),
+            key: text(IDEMPOTENCY_HEADER),
+            body: String::from_utf8_lossy(&call.body).into_owned(),
+        });
+        records.len()
+    }
+
+    fn next_spoiler(&self) -> AnswerSpoiler {
+        let mut faults = self.faults.get();
+        if faults.spoilt_answers == 0 {
+            return AnswerSpoiler::None;
+        }
+        faults.spoilt_answers -= 1;
+        self.faults.set(faults);
+        faults.spoiler
+    }
+}
+
+fn respond(request: &str, body: Bytes) -> HttpAnswer {
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header((REQUEST_ID_HEADER, request));
+    HttpAnswer::Respond(builder.body(body).map_into_boxed_body())
+}
+
+fn break_off(request: &str, body: &str) -> HttpAnswer {
+    let half = Bytes::copy_from_slice(&body.as_bytes()[..body.len() / 2]);
+    let broken = Err(io::Error::other("the stand-in breaks off"));
+    let parts = stream::iter([Ok::<_, io::Error>(half), broken]);
+    respond_stream(request, parts)
+}
+
+fn stall(request: &str) -> HttpAnswer {
+    respond_stream(request, stream::pending::<io::Result<Bytes>>())
+}
+
+fn respond_stream(
+    request: &str,
+    parts: impl futures_util::Stream<Item = io::Result<Bytes>> + 'static,
+) -> HttpAnswer {
+    let mut builder = Response::build(StatusCode::OK);
+    builder.insert_header((REQUEST_ID_HEADER, request));
+    let body = BodyStream::new(parts.boxed_local());
+    HttpAnswer::Respond(builder.body(body).map_into_boxed_body())
+}
--- a/crates/celerycrank-standin/src/lib.rs
+++ b/crates/celerycrank-standin/src/lib.rs
@@ -3,12 +3,19 @@
 //! Each runs as a process or inside a test, on a port chosen by the system, and takes
 //! orders to misbehave on paths below `/standin/`.
 
+mod engine;
 mod key_value;
+mod ledger;
 mod server;
 mod vm_list;
 
+/// Header that names a request at each hop.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
 pub use crate::{
+    engine::{EngineCounts, EngineFaults, EngineOptions, EngineStandin},
     key_value::{KeyValueCounts, KeyValueFaults, KeyValueStandin, OutageKind},
+    ledger::{AnswerSpoiler, LedgerFaults, LedgerRecord, LedgerStandin},
     server::{HttpAnswer, HttpCall, HttpHandler, StandinServer},
     vm_list::{ListedOffer, ListedVm, VmListStandin},
 };
--- a/crates/celerycrank-standin/src/main.rs
+++ b/crates/celerycrank-standin/src/main.rs
@@ -2,7 +2,10 @@
 
 use std::{io, net::SocketAddr, path::PathBuf};
 
-use celerycrank_standin::{KeyValueStandin, VmListStandin};
+use celerycrank_standin::{
+    EngineOptions, EngineStandin, KeyValueStandin, LedgerStandin, VmListStandin,
+};
+use celerycrank_types::{ModelId, TimeSpan};
 use clap::{Parser, Subcommand};
 
 /// Stand-ins for the platform and backend servers.
@@ -26,6 +29,32 @@
     KeyValue,
     /// The VM list.
     VmList,
+    /// A model engine.
+    Engine {
+        /// The model that it serves.
+        #[arg(long)]
+        model: ModelId,
+        /// Requests in one batch.
+        #[arg(long, default_value_t = 16)]
+        batch: usize,
+        /// Time for a token with one request in the batch.
+        #[arg(long, default_value = "5ms")]
+        token_time: TimeSpan,
+        /// Time that each further request adds to a token.
+        #[arg(long, default_value = "250us")]
+        crowding: TimeSpan,
+        /// Time to prefill one token that is not cached.
+        #[arg(long, default_value = "100us")]
+        prefill: TimeSpan,
+        /// How long a stream without a reader can be resumed.
+        #[arg(long, default_value = "0s")]
+        resume_window: TimeSpan,
+        /// Refuses orders that carry an old fencing number.
+        #[arg(long)]
+        fencing: bool,
+    },
+    /// A plain service that records every call it runs.
+    Ledger,
 }
 
 #[actix_rt::main]
@@ -40,6 +69,31 @@
             let standin = VmListStandin::start(arguments.listen).await?;
             run(&arguments, standin.address()).await
         }
+        StandinRole::Ledger => {
+            let standin = LedgerStandin::start(arguments.listen).await?;
+            run(&arguments, standin.address()).await
+        }
+        StandinRole::Engine {
+            model,
+            batch,
+            token_time,
+            crowding,
+            prefill,
+            resume_window,
+            fencing,
+        } => {
+            let options = EngineOptions::builder()
+                .model(model.clone())
+                .batch(*batch)
+                .token_time(*token_time)
+                .crowding(*crowding)
+                .prefill(*prefill)
+                .resume_window(*resume_window)
+                .fencing(*fencing)
+                .build();
+            let standin = EngineStandin::start(arguments.listen, options).await?;
+            run(&arguments, standin.address()).await
+        }
     }
 }
 
