Check both lists and the settings whole, and compile the lists for lookups

Cause: serde stops at the first fault, keeps the last of two fields with one name, and can't see across lists; operators would mend a file one run at a time. Entries also need one place that says what a request may use.

A pasted API key is not repeated in its fault. A repeat rule belongs to the service: two plans that differ in it are refused. Differences are told by meaning, and kept in the record of both lists.

Ruled out: prefix matching by characters (`/bidsx` would count as `/bids`), and taking paths as they come: `/catalogue/../bids` is allowed by its first segment and read as `/bids` by the backend server, past the plan and without a claim. Such paths are bad requests.

--- /dev/null
+++ b/crates/celerycrank-config/src/check/node.rs
@@ -0,0 +1,111 @@
+//! JSON as it was written, with fields that are given twice still in it.
+
+use std::fmt;
+
+use serde::{
+    Deserialize, Deserializer,
+    de::{MapAccess, SeqAccess, Visitor},
+};
+
+/// One JSON value.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum JsonNode {
+    Null,
+    Flag(bool),
+    Number(f64),
+    Text(String),
+    List(Vec<Self>),
+    Object(Vec<(String, Self)>),
+}
+
+impl JsonNode {
+    /// The first field of this name.
+    pub(crate) fn field(&self, name: &str) -> Option<&Self> {
+        let Self::Object(fields) = self else {
+            return None;
+        };
+        let found = fields.iter().find(|(field, _)| field == name);
+        found.map(|(_, node)| node)
+    }
+
+    pub(crate) fn text(&self) -> Option<&str> {
+        match self {
+            Self::Text(text) => Some(text),
+            _ => None,
+        }
+    }
+
+    /// The items of a list; none for anything else.
+    pub(crate) fn items(&self) -> &[Self] {
+        match self {
+            Self::List(items) => items,
+            _ => &[],
+        }
+    }
+
+    /// The text of a field, if it has one.
+    pub(crate) fn field_text(&self, name: &str) -> Option<&str> {
+        self.field(name)?.text()
+    }
+
+    /// The items of a field; none if it is no list.
+    pub(crate) fn field_items(&self, name: &str) -> &[Self] {
+        self.field(name).map_or(&[], Self::items)
+    }
+}
+
+impl<'de> Deserialize<'de> for JsonNode {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(NodeVisitor)
+    }
+}
+
+struct NodeVisitor;
+
+impl<'de> Visitor<'de> for NodeVisitor {
+    type Value = JsonNode;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<JsonNode, E> {
+        Ok(JsonNode::Null)
+    }
+
+    fn visit_bool<E>(self, v: bool) -> Result<JsonNode, E> {
+        Ok(JsonNode::Flag(v))
+    }
+
+    fn visit_u64<E>(self, v: u64) -> Result<JsonNode, E> {
+        Ok(JsonNode::Number(v as f64))
+    }
+
+    fn visit_i64<E>(self, v: i64) -> Result<JsonNode, E> {
+        Ok(JsonNode::Number(v as f64))
+    }
+
+    fn visit_f64<E>(self, v: f64) -> Result<JsonNode, E> {
+        Ok(JsonNode::Number(v))
+    }
+
+    fn visit_str<E>(self, v: &str) -> Result<JsonNode, E> {
+        Ok(JsonNode::Text(v.to_owned()))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<JsonNode, A::Error> {
+        let mut items = Vec::new();
+        while let Some(item) = seq.next_element()? {
+            items.push(item);
+        }
+        Ok(JsonNode::List(items))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<JsonNode, A::Error> {
+        let mut fields = Vec::new();
+        while let Some(field) = map.next_entry()? {
+            fields.push(field);
+        }
+        Ok(JsonNode::Object(fields))
+    }
+}
--- a/crates/celerycrank-config/src/lib.rs
+++ b/crates/celerycrank-config/src/lib.rs
@@ -3,18 +3,32 @@
 //! The *customer list* says which plan each client account holds; the *plan list* says
 //! what each plan may use. Together with a revision they form a [`Configuration`].
 
+mod check;
 mod configuration;
+mod diff;
 mod key;
 mod list;
+mod policy;
+mod record;
 mod setting;
 
 pub use crate::{
+    check::{
+        CheckFault, FaultKind, ListFaults, ListTexts, check_agent, check_entry, check_lists,
+        lists_text,
+    },
     configuration::Configuration,
+    diff::{ListChange, list_changes},
     key::{KeyFault, KeyHash},
     list::{
         AccountEntry, CustomerList, ModelUse, PlanEntry, PlanList, PriorityClass, RepeatRule,
         ServiceUse, UseEntry,
     },
+    policy::{
+        AccountIndex, CHAT_PATH, PolicyTable, RequestPolicy, RequestTarget, ResolvedOffer,
+        is_plain_path,
+    },
+    record::{ChangeNote, ConfigurationRecord, MAX_HISTORY},
     setting::{
         AgentSettings, BackendKind, BackendSettings, CallerLimits, EntrySettings, FencingRule,
         LinkSettings, PlatformSettings,
--- a/crates/celerycrank-config/src/list.rs
+++ b/crates/celerycrank-config/src/list.rs
@@ -111,3 +111,27 @@
     /// Goes last.
     Low,
 }
+
+impl RepeatRule {
+    /// The rule as it is written in the list.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::Never => "never",
+            Self::Keyed => "keyed",
+            Self::Repeatable => "repeatable",
+        }
+    }
+}
+
+impl PriorityClass {
+    /// The class as it is written in the list.
+    #[must_use]
+    pub const fn label(self) -> &'static str {
+        match self {
+            Self::High => "high",
+            Self::Normal => "normal",
+            Self::Low => "low",
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-config/tests/check.rs
@@ -0,0 +1,82 @@
+//! Bad files and the faults named for them, against reference output.
+
+use std::fmt::Write;
+
+use celerycrank_config::{CheckFault, ListTexts, check_agent, check_entry, check_lists};
+
+const GOOD: ListTexts<'_> = ListTexts {
+    customers: include_str!("data/good-customers.json"),
+    plans: include_str!("data/good-plans.json"),
+};
+
+const BAD: ListTexts<'_> = ListTexts {
+    customers: include_str!("data/bad-customers.json"),
+    plans: include_str!("data/bad-plans.json"),
+};
+
+fn lines(faults: &[CheckFault]) -> String {
+    let mut text = String::new();
+    for fault in faults {
+        writeln!(text, "{fault}").unwrap();
+    }
+    text
+}
+
+#[test]
+fn good_lists_are_read() {
+    let (customers, plans) = check_lists(GOOD).unwrap();
+    assert_eq!((customers.accounts.len(), plans.plans.len()), (2, 2));
+}
+
+#[test]
+fn every_fault_of_both_lists_is_named_in_one_go() {
+    let faults = check_lists(BAD).unwrap_err();
+    insta::assert_snapshot!(faults.to_string());
+}
+
+#[test]
+fn one_broken_list_does_not_hide_the_faults_of_the_other() {
+    let texts = ListTexts {
+        customers: "{\n  \"accounts\": [\n",
+        plans: BAD.plans,
+    };
+    let faults = check_lists(texts).unwrap_err();
+    assert_eq!(faults.customers.len(), 1);
+    assert_eq!(
+        faults.customers[0].to_string(),
+        "not valid JSON: EOF while parsing a list at line 3 column 0"
+    );
+    assert_eq!(faults.plans, check_lists(BAD).unwrap_err().plans);
+}
+
+#[test]
+fn every_fault_of_the_settings_is_named() {
+    let entry = check_entry(include_str!("data/bad-entry.json")).unwrap_err();
+    insta::assert_snapshot!("entry_faults", lines(&entry));
+    let agent = check_agent(include_str!("data/bad-agent.json")).unwrap_err();
+    insta::assert_snapshot!("agent_faults", lines(&agent));
+}
+
+/// Whatever the checks accept can be read, however the text was damaged.
+#[test]
+fn damaged_lists_never_stop_the_checks() {
+    for seed in [0x0000_0001_0000_0080, 0x0000_0002_0000_0080] {
+        arbtest::arbtest(|u| {
+            let mut customers = GOOD.customers.as_bytes().to_vec();
+            let mut plans = GOOD.plans.as_bytes().to_vec();
+            for text in [&mut customers, &mut plans] {
+                for _ in 0..u.int_in_range(0..=3)? {
+                    let place = u.choose_index(text.len())?;
+                    text[place] = *u.choose(b"\"{}[],:019-. /ax")?;
+                }
+            }
+            let texts = ListTexts {
+                customers: std::str::from_utf8(&customers).unwrap(),
+                plans: std::str::from_utf8(&plans).unwrap(),
+            };
+            let _ = check_lists(texts).is_ok();
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-config/tests/policy.rs
@@ -0,0 +1,146 @@
+//! What an account may use, and how its requests are treated.
+
+use celerycrank_config::{
+    Configuration, ConfigurationRecord, ListTexts, MAX_HISTORY, PolicyTable, RepeatRule,
+    RequestTarget, ResolvedOffer, check_lists, is_plain_path, list_changes,
+};
+use celerycrank_types::{RefusalReason, Revision};
+
+fn configuration() -> Configuration {
+    let texts = ListTexts {
+        customers: include_str!("data/good-customers.json"),
+        plans: include_str!("data/good-plans.json"),
+    };
+    let (customers, plans) = check_lists(texts).unwrap();
+    Configuration {
+        revision: Revision(1),
+        customers,
+        plans,
+    }
+}
+
+fn path<'a>(method: &'a str, path: &'a str) -> RequestTarget<'a> {
+    RequestTarget::Path { method, path }
+}
+
+#[test]
+fn keys_name_their_account() {
+    let table = PolicyTable::new(&configuration());
+    for (key, account) in [
+        ("one", "quarry-1"),
+        ("two", "quarry-1"),
+        ("three", "atelier"),
+    ] {
+        let index = table.authenticate(key).unwrap();
+        assert_eq!(table.account(index).as_str(), account);
+    }
+    for key in ["", "One", "four", "sha256:"] {
+        assert_eq!(table.authenticate(key), None, "{key}");
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins_by_whole_segments() {
+    let table = PolicyTable::new(&configuration());
+    let index = table.authenticate("one").unwrap();
+    let cases = [
+        ("POST", "/bids", "bids", RepeatRule::Keyed),
+        ("POST", "/bids/42", "bids", RepeatRule::Keyed),
+        ("GET", "/bids/42", "bids", RepeatRule::Never),
+        ("POST", "/bidsx", "catalogue", RepeatRule::Repeatable),
+        ("GET", "/", "catalogue", RepeatRule::Repeatable),
+    ];
+    for (method, text, service, repeat) in cases {
+        let policy = table.resolve(index, path(method, text)).unwrap();
+        let offer = ResolvedOffer::Service(service.parse().unwrap());
+        assert_eq!((policy.offer, policy.repeat), (offer, repeat), "{text}");
+    }
+    let policy = table
+        .resolve(index, RequestTarget::Model("drafter"))
+        .unwrap();
+    assert_eq!(policy.repeat, RepeatRule::Never);
+    assert_eq!(policy.share.get(), 5);
+}
+
+#[test]
+fn anything_else_is_refused() {
+    let table = PolicyTable::new(&configuration());
+    let index = table.authenticate("three").unwrap();
+    for target in [
+        path("POST", "/bids/42"),
+        path("GET", "/"),
+        path("GET", "/cataloguex"),
+        RequestTarget::Model("drafter"),
+    ] {
+        assert_eq!(
+            table.resolve(index, target),
+            Err(RefusalReason::OutsidePlan)
+        );
+    }
+}
+
+#[test]
+fn a_path_that_could_be_read_as_another_is_refused() {
+    let table = PolicyTable::new(&configuration());
+    let index = table.authenticate("three").unwrap();
+    for text in [
+        "/catalogue/../bids",
+        "/catalogue/%2e%2E/bids",
+        "/catalogue%2fx",
+        "/catalogue/./x",
+        "/catalogue//x",
+        "/catalogue\\..\\bids",
+        "/catalogue/%252e%252e/bids",
+        "catalogue",
+    ] {
+        assert!(!is_plain_path(text), "{text}");
+        let refused = table.resolve(index, path("GET", text));
+        assert_eq!(refused, Err(RefusalReason::BadRequest), "{text}");
+    }
+    assert!(is_plain_path("/catalogue/lot..42/.well-known"));
+}
+
+#[test]
+fn changes_are_told_by_meaning() {
+    let old = configuration();
+    let mut new = old.clone();
+    new.customers.accounts[0].plan = "plain".parse().unwrap();
+    new.customers.accounts[0].keys.pop();
+    new.customers.accounts.remove(1);
+    new.plans.plans[1].share = "3".parse().unwrap();
+    new.plans.plans[1].rate = Some("50/s".parse().unwrap());
+    new.plans.plans[0].uses.remove(1);
+    let changes = list_changes((&old.customers, &old.plans), (&new.customers, &new.plans));
+    let lines = changes.iter().map(ToString::to_string);
+    insta::assert_snapshot!(lines.collect::<Vec<_>>().join("\n"));
+    // The order of entries has no meaning.
+    let mut turned = old.clone();
+    turned.customers.accounts.reverse();
+    turned.plans.plans.reverse();
+    let changes = list_changes(
+        (&old.customers, &old.plans),
+        (&turned.customers, &turned.plans),
+    );
+    assert_eq!(changes, []);
+}
+
+#[test]
+fn the_history_in_the_record_is_bounded() {
+    let current = configuration();
+    let mut record = ConfigurationRecord {
+        revision: Revision(0),
+        nonce: "n".into(),
+        author: "ana".into(),
+        note: "".into(),
+        at: 0,
+        customers: current.customers,
+        plans: current.plans,
+        changes: Vec::new(),
+    };
+    for _ in 0..MAX_HISTORY + 7 {
+        record.revision = record.revision.next();
+        record.note_change(Vec::new());
+    }
+    assert_eq!(record.changes.len(), MAX_HISTORY);
+    assert_eq!(record.changes[0].revision, Revision(8));
+}
