Keep and spread the configuration by one keeper, and find three faults in it

Guards removed: majority of one (slot 2 went back), rounds in step and a slow first round (not in force in time): each fails. The test runs 400 seeds.

--- a/crates/celerycrank-membership/src/bootstrap.rs
+++ b/crates/celerycrank-membership/src/bootstrap.rs
@@ -27,8 +27,8 @@
 pub struct BootstrapQuorum<T> {
     /// Invariant: the watchers that are asked, each once.
     asked: Vec<VmId>,
-    /// Invariant: only watchers that were asked.
-    answers: BTreeMap<VmId, (Revision, Option<Arc<T>>)>,
+    /// Invariant: only watchers that were asked and have learnt a document.
+    answers: BTreeMap<VmId, (Revision, Arc<T>)>,
 }
 
 impl<T> BootstrapQuorum<T> {
@@ -42,7 +42,11 @@
     }
 
     /// Takes one watcher's answer; an answer of a process that was not asked is dropped.
+    ///
+    /// A watcher that has learnt nothing itself vouches for nothing and is not counted:
+    /// it may have known a newer revision before it restarted.
     pub fn answer(&mut self, watcher: &VmId, revision: Revision, document: Option<Arc<T>>) {
+        let Some(document) = document else { return };
         if self.asked.contains(watcher) {
             self.answers.insert(watcher.clone(), (revision, document));
         }
@@ -55,7 +59,7 @@
         let answered = self.answers.len();
         let newest = self.answers.values().max_by_key(|(revision, _)| *revision);
         match newest {
-            Some((revision, Some(document))) if answered >= needed => {
+            Some((revision, document)) if answered >= needed => {
                 BootstrapOutcome::Learnt(*revision, Arc::clone(document))
             }
             _ => BootstrapOutcome::Waiting { answered, needed },
--- a/crates/celerycrank-membership/src/lib.rs
+++ b/crates/celerycrank-membership/src/lib.rs
@@ -1,7 +1,8 @@
 //! Which configuration is in force, which backend servers are live, which stops are
 //! under way.
 //!
-//! Every process keeps a [`RevisionGate`] that only ever moves forward. A few entries a
+//! Every process keeps a [`RevisionGate`] that only ever moves forward, inside a
+//! [`ConfigurationKeeper`]. A few entries a
 //! failure domain, the [`WatcherRoster`], watch the key-value service; a
 //! [`SpreadPlanner`] decides whom they tell, and [`ConfigurationDelta`] keeps what they
 //! send small. A process that starts while the service is down learns from a
@@ -12,6 +13,7 @@
 mod delta;
 mod drain;
 mod gate;
+mod keeper;
 mod member;
 mod roster;
 mod spread;
@@ -22,6 +24,7 @@
     delta::{ConfigurationDelta, DeltaFault, DeltaLog, UpdateMessage},
     drain::{DrainEvent, DrainState, DrainTracker, PendingWork},
     gate::{GateOutcome, PeerVerdict, RevisionGate},
+    keeper::{ConfigurationKeeper, KeeperAction, KeeperActions},
     member::{
         MemberEvidence, MemberState, MemberTable, MemberTimings, MemberView, RampWeight, VmFact,
         VmRole,
--- a/crates/celerycrank-membership/src/spread.rs
+++ b/crates/celerycrank-membership/src/spread.rs
@@ -9,19 +9,26 @@
 pub struct SpreadTimings {
     /// Every peer is offered the revision once in this span by each watcher.
     pub round: TimeSpan,
+    /// Length of the one round that follows a revision just learnt.
+    pub first_round: TimeSpan,
+    /// How long an update that was asked for may take before it is asked for again.
+    pub pull_timeout: TimeSpan,
 }
 
 impl Default for SpreadTimings {
     fn default() -> Self {
         Self {
             round: TimeSpan::from_secs(3),
+            first_round: TimeSpan::from_secs(1),
+            pull_timeout: TimeSpan::from_millis(500),
         }
     }
 }
 
 /// The offers of one watcher to the peers of one failure domain.
 ///
-/// On a new revision the watcher of rank `r` tells every third peer at once, beginning
+/// The watchers of a domain begin their rounds a third of a round apart, so that a peer
+/// hears from one of them every third of a round. On a new revision the watcher of rank `r` tells every third peer at once, beginning
 /// with the `r`-th; the rounds reach the others even if the other watchers are lost.
 #[derive(Debug)]
 pub struct SpreadPlanner {
@@ -32,6 +39,8 @@
     /// Next peer of the present round.
     next: usize,
     last_offer: TimePoint,
+    /// Peers still to be offered a revision just learnt, at the pace of the first round.
+    hurried: usize,
 }
 
 impl SpreadPlanner {
@@ -44,19 +53,30 @@
             peers: Vec::new(),
             next: 0,
             last_offer: now,
+            hurried: 0,
         }
     }
 
+    /// The rank of the watcher.
+    #[must_use]
+    pub const fn rank(&self) -> usize {
+        self.rank
+    }
+
     /// Takes the peers of the domain, in any order.
     pub fn set_peers(&mut self, mut peers: Vec<VmId>) {
         peers.sort_unstable();
         peers.dedup();
+        if self.peers.is_empty() {
+            self.next = peers.len() * self.rank / WATCHERS_PER_DOMAIN;
+        }
         self.peers = peers;
-        self.next = self.next.min(self.peers.len());
     }
 
-    /// The peers to tell at once of a revision just learnt.
-    pub fn on_learnt(&self) -> impl Iterator<Item = &VmId> {
+    /// The peers to tell at once of a revision just learnt; the others follow in a
+    /// shorter round.
+    pub fn on_learnt(&mut self) -> impl Iterator<Item = &VmId> {
+        self.hurried = self.peers.len();
         self.peers
             .iter()
             .skip(self.rank % WATCHERS_PER_DOMAIN)
@@ -72,10 +92,16 @@
             self.last_offer = now;
             return Vec::new();
         };
-        let interval = TimeSpan((self.timings.round.0 / count).max(1));
+        let round = if self.hurried > 0 {
+            self.timings.first_round
+        } else {
+            self.timings.round
+        };
+        let interval = TimeSpan((round.0 / count).max(1));
         let due = now.since(self.last_offer).0 / interval.0;
         self.last_offer = self.last_offer + TimeSpan(due * interval.0);
         let due = usize::try_from(due.min(count)).unwrap_or(usize::MAX);
+        self.hurried = self.hurried.saturating_sub(due);
         (0..due).map(|_| self.take_next()).collect()
     }
 
--- /dev/null
+++ b/crates/celerycrank-membership/tests/fleet.rs
@@ -0,0 +1,298 @@
+//! Random runs of keepers with processes frozen, restarted and cut off, messages late,
+//! lost and doubled, and the service down.
+//!
+//! The revision that acts for a slot never decreases, restarts included, and a revision
+//! is in force within five seconds at every process that has been reachable since.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use celerycrank_config::Configuration;
+use celerycrank_membership::{
+    ConfigurationKeeper, KeeperAction, KeeperActions, PeerFact, PeerVerdict, SpreadTimings,
+    UpdateMessage,
+};
+use celerycrank_types::{Revision, TimePoint, TimeSpan, VmId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const RUNS: u64 = 400;
+const TICKS: u64 = 600;
+const TICK: TimeSpan = TimeSpan::from_millis(100);
+const IN_FORCE: TimeSpan = TimeSpan::from_secs(5);
+const ENTRIES: usize = 6;
+const AGENTS: usize = 8;
+const DOMAINS: usize = 2;
+
+#[derive(Clone)]
+enum Message {
+    Offer(Revision),
+    Pull(Revision),
+    Update(UpdateMessage),
+    Ask,
+    Answer(Revision, Option<Arc<Configuration>>),
+}
+
+struct Letter {
+    due: TimePoint,
+    from: usize,
+    to: usize,
+    life: u64,
+    message: Message,
+}
+
+struct Process {
+    keeper: ConfigurationKeeper,
+    life: u64,
+    frozen_until: TimePoint,
+    /// Since when the process has been running and reachable.
+    reachable_since: TimePoint,
+}
+
+struct Fleet {
+    random: ChaCha8Rng,
+    now: TimePoint,
+    facts: Vec<PeerFact>,
+    numbers: BTreeMap<VmId, usize>,
+    processes: Vec<Process>,
+    letters: Vec<Letter>,
+    accepted: Vec<(Revision, TimePoint)>,
+    service_down_until: TimePoint,
+    service_up_since: TimePoint,
+    /// The newest revision that each slot has acted under, in any life.
+    acted: Vec<Revision>,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        let fact = |number: usize| PeerFact {
+            vm: format!("vm-{number}").parse().unwrap(),
+            domain: format!("domain-{}", number % DOMAINS).parse().unwrap(),
+        };
+        let facts = (0..ENTRIES + AGENTS).map(fact).collect::<Vec<_>>();
+        let numbers = facts
+            .iter()
+            .enumerate()
+            .map(|(i, fact)| (fact.vm.clone(), i))
+            .collect();
+        let mut fleet = Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: TimePoint::default(),
+            processes: Vec::new(),
+            letters: Vec::new(),
+            accepted: vec![(Revision(1), TimePoint::default())],
+            service_down_until: TimePoint::default(),
+            service_up_since: TimePoint::default(),
+            acted: vec![Revision(0); facts.len()],
+            facts,
+            numbers,
+        };
+        for number in 0..fleet.facts.len() {
+            let process = fleet.fresh(number, 0);
+            fleet.processes.push(process);
+        }
+        fleet
+    }
+
+    fn fresh(&self, number: usize, life: u64) -> Process {
+        let mut keeper =
+            ConfigurationKeeper::new(self.facts[number].clone(), SpreadTimings::default());
+        keeper.on_peers(&self.facts[..ENTRIES], &self.facts[ENTRIES..], self.now);
+        Process {
+            keeper,
+            life,
+            frozen_until: self.now,
+            reachable_since: self.now,
+        }
+    }
+
+    fn run(&mut self) {
+        for tick in 0..TICKS {
+            self.now = self.now + TICK;
+            self.inject_faults(tick);
+            self.deliver();
+            self.poll_processes(tick);
+            self.check();
+        }
+    }
+
+    fn inject_faults(&mut self, tick: u64) {
+        if self.random.random_ratio(1, 40) && self.service_up() {
+            let next = self.accepted[self.accepted.len() - 1].0.next();
+            self.accepted.push((next, self.now));
+        }
+        if self.random.random_ratio(1, 100) {
+            let span = TimeSpan::from_millis(self.random.random_range(100..20_000));
+            self.service_down_until = self.service_down_until.max(self.now + span);
+            self.service_up_since = self.service_down_until;
+        }
+        // One process at a time is frozen: a majority of the watchers is not.
+        let frozen = self
+            .processes
+            .iter()
+            .any(|process| process.frozen_until > self.now);
+        if !frozen && self.random.random_ratio(1, 30) {
+            let number = self.random.random_range(0..self.processes.len());
+            let span = TimeSpan::from_millis(self.random.random_range(100..15_000));
+            self.processes[number].frozen_until = self.now + span;
+            self.processes[number].reachable_since = self.now + span;
+        }
+        if tick > 50 && self.random.random_ratio(1, 30) {
+            let number = self.random.random_range(0..self.processes.len());
+            if self.processes[number].frozen_until <= self.now {
+                self.processes[number] = self.fresh(number, self.processes[number].life + 1);
+            }
+        }
+    }
+
+    fn service_up(&self) -> bool {
+        self.now >= self.service_down_until
+    }
+
+    fn newest(&self) -> Revision {
+        self.accepted[self.accepted.len() - 1].0
+    }
+
+    fn poll_processes(&mut self, tick: u64) {
+        for number in 0..self.processes.len() {
+            if self.processes[number].frozen_until > self.now {
+                continue;
+            }
+            let learning = self.processes[number].keeper.configuration().is_none();
+            if self.service_up() && (learning || self.processes[number].keeper.is_watcher()) {
+                let revision = self.newest();
+                let configuration = Arc::new(Configuration {
+                    revision,
+                    ..Configuration::default()
+                });
+                let actions = self.processes[number].keeper.on_service(&configuration);
+                self.perform(number, actions);
+            } else if learning && tick % 5 == 0 {
+                let actions = self.processes[number].keeper.begin_bootstrap();
+                self.perform(number, actions);
+            }
+            let now = self.now;
+            let actions = self.processes[number].keeper.on_tick(now);
+            self.perform(number, actions);
+        }
+    }
+
+    fn perform(&mut self, from: usize, actions: KeeperActions) {
+        let revision = self.processes[from].keeper.revision();
+        for action in actions {
+            let (to, message) = match action {
+                KeeperAction::Offer(peer) => (peer, Message::Offer(revision)),
+                KeeperAction::Pull(peer) => (peer, Message::Pull(revision)),
+                KeeperAction::Ask(peer) => (peer, Message::Ask),
+            };
+            self.send(from, self.numbers[&to], message);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        let copies = match self.random.random_range(0..20) {
+            0 => 0,
+            1 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = if self.random.random_ratio(1, 20) {
+                3_000
+            } else {
+                50
+            };
+            let due = self.now + TimeSpan::from_millis(self.random.random_range(0..late));
+            let life = self.processes[to].life;
+            self.letters.push(Letter {
+                due,
+                from,
+                to,
+                life,
+                message: message.clone(),
+            });
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.letters)
+            .into_iter()
+            .partition(|letter| letter.due <= now && self.processes[letter.to].frozen_until <= now);
+        self.letters = later;
+        for letter in due {
+            let Letter {
+                from,
+                to,
+                life,
+                message,
+                ..
+            } = letter;
+            // A connection ends with the process that it leads to.
+            if self.processes[to].life == life {
+                self.receive(from, to, message);
+            }
+        }
+    }
+
+    fn receive(&mut self, from: usize, to: usize, message: Message) {
+        let sender = self.facts[from].vm.clone();
+        let now = self.now;
+        let keeper = &mut self.processes[to].keeper;
+        let actions = match message {
+            Message::Offer(revision) => keeper.on_offer(&sender, revision, now),
+            Message::Pull(have) => {
+                if let Some(update) = keeper.on_pull(have) {
+                    self.send(to, from, Message::Update(update));
+                }
+                KeeperActions::new()
+            }
+            Message::Update(update) => keeper.on_update(update),
+            Message::Ask => {
+                let answer = Message::Answer(keeper.revision(), keeper.configuration().cloned());
+                self.send(to, from, answer);
+                KeeperActions::new()
+            }
+            Message::Answer(revision, configuration) => {
+                keeper.on_answer(&sender, revision, configuration)
+            }
+        };
+        self.perform(to, actions);
+    }
+
+    fn check(&mut self) {
+        let settled = self.now - IN_FORCE;
+        let due = self
+            .accepted
+            .iter()
+            .filter(|(_, at)| *at <= settled)
+            .map(|(number, _)| *number);
+        let due = due.max().unwrap_or_default();
+        for (number, process) in self.processes.iter().enumerate() {
+            let revision = process.keeper.revision();
+            if revision == Revision(0) || process.frozen_until > self.now {
+                continue;
+            }
+            assert!(
+                revision >= self.acted[number],
+                "slot {number} went back at {}",
+                self.now
+            );
+            self.acted[number] = revision;
+            let reachable = process.reachable_since <= settled && self.service_up_since <= settled;
+            assert!(
+                !reachable || revision >= due,
+                "slot {number} acts under {revision}, not {due}, at {}",
+                self.now
+            );
+            let old = Revision(revision.0 - 1);
+            assert_eq!(process.keeper.judge(old), PeerVerdict::PeerBehind);
+        }
+    }
+}
+
+#[test]
+fn never_goes_back_and_is_in_force_in_time() {
+    for seed in 0..RUNS {
+        println!("seed {seed}");
+        Fleet::new(seed).run();
+    }
+}
