--- /dev/null
+++ b/crates/celerycrank-shares/src/request.rs
@@ -0,0 +1,53 @@
+//! What goes into a fair queue and what comes out.
+
+use celerycrank_config::PriorityClass;
+use celerycrank_types::{
+    AccountId, RefusalReason, RequestId, ShareWeight, TimePoint, TimeSpan, TokenCount,
+};
+use smallvec::SmallVec;
+
+/// A request that asks for a place in a fair queue.
+#[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
+pub struct QueueRequest {
+    /// The request's id.
+    pub id: RequestId,
+    /// The account that is charged.
+    pub account: AccountId,
+    /// The account's part of contended capacity.
+    pub weight: ShareWeight,
+    /// Whether the request goes first while its account is within its share.
+    pub class: PriorityClass,
+    /// Estimated work; corrected by [`FairQueue::settle`](crate::FairQueue::settle).
+    pub cost: TokenCount,
+    /// Latest point at which it may start.
+    pub start_by: TimePoint,
+}
+
+/// A request that was not started, and never will be by this queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueRefusal {
+    /// The request's id.
+    pub id: RequestId,
+    /// Why it was not started.
+    pub reason: RefusalReason,
+    /// After which time a request like it is expected to be accepted.
+    pub retry_after: TimeSpan,
+}
+
+/// A request that has taken a slot of the backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartedRequest {
+    /// The request's id.
+    pub id: RequestId,
+    /// How long it stood in the queue.
+    pub waited: TimeSpan,
+}
+
+/// What the passing of time, or a freed slot, brought about.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct QueueStep {
+    /// Requests to be started now, in this order.
+    pub started: SmallVec<[StartedRequest; 4]>,
+    /// Requests whose latest start has passed.
+    pub refused: SmallVec<[QueueRefusal; 4]>,
+}
