--- /dev/null
+++ b/crates/celerycrank-routing/src/prefix.rs
@@ -0,0 +1,73 @@
+//! A prompt as the chain of its prefix blocks.
+
+use celerycrank_types::TokenCount;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Bytes of prompt text in one block.
+const BLOCK_BYTES: usize = 512;
+
+/// Most blocks of one prompt that are told apart.
+const MAX_BLOCKS: usize = 64;
+
+/// The hash of a prompt's text up to the end of one block.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct BlockHash(pub u64);
+
+/// The prefix blocks of one prompt.
+///
+/// Invariant: each hash covers all text before its block, so that two prompts with a hash in
+/// common have the whole prefix in common.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct PromptPrefix {
+    blocks: SmallVec<[BlockHash; 16]>,
+}
+
+impl PromptPrefix {
+    /// Splits a prompt's text into blocks; an incomplete last block is left out.
+    #[must_use]
+    pub fn of_text(text: &[u8]) -> Self {
+        let mut hash = 0;
+        let blocks = text
+            .chunks_exact(BLOCK_BYTES)
+            .take(MAX_BLOCKS)
+            .map(|block| {
+                hash = xxh3_64_with_seed(block, hash);
+                BlockHash(hash)
+            })
+            .collect();
+        Self { blocks }
+    }
+
+    /// Takes blocks that were hashed elsewhere.
+    pub fn from_blocks(blocks: impl IntoIterator<Item = BlockHash>) -> Self {
+        Self {
+            blocks: blocks.into_iter().take(MAX_BLOCKS).collect(),
+        }
+    }
+
+    /// The blocks, shortest prefix first.
+    #[must_use]
+    pub fn blocks(&self) -> &[BlockHash] {
+        &self.blocks
+    }
+
+    /// The tokens that so many blocks stand for.
+    #[must_use]
+    pub fn tokens_in(blocks: usize, block_tokens: TokenCount) -> TokenCount {
+        TokenCount(blocks as u64 * block_tokens.0)
+    }
+}
