--- a/crates/celerycrank-bench/src/routing.rs
+++ b/crates/celerycrank-bench/src/routing.rs
@@ -1,4 +1,36 @@
-//! Placeholder until its measurement lands.
+//! Routing policies on one seeded trace.
+
+mod engine;
+mod policy;
+mod run;
+mod trace;
+
+use std::time::Instant;
+
+use celerycrank_routing::{
+    BackendCondition, BackendRouter, BackendSpec, BlockHash, PromptPrefix, RouteQuery,
+    RouterSettings,
+};
+use celerycrank_types::TimePoint;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use self::{
+    policy::PolicyKind,
+    run::PolicyRun,
+    trace::{TraceRequest, TraceShape},
+};
+
+const MICROS_PER_SECOND: f64 = 1_000_000.0;
+
+/// Time at which a trace begins on the routers' clock, when all workers are long since warm.
+const TRACE_START_SECONDS: f64 = 3_600.0;
+
+/// Loads at which the policies are compared, in hundredths of the capacity.
+const LOADS: [u32; 3] = [50, 80, 95];
+
+/// Part of the prompt blocks taken as cached where the capacity is worked out.
+const REFERENCE_HIT_RATE: f64 = 0.5;
 
 /// Arguments of the measurement.
 #[derive(Debug, clap::Args)]
@@ -6,9 +38,113 @@
     /// Seed of every random choice.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Number of workers.
+    #[arg(long, default_value_t = 16)]
+    workers: usize,
+    /// Number of entries.
+    #[arg(long, default_value_t = 4)]
+    entries: usize,
+    /// Number of system prompts for each worker.
+    #[arg(long, default_value_t = 3)]
+    prompts: usize,
+    /// Length of the trace in seconds of its own time.
+    #[arg(long, default_value_t = 240.0)]
+    seconds: f64,
+    /// Measures the time of a decision instead.
+    #[arg(long)]
+    decision: bool,
 }
 
 /// Runs the measurement and prints its table.
 pub(crate) fn run(args: &RoutingArgs) {
-    println!("no measurement yet; seed {}", args.seed);
+    if args.decision {
+        measure_decision(args);
+        return;
+    }
+    println!("| load | policy | hit rate | p50 ms | p99 ms | moved on a departure |");
+    println!("|---|---|---|---|---|---|");
+    for load in LOADS {
+        compare(args, load);
+    }
+}
+
+fn compare(args: &RoutingArgs, load: u32) {
+    let trace = draw_trace(args, load);
+    for kind in PolicyKind::ALL {
+        let run = PolicyRun::new(kind, &trace, args.workers, args.entries, args.seed);
+        let result = run.play();
+        println!(
+            "| {load}% | {} | {:.3} | {} | {} | {:.1}% |",
+            kind.name(),
+            result.hit_rate,
+            result.p50,
+            result.p99,
+            result.moved * 100.0,
+        );
+    }
+}
+
+/// The rate follows from the capacity, so a short trace is drawn first to learn the mean work.
+fn draw_trace(args: &RoutingArgs, load: u32) -> Vec<TraceRequest> {
+    let mut shape = TraceShape {
+        requests_per_second: 4.0 * args.workers as f64,
+        seconds: 60.0,
+        system_prompts: args.prompts * args.workers,
+        entries: args.entries,
+    };
+    let sample = trace::draw(shape, &mut ChaCha8Rng::seed_from_u64(args.seed));
+    let slots = args.workers as f64 * f64::from(engine::SLOTS);
+    shape.requests_per_second = slots / mean_hold(&sample) * f64::from(load) / 100.0;
+    shape.seconds = args.seconds;
+    trace::draw(shape, &mut ChaCha8Rng::seed_from_u64(args.seed))
+}
+
+/// Mean time for which a request holds its slot at the reference hit rate.
+fn mean_hold(sample: &[TraceRequest]) -> f64 {
+    let total: f64 = sample
+        .iter()
+        .map(|request| {
+            let blocks = request.prefix.blocks().len() as f64;
+            let prefill = blocks * (1.0 - REFERENCE_HIT_RATE) * engine::BLOCK_SECONDS;
+            prefill + f64::from(request.output_tokens) * engine::TOKEN_SECONDS
+        })
+        .sum();
+    total / sample.len() as f64
+}
+
+/// A point of a trace's time on the routers' clock.
+fn time_point(seconds: f64) -> TimePoint {
+    TimePoint(((seconds + TRACE_START_SECONDS) * MICROS_PER_SECOND) as u64)
+}
+
+fn measure_decision(args: &RoutingArgs) {
+    const DECISIONS: u32 = 100_000;
+    let domain: celerycrank_types::DomainId = "estremoz".parse().expect("a valid name");
+    let mut router = BackendRouter::new(RouterSettings::builder().domain(domain.clone()).build());
+    for worker in 0..args.workers {
+        router.set_backend(BackendSpec {
+            backend: policy::worker_name(worker),
+            domain: domain.clone(),
+            concurrency: engine::SLOTS,
+            condition: BackendCondition::Ready {
+                since: TimePoint(0),
+            },
+        });
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(args.seed);
+    let prompts: Vec<PromptPrefix> = (0..1_000)
+        .map(|_| PromptPrefix::from_blocks((0..16).map(|_| BlockHash(rng.random()))))
+        .collect();
+    let begin = Instant::now();
+    for decision in 0..DECISIONS {
+        let prefix = &prompts[decision as usize % prompts.len()];
+        let query = RouteQuery { prefix, tried: &[] };
+        let now = time_point(f64::from(decision) / 1_000.0);
+        let choice = router.choose(now, &query, &mut rng);
+        let backend = choice.expect("every worker is ready").backend;
+        router.note_sent(&backend, prefix);
+        router.note_finished(&backend);
+    }
+    let micros = begin.elapsed().as_secs_f64() * MICROS_PER_SECOND / f64::from(DECISIONS);
+    println!("{} workers: {micros:.2} us a decision", args.workers);
 }
--- /dev/null
+++ b/crates/celerycrank-bench/src/routing/policy.rs
@@ -0,0 +1,215 @@
+//! The policies that are compared.
+
+use celerycrank_routing::{
+    BackendCondition, BackendRouter, BackendSpec, BlockHash, CacheEvent, LoadReport, RouteQuery,
+    RouterSettings,
+};
+use celerycrank_types::{BackendId, TimePoint};
+use rand_chacha::ChaCha8Rng;
+
+use super::{engine, trace::TraceRequest};
+
+/// Points of one worker on the ring of the plain consistent hash.
+const RING_POINTS: u64 = 100;
+
+/// Span over which a reported load fades, in seconds.
+const FADE_SECONDS: f64 = 4.0;
+
+/// Which policy routes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PolicyKind {
+    RoundRobin,
+    LeastLoaded,
+    /// Consistent hash of the system prompt.
+    PromptHash,
+    /// Consistent hash of the conversation, as the paper hashes the resource.
+    SessionHash,
+    /// The product's router.
+    Router,
+}
+
+impl PolicyKind {
+    pub(super) const ALL: [Self; 5] = [
+        Self::RoundRobin,
+        Self::LeastLoaded,
+        Self::PromptHash,
+        Self::SessionHash,
+        Self::Router,
+    ];
+
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::RoundRobin => "round robin",
+            Self::LeastLoaded => "least loaded",
+            Self::PromptHash => "hash of prompt",
+            Self::SessionHash => "hash of session",
+            Self::Router => "celerycrank",
+        }
+    }
+}
+
+/// What an entry knows of one worker's load.
+#[derive(Debug, Default, Clone, Copy)]
+struct KnownLoad {
+    own: f64,
+    foreign: f64,
+    reported: f64,
+}
+
+impl KnownLoad {
+    fn at(self, now: f64) -> f64 {
+        self.own + self.foreign / (1.0 + (now - self.reported) / FADE_SECONDS)
+    }
+}
+
+/// One entry's instance of a policy.
+#[derive(Debug, Clone)]
+pub(super) struct EntryPolicy {
+    kind: PolicyKind,
+    names: Vec<BackendId>,
+    ready: Vec<bool>,
+    loads: Vec<KnownLoad>,
+    next: usize,
+    ring: Vec<(u64, usize)>,
+    router: BackendRouter,
+}
+
+impl EntryPolicy {
+    pub(super) fn new(kind: PolicyKind, workers: usize, first: usize) -> Self {
+        let names: Vec<BackendId> = (0..workers).map(worker_name).collect();
+        let domain = "estremoz".parse().expect("a valid name");
+        let mut policy = Self {
+            kind,
+            names,
+            ready: vec![true; workers],
+            loads: vec![KnownLoad::default(); workers],
+            next: first,
+            ring: draw_ring(workers),
+            router: BackendRouter::new(RouterSettings::builder().domain(domain).build()),
+        };
+        for worker in 0..workers {
+            // Workers present from the start are long since warm.
+            policy.set_ready(TimePoint(0), worker, true);
+        }
+        policy
+    }
+
+    pub(super) fn set_ready(&mut self, now: TimePoint, worker: usize, ready: bool) {
+        self.ready[worker] = ready;
+        let condition = if ready {
+            BackendCondition::Ready { since: now }
+        } else {
+            BackendCondition::Excluded
+        };
+        self.router.set_backend(BackendSpec {
+            backend: self.names[worker].clone(),
+            domain: "estremoz".parse().expect("a valid name"),
+            concurrency: engine::SLOTS,
+            condition,
+        });
+    }
+
+    pub(super) fn choose(
+        &mut self,
+        now: f64,
+        request: &TraceRequest,
+        rng: &mut ChaCha8Rng,
+    ) -> usize {
+        match self.kind {
+            PolicyKind::RoundRobin => self.next_ready(),
+            PolicyKind::LeastLoaded => self.least_loaded(now),
+            PolicyKind::PromptHash => self.on_ring(request.prefix.blocks()[0]),
+            PolicyKind::SessionHash => self.on_ring(request.session),
+            PolicyKind::Router => self.routed(now, request, rng),
+        }
+    }
+
+    pub(super) fn note_sent(&mut self, worker: usize, request: &TraceRequest) {
+        self.loads[worker].own += 1.0;
+        self.router.note_sent(&self.names[worker], &request.prefix);
+    }
+
+    pub(super) fn note_finished(&mut self, worker: usize) {
+        self.loads[worker].own -= 1.0;
+        self.router.note_finished(&self.names[worker]);
+    }
+
+    pub(super) fn note_load(&mut self, now: f64, worker: usize, report: LoadReport) {
+        let load = &mut self.loads[worker];
+        let total = f64::from(report.running) + f64::from(report.waiting);
+        load.foreign = (total - load.own).max(0.0);
+        load.reported = now;
+        self.router
+            .note_load(super::time_point(now), &self.names[worker], report);
+    }
+
+    pub(super) fn note_cache(&mut self, worker: usize, event: CacheEvent) {
+        self.router.note_cache(&self.names[worker], event);
+    }
+
+    fn next_ready(&mut self) -> usize {
+        loop {
+            self.next = (self.next + 1) % self.ready.len();
+            if self.ready[self.next] {
+                return self.next;
+            }
+        }
+    }
+
+    /// The search begins at a moving place, so that ties do not all fall on one worker.
+    fn least_loaded(&mut self, now: f64) -> usize {
+        self.next += 1;
+        let workers = self.ready.len();
+        (0..workers)
+            .map(|step| (self.next + step) % workers)
+            .filter(|worker| self.ready[*worker])
+            .min_by(|left, right| {
+                let left = self.loads[*left].at(now);
+                left.total_cmp(&self.loads[*right].at(now))
+            })
+            .expect("a worker is always ready")
+    }
+
+    fn on_ring(&self, key: BlockHash) -> usize {
+        let first = self.ring.partition_point(|(point, _)| *point < key.0);
+        let (after, before) = (&self.ring[first..], &self.ring[..first]);
+        after
+            .iter()
+            .chain(before)
+            .map(|(_, worker)| *worker)
+            .find(|worker| self.ready[*worker])
+            .expect("a worker is always ready")
+    }
+
+    fn routed(&mut self, now: f64, request: &TraceRequest, rng: &mut ChaCha8Rng) -> usize {
+        let query = RouteQuery {
+            prefix: &request.prefix,
+            tried: &[],
+        };
+        let choice = self
+            .router
+            .choose(super::time_point(now), &query, rng)
+            .expect("a worker is always ready");
+        self.names
+            .iter()
+            .position(|name| *name == choice.backend)
+            .expect("the router knows only these workers")
+    }
+}
+
+pub(super) fn worker_name(worker: usize) -> BackendId {
+    format!("drafting-{worker}").parse().expect("a valid name")
+}
+
+fn draw_ring(workers: usize) -> Vec<(u64, usize)> {
+    let mut ring: Vec<(u64, usize)> = (0..workers)
+        .flat_map(|worker| (0..RING_POINTS).map(move |point| (ring_point(worker, point), worker)))
+        .collect();
+    ring.sort_unstable();
+    ring
+}
+
+fn ring_point(worker: usize, point: u64) -> u64 {
+    let name = format!("{}/{point}", worker_name(worker));
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
--- /dev/null
+++ b/crates/celerycrank-bench/src/routing/run.rs
@@ -0,0 +1,290 @@
+//! Plays a trace against one policy.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+};
+
+use celerycrank_routing::CacheEvent;
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    engine::{Engine, TOKEN_SECONDS},
+    policy::{EntryPolicy, PolicyKind},
+    trace::{TraceRequest, exponential},
+};
+
+/// Time for which a worker that left stays away, in seconds.
+const ABSENCE_SECONDS: f64 = 10.0;
+
+/// Time between two departures, in seconds.
+const DEPARTURE_SECONDS: f64 = 20.0;
+
+/// Mean delay of a cache event, in seconds.
+const EVENT_DELAY_SECONDS: f64 = 1.0;
+
+/// Part of the cache events that never arrive.
+const EVENT_LOSS: f64 = 0.2;
+
+/// Time on the way between an entry and an agent, in seconds.
+const HOP_SECONDS: f64 = 0.000_5;
+
+/// Part of the trace that warms up the caches and is not counted.
+const WARM_UP: f64 = 0.25;
+
+/// Longest time to first token that is told apart, in milliseconds.
+const MAX_DELAY_MILLIS: u64 = 600_000;
+
+/// What a policy achieved on a trace.
+#[derive(Debug)]
+pub(super) struct PolicyResult {
+    /// Part of the prompt blocks that were found in a cache.
+    pub(super) hit_rate: f64,
+    /// Time to first token, in milliseconds.
+    pub(super) p50: u64,
+    /// Time to first token, in milliseconds.
+    pub(super) p99: u64,
+    /// Part of the open conversations of staying workers that moved when one left.
+    pub(super) moved: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Happening {
+    Arrive(usize),
+    Reach {
+        request: usize,
+        worker: usize,
+    },
+    FirstToken {
+        request: usize,
+        worker: usize,
+    },
+    Finish {
+        request: usize,
+        worker: usize,
+    },
+    Cache {
+        entry: usize,
+        worker: usize,
+        event: CacheEvent,
+    },
+    Leave,
+    Return(usize),
+}
+
+/// The run of one policy.
+#[derive(Debug)]
+pub(super) struct PolicyRun<'a> {
+    trace: &'a [TraceRequest],
+    entries: Vec<EntryPolicy>,
+    engines: Vec<Engine>,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    next_happening: u64,
+    rng: ChaCha8Rng,
+    counted_from: f64,
+    /// The newest request of each conversation that may go on.
+    open: BTreeMap<u64, usize>,
+    blocks: u64,
+    cached: u64,
+    delays: Histogram<u64>,
+    compared: u64,
+    moved: u64,
+}
+
+impl<'a> PolicyRun<'a> {
+    pub(super) fn new(
+        kind: PolicyKind,
+        trace: &'a [TraceRequest],
+        workers: usize,
+        entries: usize,
+        seed: u64,
+    ) -> Self {
+        let seconds = trace.last().map_or(0.0, |request| request.arrival);
+        Self {
+            trace,
+            entries: (0..entries)
+                .map(|entry| EntryPolicy::new(kind, workers, entry * workers / entries))
+                .collect(),
+            engines: (0..workers).map(|_| Engine::default()).collect(),
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            next_happening: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            counted_from: seconds * WARM_UP,
+            open: BTreeMap::new(),
+            blocks: 0,
+            cached: 0,
+            delays: Histogram::new_with_bounds(1, MAX_DELAY_MILLIS, 3)
+                .expect("the bounds are valid"),
+            compared: 0,
+            moved: 0,
+        }
+    }
+
+    pub(super) fn play(mut self) -> PolicyResult {
+        let seconds = self.trace.last().map_or(0.0, |request| request.arrival);
+        let mut departure = DEPARTURE_SECONDS;
+        while departure < seconds {
+            self.schedule(departure, Happening::Leave);
+            departure += DEPARTURE_SECONDS;
+        }
+        for (index, request) in self.trace.iter().enumerate() {
+            self.schedule(request.arrival, Happening::Arrive(index));
+        }
+        while let Some(Reverse((time, number))) = self.queue.pop() {
+            let happening = self.happenings.remove(&number).expect("scheduled once");
+            self.handle(f64::from_bits(time), happening);
+        }
+        PolicyResult {
+            hit_rate: self.cached as f64 / self.blocks.max(1) as f64,
+            p50: self.delays.value_at_quantile(0.5),
+            p99: self.delays.value_at_quantile(0.99),
+            moved: self.moved as f64 / self.compared.max(1) as f64,
+        }
+    }
+
+    fn schedule(&mut self, time: f64, happening: Happening) {
+        let number = self.next_happening;
+        self.next_happening += 1;
+        self.queue.push(Reverse((time.to_bits(), number)));
+        self.happenings.insert(number, happening);
+    }
+
+    fn handle(&mut self, now: f64, happening: Happening) {
+        match happening {
+            Happening::Arrive(request) => self.arrive(now, request),
+            Happening::Reach { request, worker } => {
+                self.engines[worker].waiting.push_back(request);
+                self.fill(now, worker);
+            }
+            Happening::FirstToken { request, worker } => self.answer(now, request, worker),
+            Happening::Finish { request, worker } => {
+                self.engines[worker].finish();
+                self.entries[self.trace[request].entry].note_finished(worker);
+                self.answer(now, request, worker);
+                self.fill(now, worker);
+            }
+            Happening::Cache {
+                entry,
+                worker,
+                event,
+            } => {
+                self.entries[entry].note_cache(worker, event);
+            }
+            Happening::Leave => self.leave(now),
+            Happening::Return(worker) => self.set_ready(now, worker, true),
+        }
+    }
+
+    fn arrive(&mut self, now: f64, index: usize) {
+        let request = &self.trace[index];
+        let entry = &mut self.entries[request.entry];
+        let worker = entry.choose(now, request, &mut self.rng);
+        entry.note_sent(worker, request);
+        self.open.insert(request.conversation, index);
+        let happening = Happening::Reach {
+            request: index,
+            worker,
+        };
+        self.schedule(now + HOP_SECONDS, happening);
+    }
+
+    fn fill(&mut self, now: f64, worker: usize) {
+        while self.engines[worker].has_slot() {
+            let Some(request) = self.engines[worker].waiting.pop_front() else {
+                return;
+            };
+            self.start(now, request, worker);
+        }
+    }
+
+    fn start(&mut self, now: f64, index: usize, worker: usize) {
+        let request = &self.trace[index];
+        let blocks = request.prefix.blocks();
+        let (start, evicted) = self.engines[worker].start(now, blocks);
+        let first_token = start.first_token + HOP_SECONDS;
+        let finish = first_token + f64::from(request.output_tokens) * TOKEN_SECONDS;
+        if request.arrival >= self.counted_from {
+            self.blocks += blocks.len() as u64;
+            self.cached += start.cached as u64;
+            let millis = (first_token - request.arrival) * 1_000.0;
+            self.delays.saturating_record(millis.round() as u64);
+        }
+        self.schedule(
+            first_token,
+            Happening::FirstToken {
+                request: index,
+                worker,
+            },
+        );
+        self.schedule(
+            finish,
+            Happening::Finish {
+                request: index,
+                worker,
+            },
+        );
+        let stored = blocks.iter().map(|block| CacheEvent::Stored(*block));
+        let evicted = evicted.into_iter().map(CacheEvent::Evicted);
+        for event in stored.chain(evicted) {
+            self.publish(now, request.entry, worker, event);
+        }
+    }
+
+    fn publish(&mut self, now: f64, entry: usize, worker: usize, event: CacheEvent) {
+        if self.rng.random_bool(EVENT_LOSS) {
+            return;
+        }
+        let delay = exponential(EVENT_DELAY_SECONDS, &mut self.rng);
+        let happening = Happening::Cache {
+            entry,
+            worker,
+            event,
+        };
+        self.schedule(now + delay, happening);
+    }
+
+    fn answer(&mut self, now: f64, request: usize, worker: usize) {
+        let report = self.engines[worker].report();
+        self.entries[self.trace[request].entry].note_load(now, worker, report);
+    }
+
+    fn leave(&mut self, now: f64) {
+        let worker = self.rng.random_range(0..self.engines.len());
+        self.open
+            .retain(|_, request| self.trace[*request].arrival > now - 30.0);
+        let before = self.choices(now);
+        self.set_ready(now, worker, false);
+        let after = self.choices(now);
+        for (before, after) in before.into_iter().zip(after) {
+            if before != worker {
+                self.compared += 1;
+                self.moved += u64::from(before != after);
+            }
+        }
+        self.engines[worker].clear();
+        self.schedule(now + ABSENCE_SECONDS, Happening::Return(worker));
+    }
+
+    /// Where the open conversations' next requests would go now.
+    fn choices(&self, now: f64) -> Vec<usize> {
+        let mut entries = self.entries.clone();
+        let mut rng = self.rng.clone();
+        self.open
+            .values()
+            .map(|request| {
+                let request = &self.trace[*request];
+                entries[request.entry].choose(now, request, &mut rng)
+            })
+            .collect()
+    }
+
+    fn set_ready(&mut self, now: f64, worker: usize, ready: bool) {
+        for entry in &mut self.entries {
+            entry.set_ready(super::time_point(now), worker, ready);
+        }
+    }
+}
--- a/crates/celerycrank-routing/src/hint.rs
+++ b/crates/celerycrank-routing/src/hint.rs
@@ -28,7 +28,7 @@
     pub(crate) tenancy: u32,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct BlockEntry {
     /// The newest holder last.
     holders: SmallVec<[BackendSlot; MAX_HOLDERS]>,
@@ -39,7 +39,7 @@
 /// Bounded memory of block holders, learnt from own decisions and from cache events.
 ///
 /// Invariant: at most `capacity` blocks are remembered; the least recently used goes first.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct HolderIndex {
     capacity: usize,
     entries: HashMap<BlockHash, BlockEntry>,
--- a/crates/celerycrank-routing/src/router.rs
+++ b/crates/celerycrank-routing/src/router.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use celerycrank_types::{BackendId, DomainId, TimePoint, TimeSpan};
-use rand::{Rng, seq::IteratorRandom};
+use rand::Rng;
 use smallvec::SmallVec;
 
 use crate::{
@@ -81,7 +81,7 @@
 ///
 /// Invariants: an excluded backend server is never chosen; nor is one that was tried, or one
 /// that is not in the table.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct BackendRouter {
     settings: RouterSettings,
     slots: BTreeMap<BackendId, usize>,
@@ -283,13 +283,20 @@
         if let Some(index) = self.rendezvous(prefix, bound) {
             add(index, RouteReason::Rendezvous);
         }
-        let usable = (0..self.loads.len()).filter(|index| self.loads[*index].is_finite());
-        for index in usable.choose_multiple(rng, RANDOM_CANDIDATES) {
-            add(index, RouteReason::Random);
+        for _ in 0..RANDOM_CANDIDATES {
+            add(self.random_usable(rng), RouteReason::Random);
         }
         candidates
     }
 
+    /// A random place in the table, or the next usable one after it.
+    fn random_usable<R: Rng>(&self, rng: &mut R) -> usize {
+        let first = rng.random_range(0..self.loads.len());
+        let (before, after) = self.loads.split_at(first);
+        let steps = after.iter().chain(before).position(|load| load.is_finite());
+        (first + steps.unwrap_or(0)) % self.loads.len()
+    }
+
     /// Usable backend servers that probably hold the longest known prefix.
     fn holders(&self, prefix: &PromptPrefix) -> SmallVec<[usize; 4]> {
         for block in prefix.blocks().iter().rev() {
