--- a/crates/celerycrank-bench/src/groups.rs
+++ b/crates/celerycrank-bench/src/groups.rs
@@ -1,14 +1,25 @@
-//! Placeholder until its measurement lands.
+//! Placement policies of lock-step groups, and long runs of the switch protocol.
+
+mod switch;
+
+use clap::Subcommand;
 
 /// Arguments of the measurement.
 #[derive(Debug, clap::Args)]
 pub(crate) struct GroupsArgs {
-    /// Seed of every random choice.
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
+    #[command(subcommand)]
+    command: GroupsCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum GroupsCommand {
+    /// Long random runs of the switch protocol with faults.
+    Switch(switch::SwitchArgs),
 }
 
 /// Runs the measurement and prints its table.
 pub(crate) fn run(args: &GroupsArgs) {
-    println!("no measurement yet; seed {}", args.seed);
+    match &args.command {
+        GroupsCommand::Switch(args) => switch::run(args),
+    }
 }
--- /dev/null
+++ b/crates/celerycrank-groups/src/formation/former.rs
@@ -0,0 +1,508 @@
+//! One agent's part in forming its group.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, LazyLock},
+};
+
+use celerycrank_chart::{ChartStep, StateChart};
+use celerycrank_types::{Incarnation, TimePoint, TimeSpan, VmId};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    AgentLife, ExpertMap, FormationMessage, GroupRecord, MemberHello, MemberIndex, MemberSeat,
+    MemberSet, RecordAnswer, RecordCall, StoredRecord,
+};
+
+type FormationChart = StateChart<FormationState, FormationEvent, FormationAction>;
+
+static CHART: LazyLock<FormationChart> = LazyLock::new(|| {
+    FormationChart::parse(include_str!("../../charts/formation.json"))
+        .expect("the chart is part of the program")
+});
+
+/// Where an agent stands in forming its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FormationState {
+    /// It has just started; orders of its previous life may still reach the engine.
+    Draining,
+    /// It leaves the next call to another agent for a while.
+    Waiting,
+    /// It has called and collects answers.
+    Calling,
+    /// It reads the group's record.
+    Reading,
+    /// It writes the group's record.
+    Writing,
+    /// It is a member of the newest incarnation that it knows.
+    Inside,
+    /// Another VM has taken its seat.
+    Replaced,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum FormationEvent {
+    Expire,
+    Wanted,
+    AllHere,
+    Yield,
+    Formed,
+    Unseated,
+    Replaced,
+    Found,
+    FoundOwn,
+    FoundNewer,
+    Written,
+    Conflict,
+    Unavailable,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum FormationAction {
+    SendCall,
+    Read,
+    Write,
+    Enter,
+    Announce,
+}
+
+/// What an agent wants done to form its group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FormationOutput {
+    /// Send a message to another agent of the group.
+    Send {
+        /// To whom.
+        to: MemberIndex,
+        /// What.
+        message: FormationMessage,
+    },
+    /// Read the group's record.
+    Read {
+        /// Which call this is; the answer carries it.
+        call: RecordCall,
+    },
+    /// Write the group's record if its version is still this one.
+    Write {
+        /// Which call this is; the answer carries it.
+        call: RecordCall,
+        /// The version that the record must have.
+        revision: u64,
+        /// The new record.
+        record: Arc<GroupRecord>,
+    },
+    /// Leave any older incarnation and enter this one.
+    Enter(Arc<GroupRecord>),
+}
+
+/// Times of forming a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, bon::Builder)]
+#[serde(default, deny_unknown_fields)]
+pub struct FormationTimes {
+    /// Longest time that an order to the engine may be under way.
+    ///
+    /// An agent that starts gives no order before this has passed, since an engine that
+    /// ignores fencing numbers would obey its previous life's orders after its own.
+    #[builder(default = TimeSpan::from_millis(500))]
+    pub order_timeout: TimeSpan,
+    /// Time between two calls.
+    #[builder(default = TimeSpan::from_millis(200))]
+    pub call_interval: TimeSpan,
+    /// Longest wait for the key-value service.
+    #[builder(default = TimeSpan::from_secs(1))]
+    pub answer_timeout: TimeSpan,
+    /// How much longer each member waits than the one before it, so that one of them calls.
+    #[builder(default = TimeSpan::from_millis(50))]
+    pub member_delay: TimeSpan,
+}
+
+impl Default for FormationTimes {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
+
+/// One agent's part in forming its group, for one life of the agent.
+///
+/// A group needs all of its ranks, so an incarnation is formed when every seat has answered;
+/// no failure detector is needed, only the arrival of a new life.
+#[derive(Debug, Clone)]
+pub struct GroupFormer {
+    index: MemberIndex,
+    seat: MemberSeat,
+    members: MemberSet,
+    times: FormationTimes,
+    /// The map of a group that was never formed.
+    first_map: Arc<ExpertMap>,
+    state: FormationState,
+    deadline: TimePoint,
+    /// The newest record known; its incarnation never falls.
+    newest: Option<Arc<GroupRecord>>,
+    /// Invariant: holds this agent's life, and its incarnation rises with each entry.
+    entered: Option<Arc<GroupRecord>>,
+    /// The VM that the VM list names for each seat; may lag.
+    ///
+    /// Only decides who is asked to take part: the record alone says who does.
+    listed: BTreeMap<MemberIndex, VmId>,
+    /// The map in force, as the switch left it.
+    map: Option<Arc<ExpertMap>>,
+    hellos: BTreeMap<MemberIndex, MemberHello>,
+    /// The record that this agent tries to write.
+    draft: Option<Arc<GroupRecord>>,
+    stored_revision: u64,
+    /// The last call to the key-value service; answers to earlier ones are dropped.
+    call: RecordCall,
+    /// Members that have not yet confirmed a record that this agent wrote.
+    unjoined: MemberSet,
+}
+
+impl GroupFormer {
+    /// An agent that has just started in this seat.
+    #[must_use]
+    pub fn new(
+        index: MemberIndex,
+        seat: MemberSeat,
+        first_map: Arc<ExpertMap>,
+        members: MemberSet,
+        times: FormationTimes,
+        now: TimePoint,
+    ) -> Self {
+        Self {
+            index,
+            seat,
+            members,
+            times,
+            first_map,
+            state: CHART.initial(),
+            deadline: now + times.order_timeout,
+            newest: None,
+            entered: None,
+            listed: BTreeMap::new(),
+            map: None,
+            hellos: BTreeMap::new(),
+            draft: None,
+            stored_revision: 0,
+            call: RecordCall::default(),
+            unjoined: MemberSet::default(),
+        }
+    }
+
+    /// Where the agent stands.
+    #[must_use]
+    pub const fn state(&self) -> FormationState {
+        self.state
+    }
+
+    /// The incarnation that the agent has entered last.
+    #[must_use]
+    pub const fn entered(&self) -> Option<&Arc<GroupRecord>> {
+        self.entered.as_ref()
+    }
+
+    /// When [`Self::tick`] has something to do.
+    #[must_use]
+    pub const fn deadline(&self) -> TimePoint {
+        self.deadline
+    }
+
+    /// Takes note of the map that a switch has put in force.
+    pub fn set_map(&mut self, map: Arc<ExpertMap>) {
+        self.map = Some(map);
+    }
+
+    /// Asks for a new incarnation, as after an overdue verdict.
+    pub fn want(&mut self, now: TimePoint) -> Vec<FormationOutput> {
+        self.step(FormationEvent::Wanted, now)
+    }
+
+    /// Takes note of the VM that the VM list names for a seat.
+    pub fn list(&mut self, member: MemberIndex, vm: &VmId, now: TimePoint) -> Vec<FormationOutput> {
+        self.listed.insert(member, vm.clone());
+        if member != self.index || *vm == self.seat.vm {
+            return Vec::new();
+        }
+        self.step(FormationEvent::Replaced, now)
+    }
+
+    /// Acts on the passage of time.
+    pub fn tick(&mut self, now: TimePoint) -> Vec<FormationOutput> {
+        if now < self.deadline || self.state == FormationState::Replaced {
+            return Vec::new();
+        }
+        self.step(FormationEvent::Expire, now)
+    }
+
+    /// Takes a message of another agent.
+    pub fn receive(
+        &mut self,
+        from: MemberIndex,
+        message: &FormationMessage,
+        now: TimePoint,
+    ) -> Vec<FormationOutput> {
+        if self.state == FormationState::Draining {
+            return Vec::new();
+        }
+        match message {
+            FormationMessage::Call { life, known } => self.answer_call(from, *life, *known, now),
+            FormationMessage::Hello(hello) => self.take_hello(from, hello, now),
+            FormationMessage::Formed(record) => self.take_record(from, record, now),
+            FormationMessage::Joined(incarnation) => {
+                if self.known() == *incarnation {
+                    self.unjoined = self.unjoined.difference(MemberSet::only(from));
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes an answer of the key-value service.
+    pub fn answer(
+        &mut self,
+        call: RecordCall,
+        answer: &RecordAnswer,
+        now: TimePoint,
+    ) -> Vec<FormationOutput> {
+        if call != self.call {
+            return Vec::new();
+        }
+        match (self.state, answer) {
+            (FormationState::Reading, RecordAnswer::Found(stored)) => {
+                let event = self.judge_stored(stored);
+                self.step(event, now)
+            }
+            (FormationState::Writing, RecordAnswer::Written) => {
+                self.newest.clone_from(&self.draft);
+                self.step(FormationEvent::Written, now)
+            }
+            (FormationState::Writing, RecordAnswer::Conflict) => {
+                self.step(FormationEvent::Conflict, now)
+            }
+            (FormationState::Reading | FormationState::Writing, RecordAnswer::Unavailable) => {
+                self.step(FormationEvent::Unavailable, now)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn answer_call(
+        &mut self,
+        from: MemberIndex,
+        life: AgentLife,
+        known: Incarnation,
+        now: TimePoint,
+    ) -> Vec<FormationOutput> {
+        if self.state == FormationState::Replaced {
+            return Vec::new();
+        }
+        if let Some(record) = self.newest.as_ref().filter(|it| it.incarnation > known)
+            && record.seat(from).is_some_and(|seat| seat.life == life)
+        {
+            let message = FormationMessage::Formed(Arc::clone(record));
+            return vec![FormationOutput::Send { to: from, message }];
+        }
+        let mut outputs = Vec::new();
+        if from < self.index {
+            outputs = self.step(FormationEvent::Yield, now);
+        }
+        let message = FormationMessage::Hello(self.hello());
+        outputs.push(FormationOutput::Send { to: from, message });
+        outputs
+    }
+
+    fn take_hello(
+        &mut self,
+        from: MemberIndex,
+        hello: &MemberHello,
+        now: TimePoint,
+    ) -> Vec<FormationOutput> {
+        if self.state != FormationState::Calling {
+            return Vec::new();
+        }
+        if self
+            .listed
+            .get(&from)
+            .is_some_and(|vm| *vm != hello.seat.vm)
+        {
+            return Vec::new();
+        }
+        self.hellos.insert(from, hello.clone());
+        if self.hellos.len() < self.members.iter().count() {
+            return Vec::new();
+        }
+        self.step(FormationEvent::AllHere, now)
+    }
+
+    fn take_record(
+        &mut self,
+        from: MemberIndex,
+        record: &Arc<GroupRecord>,
+        now: TimePoint,
+    ) -> Vec<FormationOutput> {
+        let mut outputs = Vec::new();
+        if record.incarnation > self.known() {
+            self.newest = Some(Arc::clone(record));
+            if self.is_seated(record) {
+                outputs = self.step(FormationEvent::Formed, now);
+            } else {
+                return self.step(FormationEvent::Unseated, now);
+            }
+        }
+        if self
+            .entered
+            .as_ref()
+            .is_some_and(|it| it.incarnation == record.incarnation)
+        {
+            let message = FormationMessage::Joined(record.incarnation);
+            outputs.push(FormationOutput::Send { to: from, message });
+        }
+        outputs
+    }
+
+    /// What a record that was read means to this agent.
+    fn judge_stored(&mut self, stored: &StoredRecord) -> FormationEvent {
+        self.stored_revision = stored.revision;
+        if let Some(record) = &stored.record
+            && record.incarnation > self.known()
+        {
+            self.newest = Some(Arc::clone(record));
+            if record.former == self.seat.life {
+                return FormationEvent::FoundOwn;
+            }
+            if self.is_seated(record) {
+                return FormationEvent::FoundNewer;
+            }
+        }
+        FormationEvent::Found
+    }
+
+    fn step(&mut self, event: FormationEvent, now: TimePoint) -> Vec<FormationOutput> {
+        let mut outputs = Vec::new();
+        let (state, actions) = match CHART.step(self.state, event) {
+            ChartStep::Moved { state, actions } => (state, actions),
+            ChartStep::Ignored => return outputs,
+            ChartStep::Unexpected if self.state == FormationState::Replaced => return outputs,
+            ChartStep::Unexpected => panic!("{event:?} has no place in {:?}", self.state),
+        };
+        self.state = state;
+        self.deadline = now + self.patience();
+        for action in actions {
+            self.perform(*action, &mut outputs);
+        }
+        outputs
+    }
+
+    fn perform(&mut self, action: FormationAction, outputs: &mut Vec<FormationOutput>) {
+        match action {
+            FormationAction::SendCall => {
+                self.hellos.clear();
+                self.hellos.insert(self.index, self.hello());
+                let message = FormationMessage::Call {
+                    life: self.seat.life,
+                    known: self.known(),
+                };
+                send_all(self.others(), &message, outputs);
+            }
+            FormationAction::Read => {
+                self.call = self.call.next();
+                outputs.push(FormationOutput::Read { call: self.call });
+            }
+            FormationAction::Write => {
+                let record = Arc::new(self.draft_record());
+                self.draft = Some(Arc::clone(&record));
+                self.call = self.call.next();
+                outputs.push(FormationOutput::Write {
+                    call: self.call,
+                    revision: self.stored_revision,
+                    record,
+                });
+            }
+            FormationAction::Enter => {
+                let record = self.newest.clone().expect("an entered record is known");
+                assert!(
+                    self.is_seated(&record),
+                    "a record of another life is not entered"
+                );
+                let last = self.entered.as_ref().map(|entered| entered.incarnation);
+                assert!(last < Some(record.incarnation), "incarnations only rise");
+                self.entered = Some(Arc::clone(&record));
+                self.map = Some(Arc::clone(&record.map));
+                self.unjoined = MemberSet::default();
+                outputs.push(FormationOutput::Enter(record));
+            }
+            FormationAction::Announce => {
+                let Some(record) = self.entered.clone() else {
+                    return;
+                };
+                if outputs
+                    .iter()
+                    .any(|it| matches!(it, FormationOutput::Enter(_)))
+                {
+                    self.unjoined = self.others();
+                }
+                send_all(self.unjoined, &FormationMessage::Formed(record), outputs);
+            }
+        }
+    }
+
+    /// The next incarnation with whoever answered, and the newest map among them.
+    fn draft_record(&self) -> GroupRecord {
+        let newest = self.newest.as_ref();
+        let recorded = newest.map(|record| (record.incarnation, &record.map));
+        let told = self.hellos.values();
+        let maps = told.filter_map(|hello| Some((hello.incarnation, hello.map.as_ref()?)));
+        let best = maps
+            .chain(recorded)
+            .max_by_key(|(incarnation, map)| (*incarnation, map.id()));
+        let seats = self.hellos.values().map(|hello| hello.seat.clone());
+        GroupRecord {
+            incarnation: self.known().next(),
+            former: self.seat.life,
+            seats: seats.collect(),
+            map: best.map_or_else(|| Arc::clone(&self.first_map), |(_, map)| Arc::clone(map)),
+        }
+    }
+
+    fn hello(&self) -> MemberHello {
+        let entered = self.entered.as_ref();
+        MemberHello {
+            seat: self.seat.clone(),
+            incarnation: entered.map_or(Incarnation::default(), |record| record.incarnation),
+            map: self.map.clone(),
+        }
+    }
+
+    /// How long the agent stays in its state before it tries something else.
+    fn patience(&self) -> TimeSpan {
+        let delay = TimeSpan(self.times.member_delay.0 * u64::from(self.index.0));
+        match self.state {
+            FormationState::Draining => self.times.order_timeout,
+            FormationState::Waiting => self.times.answer_timeout + delay,
+            FormationState::Reading | FormationState::Writing => self.times.answer_timeout,
+            FormationState::Calling | FormationState::Inside | FormationState::Replaced => {
+                self.times.call_interval + delay
+            }
+        }
+    }
+
+    fn known(&self) -> Incarnation {
+        let newest = self.newest.as_ref();
+        newest.map_or(Incarnation::default(), |record| record.incarnation)
+    }
+
+    fn others(&self) -> MemberSet {
+        self.members.difference(MemberSet::only(self.index))
+    }
+
+    fn is_seated(&self, record: &GroupRecord) -> bool {
+        record.seat(self.index) == Some(&self.seat)
+    }
+}
+
+fn send_all(to: MemberSet, message: &FormationMessage, outputs: &mut Vec<FormationOutput>) {
+    outputs.extend(to.iter().map(|to| FormationOutput::Send {
+        to,
+        message: message.clone(),
+    }));
+}
--- a/crates/celerycrank-groups/src/lib.rs
+++ b/crates/celerycrank-groups/src/lib.rs
@@ -1,1 +1,35 @@
 //! Expert maps of lock-step groups: the switch protocol and the placement policy.
+//!
+//! Nothing here performs I/O or reads a clock. [`SwitchMember`] and [`SwitchLead`] switch a
+//! group from one map to the next; [`GroupFormer`] forms the group anew after the loss of a
+//! rank.
+
+mod agent;
+mod audit;
+mod formation;
+mod map;
+mod message;
+mod number;
+mod switch;
+pub mod trial;
+
+pub use crate::{
+    agent::{AgentOutput, GroupAgent, GroupMessage, GroupSeat},
+    audit::StepAudit,
+    formation::{
+        FormationOutput, FormationState, FormationTimes, GroupFormer, GroupRecord, MemberSeat,
+        RecordAnswer, StoredRecord,
+    },
+    map::{ExpertIndex, ExpertMap, MapChange, MapShape, SlotLoad},
+    message::{
+        EngineOrder, EngineReport, FormationMessage, MemberHello, SwitchMessage, SwitchRefusal,
+    },
+    number::{
+        AgentLife, AttemptId, AttemptNumber, MapId, MapVersion, MemberIndex, MemberSet, RecordCall,
+        StepNumber,
+    },
+    switch::{
+        BoardHistory, MemberOutput, MemberState, SwitchLead, SwitchMember, SwitchTimes,
+        SwitchVerdict, VoteBoard,
+    },
+};
--- /dev/null
+++ b/crates/celerycrank-groups/src/map.rs
@@ -0,0 +1,197 @@
+//! Expert maps: which slot of which rank holds which expert.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{MapId, MapVersion};
+
+/// Marks a slot that holds no expert.
+const EMPTY_SLOT: u16 = u16::MAX;
+
+/// Offset basis and prime of the 64-bit FNV-1a hash.
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// One expert of a layer.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ExpertIndex(pub u16);
+
+impl fmt::Display for ExpertIndex {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The dimensions of a group's maps.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    bon::Builder,
+)]
+#[serde(deny_unknown_fields)]
+pub struct MapShape {
+    /// Layers with experts.
+    pub layers: u16,
+    /// Experts in each layer.
+    pub experts: u16,
+    /// Ranks in the group.
+    pub ranks: u16,
+    /// Experts of one layer that one rank has room for.
+    ///
+    /// Invariant: `slots * ranks` is at least `experts`.
+    pub slots: u16,
+}
+
+impl MapShape {
+    /// Slots of one layer over all ranks.
+    #[must_use]
+    pub const fn layer_slots(self) -> usize {
+        self.ranks as usize * self.slots as usize
+    }
+}
+
+/// Which slot of which rank holds which expert, layer by layer.
+///
+/// Invariant: each layer holds every expert at least once, and no rank holds an expert of
+/// one layer twice.
+#[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ExpertMap {
+    version: MapVersion,
+    shape: MapShape,
+    /// Slots by layer, then rank, then slot.
+    cells: Vec<u16>,
+}
+
+impl ExpertMap {
+    /// The first map of a group: experts dealt to ranks in order, spare slots empty.
+    #[must_use]
+    pub fn dealt(shape: MapShape) -> Self {
+        let mut cells = vec![EMPTY_SLOT; shape.layer_slots() * usize::from(shape.layers)];
+        for layer in cells.chunks_mut(shape.layer_slots().max(1)) {
+            for expert in 0..shape.experts {
+                let rank = usize::from(expert % shape.ranks);
+                let slot = usize::from(expert / shape.ranks);
+                layer[rank * usize::from(shape.slots) + slot] = expert;
+            }
+        }
+        Self {
+            version: MapVersion::default(),
+            shape,
+            cells,
+        }
+    }
+
+    /// The map's dimensions.
+    #[must_use]
+    pub const fn shape(&self) -> MapShape {
+        self.shape
+    }
+
+    /// The map's name.
+    #[must_use]
+    pub fn id(&self) -> MapId {
+        MapId {
+            version: self.version,
+            digest: self.digest(),
+        }
+    }
+
+    /// The expert in a slot of a layer, the slots counted over all ranks.
+    #[must_use]
+    pub fn expert_at(&self, layer: usize, slot: usize) -> Option<ExpertIndex> {
+        let cell = self.cells[layer * self.shape.layer_slots() + slot];
+        (cell != EMPTY_SLOT).then_some(ExpertIndex(cell))
+    }
+
+    /// The map with other content and the next version.
+    #[must_use]
+    pub fn successor(&self, loads: &[SlotLoad]) -> Self {
+        let mut map = self.clone();
+        map.version = self.version.next();
+        for load in loads {
+            let start = usize::from(load.layer) * self.shape.layer_slots();
+            map.cells[start + usize::from(load.slot)] = load.expert.0;
+        }
+        map
+    }
+
+    /// Whether every layer holds every expert, and no rank an expert twice.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        (0..usize::from(self.shape.layers)).all(|layer| self.layer_is_complete(layer))
+    }
+
+    fn layer_is_complete(&self, layer: usize) -> bool {
+        let mut found = vec![false; usize::from(self.shape.experts)];
+        for rank in 0..usize::from(self.shape.ranks) {
+            let mut held = vec![false; usize::from(self.shape.experts)];
+            for slot in 0..usize::from(self.shape.slots) {
+                let index = rank * usize::from(self.shape.slots) + slot;
+                let Some(expert) = self.expert_at(layer, index) else {
+                    continue;
+                };
+                if std::mem::replace(&mut held[usize::from(expert.0)], true) {
+                    return false;
+                }
+                found[usize::from(expert.0)] = true;
+            }
+        }
+        found.into_iter().all(|found| found)
+    }
+
+    fn digest(&self) -> u64 {
+        let cells = self.cells.iter().copied().map(u64::from);
+        cells.fold(FNV_BASIS, |hash, cell| {
+            (hash ^ cell).wrapping_mul(FNV_PRIME)
+        })
+    }
+}
+
+/// One expert to load into one slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SlotLoad {
+    /// The layer.
+    pub layer: u16,
+    /// The slot, counted over all ranks.
+    pub slot: u16,
+    /// The expert that the slot is to hold.
+    pub expert: ExpertIndex,
+}
+
+/// The way from one map to the next.
+///
+/// Invariant: `next` is what `loads` make of the map named `base`.
+#[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct MapChange {
+    /// The map from which the change starts.
+    pub base: MapId,
+    /// The map to which it leads.
+    pub next: MapId,
+    /// What is loaded; a slot that is not named keeps its expert.
+    pub loads: Vec<SlotLoad>,
+}
+
+impl MapChange {
+    /// The change that `loads` make to a map.
+    #[must_use]
+    pub fn new(base: &ExpertMap, loads: Vec<SlotLoad>) -> Arc<Self> {
+        Arc::new(Self {
+            base: base.id(),
+            next: base.successor(&loads).id(),
+            loads,
+        })
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-groups/src/number.rs
@@ -0,0 +1,183 @@
+//! Numbers by which steps, maps, members and attempts are told apart.
+
+use std::fmt;
+
+use celerycrank_types::Incarnation;
+use serde::{Deserialize, Serialize};
+
+macro_rules! count_number {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The number that follows this one.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+count_number! {
+    /// A lock-step step, counted from 0 in each incarnation of a group.
+    StepNumber
+}
+count_number! {
+    /// How many switches led to a map since the group was first formed.
+    MapVersion
+}
+count_number! {
+    /// Counts the attempts of one lead in one incarnation.
+    AttemptNumber
+}
+count_number! {
+    /// Counts the calls of one agent to the key-value service for its group's record.
+    RecordCall
+}
+count_number! {
+    /// One life of an agent process, drawn at random when it starts.
+    AgentLife
+}
+
+/// The place of one agent in its group; an agent drives one or more ranks.
+///
+/// Invariant: below [`MemberSet::CAPACITY`].
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct MemberIndex(pub u8);
+
+impl fmt::Display for MemberIndex {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A set of members of one group.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct MemberSet(u64);
+
+impl MemberSet {
+    /// Most members in one group.
+    pub const CAPACITY: usize = u64::BITS as usize;
+
+    /// The set of the first `count` members.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the count exceeds [`Self::CAPACITY`].
+    #[must_use]
+    pub const fn first(count: usize) -> Self {
+        assert!(count <= Self::CAPACITY, "a group has at most 64 members");
+        if count == Self::CAPACITY {
+            return Self(u64::MAX);
+        }
+        Self((1 << count) - 1)
+    }
+
+    /// The set of one member.
+    #[must_use]
+    pub const fn only(member: MemberIndex) -> Self {
+        Self(1 << member.0)
+    }
+
+    /// The members of either set.
+    #[must_use]
+    pub const fn union(self, other: Self) -> Self {
+        Self(self.0 | other.0)
+    }
+
+    /// The members of both sets.
+    #[must_use]
+    pub const fn intersection(self, other: Self) -> Self {
+        Self(self.0 & other.0)
+    }
+
+    /// The members of this set that are not in the other.
+    #[must_use]
+    pub const fn difference(self, other: Self) -> Self {
+        Self(self.0 & !other.0)
+    }
+
+    /// Whether the set has no member.
+    #[must_use]
+    pub const fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+
+    /// Whether the set has this member.
+    #[must_use]
+    pub const fn contains(self, member: MemberIndex) -> bool {
+        self.0 & (1 << member.0) != 0
+    }
+
+    /// Adds a member.
+    pub const fn insert(&mut self, member: MemberIndex) {
+        self.0 |= 1 << member.0;
+    }
+
+    /// The members in order.
+    pub fn iter(self) -> impl Iterator<Item = MemberIndex> {
+        (0..=u8::MAX)
+            .take(Self::CAPACITY)
+            .map(MemberIndex)
+            .filter(move |member| self.contains(*member))
+    }
+}
+
+/// Names one expert map.
+///
+/// Two leads may give the same version to different maps; the digest tells them apart.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct MapId {
+    /// How many switches led to the map.
+    pub version: MapVersion,
+    /// A hash of the map's content.
+    pub digest: u64,
+}
+
+impl fmt::Display for MapId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:016x}", self.version, self.digest)
+    }
+}
+
+/// Names one attempt to switch a group's map.
+///
+/// Invariant: a lead uses each number once in an incarnation, in rising order.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct AttemptId {
+    /// The group's incarnation; the attempt ends with it.
+    pub incarnation: Incarnation,
+    /// Who made the attempt.
+    pub lead: MemberIndex,
+    /// Which attempt of this lead.
+    pub number: AttemptNumber,
+}
--- /dev/null
+++ b/crates/celerycrank-groups/src/trial/fault.rs
@@ -0,0 +1,122 @@
+//! What goes wrong in a trial, and what must hold once it has ended.
+
+use celerycrank_types::TimeSpan;
+use rand::Rng;
+
+use super::world::{TrialWorld, member_index};
+use crate::{ExpertIndex, FormationState, MapChange, MemberIndex, MemberState, SlotLoad};
+
+/// Longest fault of a passing kind.
+const FAULT_TIME: TimeSpan = TimeSpan::from_secs(8);
+
+impl TrialWorld {
+    pub(super) fn maybe_attempt(&mut self) {
+        if !self.happens_within(self.plan.attempt_interval) {
+            return;
+        }
+        self.attempt(0);
+        if self.chance(self.plan.second_lead) {
+            let second = self.rng.random_range(0..self.plan.members);
+            self.attempt(second);
+        }
+    }
+
+    fn attempt(&mut self, index: usize) {
+        let Some(node) = self.current_node(member_index(index)) else {
+            return;
+        };
+        if self.is_frozen(node) {
+            return;
+        }
+        let Some(map) = self.nodes[node].agent.map().cloned() else {
+            return;
+        };
+        let load = SlotLoad {
+            layer: 0,
+            slot: 2,
+            expert: ExpertIndex(self.rng.random_range(1..4)),
+        };
+        self.report.attempts += 1;
+        let change = MapChange::new(&map, vec![load]);
+        let outputs = self.nodes[node].agent.start(change, self.now);
+        self.carry_out(node, outputs);
+    }
+
+    fn current_node(&self, index: MemberIndex) -> Option<usize> {
+        let mut nodes = self.nodes.iter();
+        nodes.position(|node| node.index == index && !node.is_replaced)
+    }
+
+    pub(super) fn maybe_fault(&mut self) {
+        let Some(interval) = self.plan.fault_interval else {
+            return;
+        };
+        if !self.happens_within(interval) {
+            return;
+        }
+        let index = member_index(self.rng.random_range(0..self.plan.members));
+        let node = self.current_node(index).expect("each seat has a VM");
+        let until = self.now + self.span(FAULT_TIME);
+        let kinds = if self.plan.calm { 2 } else { 5 };
+        let kind = self.rng.random_range(0..kinds);
+        self.started_at = None;
+        let label = match kind {
+            0 => {
+                self.started_at = Some(self.now);
+                let life = self.next_life();
+                self.nodes[node].restart(life, &self.settings, self.now);
+                "agent_restart"
+            }
+            2 => {
+                self.nodes[node].frozen_until = until;
+                "agent_freeze"
+            }
+            3 => {
+                self.nodes[node].stalled_until = until;
+                "rank_stall"
+            }
+            1 => {
+                self.nodes[node].is_replaced = true;
+                self.nodes[node].frozen_until = until;
+                self.started_at = Some(self.now);
+                self.add_node(index);
+                "vm_replace"
+            }
+            _ => {
+                self.outage_until = until;
+                "store_outage"
+            }
+        };
+        *self.report.faults.entry(label.to_owned()).or_default() += 1;
+    }
+
+    /// Ends every fault; messages are still lost and late.
+    pub(super) fn heal(&mut self) {
+        self.outage_until = self.now;
+        for node in &mut self.nodes {
+            node.frozen_until = self.now;
+            node.stalled_until = self.now;
+        }
+    }
+
+    pub(super) fn check_recovery(&self, steps: u64) {
+        let seed = self.plan.seed;
+        assert!(
+            self.report.steps > steps,
+            "seed {seed}: the group stands still"
+        );
+        let current = self.nodes.iter().filter(|node| !node.is_replaced);
+        for node in current {
+            let state = node.agent.former().state();
+            assert_eq!(
+                state,
+                FormationState::Inside,
+                "seed {seed}: {} is outside",
+                node.index
+            );
+            let member = node.agent.member().expect("a member inside has a part");
+            assert_eq!(member.state(), MemberState::Steady, "seed {seed}");
+            assert_eq!(member.incarnation(), self.stepped, "seed {seed}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-groups/src/trial/store.rs
@@ -0,0 +1,41 @@
+//! A fake key-value service that holds one group's record.
+
+use std::sync::Arc;
+
+use crate::{GroupRecord, RecordAnswer, StoredRecord};
+
+/// One versioned record with compare-and-swap.
+#[derive(Debug, Default)]
+pub(crate) struct TrialStore {
+    revision: u64,
+    record: Option<Arc<GroupRecord>>,
+    pub(crate) reads: u64,
+    pub(crate) writes: u64,
+}
+
+impl TrialStore {
+    /// Reads the record.
+    pub(crate) fn read(&mut self) -> RecordAnswer {
+        self.reads += 1;
+        RecordAnswer::Found(StoredRecord {
+            revision: self.revision,
+            record: self.record.clone(),
+        })
+    }
+
+    /// Writes the record if its version is still `revision`.
+    pub(crate) fn write(&mut self, revision: u64, record: &Arc<GroupRecord>) -> RecordAnswer {
+        self.writes += 1;
+        if revision != self.revision {
+            return RecordAnswer::Conflict;
+        }
+        let last = self
+            .record
+            .as_ref()
+            .map_or(0, |record| record.incarnation.0);
+        assert_eq!(record.incarnation.0, last + 1, "incarnations rise by one");
+        self.revision += 1;
+        self.record = Some(Arc::clone(record));
+        RecordAnswer::Written
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-groups/tests/trial.rs
@@ -0,0 +1,62 @@
+//! Random runs of the protocol with faults, at fixed seeds.
+
+use arbtest::{
+    arbitrary::{self, Unstructured},
+    arbtest,
+};
+use celerycrank_groups::trial::{TrialPlan, TrialReport, TrialWorld};
+use celerycrank_types::TimeSpan;
+
+fn merged(plans: impl Iterator<Item = TrialPlan>) -> TrialReport {
+    let mut total = TrialReport::default();
+    plans.for_each(|plan| total.merge(&TrialWorld::run(plan)));
+    total
+}
+
+#[test]
+fn nobody_waits_where_nothing_fails() {
+    let plans = (1..=4).map(|seed| TrialPlan::builder().seed(seed).build());
+    let total = merged(plans);
+    assert!(total.commits > 60, "{total:?}");
+    assert_eq!((total.waits, total.overdue), (0, 0), "{total:?}");
+    assert_eq!((total.formations, total.writes), (4, 4), "{total:?}");
+}
+
+/// Seeds of the random runs; the lower half is the length of the random input.
+const SEEDS: [u64; 24] = {
+    let mut seeds = [0x400; 24];
+    let mut index = 0;
+    while index < seeds.len() {
+        seeds[index] |= (index as u64 + 1) << 32;
+        index += 1;
+    }
+    seeds
+};
+
+/// A trial with every kind of fault, at rates and sizes drawn at random.
+fn faulty_plan(u: &mut Unstructured<'_>) -> arbitrary::Result<TrialPlan> {
+    Ok(TrialPlan::builder()
+        .seed(u.arbitrary()?)
+        .members(u.int_in_range(2..=6)?)
+        .fault_interval(TimeSpan::from_millis(u.int_in_range(500..=20_000)?))
+        .attempt_interval(TimeSpan::from_millis(u.int_in_range(100..=4_000)?))
+        .loss(u.int_in_range(0..=200)?)
+        .double(u.int_in_range(0..=200)?)
+        .late(u.int_in_range(0..=100)?)
+        .load_fault(u.int_in_range(0..=50)?)
+        .answer_loss(u.int_in_range(0..=300)?)
+        .second_lead(u.int_in_range(0..=500)?)
+        .build())
+}
+
+#[test]
+fn one_map_a_step_under_faults() {
+    for seed in SEEDS {
+        arbtest(|u| {
+            let report = TrialWorld::run(faulty_plan(u)?);
+            assert!(report.formations > 0);
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
