--- a/crates/celerycrank-membership/tests/fleet.rs
+++ b/crates/celerycrank-membership/tests/fleet.rs
@@ -166,7 +166,7 @@
                 });
                 let actions = self.processes[number].keeper.on_service(&configuration);
                 self.perform(number, actions);
-            } else if learning && tick % 5 == 0 {
+            } else if learning && tick.is_multiple_of(5) {
                 let actions = self.processes[number].keeper.begin_bootstrap();
                 self.perform(number, actions);
             }
@@ -184,11 +184,11 @@
                 KeeperAction::Pull(peer) => (peer, Message::Pull(revision)),
                 KeeperAction::Ask(peer) => (peer, Message::Ask),
             };
-            self.send(from, self.numbers[&to], message);
+            self.send(from, self.numbers[&to], &message);
         }
     }
 
-    fn send(&mut self, from: usize, to: usize, message: Message) {
+    fn send(&mut self, from: usize, to: usize, message: &Message) {
         let copies = match self.random.random_range(0..20) {
             0 => 0,
             1 => 2,
@@ -241,14 +241,14 @@
             Message::Offer(revision) => keeper.on_offer(&sender, revision, now),
             Message::Pull(have) => {
                 if let Some(update) = keeper.on_pull(have) {
-                    self.send(to, from, Message::Update(update));
+                    self.send(to, from, &Message::Update(update));
                 }
                 KeeperActions::new()
             }
             Message::Update(update) => keeper.on_update(update),
             Message::Ask => {
                 let answer = Message::Answer(keeper.revision(), keeper.configuration().cloned());
-                self.send(to, from, answer);
+                self.send(to, from, &answer);
                 KeeperActions::new()
             }
             Message::Answer(revision, configuration) => {
