--- /dev/null
+++ b/crates/celerycrank-agent/src/admin.rs
@@ -0,0 +1,64 @@
+//! The agent's admin pages.
+
+use std::rc::Rc;
+
+use celerycrank_process::AdminPages;
+use celerycrank_types::{BackendId, DomainId, Incarnation, Revision};
+use celerycrank_wire::OfferKind;
+use serde::Serialize;
+
+use crate::state::AgentState;
+
+/// The agent's admin pages.
+pub(crate) struct AgentPages {
+    pub(crate) state: Rc<AgentState>,
+}
+
+/// The agent's status, as `/status` shows it.
+#[derive(Debug, Serialize)]
+struct AgentStatus {
+    backend: BackendId,
+    kind: OfferKind,
+    domain: DomainId,
+    revision: Revision,
+    incarnation: Incarnation,
+    leaving: bool,
+    running: u32,
+    queued: u32,
+    concurrency: u32,
+    in_flight: u32,
+    refusals: std::collections::BTreeMap<&'static str, u64>,
+    unknown: std::collections::BTreeMap<&'static str, u64>,
+}
+
+impl AdminPages for AgentPages {
+    fn metrics(&self) -> Vec<u8> {
+        let load = self.state.load();
+        self.state.metrics.running.set(load.running.into());
+        self.state.metrics.queued.set(load.queued.into());
+        self.state.metrics.set.render()
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.state.shutdown.is_raised()
+    }
+
+    fn status(&self) -> Vec<u8> {
+        let welcome = self.state.welcome();
+        let status = AgentStatus {
+            backend: welcome.offer.backend,
+            kind: welcome.offer.kind,
+            domain: welcome.offer.domain,
+            revision: welcome.revision,
+            incarnation: welcome.incarnation,
+            leaving: welcome.load.leaving,
+            running: welcome.load.running,
+            queued: welcome.load.queued,
+            concurrency: welcome.load.concurrency,
+            in_flight: self.state.in_flight(),
+            refusals: self.state.metrics.refusals.counts().collect(),
+            unknown: self.state.metrics.unknowns.counts().collect(),
+        };
+        serde_json::to_vec(&status).expect("a status encodes as JSON")
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-agent/src/backend.rs
@@ -0,0 +1,174 @@
+//! HTTP to the backend server.
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix_http::{
+    Method,
+    header::{HeaderName, HeaderValue},
+};
+use actix_rt::net::TcpStream;
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::{Client, ClientResponse, Connector, error::SendRequestError, http::Uri};
+use bytes::Bytes;
+use celerycrank_types::{RefusalReason, RequestId, UnknownReason};
+use celerycrank_wire::{HttpField, RunOrder};
+use futures_util::StreamExt;
+
+use crate::strict::StrictStream;
+
+/// Longest wait for a connection to the backend server, which is on this VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Idle time after which a connection to the backend server is closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(3);
+
+/// The header that carries a request's id to the backend server and back.
+const ID_HEADER: &str = "x-request-id";
+
+/// Headers that concern one hop only.
+const HOP_HEADERS: [&str; 5] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "upgrade",
+    "trailer",
+];
+
+/// Why a backend server gave no answer, or not all of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BackendFault {
+    /// The backend server received nothing.
+    NotRun(RefusalReason),
+    /// The backend server may have run the request.
+    Unknown(UnknownReason),
+}
+
+/// Sends requests to the backend server.
+pub(crate) struct BackendClient {
+    client: Client,
+    address: SocketAddr,
+}
+
+/// The head of an answer, and the rest to come.
+pub(crate) struct BackendAnswer {
+    pub(crate) status: u16,
+    pub(crate) fields: Vec<HttpField>,
+    body: ClientResponse,
+}
+
+impl BackendClient {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let connect = fn_service(|info: ConnectInfo<Uri>| async move {
+            let address = info.addrs().next().ok_or(ConnectError::Unresolved)?;
+            let stream = TcpStream::connect(address)
+                .await
+                .map_err(ConnectError::Io)?;
+            stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            Ok(Connection::new(
+                info.request().clone(),
+                StrictStream::new(stream),
+            ))
+        });
+        let connector = Connector::new()
+            .connector(connect)
+            .timeout(CONNECT_TIMEOUT)
+            .conn_keep_alive(KEEP_ALIVE)
+            .limit(0);
+        let client = Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Self { client, address }
+    }
+
+    /// Hands a request to the backend server and waits for the head of its answer.
+    ///
+    /// Dropping the future or the answer closes the connection, which cancels the request.
+    pub(crate) async fn send(&self, order: &RunOrder) -> Result<BackendAnswer, BackendFault> {
+        let method = Method::from_bytes(order.head.method.as_bytes())
+            .ok()
+            .ok_or(BackendFault::NotRun(RefusalReason::BadRequest))?;
+        let uri = format!("http://{}{}", self.address, order.head.path);
+        let mut request = self
+            .client
+            .request(method, uri)
+            .address(self.address)
+            .no_decompress();
+        for field in &order.head.fields {
+            let (name, value) = parse_field(field)?;
+            request.headers_mut().append(name, value);
+        }
+        let id = HeaderValue::from_str(&order.id.to_string()).expect("an id is plain text");
+        request
+            .headers_mut()
+            .insert(HeaderName::from_static(ID_HEADER), id);
+        let response = request.send_body(order.body.clone()).await;
+        read_head(response.map_err(|error| classify_error(&error))?, order.id)
+    }
+}
+
+impl BackendAnswer {
+    /// The next part of the body; nothing once it is complete.
+    pub(crate) async fn next_chunk(&mut self) -> Result<Option<Bytes>, BackendFault> {
+        match self.body.next().await {
+            Some(Ok(chunk)) => Ok(Some(chunk)),
+            Some(Err(_)) => Err(BackendFault::Unknown(UnknownReason::BackendBroke)),
+            None => Ok(None),
+        }
+    }
+}
+
+fn parse_field(field: &HttpField) -> Result<(HeaderName, HeaderValue), BackendFault> {
+    let fault = BackendFault::NotRun(RefusalReason::BadRequest);
+    let name = HeaderName::from_bytes(field.name.as_bytes())
+        .ok()
+        .ok_or(fault)?;
+    let value = HeaderValue::from_bytes(&field.value).ok().ok_or(fault)?;
+    Ok((name, value))
+}
+
+/// Tells a request that never left from one that may have run.
+fn classify_error(error: &SendRequestError) -> BackendFault {
+    match error {
+        // Before a connection exists nothing is sent.
+        SendRequestError::Connect(_) => BackendFault::NotRun(RefusalReason::BackendUnreachable),
+        SendRequestError::Url(_) | SendRequestError::Http(_) => {
+            BackendFault::NotRun(RefusalReason::BadRequest)
+        }
+        SendRequestError::Response(error) if is_garbage(error) => {
+            BackendFault::Unknown(UnknownReason::BadAnswer)
+        }
+        _ => BackendFault::Unknown(UnknownReason::BackendBroke),
+    }
+}
+
+fn is_garbage(error: &actix_http::error::ParseError) -> bool {
+    !matches!(
+        error,
+        actix_http::error::ParseError::Io(_) | actix_http::error::ParseError::Incomplete
+    )
+}
+
+fn read_head(response: ClientResponse, id: RequestId) -> Result<BackendAnswer, BackendFault> {
+    let echoed = response.headers().get(ID_HEADER);
+    if echoed.is_some_and(|echo| echo.as_bytes() != id.to_string().as_bytes()) {
+        return Err(BackendFault::Unknown(UnknownReason::BadAnswer));
+    }
+    let fields = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()))
+        .map(|(name, value)| HttpField {
+            name: name.as_str().into(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect();
+    Ok(BackendAnswer {
+        status: response.status().as_u16(),
+        fields,
+        body: response,
+    })
+}
--- a/crates/celerycrank-agent/src/lib.rs
+++ b/crates/celerycrank-agent/src/lib.rs
@@ -1,1 +1,22 @@
 //! The agent process: the only way to its backend server.
+//!
+//! Because every order to the backend server passes through its agent, whether a request
+//! was started is known in one place.
+
+mod admin;
+mod backend;
+mod fault;
+mod ledger;
+mod metrics;
+mod order;
+mod process;
+mod run;
+mod slots;
+mod state;
+mod strict;
+
+pub use crate::{
+    fault::AgentFault,
+    ledger::{ReceiveVerdict, RequestLedger},
+    process::AgentProcess,
+};
--- /dev/null
+++ b/crates/celerycrank-agent/src/order.rs
@@ -0,0 +1,80 @@
+//! Takes orders from entries.
+
+use std::rc::Rc;
+
+use celerycrank_link::{LinkEndpoint, LinkIncoming, MessageReceiver, MessageSender, StreamFault};
+use celerycrank_wire::{
+    ConfigurationReply, PeerOrder, PeerReply, PullOrder, RevokeOrder, RevokeReply,
+};
+
+use crate::{run::run_order, state::AgentState};
+
+/// Accepts connections of entries until the endpoint is closed.
+pub(crate) async fn accept_entries(state: Rc<AgentState>, endpoint: LinkEndpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        let state = Rc::clone(&state);
+        let endpoint = endpoint.clone();
+        actix_rt::spawn(serve_entry(state, endpoint, incoming));
+    }
+}
+
+async fn serve_entry(state: Rc<AgentState>, endpoint: LinkEndpoint, incoming: LinkIncoming) {
+    let Ok(connection) = incoming.handshake().await else {
+        state.metrics.handshake_faults.inc();
+        return;
+    };
+    while let Some((sender, receiver)) = endpoint.accept_stream(&connection).await {
+        actix_rt::spawn(serve_stream(Rc::clone(&state), sender, receiver));
+    }
+}
+
+async fn serve_stream(
+    state: Rc<AgentState>,
+    mut sender: MessageSender,
+    mut receiver: MessageReceiver,
+) {
+    let order = match receiver.receive().await {
+        Ok(Some(order)) => order,
+        Err(StreamFault::Wire(_)) => {
+            state.metrics.wire_faults.inc();
+            return;
+        }
+        Ok(None) | Err(_) => return,
+    };
+    match order {
+        PeerOrder::Run(order) => run_order(state, *order, sender).await,
+        PeerOrder::Hello(_) => reply(&mut sender, PeerReply::Welcome(state.welcome())).await,
+        PeerOrder::Revoke(order) => {
+            let answer = revoke(&state, order);
+            reply(&mut sender, PeerReply::Revoked(answer)).await;
+        }
+        PeerOrder::Pull(order) => {
+            let answer = pull(&state, order);
+            reply(&mut sender, PeerReply::Configuration(answer)).await;
+        }
+    }
+}
+
+async fn reply(sender: &mut MessageSender, message: PeerReply) {
+    // An entry that is gone asks again, should it still care.
+    if sender.send(&message).await.is_ok() {
+        sender.finish();
+    }
+}
+
+fn revoke(state: &AgentState, order: RevokeOrder) -> RevokeReply {
+    state.metrics.revoked.inc();
+    let now = state.clock.now();
+    RevokeReply {
+        id: order.id,
+        incarnation: state.incarnation,
+        verdict: state.ledger.borrow_mut().revoke(order.id, now),
+    }
+}
+
+fn pull(state: &AgentState, order: PullOrder) -> ConfigurationReply {
+    ConfigurationReply {
+        revision: state.revision(),
+        configuration: state.newer_configuration(order.revision),
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-agent/src/process.rs
@@ -0,0 +1,123 @@
+//! The agent process: start, serve, shut down.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    rc::Rc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use celerycrank_config::AgentSettings;
+use celerycrank_link::{LinkEndpoint, LinkKeys};
+use celerycrank_process::{
+    DeploymentSource, HttpListener, ListenerLimits, ShutdownFlag, StaticDeployment, serve_admin,
+    wait_for_stop_signal,
+};
+use celerycrank_types::{ByteSize, Incarnation};
+use celerycrank_wire::PROTOCOL_VERSION;
+
+use crate::{
+    AgentFault, admin::AgentPages, metrics::AgentMetrics, order::accept_entries, state::AgentState,
+};
+
+/// Largest message of an entry: a body at its limit and the head beside it.
+const MESSAGE_LIMIT: ByteSize = ByteSize(64 << 20);
+
+/// An agent that is bound to its addresses.
+pub struct AgentProcess {
+    state: Rc<AgentState>,
+    endpoint: LinkEndpoint,
+    admin: HttpListener,
+}
+
+impl fmt::Debug for AgentProcess {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AgentProcess").finish_non_exhaustive()
+    }
+}
+
+impl AgentProcess {
+    /// Reads keys and configuration and binds the addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read or an address cannot be bound.
+    pub async fn start(
+        settings: AgentSettings,
+        source: &DeploymentSource,
+    ) -> Result<Self, AgentFault> {
+        let link = &settings.link;
+        let keys = LinkKeys::load(&link.authority, &link.certificate, &link.key)?;
+        let endpoint = LinkEndpoint::bind(link.listen, &keys, PROTOCOL_VERSION, MESSAGE_LIMIT)?;
+        let admin_address = settings.admin;
+        let metrics = AgentMetrics::register()?;
+        let state = Rc::new(AgentState::new(settings, draw_incarnation(), metrics));
+        if let DeploymentSource::Static(path) = source {
+            state.adopt(&StaticDeployment::read(path)?.configuration);
+        }
+        let admin = HttpListener::bind(
+            admin_address,
+            ListenerLimits::ADMIN,
+            ShutdownFlag::default(),
+        )
+        .await
+        .map_err(AgentFault::Admin)?;
+        Ok(Self {
+            state,
+            endpoint,
+            admin,
+        })
+    }
+
+    /// Where the agent listens for entries.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is gone.
+    pub fn link_address(&self) -> Result<SocketAddr, AgentFault> {
+        Ok(self.endpoint.local_address()?)
+    }
+
+    /// Where the admin pages are served.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is gone.
+    pub fn admin_address(&self) -> Result<SocketAddr, AgentFault> {
+        self.admin.local_address().map_err(AgentFault::Admin)
+    }
+
+    /// Serves until a signal asks to stop and every request in flight has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if signals cannot be caught.
+    pub async fn run(self) -> Result<(), AgentFault> {
+        let listen = self.link_address()?;
+        let admin_listen = self.admin_address()?;
+        let pages = Rc::new(AgentPages {
+            state: Rc::clone(&self.state),
+        });
+        let admin = actix_rt::spawn(serve_admin(self.admin, pages));
+        let accepting = accept_entries(Rc::clone(&self.state), self.endpoint.clone());
+        let accepting = actix_rt::spawn(accepting);
+        let backend = &self.state.settings.backend.backend;
+        tracing::info!(%backend, %listen, %admin_listen, "agent serves");
+        wait_for_stop_signal().await.map_err(AgentFault::Signal)?;
+        tracing::info!(in_flight = self.state.in_flight(), "agent is leaving");
+        self.state.shutdown.raise();
+        self.state.drained().await;
+        self.endpoint.close().await;
+        accepting.abort();
+        admin.abort();
+        tracing::info!("agent stopped");
+        Ok(())
+    }
+}
+
+/// A number that no other life of this agent has.
+fn draw_incarnation() -> Incarnation {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = elapsed.map_or(0, |elapsed| elapsed.as_micros());
+    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/celerycrank-agent/src/strict.rs
@@ -0,0 +1,71 @@
+//! A backend connection on which an early end is an error.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// A TCP stream whose end is an error.
+///
+/// The HTTP client takes the end of the stream for the end of a body, whatever length was
+/// announced. It stops reading once a body is complete by its own framing, so an end that
+/// it does see came too early: failing here keeps a truncated answer from passing for a
+/// whole one.
+#[derive(Debug)]
+pub(crate) struct StrictStream {
+    stream: TcpStream,
+}
+
+impl StrictStream {
+    pub(crate) const fn new(stream: TcpStream) -> Self {
+        Self { stream }
+    }
+}
+
+impl AsyncRead for StrictStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let ended = buf.filled().len() == before && buf.remaining() > 0;
+        match poll {
+            Poll::Ready(Ok(())) if ended => Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into())),
+            other => other,
+        }
+    }
+}
+
+impl AsyncWrite for StrictStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for StrictStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/admin.rs
@@ -0,0 +1,107 @@
+//! The entry's admin pages.
+
+use std::{cell::Cell, collections::BTreeMap, rc::Rc};
+
+use celerycrank_process::AdminPages;
+use celerycrank_types::{AccountId, BackendId, DomainId, EntryId, PlanId, Revision, ShareWeight};
+use celerycrank_wire::{LoadReport, OfferKind};
+use serde::Serialize;
+
+use crate::state::EntryState;
+
+/// The entry's admin pages.
+pub(crate) struct EntryPages {
+    pub(crate) state: Rc<EntryState>,
+    pub(crate) connections: Rc<Cell<u32>>,
+}
+
+/// The entry's status, as `/status` shows it.
+#[derive(Debug, Serialize)]
+struct EntryStatus {
+    entry: EntryId,
+    revision: Revision,
+    ready: bool,
+    connections: u32,
+    backends: Vec<BackendStatus>,
+    accounts: Vec<AccountStatus>,
+    refusals: BTreeMap<&'static str, u64>,
+    retries: BTreeMap<&'static str, u64>,
+    unknown: BTreeMap<&'static str, u64>,
+}
+
+#[derive(Debug, Serialize)]
+struct BackendStatus {
+    backend: BackendId,
+    kind: OfferKind,
+    domain: DomainId,
+    load: LoadReport,
+}
+
+#[derive(Debug, Serialize)]
+struct AccountStatus {
+    account: AccountId,
+    plan: PlanId,
+    share: Option<ShareWeight>,
+}
+
+impl EntryPages {
+    fn backends(&self) -> Vec<BackendStatus> {
+        let roster = self.state.roster.borrow();
+        let mut backends = roster
+            .records()
+            .map(|record| BackendStatus {
+                backend: record.offer.backend.clone(),
+                kind: record.offer.kind.clone(),
+                domain: record.offer.domain.clone(),
+                load: record.load(),
+            })
+            .collect::<Vec<_>>();
+        backends.sort_by(|left, right| left.backend.cmp(&right.backend));
+        backends
+    }
+
+    fn accounts(&self) -> Vec<AccountStatus> {
+        let Some(in_force) = self.state.in_force() else {
+            return Vec::new();
+        };
+        let plans = &in_force.configuration.plans.plans;
+        let accounts = in_force.configuration.customers.accounts.iter();
+        accounts
+            .map(|account| AccountStatus {
+                account: account.account.clone(),
+                plan: account.plan.clone(),
+                share: plans
+                    .iter()
+                    .find(|plan| plan.plan == account.plan)
+                    .map(|plan| plan.share),
+            })
+            .collect()
+    }
+}
+
+impl AdminPages for EntryPages {
+    fn metrics(&self) -> Vec<u8> {
+        let connections = self.connections.get();
+        self.state.metrics.connections.set(connections.into());
+        self.state.metrics.set.render()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.state.ready.get()
+    }
+
+    fn status(&self) -> Vec<u8> {
+        let status = EntryStatus {
+            entry: self.state.settings.entry.clone(),
+            revision: self.state.revision(),
+            ready: self.state.ready.get(),
+            connections: self.connections.get(),
+            backends: self.backends(),
+            accounts: self.accounts(),
+            refusals: self.state.metrics.refusals.counts().collect(),
+            retries: self.state.metrics.retries.counts().collect(),
+            unknown: self.state.metrics.unknowns.counts().collect(),
+        };
+        serde_json::to_vec(&status).expect("a status encodes as JSON")
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/answer.rs
@@ -0,0 +1,202 @@
+//! Passes an answer on to its caller.
+
+use std::rc::Rc;
+
+use actix_http::{
+    Response, StatusCode,
+    body::{BodyStream, BoxBody, MessageBody, SizedStream},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue},
+};
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use celerycrank_link::StreamFault;
+use celerycrank_types::{TimePoint, UnknownReason};
+use celerycrank_wire::{HttpField, PeerReply};
+use futures_util::{Stream, stream};
+
+use crate::{
+    forward::{AttemptAnswer, SILENCE_LIMIT},
+    refusal::{broken_event, tell_unknown},
+    state::EntryState,
+};
+
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
+/// the answer broke off: {0}
+#[derive(Debug, displaydoc::Display)]
+struct BrokenAnswer(UnknownReason);
+
+impl std::error::Error for BrokenAnswer {}
+
+/// Makes the response that passes an answer on as it arrives.
+pub(crate) fn pass_answer(
+    state: Rc<EntryState>,
+    answer: AttemptAnswer,
+    arrival: TimePoint,
+) -> Response<BoxBody> {
+    state
+        .metrics
+        .queue_wait
+        .observe(answer.head.waited.as_secs_f64());
+    let Ok(status) = StatusCode::from_u16(answer.head.status) else {
+        state.metrics.unknowns.count(UnknownReason::BadAnswer);
+        return tell_unknown(UnknownReason::BadAnswer);
+    };
+    let headers = read_fields(&answer.head.fields);
+    let length = headers
+        .get(CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    let events = headers
+        .get(CONTENT_TYPE)
+        .is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
+    let reader = AnswerReader {
+        state,
+        answer,
+        events,
+        last: arrival,
+        begun: false,
+        phase: ReadPhase::Reading,
+    };
+    let body = match length {
+        Some(length) => SizedStream::new(length, Box::pin(reader.into_stream())).boxed(),
+        None => BodyStream::new(Box::pin(reader.into_stream())).boxed(),
+    };
+    let mut response = Response::with_body(status, body);
+    for (name, value) in headers {
+        if name != CONTENT_LENGTH {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+fn read_fields(fields: &[HttpField]) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(&field.value);
+        // The agent's HTTP client let no other header pass.
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+/// How far an answer was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadPhase {
+    Reading,
+    /// The stream's end was marked, and its connection is to be cut.
+    Marked(UnknownReason),
+    Done,
+}
+
+/// Reads the parts of an answer from its agent.
+struct AnswerReader {
+    state: Rc<EntryState>,
+    answer: AttemptAnswer,
+    /// Whether the answer is a stream of events, in which an end can be marked.
+    events: bool,
+    last: TimePoint,
+    begun: bool,
+    phase: ReadPhase,
+}
+
+impl AnswerReader {
+    fn into_stream(self) -> impl Stream<Item = Result<Bytes, BrokenAnswer>> {
+        stream::unfold(self, |mut reader| async move {
+            let item = reader.next_part().await?;
+            Some((item, reader))
+        })
+    }
+
+    async fn next_part(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
+        match self.phase {
+            ReadPhase::Reading => {}
+            ReadPhase::Marked(reason) => {
+                self.phase = ReadPhase::Done;
+                return Some(Err(BrokenAnswer(reason)));
+            }
+            ReadPhase::Done => return None,
+        }
+        match self.receive().await {
+            Ok(Some(chunk)) => {
+                self.observe_part();
+                Some(Ok(chunk))
+            }
+            Ok(None) => {
+                self.phase = ReadPhase::Done;
+                self.state.metrics.answered.inc();
+                None
+            }
+            Err(reason) => Some(self.break_off(reason)),
+        }
+    }
+
+    /// The next part of the body; nothing once it is complete.
+    async fn receive(&mut self) -> Result<Option<Bytes>, UnknownReason> {
+        loop {
+            let receiving = self.answer.receiver.receive();
+            let reply = match timeout(SILENCE_LIMIT, receiving).await {
+                Ok(Ok(Some(reply))) => reply,
+                Ok(Err(StreamFault::Wire(_))) => {
+                    self.state.metrics.wire_faults.inc();
+                    return Err(UnknownReason::BadAnswer);
+                }
+                Ok(Ok(None) | Err(_)) | Err(_) => {
+                    let now = self.state.clock.now();
+                    self.answer.record.suspect(now);
+                    return Err(UnknownReason::LinkLost);
+                }
+            };
+            match reply {
+                PeerReply::Chunk(chunk) => return Ok(Some(chunk)),
+                PeerReply::Waiting(load) => self.answer.record.note_load(load),
+                PeerReply::End(end) if end.id == self.answer.head.id => {
+                    self.answer.record.note_load(end.load);
+                    return Ok(None);
+                }
+                PeerReply::Broken(broken) if broken.id == self.answer.head.id => {
+                    self.answer.record.note_load(broken.load);
+                    return Err(broken.reason);
+                }
+                _ => return Err(UnknownReason::BadAnswer),
+            }
+        }
+    }
+
+    fn observe_part(&mut self) {
+        let now = self.state.clock.now();
+        let span = now.since(self.last).as_secs_f64();
+        self.last = now;
+        if self.begun {
+            self.state.metrics.between_tokens.observe(span);
+        } else {
+            self.begun = true;
+            self.state.metrics.first_token.observe(span);
+        }
+    }
+
+    /// Ends an answer that is not whole so that its caller can tell.
+    ///
+    /// The connection is cut before the body's announced end; a stream of events is told
+    /// the reason first.
+    fn break_off(&mut self, reason: UnknownReason) -> Result<Bytes, BrokenAnswer> {
+        self.state.metrics.unknowns.count(reason);
+        if self.events {
+            self.phase = ReadPhase::Marked(reason);
+            return Ok(broken_event(reason));
+        }
+        self.phase = ReadPhase::Done;
+        Err(BrokenAnswer(reason))
+    }
+}
+
+impl Drop for AnswerReader {
+    fn drop(&mut self) {
+        if self.phase == ReadPhase::Reading {
+            self.state.metrics.callers_left.inc();
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/body.rs
@@ -0,0 +1,38 @@
+//! Reads a caller's body within its limits.
+
+use actix_http::{Payload, error::PayloadError};
+use actix_rt::time::timeout;
+use bytes::{Bytes, BytesMut};
+use celerycrank_config::CallerLimits;
+use celerycrank_types::{ByteSize, RefusalReason};
+use futures_util::StreamExt;
+
+/// Reads the whole body.
+pub(crate) async fn read_body(
+    payload: Payload,
+    limits: &CallerLimits,
+) -> Result<Bytes, RefusalReason> {
+    if matches!(payload, Payload::None) {
+        return Ok(Bytes::new());
+    }
+    let reading = read_chunks(payload, limits.body);
+    match timeout(limits.body_timeout.as_duration(), reading).await {
+        Ok(result) => result,
+        Err(_) => Err(RefusalReason::CallerTooSlow),
+    }
+}
+
+async fn read_chunks(mut payload: Payload, limit: ByteSize) -> Result<Bytes, RefusalReason> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| match error {
+            PayloadError::Overflow => RefusalReason::BodyTooLarge,
+            _ => RefusalReason::BadRequest,
+        })?;
+        if (body.len() + chunk.len()) as u64 > limit.0 {
+            return Err(RefusalReason::BodyTooLarge);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -0,0 +1,132 @@
+//! Hands a request to agents until one answers it, or until that is pointless.
+
+use std::rc::Rc;
+
+use actix_http::{Response, body::BoxBody};
+use celerycrank_types::{BackendId, RefusalReason, RetryReason, TimePoint, TimeSpan};
+use celerycrank_wire::{OfferKind, RunOrder};
+use smallvec::SmallVec;
+
+use crate::{
+    answer::pass_answer,
+    forward::{AttemptEnd, forward},
+    refusal::{refuse, tell_unknown},
+    roster::AgentRecord,
+    state::EntryState,
+};
+
+/// Most agents that are tried for one request.
+const MAX_ATTEMPTS: usize = 3;
+
+/// A request that passed every check.
+#[derive(Debug)]
+pub(crate) struct PreparedRequest {
+    pub(crate) order: RunOrder,
+    pub(crate) kind: OfferKind,
+    pub(crate) arrival: TimePoint,
+    pub(crate) deadline: TimePoint,
+}
+
+/// Why the last attempt did not run, which is told if there is no other.
+struct LastRefusal {
+    reason: RefusalReason,
+    retry_after: Option<TimeSpan>,
+}
+
+/// Answers a request that passed every check.
+pub(crate) async fn dispatch(
+    state: Rc<EntryState>,
+    mut request: PreparedRequest,
+) -> Response<BoxBody> {
+    let mut guard = CallerGuard::new(&state);
+    let mut tried = SmallVec::<[BackendId; MAX_ATTEMPTS]>::new();
+    let mut last = LastRefusal {
+        reason: RefusalReason::NoBackend,
+        retry_after: None,
+    };
+    while tried.len() < MAX_ATTEMPTS {
+        let now = state.clock.now();
+        if now >= request.deadline {
+            last.reason = RefusalReason::DeadlineUnreachable;
+            break;
+        }
+        let Some(record) = choose_agent(&state, &request.kind, &tried, now) else {
+            break;
+        };
+        request.order.deadline = request.deadline.since(now);
+        let end = forward(&state, &record, &request.order).await;
+        let (reason, retry_after, retry) = match end {
+            AttemptEnd::Answering(answer) => {
+                guard.settled = true;
+                return pass_answer(Rc::clone(&state), *answer, request.arrival);
+            }
+            AttemptEnd::Unknown(reason) => {
+                guard.settled = true;
+                state.metrics.unknowns.count(reason);
+                return tell_unknown(reason);
+            }
+            AttemptEnd::NotRun {
+                reason,
+                retry_after,
+                retry,
+            } => (reason, retry_after, retry),
+        };
+        tried.push(record.offer.backend.clone());
+        last = LastRefusal {
+            reason,
+            retry_after,
+        };
+        let Some(retry) = retry else {
+            break;
+        };
+        count_retry(&state, &request.kind, &tried, retry);
+    }
+    guard.settled = true;
+    state.metrics.refusals.count(last.reason);
+    refuse(last.reason, last.retry_after)
+}
+
+fn choose_agent(
+    state: &EntryState,
+    kind: &OfferKind,
+    tried: &[BackendId],
+    now: TimePoint,
+) -> Option<Rc<AgentRecord>> {
+    let timer = state.metrics.decision.start_timer();
+    let mut random = state.random.borrow_mut();
+    let chosen = state.roster.borrow().choose(kind, tried, now, &mut *random);
+    timer.observe_duration();
+    chosen
+}
+
+/// Counts a retry if there is another agent to try.
+fn count_retry(state: &EntryState, kind: &OfferKind, tried: &[BackendId], retry: RetryReason) {
+    let now = state.clock.now();
+    let another = choose_agent(state, kind, tried, now).is_some();
+    if another && tried.len() < MAX_ATTEMPTS {
+        state.metrics.retries.count(retry);
+    }
+}
+
+/// Counts a caller that left while its request was dispatched.
+struct CallerGuard {
+    state: Rc<EntryState>,
+    settled: bool,
+}
+
+impl CallerGuard {
+    fn new(state: &Rc<EntryState>) -> Self {
+        Self {
+            state: Rc::clone(state),
+            settled: false,
+        }
+    }
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.state.metrics.callers_left.inc();
+        }
+    }
+}
--- a/crates/celerycrank-entry/src/lib.rs
+++ b/crates/celerycrank-entry/src/lib.rs
@@ -1,1 +1,26 @@
 //! The entry process: accepts callers and hands requests to agents.
+//!
+//! Every request ends in exactly one outcome: answered, not run with its reason, or
+//! unknown. `Not run` is told only on proof.
+
+mod accept;
+mod admin;
+mod answer;
+mod authenticate;
+mod body;
+mod dispatch;
+mod fault;
+mod forward;
+mod metrics;
+mod process;
+mod refusal;
+mod resolve;
+mod roster;
+mod state;
+
+pub use crate::{
+    authenticate::{KeyIndex, KeyOwner},
+    fault::EntryFault,
+    process::EntryProcess,
+    resolve::{ResolvedUse, resolve_use},
+};
--- /dev/null
+++ b/crates/celerycrank-entry/src/process.rs
@@ -0,0 +1,174 @@
+//! The entry process: start, serve, shut down.
+
+use std::{cell::Cell, fmt, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_rt::time::sleep;
+use celerycrank_config::EntrySettings;
+use celerycrank_link::{LinkEndpoint, LinkKeys};
+use celerycrank_process::{
+    DeploymentSource, HttpListener, ListenerLimits, ShutdownFlag, StaticDeployment, serve_admin,
+    wait_for_stop_signal,
+};
+use celerycrank_types::ByteSize;
+use celerycrank_wire::PROTOCOL_VERSION;
+
+use crate::{
+    EntryFault, accept::answer_request, admin::EntryPages, metrics::EntryMetrics, state::EntryState,
+};
+
+/// Largest message of an agent: a part of an answer, or a configuration.
+const MESSAGE_LIMIT: ByteSize = ByteSize(4 << 20);
+
+/// Interval at which unknown agents are asked who they are.
+const LEARN_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Interval at which a stopping entry looks whether its last caller has left.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// An entry that is bound to its addresses.
+pub struct EntryProcess {
+    state: Rc<EntryState>,
+    endpoint: LinkEndpoint,
+    callers: HttpListener,
+    admin: HttpListener,
+    agents: Vec<SocketAddr>,
+}
+
+impl fmt::Debug for EntryProcess {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EntryProcess").finish_non_exhaustive()
+    }
+}
+
+impl EntryProcess {
+    /// Reads keys and configuration and binds the addresses.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read or an address cannot be bound.
+    pub async fn start(
+        settings: EntrySettings,
+        source: &DeploymentSource,
+    ) -> Result<Self, EntryFault> {
+        let link = &settings.link;
+        let keys = LinkKeys::load(&link.authority, &link.certificate, &link.key)?;
+        let endpoint = LinkEndpoint::bind(link.listen, &keys, PROTOCOL_VERSION, MESSAGE_LIMIT)?;
+        let limits = ListenerLimits {
+            connections: settings.limits.connections,
+            header_timeout: settings.limits.header_timeout.as_duration(),
+            write_timeout: settings.limits.write_timeout.as_duration(),
+        };
+        let (listen, admin) = (settings.listen, settings.admin);
+        let metrics = EntryMetrics::register()?;
+        let state = Rc::new(EntryState::new(settings, endpoint.clone(), metrics));
+        let mut agents = Vec::new();
+        if let DeploymentSource::Static(path) = source {
+            let deployment = StaticDeployment::read(path)?;
+            state.adopt(deployment.configuration);
+            agents = deployment.agents;
+        }
+        let callers = HttpListener::bind(listen, limits, state.shutdown.clone())
+            .await
+            .map_err(EntryFault::Listen)?;
+        let admin = HttpListener::bind(admin, ListenerLimits::ADMIN, ShutdownFlag::default())
+            .await
+            .map_err(EntryFault::Admin)?;
+        Ok(Self {
+            state,
+            endpoint,
+            callers,
+            admin,
+            agents,
+        })
+    }
+
+    /// Where callers connect.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is gone.
+    pub fn caller_address(&self) -> Result<SocketAddr, EntryFault> {
+        self.callers.local_address().map_err(EntryFault::Listen)
+    }
+
+    /// Where the admin pages are served.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is gone.
+    pub fn admin_address(&self) -> Result<SocketAddr, EntryFault> {
+        self.admin.local_address().map_err(EntryFault::Admin)
+    }
+
+    /// Serves until a signal asks to stop and the last caller has its answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if signals cannot be caught.
+    pub async fn run(self) -> Result<(), EntryFault> {
+        let listen = self.caller_address()?;
+        let admin_listen = self.admin_address()?;
+        let state = self.state;
+        let connections = self.callers.open_connections();
+        let pages = Rc::new(EntryPages {
+            state: Rc::clone(&state),
+            connections: Rc::clone(&connections),
+        });
+        let admin = actix_rt::spawn(serve_admin(self.admin, pages));
+        let learning = actix_rt::spawn(learn_agents(Rc::clone(&state), self.agents));
+        let serving = actix_rt::spawn(serve_callers(Rc::clone(&state), self.callers));
+        tracing::info!(entry = %state.settings.entry, %listen, %admin_listen, "entry serves");
+        wait_for_stop_signal().await.map_err(EntryFault::Signal)?;
+        state.ready.set(false);
+        tracing::info!("entry is leaving");
+        sleep(state.settings.balancer_delay.as_duration()).await;
+        state.shutdown.raise();
+        serving.abort();
+        drain(&connections).await;
+        learning.abort();
+        self.endpoint.close().await;
+        admin.abort();
+        tracing::info!("entry stopped");
+        Ok(())
+    }
+}
+
+async fn serve_callers(state: Rc<EntryState>, listener: HttpListener) {
+    let observed = Rc::clone(&state);
+    let handler = move |request| {
+        let state = Rc::clone(&state);
+        async move { Ok(answer_request(state, request).await) }
+    };
+    let observe = move |event| observed.metrics.observe(event);
+    listener.serve(handler, observe).await;
+}
+
+/// Asks each agent who it is until every one has answered.
+async fn learn_agents(state: Rc<EntryState>, mut unknown: Vec<SocketAddr>) {
+    while !unknown.is_empty() {
+        let mut silent = Vec::new();
+        for address in unknown {
+            match state.pool.connect(address, state.revision()).await {
+                Ok(link) => {
+                    let welcome = &link.welcome;
+                    let mut roster = state.roster.borrow_mut();
+                    roster.insert(address, welcome.offer.clone(), welcome.load);
+                }
+                Err(_) => silent.push(address),
+            }
+        }
+        unknown = silent;
+        state.ready.set(true);
+        if !unknown.is_empty() {
+            sleep(LEARN_INTERVAL).await;
+        }
+    }
+    state.ready.set(true);
+}
+
+/// Waits until the last caller has left.
+async fn drain(connections: &Cell<u32>) {
+    while connections.get() > 0 {
+        sleep(DRAIN_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/roster.rs
@@ -0,0 +1,132 @@
+//! The agents that the entry knows, and the choice among them.
+
+use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc};
+
+use celerycrank_types::{BackendId, TimePoint, TimeSpan};
+use celerycrank_wire::{BackendOffer, LoadReport, OfferKind};
+use rand::Rng;
+use smallvec::SmallVec;
+
+/// How long an agent that failed is left alone.
+const SUSPECT_SPAN: TimeSpan = TimeSpan::from_secs(1);
+
+/// One agent, as the entry sees it.
+#[derive(Debug)]
+pub(crate) struct AgentRecord {
+    pub(crate) address: SocketAddr,
+    pub(crate) offer: BackendOffer,
+    load: Cell<LoadReport>,
+    /// Requests of this entry that the agent has.
+    outstanding: Cell<u32>,
+    suspect_until: Cell<TimePoint>,
+}
+
+/// A request that an agent has, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OutstandingGuard {
+    record: Rc<AgentRecord>,
+}
+
+impl AgentRecord {
+    /// Notes how busy the agent said it is.
+    pub(crate) fn note_load(&self, load: LoadReport) {
+        self.load.set(load);
+    }
+
+    /// Notes that the agent failed.
+    pub(crate) fn suspect(&self, now: TimePoint) {
+        self.suspect_until.set(now + SUSPECT_SPAN);
+    }
+
+    /// Counts a request as handed to the agent.
+    pub(crate) fn hand_out(self: &Rc<Self>) -> OutstandingGuard {
+        self.outstanding.set(self.outstanding.get() + 1);
+        OutstandingGuard {
+            record: Rc::clone(self),
+        }
+    }
+
+    pub(crate) fn load(&self) -> LoadReport {
+        self.load.get()
+    }
+
+    /// How busy the agent is, for comparison with others.
+    fn pressure(&self) -> u32 {
+        let load = self.load.get();
+        self.outstanding.get().max(load.running + load.queued)
+    }
+
+    fn is_usable(&self, now: TimePoint) -> bool {
+        !self.load.get().leaving && now >= self.suspect_until.get()
+    }
+}
+
+impl Drop for OutstandingGuard {
+    fn drop(&mut self) {
+        let outstanding = &self.record.outstanding;
+        outstanding.set(outstanding.get() - 1);
+    }
+}
+
+/// The agents that the entry knows, by what they offer.
+#[derive(Debug, Default)]
+pub(crate) struct AgentRoster {
+    by_kind: HashMap<OfferKind, Vec<Rc<AgentRecord>>>,
+}
+
+impl AgentRoster {
+    /// Adds an agent, or replaces the one at its address.
+    pub(crate) fn insert(&mut self, address: SocketAddr, offer: BackendOffer, load: LoadReport) {
+        for records in self.by_kind.values_mut() {
+            records.retain(|record| record.address != address);
+        }
+        let records = self.by_kind.entry(offer.kind.clone()).or_default();
+        records.push(Rc::new(AgentRecord {
+            address,
+            offer,
+            load: Cell::new(load),
+            outstanding: Cell::new(0),
+            suspect_until: Cell::default(),
+        }));
+    }
+
+    /// Chooses the less busy of two random agents that offer `kind`.
+    ///
+    /// Agents in `tried` are left out; suspect or leaving ones are taken only for want of
+    /// others.
+    pub(crate) fn choose(
+        &self,
+        kind: &OfferKind,
+        tried: &[BackendId],
+        now: TimePoint,
+        random: &mut impl Rng,
+    ) -> Option<Rc<AgentRecord>> {
+        let records = self.by_kind.get(kind)?;
+        let untried = records
+            .iter()
+            .filter(|record| !tried.contains(&record.offer.backend));
+        let untried = untried.collect::<SmallVec<[_; 32]>>();
+        let usable = untried
+            .iter()
+            .copied()
+            .filter(|record| record.is_usable(now));
+        let usable = usable.collect::<SmallVec<[_; 32]>>();
+        let pool = if usable.is_empty() { untried } else { usable };
+        if pool.is_empty() {
+            return None;
+        }
+        let first = pool[random.random_range(0..pool.len())];
+        let second = pool[random.random_range(0..pool.len())];
+        let best = if second.pressure() < first.pressure() {
+            second
+        } else {
+            first
+        };
+        Some(Rc::clone(best))
+    }
+
+    /// Every agent, in no order.
+    pub(crate) fn records(&self) -> impl Iterator<Item = &Rc<AgentRecord>> {
+        self.by_kind.values().flatten()
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-link/src/authority.rs
@@ -0,0 +1,84 @@
+//! Makes the keys of a trial deployment.
+
+use std::{fmt, sync::Arc};
+
+use rcgen::{
+    BasicConstraints, CertificateParams, CertifiedIssuer, DnType, IsCa, KeyPair, KeyUsagePurpose,
+};
+
+use crate::{LinkFault, endpoint::SERVER_NAME};
+
+/// The authority that signs the certificates of one deployment.
+pub struct DeploymentAuthority {
+    issuer: CertifiedIssuer<'static, KeyPair>,
+}
+
+impl fmt::Debug for DeploymentAuthority {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("DeploymentAuthority")
+            .finish_non_exhaustive()
+    }
+}
+
+/// Certificate and private key of one process, as PEM.
+pub struct IssuedKeys {
+    /// The certificate.
+    pub certificate: String,
+    /// The private key; whoever holds it belongs to the deployment.
+    pub key: String,
+}
+
+impl fmt::Debug for IssuedKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("IssuedKeys").finish_non_exhaustive()
+    }
+}
+
+impl DeploymentAuthority {
+    /// Makes a new authority.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no random numbers.
+    pub fn generate() -> Result<Self, LinkFault> {
+        let mut params = CertificateParams::default();
+        params
+            .distinguished_name
+            .push(DnType::CommonName, "celerycrank authority");
+        params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+        let key = KeyPair::generate().map_err(|error| key_fault(&error))?;
+        let issuer =
+            CertifiedIssuer::self_signed(params, key).map_err(|error| key_fault(&error))?;
+        Ok(Self { issuer })
+    }
+
+    /// The authority's certificate as PEM.
+    #[must_use]
+    pub fn certificate(&self) -> String {
+        self.issuer.pem()
+    }
+
+    /// Issues the keys of a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no random numbers.
+    pub fn issue(&self, name: &str) -> Result<IssuedKeys, LinkFault> {
+        let mut params = CertificateParams::new(vec![SERVER_NAME.to_owned()])
+            .map_err(|error| key_fault(&error))?;
+        params.distinguished_name.push(DnType::CommonName, name);
+        let key = KeyPair::generate().map_err(|error| key_fault(&error))?;
+        let certificate = params
+            .signed_by(&key, &self.issuer)
+            .map_err(|error| key_fault(&error))?;
+        Ok(IssuedKeys {
+            certificate: certificate.pem(),
+            key: key.serialize_pem(),
+        })
+    }
+}
+
+fn key_fault(error: &rcgen::Error) -> LinkFault {
+    LinkFault::Keys(Arc::from(error.to_string()))
+}
--- /dev/null
+++ b/crates/celerycrank-link/src/endpoint.rs
@@ -0,0 +1,180 @@
+//! The UDP endpoint of a process, which both accepts and opens connections.
+
+use std::{net::SocketAddr, net::UdpSocket, sync::Arc, time::Duration};
+
+use celerycrank_types::ByteSize;
+use quinn::{
+    ClientConfig, Connection, Endpoint, EndpointConfig, Incoming, ServerConfig, TokioRuntime,
+    TransportConfig, VarInt,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+
+use crate::{LinkFault, LinkKeys, MessageReceiver, MessageSender, StreamFault};
+
+/// The name in every process's certificate.
+pub(crate) const SERVER_NAME: &str = "celerycrank";
+
+/// Silence after which a connection is closed; nothing keeps an unused one alive.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest wait for a connection to a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Most requests at a time on one connection.
+const MAX_STREAMS: u32 = 4_096;
+
+/// Application code with which a process closes its connections when it stops.
+const CLOSE_STOPPED: u32 = 1;
+
+/// The UDP endpoint of a process.
+#[derive(Debug, Clone)]
+pub struct LinkEndpoint {
+    endpoint: Endpoint,
+    /// Largest message that a peer may send.
+    limit: ByteSize,
+}
+
+/// A connection attempt of a peer.
+#[derive(Debug)]
+pub struct LinkIncoming {
+    incoming: Incoming,
+}
+
+impl LinkEndpoint {
+    /// Listens for peers that speak protocol `version` and prove the deployment's authority.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound or the keys cannot be used.
+    pub fn bind(
+        listen: SocketAddr,
+        keys: &LinkKeys,
+        version: u8,
+        limit: ByteSize,
+    ) -> Result<Self, LinkFault> {
+        let protocol = protocol_name(version);
+        let transport = Arc::new(transport_config());
+        let server = QuicServerConfig::try_from(keys.server_config(&protocol)?)
+            .map_err(|error| LinkFault::Keys(error.to_string().into()))?;
+        let mut server = ServerConfig::with_crypto(Arc::new(server));
+        server.transport_config(Arc::clone(&transport));
+        let client = QuicClientConfig::try_from(keys.client_config(&protocol)?)
+            .map_err(|error| LinkFault::Keys(error.to_string().into()))?;
+        let mut client = ClientConfig::new(Arc::new(client));
+        client.transport_config(transport);
+        let mut endpoint = Endpoint::new(
+            EndpointConfig::new(Arc::new(keys.reset_key())),
+            Some(server),
+            UdpSocket::bind(listen).map_err(listen_fault)?,
+            Arc::new(TokioRuntime),
+        )
+        .map_err(listen_fault)?;
+        endpoint.set_default_client_config(client);
+        Ok(Self { endpoint, limit })
+    }
+
+    /// The address on which the endpoint listens.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is gone.
+    pub fn local_address(&self) -> Result<SocketAddr, LinkFault> {
+        self.endpoint.local_addr().map_err(listen_fault)
+    }
+
+    /// The next connection attempt of a peer; nothing once the endpoint is closed.
+    pub async fn accept(&self) -> Option<LinkIncoming> {
+        let incoming = self.endpoint.accept().await?;
+        Some(LinkIncoming { incoming })
+    }
+
+    /// Opens a connection to the peer at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer does not answer in time or cannot prove what it must.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, LinkFault> {
+        let connecting = self
+            .endpoint
+            .connect(address, SERVER_NAME)
+            .map_err(|error| LinkFault::Keys(error.to_string().into()))?;
+        match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(error)) => Err(error.into()),
+            Err(_) => Err(LinkFault::Timeout),
+        }
+    }
+
+    /// Opens a stream for one order on a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link was lost.
+    pub async fn open_stream(
+        &self,
+        connection: &Connection,
+    ) -> Result<(MessageSender, MessageReceiver), StreamFault> {
+        match connection.open_bi().await {
+            Ok(streams) => Ok(self.wrap_stream(streams)),
+            Err(_) => Err(StreamFault::LinkLost),
+        }
+    }
+
+    /// The next stream that the peer opens; nothing once the link was lost.
+    pub async fn accept_stream(
+        &self,
+        connection: &Connection,
+    ) -> Option<(MessageSender, MessageReceiver)> {
+        let streams = connection.accept_bi().await.ok()?;
+        Some(self.wrap_stream(streams))
+    }
+
+    /// Closes every connection, and waits until the peers were told.
+    pub async fn close(&self) {
+        self.endpoint
+            .close(VarInt::from_u32(CLOSE_STOPPED), b"stopped");
+        self.endpoint.wait_idle().await;
+    }
+
+    fn wrap_stream(
+        &self,
+        (sender, receiver): (quinn::SendStream, quinn::RecvStream),
+    ) -> (MessageSender, MessageReceiver) {
+        (
+            MessageSender::new(sender),
+            MessageReceiver::new(receiver, self.limit),
+        )
+    }
+}
+
+impl LinkIncoming {
+    /// Completes the handshake.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer is of another deployment or protocol version.
+    pub async fn handshake(self) -> Result<Connection, LinkFault> {
+        let connecting = self.incoming.accept().map_err(LinkFault::from)?;
+        connecting.await.map_err(LinkFault::from)
+    }
+}
+
+/// The ALPN name of a protocol version.
+fn protocol_name(version: u8) -> Vec<u8> {
+    format!("celerycrank/{version}").into_bytes()
+}
+
+fn transport_config() -> TransportConfig {
+    let mut config = TransportConfig::default();
+    let idle = IDLE_TIMEOUT
+        .try_into()
+        .expect("the timeout fits a QUIC integer");
+    config.max_idle_timeout(Some(idle));
+    config.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    config.max_concurrent_uni_streams(VarInt::from_u32(0));
+    config
+}
+
+fn listen_fault(error: std::io::Error) -> LinkFault {
+    LinkFault::Listen(Arc::new(error))
+}
--- /dev/null
+++ b/crates/celerycrank-link/src/keys.rs
@@ -0,0 +1,103 @@
+//! Keys with which a process proves that it belongs to the deployment.
+
+use std::{
+    fmt,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use ring::hmac;
+use rustls::{
+    ClientConfig, RootCertStore, ServerConfig,
+    pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
+    server::WebPkiClientVerifier,
+};
+
+use crate::LinkFault;
+
+/// Certificate and private key of a process, and the authority that peers must prove.
+pub struct LinkKeys {
+    authority: CertificateDer<'static>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl fmt::Debug for LinkKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LinkKeys").finish_non_exhaustive()
+    }
+}
+
+impl LinkKeys {
+    /// Reads the keys from PEM files.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be read or holds no key of its kind.
+    pub fn load(authority: &Path, certificate: &Path, key: &Path) -> Result<Self, LinkFault> {
+        Ok(Self {
+            authority: read_pem(authority)?,
+            chain: vec![read_pem(certificate)?],
+            key: read_pem(key)?,
+        })
+    }
+
+    /// The TLS settings with which this process connects to peers.
+    pub(crate) fn client_config(&self, protocol: &[u8]) -> Result<ClientConfig, LinkFault> {
+        let mut config =
+            ClientConfig::builder_with_provider(Arc::new(rustls::crypto::ring::default_provider()))
+                .with_protocol_versions(&[&rustls::version::TLS13])
+                .map_err(|error| key_fault(&error))?
+                .with_root_certificates(self.roots()?)
+                .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+                .map_err(|error| key_fault(&error))?;
+        config.alpn_protocols = vec![protocol.to_vec()];
+        Ok(config)
+    }
+
+    /// The TLS settings with which this process accepts peers.
+    pub(crate) fn server_config(&self, protocol: &[u8]) -> Result<ServerConfig, LinkFault> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier = WebPkiClientVerifier::builder_with_provider(
+            Arc::new(self.roots()?),
+            Arc::clone(&provider),
+        )
+        .build()
+        .map_err(|error| LinkFault::Keys(error.to_string().into()))?;
+        let mut config = ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(|error| key_fault(&error))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(|error| key_fault(&error))?;
+        config.alpn_protocols = vec![protocol.to_vec()];
+        Ok(config)
+    }
+
+    /// The key of stateless resets.
+    ///
+    /// Derived from the private key, so that a restarted process can reset the
+    /// connections of its earlier life at once.
+    pub(crate) fn reset_key(&self) -> hmac::Key {
+        let seed = hmac::Key::new(hmac::HMAC_SHA256, self.key.secret_der());
+        let tag = hmac::sign(&seed, b"celerycrank stateless reset");
+        hmac::Key::new(hmac::HMAC_SHA256, tag.as_ref())
+    }
+
+    fn roots(&self) -> Result<RootCertStore, LinkFault> {
+        let mut roots = RootCertStore::empty();
+        roots
+            .add(self.authority.clone())
+            .map_err(|error| key_fault(&error))?;
+        Ok(roots)
+    }
+}
+
+fn read_pem<T: PemObject>(path: &Path) -> Result<T, LinkFault> {
+    T::from_pem_file(path)
+        .map_err(|error| LinkFault::KeyFile(PathBuf::from(path), format!("{error:?}").into()))
+}
+
+fn key_fault(error: &rustls::Error) -> LinkFault {
+    LinkFault::Keys(error.to_string().into())
+}
--- /dev/null
+++ b/crates/celerycrank-link/src/pool.rs
@@ -0,0 +1,138 @@
+//! Connections to peers, opened on demand and shared.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use celerycrank_types::{EntryId, Revision};
+use celerycrank_wire::{HelloOrder, PeerOrder, PeerReply, WelcomeReply};
+use quinn::Connection;
+use tokio::sync::Mutex;
+
+use crate::{LinkEndpoint, LinkFault, MessageReceiver, MessageSender, StreamFault};
+
+/// Longest wait for a connected peer to introduce itself.
+const INTRODUCTION_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A connection to a peer that has introduced itself.
+#[derive(Debug)]
+pub struct PeerLink {
+    endpoint: LinkEndpoint,
+    connection: Connection,
+    /// What the peer said of itself; its incarnation holds for this connection.
+    pub welcome: WelcomeReply,
+}
+
+impl PeerLink {
+    /// Sends an order on a stream of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link was lost.
+    pub async fn send(
+        &self,
+        order: &PeerOrder,
+    ) -> Result<(MessageSender, MessageReceiver), StreamFault> {
+        let (mut sender, receiver) = self.endpoint.open_stream(&self.connection).await?;
+        sender.send(order).await?;
+        sender.finish();
+        Ok((sender, receiver))
+    }
+
+    /// Whether the connection is still usable as far as is known.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.connection.close_reason().is_none()
+    }
+}
+
+/// One connection a peer, opened on demand.
+#[derive(Debug)]
+pub struct LinkPool {
+    endpoint: LinkEndpoint,
+    entry: EntryId,
+    slots: RefCell<HashMap<SocketAddr, Rc<LinkSlot>>>,
+}
+
+/// The connection to one peer; the lock lets one connect while others wait for it.
+type LinkSlot = Mutex<Option<Rc<PeerLink>>>;
+
+impl LinkPool {
+    /// A pool without connections.
+    #[must_use]
+    pub fn new(endpoint: LinkEndpoint, entry: EntryId) -> Self {
+        Self {
+            endpoint,
+            entry,
+            slots: RefCell::default(),
+        }
+    }
+
+    /// The connection to the peer at `address`, opened if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        revision: Revision,
+    ) -> Result<Rc<PeerLink>, LinkFault> {
+        let slot = self.slot(address);
+        let mut place = slot.lock().await;
+        if let Some(link) = place.as_ref().filter(|link| link.is_open()) {
+            return Ok(Rc::clone(link));
+        }
+        let link = Rc::new(self.open(address, revision).await?);
+        *place = Some(Rc::clone(&link));
+        Ok(link)
+    }
+
+    /// Opens a connection beside the pooled one, to ask about requests of a doubtful one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        revision: Revision,
+    ) -> Result<PeerLink, LinkFault> {
+        let connection = self.endpoint.connect(address).await?;
+        let hello = PeerOrder::Hello(HelloOrder {
+            entry: self.entry.clone(),
+            revision,
+        });
+        let introduction = introduce(&self.endpoint, &connection, &hello);
+        let welcome = match tokio::time::timeout(INTRODUCTION_TIMEOUT, introduction).await {
+            Ok(result) => result.map_err(LinkFault::Introduction)?,
+            Err(_) => return Err(LinkFault::Timeout),
+        };
+        Ok(PeerLink {
+            endpoint: self.endpoint.clone(),
+            connection,
+            welcome,
+        })
+    }
+
+    /// Forgets the connection to `address`, so that the next request opens a new one.
+    pub fn forget(&self, address: SocketAddr) {
+        self.slots.borrow_mut().remove(&address);
+    }
+
+    fn slot(&self, address: SocketAddr) -> Rc<LinkSlot> {
+        Rc::clone(self.slots.borrow_mut().entry(address).or_default())
+    }
+}
+
+async fn introduce(
+    endpoint: &LinkEndpoint,
+    connection: &Connection,
+    hello: &PeerOrder,
+) -> Result<WelcomeReply, StreamFault> {
+    let (mut sender, mut receiver) = endpoint.open_stream(connection).await?;
+    sender.send(hello).await?;
+    sender.finish();
+    match receiver.receive().await? {
+        Some(PeerReply::Welcome(welcome)) => Ok(welcome),
+        _ => Err(StreamFault::Abandoned),
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-link/src/stream.rs
@@ -0,0 +1,110 @@
+//! Messages over the two halves of one QUIC stream.
+
+use bytes::Bytes;
+use celerycrank_types::ByteSize;
+use celerycrank_wire::{FrameReader, encode_frame};
+use quinn::{RecvStream, SendStream, VarInt};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::StreamFault;
+
+/// Application code of a stream that its sender gave up.
+const RESET_ABANDONED: u32 = 1;
+
+/// The sending half of a stream.
+///
+/// Dropping it unfinished resets the stream, so that the peer never takes a part for the
+/// whole.
+#[derive(Debug)]
+pub struct MessageSender {
+    stream: SendStream,
+    finished: bool,
+}
+
+impl MessageSender {
+    pub(crate) const fn new(stream: SendStream) -> Self {
+        Self {
+            stream,
+            finished: false,
+        }
+    }
+
+    /// Sends a message, waiting while the peer does not read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link was lost or the peer gave the stream up.
+    pub async fn send<T: Serialize>(&mut self, message: &T) -> Result<(), StreamFault> {
+        let frame = Bytes::from(encode_frame(message));
+        match self.stream.write_chunk(frame).await {
+            Ok(()) => Ok(()),
+            Err(quinn::WriteError::Stopped(_)) => Err(StreamFault::Abandoned),
+            Err(_) => Err(StreamFault::LinkLost),
+        }
+    }
+
+    /// Ends the stream after the messages sent so far.
+    pub fn finish(&mut self) {
+        self.finished = true;
+        // Fails only if the stream was reset, which the peer learns anyway.
+        let _ = self.stream.finish();
+    }
+
+    /// Waits until the peer gives the stream up or the link is lost.
+    ///
+    /// Also returns once the peer has acknowledged a finished stream.
+    pub fn abandoned(&self) -> impl Future<Output = ()> + use<> {
+        let stopped = self.stream.stopped();
+        async move {
+            // Every result means that nobody reads this half any more.
+            let _ = stopped.await;
+        }
+    }
+}
+
+impl Drop for MessageSender {
+    fn drop(&mut self) {
+        if !self.finished {
+            // Fails only if the stream was reset before.
+            let _ = self.stream.reset(VarInt::from_u32(RESET_ABANDONED));
+        }
+    }
+}
+
+/// The receiving half of a stream.
+#[derive(Debug)]
+pub struct MessageReceiver {
+    stream: RecvStream,
+    reader: FrameReader,
+}
+
+impl MessageReceiver {
+    pub(crate) fn new(stream: RecvStream, limit: ByteSize) -> Self {
+        Self {
+            stream,
+            reader: FrameReader::new(limit),
+        }
+    }
+
+    /// The next message; nothing once the peer has ended the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the link was lost, the peer gave the stream up, or its bytes are no message.
+    pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<T>, StreamFault> {
+        loop {
+            if let Some(message) = self.reader.next_message()? {
+                return Ok(Some(message));
+            }
+            match self.stream.read_chunk(usize::MAX, true).await {
+                Ok(Some(chunk)) => self.reader.extend(&chunk.bytes),
+                Ok(None) => {
+                    self.reader.check_end()?;
+                    return Ok(None);
+                }
+                Err(quinn::ReadError::Reset(_)) => return Err(StreamFault::Abandoned),
+                Err(_) => return Err(StreamFault::LinkLost),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-process/src/caller.rs
@@ -0,0 +1,78 @@
+//! A caller's connection, guarded against callers that never read.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use actix_rt::{
+    net::TcpStream,
+    time::{Sleep, sleep},
+};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// A TCP stream that fails once the caller has left an answer unread for too long.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    write_timeout: Duration,
+    /// Runs while a write waits for the caller to read.
+    blocked: Option<Pin<Box<Sleep>>>,
+}
+
+impl CallerStream {
+    /// Guards a stream.
+    #[must_use]
+    pub const fn new(stream: TcpStream, write_timeout: Duration) -> Self {
+        Self {
+            stream,
+            write_timeout,
+            blocked: None,
+        }
+    }
+
+    fn poll_blocked(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let timeout = self.write_timeout;
+        let sleep = self.blocked.get_or_insert_with(|| Box::pin(sleep(timeout)));
+        match sleep.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match Pin::new(&mut self.stream).poll_write(cx, buf) {
+            Poll::Ready(result) => {
+                self.blocked = None;
+                Poll::Ready(result)
+            }
+            Poll::Pending => self.poll_blocked(cx),
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-process/src/lib.rs
@@ -0,0 +1,19 @@
+//! What both process roles need around the decision logic.
+
+mod admin;
+mod caller;
+mod clock;
+mod counter;
+mod listener;
+mod shutdown;
+mod source;
+
+pub use crate::{
+    admin::{AdminPages, serve_admin},
+    caller::CallerStream,
+    clock::ProcessClock,
+    counter::{CounterFault, LabelledCounter, MetricSet},
+    listener::{ConnectionEvent, HttpListener, ListenerLimits},
+    shutdown::{ShutdownFlag, wait_for_stop_signal},
+    source::{DeploymentSource, SourceFault, StaticDeployment},
+};
--- /dev/null
+++ b/crates/celerycrank-process/src/listener.rs
@@ -0,0 +1,188 @@
+//! Accepts HTTP connections on one arbiter and counts them.
+
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{
+    Error, HttpService, KeepAlive, Request, Response,
+    body::BoxBody,
+    error::{DispatchError, ParseError},
+};
+use actix_rt::net::{TcpListener, TcpStream};
+use actix_service::{Service, ServiceFactory, fn_service};
+
+use crate::{CallerStream, ShutdownFlag};
+
+/// Idle time after which a kept-alive connection is closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// Time for a caller to read a refusal before its connection is closed.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause after the system refused a new connection, for lack of file handles for example.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of a listener.
+#[derive(Debug, Clone, Copy)]
+pub struct ListenerLimits {
+    /// Most connections at a time.
+    pub connections: u32,
+    /// Longest time for a caller to send its request head.
+    pub header_timeout: Duration,
+    /// Longest time for which a caller may leave an answer unread.
+    pub write_timeout: Duration,
+}
+
+/// How a connection was refused or cut, for the counters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEvent {
+    /// There were too many connections.
+    TooMany,
+    /// The request head was larger than can be parsed.
+    HeadTooLarge,
+    /// The bytes were no HTTP request.
+    Malformed,
+    /// The request head came too slowly.
+    HeadTooSlow,
+    /// The caller left its answer unread.
+    Unread,
+}
+
+/// Accepts connections and serves each by a task of the current arbiter.
+#[derive(Debug)]
+pub struct HttpListener {
+    listener: TcpListener,
+    limits: ListenerLimits,
+    shutdown: ShutdownFlag,
+    /// Connections that are open now.
+    open: Rc<Cell<u32>>,
+}
+
+impl HttpListener {
+    /// Binds a listener; connections are finished, not kept alive, once `shutdown` is raised.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn bind(
+        address: SocketAddr,
+        limits: ListenerLimits,
+        shutdown: ShutdownFlag,
+    ) -> io::Result<Self> {
+        Ok(Self {
+            listener: TcpListener::bind(address).await?,
+            limits,
+            shutdown,
+            open: Rc::default(),
+        })
+    }
+
+    /// The address on which the listener accepts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is gone.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// The number of open connections, readable while the listener runs.
+    #[must_use]
+    pub fn open_connections(&self) -> Rc<Cell<u32>> {
+        Rc::clone(&self.open)
+    }
+
+    /// Serves connections until the future is dropped.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the HTTP service cannot be made, which has no cause outside the program.
+    pub async fn serve<F, R>(self, handler: F, observe: impl Fn(ConnectionEvent) + 'static)
+    where
+        F: Fn(Request) -> R + Clone + 'static,
+        R: Future<Output = Result<Response<BoxBody>, Error>> + 'static,
+    {
+        let shutdown = self.shutdown.clone();
+        let factory = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+            .client_request_timeout(self.limits.header_timeout)
+            .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+            .h1_allow_half_closed(false)
+            .graceful_shutdown_signal(move || {
+                let shutdown = shutdown.clone();
+                async move { shutdown.raised().await }
+            })
+            .h1(fn_service(handler));
+        let service = factory.new_service(()).await;
+        let service = Rc::new(service.expect("the service is made of a function"));
+        let observe = Rc::new(observe);
+        loop {
+            let Ok((stream, address)) = self.listener.accept().await else {
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            if self.open.get() >= self.limits.connections {
+                observe(ConnectionEvent::TooMany);
+                refuse_connection(&stream);
+                continue;
+            }
+            // Without it, small answers wait for acknowledgements of earlier ones.
+            let _ = stream.set_nodelay(true);
+            let guard = OpenGuard::new(&self.open);
+            let stream = CallerStream::new(stream, self.limits.write_timeout);
+            let serving = service.call((stream, Some(address)));
+            let observe = Rc::clone(&observe);
+            actix_rt::spawn(async move {
+                let _guard = guard;
+                if let Err(error) = serving.await
+                    && let Some(event) = classify_error(&error)
+                {
+                    observe(event);
+                }
+            });
+        }
+    }
+}
+
+/// Answers a connection above the limit without reading its request.
+fn refuse_connection(stream: &TcpStream) {
+    const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+        Connection: close\r\n\
+        Content-Length: 0\r\n\
+        Retry-After: 1\r\n\
+        X-Celerycrank-Outcome: not-run\r\n\
+        X-Celerycrank-Reason: too_many_connections\r\n\r\n";
+    // A socket's empty send buffer takes this at once; a caller that left is no concern.
+    let _ = stream.try_write(REFUSAL);
+}
+
+fn classify_error(error: &DispatchError) -> Option<ConnectionEvent> {
+    match error {
+        DispatchError::Parse(ParseError::TooLarge) => Some(ConnectionEvent::HeadTooLarge),
+        DispatchError::Parse(_) => Some(ConnectionEvent::Malformed),
+        DispatchError::SlowRequestTimeout => Some(ConnectionEvent::HeadTooSlow),
+        DispatchError::Io(error) if error.kind() == io::ErrorKind::TimedOut => {
+            Some(ConnectionEvent::Unread)
+        }
+        _ => None,
+    }
+}
+
+/// Counts one open connection for as long as it lives.
+struct OpenGuard {
+    open: Rc<Cell<u32>>,
+}
+
+impl OpenGuard {
+    fn new(open: &Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Self {
+            open: Rc::clone(open),
+        }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-process/src/shutdown.rs
@@ -0,0 +1,57 @@
+//! Shutting down: the signal, and the flag that the rest of the process watches.
+
+use std::io;
+
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails if the signals cannot be caught.
+pub async fn wait_for_stop_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Tells the parts of a process that it is shutting down.
+#[derive(Debug, Clone)]
+pub struct ShutdownFlag {
+    sender: watch::Sender<bool>,
+}
+
+impl Default for ShutdownFlag {
+    fn default() -> Self {
+        Self {
+            sender: watch::Sender::new(false),
+        }
+    }
+}
+
+impl ShutdownFlag {
+    /// Raises the flag; it is never lowered again.
+    pub fn raise(&self) {
+        self.sender.send_replace(true);
+    }
+
+    /// Whether the flag is raised.
+    #[must_use]
+    pub fn is_raised(&self) -> bool {
+        *self.sender.borrow()
+    }
+
+    /// Waits until the flag is raised.
+    pub async fn raised(&self) {
+        let mut receiver = self.sender.subscribe();
+        // The sender lives in `self`, so the wait ends only by the flag.
+        let _ = receiver.wait_for(|raised| *raised).await;
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-wire/src/frame.rs
@@ -0,0 +1,126 @@
+//! Frames: how messages are delimited on a stream.
+
+use bytes::{Buf, BytesMut};
+use celerycrank_types::ByteSize;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Version of the messages; a peer of another version is refused.
+pub const PROTOCOL_VERSION: u8 = 1;
+
+/// Bytes before a frame's payload: the version and the payload's length.
+pub const FRAME_HEAD_BYTES: usize = 1 + LENGTH_BYTES;
+
+const LENGTH_BYTES: usize = 4;
+
+/// Why the bytes of a stream are not a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum WireFault {
+    /// the frame is of protocol version {0}, which is not spoken here
+    UnknownVersion(u8),
+    /// the frame's payload of {0} bytes exceeds the limit
+    Oversized(u64),
+    /// the frame's payload is not a message
+    Malformed,
+    /// the stream ended within a frame
+    Truncated,
+}
+
+impl std::error::Error for WireFault {}
+
+/// Encodes a message as one frame.
+///
+/// # Panics
+///
+/// Panics if the message has more than 4 GiB, which the limits on bodies rule out.
+#[must_use]
+pub fn encode_frame<T: Serialize>(message: &T) -> Vec<u8> {
+    let head = vec![PROTOCOL_VERSION, 0, 0, 0, 0];
+    let mut frame = postcard::to_extend(message, head).expect("messages have no unsized parts");
+    let length = u32::try_from(frame.len() - FRAME_HEAD_BYTES).expect("bodies are limited");
+    frame[1..FRAME_HEAD_BYTES].copy_from_slice(&length.to_be_bytes());
+    frame
+}
+
+/// Splits the bytes of one stream into messages.
+#[derive(Debug)]
+pub struct FrameReader {
+    buffer: BytesMut,
+    /// Invariant: no payload above this is buffered or decoded.
+    limit: ByteSize,
+}
+
+impl FrameReader {
+    /// A reader that refuses payloads above `limit`.
+    #[must_use]
+    pub fn new(limit: ByteSize) -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            limit,
+        }
+    }
+
+    /// Appends bytes received from the stream.
+    pub fn extend(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, or nothing while its frame is incomplete.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the frame is of another version, too large, or not a `T`.
+    pub fn next_message<T: DeserializeOwned>(&mut self) -> Result<Option<T>, WireFault> {
+        let Some(length) = self.payload_length()? else {
+            return Ok(None);
+        };
+        let end = FRAME_HEAD_BYTES + length;
+        if self.buffer.len() < end {
+            self.buffer.reserve(end - self.buffer.len());
+            return Ok(None);
+        }
+        let message = decode_payload(&self.buffer[FRAME_HEAD_BYTES..end])?;
+        self.buffer.advance(end);
+        Ok(Some(message))
+    }
+
+    /// Checks that the stream did not end within a frame.
+    ///
+    /// # Errors
+    ///
+    /// Fails if bytes of an incomplete frame are left.
+    pub fn check_end(&self) -> Result<(), WireFault> {
+        if self.buffer.is_empty() {
+            Ok(())
+        } else {
+            Err(WireFault::Truncated)
+        }
+    }
+
+    fn payload_length(&self) -> Result<Option<usize>, WireFault> {
+        match self.buffer.first() {
+            None => return Ok(None),
+            Some(&PROTOCOL_VERSION) => {}
+            Some(&version) => return Err(WireFault::UnknownVersion(version)),
+        }
+        let Some(bytes) = self.buffer.get(1..FRAME_HEAD_BYTES) else {
+            return Ok(None);
+        };
+        let length = bytes
+            .iter()
+            .fold(0, |sum, byte| (sum << 8) | u64::from(*byte));
+        if length > self.limit.0 {
+            return Err(WireFault::Oversized(length));
+        }
+        match usize::try_from(length) {
+            Ok(length) => Ok(Some(length)),
+            Err(_) => Err(WireFault::Oversized(length)),
+        }
+    }
+}
+
+fn decode_payload<T: DeserializeOwned>(payload: &[u8]) -> Result<T, WireFault> {
+    match postcard::take_from_bytes(payload) {
+        Ok((message, [])) => Ok(message),
+        _ => Err(WireFault::Malformed),
+    }
+}
--- a/crates/celerycrank-wire/src/lib.rs
+++ b/crates/celerycrank-wire/src/lib.rs
@@ -1,1 +1,17 @@
 //! Typed, versioned messages between the processes.
+//!
+//! One QUIC stream carries one [`PeerOrder`] and the [`PeerReply`] messages that answer
+//! it, each in a frame: the protocol version, the payload's length, the payload.
+
+mod frame;
+mod order;
+mod reply;
+
+pub use crate::{
+    frame::{FRAME_HEAD_BYTES, FrameReader, PROTOCOL_VERSION, WireFault, encode_frame},
+    order::{HelloOrder, HttpField, PeerOrder, PullOrder, RequestHead, RevokeOrder, RunOrder},
+    reply::{
+        AnswerEnd, AnswerHead, BackendOffer, BrokenReply, ConfigurationReply, LoadReport,
+        OfferKind, PeerReply, RefusedReply, RevokeReply, RevokeVerdict, WelcomeReply,
+    },
+};
--- /dev/null
+++ b/crates/celerycrank-wire/src/order.rs
@@ -0,0 +1,93 @@
+//! What one process asks of another.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use celerycrank_config::{PriorityClass, RepeatRule};
+use celerycrank_types::{
+    AccountId, EntryId, RequestId, Revision, ShareWeight, TimeSpan, TokenCount,
+};
+use serde::{Deserialize, Serialize};
+
+/// The first message of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerOrder {
+    /// Asks who the peer is; sent once a connection.
+    Hello(HelloOrder),
+    /// Asks an agent to run a request.
+    Run(Box<RunOrder>),
+    /// Asks an agent never to start a request, and whether it did.
+    Revoke(RevokeOrder),
+    /// Asks for the configuration that the peer has in force.
+    Pull(PullOrder),
+}
+
+/// Introduces an entry to an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HelloOrder {
+    /// The entry that connected.
+    pub entry: EntryId,
+    /// The revision that the entry has in force.
+    pub revision: Revision,
+}
+
+/// A whole request; an agent starts nothing before it has decoded this.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, bon::Builder)]
+pub struct RunOrder {
+    /// The request's id, echoed by every hop.
+    pub id: RequestId,
+    /// The revision under which the entry admitted the request.
+    pub revision: Revision,
+    /// Who is billed.
+    pub account: AccountId,
+    /// The account's part of contended capacity.
+    pub share: ShareWeight,
+    /// Which requests go first.
+    pub priority: PriorityClass,
+    /// Work that the request is estimated to need.
+    pub cost: TokenCount,
+    /// Time left until the first byte of the answer is due.
+    pub deadline: TimeSpan,
+    /// Whether the call may be started again.
+    pub repeat: RepeatRule,
+    /// The caller's idempotency key, if the call must be claimed before it starts.
+    pub key: Option<Arc<str>>,
+    /// Method, path and headers.
+    pub head: RequestHead,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Method, path and headers of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestHead {
+    /// The HTTP method.
+    pub method: Arc<str>,
+    /// Path and query.
+    pub path: Arc<str>,
+    /// End-to-end headers; those of a single hop were removed.
+    pub fields: Vec<HttpField>,
+}
+
+/// One HTTP header.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HttpField {
+    /// The header's name in lower case.
+    pub name: Arc<str>,
+    /// The header's value, not necessarily text.
+    pub value: Bytes,
+}
+
+/// Asks whether a request was started, and forbids a later start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevokeOrder {
+    /// The request to revoke.
+    pub id: RequestId,
+}
+
+/// Asks for a configuration newer than the sender's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PullOrder {
+    /// The revision that the sender has in force.
+    pub revision: Revision,
+}
