Let watchers alone begin every exchange of revisions

Cause: an agent would have to know and reach entries to pull or to ask. Now a watcher offers, the peer answers with its revision, and the watcher pushes or pulls on the same connection. A fresh process counts the watchers that pushed.

--- a/crates/celerycrank-membership/src/bootstrap.rs
+++ b/crates/celerycrank-membership/src/bootstrap.rs
@@ -25,37 +25,31 @@
 /// at once; the newest answer is therefore not older than what was in force.
 #[derive(Debug)]
 pub struct BootstrapQuorum<T> {
-    /// Invariant: the watchers that are asked, each once.
-    asked: Vec<VmId>,
-    /// Invariant: only watchers that were asked and have learnt a document.
+    /// The largest number of watchers that any of them named.
+    watchers: usize,
     answers: BTreeMap<VmId, (Revision, Arc<T>)>,
 }
 
 impl<T> BootstrapQuorum<T> {
-    /// Begins to ask these watchers.
-    #[must_use]
-    pub fn new(watchers: &[VmId]) -> Self {
-        Self {
-            asked: watchers.to_vec(),
-            answers: BTreeMap::new(),
-        }
-    }
-
-    /// Takes one watcher's answer; an answer of a process that was not asked is dropped.
+    /// Takes one watcher's document and the number of watchers that it knows of.
     ///
-    /// A watcher that has learnt nothing itself vouches for nothing and is not counted:
-    /// it may have known a newer revision before it restarted.
-    pub fn answer(&mut self, watcher: &VmId, revision: Revision, document: Option<Arc<T>>) {
-        let Some(document) = document else { return };
-        if self.asked.contains(watcher) {
-            self.answers.insert(watcher.clone(), (revision, document));
-        }
+    /// A watcher that has learnt nothing itself has no document to send and so vouches
+    /// for nothing: it may have known a newer revision before it restarted.
+    pub fn answer(
+        &mut self,
+        watcher: &VmId,
+        watchers: usize,
+        revision: Revision,
+        document: Arc<T>,
+    ) {
+        self.watchers = self.watchers.max(watchers);
+        self.answers.insert(watcher.clone(), (revision, document));
     }
 
     /// What the process may do now.
     #[must_use]
     pub fn outcome(&self) -> BootstrapOutcome<T> {
-        let needed = self.asked.len() / 2 + 1;
+        let needed = self.watchers / 2 + 1;
         let answered = self.answers.len();
         let newest = self.answers.values().max_by_key(|(revision, _)| *revision);
         match newest {
@@ -66,3 +60,12 @@
         }
     }
 }
+
+impl<T> Default for BootstrapQuorum<T> {
+    fn default() -> Self {
+        Self {
+            watchers: 0,
+            answers: BTreeMap::new(),
+        }
+    }
+}
--- a/crates/celerycrank-membership/src/keeper.rs
+++ b/crates/celerycrank-membership/src/keeper.rs
@@ -11,24 +11,25 @@
     SpreadPlanner, SpreadTimings, UpdateMessage, WatcherRoster,
 };
 
-/// Something that the process must send.
+/// The peers to tell which revision is in force here.
+pub type OfferTargets = SmallVec<[VmId; 4]>;
+
+/// What a watcher does after a peer has named its own revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum KeeperAction {
-    /// Tell a peer which revision is in force here.
-    Offer(VmId),
-    /// Ask a peer for what is newer than the revision in force here.
-    Pull(VmId),
-    /// Ask a watcher for its configuration, to start without the service.
-    Ask(VmId),
+pub enum OfferFollowUp {
+    /// Both act under one revision.
+    Nothing,
+    /// The peer is behind: send it this.
+    Push(UpdateMessage),
+    /// The peer is ahead: ask it for what is newer.
+    Pull,
 }
 
-/// A short list of things to send.
-pub type KeeperActions = SmallVec<[KeeperAction; 4]>;
-
 /// The configuration in force at one process, and its part in spreading it.
 ///
-/// The process reads the service when it starts and, if it is a watcher, watches it.
-/// A change learnt from anywhere is told to the domains for which it watches.
+/// The process reads the service when it starts and, if it is a watcher, watches it. A
+/// change learnt from anywhere is offered to the domains for which it watches. Offers
+/// and what follows them are begun by watchers alone; other processes only answer.
 #[derive(Debug)]
 pub struct ConfigurationKeeper {
     own: PeerFact,
@@ -38,18 +39,8 @@
     roster: WatcherRoster,
     /// Invariant: one planner for each domain that this process watches for.
     planners: BTreeMap<DomainId, SpreadPlanner>,
-    /// Invariant: present only while no configuration is in force.
-    quorum: Option<BootstrapQuorum<Configuration>>,
-    pull: Option<PendingPull>,
-}
-
-/// An update that was asked for.
-#[derive(Debug)]
-struct PendingPull {
-    /// Invariant: newer than the revision in force when it was offered.
-    offered: Revision,
-    peer: VmId,
-    asked_at: TimePoint,
+    /// Invariant: collects answers only while no configuration is in force.
+    quorum: BootstrapQuorum<Configuration>,
 }
 
 impl ConfigurationKeeper {
@@ -63,8 +54,7 @@
             log: DeltaLog::default(),
             roster: WatcherRoster::default(),
             planners: BTreeMap::new(),
-            quorum: None,
-            pull: None,
+            quorum: BootstrapQuorum::default(),
         }
     }
 
@@ -92,6 +82,12 @@
         !self.planners.is_empty()
     }
 
+    /// How many entries watch for the domain of a peer.
+    #[must_use]
+    pub fn watchers_of(&self, domain: &DomainId) -> usize {
+        self.roster.watchers(domain).len()
+    }
+
     /// Takes the present entries and everyone else, as the VM list names them.
     pub fn on_peers(&mut self, entries: &[PeerFact], agents: &[PeerFact], now: TimePoint) {
         let everyone = entries.iter().chain(agents);
@@ -120,76 +116,59 @@
         }
     }
 
-    /// Begins to start without the service; returns the watchers to ask.
-    pub fn begin_bootstrap(&mut self) -> KeeperActions {
-        if self.gate.document().is_some() {
-            return KeeperActions::new();
-        }
-        let watchers = self.roster.watchers(&self.own.domain);
-        let watchers = watchers
-            .iter()
-            .filter(|vm| **vm != self.own.vm)
-            .cloned()
-            .collect::<Vec<_>>();
-        self.quorum = Some(BootstrapQuorum::new(&watchers));
-        watchers.into_iter().map(KeeperAction::Ask).collect()
-    }
-
-    /// Takes a watcher's answer to a start without the service.
-    pub fn on_answer(
-        &mut self,
-        watcher: &VmId,
-        revision: Revision,
-        configuration: Option<Arc<Configuration>>,
-    ) -> KeeperActions {
-        let Some(quorum) = &mut self.quorum else {
-            return KeeperActions::new();
-        };
-        quorum.answer(watcher, revision, configuration);
-        match quorum.outcome() {
-            BootstrapOutcome::Waiting { .. } => KeeperActions::new(),
-            BootstrapOutcome::Learnt(_, configuration) => self.adopt(&configuration),
-        }
-    }
-
-    /// Takes what the service answered or reported.
-    pub fn on_service(&mut self, configuration: &Arc<Configuration>) -> KeeperActions {
+    /// Takes what the service answered or reported; returns whom to tell at once.
+    pub fn on_service(&mut self, configuration: &Arc<Configuration>) -> OfferTargets {
         self.adopt(configuration)
     }
 
-    /// Takes a peer's word of its revision.
-    ///
-    /// A process that has learnt nothing pulls from nobody: a single peer may be stale.
-    pub fn on_offer(&mut self, peer: &VmId, revision: Revision, now: TimePoint) -> KeeperActions {
-        match self.gate.judge(revision) {
-            PeerVerdict::SelfBehind if self.gate.document().is_some() => {
-                self.pull = Some(PendingPull {
-                    offered: revision,
-                    peer: peer.clone(),
-                    asked_at: now,
-                });
-                SmallVec::from_iter([KeeperAction::Pull(peer.clone())])
-            }
-            PeerVerdict::PeerBehind if revision > Revision(0) => {
-                SmallVec::from_iter([KeeperAction::Offer(peer.clone())])
-            }
-            _ => KeeperActions::new(),
+    /// What follows an offer to which a peer answered with its own revision.
+    #[must_use]
+    pub fn on_offer_reply(&self, peer: Revision) -> OfferFollowUp {
+        match self.gate.judge(peer) {
+            PeerVerdict::PeerBehind => self
+                .update_for(peer)
+                .map_or(OfferFollowUp::Nothing, OfferFollowUp::Push),
+            PeerVerdict::SelfBehind => OfferFollowUp::Pull,
+            PeerVerdict::Equal | PeerVerdict::BothEmpty => OfferFollowUp::Nothing,
         }
     }
 
     /// What brings a peer from its revision to the one in force, if that is newer.
     #[must_use]
-    pub fn on_pull(&self, have: Revision) -> Option<UpdateMessage> {
+    pub fn update_for(&self, peer: Revision) -> Option<UpdateMessage> {
         let configuration = self.gate.document()?;
-        (have < self.gate.revision()).then(|| self.log.update_for(have, configuration))
+        (peer < self.gate.revision()).then(|| self.log.update_for(peer, configuration))
+    }
+
+    /// Takes an update that watcher `from` pushed, one of `watchers` of this domain.
+    ///
+    /// A process that has learnt nothing waits for a majority of them. A delta that does
+    /// not fit is dropped; the next offer leads to another.
+    pub fn on_push(&mut self, from: &VmId, watchers: usize, update: UpdateMessage) -> OfferTargets {
+        if self.gate.document().is_some() {
+            return self.on_update(update);
+        }
+        let UpdateMessage::Whole(configuration) = update else {
+            return OfferTargets::new();
+        };
+        self.quorum.answer(
+            from,
+            watchers,
+            configuration.revision,
+            Arc::new(configuration),
+        );
+        match self.quorum.outcome() {
+            BootstrapOutcome::Waiting { .. } => OfferTargets::new(),
+            BootstrapOutcome::Learnt(_, configuration) => self.adopt(&configuration),
+        }
     }
 
-    /// Takes a peer's answer to a pull.
+    /// Takes the answer to a pull, or an update beside a refusal.
     ///
-    /// A delta that does not fit is dropped; the next offer leads to another pull.
-    pub fn on_update(&mut self, update: UpdateMessage) -> KeeperActions {
+    /// A process that has learnt nothing drops it: a single peer may be stale.
+    pub fn on_update(&mut self, update: UpdateMessage) -> OfferTargets {
         let Some(present) = self.gate.document().cloned() else {
-            return KeeperActions::new();
+            return OfferTargets::new();
         };
         match update {
             UpdateMessage::Whole(configuration) => self.adopt(&Arc::new(configuration)),
@@ -200,45 +179,32 @@
                     .try_fold(Configuration::clone(&present), |old, delta| {
                         delta.apply(&old)
                     });
-                reached.map_or_else(|_| KeeperActions::new(), |new| self.adopt(&Arc::new(new)))
+                reached.map_or_else(|_| OfferTargets::new(), |new| self.adopt(&Arc::new(new)))
             }
         }
     }
 
-    /// The offers whose time has come, and an update to ask for again.
-    pub fn on_tick(&mut self, now: TimePoint) -> KeeperActions {
-        let due = self
-            .planners
+    /// The peers whose turn for an offer has come.
+    pub fn on_tick(&mut self, now: TimePoint) -> OfferTargets {
+        self.planners
             .values_mut()
-            .flat_map(|planner| planner.on_tick(now));
-        let offers = due.map(KeeperAction::Offer).collect::<KeeperActions>();
-        offers.into_iter().chain(self.repeat_pull(now)).collect()
+            .flat_map(|planner| planner.on_tick(now))
+            .collect()
     }
 
-    fn repeat_pull(&mut self, now: TimePoint) -> Option<KeeperAction> {
-        let present = self.gate.revision();
-        let pull = self.pull.as_mut().filter(|pull| pull.offered > present)?;
-        if now.since(pull.asked_at) < self.timings.pull_timeout {
-            return None;
-        }
-        pull.asked_at = now;
-        Some(KeeperAction::Pull(pull.peer.clone()))
-    }
-
-    fn adopt(&mut self, configuration: &Arc<Configuration>) -> KeeperActions {
+    fn adopt(&mut self, configuration: &Arc<Configuration>) -> OfferTargets {
         let old = self.gate.document().cloned();
         let revision = configuration.revision;
         if self.gate.offer(revision, Arc::clone(configuration)) != GateOutcome::Adopted {
-            return KeeperActions::new();
+            return OfferTargets::new();
         }
-        self.quorum = None;
         if let Some(old) = old {
             self.log.record(&old, configuration);
         }
-        let told = self
-            .planners
+        self.planners
             .values_mut()
-            .flat_map(SpreadPlanner::on_learnt);
-        told.cloned().map(KeeperAction::Offer).collect()
+            .flat_map(SpreadPlanner::on_learnt)
+            .cloned()
+            .collect()
     }
 }
--- a/crates/celerycrank-membership/src/lib.rs
+++ b/crates/celerycrank-membership/src/lib.rs
@@ -24,7 +24,7 @@
     delta::{ConfigurationDelta, DeltaFault, DeltaLog, UpdateMessage},
     drain::{DrainEvent, DrainState, DrainTracker, PendingWork},
     gate::{GateOutcome, PeerVerdict, RevisionGate},
-    keeper::{ConfigurationKeeper, KeeperAction, KeeperActions},
+    keeper::{ConfigurationKeeper, OfferFollowUp, OfferTargets},
     member::{
         MemberEvidence, MemberState, MemberTable, MemberTimings, MemberView, RampWeight, VmFact,
         VmRole,
--- a/crates/celerycrank-membership/src/spread.rs
+++ b/crates/celerycrank-membership/src/spread.rs
@@ -11,8 +11,6 @@
     pub round: TimeSpan,
     /// Length of the one round that follows a revision just learnt.
     pub first_round: TimeSpan,
-    /// How long an update that was asked for may take before it is asked for again.
-    pub pull_timeout: TimeSpan,
 }
 
 impl Default for SpreadTimings {
@@ -20,7 +18,6 @@
         Self {
             round: TimeSpan::from_secs(3),
             first_round: TimeSpan::from_secs(1),
-            pull_timeout: TimeSpan::from_millis(500),
         }
     }
 }
