--- a/crates/celerycrank-agent/src/metrics.rs
+++ b/crates/celerycrank-agent/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The agent's counters.
 
 use celerycrank_process::{CounterFault, LabelledCounter, MetricSet};
+use celerycrank_sync::SyncCounters;
 use celerycrank_types::{RefusalReason, UnknownReason};
 use prometheus::{Histogram, IntCounter, IntGauge};
 
@@ -19,6 +20,7 @@
     pub(crate) queue_wait: Histogram,
     pub(crate) running: IntGauge,
     pub(crate) queued: IntGauge,
+    pub(crate) sync: SyncCounters,
 }
 
 impl AgentMetrics {
@@ -57,6 +59,7 @@
             )?,
             running: set.gauge("celerycrank_agent_running", "requests that run now")?,
             queued: set.gauge("celerycrank_agent_queued", "requests that wait now")?,
+            sync: SyncCounters::register(&set)?,
             set,
         })
     }
--- a/crates/celerycrank-agent/src/order.rs
+++ b/crates/celerycrank-agent/src/order.rs
@@ -3,9 +3,7 @@
 use std::rc::Rc;
 
 use celerycrank_link::{LinkEndpoint, LinkIncoming, MessageReceiver, MessageSender, StreamFault};
-use celerycrank_wire::{
-    ConfigurationReply, PeerOrder, PeerReply, PullOrder, RevokeOrder, RevokeReply,
-};
+use celerycrank_wire::{PeerOrder, PeerReply, RevokeOrder, RevokeReply};
 
 use crate::{run::run_order, state::AgentState};
 
@@ -49,7 +47,15 @@
             reply(&mut sender, PeerReply::Revoked(answer)).await;
         }
         PeerOrder::Pull(order) => {
-            let answer = pull(&state, order);
+            let answer = state.sync.answer_pull(&order);
+            reply(&mut sender, PeerReply::Configuration(answer)).await;
+        }
+        PeerOrder::Offer(order) => {
+            let answer = state.sync.answer_offer(&order);
+            reply(&mut sender, PeerReply::Configuration(answer)).await;
+        }
+        PeerOrder::Update(order) => {
+            let answer = state.sync.answer_update(&order);
             reply(&mut sender, PeerReply::Configuration(answer)).await;
         }
     }
@@ -71,10 +77,3 @@
         verdict: state.ledger.borrow_mut().revoke(order.id, now),
     }
 }
-
-fn pull(state: &AgentState, order: PullOrder) -> ConfigurationReply {
-    ConfigurationReply {
-        revision: state.revision(),
-        configuration: state.newer_configuration(order.revision),
-    }
-}
--- a/crates/celerycrank-agent/src/process.rs
+++ b/crates/celerycrank-agent/src/process.rs
@@ -4,15 +4,18 @@
     fmt,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{SystemTime, UNIX_EPOCH},
 };
 
 use celerycrank_config::AgentSettings;
 use celerycrank_link::{LinkEndpoint, LinkKeys};
+use celerycrank_platform::KeyValueClient;
 use celerycrank_process::{
     DeploymentSource, HttpListener, ListenerLimits, ShutdownFlag, StaticDeployment, serve_admin,
     wait_for_stop_signal,
 };
+use celerycrank_sync::follow_service;
 use celerycrank_types::{ByteSize, Incarnation};
 use celerycrank_wire::PROTOCOL_VERSION;
 
@@ -28,6 +31,7 @@
     state: Rc<AgentState>,
     endpoint: LinkEndpoint,
     admin: HttpListener,
+    source: DeploymentSource,
 }
 
 impl fmt::Debug for AgentProcess {
@@ -53,7 +57,8 @@
         let metrics = AgentMetrics::register()?;
         let state = Rc::new(AgentState::new(settings, draw_incarnation(), metrics));
         if let DeploymentSource::Static(path) = source {
-            state.adopt(&StaticDeployment::read(path)?.configuration);
+            let deployment = StaticDeployment::read(path)?;
+            state.sync.on_service(&Arc::new(deployment.configuration));
         }
         let admin = HttpListener::bind(
             admin_address,
@@ -66,6 +71,7 @@
             state,
             endpoint,
             admin,
+            source: source.clone(),
         })
     }
 
@@ -101,6 +107,15 @@
         let admin = actix_rt::spawn(serve_admin(self.admin, pages));
         let accepting = accept_entries(Rc::clone(&self.state), self.endpoint.clone());
         let accepting = actix_rt::spawn(accepting);
+        let following = match &self.source {
+            DeploymentSource::Static(_) => None,
+            DeploymentSource::Platform(platform) => {
+                let client = KeyValueClient::new(&platform.key_value, platform.timeout);
+                let prefix = Arc::clone(&platform.prefix);
+                let sync = Rc::clone(&self.state.sync);
+                Some(actix_rt::spawn(follow_service(sync, client, prefix)))
+            }
+        };
         let backend = &self.state.settings.backend.backend;
         tracing::info!(%backend, %listen, %admin_listen, "agent serves");
         wait_for_stop_signal().await.map_err(AgentFault::Signal)?;
@@ -109,6 +124,9 @@
         self.state.drained().await;
         self.endpoint.close().await;
         accepting.abort();
+        if let Some(following) = following {
+            following.abort();
+        }
         admin.abort();
         tracing::info!("agent stopped");
         Ok(())
--- a/crates/celerycrank-agent/src/run.rs
+++ b/crates/celerycrank-agent/src/run.rs
@@ -4,7 +4,7 @@
 
 use actix_rt::time::{Instant, sleep, sleep_until};
 use celerycrank_link::MessageSender;
-use celerycrank_types::{RefusalReason, TimeSpan, UnknownReason};
+use celerycrank_types::{RefusalReason, Revision, TimeSpan, UnknownReason};
 use celerycrank_wire::{AnswerEnd, AnswerHead, BrokenReply, PeerReply, RefusedReply, RunOrder};
 
 use crate::{
@@ -53,6 +53,9 @@
     if state.shutdown.is_raised() {
         return Err(RunEnd::Refused(RefusalReason::BackendLeaving));
     }
+    if state.revision() == Revision(0) {
+        return Err(RunEnd::Refused(RefusalReason::NoConfiguration));
+    }
     if order.revision < state.revision() {
         return Err(RunEnd::Refused(RefusalReason::OldRevision));
     }
@@ -222,7 +225,7 @@
                 .incarnation(state.incarnation)
                 .revision(state.revision())
                 .reason(*reason)
-                .maybe_configuration(state.newer_configuration(order.revision))
+                .maybe_configuration(state.sync.update_for(order.revision))
                 .load(load)
                 .build();
             Some(PeerReply::Refused(Box::new(reply)))
--- a/crates/celerycrank-agent/src/state.rs
+++ b/crates/celerycrank-agent/src/state.rs
@@ -2,9 +2,10 @@
 
 use std::{cell::Cell, cell::RefCell, rc::Rc};
 
-use bytes::Bytes;
-use celerycrank_config::{AgentSettings, BackendKind, Configuration};
+use celerycrank_config::{AgentSettings, BackendKind};
+use celerycrank_membership::PeerFact;
 use celerycrank_process::{ProcessClock, ShutdownFlag};
+use celerycrank_sync::SyncState;
 use celerycrank_types::{Incarnation, Revision};
 use celerycrank_wire::{BackendOffer, LoadReport, OfferKind, WelcomeReply};
 use tokio::sync::Notify;
@@ -23,33 +24,33 @@
     pub(crate) ledger: RefCell<RequestLedger>,
     pub(crate) slots: SlotQueue,
     pub(crate) backend: BackendClient,
-    pub(crate) in_force: RefCell<Option<ConfigurationInForce>>,
+    pub(crate) sync: Rc<SyncState>,
     in_flight: Cell<u32>,
     idle: Notify,
 }
 
-/// The configuration that the agent has in force, as it passes it on.
-#[derive(Debug, Clone)]
-pub(crate) struct ConfigurationInForce {
-    pub(crate) revision: Revision,
-    pub(crate) json: Bytes,
-}
-
 impl AgentState {
     pub(crate) fn new(
         settings: AgentSettings,
         incarnation: Incarnation,
         metrics: AgentMetrics,
     ) -> Self {
+        let clock = ProcessClock::start();
+        let own = PeerFact {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+        };
+        // An agent only compares revisions; what its entries admitted travels with the order.
+        let sync = SyncState::new(own, clock, metrics.sync.clone(), Box::new(|_| {}));
         Self {
             incarnation,
-            clock: ProcessClock::start(),
+            clock,
             shutdown: ShutdownFlag::default(),
             metrics,
             ledger: RefCell::default(),
             slots: SlotQueue::new(settings.backend.concurrency, settings.backend.queue),
             backend: BackendClient::new(settings.backend.address),
-            in_force: RefCell::default(),
+            sync: Rc::new(sync),
             in_flight: Cell::new(0),
             idle: Notify::new(),
             settings,
@@ -58,30 +59,7 @@
 
     /// The revision in force; zero while none is known.
     pub(crate) fn revision(&self) -> Revision {
-        let in_force = self.in_force.borrow();
-        in_force
-            .as_ref()
-            .map_or(Revision(0), |known| known.revision)
-    }
-
-    /// Puts a configuration in force unless an equal or newer one is.
-    pub(crate) fn adopt(&self, configuration: &Configuration) {
-        if configuration.revision <= self.revision() {
-            return;
-        }
-        let json = serde_json::to_vec(configuration).expect("a configuration encodes as JSON");
-        tracing::info!(revision = %configuration.revision, "configuration in force");
-        *self.in_force.borrow_mut() = Some(ConfigurationInForce {
-            revision: configuration.revision,
-            json: json.into(),
-        });
-    }
-
-    /// The configuration for a peer that acts under an older revision.
-    pub(crate) fn newer_configuration(&self, than: Revision) -> Option<Bytes> {
-        let in_force = self.in_force.borrow();
-        let known = in_force.as_ref().filter(|known| known.revision > than)?;
-        Some(known.json.clone())
+        self.sync.revision()
     }
 
     pub(crate) fn load(&self) -> LoadReport {
--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -1,6 +1,6 @@
 //! Takes one request from a caller and checks it before it is dispatched.
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use actix_http::{
     Request, Response,
@@ -13,7 +13,6 @@
 use celerycrank_wire::{HttpField, RequestHead, RunOrder};
 
 use crate::{
-    authenticate::account_of,
     body::read_body,
     dispatch::{PreparedRequest, dispatch},
     refusal::refuse,
@@ -24,6 +23,8 @@
 /// The caller's key of a call that must not be repeated.
 const KEY_HEADER: &str = "idempotency-key";
 
+const BEARER_PREFIX: &str = "Bearer ";
+
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
@@ -40,11 +41,25 @@
     "x-request-id",
 ];
 
+/// A whole request of a caller, not yet admitted.
+#[derive(Debug)]
+pub(crate) struct RequestDraft {
+    arrival: TimePoint,
+    api_key: Arc<str>,
+    idempotency_key: Option<Arc<str>>,
+    head: RequestHead,
+    body: Bytes,
+}
+
 /// Answers one request of a caller.
 pub(crate) async fn answer_request(state: Rc<EntryState>, request: Request) -> Response<BoxBody> {
     state.metrics.requests.inc();
     let arrival = state.clock.now();
-    match prepare(&state, request, arrival).await {
+    let prepared = match read_draft(&state, request, arrival).await {
+        Ok(draft) => admit(&state, draft),
+        Err(reason) => Err(reason),
+    };
+    match prepared {
         Ok(prepared) => dispatch(state, prepared).await,
         Err(reason) => {
             state.metrics.refusals.count(reason);
@@ -53,56 +68,86 @@
     }
 }
 
-/// Checks who calls, what is asked for, and that the whole request is here.
-async fn prepare(
+/// Admits a request under the configuration in force.
+pub(crate) fn admit(
     state: &EntryState,
-    request: Request,
-    arrival: TimePoint,
+    draft: RequestDraft,
 ) -> Result<PreparedRequest, RefusalReason> {
     let in_force = state.in_force().ok_or(RefusalReason::NoConfiguration)?;
-    let (message, payload) = request.into_parts();
-    check_head_size(&message.headers, state.settings.limits.header.0)?;
-    let owner = in_force
-        .keys
-        .authenticate(&message.headers)
+    let table = &in_force.table;
+    let account = table
+        .authenticate(&draft.api_key)
         .ok_or(RefusalReason::UnknownKey)?;
-    let body = read_body(payload, &state.settings.limits).await?;
-    let plan = &in_force.configuration.plans.plans[owner.plan];
-    let resolved = resolve_use(plan, message.uri.path(), &body)?;
-    let key = match resolved.repeat {
-        RepeatRule::Keyed => Some(read_key(&message.headers)?),
+    let resolved = resolve_use(table, account, &draft.head, &draft.body)?;
+    let policy = resolved.policy;
+    let key = match policy.repeat {
+        RepeatRule::Keyed => Some(
+            draft
+                .idempotency_key
+                .clone()
+                .ok_or(RefusalReason::BadRequest)?,
+        ),
         RepeatRule::Never | RepeatRule::Repeatable => None,
     };
-    let head = RequestHead {
-        method: message.method.as_str().into(),
-        path: message
-            .uri
-            .path_and_query()
-            .map_or("/", |path| path.as_str())
-            .into(),
-        fields: end_to_end(&message.headers),
-    };
     let order = RunOrder::builder()
         .id(state.draw_request_id())
-        .revision(in_force.configuration.revision)
-        .account(account_of(&in_force.configuration, owner).clone())
-        .share(plan.share)
-        .priority(plan.priority)
+        .revision(in_force.revision)
+        .account(table.account(account).clone())
+        .share(policy.share)
+        .priority(policy.priority)
         .cost(resolved.cost)
-        .deadline(plan.deadline)
-        .repeat(resolved.repeat)
+        .deadline(policy.deadline)
+        .repeat(policy.repeat)
         .maybe_key(key)
-        .head(head)
-        .body(body)
+        .head(draft.head.clone())
+        .body(draft.body.clone())
         .build();
     Ok(PreparedRequest {
         order,
         kind: resolved.kind,
+        arrival: draft.arrival,
+        deadline: draft.arrival + policy.deadline,
+        draft,
+    })
+}
+
+/// Checks who calls, and takes the whole request.
+async fn read_draft(
+    state: &EntryState,
+    request: Request,
+    arrival: TimePoint,
+) -> Result<RequestDraft, RefusalReason> {
+    let in_force = state.in_force().ok_or(RefusalReason::NoConfiguration)?;
+    let (message, payload) = request.into_parts();
+    check_head_size(&message.headers, state.settings.limits.header.0)?;
+    let api_key = read_api_key(&message.headers).ok_or(RefusalReason::UnknownKey)?;
+    // A body is read for known callers only.
+    in_force
+        .table
+        .authenticate(&api_key)
+        .ok_or(RefusalReason::UnknownKey)?;
+    let idempotency_key = read_idempotency_key(&message.headers)?;
+    let body = read_body(payload, &state.settings.limits).await?;
+    let path = message.uri.path_and_query();
+    let head = RequestHead {
+        method: message.method.as_str().into(),
+        path: path.map_or("/", |path| path.as_str()).into(),
+        fields: end_to_end(&message.headers),
+    };
+    Ok(RequestDraft {
         arrival,
-        deadline: arrival + plan.deadline,
+        api_key,
+        idempotency_key,
+        head,
+        body,
     })
 }
 
+fn read_api_key(headers: &HeaderMap) -> Option<Arc<str>> {
+    let text = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    Some(text.strip_prefix(BEARER_PREFIX)?.trim().into())
+}
+
 fn check_head_size(headers: &HeaderMap, limit: u64) -> Result<(), RefusalReason> {
     let size = headers
         .iter()
@@ -114,10 +159,12 @@
     Ok(())
 }
 
-fn read_key(headers: &HeaderMap) -> Result<std::sync::Arc<str>, RefusalReason> {
-    let value = headers.get(KEY_HEADER).ok_or(RefusalReason::BadRequest)?;
+fn read_idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, RefusalReason> {
+    let Some(value) = headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
     match value.to_str() {
-        Ok(key) if !key.is_empty() && key.len() <= MAX_KEY_BYTES => Ok(key.into()),
+        Ok(key) if !key.is_empty() && key.len() <= MAX_KEY_BYTES => Ok(Some(key.into())),
         _ => Err(RefusalReason::BadRequest),
     }
 }
--- a/crates/celerycrank-entry/src/answer.rs
+++ b/crates/celerycrank-entry/src/answer.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     forward::{AttemptAnswer, SILENCE_LIMIT},
-    probe::watch_return,
+    probe::note_failure,
     refusal::{broken_event, tell_unknown},
     state::EntryState,
 };
@@ -182,7 +182,7 @@
                     return Err(UnknownReason::BadAnswer);
                 }
                 Ok(Ok(None) | Err(_)) | Err(_) => {
-                    watch_return(&self.state, &self.answer.record);
+                    note_failure(&self.state, &self.answer.record);
                     return Err(UnknownReason::LinkLost);
                 }
             };
--- a/crates/celerycrank-entry/src/dispatch.rs
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -8,6 +8,7 @@
 use smallvec::SmallVec;
 
 use crate::{
+    accept::{RequestDraft, admit},
     answer::pass_answer,
     forward::{AttemptEnd, forward},
     refusal::{refuse, tell_unknown},
@@ -25,6 +26,8 @@
     pub(crate) kind: OfferKind,
     pub(crate) arrival: TimePoint,
     pub(crate) deadline: TimePoint,
+    /// What the caller sent, to admit it again under a newer configuration.
+    pub(crate) draft: RequestDraft,
 }
 
 /// Why the last attempt did not run, which is told if there is no other.
@@ -44,7 +47,7 @@
         reason: RefusalReason::NoBackend,
         retry_after: None,
     };
-    while tried.len() < MAX_ATTEMPTS {
+    for _ in 0..MAX_ATTEMPTS {
         let now = state.clock.now();
         if now >= request.deadline {
             last.reason = RefusalReason::DeadlineUnreachable;
@@ -71,11 +74,24 @@
                 retry,
             } => (reason, retry_after, retry),
         };
-        tried.push(record.offer.backend.clone());
         last = LastRefusal {
             reason,
             retry_after,
         };
+        if reason == RefusalReason::OldRevision && state.revision() > request.order.revision {
+            // The agent's refusal brought the newer configuration; the request is judged by
+            // it as if it had only just arrived.
+            request = match admit(&state, request.draft) {
+                Ok(request) => request,
+                Err(reason) => {
+                    last.reason = reason;
+                    break;
+                }
+            };
+            state.metrics.retries.count(RetryReason::Refused);
+            continue;
+        }
+        tried.push(record.offer.backend.clone());
         let Some(retry) = retry else {
             break;
         };
--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -3,7 +3,6 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_rt::time::timeout;
-use celerycrank_config::Configuration;
 use celerycrank_link::{LinkFault, MessageReceiver, PeerLink, StreamFault};
 use celerycrank_types::{RefusalReason, RetryReason, TimeSpan, UnknownReason};
 use celerycrank_wire::{
@@ -12,7 +11,7 @@
 };
 
 use crate::{
-    probe::watch_return,
+    probe::note_failure,
     roster::{AgentRecord, OutstandingGuard},
     state::EntryState,
 };
@@ -137,7 +136,7 @@
     order: &RunOrder,
 ) -> AttemptEnd {
     state.pool.forget(record.address);
-    watch_return(state, record);
+    note_failure(state, record);
     if link.is_stopped() {
         return not_run(RefusalReason::BackendLeaving, RetryReason::Refused);
     }
@@ -167,10 +166,8 @@
 }
 
 fn refused(state: &EntryState, reply: &RefusedReply) -> AttemptEnd {
-    if let Some(json) = &reply.configuration
-        && let Ok(configuration) = serde_json::from_slice::<Configuration>(json)
-    {
-        state.adopt(configuration);
+    if let Some(update) = &reply.configuration {
+        state.sync.on_update(update);
     }
     AttemptEnd::NotRun {
         reason: reply.reason,
@@ -196,7 +193,7 @@
     record: &Rc<AgentRecord>,
     fault: &LinkFault,
 ) -> AttemptEnd {
-    watch_return(state, record);
+    note_failure(state, record);
     not_run(fault.refusal_reason(), RetryReason::ConnectFailed)
 }
 
--- a/crates/celerycrank-entry/src/lib.rs
+++ b/crates/celerycrank-entry/src/lib.rs
@@ -6,12 +6,12 @@
 mod accept;
 mod admin;
 mod answer;
-mod authenticate;
 mod body;
 mod dispatch;
 mod fault;
 mod forward;
 mod metrics;
+mod peer;
 mod probe;
 mod process;
 mod refusal;
@@ -19,9 +19,4 @@
 mod roster;
 mod state;
 
-pub use crate::{
-    authenticate::{KeyIndex, KeyOwner},
-    fault::EntryFault,
-    process::EntryProcess,
-    resolve::{ResolvedUse, resolve_use},
-};
+pub use crate::{fault::EntryFault, process::EntryProcess};
--- a/crates/celerycrank-entry/src/metrics.rs
+++ b/crates/celerycrank-entry/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The entry's counters.
 
 use celerycrank_process::{ConnectionEvent, CounterFault, LabelledCounter, MetricSet};
+use celerycrank_sync::SyncCounters;
 use celerycrank_types::{RefusalReason, RetryReason, UnknownReason};
 use prometheus::{Histogram, IntCounter, IntGauge};
 
@@ -21,6 +22,7 @@
     pub(crate) queue_wait: Histogram,
     pub(crate) decision: Histogram,
     pub(crate) connections: IntGauge,
+    pub(crate) sync: SyncCounters,
 }
 
 impl EntryMetrics {
@@ -64,6 +66,7 @@
                 "time to choose the agent of one request",
             )?,
             connections: set.gauge("celerycrank_entry_connections", "connections of callers")?,
+            sync: SyncCounters::register(&set)?,
             set,
         })
     }
--- /dev/null
+++ b/crates/celerycrank-entry/src/peer.rs
@@ -0,0 +1,70 @@
+//! Takes the orders of other entries, which concern the configuration only.
+
+use std::rc::Rc;
+
+use celerycrank_link::{LinkEndpoint, LinkIncoming, MessageReceiver, MessageSender, StreamFault};
+use celerycrank_types::Incarnation;
+use celerycrank_wire::{BackendOffer, LoadReport, OfferKind, PeerOrder, PeerReply, WelcomeReply};
+
+use crate::state::EntryState;
+
+/// Accepts connections of other entries until the endpoint is closed.
+pub(crate) async fn accept_peers(state: Rc<EntryState>, endpoint: LinkEndpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        actix_rt::spawn(serve_peer(Rc::clone(&state), endpoint.clone(), incoming));
+    }
+}
+
+async fn serve_peer(state: Rc<EntryState>, endpoint: LinkEndpoint, incoming: LinkIncoming) {
+    let Ok(connection) = incoming.handshake().await else {
+        state.metrics.wire_faults.inc();
+        return;
+    };
+    while let Some((sender, receiver)) = endpoint.accept_stream(&connection).await {
+        actix_rt::spawn(serve_stream(Rc::clone(&state), sender, receiver));
+    }
+}
+
+async fn serve_stream(
+    state: Rc<EntryState>,
+    mut sender: MessageSender,
+    mut receiver: MessageReceiver,
+) {
+    let order = match receiver.receive::<PeerOrder>().await {
+        Ok(Some(order)) => order,
+        Err(StreamFault::Wire(_)) => {
+            state.metrics.wire_faults.inc();
+            return;
+        }
+        Ok(None) | Err(_) => return,
+    };
+    let reply = match order {
+        PeerOrder::Hello(_) => PeerReply::Welcome(welcome(&state)),
+        PeerOrder::Offer(order) => PeerReply::Configuration(state.sync.answer_offer(&order)),
+        PeerOrder::Update(order) => PeerReply::Configuration(state.sync.answer_update(&order)),
+        PeerOrder::Pull(order) => PeerReply::Configuration(state.sync.answer_pull(&order)),
+        // An entry runs nothing; the sender takes the closed stream for a lost link.
+        PeerOrder::Run(_) | PeerOrder::Revoke(_) => {
+            state.metrics.wire_faults.inc();
+            return;
+        }
+    };
+    if sender.send(&reply).await.is_ok() {
+        sender.finish();
+    }
+}
+
+fn welcome(state: &EntryState) -> WelcomeReply {
+    let entry = state.settings.entry.as_str();
+    WelcomeReply {
+        incarnation: Incarnation(0),
+        revision: state.revision(),
+        offer: BackendOffer {
+            backend: entry.parse().expect("every id has one form"),
+            vm: entry.parse().expect("every id has one form"),
+            domain: state.settings.domain.clone(),
+            kind: OfferKind::Entry,
+        },
+        load: LoadReport::default(),
+    }
+}
--- a/crates/celerycrank-entry/src/process.rs
+++ b/crates/celerycrank-entry/src/process.rs
@@ -1,19 +1,28 @@
 //! The entry process: start, serve, shut down.
 
-use std::{cell::Cell, fmt, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, fmt, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use actix_rt::time::sleep;
-use celerycrank_config::EntrySettings;
+use actix_rt::{task::JoinHandle, time::sleep};
+use celerycrank_config::{Configuration, EntrySettings};
 use celerycrank_link::{LinkEndpoint, LinkKeys};
+use celerycrank_membership::PeerFact;
+use celerycrank_platform::{KeyValueClient, VmListClient};
 use celerycrank_process::{
-    DeploymentSource, HttpListener, ListenerLimits, ShutdownFlag, StaticDeployment, serve_admin,
-    wait_for_stop_signal,
+    DeploymentSource, HttpListener, ListenerLimits, ProcessClock, ShutdownFlag, StaticDeployment,
+    serve_admin, wait_for_stop_signal,
 };
+use celerycrank_sync::{SyncState, follow_list, follow_service, make_offers};
 use celerycrank_types::ByteSize;
 use celerycrank_wire::PROTOCOL_VERSION;
 
 use crate::{
-    EntryFault, accept::answer_request, admin::EntryPages, metrics::EntryMetrics, state::EntryState,
+    EntryFault,
+    accept::answer_request,
+    admin::EntryPages,
+    metrics::EntryMetrics,
+    peer::accept_peers,
+    probe::{follow_members, learn_members, take_welcome},
+    state::{ConfigurationInForce, EntryState, InForceCell},
 };
 
 /// Largest message of an agent: a part of an answer, or a configuration.
@@ -32,6 +41,7 @@
     callers: HttpListener,
     admin: HttpListener,
     agents: Vec<SocketAddr>,
+    source: DeploymentSource,
 }
 
 impl fmt::Debug for EntryProcess {
@@ -60,11 +70,14 @@
         };
         let (listen, admin) = (settings.listen, settings.admin);
         let metrics = EntryMetrics::register()?;
-        let state = Rc::new(EntryState::new(settings, endpoint.clone(), metrics));
+        let in_force = InForceCell::default();
+        let sync = Rc::new(start_sync(&settings, &metrics, &in_force));
+        let state = EntryState::new(settings, endpoint.clone(), metrics, sync, in_force);
+        let state = Rc::new(state);
         let mut agents = Vec::new();
         if let DeploymentSource::Static(path) = source {
             let deployment = StaticDeployment::read(path)?;
-            state.adopt(deployment.configuration);
+            state.sync.on_service(&Arc::new(deployment.configuration));
             agents = deployment.agents;
         }
         let callers = HttpListener::bind(listen, limits, state.shutdown.clone())
@@ -79,6 +92,7 @@
             callers,
             admin,
             agents,
+            source: source.clone(),
         })
     }
 
@@ -116,6 +130,7 @@
         });
         let admin = actix_rt::spawn(serve_admin(self.admin, pages));
         let learning = actix_rt::spawn(learn_agents(Rc::clone(&state), self.agents));
+        let following = follow_deployment(&state, &self.source, self.endpoint.clone());
         let serving = actix_rt::spawn(serve_callers(Rc::clone(&state), self.callers));
         tracing::info!(entry = %state.settings.entry, %listen, %admin_listen, "entry serves");
         wait_for_stop_signal().await.map_err(EntryFault::Signal)?;
@@ -126,6 +141,9 @@
         serving.abort();
         drain(&connections).await;
         learning.abort();
+        for task in following {
+            task.abort();
+        }
         self.endpoint.close().await;
         admin.abort();
         tracing::info!("entry stopped");
@@ -150,9 +168,9 @@
         for address in unknown {
             match state.pool.connect(address, state.revision()).await {
                 Ok(link) => {
-                    let welcome = &link.welcome;
-                    let mut roster = state.roster.borrow_mut();
-                    roster.insert(address, welcome.offer.clone(), welcome.load);
+                    if let Some(fact) = take_welcome(&state, address, &link.welcome) {
+                        state.sync.on_fact(&fact);
+                    }
                 }
                 Err(_) => silent.push(address),
             }
@@ -166,6 +184,55 @@
     state.ready.set(true);
 }
 
+fn start_sync(
+    settings: &EntrySettings,
+    metrics: &EntryMetrics,
+    in_force: &InForceCell,
+) -> SyncState {
+    let own = PeerFact {
+        vm: settings
+            .entry
+            .as_str()
+            .parse()
+            .expect("every id has one form"),
+        domain: settings.domain.clone(),
+    };
+    let in_force = Rc::clone(in_force);
+    let adopt = move |configuration: &Arc<Configuration>| {
+        *in_force.borrow_mut() = Some(Rc::new(ConfigurationInForce::compile(configuration)));
+    };
+    SyncState::new(
+        own,
+        ProcessClock::start(),
+        metrics.sync.clone(),
+        Box::new(adopt),
+    )
+}
+
+/// Starts the tasks that follow the platform's services, the peers and the members.
+fn follow_deployment(
+    state: &Rc<EntryState>,
+    source: &DeploymentSource,
+    endpoint: LinkEndpoint,
+) -> Vec<JoinHandle<()>> {
+    let mut tasks = vec![
+        actix_rt::spawn(follow_members(Rc::clone(state))),
+        actix_rt::spawn(accept_peers(Rc::clone(state), endpoint)),
+    ];
+    if let DeploymentSource::Platform(platform) = source {
+        let sync = Rc::clone(&state.sync);
+        let client = KeyValueClient::new(&platform.key_value, platform.timeout);
+        let service = follow_service(Rc::clone(&sync), client, Arc::clone(&platform.prefix));
+        tasks.push(actix_rt::spawn(service));
+        let client = VmListClient::new(Arc::clone(&platform.vm_list), platform.timeout);
+        let learner = Rc::clone(state);
+        let list = follow_list(Rc::clone(&sync), client, move || learn_members(&learner));
+        tasks.push(actix_rt::spawn(list));
+        tasks.push(actix_rt::spawn(make_offers(sync, Rc::clone(&state.pool))));
+    }
+    tasks
+}
+
 /// Waits until the last caller has left.
 async fn drain(connections: &Cell<u32>) {
     while connections.get() > 0 {
--- a/crates/celerycrank-entry/src/roster.rs
+++ b/crates/celerycrank-entry/src/roster.rs
@@ -2,7 +2,8 @@
 
 use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc};
 
-use celerycrank_types::BackendId;
+use celerycrank_membership::{MemberState, MemberTable, RampWeight};
+use celerycrank_types::{BackendId, TimePoint, VmId};
 use celerycrank_wire::{BackendOffer, LoadReport, OfferKind};
 use rand::Rng;
 use smallvec::SmallVec;
@@ -15,8 +16,9 @@
     load: Cell<LoadReport>,
     /// Requests of this entry that the agent has.
     outstanding: Cell<u32>,
-    /// Whether the agent failed and has not come back since.
-    down: Cell<bool>,
+    /// How the member table judges the agent's VM.
+    standing: Cell<MemberState>,
+    weight: Cell<RampWeight>,
 }
 
 /// A request that an agent has, until it is dropped.
@@ -31,15 +33,10 @@
         self.load.set(load);
     }
 
-    /// Notes that the agent failed; returns whether that is news.
-    pub(crate) fn note_failure(&self) -> bool {
-        !self.down.replace(true)
-    }
-
-    /// Notes that the agent has come back, as busy as it says.
-    pub(crate) fn note_return(&self, load: LoadReport) {
-        self.down.set(false);
-        self.load.set(load);
+    /// Takes the member table's judgement.
+    pub(crate) fn judge(&self, standing: MemberState, weight: RampWeight) {
+        self.standing.set(standing);
+        self.weight.set(weight);
     }
 
     /// Counts a request as handed to the agent.
@@ -54,14 +51,21 @@
         self.load.get()
     }
 
-    /// How busy the agent is, for comparison with others.
-    fn pressure(&self) -> u32 {
+    /// How busy the agent is, for comparison with others; one that starts slowly counts
+    /// as busier.
+    fn pressure(&self) -> u64 {
         let load = self.load.get();
-        self.outstanding.get().max(load.running + load.queued)
+        let requests = self.outstanding.get().max(load.running + load.queued);
+        let weight = self.weight.get().thousandths().max(1);
+        u64::from(requests + 1) * u64::from(RampWeight::FULL.thousandths()) / u64::from(weight)
+    }
+
+    fn is_suspect(&self) -> bool {
+        !self.load.get().leaving && self.standing.get() == MemberState::Suspect
     }
 
     fn is_usable(&self) -> bool {
-        !self.load.get().leaving && !self.down.get()
+        !self.load.get().leaving && self.standing.get().takes_work()
     }
 }
 
@@ -90,7 +94,8 @@
             offer,
             load: Cell::new(load),
             outstanding: Cell::new(0),
-            down: Cell::new(false),
+            standing: Cell::new(MemberState::Ramping),
+            weight: Cell::new(RampWeight::FULL),
         }));
     }
 
@@ -111,7 +116,14 @@
         let untried = untried.collect::<SmallVec<[_; 32]>>();
         let usable = untried.iter().copied().filter(|record| record.is_usable());
         let usable = usable.collect::<SmallVec<[_; 32]>>();
-        let pool = if usable.is_empty() { untried } else { usable };
+        // A member that failed may be back before a probe shows it; one that is leaving or
+        // stopping gets nothing.
+        let pool = if usable.is_empty() {
+            let suspect = untried.iter().copied().filter(|record| record.is_suspect());
+            suspect.collect()
+        } else {
+            usable
+        };
         if pool.is_empty() {
             return None;
         }
@@ -125,6 +137,28 @@
         Some(Rc::clone(best))
     }
 
+    /// Takes the member table's judgement of every agent, and drops those that are gone.
+    pub(crate) fn judge_all(&mut self, members: &MemberTable, now: TimePoint) {
+        let views = members
+            .views(now)
+            .map(|view| (&view.fact.vm, view))
+            .collect::<HashMap<_, _>>();
+        for records in self.by_kind.values_mut() {
+            records.retain(|record| match views.get(&record.offer.vm) {
+                Some(view) => {
+                    record.judge(view.state, view.weight);
+                    true
+                }
+                None => false,
+            });
+        }
+    }
+
+    /// Whether an agent on this VM is known.
+    pub(crate) fn knows(&self, vm: &VmId) -> bool {
+        self.records().any(|record| record.offer.vm == *vm)
+    }
+
     /// Every agent, in no order.
     pub(crate) fn records(&self) -> impl Iterator<Item = &Rc<AgentRecord>> {
         self.by_kind.values().flatten()
--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -1,14 +1,19 @@
 //! What the tasks of an entry share.
 
-use std::{cell::Cell, cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
-use celerycrank_config::{Configuration, EntrySettings};
+use celerycrank_config::{Configuration, EntrySettings, PolicyTable};
 use celerycrank_link::{LinkEndpoint, LinkPool};
 use celerycrank_process::{ProcessClock, ShutdownFlag};
+use celerycrank_sync::SyncState;
 use celerycrank_types::{RequestId, Revision};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use crate::{KeyIndex, metrics::EntryMetrics, roster::AgentRoster};
+use crate::{metrics::EntryMetrics, roster::AgentRoster};
 
 /// What the tasks of an entry share; all of them run on one arbiter.
 pub(crate) struct EntryState {
@@ -16,19 +21,35 @@
     pub(crate) clock: ProcessClock,
     pub(crate) shutdown: ShutdownFlag,
     pub(crate) metrics: EntryMetrics,
-    pub(crate) pool: LinkPool,
+    pub(crate) pool: Rc<LinkPool>,
+    pub(crate) sync: Rc<SyncState>,
     pub(crate) roster: RefCell<AgentRoster>,
     pub(crate) random: RefCell<StdRng>,
     /// Whether the balancer may send requests here.
     pub(crate) ready: Cell<bool>,
-    in_force: RefCell<Option<Rc<ConfigurationInForce>>>,
+    in_force: InForceCell,
 }
 
-/// The configuration that the entry has in force, and its index.
+/// Where the configuration in force is kept; shared with the callback that replaces it.
+pub(crate) type InForceCell = Rc<RefCell<Option<Rc<ConfigurationInForce>>>>;
+
+/// The configuration that the entry has in force, compiled.
 #[derive(Debug)]
 pub(crate) struct ConfigurationInForce {
-    pub(crate) configuration: Configuration,
-    pub(crate) keys: KeyIndex,
+    pub(crate) revision: Revision,
+    pub(crate) configuration: Arc<Configuration>,
+    pub(crate) table: PolicyTable,
+}
+
+impl ConfigurationInForce {
+    /// Compiles a configuration.
+    pub(crate) fn compile(configuration: &Arc<Configuration>) -> Self {
+        Self {
+            revision: configuration.revision,
+            table: PolicyTable::new(configuration),
+            configuration: Arc::clone(configuration),
+        }
+    }
 }
 
 impl EntryState {
@@ -36,16 +57,19 @@
         settings: EntrySettings,
         endpoint: LinkEndpoint,
         metrics: EntryMetrics,
+        sync: Rc<SyncState>,
+        in_force: InForceCell,
     ) -> Self {
         Self {
             clock: ProcessClock::start(),
             shutdown: ShutdownFlag::default(),
             metrics,
-            pool: LinkPool::new(endpoint, settings.entry.clone()),
+            pool: Rc::new(LinkPool::new(endpoint, settings.entry.clone())),
+            sync,
             roster: RefCell::default(),
             random: RefCell::new(StdRng::from_os_rng()),
             ready: Cell::new(false),
-            in_force: RefCell::default(),
+            in_force,
             settings,
         }
     }
@@ -57,23 +81,7 @@
 
     /// The revision in force; zero while none is known.
     pub(crate) fn revision(&self) -> Revision {
-        let in_force = self.in_force.borrow();
-        in_force
-            .as_ref()
-            .map_or(Revision(0), |known| known.configuration.revision)
-    }
-
-    /// Puts a configuration in force unless an equal or newer one is.
-    pub(crate) fn adopt(&self, configuration: Configuration) {
-        if configuration.revision <= self.revision() {
-            return;
-        }
-        tracing::info!(revision = %configuration.revision, "configuration in force");
-        let keys = KeyIndex::new(&configuration);
-        *self.in_force.borrow_mut() = Some(Rc::new(ConfigurationInForce {
-            configuration,
-            keys,
-        }));
+        self.sync.revision()
     }
 
     pub(crate) fn draw_request_id(&self) -> RequestId {
--- a/crates/celerycrank-membership/src/member.rs
+++ b/crates/celerycrank-membership/src/member.rs
@@ -16,6 +16,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::PeerFact;
+
 static CHART: LazyLock<StateChart<MemberState, MemberEvidence, MemberAction>> =
     LazyLock::new(|| {
         StateChart::parse(include_str!("../charts/member.json")).expect("the member chart is valid")
@@ -33,6 +35,14 @@
     Service(ServiceId),
 }
 
+impl VmRole {
+    /// Whether the VM runs an entry.
+    #[must_use]
+    pub const fn is_entry(&self) -> bool {
+        matches!(self, Self::Entry)
+    }
+}
+
 /// The unchanging facts about one life of a VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmFact {
@@ -50,6 +60,17 @@
     pub group: Option<GroupId>,
 }
 
+impl VmFact {
+    /// The VM as the watcher roster sees it.
+    #[must_use]
+    pub fn peer(&self) -> PeerFact {
+        PeerFact {
+            vm: self.vm.clone(),
+            domain: self.domain.clone(),
+        }
+    }
+}
+
 /// How a VM stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -208,6 +229,12 @@
         }
     }
 
+    /// Takes the facts about one VM that is known to be live.
+    pub fn on_fact(&mut self, fact: &VmFact, now: TimePoint) {
+        self.insert(fact, now);
+        self.observe(&fact.vm, MemberEvidence::Listed, now);
+    }
+
     /// Takes one whole reading of the VM list.
     ///
     /// Each fact comes with whether the list marks the VM as leaving. Members that the
@@ -290,6 +317,24 @@
             .map_or(MemberState::Unseen, |record| record.state)
     }
 
+    /// The facts about one VM that is not gone.
+    #[must_use]
+    pub fn fact(&self, vm: &VmId) -> Option<&VmFact> {
+        let record = self
+            .records
+            .get(vm)
+            .filter(|record| record.state != MemberState::Gone);
+        record.map(|record| &record.fact)
+    }
+
+    /// The facts about every VM that is due to be probed.
+    pub fn probing(&self) -> impl Iterator<Item = &VmFact> {
+        let probing = self
+            .present()
+            .filter(|record| record.state == MemberState::Probing);
+        probing.map(|record| &record.fact)
+    }
+
     /// The facts about every VM that is not gone, in order of id.
     pub fn facts(&self) -> impl Iterator<Item = &VmFact> {
         self.present().map(|record| &record.fact)
--- a/crates/celerycrank-platform/src/vm.rs
+++ b/crates/celerycrank-platform/src/vm.rs
@@ -58,6 +58,8 @@
     Model(ModelId),
     /// A plain service.
     Service(ServiceId),
+    /// No backend server: the VM runs an entry.
+    Entry,
 }
 
 /// Whether a VM is live, as the platform last saw it.
@@ -205,7 +207,12 @@
         match labels.get(KIND_LABEL).map(|kind| &**kind) {
             Some("model") => name.parse().map(VmOffer::Model),
             Some("service") => name.parse().map(VmOffer::Service),
-            _ => return Err(malformed("a slice is neither a model's nor a service's")),
+            Some("entry") => Ok(VmOffer::Entry),
+            _ => {
+                return Err(malformed(
+                    "a slice is neither a model's, a service's nor the entries'",
+                ));
+            }
         }
         .map_err(|e| malformed(&e.to_string()))
     }
--- a/crates/celerycrank-standin/src/vm_list.rs
+++ b/crates/celerycrank-standin/src/vm_list.rs
@@ -42,6 +42,8 @@
     Model(ModelId),
     /// A plain service.
     Service(ServiceId),
+    /// No backend server: the VM runs an entry.
+    Entry,
 }
 
 /// A running stand-in for the VM list.
@@ -200,6 +202,7 @@
     let (kind, name) = match &vm.offers {
         ListedOffer::Model(model) => ("model", model.as_str()),
         ListedOffer::Service(service) => ("service", service.as_str()),
+        ListedOffer::Entry => ("entry", "celerycrank-entry"),
     };
     let family = if vm.address.is_ipv4() { "IPv4" } else { "IPv6" };
     json!({
--- /dev/null
+++ b/crates/celerycrank-sync/src/lib.rs
@@ -0,0 +1,16 @@
+//! Runs the decisions about configuration and membership in a process.
+//!
+//! [`SyncState`] holds the keeper of the configuration and, at an entry, the member
+//! table; the tasks beside it read the platform's services and make offers to peers.
+
+mod list;
+mod offer;
+mod service;
+mod state;
+
+pub use crate::{
+    list::follow_list,
+    offer::make_offers,
+    service::follow_service,
+    state::{SyncCounters, SyncState},
+};
--- /dev/null
+++ b/crates/celerycrank-sync/src/offer.rs
@@ -0,0 +1,71 @@
+//! A watcher's offers to its peers, and the exchange that follows each.
+
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
+
+use actix_rt::time::{sleep, timeout};
+use celerycrank_link::{LinkPool, PeerLink};
+use celerycrank_membership::{OfferFollowUp, VmFact};
+use celerycrank_types::VmId;
+use celerycrank_wire::{ConfigurationReply, PeerOrder, PeerReply, PullOrder};
+
+use crate::state::SyncState;
+
+/// Interval at which due offers are looked for.
+const TICK: Duration = Duration::from_millis(50);
+/// Longest time for one exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Makes the offers of this process as they fall due.
+pub async fn make_offers(state: Rc<SyncState>, pool: Rc<LinkPool>) {
+    let busy = Rc::new(RefCell::new(BTreeSet::new()));
+    loop {
+        for peer in state.due_offers() {
+            if busy.borrow_mut().insert(peer.vm.clone()) {
+                let (state, pool) = (Rc::clone(&state), Rc::clone(&pool));
+                actix_rt::spawn(offer_to(state, pool, peer, Rc::clone(&busy)));
+            }
+        }
+        sleep(TICK).await;
+    }
+}
+
+/// Peers with an exchange under way.
+type BusyPeers = Rc<RefCell<BTreeSet<VmId>>>;
+
+async fn offer_to(state: Rc<SyncState>, pool: Rc<LinkPool>, peer: VmFact, busy: BusyPeers) {
+    state.counters.offers.inc();
+    let exchanging = timeout(EXCHANGE_TIMEOUT, exchange(&state, &pool, &peer));
+    if !matches!(exchanging.await, Ok(Some(()))) {
+        state.counters.unanswered.inc();
+    }
+    busy.borrow_mut().remove(&peer.vm);
+}
+
+async fn exchange(state: &SyncState, pool: &LinkPool, peer: &VmFact) -> Option<()> {
+    let link = pool.connect(peer.address, state.revision()).await.ok()?;
+    let reply = ask(&link, PeerOrder::Offer(state.offer())).await?;
+    match state.follow_up(reply.revision) {
+        OfferFollowUp::Nothing => {}
+        OfferFollowUp::Push(update) => {
+            ask(&link, PeerOrder::Update(state.update_order(peer, &update))).await?;
+        }
+        OfferFollowUp::Pull => {
+            let pull = PullOrder {
+                revision: state.revision(),
+            };
+            let reply = ask(&link, PeerOrder::Pull(pull)).await?;
+            if let Some(update) = &reply.configuration {
+                state.on_update(update);
+            }
+        }
+    }
+    Some(())
+}
+
+async fn ask(link: &PeerLink, order: PeerOrder) -> Option<ConfigurationReply> {
+    let (_sender, mut receiver) = link.send(&order).await.ok()?;
+    match receiver.receive().await {
+        Ok(Some(PeerReply::Configuration(reply))) => Some(reply),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-sync/src/service.rs
@@ -0,0 +1,91 @@
+//! Reads the configuration from the key-value service.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use actix_rt::time::sleep;
+use celerycrank_config::ConfigurationRecord;
+use celerycrank_platform::{
+    KeyValueClient, KeyValueFault, KeyValueRecord, ModRevision, WatchEvent, WatchTarget,
+};
+use celerycrank_types::TimeSpan;
+use rand::Rng;
+
+use crate::state::SyncState;
+
+/// Longest wait for an event before the record is read again, in case the watch is late.
+const REREAD_INTERVAL: TimeSpan = TimeSpan::from_secs(2);
+/// Interval at which a process without duties looks whether it has some.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest wait after a failed call.
+const LEAST_BACKOFF: Duration = Duration::from_millis(200);
+/// Longest wait after failed calls; jittered, so that no stampede meets the service.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
+
+/// Reads the service while the process has learnt nothing, and watches it while the
+/// process is a watcher.
+pub async fn follow_service(state: Rc<SyncState>, client: KeyValueClient, prefix: Arc<str>) {
+    let key = Arc::<str>::from(ConfigurationRecord::key(&prefix));
+    let mut backoff = LEAST_BACKOFF;
+    loop {
+        if !state.reads_service() {
+            sleep(IDLE_INTERVAL).await;
+            continue;
+        }
+        if read_and_watch(&state, &client, &key).await.is_ok() {
+            backoff = LEAST_BACKOFF;
+            continue;
+        }
+        state.counters.service_faults.inc();
+        let jitter = rand::rng().random_range(0.5..1.5);
+        sleep(backoff.mul_f64(jitter)).await;
+        backoff = (backoff * 2).min(LONGEST_BACKOFF);
+    }
+}
+
+async fn read_and_watch(
+    state: &SyncState,
+    client: &KeyValueClient,
+    key: &Arc<str>,
+) -> Result<(), KeyValueFault> {
+    let record = client.get(key).await?;
+    let from = record
+        .as_ref()
+        .map_or(ModRevision(0), |record| record.revision)
+        .next();
+    if let Some(record) = &record {
+        take_record(state, record);
+    }
+    if !state.is_watcher() {
+        sleep(IDLE_INTERVAL).await;
+        return Ok(());
+    }
+    let mut watch = client
+        .watch(&WatchTarget::Key(Arc::clone(key)), from)
+        .await?;
+    while state.is_watcher() {
+        match watch.next_within(REREAD_INTERVAL).await? {
+            Some(WatchEvent::Put(record)) => take_record(state, &record),
+            Some(WatchEvent::Deleted { .. }) => {}
+            None => reread(state, client, key).await?,
+        }
+    }
+    Ok(())
+}
+
+async fn reread(
+    state: &SyncState,
+    client: &KeyValueClient,
+    key: &str,
+) -> Result<(), KeyValueFault> {
+    if let Some(record) = client.get(key).await? {
+        take_record(state, &record);
+    }
+    Ok(())
+}
+
+fn take_record(state: &SyncState, record: &KeyValueRecord) {
+    match serde_json::from_slice::<ConfigurationRecord>(&record.value) {
+        Ok(record) => state.on_service(&Arc::new(record.configuration())),
+        Err(_) => state.counters.malformed.inc(),
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-sync/src/state.rs
@@ -0,0 +1,282 @@
+//! What the tasks of a process share about configuration and membership.
+
+use std::{
+    cell::{Ref, RefCell},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+use celerycrank_config::Configuration;
+use celerycrank_membership::{
+    ConfigurationKeeper, MemberEvidence, MemberTable, MemberTimings, OfferFollowUp, OfferTargets,
+    PeerFact, SpreadTimings, UpdateMessage, VmFact,
+};
+use celerycrank_process::{CounterFault, MetricSet, ProcessClock};
+use celerycrank_types::{Revision, VmId};
+use celerycrank_wire::{ConfigurationReply, OfferOrder, PullOrder, UpdateOrder};
+use prometheus::IntCounter;
+
+/// Called with each configuration as it is put in force.
+pub type AdoptCallback = Box<dyn Fn(&Arc<Configuration>)>;
+
+/// Counters of configuration and membership.
+#[derive(Debug, Clone)]
+pub struct SyncCounters {
+    /// Configurations put in force.
+    pub adopted: IntCounter,
+    /// Updates that could not be decoded.
+    pub malformed: IntCounter,
+    /// Offers made to peers.
+    pub offers: IntCounter,
+    /// Offers that a peer did not answer.
+    pub unanswered: IntCounter,
+    /// Calls of the key-value service that failed.
+    pub service_faults: IntCounter,
+    /// Readings of the VM list that failed.
+    pub list_faults: IntCounter,
+}
+
+impl SyncCounters {
+    /// Registers the counters.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a name is registered already.
+    pub fn register(set: &MetricSet) -> Result<Self, CounterFault> {
+        let counter =
+            |name: &str, help: &str| set.counter(&format!("celerycrank_sync_{name}"), help);
+        Ok(Self {
+            adopted: counter("adopted_total", "configurations put in force")?,
+            malformed: counter("malformed_total", "updates that could not be decoded")?,
+            offers: counter("offers_total", "revision offers made to peers")?,
+            unanswered: counter("unanswered_total", "revision offers not answered")?,
+            service_faults: counter("service_faults_total", "failed key-value calls")?,
+            list_faults: counter("list_faults_total", "failed readings of the VM list")?,
+        })
+    }
+}
+
+/// The configuration and the members that a process knows; lives on one arbiter.
+pub struct SyncState {
+    own: PeerFact,
+    clock: ProcessClock,
+    keeper: RefCell<ConfigurationKeeper>,
+    members: RefCell<MemberTable>,
+    /// Peers to tell at once of a revision just learnt.
+    urgent: RefCell<OfferTargets>,
+    adopt: AdoptCallback,
+    pub(crate) counters: SyncCounters,
+}
+
+impl std::fmt::Debug for SyncState {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("SyncState")
+            .field("own", &self.own)
+            .finish_non_exhaustive()
+    }
+}
+
+impl SyncState {
+    /// The state of a process that has learnt nothing yet.
+    #[must_use]
+    pub fn new(
+        own: PeerFact,
+        clock: ProcessClock,
+        counters: SyncCounters,
+        adopt: AdoptCallback,
+    ) -> Self {
+        Self {
+            keeper: RefCell::new(ConfigurationKeeper::new(
+                own.clone(),
+                SpreadTimings::default(),
+            )),
+            members: RefCell::new(MemberTable::new(MemberTimings::default())),
+            urgent: RefCell::default(),
+            own,
+            clock,
+            adopt,
+            counters,
+        }
+    }
+
+    /// The revision in force; zero before the first configuration.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.keeper.borrow().revision()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.keeper.borrow().configuration().cloned()
+    }
+
+    /// The member table.
+    pub fn members(&self) -> Ref<'_, MemberTable> {
+        self.members.borrow()
+    }
+
+    /// Takes one piece of evidence about a VM.
+    pub fn observe(&self, vm: &VmId, evidence: MemberEvidence) {
+        let before = self.members.borrow().state(vm);
+        self.members
+            .borrow_mut()
+            .observe(vm, evidence, self.clock.now());
+        let after = self.members.borrow().state(vm);
+        if before != after {
+            tracing::info!(%vm, ?evidence, ?before, ?after, "member changed");
+        }
+    }
+
+    /// Takes the facts about a VM learnt without the list.
+    pub fn on_fact(&self, fact: &VmFact) {
+        self.members.borrow_mut().on_fact(fact, self.clock.now());
+    }
+
+    /// Takes one reading of the VM list.
+    pub fn on_list(&self, facts: &[(VmFact, bool)]) {
+        let now = self.clock.now();
+        self.members.borrow_mut().on_list(facts, now);
+        let members = self.members.borrow();
+        let peers = |entries: bool| {
+            let of_kind = members
+                .facts()
+                .filter(move |fact| fact.role.is_entry() == entries);
+            of_kind.map(VmFact::peer).collect::<Vec<_>>()
+        };
+        self.keeper
+            .borrow_mut()
+            .on_peers(&peers(true), &peers(false), now);
+    }
+
+    /// Ends slow starts and begins probes; returns the VMs to probe.
+    pub fn tick_members(&self) -> Vec<VmFact> {
+        let now = self.clock.now();
+        self.members.borrow_mut().on_tick(now);
+        let members = self.members.borrow();
+        members.probing().cloned().collect()
+    }
+
+    /// Takes what the key-value service holds.
+    pub fn on_service(&self, configuration: &Arc<Configuration>) {
+        self.change(|keeper| keeper.on_service(configuration));
+    }
+
+    /// Whether the process reads the key-value service at present.
+    #[must_use]
+    pub fn reads_service(&self) -> bool {
+        let keeper = self.keeper.borrow();
+        keeper.configuration().is_none() || keeper.is_watcher()
+    }
+
+    /// Whether the process watches the key-value service.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        self.keeper.borrow().is_watcher()
+    }
+
+    /// What brings a peer to the revision in force, as JSON, if the peer is behind.
+    #[must_use]
+    pub fn update_for(&self, peer: Revision) -> Option<Bytes> {
+        self.keeper
+            .borrow()
+            .update_for(peer)
+            .as_ref()
+            .map(encode_update)
+    }
+
+    /// Takes an update that came with a refusal or answered a pull.
+    pub fn on_update(&self, update: &Bytes) {
+        if let Some(update) = self.decode_update(update) {
+            self.change(|keeper| keeper.on_update(update));
+        }
+    }
+
+    /// Answers a watcher's offer.
+    #[must_use]
+    pub fn answer_offer(&self, _order: &OfferOrder) -> ConfigurationReply {
+        ConfigurationReply {
+            revision: self.revision(),
+            configuration: None,
+        }
+    }
+
+    /// Answers a watcher's update.
+    #[must_use]
+    pub fn answer_update(&self, order: &UpdateOrder) -> ConfigurationReply {
+        if let Some(update) = self.decode_update(&order.update) {
+            let watchers = usize::from(order.watchers);
+            self.change(|keeper| keeper.on_push(&order.watcher, watchers, update));
+        }
+        ConfigurationReply {
+            revision: self.revision(),
+            configuration: None,
+        }
+    }
+
+    /// Answers a pull.
+    #[must_use]
+    pub fn answer_pull(&self, order: &PullOrder) -> ConfigurationReply {
+        let configuration = self.update_for(order.revision);
+        ConfigurationReply {
+            revision: self.revision(),
+            configuration,
+        }
+    }
+
+    /// The peers that an offer is due to, with their addresses.
+    pub(crate) fn due_offers(&self) -> Vec<VmFact> {
+        let mut due = std::mem::take(&mut *self.urgent.borrow_mut());
+        due.extend(self.keeper.borrow_mut().on_tick(self.clock.now()));
+        let members = self.members.borrow();
+        due.iter()
+            .filter_map(|vm| members.fact(vm).cloned())
+            .collect()
+    }
+
+    pub(crate) fn offer(&self) -> OfferOrder {
+        OfferOrder {
+            watcher: self.own.vm.clone(),
+            revision: self.revision(),
+        }
+    }
+
+    pub(crate) fn follow_up(&self, peer: Revision) -> OfferFollowUp {
+        self.keeper.borrow().on_offer_reply(peer)
+    }
+
+    pub(crate) fn update_order(&self, peer: &VmFact, update: &UpdateMessage) -> UpdateOrder {
+        let watchers = self.keeper.borrow().watchers_of(&peer.domain);
+        UpdateOrder {
+            watcher: self.own.vm.clone(),
+            watchers: u8::try_from(watchers).unwrap_or(u8::MAX),
+            update: encode_update(update),
+        }
+    }
+
+    fn decode_update(&self, update: &Bytes) -> Option<UpdateMessage> {
+        let decoded = serde_json::from_slice(update).ok();
+        if decoded.is_none() {
+            self.counters.malformed.inc();
+        }
+        decoded
+    }
+
+    fn change(&self, step: impl FnOnce(&mut ConfigurationKeeper) -> OfferTargets) {
+        let before = self.revision();
+        let targets = step(&mut self.keeper.borrow_mut());
+        self.urgent.borrow_mut().extend(targets);
+        let Some(configuration) = self.configuration().filter(|now| now.revision > before) else {
+            return;
+        };
+        self.counters.adopted.inc();
+        tracing::info!(revision = %configuration.revision, "configuration in force");
+        (self.adopt)(&configuration);
+    }
+}
+
+fn encode_update(update: &UpdateMessage) -> Bytes {
+    serde_json::to_vec(update)
+        .expect("an update always has a JSON form")
+        .into()
+}
--- a/crates/celerycrank-wire/src/lib.rs
+++ b/crates/celerycrank-wire/src/lib.rs
@@ -9,7 +9,10 @@
 
 pub use crate::{
     frame::{FRAME_HEAD_BYTES, FrameReader, PROTOCOL_VERSION, WireFault, encode_frame},
-    order::{HelloOrder, HttpField, PeerOrder, PullOrder, RequestHead, RevokeOrder, RunOrder},
+    order::{
+        HelloOrder, HttpField, OfferOrder, PeerOrder, PullOrder, RequestHead, RevokeOrder,
+        RunOrder, UpdateOrder,
+    },
     reply::{
         AnswerEnd, AnswerHead, BackendOffer, BrokenReply, ConfigurationReply, LoadReport,
         OfferKind, PeerReply, RefusedReply, RevokeReply, RevokeVerdict, WelcomeReply,
--- a/crates/celerycrank-wire/src/order.rs
+++ b/crates/celerycrank-wire/src/order.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerycrank_config::{PriorityClass, RepeatRule};
 use celerycrank_types::{
-    AccountId, EntryId, RequestId, Revision, ShareWeight, TimeSpan, TokenCount,
+    AccountId, EntryId, RequestId, Revision, ShareWeight, TimeSpan, TokenCount, VmId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,10 @@
     Revoke(RevokeOrder),
     /// Asks for the configuration that the peer has in force.
     Pull(PullOrder),
+    /// Names the revision that a watcher has in force.
+    Offer(OfferOrder),
+    /// Sends what is newer than the peer's revision.
+    Update(UpdateOrder),
 }
 
 /// Introduces an entry to an agent.
@@ -91,3 +95,23 @@
     /// The revision that the sender has in force.
     pub revision: Revision,
 }
+
+/// Names the revision that a watcher of the key-value service has in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferOrder {
+    /// The watcher.
+    pub watcher: VmId,
+    /// The revision that it has in force.
+    pub revision: Revision,
+}
+
+/// Sends what is newer than the peer's revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpdateOrder {
+    /// The watcher.
+    pub watcher: VmId,
+    /// How many entries watch for the peer's failure domain.
+    pub watchers: u8,
+    /// The update as JSON.
+    pub update: Bytes,
+}
--- a/crates/celerycrank-wire/src/reply.rs
+++ b/crates/celerycrank-wire/src/reply.rs
@@ -70,6 +70,8 @@
     Model(ModelId),
     /// A plain service.
     Service(ServiceId),
+    /// No backend server: the peer is an entry.
+    Entry,
 }
 
 /// How busy an agent is at the moment of a reply.
@@ -126,7 +128,7 @@
     pub reason: RefusalReason,
     /// When a new attempt may succeed, if that is known.
     pub retry_after: Option<TimeSpan>,
-    /// The agent's configuration as JSON, if the sender's is older.
+    /// What brings the sender to the agent's revision, as JSON, if the sender's is older.
     pub configuration: Option<Bytes>,
     /// How busy the agent is.
     pub load: LoadReport,
@@ -172,6 +174,6 @@
 pub struct ConfigurationReply {
     /// The revision that the sender has in force.
     pub revision: Revision,
-    /// The configuration as JSON, if it is newer than the asker's.
+    /// What brings the asker to that revision, as JSON, if the asker's is older.
     pub configuration: Option<Bytes>,
 }
