--- /dev/null
+++ b/crates/celerycrank-bench/src/path/children.rs
@@ -0,0 +1,284 @@
+//! The processes under measurement.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader, Read},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use celerycrank_config::KeyHash;
+use celerycrank_link::DeploymentAuthority;
+use serde_json::{Value, json};
+
+/// The API key of the callers.
+pub(crate) const KEY: &str = "bench-key";
+
+/// Longest wait until a request passes.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Stand-in, two agents beside it, and an entry; all are killed when dropped.
+#[derive(Debug)]
+pub(crate) struct PathChildren {
+    directory: PathBuf,
+    target: ChildProcess,
+    service: ChildProcess,
+    engine: ChildProcess,
+    entry: ChildProcess,
+}
+
+#[derive(Debug)]
+struct ChildProcess {
+    child: Child,
+    address: SocketAddr,
+}
+
+impl PathChildren {
+    /// Starts everything and waits until requests pass.
+    pub(crate) fn start() -> Self {
+        let directory = std::env::temp_dir().join(format!("celerycrank-{}", std::process::id()));
+        fs::create_dir_all(&directory).expect("the directory is ours");
+        write_keys(&directory);
+        let own = std::env::current_exe().expect("the program has a path");
+        let target = ChildProcess::start(Command::new(own).args(["path", "--target"]));
+        let service = start_agent(
+            &directory,
+            &json!({ "service": "catalogue" }),
+            target.address,
+        );
+        let engine = start_agent(&directory, &json!({ "engine": "granite" }), target.address);
+        let entry = start_entry(&directory, &[service.address, engine.address]);
+        let children = Self {
+            directory,
+            target,
+            service,
+            engine,
+            entry,
+        };
+        children.wait_ready();
+        children
+    }
+
+    pub(crate) const fn target(&self) -> SocketAddr {
+        self.target.address
+    }
+
+    pub(crate) const fn entry(&self) -> SocketAddr {
+        self.entry.address
+    }
+
+    /// Resident memory of the entry, in KiB.
+    pub(crate) fn entry_memory(&self) -> u64 {
+        self.entry.memory()
+    }
+
+    /// Resident memory of the agent of the plain service, in KiB.
+    pub(crate) fn agent_memory(&self) -> u64 {
+        self.service.memory()
+    }
+
+    fn wait_ready(&self) {
+        let limit = Instant::now() + START_TIMEOUT;
+        while !self.passes("/svc/plain", "") || !self.passes("/v1/chat/completions", CHAT) {
+            assert!(Instant::now() < limit, "no request passes");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn passes(&self, path: &'static str, body: &'static str) -> bool {
+        let url = format!("http://{}{path}", self.entry());
+        actix_rt::System::new().block_on(async {
+            let request = awc::Client::default().post(url).bearer_auth(KEY);
+            let answer = request.send_body(body).await;
+            answer.is_ok_and(|answer| answer.status().is_success())
+        })
+    }
+}
+
+const CHAT: &str = r#"{"model":"granite","tokens":1,"pause_micros":0}"#;
+
+impl Drop for PathChildren {
+    fn drop(&mut self) {
+        for process in [
+            &mut self.entry,
+            &mut self.engine,
+            &mut self.service,
+            &mut self.target,
+        ] {
+            // A child that ended by itself cannot be killed any more.
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+impl ChildProcess {
+    /// Starts a process that prints where it listens.
+    fn start(command: &mut Command) -> Self {
+        let mut child = command
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program runs");
+        let stdout = child.stdout.take().expect("it is piped");
+        let address = find_address(stdout, parse_printed);
+        Self { child, address }
+    }
+
+    /// Starts a process that logs where it listens.
+    fn start_logging(command: &mut Command) -> Self {
+        let mut child = command
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the binary is beside this one: build the whole workspace");
+        let stderr = child.stderr.take().expect("it is piped");
+        let address = find_address(stderr, parse_logged);
+        Self { child, address }
+    }
+
+    fn memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmRSS"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+        number.unwrap_or_default()
+    }
+}
+
+/// Reads lines until one holds an address, and goes on reading so that writes succeed.
+fn find_address(
+    stream: impl Read + Send + 'static,
+    parse: fn(&str) -> Option<SocketAddr>,
+) -> SocketAddr {
+    let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+    let address = lines.find_map(|line| parse(&line));
+    thread::spawn(move || lines.for_each(drop));
+    address.expect("the process listens")
+}
+
+fn parse_printed(line: &str) -> Option<SocketAddr> {
+    line.strip_prefix("listening on ")?.parse().ok()
+}
+
+fn parse_logged(line: &str) -> Option<SocketAddr> {
+    let json = serde_json::from_str::<Value>(line).ok()?;
+    json["fields"]["listen"].as_str()?.parse().ok()
+}
+
+fn write_keys(directory: &Path) {
+    let authority = DeploymentAuthority::generate().expect("random numbers");
+    let keys = authority.issue("bench").expect("random numbers");
+    let files = [
+        ("authority.pem", authority.certificate()),
+        ("bench.pem", keys.certificate),
+        ("bench.key", keys.key),
+    ];
+    for (name, text) in files {
+        fs::write(directory.join(name), text).expect("the directory is ours");
+    }
+}
+
+fn start_agent(directory: &Path, kind: &Value, backend: SocketAddr) -> ChildProcess {
+    let name = if kind.get("engine").is_some() {
+        "engine"
+    } else {
+        "service"
+    };
+    let settings = json!({
+        "domain": "borba",
+        "vm": format!("vm-{name}"),
+        "admin": "127.0.0.1:0",
+        "backend": {
+            "backend": name,
+            "address": backend,
+            "kind": kind,
+            "fencing": "ignored",
+            "concurrency": 1024,
+            "queue": 1024,
+            "idle_timeout": "30s",
+        },
+        "link": link(directory),
+        "platform": platform(),
+    });
+    start_role("agent", directory, name, &settings, &[])
+}
+
+fn start_entry(directory: &Path, agents: &[SocketAddr]) -> ChildProcess {
+    let settings = json!({
+        "entry": "entry-1",
+        "domain": "borba",
+        "listen": "127.0.0.1:0",
+        "admin": "127.0.0.1:0",
+        "link": link(directory),
+        "platform": platform(),
+        "balancer_delay": "0s",
+    });
+    start_role("entry", directory, "entry", &settings, agents)
+}
+
+fn start_role(
+    role: &str,
+    directory: &Path,
+    name: &str,
+    settings: &Value,
+    agents: &[SocketAddr],
+) -> ChildProcess {
+    let settings_path = directory.join(format!("{name}.json"));
+    fs::write(&settings_path, settings.to_string()).expect("the directory is ours");
+    let deployment_path = directory.join(format!("{name}-static.json"));
+    let deployment = deployment(agents).to_string();
+    fs::write(&deployment_path, deployment).expect("the directory is ours");
+    let own = std::env::current_exe().expect("the program has a path");
+    let binary = own.with_file_name("celerycrank");
+    let mut command = Command::new(binary);
+    command.arg(role).arg("--settings").arg(settings_path);
+    command.arg("--static").arg(deployment_path);
+    ChildProcess::start_logging(command.args(["--log", "json"]))
+}
+
+fn deployment(agents: &[SocketAddr]) -> Value {
+    json!({
+        "configuration": {
+            "revision": 1,
+            "customers": { "accounts": [{
+                "account": "quarry",
+                "plan": "bidder",
+                "keys": [KeyHash::of_key(KEY)],
+            }] },
+            "plans": { "plans": [{
+                "plan": "bidder",
+                "share": 1,
+                "priority": "normal",
+                "deadline": "10s",
+                "uses": [
+                    { "model": { "model": "granite" } },
+                    { "service": {
+                        "service": "catalogue", "prefix": "/svc", "repeat": "never",
+                    } },
+                ],
+            }] },
+        },
+        "agents": agents,
+    })
+}
+
+fn link(directory: &Path) -> Value {
+    json!({
+        "listen": "127.0.0.1:0",
+        "authority": directory.join("authority.pem"),
+        "certificate": directory.join("bench.pem"),
+        "key": directory.join("bench.key"),
+    })
+}
+
+fn platform() -> Value {
+    json!({
+        "key_value": ["http://127.0.0.1:9"],
+        "vm_list": "http://127.0.0.1:9",
+        "prefix": "bench",
+        "timeout": "1s",
+    })
+}
--- /dev/null
+++ b/crates/celerycrank-bench/src/path/mod.rs
@@ -0,0 +1,172 @@
+//! Requests through entry and agent against the stand-in reached directly.
+
+mod children;
+mod load;
+mod target;
+
+use std::time::Duration;
+
+use crate::path::{
+    children::PathChildren,
+    load::{LoadPlan, LoadReport, RequestShape, run_load},
+};
+
+/// Callers at a time in each row of the table.
+const CALLER_COUNTS: [usize; 3] = [1, 32, 256];
+
+/// Streams at a time in the lateness measurement.
+const LATENESS_STREAMS: usize = 256;
+
+/// Tokens of each stream in the lateness measurement.
+const LATENESS_TOKENS: usize = 500;
+
+/// Pause between the tokens of a stream in the lateness measurement.
+const LATENESS_PAUSE: Duration = Duration::from_millis(30);
+
+/// Tokens of a short streamed answer.
+const SHORT_TOKENS: usize = 8;
+
+/// Callers at a time in the memory measurement.
+const MEMORY_CALLERS: usize = 32;
+
+/// Arguments of the measurement.
+#[derive(Debug, clap::Args)]
+pub(crate) struct PathArgs {
+    /// Length of each row's measurement, in seconds.
+    #[arg(long, default_value_t = 3)]
+    seconds: u64,
+    /// Arbiters that the callers share.
+    #[arg(long, default_value_t = 4)]
+    threads: usize,
+    /// Requests of the memory measurement.
+    #[arg(long, default_value_t = 100_000)]
+    requests: usize,
+    /// Measure only this part.
+    #[arg(long, value_enum)]
+    only: Option<PathPart>,
+    /// Serve as the stand-in of the measurement.
+    #[arg(long, hide = true)]
+    target: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+enum PathPart {
+    /// Throughput and latency of plain and streamed requests.
+    Table,
+    /// Lateness of each token of long streams.
+    Lateness,
+    /// Memory over many requests.
+    Memory,
+}
+
+/// Runs the measurement and prints its tables.
+pub(crate) fn run(args: &PathArgs) {
+    if args.target {
+        target::serve();
+        return;
+    }
+    let children = PathChildren::start();
+    let wanted = |part| args.only.is_none_or(|only| only == part);
+    if wanted(PathPart::Table) {
+        print_table(args, &children);
+    }
+    if wanted(PathPart::Lateness) {
+        print_lateness(args, &children);
+    }
+    if wanted(PathPart::Memory) {
+        print_memory(args, &children);
+    }
+}
+
+fn print_table(args: &PathArgs, children: &PathChildren) {
+    println!("shape     callers  path     requests/s   p50 us   p99 us  errors");
+    let streamed = RequestShape::Streamed {
+        tokens: SHORT_TOKENS,
+        pause: Duration::ZERO,
+    };
+    for shape in [RequestShape::Plain, streamed] {
+        for callers in CALLER_COUNTS {
+            let plan = LoadPlan {
+                shape,
+                callers,
+                threads: args.threads,
+                span: Duration::from_secs(args.seconds),
+                requests: usize::MAX,
+            };
+            let direct = run_load(children.target(), &plan);
+            let through = run_load(children.entry(), &plan);
+            print_row(shape, callers, "direct", &direct);
+            print_row(shape, callers, "through", &through);
+            println!(
+                "{:<9} {callers:>7}  added    {:>9.2}x {:>8} {:>8}",
+                shape.label(),
+                through.rate() / direct.rate(),
+                through.quantile(0.5).saturating_sub(direct.quantile(0.5)),
+                through.quantile(0.99).saturating_sub(direct.quantile(0.99)),
+            );
+        }
+    }
+}
+
+fn print_row(shape: RequestShape, callers: usize, path: &str, report: &LoadReport) {
+    println!(
+        "{:<9} {callers:>7}  {path:<8} {:>10.0} {:>8} {:>8}  {:>6}",
+        shape.label(),
+        report.rate(),
+        report.quantile(0.5),
+        report.quantile(0.99),
+        report.errors,
+    );
+}
+
+/// Prints how late tokens arrive after the stand-in has written them.
+fn print_lateness(args: &PathArgs, children: &PathChildren) {
+    println!("lateness of tokens: {LATENESS_STREAMS} streams of {LATENESS_TOKENS} tokens");
+    println!("path      tokens   p50 us   p99 us   max us  errors");
+    let plan = LoadPlan {
+        shape: RequestShape::Streamed {
+            tokens: LATENESS_TOKENS,
+            pause: LATENESS_PAUSE,
+        },
+        callers: LATENESS_STREAMS,
+        threads: args.threads,
+        span: Duration::MAX,
+        requests: LATENESS_STREAMS,
+    };
+    for (path, address) in [("direct", children.target()), ("through", children.entry())] {
+        let report = run_load(address, &plan);
+        println!(
+            "{path:<8} {:>7} {:>8} {:>8} {:>8}  {:>6}",
+            report.lateness.len(),
+            report.lateness.value_at_quantile(0.5),
+            report.lateness.value_at_quantile(0.99),
+            report.lateness.max(),
+            report.errors,
+        );
+    }
+}
+
+/// Prints the resident memory of entry and agent as requests pass.
+fn print_memory(args: &PathArgs, children: &PathChildren) {
+    println!("requests  entry KiB  agent KiB  errors");
+    let step = args.requests / 5;
+    let mut errors = 0;
+    for round in 0..=5 {
+        println!(
+            "{:>8} {:>10} {:>10}  {errors:>6}",
+            round * step,
+            children.entry_memory(),
+            children.agent_memory(),
+        );
+        let plan = LoadPlan {
+            shape: RequestShape::Plain,
+            callers: MEMORY_CALLERS,
+            threads: args.threads,
+            span: Duration::MAX,
+            requests: step,
+        };
+        if round < 5 {
+            errors += run_load(children.entry(), &plan).errors;
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-bench/src/path/target.rs
@@ -0,0 +1,78 @@
+//! The stand-in of the measurement: answers at once, or streams stamped tokens.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use actix_http::{Response, StatusCode, body::BodyStream};
+use actix_rt::time::{Instant, sleep_until};
+use bytes::Bytes;
+use celerycrank_standin::{HttpAnswer, HttpCall, HttpHandler, StandinServer};
+use futures_util::{FutureExt, future::LocalBoxFuture, stream};
+use serde::Deserialize;
+
+/// How the callers ask for a streamed answer.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct StreamRequest {
+    tokens: usize,
+    pause_micros: u64,
+}
+
+struct BenchTarget;
+
+impl HttpHandler for BenchTarget {
+    fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer> {
+        async move {
+            let mut builder = Response::build(StatusCode::OK);
+            if let Some(id) = call.header("x-request-id") {
+                builder.insert_header(("x-request-id", id));
+            }
+            let Ok(request) = serde_json::from_slice::<StreamRequest>(&call.body) else {
+                return HttpAnswer::Respond(builder.body("ok").map_into_boxed_body());
+            };
+            builder.insert_header(("content-type", "text/event-stream"));
+            let body = BodyStream::new(Box::pin(tokens(request)));
+            HttpAnswer::Respond(builder.body(body).map_into_boxed_body())
+        }
+        .boxed_local()
+    }
+}
+
+/// Serves until the process is killed.
+pub(crate) fn serve() {
+    actix_rt::System::new().block_on(async {
+        let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let server = StandinServer::start(listen, Rc::new(BenchTarget)).await;
+        let server = server.expect("a port is free");
+        println!("listening on {}", server.address());
+        std::future::pending::<()>().await;
+    });
+}
+
+/// Microseconds of the machine's clock, which all processes of the measurement share.
+pub(crate) fn wall_micros() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+    })
+}
+
+fn tokens(
+    request: StreamRequest,
+) -> impl stream::Stream<Item = Result<Bytes, std::convert::Infallible>> {
+    let pause = Duration::from_micros(request.pause_micros);
+    let begin = Instant::now();
+    stream::unfold(0, move |index| async move {
+        if index == request.tokens {
+            return None;
+        }
+        if !pause.is_zero() {
+            let due = u32::try_from(index).expect("streams are short");
+            sleep_until(begin + pause * due).await;
+        }
+        let event = format!("data: {}\n\n", wall_micros());
+        Some((Ok(Bytes::from(event)), index + 1))
+    })
+}
