--- a/crates/celerycrank-cli/src/main.rs
+++ b/crates/celerycrank-cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The celerycrank binary: both process roles and the operators' commands.
 
 mod keys;
+mod operator;
 mod role;
 
 use std::process::ExitCode;
@@ -13,6 +14,9 @@
 struct ProcessArgs {
     #[command(subcommand)]
     command: ProcessCommand,
+    /// Form of the output of operators' commands.
+    #[arg(long, global = true, value_enum, default_value_t)]
+    format: operator::ReportFormat,
 }
 
 #[derive(Debug, Subcommand)]
@@ -23,14 +27,45 @@
     Agent(role::RoleArgs),
     /// Make an authority and process keys for a trial deployment.
     Keys(keys::KeysArgs),
+    /// Name every fault of the lists and settings.
+    Check(operator::check::CheckArgs),
+    /// Show what applying the lists would change.
+    Diff(operator::diff::DiffArgs),
+    /// Put the lists in force.
+    Apply(operator::apply::ApplyArgs),
+    /// Show the lists in force.
+    Show(operator::show::ShowArgs),
+    /// Write the lists in force as files.
+    Export(operator::show::ExportArgs),
+    /// Show the last changes of the lists.
+    History(operator::history::HistoryArgs),
+    /// Announce, withdraw and list planned stops.
+    Stop(operator::stop::StopArgs),
+    /// Show what an entry or agent says of itself.
+    Status(operator::status::StatusArgs),
+    /// Work with callers' API keys.
+    Key(operator::key::KeyArgs),
 }
 
 fn main() -> ExitCode {
-    let result = match ProcessArgs::parse().command {
-        ProcessCommand::Entry(args) => role::run_entry(&args),
-        ProcessCommand::Agent(args) => role::run_agent(&args),
-        ProcessCommand::Keys(args) => keys::make_keys(&args),
-    };
+    let ProcessArgs { command, format } = ProcessArgs::parse();
+    match command {
+        ProcessCommand::Entry(args) => exit_code(role::run_entry(&args)),
+        ProcessCommand::Agent(args) => exit_code(role::run_agent(&args)),
+        ProcessCommand::Keys(args) => exit_code(keys::make_keys(&args)),
+        ProcessCommand::Check(args) => operator::finish(format, operator::check::check(&args)),
+        ProcessCommand::Diff(args) => operator::run(format, operator::diff::diff(&args)),
+        ProcessCommand::Apply(args) => operator::run(format, operator::apply::apply(&args)),
+        ProcessCommand::Show(args) => operator::run(format, operator::show::show(&args)),
+        ProcessCommand::Export(args) => operator::run(format, operator::show::export(&args)),
+        ProcessCommand::History(args) => operator::run(format, operator::history::history(&args)),
+        ProcessCommand::Stop(args) => operator::run(format, operator::stop::stop(&args)),
+        ProcessCommand::Status(args) => operator::run(format, operator::status::status(&args)),
+        ProcessCommand::Key(args) => operator::finish(format, operator::key::key(&args)),
+    }
+}
+
+fn exit_code(result: Result<(), Box<dyn std::error::Error>>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/apply.rs
@@ -0,0 +1,278 @@
+//! `celerycrank apply`: puts the lists in force, unless someone else has changed them.
+
+use std::sync::Arc;
+
+use celerycrank_config::{ChangeNote, ConfigurationRecord, ListChange};
+use celerycrank_platform::{Expected, KeyValueFault, KeyValueRecord, SendFault, SwapOutcome};
+use celerycrank_types::Revision;
+use serde_json::json;
+
+use crate::operator::{
+    CommandFault, CommandReport, EXIT_HELP,
+    clock::UtcTime,
+    diff::{change_lines, changes_from},
+    directory::{DirectoryArgs, ListPair},
+    history::note_lines,
+    report::ExitStatus,
+    service::{PlatformHandle, SETTLE_ATTEMPTS, StoredRecord, decode, pause},
+};
+
+const EXAMPLES: &str = "\
+The lists are put in force only if nobody has changed them since the revision in
+revision.json, which `export` and `apply` write. Otherwise the command says who
+changed what, and neither their change nor yours is lost.
+
+Examples:
+  celerycrank apply --note 'night shift gets the larger plan'
+  celerycrank apply --dir co-op --author ana";
+
+/// Puts both lists in force, unless someone else has changed them meanwhile.
+#[derive(Debug, clap::Args)]
+#[command(after_help = format!("{EXAMPLES}\n\n{EXIT_HELP}"))]
+pub(crate) struct ApplyArgs {
+    #[command(flatten)]
+    directory: DirectoryArgs,
+    #[command(flatten)]
+    author: AuthorArgs,
+    /// Why, for those who read the history.
+    #[arg(long, default_value = "")]
+    note: Arc<str>,
+    /// Writes the lists anew, above the revision edited, after the service lost its record.
+    #[arg(long)]
+    restore: bool,
+}
+
+/// Who makes a change.
+#[derive(Debug, clap::Args)]
+pub(crate) struct AuthorArgs {
+    /// Who makes the change; $USER if not given.
+    #[arg(long)]
+    author: Option<Arc<str>>,
+}
+
+impl AuthorArgs {
+    pub(crate) fn name(&self) -> Result<Arc<str>, CommandFault> {
+        let user = || std::env::var("USER").ok().filter(|user| !user.is_empty());
+        let author = self.author.clone().or_else(|| user().map(Arc::from));
+        author.ok_or(CommandFault::NoAuthor)
+    }
+}
+
+/// What is to be done with the lists, given the record in force.
+enum ApplyDecision {
+    /// The lists are in force already.
+    InForce(Revision),
+    /// Someone else has changed them.
+    Conflict(Box<ConfigurationRecord>),
+    /// The service holds no lists, although these were read from it.
+    Missing,
+    /// This is to be written.
+    Write {
+        expected: Expected,
+        record: Box<ConfigurationRecord>,
+        changes: Vec<ListChange>,
+    },
+}
+
+/// Who writes, why, and what tells this write from any other.
+struct WriteStamp {
+    author: Arc<str>,
+    note: Arc<str>,
+    nonce: Arc<str>,
+    at: u64,
+}
+
+/// What became of a write.
+enum WriteOutcome {
+    Written,
+    Conflict(Box<ConfigurationRecord>),
+    Missing,
+    Unknown(KeyValueFault),
+}
+
+/// Applies the lists of the directory.
+pub(crate) async fn apply(args: &ApplyArgs) -> Result<CommandReport, CommandFault> {
+    let lists = args.directory.read_good_lists()?;
+    let base = args.directory.read_revision()?;
+    let platform = PlatformHandle::new(&args.directory.read_platform()?);
+    let stamp = WriteStamp {
+        author: args.author.name()?,
+        note: Arc::clone(&args.note),
+        nonce: format!("{:032x}", rand::random::<u128>()).into(),
+        at: UtcTime::now().0,
+    };
+    let current = platform.read_configuration().await?;
+    match decide(current, base, args.restore, &lists, &stamp) {
+        ApplyDecision::InForce(revision) => {
+            args.directory.write_revision(revision)?;
+            let text = format!("the lists are in force already, as revision {revision}\n");
+            Ok(CommandReport::done(
+                text,
+                &json!({ "revision": revision, "changes": [] }),
+            ))
+        }
+        ApplyDecision::Conflict(record) => Ok(report_conflict(&record, base)),
+        ApplyDecision::Missing => Ok(report_missing(&platform, base)),
+        ApplyDecision::Write {
+            expected,
+            record,
+            changes,
+        } => match write(&platform, expected, &record).await? {
+            WriteOutcome::Written => {
+                args.directory.write_revision(record.revision)?;
+                Ok(report_written(&record, &changes))
+            }
+            WriteOutcome::Conflict(record) => Ok(report_conflict(&record, base)),
+            WriteOutcome::Missing => Ok(report_missing(&platform, base)),
+            WriteOutcome::Unknown(fault) => Ok(report_unknown(&fault)),
+        },
+    }
+}
+
+fn decide(
+    current: Option<StoredRecord<ConfigurationRecord>>,
+    base: Revision,
+    restore: bool,
+    lists: &ListPair,
+    stamp: &WriteStamp,
+) -> ApplyDecision {
+    let changes = changes_from(current.as_ref(), lists);
+    let (expected, revision, history) = match current {
+        Some(stored) if changes.is_empty() => {
+            return ApplyDecision::InForce(stored.value.revision);
+        }
+        Some(stored) if stored.value.revision != base => {
+            return ApplyDecision::Conflict(Box::new(stored.value));
+        }
+        Some(stored) => (stored.expected, stored.value.revision, stored.value.changes),
+        // Revision 1 would be older than what the processes know.
+        None if base > Revision(0) && !restore => return ApplyDecision::Missing,
+        None => (Expected::Absent, base, Vec::new()),
+    };
+    let mut record = ConfigurationRecord {
+        revision: revision.next(),
+        nonce: Arc::clone(&stamp.nonce),
+        author: Arc::clone(&stamp.author),
+        note: Arc::clone(&stamp.note),
+        at: stamp.at,
+        customers: lists.customers.clone(),
+        plans: lists.plans.clone(),
+        changes: history,
+    };
+    record.note_change(changes.clone());
+    ApplyDecision::Write {
+        expected,
+        record: Box::new(record),
+        changes,
+    }
+}
+
+/// Writes the record, and settles a lost answer by its nonce.
+///
+/// The same write is sent again rather than only read back: a late copy of the first one
+/// then finds the key changed, whichever of them came first.
+async fn write(
+    platform: &PlatformHandle,
+    expected: Expected,
+    record: &ConfigurationRecord,
+) -> Result<WriteOutcome, CommandFault> {
+    let key = platform.configuration_key();
+    let mut unsettled = None;
+    for attempt in 0..SETTLE_ATTEMPTS {
+        let fault = match platform.swap(&key, expected, record).await {
+            Ok(SwapOutcome::Written(_)) => return Ok(WriteOutcome::Written),
+            Ok(SwapOutcome::Conflict(found)) => return settle(record, found.as_ref(), unsettled),
+            Err(fault) => fault,
+        };
+        match fault {
+            KeyValueFault::NotSent(SendFault::ValueTooLarge(_)) => {
+                return Err(CommandFault::TooLarge(fault));
+            }
+            // What a later attempt proves says nothing of an earlier one.
+            _ if fault.proves_no_effect() && unsettled.is_none() => {
+                return Err(CommandFault::Service(fault));
+            }
+            _ => unsettled = Some(fault),
+        }
+        pause(attempt).await;
+    }
+    let fault = unsettled.expect("every attempt that goes on has left a fault");
+    Ok(WriteOutcome::Unknown(fault))
+}
+
+/// Finds out whether the record that stands in the way is our own, or follows on it.
+fn settle(
+    record: &ConfigurationRecord,
+    found: Option<&KeyValueRecord>,
+    unsettled: Option<KeyValueFault>,
+) -> Result<WriteOutcome, CommandFault> {
+    let stored = found.map(decode::<ConfigurationRecord>).transpose();
+    let current = match (stored, unsettled) {
+        (Ok(Some(stored)), _) => stored.value,
+        // Ours may have been written and then lost or damaged.
+        (_, Some(fault)) => return Ok(WriteOutcome::Unknown(fault)),
+        (Ok(None), None) => return Ok(WriteOutcome::Missing),
+        (Err(fault), None) => return Err(fault),
+    };
+    let ours = |note: &ChangeNote| note.nonce == record.nonce;
+    if current.changes.iter().any(ours) {
+        return Ok(WriteOutcome::Written);
+    }
+    Ok(WriteOutcome::Conflict(Box::new(current)))
+}
+
+fn report_written(record: &ConfigurationRecord, changes: &[ListChange]) -> CommandReport {
+    let text = format!(
+        "revision {} accepted:\n{}",
+        record.revision,
+        change_lines(changes)
+    );
+    let json = json!({ "revision": record.revision, "changes": changes });
+    CommandReport::done(text, &json)
+}
+
+fn report_conflict(record: &ConfigurationRecord, base: Revision) -> CommandReport {
+    let since = record.changes.iter().filter(|note| note.revision > base);
+    let notes = since.collect::<Vec<_>>();
+    let mut text = format!(
+        "nothing was changed: you edited revision {base}, and revision {} is in force\n",
+        record.revision
+    );
+    text.extend(notes.iter().map(|note| note_lines(note)));
+    let first = notes.first().map(|note| note.revision);
+    if first.is_none_or(|first| first > base.next()) {
+        text.push_str("older changes are no longer kept in the record\n");
+    }
+    text.push_str(
+        "your files are as you left them; to go on:\n  \
+         celerycrank export --dir theirs --platform-dir .    the lists in force, beside yours\n  \
+         make your edits in theirs/, copy platform.json there, then\n  \
+         celerycrank diff --dir theirs && celerycrank apply --dir theirs\n",
+    );
+    let json = json!({ "edited": base, "in_force": record.revision, "since": notes });
+    CommandReport::new(ExitStatus::Conflict, text, &json)
+}
+
+fn report_missing(platform: &PlatformHandle, base: Revision) -> CommandReport {
+    let key = platform.configuration_key();
+    let text = format!(
+        "nothing was changed: you edited revision {base}, but there is no record {key}\n\
+         is the prefix in platform.json right? if the service lost its record:\n  \
+         celerycrank apply --restore     writes your lists as revision {}\n",
+        base.next()
+    );
+    let json = json!({ "edited": base, "in_force": null, "key": key });
+    CommandReport::new(ExitStatus::Conflict, text, &json)
+}
+
+fn report_unknown(fault: &KeyValueFault) -> CommandReport {
+    let text = format!(
+        "it is not known whether the change was made: {fault}\n\
+         run the same command again: it is never made twice\n"
+    );
+    CommandReport::new(
+        ExitStatus::Unknown,
+        text,
+        &json!({ "error": fault.to_string() }),
+    )
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/check.rs
@@ -0,0 +1,91 @@
+//! `celerycrank check`: names every fault of the lists and settings.
+
+use std::{
+    fmt::Write,
+    path::{Path, PathBuf},
+};
+
+use celerycrank_config::{CheckFault, check_agent, check_entry};
+use serde_json::json;
+
+use crate::operator::{
+    CommandFault, CommandReport, EXIT_HELP,
+    directory::{DirectoryArgs, read},
+    report::ExitStatus,
+};
+
+const EXAMPLES: &str = "\
+Examples:
+  celerycrank check                         both lists in this directory
+  celerycrank check --dir auction-house     both lists in another one
+  celerycrank check --entry-settings e.json --agent-settings a.json";
+
+/// Names every fault of both lists, and of settings files, in one go.
+#[derive(Debug, clap::Args)]
+#[command(after_help = format!("{EXAMPLES}\n\n{EXIT_HELP}"))]
+pub(crate) struct CheckArgs {
+    #[command(flatten)]
+    directory: DirectoryArgs,
+    /// Settings file of an entry; may be given several times.
+    #[arg(long)]
+    entry_settings: Vec<PathBuf>,
+    /// Settings file of an agent; may be given several times.
+    #[arg(long)]
+    agent_settings: Vec<PathBuf>,
+}
+
+/// Checks the files.
+pub(crate) fn check(args: &CheckArgs) -> Result<CommandReport, CommandFault> {
+    let mut text = String::new();
+    let lists = args.directory.read_lists()?;
+    let list_faults = lists.as_ref().err().cloned().unwrap_or_default();
+    text.push_str(&list_faults.to_string());
+    let mut settings = Vec::new();
+    for path in &args.entry_settings {
+        let faults = check_entry(&read(path)?).err().unwrap_or_default();
+        settings.push((path, faults));
+    }
+    for path in &args.agent_settings {
+        let faults = check_agent(&read(path)?).err().unwrap_or_default();
+        settings.push((path, faults));
+    }
+    for (path, faults) in &settings {
+        add_lines(&mut text, path, faults);
+    }
+    let count = list_faults.len()
+        + settings
+            .iter()
+            .map(|(_, faults)| faults.len())
+            .sum::<usize>();
+    let exit = if count == 0 {
+        ExitStatus::Done
+    } else {
+        ExitStatus::Faults
+    };
+    match lists {
+        _ if count > 0 => add_summary(&mut text, count),
+        Ok(lists) => {
+            let accounts = lists.customers.accounts.len();
+            let plans = lists.plans.plans.len();
+            text = format!("no faults: {accounts} accounts, {plans} plans\n");
+        }
+        Err(_) => {}
+    }
+    let settings = settings
+        .iter()
+        .map(|(path, faults)| json!({ "file": path, "faults": faults }))
+        .collect::<Vec<_>>();
+    let json = json!({ "faults": count, "lists": list_faults, "settings": settings });
+    Ok(CommandReport::new(exit, text, &json))
+}
+
+fn add_lines(text: &mut String, path: &Path, faults: &[CheckFault]) {
+    for fault in faults {
+        writeln!(text, "{}: {fault}", path.display()).expect("writing to a text cannot fail");
+    }
+}
+
+fn add_summary(text: &mut String, count: usize) {
+    let noun = if count == 1 { "fault" } else { "faults" };
+    writeln!(text, "{count} {noun}").expect("writing to a text cannot fail");
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/clock.rs
@@ -0,0 +1,126 @@
+//! Wall-clock times as operators read and write them; nothing is decided by them.
+
+use std::{
+    fmt,
+    str::FromStr,
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use celerycrank_types::TimeSpan;
+
+const SECONDS_PER_DAY: u64 = 86_400;
+const MICROS_PER_SECOND: u64 = 1_000_000;
+const DAYS_PER_ERA: u64 = 146_097;
+const DAYS_TO_EPOCH: u64 = 719_468;
+
+/// `{0}` is not a time: write `now`, `+10m` or `2026-12-04T22:00:00Z`
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub(crate) struct StopTimeFault(Arc<str>);
+
+impl std::error::Error for StopTimeFault {}
+
+/// When a stop begins, as written on the command line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StopTime {
+    /// So much later than now.
+    After(TimeSpan),
+    /// At this second since 1970.
+    At(u64),
+}
+
+impl StopTime {
+    /// The second since 1970 at which the stop begins.
+    pub(crate) const fn seconds(self, now: u64) -> u64 {
+        match self {
+            Self::After(span) => now + span.0 / MICROS_PER_SECOND,
+            Self::At(seconds) => seconds,
+        }
+    }
+}
+
+impl FromStr for StopTime {
+    type Err = StopTimeFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fault = || StopTimeFault(text.into());
+        if text == "now" {
+            return Ok(Self::After(TimeSpan::ZERO));
+        }
+        if let Some(span) = text.strip_prefix('+') {
+            return span.parse().map(Self::After).ok().ok_or_else(fault);
+        }
+        parse_utc(text).map(Self::At).ok_or_else(fault)
+    }
+}
+
+/// A second since 1970, written as a date and time in UTC.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct UtcTime(pub(crate) u64);
+
+impl UtcTime {
+    pub(crate) fn now() -> Self {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self(elapsed.map_or(0, |elapsed| elapsed.as_secs()))
+    }
+}
+
+impl fmt::Display for UtcTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (year, month, day) = civil_date(self.0 / SECONDS_PER_DAY);
+        let second = self.0 % SECONDS_PER_DAY;
+        let (hour, minute) = (second / 3_600, second / 60 % 60);
+        let second = second % 60;
+        write!(
+            f,
+            "{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}Z"
+        )
+    }
+}
+
+/// The date of a day since 1970, by the usual count of years that begin in March.
+const fn civil_date(days: u64) -> (u64, u64, u64) {
+    let shifted = days + DAYS_TO_EPOCH;
+    let era = shifted / DAYS_PER_ERA;
+    let of_era = shifted % DAYS_PER_ERA;
+    let year = (of_era - of_era / 1_460 + of_era / 36_524 - of_era / 146_096) / 365;
+    let of_year = of_era - (365 * year + year / 4 - year / 100);
+    let march_month = (5 * of_year + 2) / 153;
+    let day = of_year - (153 * march_month + 2) / 5 + 1;
+    let month = if march_month < 10 {
+        march_month + 3
+    } else {
+        march_month - 9
+    };
+    let january = if month <= 2 { 1 } else { 0 };
+    (year + era * 400 + january, month, day)
+}
+
+/// The day since 1970 of a date; `None` before 1970.
+const fn days_of(year: u64, month: u64, day: u64) -> Option<u64> {
+    let year = if month <= 2 { year - 1 } else { year };
+    let of_era = year % 400;
+    let march_month = (month + 9) % 12;
+    let of_year = (153 * march_month + 2) / 5 + day - 1;
+    let days = of_era * 365 + of_era / 4 - of_era / 100 + of_year;
+    (year / 400 * DAYS_PER_ERA + days).checked_sub(DAYS_TO_EPOCH)
+}
+
+fn parse_utc(text: &str) -> Option<u64> {
+    let (date, time) = text.strip_suffix('Z')?.split_once('T')?;
+    let [year, month, day] = parse_parts(date, '-')?;
+    let [hour, minute, second] = parse_parts(time, ':')?;
+    let in_range = (1970..=9_999).contains(&year) && (1..=12).contains(&month);
+    if !in_range || !(1..=31).contains(&day) || hour > 23 || minute > 59 || second > 59 {
+        return None;
+    }
+    let days = days_of(year, month, day)?;
+    // A day that its month does not have would be another date.
+    let exists = civil_date(days) == (year, month, day);
+    exists.then_some(days * SECONDS_PER_DAY + hour * 3_600 + minute * 60 + second)
+}
+
+fn parse_parts(text: &str, separator: char) -> Option<[u64; 3]> {
+    let parts = text.split(separator).map(|part| part.parse().ok());
+    parts.collect::<Option<Vec<_>>>()?.try_into().ok()
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/diff.rs
@@ -0,0 +1,61 @@
+//! `celerycrank diff`: what applying the lists would change.
+
+use celerycrank_config::{CustomerList, ListChange, PlanList, list_changes};
+use celerycrank_types::Revision;
+use serde_json::json;
+
+use crate::operator::{
+    CommandFault, CommandReport, EXIT_HELP,
+    directory::{DirectoryArgs, ListPair},
+    report::ExitStatus,
+    service::{PlatformHandle, StoredRecord},
+};
+
+const EXAMPLES: &str = "\
+Examples:
+  celerycrank diff                    what `celerycrank apply` would change
+  celerycrank diff --format json      the same for a script; exit code 1 if anything";
+
+/// Shows by meaning what the lists in the directory would change.
+#[derive(Debug, clap::Args)]
+#[command(after_help = format!("{EXAMPLES}\n\n{EXIT_HELP}"))]
+pub(crate) struct DiffArgs {
+    #[command(flatten)]
+    directory: DirectoryArgs,
+}
+
+/// Compares the lists with the configuration in force.
+pub(crate) async fn diff(args: &DiffArgs) -> Result<CommandReport, CommandFault> {
+    let lists = args.directory.read_good_lists()?;
+    let platform = PlatformHandle::new(&args.directory.read_platform()?);
+    let current = platform.read_configuration().await?;
+    let revision = current
+        .as_ref()
+        .map_or(Revision(0), |record| record.value.revision);
+    let changes = changes_from(current.as_ref(), &lists);
+    let json = json!({ "revision": revision, "changes": changes });
+    if changes.is_empty() {
+        let text = format!("no differences from revision {revision}\n");
+        return Ok(CommandReport::done(text, &json));
+    }
+    let text = format!("against revision {revision}:\n{}", change_lines(&changes));
+    Ok(CommandReport::new(ExitStatus::Differences, text, &json))
+}
+
+/// What the lists would change in the configuration in force.
+pub(crate) fn changes_from(
+    current: Option<&StoredRecord<celerycrank_config::ConfigurationRecord>>,
+    lists: &ListPair,
+) -> Vec<ListChange> {
+    let new = (&lists.customers, &lists.plans);
+    match current {
+        Some(record) => list_changes((&record.value.customers, &record.value.plans), new),
+        None => list_changes((&CustomerList::default(), &PlanList::default()), new),
+    }
+}
+
+/// One indented line for each change.
+pub(crate) fn change_lines(changes: &[ListChange]) -> String {
+    let lines = changes.iter().map(|change| format!("  {change}\n"));
+    lines.collect()
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/directory.rs
@@ -0,0 +1,129 @@
+//! The directory with both lists, as operators keep it under version control.
+
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+};
+
+use celerycrank_config::{
+    CheckFault, CustomerList, ListFaults, ListTexts, PlanList, PlatformSettings, check_lists,
+    check_platform, lists_text,
+};
+use celerycrank_types::Revision;
+use serde::{Deserialize, Serialize};
+
+use crate::operator::CommandFault;
+
+const CUSTOMERS_FILE: &str = "customers.json";
+const PLANS_FILE: &str = "plans.json";
+const PLATFORM_FILE: &str = "platform.json";
+const REVISION_FILE: &str = "revision.json";
+
+/// Where the lists are.
+#[derive(Debug, Clone, clap::Args)]
+pub(crate) struct DirectoryArgs {
+    /// Directory with customers.json, plans.json, platform.json and revision.json.
+    #[arg(long, default_value = ".")]
+    dir: PathBuf,
+}
+
+/// Both lists.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ListPair {
+    pub(crate) customers: CustomerList,
+    pub(crate) plans: PlanList,
+}
+
+/// The revision at which the lists of the directory were read.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RevisionFile {
+    revision: Revision,
+}
+
+impl DirectoryArgs {
+    pub(crate) const fn at(dir: PathBuf) -> Self {
+        Self { dir }
+    }
+
+    pub(crate) fn path(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Reads and checks both lists.
+    pub(crate) fn read_lists(&self) -> Result<Result<ListPair, ListFaults>, CommandFault> {
+        let customers = read(&self.dir.join(CUSTOMERS_FILE))?;
+        let plans = read(&self.dir.join(PLANS_FILE))?;
+        let texts = ListTexts {
+            customers: &customers,
+            plans: &plans,
+        };
+        Ok(check_lists(texts).map(|(customers, plans)| ListPair { customers, plans }))
+    }
+
+    /// Reads both lists, which must be in order.
+    pub(crate) fn read_good_lists(&self) -> Result<ListPair, CommandFault> {
+        let fault =
+            |faults: ListFaults| CommandFault::Faults(self.dir.clone(), faults.to_string().into());
+        self.read_lists()?.map_err(fault)
+    }
+
+    /// Reads where the platform's services are.
+    pub(crate) fn read_platform(&self) -> Result<PlatformSettings, CommandFault> {
+        let path = self.dir.join(PLATFORM_FILE);
+        let text = read(&path)?;
+        check_platform(&text).map_err(|faults| {
+            let lines = faults.iter().map(CheckFault::to_string);
+            CommandFault::Faults(path, lines.collect::<Vec<_>>().join("\n").into())
+        })
+    }
+
+    /// Reads the revision that was edited; zero if nothing was ever exported or applied.
+    pub(crate) fn read_revision(&self) -> Result<Revision, CommandFault> {
+        let path = self.dir.join(REVISION_FILE);
+        let text = match fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Revision(0)),
+            Err(e) => return Err(CommandFault::File(path, e)),
+        };
+        match serde_json::from_str::<RevisionFile>(&text) {
+            Ok(file) => Ok(file.revision),
+            Err(e) => Err(CommandFault::Faults(path, e.to_string().into())),
+        }
+    }
+
+    /// Notes the revision that the lists of the directory stand for.
+    pub(crate) fn write_revision(&self, revision: Revision) -> Result<(), CommandFault> {
+        let file = RevisionFile { revision };
+        write(&self.dir.join(REVISION_FILE), &lists_text(&file))
+    }
+
+    /// Writes both lists and the revision at which they were read.
+    pub(crate) fn write_lists(
+        &self,
+        lists: &ListPair,
+        revision: Revision,
+    ) -> Result<(), CommandFault> {
+        let create = fs::create_dir_all(&self.dir);
+        create.map_err(|e| CommandFault::File(self.dir.clone(), e))?;
+        write(
+            &self.dir.join(CUSTOMERS_FILE),
+            &lists_text(&lists.customers),
+        )?;
+        write(&self.dir.join(PLANS_FILE), &lists_text(&lists.plans))?;
+        self.write_revision(revision)
+    }
+
+    /// Whether the directory already holds lists that an export would replace.
+    pub(crate) fn has_lists(&self) -> bool {
+        self.dir.join(CUSTOMERS_FILE).exists() || self.dir.join(PLANS_FILE).exists()
+    }
+}
+
+pub(crate) fn read(path: &Path) -> Result<String, CommandFault> {
+    fs::read_to_string(path).map_err(|e| CommandFault::File(path.to_owned(), e))
+}
+
+fn write(path: &Path, text: &str) -> Result<(), CommandFault> {
+    fs::write(path, text).map_err(|e| CommandFault::File(path.to_owned(), e))
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/mod.rs
@@ -0,0 +1,54 @@
+//! The operators' commands.
+//!
+//! Each command returns a [`CommandReport`]; only [`finish`] prints.
+
+pub(crate) mod apply;
+pub(crate) mod check;
+mod clock;
+pub(crate) mod diff;
+mod directory;
+pub(crate) mod history;
+pub(crate) mod key;
+mod report;
+mod service;
+pub(crate) mod show;
+pub(crate) mod status;
+pub(crate) mod stop;
+
+use std::process::ExitCode;
+
+pub(crate) use crate::operator::report::{CommandFault, CommandReport, ReportFormat};
+
+/// What every command's help ends with.
+pub(crate) const EXIT_HELP: &str = "\
+Exit codes:
+  0  done
+  1  done, and there are differences (diff)
+  2  the command line is wrong
+  3  a file has faults; nothing was changed
+  4  someone else changed the lists meanwhile; nothing was changed
+  5  a service of the platform could not be used; nothing was changed
+  6  it is not known whether the change was made; run the command again
+  7  too little would be left; nothing was changed without --force
+  8  a file cannot be read or written";
+
+/// Runs a command on an arbiter of its own and prints its report.
+pub(crate) fn run<F>(format: ReportFormat, command: F) -> ExitCode
+where
+    F: Future<Output = Result<CommandReport, CommandFault>>,
+{
+    finish(format, actix_rt::System::new().block_on(command))
+}
+
+/// Prints a report or a fault and returns the exit code.
+pub(crate) fn finish(
+    format: ReportFormat,
+    result: Result<CommandReport, CommandFault>,
+) -> ExitCode {
+    let report = result.unwrap_or_else(CommandFault::into_report);
+    match format {
+        ReportFormat::Text => print!("{}", report.text),
+        ReportFormat::Json => println!("{}", report.json),
+    }
+    ExitCode::from(report.exit as u8)
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/report.rs
@@ -0,0 +1,106 @@
+//! What a command has to say, in words and as JSON.
+
+use std::{io, path::PathBuf, sync::Arc};
+
+use celerycrank_platform::{KeyValueFault, VmListFault};
+use clap::ValueEnum;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+/// Form of the output.
+#[derive(Debug, Default, Clone, Copy, ValueEnum)]
+pub(crate) enum ReportFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// For scripts: one JSON value.
+    Json,
+}
+
+/// How a command ended; the numbers are listed in every command's help.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ExitStatus {
+    Done = 0,
+    Differences = 1,
+    Faults = 3,
+    Conflict = 4,
+    Unavailable = 5,
+    Unknown = 6,
+    NeedsForce = 7,
+    Files = 8,
+}
+
+/// What a command has to say.
+#[derive(Debug)]
+pub(crate) struct CommandReport {
+    pub(crate) exit: ExitStatus,
+    pub(crate) text: String,
+    pub(crate) json: Value,
+}
+
+impl CommandReport {
+    pub(crate) fn new(exit: ExitStatus, text: impl Into<String>, json: &impl Serialize) -> Self {
+        Self {
+            exit,
+            text: text.into(),
+            json: serde_json::to_value(json).expect("a report has a JSON form"),
+        }
+    }
+
+    pub(crate) fn done(text: impl Into<String>, json: &impl Serialize) -> Self {
+        Self::new(ExitStatus::Done, text, json)
+    }
+}
+
+/// Why a command could not do its work.
+#[derive(Debug, displaydoc::Display)]
+pub(crate) enum CommandFault {
+    /// cannot use {0}: {1}
+    File(PathBuf, io::Error),
+    /// {0} has faults: {1}
+    Faults(PathBuf, Arc<str>),
+    /// the key-value service cannot be read, and nothing was changed: {0}
+    Unread(Arc<str>),
+    /// nothing was changed: {0}
+    Service(KeyValueFault),
+    /// the VM list cannot be used: {0}; --force goes on without it
+    VmList(VmListFault),
+    /// the record {0} is malformed: {1}
+    Record(Arc<str>, Arc<str>),
+    /// the lists do not fit into a record: {0}
+    TooLarge(KeyValueFault),
+    /// say who you are with --author, or set USER
+    NoAuthor,
+    /// no answer from {0}: {1}
+    Process(Arc<str>, Arc<str>),
+}
+
+impl std::error::Error for CommandFault {}
+
+impl CommandFault {
+    /// The fault of a read, of which it does not matter whether it was carried out.
+    pub(crate) fn of_read(fault: &KeyValueFault) -> Self {
+        Self::Unread(match fault {
+            KeyValueFault::Unknown(answer) => answer.to_string().into(),
+            other => other.to_string().into(),
+        })
+    }
+
+    pub(crate) fn into_report(self) -> CommandReport {
+        let exit = match self {
+            Self::File(..) => ExitStatus::Files,
+            Self::Faults(..) | Self::TooLarge(_) | Self::NoAuthor => ExitStatus::Faults,
+            Self::Unread(_)
+            | Self::Service(_)
+            | Self::VmList(_)
+            | Self::Record(..)
+            | Self::Process(..) => ExitStatus::Unavailable,
+        };
+        let message = match &self {
+            Self::Faults(path, lines) => format!("{} has faults:\n{lines}", path.display()),
+            other => other.to_string(),
+        };
+        let text = format!("celerycrank: {}\n", message.trim_end());
+        CommandReport::new(exit, text, &json!({ "error": message }))
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/service.rs
@@ -0,0 +1,105 @@
+//! The records of the key-value service, as the commands use them.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use celerycrank_config::{ConfigurationRecord, PlatformSettings};
+use celerycrank_membership::StopsRecord;
+use celerycrank_platform::{
+    Expected, KeyValueClient, KeyValueFault, KeyValueRecord, SwapOutcome, VmListClient,
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::operator::CommandFault;
+
+/// How often a write whose answer was lost is asked about.
+pub(crate) const SETTLE_ATTEMPTS: u32 = 5;
+
+/// Pause before the first of these attempts; each next one is twice as long.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// The platform's services of one deployment.
+pub(crate) struct PlatformHandle {
+    pub(crate) client: KeyValueClient,
+    pub(crate) vm_list: VmListClient,
+    prefix: Arc<str>,
+}
+
+/// A record with what a swap must expect.
+#[derive(Debug, Clone)]
+pub(crate) struct StoredRecord<T> {
+    pub(crate) value: T,
+    pub(crate) expected: Expected,
+}
+
+impl PlatformHandle {
+    pub(crate) fn new(settings: &PlatformSettings) -> Self {
+        Self {
+            client: KeyValueClient::new(&settings.key_value, settings.timeout),
+            vm_list: VmListClient::new(Arc::clone(&settings.vm_list), settings.timeout),
+            prefix: Arc::clone(&settings.prefix),
+        }
+    }
+
+    pub(crate) fn configuration_key(&self) -> String {
+        ConfigurationRecord::key(&self.prefix)
+    }
+
+    pub(crate) fn stops_key(&self) -> String {
+        StopsRecord::key(&self.prefix)
+    }
+
+    /// Reads the configuration; `None` before the first one was applied.
+    pub(crate) async fn read_configuration(
+        &self,
+    ) -> Result<Option<StoredRecord<ConfigurationRecord>>, CommandFault> {
+        self.read(&self.configuration_key()).await
+    }
+
+    /// Reads the planned stops; `None` before the first one was announced.
+    pub(crate) async fn read_stops(
+        &self,
+    ) -> Result<Option<StoredRecord<StopsRecord>>, CommandFault> {
+        self.read(&self.stops_key()).await
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        key: &str,
+    ) -> Result<Option<StoredRecord<T>>, CommandFault> {
+        let found = self.client.get(key).await;
+        let record = found.map_err(|fault| CommandFault::of_read(&fault))?;
+        record.as_ref().map(decode).transpose()
+    }
+
+    /// Writes a record if nobody else has.
+    pub(crate) async fn swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: &impl Serialize,
+    ) -> Result<SwapOutcome, KeyValueFault> {
+        let bytes = serde_json::to_vec(value).expect("a record has a JSON form");
+        let swap = self
+            .client
+            .compare_and_swap(key, expected, Bytes::from(bytes));
+        swap.await
+    }
+}
+
+/// Waits before the next attempt to learn what became of a write.
+pub(crate) async fn pause(attempt: u32) {
+    actix_rt::time::sleep(SETTLE_PAUSE * 2_u32.pow(attempt)).await;
+}
+
+/// Reads a record as it was stored.
+pub(crate) fn decode<T: DeserializeOwned>(
+    record: &KeyValueRecord,
+) -> Result<StoredRecord<T>, CommandFault> {
+    let malformed =
+        |e: serde_json::Error| CommandFault::Record(Arc::clone(&record.key), e.to_string().into());
+    Ok(StoredRecord {
+        value: serde_json::from_slice(&record.value).map_err(malformed)?,
+        expected: Expected::At(record.revision),
+    })
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/status.rs
@@ -0,0 +1,120 @@
+//! `celerycrank status`: what one entry or agent says of itself.
+
+use std::{fmt::Write, net::SocketAddr, time::Duration};
+
+use serde_json::{Map, Value};
+
+use crate::operator::{CommandFault, CommandReport, EXIT_HELP};
+
+/// Longest wait for a process's status.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Largest status that is read.
+const MAX_STATUS_BYTES: usize = 16 << 20;
+
+const EXAMPLES: &str = "\
+Examples:
+  celerycrank status --address 10.0.0.5:9100
+  celerycrank status --address 10.0.0.5:9100 --format json";
+
+/// Shows the revision in force, backend servers, accounts and refusals of one process.
+#[derive(Debug, clap::Args)]
+#[command(after_help = format!("{EXAMPLES}\n\n{EXIT_HELP}"))]
+pub(crate) struct StatusArgs {
+    /// Admin address of an entry or agent.
+    #[arg(long)]
+    address: SocketAddr,
+}
+
+/// Asks a process for its status.
+pub(crate) async fn status(args: &StatusArgs) -> Result<CommandReport, CommandFault> {
+    let address = args.address.to_string();
+    let fault = |message: String| CommandFault::Process(address.as_str().into(), message.into());
+    let client = awc::Client::builder().timeout(STATUS_TIMEOUT).finish();
+    let sent = client.get(format!("http://{address}/status")).send().await;
+    let mut response = sent.map_err(|e| fault(e.to_string()))?;
+    if !response.status().is_success() {
+        return Err(fault(format!("status {}", response.status())));
+    }
+    let body = response.body().limit(MAX_STATUS_BYTES).await;
+    let bytes = body.map_err(|e| fault(e.to_string()))?;
+    let value = serde_json::from_slice::<Value>(&bytes).map_err(|e| fault(e.to_string()))?;
+    let mut text = String::new();
+    write_value(&mut text, 0, &value);
+    Ok(CommandReport::done(text, &value))
+}
+
+/// Writes an object as lines, one a field, so that fields that a newer process adds show.
+fn write_value(text: &mut String, depth: usize, value: &Value) {
+    match value {
+        Value::Object(fields) => {
+            for (name, field) in fields {
+                write_field(text, depth, name, field);
+            }
+        }
+        other => write_line(text, depth, &plain(other)),
+    }
+}
+
+fn write_field(text: &mut String, depth: usize, name: &str, field: &Value) {
+    let name = name.replace('_', " ");
+    match field {
+        Value::Array(items) if items.is_empty() => {
+            write_line(text, depth, &format!("{name}: none"));
+        }
+        Value::Array(items) => {
+            write_line(text, depth, &format!("{name}:"));
+            for item in items {
+                write_line(text, depth + 1, &plain(item));
+            }
+        }
+        Value::Object(counts) if is_counts(counts) => {
+            write_line(text, depth, &format!("{name}: {}", count_list(counts)));
+        }
+        Value::Object(_) => {
+            write_line(text, depth, &format!("{name}:"));
+            write_value(text, depth + 1, field);
+        }
+        other => write_line(text, depth, &format!("{name}: {}", plain(other))),
+    }
+}
+
+fn is_counts(fields: &Map<String, Value>) -> bool {
+    fields.values().all(Value::is_number)
+}
+
+/// The counts above zero, since a reason that never occurred tells nothing.
+fn count_list(counts: &Map<String, Value>) -> String {
+    let above = counts
+        .iter()
+        .filter(|(_, count)| count.as_f64() != Some(0.0));
+    let parts = above.map(|(name, count)| format!("{} {count}", name.replace('_', " ")));
+    let text = parts.collect::<Vec<_>>().join(", ");
+    if text.is_empty() {
+        return "none".into();
+    }
+    text
+}
+
+/// A value on one line.
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Null => "none".into(),
+        Value::Bool(true) => "yes".into(),
+        Value::Bool(false) => "no".into(),
+        Value::String(text) => text.clone(),
+        Value::Number(number) => number.to_string(),
+        Value::Array(items) => items.iter().map(plain).collect::<Vec<_>>().join(", "),
+        Value::Object(fields) => {
+            let parts = fields
+                .iter()
+                .map(|(name, field)| format!("{} {}", name.replace('_', " "), plain(field)));
+            parts.collect::<Vec<_>>().join(", ")
+        }
+    }
+}
+
+fn write_line(text: &mut String, depth: usize, line: &str) {
+    writeln!(text, "{:width$}{line}", "", width = depth * 2)
+        .expect("writing to a text cannot fail");
+}
--- /dev/null
+++ b/crates/celerycrank-cli/src/operator/stop.rs
@@ -0,0 +1,289 @@
+//! `celerycrank stop`: announces, withdraws and lists planned stops.
+
+use std::{fmt::Write, sync::Arc};
+
+use celerycrank_membership::{
+    MemberTable, MemberTimings, PlannedStop, StopImpact, StopTarget, StopsRecord, VmFact, VmRole,
+};
+use celerycrank_platform::{Expected, KeyValueFault, SwapOutcome, VmOffer, VmRecord, VmState};
+use celerycrank_types::{TimePoint, TimeSpan};
+use clap::Subcommand;
+use serde_json::json;
+
+use crate::operator::{
+    CommandFault, CommandReport, EXIT_HELP,
+    apply::AuthorArgs,
+    clock::{StopTime, UtcTime},
+    directory::DirectoryArgs,
+    report::ExitStatus,
+    service::{PlatformHandle, SETTLE_ATTEMPTS, pause},
+};
+
+const EXAMPLES: &str = "\
+Targets: backend:NAME, vm:ID, entry:NAME, group:NAME, domain:NAME
+
+Examples:
+  celerycrank stop announce vm:vm-17 --reason 'new image'
+  celerycrank stop announce domain:borba --at +30m --reason 'power works'
+  celerycrank stop withdraw domain:borba
+  celerycrank stop list
+
+An announced target takes no new work; requests in flight run to their end.";
+
+/// Announces, withdraws and lists planned stops.
+#[derive(Debug, clap::Args)]
+#[command(after_help = format!("{EXAMPLES}\n\n{EXIT_HELP}"))]
+pub(crate) struct StopArgs {
+    #[command(subcommand)]
+    command: StopCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum StopCommand {
+    /// Announces a stop; warns if too little would be left.
+    Announce {
+        /// What stops.
+        target: StopTarget,
+        /// When: `now`, `+10m` or `2026-12-04T22:00:00Z`.
+        #[arg(long, default_value = "now")]
+        at: StopTime,
+        /// Why, for those who read the list.
+        #[arg(long, default_value = "")]
+        reason: Arc<str>,
+        /// Announces even if too little would be left.
+        #[arg(long)]
+        force: bool,
+        #[command(flatten)]
+        author: AuthorArgs,
+        #[command(flatten)]
+        directory: DirectoryArgs,
+    },
+    /// Withdraws the stop of a target.
+    Withdraw {
+        /// What does not stop after all.
+        target: StopTarget,
+        #[command(flatten)]
+        directory: DirectoryArgs,
+    },
+    /// Lists the announced stops.
+    List {
+        #[command(flatten)]
+        directory: DirectoryArgs,
+    },
+}
+
+/// One edit of the stops; carrying it out twice changes nothing more.
+enum StopEdit {
+    Announce(PlannedStop),
+    Withdraw(StopTarget),
+}
+
+impl StopEdit {
+    fn carry_out(&self, record: &mut StopsRecord) {
+        match self {
+            Self::Announce(stop) => record.announce(stop.clone()),
+            Self::Withdraw(target) => {
+                record.withdraw(target);
+            }
+        }
+    }
+
+    fn is_done(&self, record: &StopsRecord) -> bool {
+        match self {
+            Self::Announce(stop) => record.stops.contains(stop),
+            Self::Withdraw(target) => record.stops.iter().all(|stop| stop.target != *target),
+        }
+    }
+}
+
+/// Runs one of the commands.
+pub(crate) async fn stop(args: &StopArgs) -> Result<CommandReport, CommandFault> {
+    match &args.command {
+        StopCommand::Announce {
+            target,
+            at,
+            reason,
+            force,
+            author,
+            directory,
+        } => {
+            let platform = PlatformHandle::new(&directory.read_platform()?);
+            let stop = PlannedStop {
+                target: target.clone(),
+                at: at.seconds(UtcTime::now().0),
+                reason: Arc::clone(reason),
+                author: author.name()?,
+            };
+            announce(&platform, stop, *force).await
+        }
+        StopCommand::Withdraw { target, directory } => {
+            let platform = PlatformHandle::new(&directory.read_platform()?);
+            let text = format!("{target} does not stop\n");
+            edit(&platform, &StopEdit::Withdraw(target.clone()), text).await
+        }
+        StopCommand::List { directory } => {
+            list(&PlatformHandle::new(&directory.read_platform()?)).await
+        }
+    }
+}
+
+async fn announce(
+    platform: &PlatformHandle,
+    stop: PlannedStop,
+    force: bool,
+) -> Result<CommandReport, CommandFault> {
+    if !force && let Some(warning) = warn(platform, &stop.target).await? {
+        return Ok(warning);
+    }
+    let text = format!("announced: {}", stop_line(&stop));
+    edit(platform, &StopEdit::Announce(stop), text).await
+}
+
+/// Works out from the VM list what this stop and the announced ones would leave.
+async fn warn(
+    platform: &PlatformHandle,
+    target: &StopTarget,
+) -> Result<Option<CommandReport>, CommandFault> {
+    let fetched = platform.vm_list.fetch().await;
+    let table = member_table(&fetched.map_err(CommandFault::VmList)?);
+    let stops = platform.read_stops().await?;
+    let announced = stops.map(|stored| stored.value.stops).unwrap_or_default();
+    let mut targets = announced
+        .into_iter()
+        .map(|stop| stop.target)
+        .collect::<Vec<_>>();
+    targets.push(target.clone());
+    let known = matches!(target, StopTarget::Vm(_) | StopTarget::Domain(_));
+    if known && !table.facts().any(|fact| target.covers(fact)) {
+        let text = format!("no VM of the VM list is {target}; --force announces it all the same\n");
+        let json = json!({ "error": "no such target", "target": target.to_string() });
+        return Ok(Some(CommandReport::new(
+            ExitStatus::NeedsForce,
+            text,
+            &json,
+        )));
+    }
+    let impact = StopImpact::of(&table, &targets);
+    Ok((!impact.shortfalls.is_empty()).then(|| report_shortfall(target, &impact)))
+}
+
+fn report_shortfall(target: &StopTarget, impact: &StopImpact) -> CommandReport {
+    let mut text = format!("not announced: with {target} stopped, too little would be left:\n");
+    for shortfall in &impact.shortfalls {
+        let role = match &shortfall.role {
+            VmRole::Entry => "entries".to_owned(),
+            VmRole::Engine(model) => format!("model {model}"),
+            VmRole::Service(service) => format!("service {service}"),
+        };
+        let (live, remaining) = (shortfall.live, shortfall.remaining);
+        writeln!(text, "  {role}: {remaining} of {live} VMs")
+            .expect("writing to a text cannot fail");
+    }
+    text.push_str("--force announces it all the same\n");
+    CommandReport::new(ExitStatus::NeedsForce, text, impact)
+}
+
+fn member_table(records: &[VmRecord]) -> MemberTable {
+    let facts = records.iter().map(|record| {
+        let role = match &record.offers {
+            VmOffer::Model(model) => VmRole::Engine(model.clone()),
+            VmOffer::Service(service) => VmRole::Service(service.clone()),
+        };
+        let fact = VmFact {
+            vm: record.vm.clone(),
+            domain: record.domain.clone(),
+            address: record.address,
+            role,
+            backend: None,
+            group: None,
+        };
+        (fact, record.state == VmState::Leaving)
+    });
+    let timings = MemberTimings {
+        ramp: TimeSpan::ZERO,
+        ..MemberTimings::default()
+    };
+    let mut table = MemberTable::new(timings);
+    table.on_list(&facts.collect::<Vec<_>>(), TimePoint::default());
+    table
+}
+
+/// Edits the record, starting over when another operator was faster.
+async fn edit(
+    platform: &PlatformHandle,
+    edit: &StopEdit,
+    text: String,
+) -> Result<CommandReport, CommandFault> {
+    let key = platform.stops_key();
+    let mut unsettled = None::<KeyValueFault>;
+    for attempt in 0..SETTLE_ATTEMPTS {
+        let (mut record, expected) = match platform.read_stops().await {
+            Ok(Some(stored)) => (stored.value, stored.expected),
+            Ok(None) => (StopsRecord::default(), Expected::Absent),
+            Err(fault) if unsettled.is_none() => return Err(fault),
+            Err(_) => {
+                pause(attempt).await;
+                continue;
+            }
+        };
+        if edit.is_done(&record) {
+            return Ok(CommandReport::done(text, &record));
+        }
+        edit.carry_out(&mut record);
+        record.revision += 1;
+        match platform.swap(&key, expected, &record).await {
+            Ok(SwapOutcome::Written(_)) => return Ok(CommandReport::done(text, &record)),
+            Ok(SwapOutcome::Conflict(_)) => {}
+            Err(fault) if fault.proves_no_effect() && unsettled.is_none() => {
+                return Err(CommandFault::Service(fault));
+            }
+            Err(fault) => unsettled = Some(fault),
+        }
+        pause(attempt).await;
+    }
+    Ok(report_unsettled(unsettled))
+}
+
+/// Reports an edit that found no end: other operators were faster each time, or answers
+/// were lost.
+fn report_unsettled(unsettled: Option<KeyValueFault>) -> CommandReport {
+    let Some(fault) = unsettled else {
+        let text = "nothing was changed: others edit the stops; run the command again\n";
+        let json = json!({ "error": "others edit the stops" });
+        return CommandReport::new(ExitStatus::Conflict, text, &json);
+    };
+    let text = format!(
+        "it is not known whether the change was made: {fault}\n\
+         run the same command again: it is never made twice\n"
+    );
+    CommandReport::new(
+        ExitStatus::Unknown,
+        text,
+        &json!({ "error": fault.to_string() }),
+    )
+}
+
+async fn list(platform: &PlatformHandle) -> Result<CommandReport, CommandFault> {
+    let stored = platform.read_stops().await?;
+    let record = stored.map(|stored| stored.value).unwrap_or_default();
+    let mut text = record.stops.iter().map(stop_line).collect::<String>();
+    if text.is_empty() {
+        text.push_str("no stop is announced\n");
+    }
+    Ok(CommandReport::done(text, &record))
+}
+
+fn stop_line(stop: &PlannedStop) -> String {
+    let mut text = format!(
+        "{} from {} by {}",
+        stop.target,
+        UtcTime(stop.at),
+        stop.author
+    );
+    if !stop.reason.is_empty() {
+        text.push_str(": ");
+        text.push_str(&stop.reason);
+    }
+    text.push('\n');
+    text
+}
--- /dev/null
+++ b/crates/celerycrank-cli/tests/sessions.rs
@@ -0,0 +1,222 @@
+//! Whole sessions of operators at the command line, against reference output.
+
+mod operator_session;
+
+use celerycrank_standin::{KeyValueFaults, ListedOffer, ListedVm, OutageKind};
+use operator_session::OperatorSession;
+
+const CUSTOMERS: &str = include_str!("../../celerycrank-config/tests/data/good-customers.json");
+const PLANS: &str = include_str!("../../celerycrank-config/tests/data/good-plans.json");
+
+async fn session_with_lists() -> OperatorSession {
+    let session = OperatorSession::start().await;
+    session.write("ana/customers.json", CUSTOMERS);
+    session.write("ana/plans.json", PLANS);
+    session
+}
+
+fn faults(outage: OutageKind, lost_answers: u32) -> KeyValueFaults {
+    KeyValueFaults {
+        outage,
+        lost_answers,
+        ..KeyValueFaults::default()
+    }
+}
+
+#[actix_rt::test]
+async fn first_start_and_an_edit() {
+    let mut session = session_with_lists().await;
+    session.run("ana", "show").await;
+    session.run("ana", "diff").await;
+    session.run("ana", "apply --author ana --note first").await;
+    session.run("ana", "apply --author ana").await;
+    session.write(
+        "ana/plans.json",
+        &PLANS.replace("\"share\": 1,", "\"share\": 0,"),
+    );
+    session.run("ana", "check").await;
+    session.run("ana", "apply --author ana").await;
+    session.write(
+        "ana/plans.json",
+        &PLANS.replace("\"share\": 1,", "\"share\": 3,"),
+    );
+    session.run("ana", "check").await;
+    session.run("ana", "diff --format json").await;
+    session
+        .run("ana", "apply --author ana --note 'more for all'")
+        .await;
+    session.run("ana", "history").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[actix_rt::test]
+async fn racing_operators_lose_no_edit() {
+    let mut session = session_with_lists().await;
+    session.run("ana", "apply --author ana --note first").await;
+    session.run("rui", "export").await;
+    let theirs = session.read("rui/plans.json");
+    session.write(
+        "rui/plans.json",
+        &theirs.replace("\"share\": 5,", "\"share\": 8,"),
+    );
+    session.write(
+        "ana/customers.json",
+        &CUSTOMERS.replace("\"plan\": \"plain\"", "\"plan\": \"gold\""),
+    );
+    session
+        .run("rui", "apply --author rui --note 'gold grows'")
+        .await;
+    session.run("ana", "apply --author ana").await;
+    session.run("ana", "apply --author ana --format json").await;
+    session
+        .run("ana", "export --dir theirs --platform-dir .")
+        .await;
+    session.copy("ana/platform.json", "ana/theirs/platform.json");
+    session.copy("ana/customers.json", "ana/theirs/customers.json");
+    session.run("ana", "diff --dir theirs").await;
+    session.run("ana", "apply --dir theirs --author ana").await;
+    session.run("ana", "history --limit 2").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_is_settled_by_the_nonce() {
+    let mut session = session_with_lists().await;
+    session.note("the answer to the next write is lost");
+    session.key_value.set_faults(faults(OutageKind::None, 1));
+    session.run("ana", "apply --author ana").await;
+    session.run("ana", "history").await;
+    session.note("the answer to the next write is lost");
+    session.key_value.set_faults(faults(OutageKind::None, 1));
+    session
+        .run(
+            "ana",
+            "stop announce entry:entry-1 --author ana --at 2030-01-01T00:00:00Z",
+        )
+        .await;
+    session.run("ana", "stop list").await;
+    session.note("the answers to all writes are lost");
+    session.key_value.set_faults(faults(OutageKind::None, 100));
+    session.write(
+        "ana/plans.json",
+        &PLANS.replace("\"share\": 1,", "\"share\": 3,"),
+    );
+    session.run("ana", "apply --author ana").await;
+    session.key_value.set_faults(faults(OutageKind::None, 0));
+    session.run("ana", "apply --author ana").await;
+    session.run("ana", "history").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[actix_rt::test]
+async fn an_outage_changes_nothing() {
+    let mut session = session_with_lists().await;
+    session.run("ana", "apply --author ana").await;
+    session.write(
+        "ana/plans.json",
+        &PLANS.replace("\"share\": 1,", "\"share\": 3,"),
+    );
+    session.note("the key-value service is down");
+    session.key_value.set_faults(faults(OutageKind::Refuse, 0));
+    for command in ["check", "diff", "apply --author ana", "show", "stop list"] {
+        session.run("ana", command).await;
+    }
+    session.note("the key-value service is back");
+    session.key_value.set_faults(faults(OutageKind::None, 0));
+    session.run("ana", "diff").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[actix_rt::test]
+async fn a_lost_record_does_not_take_the_revision_back() {
+    let mut session = session_with_lists().await;
+    session.write("ana/revision.json", "{ \"revision\": 41 }");
+    session.run("ana", "apply --author ana").await;
+    session.run("ana", "apply --author ana --restore").await;
+    session.run("ana", "history").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[actix_rt::test]
+async fn stops_warn_with_figures() {
+    let mut session = session_with_lists().await;
+    let vm = |number: u16, domain: &str| ListedVm {
+        vm: format!("vm-{number}").parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        address: ([127, 0, 0, 1], 4_000 + number).into(),
+        offers: ListedOffer::Model("drafter".parse().unwrap()),
+        leaving: false,
+    };
+    let vms = vec![vm(1, "borba"), vm(2, "borba"), vm(3, "estremoz")];
+    session.vm_list.set_vms(vms);
+    session.run("ana", "stop list").await;
+    let at = "--at 2030-01-01T00:00:00Z --author ana";
+    session
+        .run("ana", &format!("stop announce vm:vm-3 {at} --reason image"))
+        .await;
+    session
+        .run("ana", &format!("stop announce domain:borba {at}"))
+        .await;
+    session
+        .run(
+            "ana",
+            &format!("stop announce domain:borba {at} --format json"),
+        )
+        .await;
+    session
+        .run("ana", &format!("stop announce vm:vm-9 {at}"))
+        .await;
+    session
+        .run("ana", &format!("stop announce domain:borba {at} --force"))
+        .await;
+    session.run("ana", "stop list").await;
+    session.run("ana", "stop withdraw domain:borba").await;
+    session.run("ana", "stop withdraw domain:borba").await;
+    session.run("ana", "stop list --format json").await;
+    session.run("ana", "stop announce borba").await;
+    session
+        .run(
+            "ana",
+            "stop announce domain:borba --at 2030-02-30T00:00:00Z",
+        )
+        .await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+/// However many operators start from one revision, and whichever answers are lost, one
+/// wins and every other one is told.
+#[actix_rt::test]
+async fn of_operators_who_race_exactly_one_wins() {
+    for lost_answers in [0, 1, 3] {
+        let mut session = session_with_lists().await;
+        session.run("ana", "apply --author ana").await;
+        session
+            .key_value
+            .set_faults(faults(OutageKind::None, lost_answers));
+        let mut racers = Vec::new();
+        for share in 11..17 {
+            let dir = format!("racer-{share}");
+            let plans = PLANS.replace("\"share\": 1,", &format!("\"share\": {share},"));
+            session.write(&format!("{dir}/plans.json"), &plans);
+            session.write(&format!("{dir}/customers.json"), CUSTOMERS);
+            for file in ["platform.json", "revision.json"] {
+                session.write(
+                    &format!("{dir}/{file}"),
+                    &session.read(&format!("ana/{file}")),
+                );
+            }
+            racers.push(session.spawn(&dir, &format!("apply --author {dir}")));
+        }
+        let mut codes = Vec::new();
+        for racer in racers {
+            codes.push(racer.await.unwrap().unwrap().status.code().unwrap());
+        }
+        codes.sort_unstable();
+        assert_eq!(codes, [0, 4, 4, 4, 4, 4], "{lost_answers} lost answers");
+        let history = session.spawn("ana", "history --format json").await;
+        let output = history.unwrap().unwrap().stdout;
+        let value = serde_json::from_slice::<serde_json::Value>(&output).unwrap();
+        assert_eq!(value["changes"].as_array().unwrap().len(), 2);
+        assert_eq!(value["changes"][0]["revision"], 2);
+    }
+}
--- a/crates/celerycrank-config/src/check/setting.rs
+++ b/crates/celerycrank-config/src/check/setting.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    AgentSettings, EntrySettings,
+    AgentSettings, EntrySettings, PlatformSettings,
     check::{
         fault::{CheckFault, FaultKind},
         shape::{FaultLog, Shape, check_text, optional, required, text, wrong_form},
@@ -95,6 +95,15 @@
     check_settings(text, &AGENT_SHAPE)
 }
 
+/// Reads where the platform's services are, or names every fault.
+///
+/// # Errors
+///
+/// Fails with all faults at once.
+pub fn check_platform(text: &str) -> Result<PlatformSettings, Vec<CheckFault>> {
+    check_settings(text, &PLATFORM)
+}
+
 fn check_settings<T: DeserializeOwned>(text: &str, shape: &Shape) -> Result<T, Vec<CheckFault>> {
     let mut log = FaultLog::default();
     check_text(text, shape, &mut log);
--- a/crates/celerycrank-config/src/lib.rs
+++ b/crates/celerycrank-config/src/lib.rs
@@ -15,7 +15,7 @@
 pub use crate::{
     check::{
         CheckFault, FaultKind, ListFaults, ListTexts, check_agent, check_entry, check_lists,
-        lists_text,
+        check_platform, lists_text,
     },
     configuration::Configuration,
     diff::{ListChange, list_changes},
--- a/crates/celerycrank-config/src/record.rs
+++ b/crates/celerycrank-config/src/record.rs
@@ -41,6 +41,8 @@
 pub struct ChangeNote {
     /// The revision that the change made.
     pub revision: Revision,
+    /// The nonce of its write, by which a writer whose answer was lost finds it later.
+    pub nonce: Arc<str>,
     /// Who made it.
     pub author: Arc<str>,
     /// Why, in the author's words.
@@ -77,6 +79,7 @@
         changes.truncate(MAX_NOTED_CHANGES);
         self.changes.push(ChangeNote {
             revision: self.revision,
+            nonce: Arc::clone(&self.nonce),
             author: Arc::clone(&self.author),
             note: Arc::clone(&self.note),
             at: self.at,
--- a/crates/celerycrank-membership/src/lib.rs
+++ b/crates/celerycrank-membership/src/lib.rs
@@ -15,6 +15,7 @@
 mod gate;
 mod keeper;
 mod member;
+mod planned;
 mod roster;
 mod spread;
 mod stop;
@@ -29,7 +30,8 @@
         MemberEvidence, MemberState, MemberTable, MemberTimings, MemberView, RampWeight, VmFact,
         VmRole,
     },
+    planned::{PlannedStop, StopsRecord},
     roster::{PeerFact, WATCHERS_PER_DOMAIN, WatcherRoster},
     spread::{SpreadPlanner, SpreadTimings},
-    stop::{ModelShortfall, StopImpact, StopTarget},
+    stop::{ModelShortfall, StopImpact, StopTarget, TargetFault},
 };
--- a/crates/celerycrank-membership/src/stop.rs
+++ b/crates/celerycrank-membership/src/stop.rs
@@ -1,6 +1,6 @@
 //! Planned stops, and what would be left if they all took place.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt, str::FromStr, sync::Arc};
 
 use celerycrank_types::{BackendId, DomainId, EntryId, GroupId, VmId};
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,43 @@
     Domain(DomainId),
 }
 
+/// `{0}` is not a target: write backend:NAME, vm:NAME, entry:NAME, group:NAME or domain:NAME
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub struct TargetFault(pub Arc<str>);
+
+impl std::error::Error for TargetFault {}
+
+impl fmt::Display for StopTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Backend(backend) => write!(f, "backend:{backend}"),
+            Self::Vm(vm) => write!(f, "vm:{vm}"),
+            Self::Entry(entry) => write!(f, "entry:{entry}"),
+            Self::Group(group) => write!(f, "group:{group}"),
+            Self::Domain(domain) => write!(f, "domain:{domain}"),
+        }
+    }
+}
+
+impl FromStr for StopTarget {
+    type Err = TargetFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let fault = || TargetFault(text.into());
+        let (kind, name) = text.split_once(':').ok_or_else(fault)?;
+        match kind {
+            "backend" => name.parse().map(Self::Backend),
+            "vm" => name.parse().map(Self::Vm),
+            "entry" => name.parse().map(Self::Entry),
+            "group" => name.parse().map(Self::Group),
+            "domain" => name.parse().map(Self::Domain),
+            _ => return Err(fault()),
+        }
+        .ok()
+        .ok_or_else(fault)
+    }
+}
+
 impl StopTarget {
     /// Whether the stop concerns this VM.
     #[must_use]
--- a/crates/celerycrank-platform/src/client.rs
+++ b/crates/celerycrank-platform/src/client.rs
@@ -335,7 +335,7 @@
 pub(crate) fn send_fault(error: &SendRequestError) -> KeyValueFault {
     match error {
         SendRequestError::Connect(ConnectError::Disconnected) => {
-            KeyValueFault::Unknown(AnswerFault::Lost(error.to_string().into()))
+            KeyValueFault::Unknown(AnswerFault::Lost("it was closed before the answer".into()))
         }
         SendRequestError::Connect(_) | SendRequestError::Url(_) => {
             KeyValueFault::NotSent(SendFault::Connect(error.to_string().into()))
