Add both houses' lists and settings, and put them in force in tests

Cause: the checks had only made-up files to read; operators had none to start from.

The golden sessions check them, put them in force and announce a stop of a failure domain (accepted) and one more VM (refused, with figures).

--- /dev/null
+++ b/crates/celerycrank-cli/tests/examples.rs
@@ -0,0 +1,72 @@
+//! The lists and settings of both houses, checked and put in force.
+
+mod operator_session;
+
+use std::{fs, path::PathBuf};
+
+use celerycrank_standin::ListedVm;
+use operator_session::OperatorSession;
+
+fn example(house: &str, file: &str) -> PathBuf {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    root.join(house).join(file)
+}
+
+fn read(house: &str, file: &str) -> String {
+    fs::read_to_string(example(house, file)).unwrap()
+}
+
+#[derive(serde::Deserialize)]
+struct VmFile {
+    vms: Vec<ListedVm>,
+}
+
+async fn run_house(house: &str, domain: &str, model_vm: &str) -> OperatorSession {
+    let mut session = OperatorSession::start().await;
+    for file in [
+        "customers.json",
+        "plans.json",
+        "entry.json",
+        "agent-engine.json",
+        "agent-service.json",
+    ] {
+        session.write(&format!("ana/{file}"), &read(house, file));
+    }
+    let file = serde_json::from_str::<VmFile>(&read(house, "vms.json")).unwrap();
+    session.vm_list.set_vms(file.vms);
+    let check = "check --entry-settings entry.json --agent-settings agent-engine.json \
+                 --agent-settings agent-service.json";
+    session.run("ana", check).await;
+    session
+        .run("ana", "apply --author ana --note 'first start'")
+        .await;
+    let stop = format!("stop announce domain:{domain} --at 2030-01-01T00:00:00Z --author ana");
+    session.run("ana", &stop).await;
+    let stop = format!("stop announce vm:{model_vm} --at 2030-01-01T00:00:00Z --author ana");
+    session.run("ana", &stop).await;
+    session
+}
+
+#[actix_rt::test]
+async fn the_auction_house() {
+    let session = run_house("auction-house", "borba", "vm-auction-room-1").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+#[actix_rt::test]
+async fn the_co_op() {
+    let session = run_house("co-op", "east-2", "vm-ledger-1").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
+/// What `platform.json` of an example says is what its processes are told.
+#[test]
+fn platform_files_agree() {
+    for house in ["auction-house", "co-op"] {
+        let json = |file| serde_json::from_str::<serde_json::Value>(&read(house, file)).unwrap();
+        let platform = json("platform.json");
+        for file in ["entry.json", "agent-engine.json", "agent-service.json"] {
+            assert_eq!(json(file)["platform"], platform, "{house}/{file}");
+        }
+    }
+}
--- a/crates/celerycrank-cli/tests/operator_session/mod.rs
+++ b/crates/celerycrank-cli/tests/operator_session/mod.rs
@@ -1,5 +1,7 @@
 //! A terminal with the platform's stand-ins behind it, kept as a transcript.
 
+#![allow(dead_code, reason = "each test file uses its own part")]
+
 use std::{
     fmt::Write,
     fs, io,
