Run attempts by the start ledger's chart, claims and the fair queue

Cause: the agent kept a plain ledger whose size grew with the request rate and whose retention stood for a proof, a first-come queue that knew no shares, and no claims, so that a keyed call could run twice.

Now an order names the agent's life and when it must have started on the agent's own clock; StartLedger refuses or proves by these, bounded in number. FairQueue gives slots by share and says when to retry. ClaimDesk carries out the claim ledger's operations against the key-value service; a keyed call goes on after its caller left, so that its status is recorded, and a repeated one is answered from the record. The entry spends a retry budget per account, except where nothing reached a backend server.

Ruled out: cancelling keyed calls with their callers, which would leave every such key unknown for ever.

--- a/crates/celerycrank-agent/src/lib.rs
+++ b/crates/celerycrank-agent/src/lib.rs
@@ -5,18 +5,16 @@
 
 mod admin;
 mod backend;
+mod claims;
 mod fault;
-mod ledger;
+mod forward;
 mod metrics;
 mod order;
 mod process;
+mod reply;
 mod run;
 mod slots;
 mod state;
 mod strict;
 
-pub use crate::{
-    fault::AgentFault,
-    ledger::{ReceiveVerdict, RequestLedger},
-    process::AgentProcess,
-};
+pub use crate::{fault::AgentFault, process::AgentProcess};
--- a/crates/celerycrank-agent/src/order.rs
+++ b/crates/celerycrank-agent/src/order.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use celerycrank_link::{LinkEndpoint, LinkIncoming, MessageReceiver, MessageSender, StreamFault};
-use celerycrank_wire::{PeerOrder, PeerReply, RevokeOrder, RevokeReply};
+use celerycrank_requests::{AttemptAction, AttemptEvent, AttemptId, RevokeAnswer};
+use celerycrank_wire::{PeerOrder, PeerReply, RevokeOrder, RevokeReply, RevokeVerdict};
 
 use crate::{run::run_order, state::AgentState};
 
@@ -70,10 +71,35 @@
 
 fn revoke(state: &AgentState, order: RevokeOrder) -> RevokeReply {
     state.metrics.revoked.inc();
-    let now = state.clock.now();
+    let attempt = AttemptId {
+        request: order.id,
+        number: order.attempt,
+    };
+    let event = AttemptEvent::Revoked {
+        incarnation: order.agent,
+        deadline: order.start_by,
+    };
+    let actions = state.handle_attempt(attempt, event);
+    let answer = actions.iter().find_map(|action| match action {
+        AttemptAction::Answer(answer) => Some(*answer),
+        // The task that works on the attempt gives its claim back once it sees the
+        // tombstone.
+        _ => None,
+    });
     RevokeReply {
         id: order.id,
         incarnation: state.incarnation,
-        verdict: state.ledger.borrow_mut().revoke(order.id, now),
+        verdict: answer.map_or(RevokeVerdict::Forgotten, verdict),
+    }
+}
+
+const fn verdict(answer: RevokeAnswer) -> RevokeVerdict {
+    match answer {
+        RevokeAnswer::NeverStarted => RevokeVerdict::NeverStarted,
+        RevokeAnswer::Started => RevokeVerdict::Started,
+        RevokeAnswer::Finished => RevokeVerdict::Finished,
+        RevokeAnswer::Unproved(reason) => RevokeVerdict::Unproved(reason),
+        RevokeAnswer::Forgotten => RevokeVerdict::Forgotten,
+        RevokeAnswer::OtherIncarnation => RevokeVerdict::OtherIncarnation,
     }
 }
--- a/crates/celerycrank-agent/src/process.rs
+++ b/crates/celerycrank-agent/src/process.rs
@@ -20,7 +20,8 @@
 use celerycrank_wire::PROTOCOL_VERSION;
 
 use crate::{
-    AgentFault, admin::AgentPages, metrics::AgentMetrics, order::accept_entries, state::AgentState,
+    AgentFault, admin::AgentPages, claims::ClaimService, metrics::AgentMetrics,
+    order::accept_entries, state::AgentState,
 };
 
 /// Largest message of an entry: a body at its limit and the head beside it.
@@ -113,17 +114,24 @@
                 let client = KeyValueClient::new(&platform.key_value, platform.timeout);
                 let prefix = Arc::clone(&platform.prefix);
                 let sync = Rc::clone(&self.state.sync);
+                self.state.claims.connect(ClaimService {
+                    client: client.clone(),
+                    prefix: Arc::clone(&prefix),
+                });
                 Some(actix_rt::spawn(follow_service(sync, client, prefix)))
             }
         };
+        let claiming = actix_rt::spawn(Rc::clone(&self.state.claims).run());
         let backend = &self.state.settings.backend.backend;
         tracing::info!(%backend, %listen, %admin_listen, "agent serves");
         wait_for_stop_signal().await.map_err(AgentFault::Signal)?;
         tracing::info!(in_flight = self.state.in_flight(), "agent is leaving");
         self.state.shutdown.raise();
         self.state.drained().await;
+        self.state.claims.settled().await;
         self.endpoint.close().await;
         accepting.abort();
+        claiming.abort();
         if let Some(following) = following {
             following.abort();
         }
--- a/crates/celerycrank-agent/src/run.rs
+++ b/crates/celerycrank-agent/src/run.rs
@@ -1,30 +1,37 @@
-//! Runs one request.
+//! Runs one attempt, as the start ledger's chart tells.
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use actix_rt::time::{Instant, sleep, sleep_until};
+use actix_rt::time::sleep;
+use celerycrank_config::BackendKind;
 use celerycrank_link::MessageSender;
+use celerycrank_requests::{
+    AttemptAction, AttemptActions, AttemptEvent, AttemptId, CallKey, CallKind, CallStatus,
+    ClaimOrder, ClaimantId, RequestDigest,
+};
+use celerycrank_shares::QueueRequest;
 use celerycrank_types::{RefusalReason, Revision, TimeSpan, UnknownReason};
-use celerycrank_wire::{AnswerEnd, AnswerHead, BrokenReply, PeerReply, RefusedReply, RunOrder};
+use celerycrank_wire::{PeerReply, RunOrder};
 
 use crate::{
-    backend::{BackendAnswer, BackendFault},
-    ledger::ReceiveVerdict,
-    slots::{BackendSlot, QueuePlace, QueueVerdict},
+    forward::{ForwardEnd, forward},
+    reply::{end_message, replay_head},
+    slots::QueueTicket,
     state::AgentState,
 };
 
 /// Silence after which an entry is told that its request still waits or runs.
-const HEARTBEAT: Duration = Duration::from_secs(1);
+pub(crate) const HEARTBEAT: Duration = Duration::from_secs(1);
 
-/// How the work on a request ended.
-enum RunEnd {
+/// How the work on an attempt ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum RunEnd {
     /// The whole answer was passed on.
     Answered,
     /// The entry does not want the answer any more.
     Cancelled,
-    /// The request was not run.
-    Refused(RefusalReason),
+    /// The request was not run; a new attempt may succeed after the span, if known.
+    Refused(RefusalReason, Option<TimeSpan>),
     /// The request may have run.
     Broken(UnknownReason),
 }
@@ -33,14 +40,16 @@
 pub(crate) async fn run_order(state: Rc<AgentState>, order: RunOrder, mut sender: MessageSender) {
     let flight = state.track();
     let end = match admit(&state, &order) {
-        Ok(()) => run_admitted(&state, &order, &mut sender).await,
-        Err(end) => end,
-    };
-    let message = count_end(&state, &order, &end);
-    let Some(message) = message else {
-        return;
+        Ok(key) => {
+            AttemptRun::new(&state, &order, key, &mut sender)
+                .run()
+                .await
+        }
+        Err(reason) => RunEnd::Refused(reason, None),
     };
-    if sender.send(&message).await.is_ok() {
+    if let Some(message) = end_message(&state, &order, end)
+        && sender.send(&message).await.is_ok()
+    {
         sender.finish();
         // The answer is in flight until the entry has it.
         sender.abandoned().await;
@@ -48,205 +57,226 @@
     drop(flight);
 }
 
-/// Checks everything that needs no waiting.
-fn admit(state: &AgentState, order: &RunOrder) -> Result<(), RunEnd> {
+/// Checks everything that does not depend on the ledger.
+fn admit(state: &AgentState, order: &RunOrder) -> Result<Option<CallKey>, RefusalReason> {
     if state.shutdown.is_raised() {
-        return Err(RunEnd::Refused(RefusalReason::BackendLeaving));
+        return Err(RefusalReason::BackendLeaving);
     }
     if state.revision() == Revision(0) {
-        return Err(RunEnd::Refused(RefusalReason::NoConfiguration));
+        return Err(RefusalReason::NoConfiguration);
     }
     if order.revision < state.revision() {
-        return Err(RunEnd::Refused(RefusalReason::OldRevision));
+        return Err(RefusalReason::OldRevision);
     }
-    let now = state.clock.now();
-    match state.ledger.borrow_mut().receive(order.id, now) {
-        ReceiveVerdict::Fresh => Ok(()),
-        ReceiveVerdict::Revoked => Err(RunEnd::Refused(RefusalReason::Revoked)),
-        ReceiveVerdict::Duplicate => Err(RunEnd::Broken(UnknownReason::ClaimedElsewhere)),
-    }
-}
-
-async fn run_admitted(state: &AgentState, order: &RunOrder, sender: &mut MessageSender) -> RunEnd {
-    let arrival = state.clock.now();
-    let _slot = match take_slot(state, order, sender).await {
-        Ok(slot) => slot,
-        Err(end) => {
-            // Nothing was started, and a late wake-up must not start it.
-            state
-                .ledger
-                .borrow_mut()
-                .revoke(order.id, state.clock.now());
-            return end;
-        }
+    let Some(text) = &order.key else {
+        return Ok(None);
+    };
+    let BackendKind::Service(service) = &state.settings.backend.kind else {
+        return Err(RefusalReason::BadRequest);
     };
-    let now = state.clock.now();
-    if !state.ledger.borrow_mut().start(order.id, now) {
-        return RunEnd::Refused(RefusalReason::Revoked);
-    }
-    let waited = now.since(arrival);
-    state.metrics.started.inc();
-    state.metrics.queue_wait.observe(waited.as_secs_f64());
-    let end = forward(state, order, sender, waited).await;
-    let mut ledger = state.ledger.borrow_mut();
-    match end {
-        RunEnd::Refused(_) => ledger.undo_start(order.id, state.clock.now()),
-        _ => ledger.finish(order.id, state.clock.now()),
-    }
-    end
+    match CallKey::parse(&order.account, service, text) {
+        Ok(key) => Ok(Some(key)),
+        Err(_) => Err(RefusalReason::BadRequest),
+    }
 }
 
-async fn take_slot(
-    state: &AgentState,
-    order: &RunOrder,
-    sender: &mut MessageSender,
-) -> Result<BackendSlot, RunEnd> {
-    match state.slots.enter() {
-        QueueVerdict::Run(slot) => Ok(slot),
-        QueueVerdict::Refused(reason) => Err(RunEnd::Refused(reason)),
-        QueueVerdict::Wait(place) => wait_slot(state, order, sender, &place).await,
-    }
+/// One attempt while a task works on it.
+struct AttemptRun<'task> {
+    state: &'task Rc<AgentState>,
+    order: &'task RunOrder,
+    sender: &'task mut MessageSender,
+    attempt: AttemptId,
+    key: Option<CallKey>,
+    claimant: ClaimantId,
+    ticket: Option<QueueTicket>,
+    /// How the work ended, once it has.
+    end: Option<RunEnd>,
 }
 
-async fn wait_slot(
-    state: &AgentState,
-    order: &RunOrder,
-    sender: &mut MessageSender,
-    place: &QueuePlace,
-) -> Result<BackendSlot, RunEnd> {
-    let mut slot = pin!(place.slot());
-    let mut abandoned = pin!(sender.abandoned());
-    let mut deadline = pin!(sleep(order.deadline.as_duration()));
-    loop {
-        tokio::select! {
-            slot = &mut slot => return Ok(slot),
-            () = &mut abandoned => return Err(RunEnd::Cancelled),
-            () = &mut deadline => {
-                return Err(RunEnd::Refused(RefusalReason::DeadlineUnreachable));
-            }
-            () = sleep(HEARTBEAT) => {}
-        }
-        if sender
-            .send(&PeerReply::Waiting(state.load()))
-            .await
-            .is_err()
-        {
-            return Err(RunEnd::Cancelled);
+impl<'task> AttemptRun<'task> {
+    fn new(
+        state: &'task Rc<AgentState>,
+        order: &'task RunOrder,
+        key: Option<CallKey>,
+        sender: &'task mut MessageSender,
+    ) -> Self {
+        Self {
+            state,
+            order,
+            sender,
+            attempt: AttemptId {
+                request: order.id,
+                number: order.attempt,
+            },
+            key,
+            claimant: state.draw_claimant(),
+            ticket: None,
+            end: None,
         }
     }
-}
 
-/// Hands the request to the backend server and passes its answer on.
-async fn forward(
-    state: &AgentState,
-    order: &RunOrder,
-    sender: &mut MessageSender,
-    waited: TimeSpan,
-) -> RunEnd {
-    let idle = state.settings.backend.idle_timeout.as_duration();
-    let mut abandoned = pin!(sender.abandoned());
-    let mut sending = pin!(state.backend.send(order));
-    let mut silence = pin!(sleep(idle));
-    let mut answer = loop {
-        tokio::select! {
-            result = &mut sending => match result {
-                Ok(answer) => break answer,
-                Err(fault) => return fault.into(),
+    /// Feeds the ledger with what happens until nothing more is to be done.
+    async fn run(mut self) -> RunEnd {
+        let mut event = AttemptEvent::Arrived {
+            incarnation: self.order.agent,
+            deadline: self.order.start_by,
+            call: match self.key {
+                Some(_) => CallKind::Keyed,
+                None => CallKind::Plain,
             },
-            () = &mut abandoned => return RunEnd::Cancelled,
-            () = &mut silence => return RunEnd::Broken(UnknownReason::BackendTimeout),
-            () = sleep(HEARTBEAT) => {}
+        };
+        loop {
+            let actions = self.state.handle_attempt(self.attempt, event);
+            let Some(next) = self.perform(actions).await else {
+                return self.end.unwrap_or_else(|| self.revoked());
+            };
+            event = next;
         }
-        if sender
-            .send(&PeerReply::Waiting(state.load()))
-            .await
-            .is_err()
-        {
-            return RunEnd::Cancelled;
+    }
+
+    /// Ends an attempt that was revoked while it waited.
+    fn revoked(&self) -> RunEnd {
+        self.release_claim();
+        RunEnd::Refused(RefusalReason::Revoked, None)
+    }
+
+    /// Carries actions out; returns what came of the last, if it had to be waited for.
+    async fn perform(&mut self, actions: AttemptActions) -> Option<AttemptEvent> {
+        let mut next = None;
+        for action in actions {
+            match action {
+                AttemptAction::Claim => next = Some(self.claim().await),
+                AttemptAction::Queue => next = Some(self.queue().await),
+                AttemptAction::Start => next = Some(self.start().await),
+                AttemptAction::ReleaseClaim => self.release_claim(),
+                AttemptAction::RecordClaim(status) => self.record_claim(status),
+                AttemptAction::Refuse(reason) => {
+                    self.end.get_or_insert(RunEnd::Refused(reason, None));
+                }
+                AttemptAction::TellUnproved(reason) => {
+                    self.end.get_or_insert(RunEnd::Broken(reason));
+                }
+                AttemptAction::Replay(status) => self.replay(status).await,
+                // Answers to revocations go to their own stream, and dropping the answer of
+                // the backend server has cancelled the call.
+                AttemptAction::Answer(_) | AttemptAction::Cancel => {}
+            }
         }
-    };
-    let head = answer_head(state, order, &mut answer, waited);
-    if sender.send(&PeerReply::Head(head)).await.is_err() {
-        return RunEnd::Cancelled;
-    }
-    loop {
-        silence.as_mut().reset(Instant::now() + idle);
-        let mut heartbeat = pin!(sleep_until(Instant::now() + HEARTBEAT));
-        let message = tokio::select! {
-            result = answer.next_chunk() => match result {
-                Ok(Some(chunk)) => PeerReply::Chunk(chunk),
-                Ok(None) => return RunEnd::Answered,
-                Err(fault) => return fault.into(),
-            },
-            () = &mut abandoned => return RunEnd::Cancelled,
-            () = &mut silence => return RunEnd::Broken(UnknownReason::BackendTimeout),
-            () = &mut heartbeat => PeerReply::Waiting(state.load()),
+        next
+    }
+
+    async fn claim(&mut self) -> AttemptEvent {
+        let Some(key) = self.key else {
+            return AttemptEvent::TurnedAway(RefusalReason::BadRequest);
         };
-        if sender.send(&message).await.is_err() {
-            return RunEnd::Cancelled;
+        let head = &self.order.head;
+        let order = ClaimOrder::builder()
+            .key(key)
+            .request(RequestDigest::of(
+                &head.method,
+                &head.path,
+                &self.order.body,
+            ))
+            .claimant(self.claimant)
+            .give_up(self.order.start_by)
+            .build();
+        let mut claiming = pin!(self.state.claims.claim(order));
+        let mut abandoned = pin!(self.sender.abandoned());
+        loop {
+            tokio::select! {
+                answer = &mut claiming => return AttemptEvent::Claimed(answer),
+                () = &mut abandoned => break,
+                () = sleep(HEARTBEAT) => {}
+            }
+            let waiting = PeerReply::Waiting(self.state.load());
+            if self.sender.send(&waiting).await.is_err() {
+                break;
+            }
         }
+        self.end = Some(RunEnd::Cancelled);
+        AttemptEvent::Cancelled
     }
-}
 
-fn answer_head(
-    state: &AgentState,
-    order: &RunOrder,
-    answer: &mut BackendAnswer,
-    waited: TimeSpan,
-) -> AnswerHead {
-    AnswerHead {
-        id: order.id,
-        incarnation: state.incarnation,
-        revision: state.revision(),
-        status: answer.status,
-        fields: std::mem::take(&mut answer.fields),
-        waited,
-        load: state.load(),
+    async fn queue(&mut self) -> AttemptEvent {
+        let request = QueueRequest::builder()
+            .id(self.order.id)
+            .account(self.order.account.clone())
+            .weight(self.order.share)
+            .class(self.order.priority)
+            .cost(self.order.cost)
+            .start_by(self.order.start_by)
+            .build();
+        let refusal = match self.state.slots.enter(&request) {
+            Ok(ticket) => match self.wait_slot(ticket).await {
+                Ok(event) => return event,
+                Err(refusal) => refusal,
+            },
+            Err(refusal) => refusal,
+        };
+        let retry_after = Some(refusal.retry_after).filter(|span| *span > TimeSpan::ZERO);
+        self.end = Some(RunEnd::Refused(refusal.reason, retry_after));
+        AttemptEvent::TurnedAway(refusal.reason)
     }
-}
 
-/// Counts how a request ended, and makes the message that ends its answer.
-fn count_end(state: &AgentState, order: &RunOrder, end: &RunEnd) -> Option<PeerReply> {
-    let id = order.id;
-    let load = state.load();
-    match end {
-        RunEnd::Answered => {
-            state.metrics.answered.inc();
-            Some(PeerReply::End(AnswerEnd { id, load }))
+    async fn wait_slot(
+        &mut self,
+        mut ticket: QueueTicket,
+    ) -> Result<AttemptEvent, celerycrank_shares::QueueRefusal> {
+        let mut abandoned = pin!(self.sender.abandoned());
+        loop {
+            let left = self.order.start_by.since(self.state.clock.now());
+            tokio::select! {
+                biased;
+                verdict = ticket.slot() => {
+                    let waited = verdict?;
+                    self.state.metrics.queue_wait.observe(waited.as_secs_f64());
+                    self.ticket = Some(ticket);
+                    return Ok(AttemptEvent::SlotFree);
+                }
+                () = &mut abandoned => break,
+                () = sleep(left.as_duration().min(HEARTBEAT)) => self.state.slots.advance(),
+            }
+            let waiting = PeerReply::Waiting(self.state.load());
+            if self.sender.send(&waiting).await.is_err() {
+                break;
+            }
         }
-        RunEnd::Cancelled => {
-            state.metrics.cancelled.inc();
-            None
+        self.end = Some(RunEnd::Cancelled);
+        Ok(AttemptEvent::Cancelled)
+    }
+
+    async fn start(&mut self) -> AttemptEvent {
+        self.state.metrics.started.inc();
+        let ForwardEnd { end, status, used } = forward(self.state, self.order, self.sender).await;
+        if let Some(ticket) = &mut self.ticket {
+            ticket.note_used(used);
         }
-        RunEnd::Refused(reason) => {
-            state.metrics.refusals.count(*reason);
-            let reply = RefusedReply::builder()
-                .id(id)
-                .incarnation(state.incarnation)
-                .revision(state.revision())
-                .reason(*reason)
-                .maybe_configuration(state.sync.update_for(order.revision))
-                .load(load)
-                .build();
-            Some(PeerReply::Refused(Box::new(reply)))
+        self.end = Some(end);
+        if let RunEnd::Refused(..) = end {
+            // The backend server proved that it received nothing.
+            self.release_claim();
         }
-        RunEnd::Broken(reason) => {
-            state.metrics.unknowns.count(*reason);
-            Some(PeerReply::Broken(BrokenReply {
-                id,
-                incarnation: state.incarnation,
-                reason: *reason,
-                load,
-            }))
+        AttemptEvent::Finished(status)
+    }
+
+    fn release_claim(&self) {
+        if let Some(key) = self.key {
+            self.state.claims.release(key, self.claimant);
         }
     }
-}
 
-impl From<BackendFault> for RunEnd {
-    fn from(fault: BackendFault) -> Self {
-        match fault {
-            BackendFault::NotRun(reason) => Self::Refused(reason),
-            BackendFault::Unknown(reason) => Self::Broken(reason),
+    fn record_claim(&self, status: CallStatus) {
+        if let Some(key) = self.key {
+            self.state.claims.finish(key, self.claimant, status);
         }
     }
+
+    /// Answers from the record of the call's key.
+    async fn replay(&mut self, status: CallStatus) {
+        let head = replay_head(self.state, self.order, status);
+        self.end = match self.sender.send(&PeerReply::Head(head)).await {
+            Ok(()) => Some(RunEnd::Answered),
+            Err(_) => Some(RunEnd::Cancelled),
+        };
+    }
 }
--- a/crates/celerycrank-agent/src/slots.rs
+++ b/crates/celerycrank-agent/src/slots.rs
@@ -1,97 +1,127 @@
-//! The bounded queue in front of the backend server.
+//! The fair queue in front of the backend server, for tasks that wait.
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
-use celerycrank_types::RefusalReason;
+use celerycrank_process::ProcessClock;
+use celerycrank_shares::{FairQueue, QueueRefusal, QueueRequest, QueueSettings};
+use celerycrank_types::{RefusalReason, RequestId, TimeSpan, TokenCount};
 use celerycrank_wire::LoadReport;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::oneshot;
 
-/// Lets a limited number of requests run and a limited number wait.
+/// What a waiting task is told.
+type SlotVerdict = Result<TimeSpan, QueueRefusal>;
+
+/// The fair queue, and the tasks that wait in it.
 #[derive(Debug)]
 pub(crate) struct SlotQueue {
-    semaphore: Arc<Semaphore>,
+    clock: ProcessClock,
     concurrency: u32,
-    /// Most requests that wait.
-    limit: u32,
-    /// Invariant: at most `limit`.
-    queued: Rc<Cell<u32>>,
-}
-
-/// The right to one order to the backend server, until it is dropped.
-#[derive(Debug)]
-pub(crate) struct BackendSlot {
-    _permit: OwnedSemaphorePermit,
-}
-
-/// A place in the queue, until it is dropped.
-#[derive(Debug)]
-pub(crate) struct QueuePlace {
-    semaphore: Arc<Semaphore>,
-    queued: Rc<Cell<u32>>,
+    queue: RefCell<FairQueue>,
+    /// Invariant: one sender for each request that waits.
+    waiters: RefCell<HashMap<RequestId, oneshot::Sender<SlotVerdict>>>,
 }
 
-/// What a request gets on its arrival.
+/// A place in the queue and then a slot of the backend server, until it is dropped.
 #[derive(Debug)]
-pub(crate) enum QueueVerdict {
-    /// It may run at once.
-    Run(BackendSlot),
-    /// It waits.
-    Wait(QueuePlace),
-    /// The queue is full.
-    Refused(RefusalReason),
+pub(crate) struct QueueTicket {
+    slots: Rc<SlotQueue>,
+    id: RequestId,
+    verdict: oneshot::Receiver<SlotVerdict>,
+    /// Work that the request turned out to need.
+    used: TokenCount,
 }
 
 impl SlotQueue {
-    pub(crate) fn new(concurrency: u32, limit: u32) -> Self {
+    pub(crate) fn new(concurrency: u32, capacity: u32, clock: ProcessClock) -> Self {
+        let settings = QueueSettings::builder()
+            .concurrency(concurrency)
+            .capacity(capacity)
+            .build();
         Self {
-            semaphore: Arc::new(Semaphore::new(concurrency as usize)),
+            clock,
             concurrency,
-            limit,
-            queued: Rc::default(),
+            queue: RefCell::new(FairQueue::new(settings)),
+            waiters: RefCell::default(),
         }
     }
 
-    /// Gives an arriving request a slot, a place, or neither.
-    pub(crate) fn enter(&self) -> QueueVerdict {
-        if self.queued.get() == 0
-            && let Ok(permit) = Arc::clone(&self.semaphore).try_acquire_owned()
-        {
-            return QueueVerdict::Run(BackendSlot { _permit: permit });
-        }
-        if self.queued.get() >= self.limit {
-            return QueueVerdict::Refused(RefusalReason::QueueFull);
+    /// Gives a request a place; refuses it where it cannot start in time.
+    pub(crate) fn enter(
+        self: &Rc<Self>,
+        request: &QueueRequest,
+    ) -> Result<QueueTicket, QueueRefusal> {
+        let now = self.clock.now();
+        let (sender, verdict) = oneshot::channel();
+        let evicted = self.queue.borrow_mut().push(now, request)?;
+        self.waiters.borrow_mut().insert(request.id, sender);
+        if let Some(refusal) = evicted {
+            self.tell(refusal.id, Err(refusal));
         }
-        self.queued.set(self.queued.get() + 1);
-        QueueVerdict::Wait(QueuePlace {
-            semaphore: Arc::clone(&self.semaphore),
-            queued: Rc::clone(&self.queued),
+        self.advance();
+        Ok(QueueTicket {
+            slots: Rc::clone(self),
+            id: request.id,
+            verdict,
+            used: request.cost,
         })
     }
 
+    /// Starts what may start and refuses what is overdue.
+    pub(crate) fn advance(&self) {
+        let step = self.queue.borrow_mut().advance(self.clock.now());
+        for started in step.started {
+            self.tell(started.id, Ok(started.waited));
+        }
+        for refusal in step.refused {
+            self.tell(refusal.id, Err(refusal));
+        }
+    }
+
     /// How busy the backend server is.
     pub(crate) fn load(&self, leaving: bool) -> LoadReport {
-        let idle = u32::try_from(self.semaphore.available_permits()).unwrap_or(u32::MAX);
+        let queue = self.queue.borrow();
         LoadReport {
-            running: self.concurrency.saturating_sub(idle),
-            queued: self.queued.get(),
+            running: u32::try_from(queue.running()).unwrap_or(u32::MAX),
+            queued: u32::try_from(queue.waiting()).unwrap_or(u32::MAX),
             concurrency: self.concurrency,
             leaving,
         }
     }
-}
 
-impl QueuePlace {
-    /// Waits until the request may run.
-    pub(crate) async fn slot(&self) -> BackendSlot {
-        let permit = Arc::clone(&self.semaphore).acquire_owned().await;
-        BackendSlot {
-            _permit: permit.expect("the semaphore is never closed"),
+    fn tell(&self, id: RequestId, verdict: SlotVerdict) {
+        if let Some(waiter) = self.waiters.borrow_mut().remove(&id) {
+            // A task that is gone gives its slot back when its ticket is dropped.
+            let _ = waiter.send(verdict);
         }
     }
 }
 
-impl Drop for QueuePlace {
+impl QueueTicket {
+    /// Waits for a slot; tells how long that took.
+    pub(crate) async fn slot(&mut self) -> SlotVerdict {
+        let refused = QueueRefusal {
+            id: self.id,
+            reason: RefusalReason::QueueFull,
+            retry_after: TimeSpan::ZERO,
+        };
+        (&mut self.verdict).await.unwrap_or(Err(refused))
+    }
+
+    /// Notes the work that the request needed.
+    pub(crate) const fn note_used(&mut self, used: TokenCount) {
+        self.used = used;
+    }
+}
+
+impl Drop for QueueTicket {
     fn drop(&mut self) {
-        self.queued.set(self.queued.get() - 1);
+        let now = self.slots.clock.now();
+        self.slots.waiters.borrow_mut().remove(&self.id);
+        let mut queue = self.slots.queue.borrow_mut();
+        if !queue.remove(self.id) {
+            queue.settle(now, self.id, self.used);
+        }
+        drop(queue);
+        self.slots.advance();
     }
 }
--- a/crates/celerycrank-agent/src/state.rs
+++ b/crates/celerycrank-agent/src/state.rs
@@ -5,14 +5,16 @@
 use celerycrank_config::{AgentSettings, BackendKind};
 use celerycrank_membership::PeerFact;
 use celerycrank_process::{ProcessClock, ShutdownFlag};
+use celerycrank_requests::{
+    AttemptActions, AttemptEvent, AttemptId, ClaimantId, StartLedger, StartSettings,
+};
 use celerycrank_sync::SyncState;
 use celerycrank_types::{Incarnation, Revision};
 use celerycrank_wire::{BackendOffer, LoadReport, OfferKind, WelcomeReply};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::Notify;
 
-use crate::{
-    backend::BackendClient, ledger::RequestLedger, metrics::AgentMetrics, slots::SlotQueue,
-};
+use crate::{backend::BackendClient, claims::ClaimDesk, metrics::AgentMetrics, slots::SlotQueue};
 
 /// What the tasks of an agent share; all of them run on one arbiter.
 pub(crate) struct AgentState {
@@ -21,10 +23,12 @@
     pub(crate) clock: ProcessClock,
     pub(crate) shutdown: ShutdownFlag,
     pub(crate) metrics: AgentMetrics,
-    pub(crate) ledger: RefCell<RequestLedger>,
-    pub(crate) slots: SlotQueue,
+    pub(crate) slots: Rc<SlotQueue>,
+    pub(crate) claims: Rc<ClaimDesk>,
     pub(crate) backend: BackendClient,
     pub(crate) sync: Rc<SyncState>,
+    ledger: RefCell<StartLedger>,
+    random: RefCell<StdRng>,
     in_flight: Cell<u32>,
     idle: Notify,
 }
@@ -36,6 +40,7 @@
         metrics: AgentMetrics,
     ) -> Self {
         let clock = ProcessClock::start();
+        let mut random = StdRng::from_os_rng();
         let own = PeerFact {
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
@@ -47,8 +52,14 @@
             clock,
             shutdown: ShutdownFlag::default(),
             metrics,
-            ledger: RefCell::default(),
-            slots: SlotQueue::new(settings.backend.concurrency, settings.backend.queue),
+            ledger: RefCell::new(StartLedger::new(incarnation, StartSettings::default())),
+            slots: Rc::new(SlotQueue::new(
+                settings.backend.concurrency,
+                settings.backend.queue,
+                clock,
+            )),
+            claims: Rc::new(ClaimDesk::new(clock, random.random())),
+            random: RefCell::new(random),
             backend: BackendClient::new(settings.backend.address),
             sync: Rc::new(sync),
             in_flight: Cell::new(0),
@@ -62,6 +73,17 @@
         self.sync.revision()
     }
 
+    /// Tells the start ledger what happened to an attempt; returns what to do about it.
+    pub(crate) fn handle_attempt(&self, attempt: AttemptId, event: AttemptEvent) -> AttemptActions {
+        let now = self.clock.now();
+        self.ledger.borrow_mut().handle(attempt, event, now)
+    }
+
+    /// Draws the name under which one attempt claims its key.
+    pub(crate) fn draw_claimant(&self) -> ClaimantId {
+        ClaimantId::from(self.random.borrow_mut().random::<u64>())
+    }
+
     pub(crate) fn load(&self) -> LoadReport {
         self.slots.load(self.shutdown.is_raised())
     }
@@ -70,6 +92,7 @@
         let backend = &self.settings.backend;
         WelcomeReply {
             incarnation: self.incarnation,
+            clock: self.clock.now(),
             revision: self.revision(),
             offer: BackendOffer {
                 backend: backend.backend.clone(),
--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -9,7 +9,7 @@
 };
 use bytes::Bytes;
 use celerycrank_config::RepeatRule;
-use celerycrank_types::{RefusalReason, TimePoint};
+use celerycrank_types::{Incarnation, RefusalReason, TimePoint};
 use celerycrank_wire::{HttpField, RequestHead, RunOrder};
 
 use crate::{
@@ -96,7 +96,9 @@
         .share(policy.share)
         .priority(policy.priority)
         .cost(resolved.cost)
-        .deadline(policy.deadline)
+        .attempt(0)
+        .agent(Incarnation(0))
+        .start_by(TimePoint(0))
         .repeat(policy.repeat)
         .maybe_key(key)
         .head(draft.head.clone())
--- a/crates/celerycrank-entry/src/dispatch.rs
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -42,6 +42,7 @@
     mut request: PreparedRequest,
 ) -> Response<BoxBody> {
     let mut guard = CallerGuard::new(&state);
+    state.earn_retry(&request.order.account);
     let mut tried = SmallVec::<[BackendId; MAX_ATTEMPTS]>::new();
     let mut last = LastRefusal {
         reason: RefusalReason::NoBackend,
@@ -56,8 +57,8 @@
         let Some(record) = choose_agent(&state, &request.kind, &tried) else {
             break;
         };
-        request.order.deadline = request.deadline.since(now);
-        let end = forward(&state, &record, &request.order).await;
+        request.order.attempt += 1;
+        let end = forward(&state, &record, &mut request.order, request.deadline).await;
         let (reason, retry_after, retry) = match end {
             AttemptEnd::Answering(answer) => {
                 guard.settled = true;
@@ -95,7 +96,10 @@
         let Some(retry) = retry else {
             break;
         };
-        count_retry(&state, &request.kind, &tried, retry);
+        if !may_retry(&state, &request, &tried, reason) {
+            break;
+        }
+        state.metrics.retries.count(retry);
     }
     guard.settled = true;
     state.metrics.refusals.count(last.reason);
@@ -114,12 +118,25 @@
     chosen
 }
 
-/// Counts a retry if there is another agent to try.
-fn count_retry(state: &EntryState, kind: &OfferKind, tried: &[BackendId], retry: RetryReason) {
-    let another = choose_agent(state, kind, tried).is_some();
-    if another && tried.len() < MAX_ATTEMPTS {
-        state.metrics.retries.count(retry);
+/// Whether another agent is there to try and the account's budget allows it.
+fn may_retry(
+    state: &EntryState,
+    request: &PreparedRequest,
+    tried: &[BackendId],
+    refusal: RefusalReason,
+) -> bool {
+    if tried.len() >= MAX_ATTEMPTS || choose_agent(state, &request.kind, tried).is_none() {
+        return false;
     }
+    // Where nothing reached a backend server, and the agent gets no further request, a
+    // retry adds no load, so that it costs no budget.
+    let is_free = matches!(
+        refusal,
+        RefusalReason::AgentUnreachable
+            | RefusalReason::BackendLeaving
+            | RefusalReason::BackendUnreachable
+    );
+    is_free || state.spend_retry(&request.order.account)
 }
 
 /// Counts a caller that left while its request was dispatched.
--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -4,7 +4,8 @@
 
 use actix_rt::time::timeout;
 use celerycrank_link::{LinkFault, MessageReceiver, PeerLink, StreamFault};
-use celerycrank_types::{RefusalReason, RetryReason, TimeSpan, UnknownReason};
+use celerycrank_requests::{PeerClock, is_retryable};
+use celerycrank_types::{RefusalReason, RetryReason, TimePoint, TimeSpan, UnknownReason};
 use celerycrank_wire::{
     AnswerHead, PeerOrder, PeerReply, RefusedReply, RevokeOrder, RevokeReply, RevokeVerdict,
     RunOrder,
@@ -63,13 +64,18 @@
 pub(crate) async fn forward(
     state: &Rc<EntryState>,
     record: &Rc<AgentRecord>,
-    order: &RunOrder,
+    order: &mut RunOrder,
+    deadline: TimePoint,
 ) -> AttemptEnd {
     let guard = record.hand_out();
     let link = match state.pool.connect(record.address, order.revision).await {
         Ok(link) => link,
         Err(fault) => return not_connected(state, record, &fault),
     };
+    let age = link.heard_since();
+    let introduced = state.clock.now() - age;
+    order.agent = link.welcome.incarnation;
+    order.start_by = PeerClock::new(link.welcome.clock, introduced).deadline(deadline);
     // An agent starts nothing before it has the whole order, so a failure to send all of
     // it is a proof that nothing was started.
     let Ok((_sender, mut receiver)) = link.send(&PeerOrder::Run(Box::new(order.clone()))).await
@@ -84,7 +90,7 @@
             record: Rc::clone(record),
             _guard: guard,
         })),
-        FirstReply::Refused(reply) => refused(state, &reply),
+        FirstReply::Refused(reply) => refused(state, record, &reply),
         FirstReply::Broken(reason) => AttemptEnd::Unknown(reason),
         FirstReply::Lost => settle(state, record, &link, order).await,
     }
@@ -149,15 +155,22 @@
     }
     match reply.verdict {
         RevokeVerdict::NeverStarted => not_run(RefusalReason::Revoked, RetryReason::Revoked),
-        RevokeVerdict::Started | RevokeVerdict::Finished => {
+        RevokeVerdict::Started | RevokeVerdict::Finished | RevokeVerdict::Forgotten => {
             AttemptEnd::Unknown(UnknownReason::LinkLost)
         }
+        RevokeVerdict::Unproved(reason) => AttemptEnd::Unknown(reason),
+        RevokeVerdict::OtherIncarnation => AttemptEnd::Unknown(UnknownReason::AgentRestarted),
     }
 }
 
 async fn revoke(state: &EntryState, record: &AgentRecord, order: &RunOrder) -> Option<RevokeReply> {
     let link = state.pool.open(record.address, order.revision).await.ok()?;
-    let question = PeerOrder::Revoke(RevokeOrder { id: order.id });
+    let question = PeerOrder::Revoke(RevokeOrder {
+        id: order.id,
+        attempt: order.attempt,
+        agent: order.agent,
+        start_by: order.start_by,
+    });
     let (_sender, mut receiver) = link.send(&question).await.ok()?;
     match receiver.receive().await {
         Ok(Some(PeerReply::Revoked(reply))) if reply.id == order.id => Some(reply),
@@ -165,29 +178,20 @@
     }
 }
 
-fn refused(state: &EntryState, reply: &RefusedReply) -> AttemptEnd {
+fn refused(state: &EntryState, record: &AgentRecord, reply: &RefusedReply) -> AttemptEnd {
     if let Some(update) = &reply.configuration {
         state.sync.on_update(update);
     }
+    if reply.reason == RefusalReason::BackendUnreachable {
+        note_failure(state, record);
+    }
     AttemptEnd::NotRun {
         reason: reply.reason,
         retry_after: reply.retry_after,
-        retry: may_try_another(reply.reason).then_some(RetryReason::Refused),
+        retry: is_retryable(reply.reason).then_some(RetryReason::Refused),
     }
 }
 
-/// Whether another agent may well run what one has refused.
-const fn may_try_another(reason: RefusalReason) -> bool {
-    matches!(
-        reason,
-        RefusalReason::BackendLeaving
-            | RefusalReason::BackendUnreachable
-            | RefusalReason::QueueFull
-            | RefusalReason::Revoked
-            | RefusalReason::ShuttingDown
-    )
-}
-
 fn not_connected(
     state: &Rc<EntryState>,
     record: &Rc<AgentRecord>,
--- a/crates/celerycrank-entry/src/peer.rs
+++ b/crates/celerycrank-entry/src/peer.rs
@@ -58,6 +58,7 @@
     let entry = state.settings.entry.as_str();
     WelcomeReply {
         incarnation: Incarnation(0),
+        clock: state.clock.now(),
         revision: state.revision(),
         offer: BackendOffer {
             backend: entry.parse().expect("every id has one form"),
--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     sync::Arc,
 };
@@ -9,8 +10,9 @@
 use celerycrank_config::{Configuration, EntrySettings, PolicyTable};
 use celerycrank_link::{LinkEndpoint, LinkPool};
 use celerycrank_process::{ProcessClock, ShutdownFlag};
+use celerycrank_requests::RetryBudget;
 use celerycrank_sync::SyncState;
-use celerycrank_types::{RequestId, Revision};
+use celerycrank_types::{AccountId, RequestId, Revision};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{metrics::EntryMetrics, roster::AgentRoster};
@@ -27,6 +29,7 @@
     pub(crate) random: RefCell<StdRng>,
     /// Whether the balancer may send requests here.
     pub(crate) ready: Cell<bool>,
+    budgets: RefCell<HashMap<AccountId, RetryBudget>>,
     in_force: InForceCell,
 }
 
@@ -69,6 +72,7 @@
             roster: RefCell::default(),
             random: RefCell::new(StdRng::from_os_rng()),
             ready: Cell::new(false),
+            budgets: RefCell::default(),
             in_force,
             settings,
         }
@@ -84,6 +88,21 @@
         self.sync.revision()
     }
 
+    /// Notes a request of an account, which adds to its retry budget.
+    pub(crate) fn earn_retry(&self, account: &AccountId) {
+        let mut budgets = self.budgets.borrow_mut();
+        match budgets.get_mut(account) {
+            Some(budget) => budget.earn(),
+            None => budgets.entry(account.clone()).or_default().earn(),
+        }
+    }
+
+    /// Takes one retry from an account's budget, if it has one left.
+    pub(crate) fn spend_retry(&self, account: &AccountId) -> bool {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.get_mut(account).is_some_and(RetryBudget::spend)
+    }
+
     pub(crate) fn draw_request_id(&self) -> RequestId {
         RequestId(self.random.borrow_mut().random())
     }
--- a/crates/celerycrank-link/src/pool.rs
+++ b/crates/celerycrank-link/src/pool.rs
@@ -1,8 +1,14 @@
 //! Connections to peers, opened on demand and shared.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use celerycrank_types::{EntryId, Revision};
+use celerycrank_types::{EntryId, Revision, TimeSpan};
 use celerycrank_wire::{HelloOrder, PeerOrder, PeerReply, WelcomeReply};
 use quinn::{Connection, ConnectionError, VarInt};
 use tokio::sync::Mutex;
@@ -21,6 +27,8 @@
     connection: Connection,
     /// What the peer said of itself; its incarnation holds for this connection.
     pub welcome: WelcomeReply,
+    /// When the peer's introduction was heard.
+    heard: Instant,
 }
 
 impl PeerLink {
@@ -51,6 +59,12 @@
         close.error_code == VarInt::from_u32(CLOSE_STOPPED)
     }
 
+    /// Time since the peer's introduction was heard.
+    #[must_use]
+    pub fn heard_since(&self) -> TimeSpan {
+        self.heard.elapsed().into()
+    }
+
     /// Whether the connection is still usable as far as is known.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -124,6 +138,7 @@
             endpoint: self.endpoint.clone(),
             connection,
             welcome,
+            heard: Instant::now(),
         })
     }
 
--- a/crates/celerycrank-wire/src/order.rs
+++ b/crates/celerycrank-wire/src/order.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerycrank_config::{PriorityClass, RepeatRule};
 use celerycrank_types::{
-    AccountId, EntryId, RequestId, Revision, ShareWeight, TimeSpan, TokenCount, VmId,
+    AccountId, EntryId, Incarnation, RequestId, Revision, ShareWeight, TimePoint, TokenCount, VmId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -50,8 +50,12 @@
     pub priority: PriorityClass,
     /// Work that the request is estimated to need.
     pub cost: TokenCount,
-    /// Time left until the first byte of the answer is due.
-    pub deadline: TimeSpan,
+    /// Number of this sending of the request, from 1.
+    pub attempt: u32,
+    /// The agent's life to which the order is sent; another one refuses it.
+    pub agent: Incarnation,
+    /// When the request must have started, on the agent's clock.
+    pub start_by: TimePoint,
     /// Whether the call may be started again.
     pub repeat: RepeatRule,
     /// The caller's idempotency key, if the call must be claimed before it starts.
@@ -87,6 +91,12 @@
 pub struct RevokeOrder {
     /// The request to revoke.
     pub id: RequestId,
+    /// Number of the sending to revoke.
+    pub attempt: u32,
+    /// The agent's life to which it was sent.
+    pub agent: Incarnation,
+    /// When it must have started, on that agent's clock.
+    pub start_by: TimePoint,
 }
 
 /// Asks for a configuration newer than the sender's.
--- a/crates/celerycrank-wire/src/reply.rs
+++ b/crates/celerycrank-wire/src/reply.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use celerycrank_types::{
     BackendId, DomainId, Incarnation, ModelId, RefusalReason, RequestId, Revision, ServiceId,
-    TimeSpan, UnknownReason, VmId,
+    TimePoint, TimeSpan, UnknownReason, VmId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +41,8 @@
 pub struct WelcomeReply {
     /// The agent's present life; what it says of requests holds for this life only.
     pub incarnation: Incarnation,
+    /// The agent's clock at the moment of the reply.
+    pub clock: TimePoint,
     /// The revision that the agent has in force.
     pub revision: Revision,
     /// What the agent's backend server offers.
@@ -167,6 +169,12 @@
     Started,
     /// It was started and its answer ended.
     Finished,
+    /// It was not started here, but nothing is proved of its call.
+    Unproved(UnknownReason),
+    /// It is so old that nothing is known of it.
+    Forgotten,
+    /// It was sent to another life of the agent.
+    OtherIncarnation,
 }
 
 /// A configuration for a process whose own is older.
