--- a/crates/celerycrank-bench/src/requests.rs
+++ b/crates/celerycrank-bench/src/requests.rs
@@ -1,14 +1,77 @@
-//! Placeholder until its measurement lands.
+//! Long random runs of the request logic, and the claim ledger at the design size.
+
+mod claims;
+
+use std::{ops::Range, panic, process, thread};
+
+use celerycrank_requests::model::{RunReport, run_seed, trace_seed};
+use celerycrank_types::TimeSpan;
 
 /// Arguments of the measurement.
 #[derive(Debug, clap::Args)]
 pub(crate) struct RequestsArgs {
-    /// Seed of every random choice.
+    /// Seed of the first run; the next run has the next seed.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// How many runs.
+    #[arg(long, default_value_t = 10_000)]
+    runs: u64,
+    /// Threads that share the runs.
+    #[arg(long, default_value_t = 2)]
+    threads: u32,
+    /// Print the whole session of the first seed.
+    #[arg(long)]
+    trace: bool,
+    /// Measure group commit at the design size instead.
+    #[arg(long)]
+    claims: bool,
+    /// Logical time of the claim measurement.
+    #[arg(long, default_value = "30s")]
+    span: TimeSpan,
 }
 
 /// Runs the measurement and prints its table.
 pub(crate) fn run(args: &RequestsArgs) {
-    println!("no measurement yet; seed {}", args.seed);
+    if args.claims {
+        claims::run(args.seed, args.span);
+    } else if args.trace {
+        trace(args.seed);
+    } else {
+        run_many(args);
+    }
+}
+
+/// Prints the session of one seed, up to where an invariant breaks.
+fn trace(seed: u64) {
+    let report = trace_seed(seed, &mut |line| println!("{line}"));
+    println!("{report:#?}");
+}
+
+fn run_many(args: &RequestsArgs) {
+    let (first, runs, threads) = (args.seed, args.runs, args.threads.max(1));
+    println!("seeds {first}..{}", first + runs);
+    let workers = (0..threads).map(|worker| {
+        let seeds = first + u64::from(worker)..first + runs;
+        thread::spawn(move || run_some(seeds, threads as usize))
+    });
+    let workers = workers.collect::<Vec<_>>();
+    let mut total = RunReport::default();
+    for worker in workers {
+        total.add(&worker.join().expect("a worker hands over its failures"));
+    }
+    println!("{runs} runs, no invariant broken\n{total:#?}");
+}
+
+/// Runs every seed of the range that is a multiple of `threads` from its start.
+fn run_some(seeds: Range<u64>, threads: usize) -> RunReport {
+    let mut total = RunReport::default();
+    for seed in seeds.step_by(threads) {
+        let Ok(report) = panic::catch_unwind(|| run_seed(seed)) else {
+            println!("seed {seed} breaks an invariant; replay it with");
+            println!("celerycrank-bench requests --trace --seed {seed}");
+            process::exit(1);
+        };
+        total.add(&report);
+    }
+    total
 }
--- a/crates/celerycrank-requests/src/claim/mod.rs
+++ b/crates/celerycrank-requests/src/claim/mod.rs
@@ -7,6 +7,8 @@
 mod page;
 mod record;
 
+#[cfg(feature = "test-util")]
+pub(crate) use self::record::open_claims;
 pub use self::{
     answer::{CallStatus, ClaimAnswer},
     key::{CallKey, CallKeyFault, KeyTime, RequestDigest},
--- a/crates/celerycrank-requests/src/claim/record.rs
+++ b/crates/celerycrank-requests/src/claim/record.rs
@@ -52,6 +52,13 @@
     slot: u32,
 }
 
+impl RecordName {
+    /// The shard that the record belongs to.
+    pub(super) const fn shard(self) -> u16 {
+        self.shard
+    }
+}
+
 impl fmt::Display for RecordName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "claims/{}/{}", self.shard, self.slot)
@@ -182,6 +189,14 @@
     }
 }
 
+/// Who claims a key of an encoded record without a recorded status.
+#[cfg(feature = "test-util")]
+pub(crate) fn open_claims(bytes: &[u8]) -> Vec<ClaimantId> {
+    let entries = ClaimRecord::decode(bytes).map_or_else(Vec::new, |record| record.entries);
+    let open = entries.into_iter().filter(|entry| entry.status.is_none());
+    open.map(|entry| entry.claimant).collect()
+}
+
 impl ClaimEntry {
     fn answer(&self, request: RequestDigest, claimant: ClaimantId) -> ClaimAnswer {
         if self.request != request {
--- a/crates/celerycrank-requests/src/lib.rs
+++ b/crates/celerycrank-requests/src/lib.rs
@@ -7,10 +7,14 @@
 mod attempt;
 mod claim;
 mod clock;
+#[cfg(feature = "test-util")]
+pub mod model;
 mod request;
 mod retry;
 mod start;
 
+#[cfg(feature = "test-util")]
+pub(crate) use crate::claim::open_claims;
 pub use crate::{
     attempt::{AttemptId, LinkNumber},
     claim::{
--- /dev/null
+++ b/crates/celerycrank-requests/src/model/agent.rs
@@ -0,0 +1,361 @@
+//! A fake agent with its backend server, around the ledgers of the product.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use celerycrank_types::{Incarnation, RefusalReason, RequestId, TimePoint, TimeSpan};
+use rand::Rng;
+
+use super::{
+    caller::{CallPlan, CallRule},
+    fault::{AgentIndex, EntryIndex},
+    keyed::call_key,
+    message::{Happening, Message, Order, OrderBody},
+    world::World,
+};
+use crate::{
+    AttemptAction, AttemptActions, AttemptEvent, AttemptId, CallKind, CallStatus, ClaimLayout,
+    ClaimLedger, ClaimOrder, ClaimSettings, ClaimantId, LinkNumber, PeerClock, RequestDigest,
+    RequestEvent, StartLedger, StartSettings,
+};
+
+/// Requests that a backend server works on at a time.
+const CONCURRENCY: usize = 3;
+
+/// Requests that wait at an agent.
+const QUEUE_LIMIT: usize = 6;
+
+/// Attempts that an agent knows at a time; few, so that the bound is met.
+const LEDGER_CAPACITY: usize = 24;
+
+/// How long a finished attempt is known; short, so that the bound is met.
+const LEDGER_RETENTION: TimeSpan = TimeSpan::from_secs(3);
+
+/// How long a claim is waited for.
+const CLAIM_PATIENCE: TimeSpan = TimeSpan::from_millis(1_200);
+
+/// Where the agents' clocks begin, so that they can go back.
+const CLOCK_ORIGIN: TimeSpan = TimeSpan::from_secs(1_000);
+
+/// One agent of a run.
+#[derive(Debug)]
+pub(super) struct AgentNode {
+    pub(super) is_alive: bool,
+    /// Whether the backend server takes no new work.
+    pub(super) is_leaving: bool,
+    pub(super) frozen_until: TimePoint,
+    /// What arrived while the process was frozen, in order.
+    pub(super) inbox: Vec<Message>,
+    pub(super) clock_forward: TimeSpan,
+    pub(super) clock_back: TimeSpan,
+    pub(super) ledger: StartLedger,
+    pub(super) claims: ClaimLedger,
+    pub(super) jobs: BTreeMap<AttemptId, AgentJob>,
+    pub(super) queue: VecDeque<AttemptId>,
+    pub(super) running: usize,
+    /// Claimants whose calls were not started and never will be.
+    pub(super) void: BTreeSet<ClaimantId>,
+}
+
+/// An attempt at an agent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AgentJob {
+    pub(super) entry: EntryIndex,
+    pub(super) request: RequestId,
+    pub(super) link: LinkNumber,
+    pub(super) plan: CallPlan,
+    pub(super) claimant: ClaimantId,
+    pub(super) has_head: bool,
+    /// Bytes of the answer that the agent holds.
+    pub(super) produced: u64,
+    pub(super) has_end: bool,
+    pub(super) is_broken: bool,
+    pub(super) replayed: Option<CallStatus>,
+}
+
+impl AgentNode {
+    pub(super) fn new<R: Rng>(index: u64, incarnation: u64, random: &mut R) -> Self {
+        let layout = ClaimLayout::builder()
+            .shards(2)
+            .bucket(TimeSpan::from_secs(1))
+            .slots(6)
+            .build();
+        let settings = ClaimSettings::builder().layout(layout).build();
+        let start = StartSettings {
+            capacity: LEDGER_CAPACITY,
+            retention: LEDGER_RETENTION,
+        };
+        Self {
+            is_alive: true,
+            is_leaving: false,
+            frozen_until: TimePoint::default(),
+            inbox: Vec::new(),
+            clock_forward: TimeSpan(index * 1_000_000),
+            clock_back: TimeSpan::ZERO,
+            ledger: StartLedger::new(Incarnation(incarnation), start),
+            claims: ClaimLedger::new(settings, random.random()),
+            jobs: BTreeMap::new(),
+            queue: VecDeque::new(),
+            running: 0,
+            void: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn step_clock(&mut self, span: TimeSpan, is_forward: bool) {
+        let total = if is_forward {
+            &mut self.clock_forward
+        } else {
+            &mut self.clock_back
+        };
+        *total = *total + span;
+    }
+
+    /// Nothing waits, and no call that will never start is claimed.
+    pub(super) fn check_rest(&self, open: &[ClaimantId]) {
+        assert!(
+            self.claims.waiting() == 0,
+            "a claim ledger rests with commands that wait"
+        );
+        for claimant in &self.void {
+            assert!(
+                !open.contains(claimant),
+                "a call that will never start is still claimed"
+            );
+        }
+    }
+
+    /// What the agent's clock shows.
+    pub(super) fn clock(&self, now: TimePoint) -> TimePoint {
+        now + CLOCK_ORIGIN + self.clock_forward - self.clock_back
+    }
+
+    /// When the agent's clock, as it goes now, will show the point.
+    pub(super) fn world_time(&self, point: TimePoint) -> TimePoint {
+        point + self.clock_back - self.clock_forward - CLOCK_ORIGIN
+    }
+}
+
+impl World<'_> {
+    /// An order of an entry reaches an agent that runs.
+    pub(super) fn take_order(&mut self, agent: AgentIndex, order: Order) {
+        let Order {
+            entry,
+            request,
+            body,
+        } = order;
+        match body {
+            OrderBody::Connect(link) => self.greet(agent, entry, request, link),
+            OrderBody::Send {
+                link,
+                attempt,
+                incarnation,
+                deadline,
+                plan,
+            } => {
+                let claimant = ClaimantId::from(self.random.random::<u64>());
+                let job = AgentJob {
+                    entry,
+                    request,
+                    link,
+                    plan,
+                    claimant,
+                    has_head: false,
+                    produced: 0,
+                    has_end: false,
+                    is_broken: false,
+                    replayed: None,
+                };
+                let node = &mut self.agents[agent.0];
+                node.jobs.entry(attempt).or_insert(job);
+                let call = match plan.rule {
+                    CallRule::Keyed(_) => CallKind::Keyed,
+                    CallRule::Once | CallRule::Repeatable => CallKind::Plain,
+                };
+                let event = AttemptEvent::Arrived {
+                    incarnation,
+                    deadline,
+                    call,
+                };
+                self.step_attempt(agent, attempt, event, Some((entry, request, link)));
+            }
+            OrderBody::Revoke {
+                attempt,
+                incarnation,
+                deadline,
+            } => {
+                let event = AttemptEvent::Revoked {
+                    incarnation,
+                    deadline,
+                };
+                let to = (entry, request, LinkNumber::default());
+                self.step_attempt(agent, attempt, event, Some(to));
+            }
+            OrderBody::Resume {
+                link,
+                attempt,
+                incarnation,
+                offset,
+            } => self.resume(agent, (entry, request, link), attempt, incarnation, offset),
+            OrderBody::Cancel(attempt) => {
+                self.step_attempt(agent, attempt, AttemptEvent::Cancelled, None);
+            }
+        }
+    }
+
+    fn greet(
+        &mut self,
+        agent: AgentIndex,
+        entry: EntryIndex,
+        request: RequestId,
+        link: LinkNumber,
+    ) {
+        let node = &self.agents[agent.0];
+        let clock = PeerClock::new(node.clock(self.now), self.now);
+        let event = RequestEvent::Connected {
+            link,
+            incarnation: node.ledger.incarnation(),
+            clock,
+        };
+        self.frame((entry, request, link), event, Vec::new(), None);
+    }
+
+    /// Hands the ledger an event and carries out what it wants.
+    pub(super) fn step_attempt(
+        &mut self,
+        agent: AgentIndex,
+        attempt: AttemptId,
+        event: AttemptEvent,
+        to: Option<(EntryIndex, RequestId, LinkNumber)>,
+    ) {
+        let node = &mut self.agents[agent.0];
+        let now = node.clock(self.now);
+        let actions = node.ledger.handle(attempt, event, now);
+        self.carry_out(agent, attempt, actions, to);
+    }
+
+    fn carry_out(
+        &mut self,
+        agent: AgentIndex,
+        attempt: AttemptId,
+        actions: AttemptActions,
+        to: Option<(EntryIndex, RequestId, LinkNumber)>,
+    ) {
+        let job = self.agents[agent.0].jobs.get(&attempt).copied();
+        let Some(to) = to.or(job.map(|job| (job.entry, job.request, job.link))) else {
+            return;
+        };
+        for action in actions {
+            match action {
+                AttemptAction::Refuse(reason) => {
+                    self.frame(to, RequestEvent::Refused(attempt, reason), Vec::new(), None);
+                }
+                AttemptAction::TellUnproved(reason) => {
+                    self.frame(
+                        to,
+                        RequestEvent::Unproved(attempt, reason),
+                        Vec::new(),
+                        None,
+                    );
+                }
+                AttemptAction::Answer(answer) => {
+                    let event = RequestEvent::RevokeAnswered(attempt, answer);
+                    self.frame(to, event, Vec::new(), None);
+                }
+                AttemptAction::Cancel => {}
+                other => {
+                    if let Some(job) = job {
+                        self.carry_out_job(agent, attempt, job, other);
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_out_job(
+        &mut self,
+        agent: AgentIndex,
+        attempt: AttemptId,
+        job: AgentJob,
+        action: AttemptAction,
+    ) {
+        let node = &mut self.agents[agent.0];
+        let now = node.clock(self.now);
+        let outputs = match action {
+            AttemptAction::Queue => {
+                self.enqueue(agent, attempt);
+                return;
+            }
+            AttemptAction::Start => {
+                self.start_backend(agent, attempt, job);
+                return;
+            }
+            AttemptAction::Replay(status) => {
+                self.replay(agent, attempt, job, status);
+                return;
+            }
+            AttemptAction::Claim => {
+                let order = ClaimOrder::builder()
+                    .key(call_key(&job.plan))
+                    .request(RequestDigest::of("POST", "/bids", &[]))
+                    .claimant(job.claimant)
+                    .give_up(now + CLAIM_PATIENCE)
+                    .build();
+                node.claims.claim(order, now)
+            }
+            AttemptAction::ReleaseClaim => {
+                node.void.insert(job.claimant);
+                node.claims.release(call_key(&job.plan), job.claimant, now)
+            }
+            AttemptAction::RecordClaim(status) => {
+                node.claims
+                    .finish(call_key(&job.plan), job.claimant, status, now)
+            }
+            _ => return,
+        };
+        self.take_outputs(agent, outputs);
+    }
+
+    fn enqueue(&mut self, agent: AgentIndex, attempt: AttemptId) {
+        let node = &mut self.agents[agent.0];
+        let refusal = if node.is_leaving {
+            Some(RefusalReason::BackendLeaving)
+        } else {
+            (node.queue.len() >= QUEUE_LIMIT).then_some(RefusalReason::QueueFull)
+        };
+        if let Some(reason) = refusal {
+            self.step_attempt(agent, attempt, AttemptEvent::TurnedAway(reason), None);
+            return;
+        }
+        node.queue.push_back(attempt);
+        self.pump(agent);
+    }
+
+    /// Starts what waits while the backend server has room.
+    pub(super) fn pump(&mut self, agent: AgentIndex) {
+        while self.agents[agent.0].running < CONCURRENCY {
+            let Some(attempt) = self.agents[agent.0].queue.pop_front() else {
+                return;
+            };
+            self.step_attempt(agent, attempt, AttemptEvent::SlotFree, None);
+        }
+    }
+
+    /// The agent's process dies; its backend server goes on.
+    pub(super) fn kill_agent(&mut self, agent: AgentIndex, span: TimeSpan) {
+        self.agents[agent.0].is_alive = false;
+        let jobs = std::mem::take(&mut self.agents[agent.0].jobs);
+        for job in jobs.into_values() {
+            self.notice_break(job.entry, job.request, job.link);
+        }
+        self.plan(self.now + span, Happening::ReviveAgent(agent));
+    }
+
+    pub(super) fn revive_agent(&mut self, agent: AgentIndex) {
+        let old = &self.agents[agent.0];
+        if old.is_alive {
+            return;
+        }
+        let incarnation = old.ledger.incarnation().next().0;
+        let index = agent.0 as u64;
+        self.agents[agent.0] = AgentNode::new(index, incarnation, &mut self.random);
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-requests/src/model/backend.rs
@@ -0,0 +1,214 @@
+//! The fake backend server beside an agent, and how its answers reach the entries.
+
+use celerycrank_types::{Incarnation, RequestId, TimeSpan, UnknownReason};
+use rand::Rng;
+
+use super::{
+    agent::AgentJob,
+    fault::{AgentIndex, EntryIndex},
+    message::{BackendStep, Frame, Happening, Message},
+    truth::answer_byte,
+    world::World,
+};
+use crate::{AttemptEvent, AttemptId, CallStatus, LinkNumber, RequestEvent};
+
+/// Bytes of one part of an answer.
+const CHUNK_BYTES: u64 = 16;
+
+/// Probability that a backend server breaks off.
+const BREAK_RATE: f64 = 0.02;
+
+/// Bounds of the time for one step of a backend server, in microseconds.
+const STEP_MICROS: std::ops::RangeInclusive<u64> = 1_000..=60_000;
+
+/// The status of every answer of a backend server.
+const STATUS: CallStatus = CallStatus(201);
+
+impl World<'_> {
+    /// The backend server begins an attempt.
+    pub(super) fn start_backend(&mut self, agent: AgentIndex, attempt: AttemptId, job: AgentJob) {
+        self.note(&format!("b{} starts {attempt}", agent.0));
+        self.report.starts += 1;
+        self.truth.start(job.request);
+        let node = &mut self.agents[agent.0];
+        node.running += 1;
+        let incarnation = node.ledger.incarnation();
+        let mut at = self.now;
+        let mut steps = vec![BackendStep::Head];
+        let chunks = job.plan.length.div_ceil(CHUNK_BYTES);
+        steps.extend((0..chunks).map(|chunk| {
+            BackendStep::Chunk(CHUNK_BYTES.min(job.plan.length - chunk * CHUNK_BYTES))
+        }));
+        steps.push(BackendStep::End);
+        for step in steps {
+            at = at + TimeSpan(self.random.random_range(STEP_MICROS));
+            let is_broken = !self.is_calm() && self.random.random_bool(BREAK_RATE);
+            let step = if is_broken { BackendStep::Broken } else { step };
+            let message = Message::FromBackend(agent, incarnation, attempt, step);
+            self.plan(at, Happening::Arrival(message));
+            if is_broken {
+                return;
+            }
+        }
+    }
+
+    /// The backend server did something for an attempt.
+    pub(super) fn take_backend_step(
+        &mut self,
+        agent: AgentIndex,
+        incarnation: Incarnation,
+        attempt: AttemptId,
+        step: BackendStep,
+    ) {
+        let node = &self.agents[agent.0];
+        if matches!(step, BackendStep::End) {
+            self.truth.finish(attempt.request, STATUS);
+        }
+        if !node.is_alive || node.ledger.incarnation() != incarnation {
+            return;
+        }
+        if node.frozen_until > self.now {
+            let message = Message::FromBackend(agent, incarnation, attempt, step);
+            self.agents[agent.0].inbox.push(message);
+            return;
+        }
+        self.pass_on(agent, attempt, step);
+    }
+
+    fn pass_on(&mut self, agent: AgentIndex, attempt: AttemptId, step: BackendStep) {
+        let node = &mut self.agents[agent.0];
+        let Some(job) = node.jobs.get_mut(&attempt) else {
+            return;
+        };
+        let offset = job.produced;
+        match step {
+            BackendStep::Head => job.has_head = true,
+            BackendStep::Chunk(length) => job.produced += length,
+            BackendStep::End => job.has_end = true,
+            BackendStep::Broken => job.is_broken = true,
+        }
+        let job = *job;
+        let to = (job.entry, job.request, job.link);
+        match step {
+            BackendStep::Head => self.frame(to, RequestEvent::Head(attempt), Vec::new(), None),
+            BackendStep::Chunk(_) => self.chunk(to, attempt, offset, job.produced),
+            BackendStep::End => {
+                let length = job.produced;
+                self.frame(to, RequestEvent::End { attempt, length }, Vec::new(), None);
+                self.finish(agent, attempt, Some(STATUS));
+            }
+            BackendStep::Broken => {
+                let event = RequestEvent::Unproved(attempt, UnknownReason::BackendBroke);
+                self.frame(to, event, Vec::new(), None);
+                self.finish(agent, attempt, None);
+            }
+        }
+    }
+
+    fn finish(&mut self, agent: AgentIndex, attempt: AttemptId, status: Option<CallStatus>) {
+        self.agents[agent.0].running -= 1;
+        self.step_attempt(agent, attempt, AttemptEvent::Finished(status), None);
+        self.pump(agent);
+    }
+
+    /// The answer comes from the record of the call's key.
+    pub(super) fn replay(
+        &mut self,
+        agent: AgentIndex,
+        attempt: AttemptId,
+        job: AgentJob,
+        status: CallStatus,
+    ) {
+        if let Some(held) = self.agents[agent.0].jobs.get_mut(&attempt) {
+            held.has_head = true;
+            held.has_end = true;
+            held.replayed = Some(status);
+        }
+        let to = (job.entry, job.request, job.link);
+        self.frame(to, RequestEvent::Head(attempt), Vec::new(), Some(status));
+        let event = RequestEvent::End { attempt, length: 0 };
+        self.frame(to, event, Vec::new(), None);
+    }
+
+    /// An entry asks for the rest of an answer over a new link.
+    pub(super) fn resume(
+        &mut self,
+        agent: AgentIndex,
+        to: (EntryIndex, RequestId, LinkNumber),
+        attempt: AttemptId,
+        incarnation: Incarnation,
+        offset: u64,
+    ) {
+        let node = &mut self.agents[agent.0];
+        let is_other = node.ledger.incarnation() != incarnation;
+        let held = node.jobs.get_mut(&attempt).filter(|_| !is_other);
+        let Some(job) = held else {
+            let reason = if is_other {
+                UnknownReason::AgentRestarted
+            } else {
+                UnknownReason::LinkLost
+            };
+            self.frame(
+                to,
+                RequestEvent::Unproved(attempt, reason),
+                Vec::new(),
+                None,
+            );
+            return;
+        };
+        job.link = to.2;
+        let job = *job;
+        if job.is_broken {
+            let event = RequestEvent::Unproved(attempt, UnknownReason::BackendBroke);
+            self.frame(to, event, Vec::new(), None);
+            return;
+        }
+        if job.has_head {
+            self.frame(to, RequestEvent::Head(attempt), Vec::new(), job.replayed);
+        }
+        if job.produced > offset {
+            self.chunk(to, attempt, offset, job.produced);
+        }
+        if job.has_end {
+            let length = job.produced;
+            self.frame(to, RequestEvent::End { attempt, length }, Vec::new(), None);
+        }
+    }
+
+    fn chunk(
+        &mut self,
+        to: (EntryIndex, RequestId, LinkNumber),
+        attempt: AttemptId,
+        from: u64,
+        until: u64,
+    ) {
+        let bytes = (from..until)
+            .map(|offset| answer_byte(attempt.request, offset))
+            .collect();
+        let event = RequestEvent::Chunk {
+            attempt,
+            offset: from,
+            length: until - from,
+        };
+        self.frame(to, event, bytes, None);
+    }
+
+    /// Sends a request what its agent has to say.
+    pub(super) fn frame(
+        &mut self,
+        (entry, request, link): (EntryIndex, RequestId, LinkNumber),
+        event: RequestEvent,
+        bytes: Vec<u8>,
+        replayed: Option<CallStatus>,
+    ) {
+        let frame = Frame {
+            entry,
+            request,
+            link,
+            event,
+            bytes,
+            replayed,
+        };
+        self.send(Message::ToEntry(frame));
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-requests/src/model/entry.rs
@@ -0,0 +1,353 @@
+//! A fake entry: requests in their machines, and the callers behind them.
+
+use std::collections::BTreeMap;
+
+use celerycrank_types::{BackendId, RequestId, RequestOutcome, RetryReason, TimePoint, TimeSpan};
+use rand::Rng;
+
+use super::{
+    caller::{CallPlan, CallRule, request_id},
+    fault::{AgentIndex, EntryIndex},
+    message::{Frame, Happening, Message, Order, OrderBody},
+    world::World,
+};
+use crate::{
+    RequestAction, RequestActions, RequestContext, RequestEvent, RequestMachine, RequestPolicy,
+    RetryBudget,
+};
+
+/// Accounts of a run.
+pub(super) const ACCOUNTS: usize = 2;
+
+/// Longest wait of a caller before it sends a request again, in microseconds.
+const RESEND_MICROS: u64 = 8_000_000;
+
+/// One entry of a run.
+#[derive(Debug)]
+pub(super) struct EntryNode {
+    is_alive: bool,
+    /// Requests that each account sent in quiet times before the run.
+    history: u32,
+    requests: BTreeMap<RequestId, LiveRequest>,
+    budgets: [RetryBudget; ACCOUNTS],
+    /// Sendings beyond the first of each request, by account.
+    further_sends: [u64; ACCOUNTS],
+}
+
+/// A request at an entry.
+#[derive(Debug)]
+struct LiveRequest {
+    machine: RequestMachine,
+    plan: CallPlan,
+    /// Bytes of the answer's body.
+    length: u64,
+    /// When the request is next woken.
+    wake: Option<TimePoint>,
+}
+
+impl EntryNode {
+    pub(super) fn new(history: u32) -> Self {
+        let mut budget = RetryBudget::default();
+        for _ in 0..history {
+            budget.earn();
+        }
+        Self {
+            is_alive: true,
+            history,
+            requests: BTreeMap::new(),
+            budgets: [budget; ACCOUNTS],
+            further_sends: [0; ACCOUNTS],
+        }
+    }
+
+    /// An account offers at most 1.1 times its own requests.
+    fn note_send(&mut self, account: usize, number: u32) {
+        self.further_sends[account] += u64::from(number > 1);
+        assert!(
+            self.further_sends[account] * 10 <= self.budgets[account].requests(),
+            "account {account} was sent more than 1.1 times its own requests"
+        );
+    }
+
+    pub(super) fn request_ids(&self) -> Vec<RequestId> {
+        self.requests.keys().copied().collect()
+    }
+
+    pub(super) fn check_rest(&self) {
+        for (request, live) in &self.requests {
+            assert!(
+                live.machine.is_over(),
+                "{request} rests in state {:?} without an outcome",
+                live.machine.state()
+            );
+        }
+    }
+}
+
+impl World<'_> {
+    /// A caller sends a request; the platform's balancer finds an entry that lives.
+    pub(super) fn call(&mut self, plan: CallPlan) {
+        let count = self.entries.len();
+        let Some(index) = (0..count)
+            .map(|step| (plan.entry.0 + step) % count)
+            .find(|index| self.entries[*index].is_alive)
+        else {
+            return;
+        };
+        let entry = EntryIndex(index);
+        let request = request_id(self.next_request);
+        self.next_request += 1;
+        self.report.requests += 1;
+        self.truth.accept(request, plan);
+        let policy = RequestPolicy::builder()
+            .deadline(plan.deadline)
+            .repeat(plan.rule.repeat())
+            .stall(TimeSpan::from_secs(2))
+            .build();
+        let node = &mut self.entries[index];
+        let budget = &mut node.budgets[plan.account];
+        let (machine, actions) = RequestMachine::start(request, policy, self.now, budget);
+        let live = LiveRequest {
+            machine,
+            plan,
+            length: plan.length,
+            wake: None,
+        };
+        node.requests.insert(request, live);
+        if let Some(at) = plan.leaves {
+            self.plan(at, Happening::Leave(entry, request));
+        }
+        self.perform(entry, request, actions, None);
+    }
+
+    /// Tells a request something, if its entry still has it.
+    pub(super) fn tell(
+        &mut self,
+        entry: EntryIndex,
+        request: RequestId,
+        event: &RequestEvent,
+        frame: Option<&Frame>,
+    ) {
+        let node = &mut self.entries[entry.0];
+        let Some(live) = node.requests.get_mut(&request) else {
+            return;
+        };
+        let mut context = RequestContext {
+            now: self.now,
+            budget: &mut node.budgets[live.plan.account],
+            random: &mut self.random,
+        };
+        let actions = live.machine.handle(event, &mut context);
+        self.perform(entry, request, actions, frame);
+    }
+
+    fn perform(
+        &mut self,
+        entry: EntryIndex,
+        request: RequestId,
+        actions: RequestActions,
+        frame: Option<&Frame>,
+    ) {
+        for action in actions {
+            self.perform_one(entry, request, action, frame);
+        }
+        let now = self.now;
+        let live = self.live(entry, request);
+        let wake = live.machine.wake_at().map(|at| at.max(now));
+        let planned = live.wake.filter(|at| *at > now);
+        live.wake = wake;
+        if let Some(at) = wake
+            && planned != wake
+        {
+            self.plan(at, Happening::Local(entry, request, RequestEvent::Woke));
+        }
+    }
+
+    fn perform_one(
+        &mut self,
+        entry: EntryIndex,
+        request: RequestId,
+        action: RequestAction,
+        frame: Option<&Frame>,
+    ) {
+        match action {
+            RequestAction::Choose { avoid } => {
+                let event = RequestEvent::Chosen(self.choose(&avoid));
+                self.plan(self.now, Happening::Local(entry, request, event));
+            }
+            RequestAction::DeliverHead => {
+                if let Some(Frame {
+                    replayed: Some(status),
+                    ..
+                }) = frame
+                {
+                    self.truth.replay(request, *status);
+                    self.live(entry, request).length = 0;
+                }
+            }
+            RequestAction::Deliver { skip } => {
+                let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+                let bytes = frame.map_or(&[][..], |frame| &frame.bytes[skip..]);
+                self.truth.deliver(request, bytes);
+            }
+            RequestAction::CountRetry(reason) => match reason {
+                RetryReason::StreamResumed => self.report.resumed += 1,
+                _ => self.report.retried += 1,
+            },
+            RequestAction::Report(outcome) => self.tell_caller(entry, request, outcome),
+            RequestAction::Connect { .. }
+            | RequestAction::Send { .. }
+            | RequestAction::Revoke { .. }
+            | RequestAction::Resume { .. }
+            | RequestAction::Cancel { .. } => self.order(entry, request, action),
+        }
+    }
+
+    /// Sends an agent what the request wants of it.
+    fn order(&mut self, entry: EntryIndex, request: RequestId, action: RequestAction) {
+        let plan = self.live(entry, request).plan;
+        if let RequestAction::Send { attempt, .. } = &action {
+            self.entries[entry.0].note_send(plan.account, attempt.number);
+        }
+        let (backend, body) = match action {
+            RequestAction::Connect { link, backend } => (backend, OrderBody::Connect(link)),
+            RequestAction::Send {
+                link,
+                attempt,
+                incarnation,
+                deadline,
+                backend,
+            } => {
+                let body = OrderBody::Send {
+                    link,
+                    attempt,
+                    incarnation,
+                    deadline,
+                    plan,
+                };
+                (backend, body)
+            }
+            RequestAction::Revoke {
+                attempt,
+                backend,
+                incarnation,
+                deadline,
+            } => {
+                let body = OrderBody::Revoke {
+                    attempt,
+                    incarnation,
+                    deadline,
+                };
+                (backend, body)
+            }
+            RequestAction::Resume {
+                link,
+                attempt,
+                backend,
+                incarnation,
+                offset,
+            } => {
+                let body = OrderBody::Resume {
+                    link,
+                    attempt,
+                    incarnation,
+                    offset,
+                };
+                (backend, body)
+            }
+            RequestAction::Cancel { attempt, backend } => (backend, OrderBody::Cancel(attempt)),
+            _ => return,
+        };
+        let order = Order {
+            entry,
+            request,
+            body,
+        };
+        self.send(Message::ToAgent(agent_of(&backend), order));
+    }
+
+    fn choose(&mut self, avoid: &[BackendId]) -> BackendId {
+        let agents = (0..self.agents.len()).map(|index| backend_of(AgentIndex(index)));
+        let all = agents.collect::<Vec<_>>();
+        let fresh = all
+            .iter()
+            .filter(|backend| !avoid.contains(backend))
+            .cloned()
+            .collect::<Vec<_>>();
+        let choices = if fresh.is_empty() { all } else { fresh };
+        choices[self.random.random_range(0..choices.len())].clone()
+    }
+
+    fn tell_caller(&mut self, entry: EntryIndex, request: RequestId, outcome: RequestOutcome) {
+        self.note(&format!("{request} caller is told {outcome:?}"));
+        let live = self.live(entry, request);
+        let (plan, length, sends) = (live.plan, live.length, live.machine.sends());
+        self.report.sends += u64::from(sends);
+        self.truth.report(request, outcome, length);
+        self.report.count(outcome);
+        if outcome != RequestOutcome::Answered {
+            self.send_again(plan);
+        }
+    }
+
+    /// The caller of a keyed call sends it again, to whichever entry it reaches.
+    fn send_again(&mut self, plan: CallPlan) {
+        if plan.resends == 0 || !matches!(plan.rule, CallRule::Keyed(_)) {
+            return;
+        }
+        let at = self.now + TimeSpan(self.random.random_range(0..RESEND_MICROS));
+        let entry = EntryIndex(self.random.random_range(0..self.entries.len()));
+        let again = CallPlan {
+            at,
+            entry,
+            resends: plan.resends - 1,
+            leaves: None,
+            ..plan
+        };
+        self.plan(at, Happening::Call(again));
+    }
+
+    /// The entry's process dies; its callers see their connections break.
+    pub(super) fn kill_entry(&mut self, entry: EntryIndex, span: TimeSpan) {
+        let node = &mut self.entries[entry.0];
+        node.is_alive = false;
+        let dropped = std::mem::take(&mut node.requests);
+        for live in dropped.into_values() {
+            if !live.machine.is_over() {
+                self.report.dropped += 1;
+                self.send_again(live.plan);
+            }
+        }
+        self.plan(self.now + span, Happening::ReviveEntry(entry));
+    }
+
+    pub(super) fn revive_entry(&mut self, entry: EntryIndex) {
+        let history = self.entries[entry.0].history;
+        self.entries[entry.0] = EntryNode::new(history);
+    }
+
+    fn live(&mut self, entry: EntryIndex, request: RequestId) -> &mut LiveRequest {
+        self.entries[entry.0]
+            .requests
+            .get_mut(&request)
+            .expect("a request that acts is at its entry")
+    }
+}
+
+/// The backend server beside an agent.
+pub(super) fn backend_of(agent: AgentIndex) -> BackendId {
+    format!("b{}", agent.0)
+        .parse()
+        .expect("the name of a fake backend server is an id")
+}
+
+fn agent_of(backend: &BackendId) -> AgentIndex {
+    let digits = backend.as_str().trim_start_matches('b');
+    AgentIndex(digits.parse().expect("a fake backend server is numbered"))
+}
+
+/// The time of a key, as seconds of the fake's calendar.
+pub(super) fn key_seconds(at: TimePoint) -> u64 {
+    const CALENDAR_ORIGIN_SECONDS: u64 = 1_700_000_000;
+    CALENDAR_ORIGIN_SECONDS + at.0 / 1_000_000
+}
--- /dev/null
+++ b/crates/celerycrank-requests/src/model/key_value.rs
@@ -0,0 +1,73 @@
+//! A fake of the key-value service: compare-and-swap on revisions.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    ClaimOperation, ClaimReply, ClaimantId, OperationId, RecordName, RecordRevision, open_claims,
+};
+
+/// The records and their revisions.
+#[derive(Debug, Default)]
+pub(super) struct KeyValueFake {
+    revision: u64,
+    records: BTreeMap<RecordName, (RecordRevision, Vec<u8>)>,
+    /// Writes that took effect.
+    pub(super) writes: u64,
+    /// Operations of any kind.
+    pub(super) operations: u64,
+    /// Bytes of the largest record so far.
+    pub(super) largest: usize,
+}
+
+impl KeyValueFake {
+    /// Carries out an operation.
+    pub(super) fn perform(&mut self, operation: ClaimOperation) -> (OperationId, ClaimReply) {
+        self.operations += 1;
+        match operation {
+            ClaimOperation::Get { operation, record } => (operation, self.read(record)),
+            ClaimOperation::Swap {
+                operation,
+                record,
+                expected,
+                value,
+            } => (operation, self.swap(record, expected, value)),
+        }
+    }
+
+    /// Who claims a key without a recorded status.
+    pub(super) fn open_claims(&self) -> Vec<ClaimantId> {
+        self.records
+            .values()
+            .flat_map(|(_, value)| open_claims(value))
+            .collect()
+    }
+
+    fn read(&self, record: RecordName) -> ClaimReply {
+        match self.records.get(&record) {
+            Some((revision, value)) => ClaimReply::Value {
+                revision: *revision,
+                value: Some(value.clone()),
+            },
+            None => ClaimReply::Value {
+                revision: RecordRevision::default(),
+                value: None,
+            },
+        }
+    }
+
+    fn swap(&mut self, record: RecordName, expected: RecordRevision, value: Vec<u8>) -> ClaimReply {
+        let revision = self
+            .records
+            .get(&record)
+            .map_or(RecordRevision::default(), |(revision, _)| *revision);
+        if revision != expected {
+            return self.read(record);
+        }
+        self.revision += 1;
+        self.writes += 1;
+        self.largest = self.largest.max(value.len());
+        let revision = RecordRevision(self.revision);
+        self.records.insert(record, (revision, value));
+        ClaimReply::Swapped(revision)
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-requests/src/model/keyed.rs
@@ -0,0 +1,100 @@
+//! How a fake agent claims keys at the key-value service.
+
+use celerycrank_types::Incarnation;
+
+use super::{
+    caller::{CallPlan, CallRule},
+    entry::key_seconds,
+    fault::AgentIndex,
+    message::Message,
+    world::World,
+};
+use crate::{
+    AttemptEvent, CallKey, ClaimAnswer, ClaimOperation, ClaimOutput, ClaimReply, OperationId,
+};
+
+impl World<'_> {
+    /// The key-value service answered an agent.
+    pub(super) fn take_reply(
+        &mut self,
+        agent: AgentIndex,
+        incarnation: Incarnation,
+        operation: OperationId,
+        reply: ClaimReply,
+    ) {
+        let node = &mut self.agents[agent.0];
+        if !node.is_alive || node.ledger.incarnation() != incarnation {
+            return;
+        }
+        if node.frozen_until > self.now {
+            let message = Message::FromKeyValue(agent, incarnation, operation, reply);
+            node.inbox.push(message);
+            return;
+        }
+        let now = node.clock(self.now);
+        let outputs = node.claims.handle(operation, reply, now);
+        self.take_outputs(agent, outputs);
+    }
+
+    pub(super) fn tick_agent(&mut self, agent: AgentIndex) {
+        let node = &mut self.agents[agent.0];
+        if !node.is_alive {
+            return;
+        }
+        if node.frozen_until > self.now {
+            let until = node.frozen_until;
+            self.plan_tick(agent, until);
+            return;
+        }
+        let now = node.clock(self.now);
+        let outputs = node.claims.tick(now);
+        self.take_outputs(agent, outputs);
+    }
+
+    /// Carries out what the claim ledger wants.
+    pub(super) fn take_outputs(&mut self, agent: AgentIndex, outputs: Vec<ClaimOutput>) {
+        for output in outputs {
+            match output {
+                ClaimOutput::Operation(operation) => self.operate(agent, operation),
+                ClaimOutput::Answer(claimant, answer) => {
+                    let jobs = &self.agents[agent.0].jobs;
+                    let attempt = jobs
+                        .iter()
+                        .find_map(|(attempt, job)| (job.claimant == claimant).then_some(*attempt));
+                    if answer == ClaimAnswer::Unavailable {
+                        self.agents[agent.0].void.insert(claimant);
+                    }
+                    if let Some(attempt) = attempt {
+                        self.note(&format!("{attempt} claim: {answer:?}"));
+                        self.step_attempt(agent, attempt, AttemptEvent::Claimed(answer), None);
+                    }
+                }
+            }
+        }
+        let node = &self.agents[agent.0];
+        if let Some(at) = node.claims.wake_at() {
+            self.plan_tick(agent, node.world_time(at));
+        }
+    }
+
+    fn operate(&mut self, agent: AgentIndex, operation: ClaimOperation) {
+        let incarnation = self.agents[agent.0].ledger.incarnation();
+        self.send(Message::ToKeyValue(agent, incarnation, operation));
+    }
+}
+
+/// The idempotency key of a call.
+pub(super) fn call_key(plan: &CallPlan) -> CallKey {
+    let number = match plan.rule {
+        CallRule::Keyed(key) => key.0,
+        CallRule::Once | CallRule::Repeatable => u32::MAX,
+    };
+    let text = format!("{}-{number}", key_seconds(plan.key_time));
+    let account = format!("account{}", plan.account)
+        .parse()
+        .expect("the name of a fake account is an id");
+    let service = "ledger"
+        .parse()
+        .expect("the name of a fake service is an id");
+    CallKey::parse(&account, &service, &text).expect("the key of a plan tells its time")
+}
--- /dev/null
+++ b/crates/celerycrank-requests/src/model/plan.rs
@@ -0,0 +1,128 @@
+//! The plan of a run: what callers ask for, and which faults happen.
+
+use celerycrank_types::{TimePoint, TimeSpan};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    caller::{CallPlan, CallRule, KeyNumber},
+    entry::ACCOUNTS,
+    fault::{AgentIndex, EntryIndex, Fault, FaultRates, PlannedFault},
+};
+
+/// When callers stop sending at the latest, in microseconds.
+const TRAFFIC_MICROS: u64 = 6_000_000;
+
+/// Spans in which callers send, in microseconds: the shorter, the fuller the queues.
+const BURST_MICROS: [u64; 3] = [200_000, 1_000_000, TRAFFIC_MICROS];
+
+/// Bounds of the length of a short fault, in microseconds.
+const SHORT_FAULT_MICROS: std::ops::Range<u64> = 1_000..100_000;
+
+/// Bounds of the length of a long fault, in microseconds.
+const LONG_FAULT_MICROS: std::ops::Range<u64> = 100_000..4_000_000;
+
+/// When random faults stop.
+const CALM_AT: TimePoint = TimePoint(10_000_000);
+
+/// Mixes a run's seed, so that its plan and its scheduler draw apart.
+const PLAN_SEED_MASK: u64 = 0x5EED_0F91_A500_0000;
+
+/// The plan of a run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ModelPlan {
+    /// How many entries there are.
+    pub entries: usize,
+    /// How many agents there are.
+    pub agents: usize,
+    /// Requests that each account sent in quiet times before the run.
+    pub history: u32,
+    /// What callers ask for.
+    pub calls: Vec<CallPlan>,
+    /// Faults at points in time.
+    pub faults: Vec<PlannedFault>,
+    /// Faults of single messages.
+    pub rates: FaultRates,
+    /// When the random faults end.
+    pub calm_at: TimePoint,
+}
+
+impl ModelPlan {
+    /// The plan that follows from a seed.
+    #[must_use]
+    pub fn draw(seed: u64) -> Self {
+        let random = &mut ChaCha8Rng::seed_from_u64(seed ^ PLAN_SEED_MASK);
+        let entries = random.random_range(1..=3);
+        let agents = random.random_range(1..=3);
+        let span = BURST_MICROS[random.random_range(0..BURST_MICROS.len())];
+        let calls = (0..random.random_range(5..60))
+            .map(|_| draw_call(entries, span, random))
+            .collect();
+        let faults = (0..random.random_range(0..8))
+            .map(|_| PlannedFault {
+                at: TimePoint(random.random_range(0..span + span / 2)),
+                fault: draw_fault(entries, agents, random),
+            })
+            .collect();
+        let scale = [0.0, 0.02, 0.1, 0.4][random.random_range(0..4)];
+        Self {
+            entries,
+            agents,
+            history: random.random_range(0..300),
+            calls,
+            faults,
+            rates: FaultRates {
+                loss: scale * random.random::<f64>(),
+                double: scale * random.random::<f64>(),
+                late: scale * random.random::<f64>(),
+                misroute: scale * random.random::<f64>(),
+            },
+            calm_at: CALM_AT,
+        }
+    }
+}
+
+fn draw_call(entries: usize, span: u64, random: &mut ChaCha8Rng) -> CallPlan {
+    let at = TimePoint(random.random_range(0..span));
+    // Few keys, so that several callers' sendings of one key meet.
+    let key = KeyNumber(random.random_range(0..8));
+    let rule = match random.random_range(0..4) {
+        0 => CallRule::Once,
+        1 => CallRule::Repeatable,
+        _ => CallRule::Keyed(key),
+    };
+    let leaves = random
+        .random_bool(0.05)
+        .then(|| at + TimeSpan(random.random_range(0..500_000)));
+    CallPlan {
+        at,
+        entry: EntryIndex(random.random_range(0..entries)),
+        account: key.0 as usize % ACCOUNTS,
+        rule,
+        key_time: TimePoint(u64::from(key.0) * 1_000_000),
+        length: random.random_range(0..120),
+        deadline: TimeSpan(random.random_range(50_000..2_000_000)),
+        resends: random.random_range(0..3),
+        leaves,
+    }
+}
+
+fn draw_fault(entries: usize, agents: usize, random: &mut ChaCha8Rng) -> Fault {
+    let entry = EntryIndex(random.random_range(0..entries));
+    let agent = AgentIndex(random.random_range(0..agents));
+    let spans = if random.random_bool(0.5) {
+        SHORT_FAULT_MICROS
+    } else {
+        LONG_FAULT_MICROS
+    };
+    let span = TimeSpan(random.random_range(spans));
+    match random.random_range(0..15) {
+        0 | 1 => Fault::KillEntry(entry, span),
+        2 | 3 => Fault::KillAgent(agent, span),
+        4..=7 => Fault::FreezeAgent(agent, span),
+        8 | 9 => Fault::ClockForward(agent, span),
+        10 | 11 => Fault::ClockBack(agent, span),
+        12 => Fault::Leave(agent),
+        _ => Fault::KeyValueOutage(span),
+    }
+}
--- a/crates/celerycrank-requests/src/request/classify.rs
+++ b/crates/celerycrank-requests/src/request/classify.rs
@@ -190,6 +190,13 @@
             RequestState::Revoking if self.progress == AttemptProgress::Started => {
                 EventKind::Started
             }
+            RequestState::Streaming => {
+                self.breaks += 1;
+                if self.breaks > self.policy.resumes {
+                    return self.unproved(UnknownReason::LinkLost, context);
+                }
+                EventKind::LinkLost
+            }
             RequestState::Resuming => {
                 let tries = self.link.0;
                 self.wait_until =
--- a/crates/celerycrank-requests/src/request/event.rs
+++ b/crates/celerycrank-requests/src/request/event.rs
@@ -100,6 +100,8 @@
         link: LinkNumber,
         /// The attempt, which the agent names in its answer.
         attempt: AttemptId,
+        /// The chosen backend server.
+        backend: BackendId,
         /// The incarnation that the attempt is meant for.
         incarnation: Incarnation,
         /// When the attempt must have started, on the agent's clock.
--- a/crates/celerycrank-requests/src/request/machine.rs
+++ b/crates/celerycrank-requests/src/request/machine.rs
@@ -87,6 +87,8 @@
     pub(super) head_delivered: bool,
     /// Bytes of the body that the caller has.
     pub(super) delivered: u64,
+    /// Breaks of the stream since its last byte.
+    pub(super) breaks: u32,
     /// When the state's own wait is over.
     pub(super) wait_until: TimePoint,
     /// When finding out about the attempt ends.
@@ -125,6 +127,7 @@
             doubt: None,
             head_delivered: false,
             delivered: 0,
+            breaks: 0,
             wait_until: now,
             settle_at: None,
             refusal: RefusalReason::DeadlineUnreachable,
@@ -239,7 +242,7 @@
                 avoid: self.avoid.clone(),
             }),
             ActionKind::Connect => self.connect(),
-            ActionKind::Send => Some(self.send()),
+            ActionKind::Send => self.send(),
             ActionKind::Revoke => self.revoke(context.now),
             ActionKind::Resume => self.resume(context.now),
             ActionKind::DeliverHead => self.deliver_head(context.now),
@@ -262,7 +265,7 @@
         })
     }
 
-    fn send(&mut self) -> RequestAction {
+    fn send(&mut self) -> Option<RequestAction> {
         assert!(
             self.progress == AttemptProgress::Idle && !self.head_delivered,
             "an attempt was sent while an earlier one may run"
@@ -275,12 +278,13 @@
         self.sends += 1;
         self.progress = AttemptProgress::Sent;
         self.link_state = LinkState::Up;
-        RequestAction::Send {
+        Some(RequestAction::Send {
             link: self.link,
             attempt: self.attempt(),
+            backend: self.backend.clone()?,
             incarnation: self.incarnation,
             deadline: self.agent_deadline,
-        }
+        })
     }
 
     fn revoke(&mut self, now: TimePoint) -> Option<RequestAction> {
@@ -335,6 +339,7 @@
         );
         let skip = self.delivered - offset;
         self.delivered = offset + length;
+        self.breaks = 0;
         self.note_progress(now);
         Some(RequestAction::Deliver { skip })
     }
--- a/crates/celerycrank-requests/src/request/policy.rs
+++ b/crates/celerycrank-requests/src/request/policy.rs
@@ -22,6 +22,9 @@
     /// Longest silence of a link within an answer.
     #[builder(default = TimeSpan::from_secs(10))]
     pub stall: TimeSpan,
+    /// Most resumptions of a stream without a further byte.
+    #[builder(default = 4)]
+    pub resumes: u32,
     /// Most choices of a backend server.
     #[builder(default = 4)]
     pub tries: u32,
--- /dev/null
+++ b/crates/celerycrank-requests/tests/ledger.rs
@@ -0,0 +1,174 @@
+//! Focused tests of the agent's ledger, the retry budget, clocks and keys.
+
+use celerycrank_requests::{
+    AttemptAction, AttemptEvent, AttemptId, AttemptState, CallKey, CallKind, PeerClock,
+    RetryBackoff, RetryBudget, RevokeAnswer, StartLedger, StartSettings,
+};
+use celerycrank_types::{
+    Incarnation, RefusalReason, RequestId, TimePoint, TimeSpan, UnknownReason,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+/// Fixed seeds of the random tests.
+const SEEDS: [u64; 4] = [0x1_0000_0040, 0x2_0000_0400, 0x3_0000_1000, 0x4_0000_4000];
+
+const LIFE: Incarnation = Incarnation(7);
+const SETTINGS: StartSettings = StartSettings {
+    capacity: 4,
+    retention: TimeSpan::from_secs(1),
+};
+
+fn attempt(number: u128) -> AttemptId {
+    AttemptId {
+        request: RequestId(number),
+        number: 1,
+    }
+}
+
+fn arrived(incarnation: Incarnation, deadline: u64) -> AttemptEvent {
+    AttemptEvent::Arrived {
+        incarnation,
+        deadline: TimePoint(deadline),
+        call: CallKind::Plain,
+    }
+}
+
+fn revoked(deadline: u64) -> AttemptEvent {
+    AttemptEvent::Revoked {
+        incarnation: LIFE,
+        deadline: TimePoint(deadline),
+    }
+}
+
+#[test]
+fn proves_nothing_to_a_copy_meant_for_an_earlier_life() {
+    let mut ledger = StartLedger::new(LIFE, SETTINGS);
+    let actions = ledger.handle(attempt(1), arrived(Incarnation(6), 100), TimePoint(1));
+    assert_eq!(
+        actions.as_slice(),
+        [AttemptAction::TellUnproved(UnknownReason::AgentRestarted)]
+    );
+}
+
+#[test]
+fn proves_nothing_about_what_it_forgot() {
+    let mut ledger = StartLedger::new(LIFE, SETTINGS);
+    ledger.handle(attempt(1), arrived(LIFE, 100), TimePoint(1));
+    ledger.handle(attempt(1), AttemptEvent::SlotFree, TimePoint(2));
+    ledger.handle(attempt(1), AttemptEvent::Finished(None), TimePoint(3));
+    let later = TimePoint(3) + SETTINGS.retention;
+    let answer = ledger.handle(attempt(1), revoked(100), later);
+    assert_eq!(
+        answer.as_slice(),
+        [AttemptAction::Answer(RevokeAnswer::Forgotten)]
+    );
+    let copy = ledger.handle(attempt(1), arrived(LIFE, 100), later);
+    assert_eq!(
+        copy.as_slice(),
+        [AttemptAction::TellUnproved(UnknownReason::LinkLost)]
+    );
+}
+
+#[test]
+fn starts_nothing_once_its_deadline_passed_in_a_freeze() {
+    let mut ledger = StartLedger::new(LIFE, SETTINGS);
+    ledger.handle(attempt(1), arrived(LIFE, 100), TimePoint(1));
+    let woken = ledger.handle(attempt(1), AttemptEvent::SlotFree, TimePoint(100));
+    assert_eq!(
+        woken.as_slice(),
+        [AttemptAction::Refuse(RefusalReason::DeadlineUnreachable)]
+    );
+    assert_eq!(ledger.state(attempt(1)), AttemptState::Tombstone);
+}
+
+#[test]
+fn knows_a_bounded_number_of_attempts() {
+    for seed in SEEDS {
+        arbtest::arbtest(|u| {
+            let mut ledger = StartLedger::new(LIFE, SETTINGS);
+            while !u.is_empty() {
+                let id = attempt(u128::from(u.int_in_range(0..=20_u8)?));
+                let now = TimePoint(u.int_in_range(0..=3_000_000)?);
+                let deadline = u.int_in_range(0..=3_000_000)?;
+                let event = match u.int_in_range(0..=4_u8)? {
+                    0 => AttemptEvent::SlotFree,
+                    1 => AttemptEvent::Finished(None),
+                    2 => revoked(deadline),
+                    3 => AttemptEvent::TurnedAway(RefusalReason::QueueFull),
+                    _ => arrived(LIFE, deadline),
+                };
+                ledger.handle(id, event, now);
+                assert!(ledger.len() <= SETTINGS.capacity);
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+#[test]
+fn retries_are_at_most_a_tenth_of_the_requests() {
+    for seed in SEEDS {
+        arbtest::arbtest(|u| {
+            let mut budget = RetryBudget::default();
+            while !u.is_empty() {
+                if u.arbitrary()? {
+                    budget.earn();
+                } else {
+                    let was_granted = budget.spend();
+                    assert!(!was_granted || budget.retries() * 10 <= budget.requests());
+                }
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+#[test]
+fn backoff_stays_within_its_bounds() {
+    let random = &mut SmallRng::seed_from_u64(1);
+    let backoff = RetryBackoff {
+        base: TimeSpan::from_millis(10),
+        limit: TimeSpan::from_secs(1),
+    };
+    for tries in 0..100 {
+        let wait = backoff.wait(tries, random);
+        assert!(wait <= backoff.limit);
+        assert!(tries > 1 || wait <= backoff.base);
+    }
+}
+
+#[test]
+fn a_peer_keeps_the_deadline_in_its_own_clock() {
+    let clock = PeerClock::new(TimePoint(5_000), TimePoint(100));
+    assert_eq!(clock.deadline(TimePoint(350)), TimePoint(5_250));
+    assert_eq!(clock.deadline(TimePoint(50)), TimePoint(5_000));
+}
+
+#[test]
+fn a_key_tells_its_time() {
+    let account = "quarry".parse().unwrap();
+    let service = "ledger".parse().unwrap();
+    let read = |text| CallKey::parse(&account, &service, text);
+    let uuid = read("0192f0c1-2f00-7abc-8def-0123456789ab").unwrap();
+    assert_eq!(uuid.time().0, 0x0192_f0c1_2f00 / 1_000);
+    assert_eq!(uuid, read("0192F0C1-2F00-7ABC-8DEF-0123456789AB").unwrap());
+    assert_eq!(read("1764826806-bid-17").unwrap().time().0, 1_764_826_806);
+    for text in [
+        "",
+        "bid-17",
+        "176482680-bid",
+        "1764826806-",
+        "0192f0c1-2f00-4abc-8def-0123456789ab",
+    ] {
+        assert!(read(text).is_err(), "{text}");
+    }
+    let long = format!("1764826806-{}", "x".repeat(128));
+    CallKey::parse(&account, &service, &long).unwrap_err();
+    let other = "workshop".parse().unwrap();
+    assert_ne!(
+        CallKey::parse(&other, &service, "1764826806-bid-17").unwrap(),
+        read("1764826806-bid-17").unwrap()
+    );
+}
--- /dev/null
+++ b/crates/celerycrank-requests/tests/random.rs
@@ -0,0 +1,36 @@
+//! Random runs of entries, agents, backend servers and the key-value service with faults.
+//!
+//! `celerycrank-bench requests --trace --seed N` prints the session of a seed that fails.
+
+use std::panic;
+
+use celerycrank_requests::model::{RunReport, run_seed};
+
+/// Runs of the test; the long runs are a command of celerycrank-bench.
+const RUNS: u64 = 5_000;
+
+#[test]
+fn keeps_its_invariants_under_faults() {
+    let mut total = RunReport::default();
+    for seed in 0..RUNS {
+        let report = panic::catch_unwind(|| run_seed(seed));
+        match report {
+            Ok(report) => total.add(&report),
+            Err(fault) => {
+                println!("seed {seed} breaks an invariant");
+                panic::resume_unwind(fault);
+            }
+        }
+    }
+    println!("{total:?}");
+    for (name, count) in [
+        ("answered", total.answered),
+        ("not run", total.not_run),
+        ("unknown", total.unknown),
+        ("dropped", total.dropped),
+        ("retried", total.retried),
+        ("resumed", total.resumed),
+    ] {
+        assert!(count > RUNS / 10, "only {count} requests were {name}");
+    }
+}
