--- /dev/null
+++ b/crates/celerycrank-agent/src/state.rs
@@ -0,0 +1,121 @@
+//! What the tasks of an agent share.
+
+use std::{cell::Cell, cell::RefCell, rc::Rc};
+
+use celerycrank_config::{AgentSettings, BackendKind};
+use celerycrank_membership::PeerFact;
+use celerycrank_process::{ProcessClock, ShutdownFlag};
+use celerycrank_sync::SyncState;
+use celerycrank_types::{Incarnation, Revision};
+use celerycrank_wire::{BackendOffer, LoadReport, OfferKind, WelcomeReply};
+use tokio::sync::Notify;
+
+use crate::{
+    backend::BackendClient, ledger::RequestLedger, metrics::AgentMetrics, slots::SlotQueue,
+};
+
+/// What the tasks of an agent share; all of them run on one arbiter.
+pub(crate) struct AgentState {
+    pub(crate) settings: AgentSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: ProcessClock,
+    pub(crate) shutdown: ShutdownFlag,
+    pub(crate) metrics: AgentMetrics,
+    pub(crate) ledger: RefCell<RequestLedger>,
+    pub(crate) slots: SlotQueue,
+    pub(crate) backend: BackendClient,
+    pub(crate) sync: Rc<SyncState>,
+    in_flight: Cell<u32>,
+    idle: Notify,
+}
+
+impl AgentState {
+    pub(crate) fn new(
+        settings: AgentSettings,
+        incarnation: Incarnation,
+        metrics: AgentMetrics,
+    ) -> Self {
+        let clock = ProcessClock::start();
+        let own = PeerFact {
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+        };
+        // An agent only compares revisions; what its entries admitted travels with the order.
+        let sync = SyncState::new(own, clock, metrics.sync.clone(), Box::new(|_| {}));
+        Self {
+            incarnation,
+            clock,
+            shutdown: ShutdownFlag::default(),
+            metrics,
+            ledger: RefCell::default(),
+            slots: SlotQueue::new(settings.backend.concurrency, settings.backend.queue),
+            backend: BackendClient::new(settings.backend.address),
+            sync: Rc::new(sync),
+            in_flight: Cell::new(0),
+            idle: Notify::new(),
+            settings,
+        }
+    }
+
+    /// The revision in force; zero while none is known.
+    pub(crate) fn revision(&self) -> Revision {
+        self.sync.revision()
+    }
+
+    pub(crate) fn load(&self) -> LoadReport {
+        self.slots.load(self.shutdown.is_raised())
+    }
+
+    pub(crate) fn welcome(&self) -> WelcomeReply {
+        let backend = &self.settings.backend;
+        WelcomeReply {
+            incarnation: self.incarnation,
+            revision: self.revision(),
+            offer: BackendOffer {
+                backend: backend.backend.clone(),
+                vm: self.settings.vm.clone(),
+                domain: self.settings.domain.clone(),
+                kind: match &backend.kind {
+                    BackendKind::Engine(model) => OfferKind::Model(model.clone()),
+                    BackendKind::Service(service) => OfferKind::Service(service.clone()),
+                },
+            },
+            load: self.load(),
+        }
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub(crate) fn track(self: &Rc<Self>) -> FlightGuard {
+        self.in_flight.set(self.in_flight.get() + 1);
+        FlightGuard {
+            state: Rc::clone(self),
+        }
+    }
+
+    /// Requests whose answers are not yet delivered.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Waits until no request is in flight.
+    pub(crate) async fn drained(&self) {
+        while self.in_flight.get() > 0 {
+            self.idle.notified().await;
+        }
+    }
+}
+
+/// One request in flight.
+pub(crate) struct FlightGuard {
+    state: Rc<AgentState>,
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        let left = self.state.in_flight.get() - 1;
+        self.state.in_flight.set(left);
+        if left == 0 {
+            self.state.idle.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/state.rs
@@ -0,0 +1,90 @@
+//! What the tasks of an entry share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use celerycrank_config::{Configuration, EntrySettings, PolicyTable};
+use celerycrank_link::{LinkEndpoint, LinkPool};
+use celerycrank_process::{ProcessClock, ShutdownFlag};
+use celerycrank_sync::SyncState;
+use celerycrank_types::{RequestId, Revision};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::{metrics::EntryMetrics, roster::AgentRoster};
+
+/// What the tasks of an entry share; all of them run on one arbiter.
+pub(crate) struct EntryState {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: ProcessClock,
+    pub(crate) shutdown: ShutdownFlag,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) pool: Rc<LinkPool>,
+    pub(crate) sync: Rc<SyncState>,
+    pub(crate) roster: RefCell<AgentRoster>,
+    pub(crate) random: RefCell<StdRng>,
+    /// Whether the balancer may send requests here.
+    pub(crate) ready: Cell<bool>,
+    in_force: InForceCell,
+}
+
+/// Where the configuration in force is kept; shared with the callback that replaces it.
+pub(crate) type InForceCell = Rc<RefCell<Option<Rc<ConfigurationInForce>>>>;
+
+/// The configuration that the entry has in force, compiled.
+#[derive(Debug)]
+pub(crate) struct ConfigurationInForce {
+    pub(crate) revision: Revision,
+    pub(crate) configuration: Arc<Configuration>,
+    pub(crate) table: PolicyTable,
+}
+
+impl ConfigurationInForce {
+    /// Compiles a configuration.
+    pub(crate) fn compile(configuration: &Arc<Configuration>) -> Self {
+        Self {
+            revision: configuration.revision,
+            table: PolicyTable::new(configuration),
+            configuration: Arc::clone(configuration),
+        }
+    }
+}
+
+impl EntryState {
+    pub(crate) fn new(
+        settings: EntrySettings,
+        endpoint: LinkEndpoint,
+        metrics: EntryMetrics,
+        sync: Rc<SyncState>,
+        in_force: InForceCell,
+    ) -> Self {
+        Self {
+            clock: ProcessClock::start(),
+            shutdown: ShutdownFlag::default(),
+            metrics,
+            pool: Rc::new(LinkPool::new(endpoint, settings.entry.clone())),
+            sync,
+            roster: RefCell::default(),
+            random: RefCell::new(StdRng::from_os_rng()),
+            ready: Cell::new(false),
+            in_force,
+            settings,
+        }
+    }
+
+    /// The configuration in force, if one is known.
+    pub(crate) fn in_force(&self) -> Option<Rc<ConfigurationInForce>> {
+        self.in_force.borrow().as_ref().map(Rc::clone)
+    }
+
+    /// The revision in force; zero while none is known.
+    pub(crate) fn revision(&self) -> Revision {
+        self.sync.revision()
+    }
+
+    pub(crate) fn draw_request_id(&self) -> RequestId {
+        RequestId(self.random.borrow_mut().random())
+    }
+}
