Keep prompts of one kind together on as many workers as they need

Cause: the router keyed its hash on the first four blocks and trusted only its own hints, which miss what other entries sent; spills were cheap, although a miss delays every later prompt of the worker. Now: a kind of prompt is kept on a power-of-two part of the workers that follows its measured demand; within it the session's rendezvous order decides; a miss weighs more the more loaded the worker is.

--- a/crates/celerycrank-bench/src/routing.rs
+++ b/crates/celerycrank-bench/src/routing.rs
@@ -5,13 +5,13 @@
 mod run;
 mod trace;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use celerycrank_routing::{
     BackendCondition, BackendRouter, BackendSpec, BlockHash, PromptPrefix, RouteQuery,
     RouterSettings,
 };
-use celerycrank_types::TimePoint;
+use celerycrank_types::{DomainId, TimePoint, TimeSpan};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -32,6 +32,12 @@
 /// Part of the prompt blocks taken as cached where the capacity is worked out.
 const REFERENCE_HIT_RATE: f64 = 0.5;
 
+/// Batches of decisions that are timed one by one.
+const BATCHES: u32 = 200;
+
+/// Decisions in one batch.
+const BATCH_DECISIONS: usize = 1_000;
+
 /// Arguments of the measurement.
 #[derive(Debug, clap::Args)]
 pub(crate) struct RoutingArgs {
@@ -114,12 +120,12 @@
 
 /// A point of a trace's time on the routers' clock.
 fn time_point(seconds: f64) -> TimePoint {
-    TimePoint(((seconds + TRACE_START_SECONDS) * MICROS_PER_SECOND) as u64)
+    let clock = Duration::from_secs_f64(seconds + TRACE_START_SECONDS);
+    TimePoint::default() + TimeSpan::from(clock)
 }
 
 fn measure_decision(args: &RoutingArgs) {
-    const DECISIONS: u32 = 100_000;
-    let domain: celerycrank_types::DomainId = "estremoz".parse().expect("a valid name");
+    let domain: DomainId = "estremoz".parse().expect("a valid name");
     let mut router = BackendRouter::new(RouterSettings::builder().domain(domain.clone()).build());
     for worker in 0..args.workers {
         router.set_backend(BackendSpec {
@@ -132,19 +138,36 @@
         });
     }
     let mut rng = ChaCha8Rng::seed_from_u64(args.seed);
-    let prompts: Vec<PromptPrefix> = (0..1_000)
+    let prompts: Vec<PromptPrefix> = (0..BATCH_DECISIONS)
         .map(|_| PromptPrefix::from_blocks((0..16).map(|_| BlockHash(rng.random()))))
         .collect();
+    let mut batches: Vec<f64> = (0..BATCHES)
+        .map(|batch| time_batch(&mut router, &prompts, batch, &mut rng))
+        .collect();
+    batches.sort_by(f64::total_cmp);
+    println!(
+        "{} workers: {:.2} us a decision in the fastest batch, {:.2} in the median one",
+        args.workers,
+        batches[0],
+        batches[batches.len() / 2],
+    );
+}
+
+/// Microseconds for one decision and its bookkeeping, over a batch.
+fn time_batch(
+    router: &mut BackendRouter,
+    prompts: &[PromptPrefix],
+    batch: u32,
+    rng: &mut ChaCha8Rng,
+) -> f64 {
+    let now = time_point(f64::from(batch));
     let begin = Instant::now();
-    for decision in 0..DECISIONS {
-        let prefix = &prompts[decision as usize % prompts.len()];
+    for prefix in prompts {
         let query = RouteQuery { prefix, tried: &[] };
-        let now = time_point(f64::from(decision) / 1_000.0);
-        let choice = router.choose(now, &query, &mut rng);
+        let choice = router.choose(now, &query, rng);
         let backend = choice.expect("every worker is ready").backend;
-        router.note_sent(&backend, prefix);
+        router.note_sent(now, &backend, prefix);
         router.note_finished(&backend);
     }
-    let micros = begin.elapsed().as_secs_f64() * MICROS_PER_SECOND / f64::from(DECISIONS);
-    println!("{} workers: {micros:.2} us a decision", args.workers);
+    begin.elapsed().as_secs_f64() * MICROS_PER_SECOND / prompts.len() as f64
 }
--- a/crates/celerycrank-bench/src/routing/run.rs
+++ b/crates/celerycrank-bench/src/routing/run.rs
@@ -3,9 +3,11 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
+    time::Duration,
 };
 
 use celerycrank_routing::CacheEvent;
+use celerycrank_types::TimeSpan;
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -37,6 +39,8 @@
 /// Longest time to first token that is told apart, in milliseconds.
 const MAX_DELAY_MILLIS: u64 = 600_000;
 
+const MICROS_PER_MILLI: u64 = 1_000;
+
 /// What a policy achieved on a trace.
 #[derive(Debug)]
 pub(super) struct PolicyResult {
@@ -183,7 +187,7 @@
         let request = &self.trace[index];
         let entry = &mut self.entries[request.entry];
         let worker = entry.choose(now, request, &mut self.rng);
-        entry.note_sent(worker, request);
+        entry.note_sent(now, worker, request);
         self.open.insert(request.conversation, index);
         let happening = Happening::Reach {
             request: index,
@@ -210,8 +214,8 @@
         if request.arrival >= self.counted_from {
             self.blocks += blocks.len() as u64;
             self.cached += start.cached as u64;
-            let millis = (first_token - request.arrival) * 1_000.0;
-            self.delays.saturating_record(millis.round() as u64);
+            let delay = TimeSpan::from(Duration::from_secs_f64(first_token - request.arrival));
+            self.delays.saturating_record(delay.0 / MICROS_PER_MILLI);
         }
         self.schedule(
             first_token,
--- a/crates/celerycrank-routing/src/backend.rs
+++ b/crates/celerycrank-routing/src/backend.rs
@@ -1,7 +1,6 @@
 //! What a router knows of one backend server.
 
 use celerycrank_types::{BackendId, DomainId, TimePoint, TimeSpan, TokenCount};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Whether a backend server may be given new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,8 +42,6 @@
 #[derive(Debug, Clone)]
 pub(crate) struct BackendState {
     pub(crate) spec: BackendSpec,
-    /// Own hash, from which its rendezvous scores are derived.
-    pub(crate) seed: u64,
     pub(crate) tenancy: u32,
     /// Requests that this router sent and that are not finished.
     pub(crate) in_flight: u32,
@@ -55,10 +52,8 @@
 
 impl BackendState {
     pub(crate) fn new(spec: BackendSpec, tenancy: u32) -> Self {
-        let seed = xxh3_64(spec.backend.as_str().as_bytes());
         Self {
             spec,
-            seed,
             tenancy,
             in_flight: 0,
             foreign: 0.0,
--- a/crates/celerycrank-routing/src/hint.rs
+++ b/crates/celerycrank-routing/src/hint.rs
@@ -1,8 +1,12 @@
 //! Which backend servers probably hold which prefix block.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    hash::{BuildHasherDefault, Hasher},
+};
 
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::prefix::BlockHash;
 
@@ -28,6 +32,24 @@
     pub(crate) tenancy: u32,
 }
 
+/// Passes block hashes through: they are hashes of text already.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct BlockHasher(u64);
+
+impl Hasher for BlockHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.0 = xxh3_64_with_seed(bytes, self.0);
+    }
+
+    fn write_u64(&mut self, i: u64) {
+        self.0 = i;
+    }
+}
+
 #[derive(Debug, Default, Clone)]
 struct BlockEntry {
     /// The newest holder last.
@@ -42,7 +64,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct HolderIndex {
     capacity: usize,
-    entries: HashMap<BlockHash, BlockEntry>,
+    entries: HashMap<BlockHash, BlockEntry, BuildHasherDefault<BlockHasher>>,
     order: VecDeque<(BlockHash, u64)>,
     uses: u64,
 }
@@ -51,7 +73,7 @@
     pub(crate) fn new(capacity: usize) -> Self {
         Self {
             capacity,
-            entries: HashMap::new(),
+            entries: HashMap::default(),
             order: VecDeque::new(),
             uses: 0,
         }
--- a/crates/celerycrank-routing/src/lib.rs
+++ b/crates/celerycrank-routing/src/lib.rs
@@ -4,8 +4,10 @@
 //! routers of other entries. Nothing here performs I/O or reads a clock.
 
 mod backend;
+mod demand;
 mod hint;
 mod prefix;
+mod rank;
 mod router;
 
 pub use crate::{
--- a/crates/celerycrank-routing/src/prefix.rs
+++ b/crates/celerycrank-routing/src/prefix.rs
@@ -1,8 +1,7 @@
 //! A prompt as the chain of its prefix blocks.
 
-use celerycrank_types::TokenCount;
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Bytes of prompt text in one block.
 const BLOCK_BYTES: usize = 512;
@@ -34,6 +33,7 @@
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct PromptPrefix {
     blocks: SmallVec<[BlockHash; 16]>,
+    session: Option<BlockHash>,
 }
 
 impl PromptPrefix {
@@ -49,13 +49,17 @@
                 BlockHash(hash)
             })
             .collect();
-        Self { blocks }
+        Self {
+            blocks,
+            session: None,
+        }
     }
 
     /// Takes blocks that were hashed elsewhere.
     pub fn from_blocks(blocks: impl IntoIterator<Item = BlockHash>) -> Self {
         Self {
             blocks: blocks.into_iter().take(MAX_BLOCKS).collect(),
+            session: None,
         }
     }
 
@@ -65,9 +69,29 @@
         &self.blocks
     }
 
-    /// The tokens that so many blocks stand for.
+    /// Names the conversation by the text that all its requests begin with: its prompt up to
+    /// the end of the first user message.
+    #[must_use]
+    pub fn with_session(self, text: &[u8]) -> Self {
+        self.with_session_hash(BlockHash(xxh3_64(text)))
+    }
+
+    /// Names the conversation by a hash that was made elsewhere.
+    #[must_use]
+    pub const fn with_session_hash(mut self, session: BlockHash) -> Self {
+        self.session = Some(session);
+        self
+    }
+
+    /// The first block, by which prompts of one kind are kept together.
+    #[must_use]
+    pub fn group(&self) -> Option<BlockHash> {
+        self.blocks.first().copied()
+    }
+
+    /// What tells one conversation of the kind from another.
     #[must_use]
-    pub fn tokens_in(blocks: usize, block_tokens: TokenCount) -> TokenCount {
-        TokenCount(blocks as u64 * block_tokens.0)
+    pub fn session(&self) -> Option<BlockHash> {
+        self.session.or_else(|| self.blocks.last().copied())
     }
 }
--- a/crates/celerycrank-routing/src/router.rs
+++ b/crates/celerycrank-routing/src/router.rs
@@ -5,16 +5,25 @@
 use celerycrank_types::{BackendId, DomainId, TimePoint, TimeSpan};
 use rand::Rng;
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     backend::{BackendSpec, BackendState, LoadReport},
+    demand::DemandMeter,
     hint::{BackendSlot, CacheEvent, HolderIndex},
     prefix::{BlockHash, PromptPrefix},
+    rank::{RankedList, mix},
 };
 
 /// Candidates drawn at random beside those that affinity names.
 const RANDOM_CANDIDATES: usize = 2;
 
+/// Cost of a miss to the other requests at a backend server, at a load of one.
+const MISS_WEIGHT: f64 = 8.0;
+
+/// Blocks that the others keep a backend server busy with, at a load of one.
+const CROWDING_BLOCKS: f64 = 8.0;
+
 /// Settings of a router.
 #[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
 pub struct RouterSettings {
@@ -23,18 +32,18 @@
     /// Time that another failure domain adds to a request; a larger value keeps more at home.
     #[builder(default = TimeSpan::from_millis(2))]
     pub domain_cost: TimeSpan,
-    /// Load over the mean, in hundredths, up to which affinity is followed.
-    #[builder(default = 125)]
-    pub load_bound: u32,
     /// Time to compute one prefix block that is not cached.
     #[builder(default = TimeSpan::from_millis(16))]
     pub block_cost: TimeSpan,
     /// Mean time for which a request holds a slot.
     #[builder(default = TimeSpan::from_secs(4))]
     pub hold: TimeSpan,
-    /// Number of leading blocks that requests must share to be sent together.
-    #[builder(default = 4)]
-    pub affinity_blocks: u32,
+    /// Backend servers kept for a kind of prompt, in hundredths of what its demand fills.
+    #[builder(default = 400)]
+    pub group_headroom: u32,
+    /// Time in which half of the observed demand is forgotten.
+    #[builder(default = TimeSpan::from_secs(300))]
+    pub demand_half_life: TimeSpan,
     /// Span over which a new backend server is brought up to its full load.
     #[builder(default = TimeSpan::from_secs(10))]
     pub slow_start: TimeSpan,
@@ -59,6 +68,8 @@
     Holder,
     /// It has the highest rendezvous score within the load bound.
     Rendezvous,
+    /// It comes next in rendezvous order after an overloaded one.
+    Spill,
     /// It was the better one of random choices.
     Random,
 }
@@ -88,8 +99,9 @@
     table: Vec<Option<BackendState>>,
     next_tenancy: u32,
     hints: HolderIndex,
-    /// Loads of the table's backend servers for the decision at hand; infinite if not usable.
-    loads: Vec<f64>,
+    /// Hashes of the names in `table`, beside each other since every decision reads them all.
+    seeds: Vec<u64>,
+    demand: DemandMeter,
 }
 
 /// A backend server that might take the request.
@@ -97,20 +109,26 @@
 struct RouteCandidate {
     index: usize,
     reason: RouteReason,
+    /// Leading blocks of the prompt that it is known to hold.
+    cached: usize,
 }
 
+type CandidateList = SmallVec<[RouteCandidate; 12]>;
+
 impl BackendRouter {
     /// A router that knows no backend server yet.
     #[must_use]
     pub fn new(settings: RouterSettings) -> Self {
         let hints = HolderIndex::new(settings.hint_capacity);
+        let demand = DemandMeter::new(settings.demand_half_life);
         Self {
             settings,
             slots: BTreeMap::new(),
             table: Vec::new(),
             next_tenancy: 0,
             hints,
-            loads: Vec::new(),
+            seeds: Vec::new(),
+            demand,
         }
     }
 
@@ -123,12 +141,15 @@
         let tenancy = self.next_tenancy;
         self.next_tenancy += 1;
         let backend = spec.backend.clone();
+        let seed = xxh3_64(backend.as_str().as_bytes());
         let state = Some(BackendState::new(spec, tenancy));
         let free = self.table.iter().position(Option::is_none);
         let index = free.unwrap_or(self.table.len());
         if free.is_none() {
             self.table.push(None);
+            self.seeds.push(0);
         }
+        self.seeds[index] = seed;
         self.table[index] = state;
         self.slots.insert(backend, index);
     }
@@ -157,17 +178,10 @@
         query: &RouteQuery<'_>,
         rng: &mut R,
     ) -> Option<RouteChoice> {
-        let mean = self.measure_loads(now, query.tried)?;
-        let bound = mean * f64::from(self.settings.load_bound) / 100.0;
-        let candidates = self.candidates(query.prefix, bound, rng);
-        let best = candidates
+        let best = self
+            .candidates(query, rng)
             .into_iter()
-            .map(|candidate| {
-                (
-                    self.expected_delay(candidate.index, query.prefix),
-                    candidate,
-                )
-            })
+            .map(|candidate| (self.expected_delay(now, candidate, query.prefix), candidate))
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
             .map(|(_, candidate)| candidate)?;
         let state = self.table[best.index].as_ref()?;
@@ -183,7 +197,10 @@
     }
 
     /// Notes that a request was sent; its prompt will be cached there.
-    pub fn note_sent(&mut self, backend: &BackendId, prefix: &PromptPrefix) {
+    pub fn note_sent(&mut self, now: TimePoint, backend: &BackendId, prefix: &PromptPrefix) {
+        if let Some(group) = prefix.group() {
+            self.demand.record(now, group);
+        }
         let Some(slot) = self.slot(backend) else {
             return;
         };
@@ -242,120 +259,158 @@
         self.table[index].as_mut()
     }
 
-    /// Fills in the loads and returns their mean; `None` if nothing is usable.
-    fn measure_loads(&mut self, now: TimePoint, tried: &[BackendId]) -> Option<f64> {
-        let mut sum = 0.0;
-        let mut usable = 0_u32;
-        self.loads.clear();
-        for state in &self.table {
-            let load = match state {
-                Some(state) if state.is_ready() => {
-                    let warmth = state.warmth(now, self.settings.slow_start);
-                    state.load(now, self.settings.hold) / warmth
-                }
-                _ => f64::INFINITY,
+    fn candidates<R: Rng>(&self, query: &RouteQuery<'_>, rng: &mut R) -> CandidateList {
+        let held = self.held_blocks(query.prefix);
+        let mut candidates = CandidateList::new();
+        let mut add = |index, reason| {
+            let known = candidates
+                .iter()
+                .any(|known: &RouteCandidate| known.index == index);
+            if !known {
+                candidates.push(RouteCandidate {
+                    index,
+                    reason,
+                    cached: self.cached_blocks(index, &held),
+                });
+            }
+        };
+        for (rank, index) in self.homes(query).into_iter().enumerate() {
+            let reason = if rank == 0 {
+                RouteReason::Rendezvous
+            } else {
+                RouteReason::Spill
             };
-            self.loads.push(load);
+            add(index, reason);
         }
-        for backend in tried {
-            if let Some(index) = self.slots.get(backend) {
-                self.loads[*index] = f64::INFINITY;
+        for slot in held
+            .iter()
+            .rev()
+            .find(|slots| !slots.is_empty())
+            .copied()
+            .into_iter()
+            .flatten()
+        {
+            if self.is_current(*slot) && self.is_usable(slot.index, query) {
+                add(slot.index, RouteReason::Holder);
             }
         }
-        for load in self.loads.iter().filter(|load| load.is_finite()) {
-            sum += load;
-            usable += 1;
-        }
-        (usable > 0).then(|| sum / f64::from(usable))
-    }
-
-    fn candidates<R: Rng>(
-        &self,
-        prefix: &PromptPrefix,
-        bound: f64,
-        rng: &mut R,
-    ) -> SmallVec<[RouteCandidate; 8]> {
-        let mut candidates = SmallVec::new();
-        let mut add = |index, reason| candidates.push(RouteCandidate { index, reason });
-        for index in self.holders(prefix) {
-            add(index, RouteReason::Holder);
-        }
-        if let Some(index) = self.rendezvous(prefix, bound) {
-            add(index, RouteReason::Rendezvous);
-        }
         for _ in 0..RANDOM_CANDIDATES {
-            add(self.random_usable(rng), RouteReason::Random);
+            if let Some(index) = self.random_usable(query, rng) {
+                add(index, RouteReason::Random);
+            }
         }
         candidates
     }
 
+    /// Probable holders of each leading block, up to the first block that nobody holds.
+    fn held_blocks(&self, prefix: &PromptPrefix) -> SmallVec<[&[BackendSlot]; 16]> {
+        prefix
+            .blocks()
+            .iter()
+            .map(|block| self.hints.holders(*block))
+            .take_while(|slots| !slots.is_empty())
+            .collect()
+    }
+
+    /// Leading blocks that a backend server probably holds.
+    fn cached_blocks(&self, index: usize, held: &[&[BackendSlot]]) -> usize {
+        held.iter()
+            .take_while(|slots| {
+                slots
+                    .iter()
+                    .any(|slot| slot.index == index && self.is_current(*slot))
+            })
+            .count()
+    }
+
     /// A random place in the table, or the next usable one after it.
-    fn random_usable<R: Rng>(&self, rng: &mut R) -> usize {
-        let first = rng.random_range(0..self.loads.len());
-        let (before, after) = self.loads.split_at(first);
-        let steps = after.iter().chain(before).position(|load| load.is_finite());
-        (first + steps.unwrap_or(0)) % self.loads.len()
+    fn random_usable<R: Rng>(&self, query: &RouteQuery<'_>, rng: &mut R) -> Option<usize> {
+        let first = rng.random_range(0..self.table.len().max(1));
+        (first..self.table.len())
+            .chain(0..first)
+            .find(|index| self.is_usable(*index, query))
     }
 
-    /// Usable backend servers that probably hold the longest known prefix.
-    fn holders(&self, prefix: &PromptPrefix) -> SmallVec<[usize; 4]> {
-        for block in prefix.blocks().iter().rev() {
-            let holders: SmallVec<[usize; 4]> = self
-                .hints
-                .holders(*block)
-                .iter()
-                .filter(|slot| self.is_usable(**slot))
-                .map(|slot| slot.index)
-                .collect();
-            if !holders.is_empty() {
-                return holders;
+    fn is_current(&self, slot: BackendSlot) -> bool {
+        let state = self.table.get(slot.index).and_then(Option::as_ref);
+        state.is_some_and(|state| state.tenancy == slot.tenancy)
+    }
+
+    fn is_usable(&self, index: usize, query: &RouteQuery<'_>) -> bool {
+        let state = self.table.get(index).and_then(Option::as_ref);
+        state.is_some_and(|state| state.is_ready() && !query.tried.contains(&state.spec.backend))
+    }
+
+    /// The first backend servers in the conversation's order among those of its kind of prompt.
+    fn homes(&self, query: &RouteQuery<'_>) -> SmallVec<[usize; 4]> {
+        let (Some(group), Some(session)) = (query.prefix.group(), query.prefix.session()) else {
+            return SmallVec::new();
+        };
+        let cut = u64::MAX - self.member_range(group);
+        let mut homes = RankedList::default();
+        for (index, seed) in self.seeds.iter().enumerate() {
+            if mix(*seed, group) >= cut && self.is_usable(index, query) {
+                homes.offer(mix(*seed, session), index);
             }
         }
-        SmallVec::new()
+        if homes.is_empty() {
+            homes = self.nearest(group, query);
+        }
+        homes.into_indexes()
     }
 
-    fn is_usable(&self, slot: BackendSlot) -> bool {
-        let index = slot.index;
-        let state = self.table.get(index).and_then(Option::as_ref);
-        state.is_some_and(|state| state.tenancy == slot.tenancy) && self.loads[index].is_finite()
+    /// Those with the highest scores for a kind of prompt, however low.
+    fn nearest(&self, group: BlockHash, query: &RouteQuery<'_>) -> RankedList {
+        let mut nearest = RankedList::default();
+        for (index, seed) in self.seeds.iter().enumerate() {
+            let score = mix(*seed, group);
+            if score > nearest.least() && self.is_usable(index, query) {
+                nearest.offer(score, index);
+            }
+        }
+        nearest
     }
 
-    /// The backend server with the highest score among those within the load bound.
-    fn rendezvous(&self, prefix: &PromptPrefix, bound: f64) -> Option<usize> {
-        let depth = prefix
-            .blocks()
-            .len()
-            .min(self.settings.affinity_blocks as usize);
-        let key = prefix.blocks().get(depth.checked_sub(1)?)?;
-        self.table
-            .iter()
-            .zip(&self.loads)
-            .enumerate()
-            .filter(|(_, (_, load))| **load <= bound)
-            .filter_map(|(index, (state, _))| Some((index, state.as_ref()?.seed)))
-            .max_by_key(|(_, seed)| mix(*seed, *key))
-            .map(|(index, _)| index)
+    /// Width of the range of scores whose owners are kept for a kind of prompt.
+    ///
+    /// A power of two, so that entries which measure slightly different demand agree, and that
+    /// a departure changes the range only rarely.
+    fn member_range(&self, group: BlockHash) -> u64 {
+        let backends = self.slots.len().max(1) as f64;
+        let headroom = f64::from(self.settings.group_headroom) / 100.0;
+        let part = (self.demand.part(group) * headroom).clamp(1.0 / backends, 1.0);
+        let mut range = u64::MAX;
+        let mut covered = 1.0;
+        while covered / 2.0 >= part {
+            covered /= 2.0;
+            range >>= 1;
+        }
+        range
     }
 
     /// Expected time to first token, in seconds.
-    fn expected_delay(&self, index: usize, prefix: &PromptPrefix) -> f64 {
-        let Some(state) = &self.table[index] else {
+    fn expected_delay(
+        &self,
+        now: TimePoint,
+        candidate: RouteCandidate,
+        prefix: &PromptPrefix,
+    ) -> f64 {
+        let Some(state) = &self.table[candidate.index] else {
             return f64::INFINITY;
         };
-        let slot = BackendSlot {
-            index,
-            tenancy: state.tenancy,
+        let blocks = prefix.blocks();
+        let assumed = match candidate.reason {
+            RouteReason::Rendezvous => blocks.len().saturating_sub(2),
+            RouteReason::Spill => blocks.len() / 2,
+            RouteReason::Holder | RouteReason::Random => 0,
         };
-        let cached = prefix
-            .blocks()
-            .iter()
-            .take_while(|block| self.hints.holders(**block).contains(&slot))
-            .count();
-        let missing = (prefix.blocks().len() - cached) as f64;
-        let compute = missing * self.settings.block_cost.as_secs_f64();
-        let load = self.loads[index];
+        let missing = (blocks.len() - candidate.cached.max(assumed)) as f64;
+        let block_cost = self.settings.block_cost.as_secs_f64();
+        let warmth = state.warmth(now, self.settings.slow_start);
+        let load = state.load(now, self.settings.hold) / warmth;
         let wait = (load - 1.0).max(0.0) * self.settings.hold.as_secs_f64();
-        let crowding = load * self.settings.block_cost.as_secs_f64();
+        let compute = missing * block_cost * (1.0 + MISS_WEIGHT * load);
+        let crowding = CROWDING_BLOCKS * block_cost * load * load;
         let distance = if state.spec.domain == self.settings.domain {
             0.0
         } else {
@@ -364,10 +419,3 @@
         wait + compute + crowding + distance
     }
 }
-
-/// Rendezvous score of a backend server for a key.
-const fn mix(seed: u64, key: BlockHash) -> u64 {
-    let spread = (seed ^ key.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    let folded = (spread ^ (spread >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
-    folded ^ (folded >> 32)
-}
