--- a/crates/celerycrank-bench/src/routing.rs
+++ b/crates/celerycrank-bench/src/routing.rs
@@ -166,7 +166,8 @@
         let query = RouteQuery { prefix, tried: &[] };
         let choice = router.choose(now, &query, rng);
         let backend = choice.expect("every worker is ready").backend;
-        router.note_sent(now, &backend, prefix);
+        router.note_sent(&backend, prefix);
+        router.note_answered(now, prefix);
         router.note_finished(&backend);
     }
     begin.elapsed().as_secs_f64() * MICROS_PER_SECOND / prompts.len() as f64
--- a/crates/celerycrank-bench/src/routing/policy.rs
+++ b/crates/celerycrank-bench/src/routing/policy.rs
@@ -124,14 +124,15 @@
         }
     }
 
-    pub(super) fn note_sent(&mut self, now: f64, worker: usize, request: &TraceRequest) {
+    pub(super) fn note_sent(&mut self, worker: usize, request: &TraceRequest) {
         self.loads[worker].own += 1.0;
-        self.router
-            .note_sent(super::time_point(now), &self.names[worker], &request.prefix);
+        self.router.note_sent(&self.names[worker], &request.prefix);
     }
 
-    pub(super) fn note_finished(&mut self, worker: usize) {
+    pub(super) fn note_finished(&mut self, now: f64, worker: usize, request: &TraceRequest) {
         self.loads[worker].own -= 1.0;
+        self.router
+            .note_answered(super::time_point(now), &request.prefix);
         self.router.note_finished(&self.names[worker]);
     }
 
--- a/crates/celerycrank-bench/src/routing/run.rs
+++ b/crates/celerycrank-bench/src/routing/run.rs
@@ -167,7 +167,8 @@
             Happening::FirstToken { request, worker } => self.answer(now, request, worker),
             Happening::Finish { request, worker } => {
                 self.engines[worker].finish();
-                self.entries[self.trace[request].entry].note_finished(worker);
+                let ended = &self.trace[request];
+                self.entries[ended.entry].note_finished(now, worker, ended);
                 self.answer(now, request, worker);
                 self.fill(now, worker);
             }
@@ -187,7 +188,7 @@
         let request = &self.trace[index];
         let entry = &mut self.entries[request.entry];
         let worker = entry.choose(now, request, &mut self.rng);
-        entry.note_sent(now, worker, request);
+        entry.note_sent(worker, request);
         self.open.insert(request.conversation, index);
         let happening = Happening::Reach {
             request: index,
--- /dev/null
+++ b/crates/celerycrank-bench/src/shares/fleet.rs
@@ -0,0 +1,653 @@
+//! Entries, agents and accounts in one discrete-event run.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, VecDeque},
+};
+
+use celerycrank_routing::{
+    BackendCondition, BackendRouter, BackendSpec, BlockHash, LoadReport, PromptPrefix, RouteQuery,
+    RouterSettings,
+};
+use celerycrank_shares::{
+    ANSWER_TIMEOUT, Admission, DemandReport, FairQueue, GrantHolder, GrantHome, QueueRequest,
+    QueueSettings, TokenGrant, home_of,
+};
+use celerycrank_types::{
+    AccountId, BackendId, EntryId, RequestId, ShareWeight, TimePoint, TimeSpan, TokenCount,
+};
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    message::ControlMeter,
+    scenario::{Scenario, SharePolicy, cap_of},
+    tally::{self, AccountTally},
+};
+
+const SLOTS: u32 = 16;
+const QUEUE_CAPACITY: u32 = 64;
+const MEAN_TOKENS: u64 = 100;
+const PREFILL: TimeSpan = TimeSpan::from_millis(50);
+const TOKEN_TIME: TimeSpan = TimeSpan::from_millis(30);
+const HOP: TimeSpan = TimeSpan(500);
+const START_DEADLINE: TimeSpan = TimeSpan::from_secs(2);
+/// Other workers that a refused request is offered to.
+const RETRIES: usize = 1;
+/// Time until the other entries know that one is lost.
+const DETECTION: TimeSpan = TimeSpan::from_secs(2);
+const LEAVE_SECOND: u64 = 20;
+const RETURN_SECOND: u64 = 30;
+const LOSS_SECOND: u64 = 40;
+const SECOND: u64 = 1_000_000;
+
+/// What a policy achieved.
+#[derive(Debug)]
+pub(super) struct FleetResult {
+    pub(super) worst_long: f64,
+    pub(super) worst_short: f64,
+    pub(super) jain_long: f64,
+    pub(super) jain_short: f64,
+    /// Part of all slots that were free while a request waited somewhere.
+    pub(super) idle: f64,
+    pub(super) recovery: usize,
+    pub(super) control_mean: f64,
+    pub(super) control_busiest: f64,
+    /// Tokens of requests started in time, as a part of the capacity.
+    pub(super) useful: f64,
+    /// Wait of the high class's requests, in milliseconds.
+    pub(super) high_p99: u64,
+    /// Most requests that waited at one worker.
+    pub(super) most_waiting: usize,
+    /// Part of the requests that were accepted and then refused.
+    pub(super) refused_late: f64,
+}
+
+#[derive(Debug, Clone)]
+struct Request {
+    account: usize,
+    entry: usize,
+    tokens: u64,
+    arrival: TimePoint,
+    prefix: PromptPrefix,
+    tried: Vec<BackendId>,
+}
+
+#[derive(Debug, Clone)]
+enum Happening {
+    Arrive {
+        account: usize,
+    },
+    /// The wait for a home's answer is over.
+    GiveUp {
+        request: usize,
+    },
+    Report {
+        entry: usize,
+        home: usize,
+        report: DemandReport,
+    },
+    Grant {
+        entry: usize,
+        home: usize,
+        grant: TokenGrant,
+    },
+    Reach {
+        request: usize,
+        worker: usize,
+    },
+    Finish {
+        request: usize,
+        worker: usize,
+    },
+    Advance {
+        worker: usize,
+    },
+    EntryLeaves,
+    EntryReturns,
+    HomeLost,
+    HomeNoticed,
+}
+
+/// One entry.
+#[derive(Debug)]
+struct Entry {
+    id: EntryId,
+    alive: bool,
+    /// Whether the other entries take it for alive.
+    listed: bool,
+    router: BackendRouter,
+    holder: GrantHolder,
+    home: GrantHome,
+    /// Requests that wait for a grant.
+    parked: BTreeMap<usize, VecDeque<usize>>,
+    /// Tokens that remain to each account, and since when, under a static split.
+    split: BTreeMap<usize, (f64, TimePoint)>,
+}
+
+/// The whole run.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    scenario: Scenario,
+    policy: SharePolicy,
+    rng: ChaCha8Rng,
+    now: TimePoint,
+    order: BinaryHeap<Reverse<(TimePoint, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    next_happening: u64,
+    entries: Vec<Entry>,
+    names: Vec<BackendId>,
+    queues: Vec<FairQueue>,
+    requests: Vec<Request>,
+    tallies: Vec<AccountTally>,
+    control: ControlMeter,
+    waits: Histogram<u64>,
+    capacity: f64,
+    idle_time: f64,
+    busy_from: TimePoint,
+    waiting: usize,
+    running: usize,
+    useful: f64,
+    most_waiting: usize,
+    accepted: u64,
+    refused_late: u64,
+}
+
+impl Fleet {
+    pub(super) fn new(scenario: Scenario, policy: SharePolicy, workers: usize, seed: u64) -> Self {
+        let hold = PREFILL.as_secs_f64() + MEAN_TOKENS as f64 * TOKEN_TIME.as_secs_f64();
+        let slots = workers as f64 * f64::from(SLOTS);
+        let capacity = slots * MEAN_TOKENS as f64 / hold;
+        let total_weight = scenario.total_weight();
+        let seconds = usize::try_from(scenario.seconds).expect("a short run");
+        let tallies = scenario
+            .accounts
+            .iter()
+            .map(|account| {
+                let share = capacity * f64::from(account.weight.get()) / total_weight;
+                AccountTally::new(share, account.is_calm(), seconds)
+            })
+            .collect();
+        let names: Vec<BackendId> = (0..workers).map(worker_name).collect();
+        Self {
+            policy,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: TimePoint(0),
+            order: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            next_happening: 0,
+            entries: (0..scenario.entries)
+                .map(|entry| new_entry(entry, &names))
+                .collect(),
+            names,
+            queues: (0..workers).map(|_| new_queue(policy)).collect(),
+            requests: Vec::new(),
+            tallies,
+            control: ControlMeter::new(scenario.entries),
+            waits: Histogram::new_with_bounds(1, 600_000, 3).expect("the bounds are valid"),
+            capacity,
+            idle_time: 0.0,
+            busy_from: TimePoint(0),
+            waiting: 0,
+            running: 0,
+            useful: 0.0,
+            most_waiting: 0,
+            accepted: 0,
+            refused_late: 0,
+            scenario,
+        }
+    }
+
+    pub(super) fn play(mut self) -> FleetResult {
+        for account in 0..self.scenario.accounts.len() {
+            self.schedule(TimeSpan::ZERO, Happening::Arrive { account });
+        }
+        if self.scenario.disturbed {
+            self.schedule(TimeSpan::from_secs(LEAVE_SECOND), Happening::EntryLeaves);
+            self.schedule(TimeSpan::from_secs(RETURN_SECOND), Happening::EntryReturns);
+            self.schedule(TimeSpan::from_secs(LOSS_SECOND), Happening::HomeLost);
+        }
+        let end = TimePoint(self.scenario.seconds * SECOND);
+        while let Some(Reverse((time, number))) = self.order.pop() {
+            if time >= end {
+                break;
+            }
+            self.count_idle(time);
+            self.now = time;
+            let happening = self.happenings.remove(&number).expect("scheduled once");
+            self.handle(happening);
+        }
+        self.result()
+    }
+
+    fn result(self) -> FleetResult {
+        let seconds = self.scenario.seconds as f64;
+        let counted = seconds - tally::WARM_UP_SECONDS as f64;
+        let (control_mean, control_busiest) = self.control.rates(seconds);
+        let affected: Vec<usize> = (0..self.tallies.len())
+            .filter(|account| self.tallies[*account].calm && self.lost_home_of(*account))
+            .collect();
+        let loss = usize::try_from(LOSS_SECOND).expect("a short run");
+        let slots = self.names.len() as f64 * f64::from(SLOTS);
+        FleetResult {
+            worst_long: tally::worst_part(&self.tallies, 10),
+            worst_short: tally::worst_part(&self.tallies, 1),
+            jain_long: tally::worst_jain(&self.tallies, 10),
+            jain_short: tally::worst_jain(&self.tallies, 1),
+            idle: self.idle_time / (slots * counted),
+            recovery: tally::recovery(&self.tallies, &affected, loss),
+            control_mean,
+            control_busiest,
+            useful: self.useful / (self.capacity * counted),
+            high_p99: self.waits.value_at_quantile(0.99),
+            most_waiting: self.most_waiting,
+            refused_late: self.refused_late as f64 / self.accepted.max(1) as f64,
+        }
+    }
+
+    /// Whether the entry that is lost in the run was the account's home.
+    fn lost_home_of(&self, account: usize) -> bool {
+        let ids = self.entries.iter().map(|entry| &entry.id);
+        let id = &self.scenario.accounts[account].id;
+        home_of(id, ids) == Some(&self.entries[self.lost_entry()].id)
+    }
+
+    fn lost_entry(&self) -> usize {
+        self.entries.len() / 2
+    }
+
+    fn schedule(&mut self, delay: TimeSpan, happening: Happening) {
+        let number = self.next_happening;
+        self.next_happening += 1;
+        self.order.push(Reverse((self.now + delay, number)));
+        self.happenings.insert(number, happening);
+    }
+
+    fn handle(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrive { account } => self.arrive(account),
+            Happening::GiveUp { request } => {
+                if self.is_parked(request) {
+                    self.decide(request);
+                }
+            }
+            Happening::Report {
+                entry,
+                home,
+                report,
+            } => self.report(entry, home, &report),
+            Happening::Grant { entry, home, grant } => self.note_grant(entry, home, &grant),
+            Happening::Reach { request, worker } => self.reach(request, worker),
+            Happening::Finish { request, worker } => self.finish(request, worker),
+            Happening::Advance { worker } => self.advance(worker),
+            Happening::EntryLeaves => self.set_entry(0, false, false),
+            Happening::EntryReturns => self.set_entry(0, true, true),
+            Happening::HomeLost => {
+                self.set_entry(self.lost_entry(), false, true);
+                self.schedule(DETECTION, Happening::HomeNoticed);
+            }
+            Happening::HomeNoticed => self.set_entry(self.lost_entry(), false, false),
+        }
+    }
+
+    fn set_entry(&mut self, entry: usize, alive: bool, listed: bool) {
+        self.entries[entry].alive = alive;
+        self.entries[entry].listed = listed;
+    }
+
+    fn is_counted(&self, time: TimePoint) -> bool {
+        time.0 >= tally::WARM_UP_SECONDS as u64 * SECOND
+    }
+
+    /// Counts the slots that stay free until then although a request waits.
+    fn count_idle(&mut self, until: TimePoint) {
+        if self.is_counted(self.now) {
+            let slots = self.names.len() * SLOTS as usize;
+            let unused = (slots - self.running).min(self.waiting);
+            self.idle_time += unused as f64 * until.since(self.busy_from).as_secs_f64();
+        }
+        self.busy_from = until;
+    }
+
+    fn arrive(&mut self, account: usize) {
+        let second = self.now.0 / SECOND;
+        let demand = self.scenario.accounts[account].demand(second);
+        let rate = self.tallies[account].share * demand / MEAN_TOKENS as f64;
+        if rate == 0.0 {
+            self.schedule(TimeSpan::from_secs(1), Happening::Arrive { account });
+            return;
+        }
+        let pause = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+        let pause = TimeSpan::from(std::time::Duration::from_secs_f64(pause));
+        self.schedule(pause, Happening::Arrive { account });
+        let request = self.draw_request(account);
+        let second = usize::try_from(second).expect("a short run");
+        self.tallies[account].offered[second] += request.tokens as f64;
+        self.requests.push(request);
+        self.decide(self.requests.len() - 1);
+    }
+
+    fn draw_request(&mut self, account: usize) -> Request {
+        let alive: Vec<usize> = (0..self.entries.len())
+            .filter(|entry| self.entries[*entry].alive)
+            .collect();
+        let kind = account as u64 * 4 + self.rng.random_range(0..4_u64);
+        let blocks = (0..4).map(|block| BlockHash(spread(kind * 4 + block)));
+        Request {
+            account,
+            entry: alive[self.rng.random_range(0..alive.len())],
+            tokens: self.rng.random_range(20..=2 * MEAN_TOKENS - 20),
+            arrival: self.now,
+            prefix: PromptPrefix::from_blocks(blocks)
+                .with_session_hash(BlockHash(self.rng.random())),
+            tried: Vec::new(),
+        }
+    }
+
+    /// Decides whether an entry takes a request under its account's cap.
+    fn decide(&mut self, request: usize) {
+        match self.policy {
+            SharePolicy::Shares => self.decide_by_grant(request),
+            SharePolicy::StaticSplit => {
+                if self.within_split(request) {
+                    self.route(request);
+                }
+            }
+            SharePolicy::Fifo | SharePolicy::Unrefused => self.route(request),
+        }
+    }
+
+    fn decide_by_grant(&mut self, index: usize) {
+        let Request { account, entry, .. } = self.requests[index];
+        let id: AccountId = self.scenario.accounts[account].id.clone();
+        let listed = self.entries.iter().filter(|entry| entry.listed);
+        let home = home_of(&id, listed.map(|entry| &entry.id))
+            .expect("an entry is listed")
+            .clone();
+        let home_index = self.entries.iter().position(|entry| entry.id == home);
+        let home_index = home_index.expect("a listed entry");
+        let holder = &mut self.entries[entry].holder;
+        match holder.admit(self.now, &home, &id, TokenCount(MEAN_TOKENS)) {
+            Admission::Admitted => self.route(index),
+            Admission::Ask(report) => {
+                self.park(index);
+                self.control.record(entry, home_index, &report);
+                let happening = Happening::Report {
+                    entry,
+                    home: home_index,
+                    report,
+                };
+                self.schedule(HOP, happening);
+                self.schedule(ANSWER_TIMEOUT, Happening::GiveUp { request: index });
+            }
+            Admission::Wait => {
+                self.park(index);
+                self.schedule(ANSWER_TIMEOUT, Happening::GiveUp { request: index });
+            }
+            Admission::Refused { .. } => self.unpark(index),
+        }
+    }
+
+    fn park(&mut self, request: usize) {
+        let Request { account, entry, .. } = self.requests[request];
+        let parked = self.entries[entry].parked.entry(account).or_default();
+        if !parked.contains(&request) {
+            parked.push_back(request);
+        }
+    }
+
+    fn is_parked(&self, request: usize) -> bool {
+        let Request { account, entry, .. } = self.requests[request];
+        let parked = self.entries[entry].parked.get(&account);
+        parked.is_some_and(|parked| parked.contains(&request))
+    }
+
+    fn unpark(&mut self, request: usize) {
+        let Request { account, entry, .. } = self.requests[request];
+        if let Some(parked) = self.entries[entry].parked.get_mut(&account) {
+            parked.retain(|other| *other != request);
+        }
+    }
+
+    fn report(&mut self, entry: usize, home: usize, report: &DemandReport) {
+        if !self.entries[home].alive {
+            return;
+        }
+        let account = self
+            .scenario
+            .accounts
+            .iter()
+            .position(|a| a.id == report.account);
+        let cap = cap_of(self.tallies[account.expect("a known account")].share);
+        let grant = self.entries[home].home.grant(self.now, report, cap);
+        self.control.record(home, entry, &grant);
+        self.schedule(HOP, Happening::Grant { entry, home, grant });
+    }
+
+    fn note_grant(&mut self, entry: usize, _home: usize, grant: &TokenGrant) {
+        self.entries[entry].holder.note_grant(self.now, grant);
+        let account = self
+            .scenario
+            .accounts
+            .iter()
+            .position(|a| a.id == grant.account);
+        let account = account.expect("a known account");
+        let parked = self.entries[entry].parked.remove(&account);
+        for request in parked.unwrap_or_default() {
+            self.decide_by_grant(request);
+        }
+    }
+
+    /// A token bucket for each account at each entry, with an equal part of the share.
+    fn within_split(&mut self, request: usize) -> bool {
+        let Request { account, entry, .. } = self.requests[request];
+        let rate = self.tallies[account].share / self.entries.len() as f64;
+        let burst = rate.max(MEAN_TOKENS as f64);
+        let (level, since) = self.entries[entry]
+            .split
+            .get(&account)
+            .copied()
+            .unwrap_or((burst, self.now));
+        let level = (level + rate * self.now.since(since).as_secs_f64()).min(burst);
+        let within = level >= MEAN_TOKENS as f64;
+        let left = if within {
+            level - MEAN_TOKENS as f64
+        } else {
+            level
+        };
+        self.entries[entry].split.insert(account, (left, self.now));
+        within
+    }
+
+    fn route(&mut self, index: usize) {
+        self.unpark(index);
+        let request = &self.requests[index];
+        let query = RouteQuery {
+            prefix: &request.prefix,
+            tried: &request.tried,
+        };
+        let router = &mut self.entries[request.entry].router;
+        let Some(choice) = router.choose(self.now, &query, &mut self.rng) else {
+            return;
+        };
+        router.note_sent(&choice.backend, &request.prefix);
+        let worker = self.names.iter().position(|name| *name == choice.backend);
+        let worker = worker.expect("a known worker");
+        self.schedule(
+            HOP,
+            Happening::Reach {
+                request: index,
+                worker,
+            },
+        );
+    }
+
+    fn reach(&mut self, index: usize, worker: usize) {
+        let queued = self.queue_request(index);
+        match self.queues[worker].push(self.now, &queued) {
+            Ok(evicted) => {
+                self.accepted += 1;
+                self.waiting += 1;
+                if let Some(refusal) = evicted {
+                    self.waiting -= 1;
+                    self.refused_late += 1;
+                    self.retry(request_index(refusal.id), worker);
+                }
+                self.most_waiting = self.most_waiting.max(self.queues[worker].waiting());
+                let until_overdue = queued.start_by.since(self.now) + TimeSpan(1);
+                self.schedule(until_overdue, Happening::Advance { worker });
+            }
+            Err(_) => self.retry(index, worker),
+        }
+        self.advance(worker);
+    }
+
+    fn queue_request(&self, index: usize) -> QueueRequest {
+        let request = &self.requests[index];
+        let account = &self.scenario.accounts[request.account];
+        let (id, weight) = match self.policy {
+            SharePolicy::Shares => (account.id.clone(), account.weight),
+            // One account for all makes the fair queue a plain one.
+            _ => ("all".parse().expect("a valid name"), ShareWeight::ONE),
+        };
+        let start_by = match self.policy {
+            SharePolicy::Unrefused => TimePoint(u64::MAX),
+            _ => request.arrival + START_DEADLINE,
+        };
+        QueueRequest::builder()
+            .id(RequestId(index as u128))
+            .account(id)
+            .weight(weight)
+            .class(account.class)
+            .cost(TokenCount(MEAN_TOKENS))
+            .start_by(start_by)
+            .build()
+    }
+
+    fn retry(&mut self, index: usize, worker: usize) {
+        self.note_ended(index, worker);
+        let name = self.names[worker].clone();
+        let request = &mut self.requests[index];
+        if request.tried.len() < RETRIES {
+            request.tried.push(name);
+            self.route(index);
+        }
+    }
+
+    fn note_ended(&mut self, index: usize, worker: usize) {
+        let queue = &self.queues[worker];
+        let load = LoadReport {
+            running: u32::try_from(queue.running()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(queue.waiting()).unwrap_or(u32::MAX),
+            waiting_cost: queue.waiting_cost(),
+        };
+        let router = &mut self.entries[self.requests[index].entry].router;
+        router.note_finished(&self.names[worker]);
+        router.note_load(self.now, &self.names[worker], load);
+    }
+
+    fn advance(&mut self, worker: usize) {
+        let step = self.queues[worker].advance(self.now);
+        for refusal in step.refused {
+            self.waiting -= 1;
+            self.refused_late += 1;
+            self.note_ended(request_index(refusal.id), worker);
+        }
+        for started in step.started {
+            self.waiting -= 1;
+            self.running += 1;
+            self.start(request_index(started.id), worker);
+        }
+    }
+
+    fn start(&mut self, index: usize, worker: usize) {
+        let request = &self.requests[index];
+        let wait = self.now.since(request.arrival);
+        if wait <= START_DEADLINE {
+            let second = usize::try_from(request.arrival.0 / SECOND).expect("a short run");
+            let tokens = request.tokens as f64;
+            self.tallies[request.account].served[second] += tokens;
+            if self.is_counted(self.now) {
+                self.useful += tokens;
+            }
+        }
+        let high = self.scenario.accounts[request.account].class;
+        if high == celerycrank_config::PriorityClass::High && self.is_counted(request.arrival) {
+            self.waits.saturating_record(wait.0 / 1_000);
+        }
+        let hold = TimeSpan(PREFILL.0 + request.tokens * TOKEN_TIME.0);
+        self.schedule(
+            hold,
+            Happening::Finish {
+                request: index,
+                worker,
+            },
+        );
+    }
+
+    fn finish(&mut self, index: usize, worker: usize) {
+        self.running -= 1;
+        let tokens = TokenCount(self.requests[index].tokens);
+        self.queues[worker].settle(self.now, RequestId(index as u128), tokens);
+        self.note_ended(index, worker);
+        let request = &self.requests[index];
+        let router = &mut self.entries[request.entry].router;
+        router.note_answered(self.now, &request.prefix);
+        self.advance(worker);
+    }
+}
+
+fn new_entry(entry: usize, names: &[BackendId]) -> Entry {
+    let domain: celerycrank_types::DomainId = "estremoz".parse().expect("a valid name");
+    let settings = RouterSettings::builder()
+        .domain(domain.clone())
+        .hint_capacity(4_096)
+        .slow_start(TimeSpan::ZERO)
+        .build();
+    let mut router = BackendRouter::new(settings);
+    for backend in names {
+        router.set_backend(BackendSpec {
+            backend: backend.clone(),
+            domain: domain.clone(),
+            concurrency: SLOTS,
+            condition: BackendCondition::Ready {
+                since: TimePoint(0),
+            },
+        });
+    }
+    Entry {
+        id: format!("entry-{entry}").parse().expect("a valid name"),
+        alive: true,
+        listed: true,
+        router,
+        holder: GrantHolder::new(),
+        home: GrantHome::new(),
+        parked: BTreeMap::new(),
+        split: BTreeMap::new(),
+    }
+}
+
+fn new_queue(policy: SharePolicy) -> FairQueue {
+    let capacity = match policy {
+        SharePolicy::Unrefused => u32::MAX,
+        _ => QUEUE_CAPACITY,
+    };
+    let settings = QueueSettings::builder()
+        .concurrency(SLOTS)
+        .capacity(capacity);
+    FairQueue::new(settings.build())
+}
+
+fn worker_name(worker: usize) -> BackendId {
+    format!("drafting-{worker}").parse().expect("a valid name")
+}
+
+fn request_index(id: RequestId) -> usize {
+    usize::try_from(id.0).expect("ids are indexes here")
+}
+
+/// Spreads small numbers over all hashes.
+const fn spread(number: u64) -> u64 {
+    (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
--- a/crates/celerycrank-routing/src/router.rs
+++ b/crates/celerycrank-routing/src/router.rs
@@ -197,10 +197,7 @@
     }
 
     /// Notes that a request was sent; its prompt will be cached there.
-    pub fn note_sent(&mut self, now: TimePoint, backend: &BackendId, prefix: &PromptPrefix) {
-        if let Some(group) = prefix.group() {
-            self.demand.record(now, group);
-        }
+    pub fn note_sent(&mut self, backend: &BackendId, prefix: &PromptPrefix) {
         let Some(slot) = self.slot(backend) else {
             return;
         };
@@ -219,6 +216,13 @@
         }
     }
 
+    /// Notes that a request was answered; what is refused makes up no demand that is met.
+    pub fn note_answered(&mut self, now: TimePoint, prefix: &PromptPrefix) {
+        if let Some(group) = prefix.group() {
+            self.demand.record(now, group);
+        }
+    }
+
     /// Takes in the load that came with an answer or a refusal.
     pub fn note_load(&mut self, now: TimePoint, backend: &BackendId, load: LoadReport) {
         if let Some(state) = self.state_mut(backend) {
