--- a/crates/celerycrank-groups/src/formation/former.rs
+++ b/crates/celerycrank-groups/src/formation/former.rs
@@ -63,10 +63,12 @@
 #[serde(rename_all = "snake_case")]
 enum FormationAction {
     SendCall,
+    RepeatCall,
     Read,
     Write,
     Enter,
     Announce,
+    SendBeat,
 }
 
 /// What an agent wants done to form its group.
@@ -154,6 +156,8 @@
     stored_revision: u64,
     /// The last call to the key-value service; answers to earlier ones are dropped.
     call: RecordCall,
+    /// The member that got the last beat.
+    beaten: MemberIndex,
     /// Members that have not yet confirmed a record that this agent wrote.
     unjoined: MemberSet,
 }
@@ -185,6 +189,7 @@
             draft: None,
             stored_revision: 0,
             call: RecordCall::default(),
+            beaten: index,
             unjoined: MemberSet::default(),
         }
     }
@@ -248,6 +253,7 @@
             FormationMessage::Call { life, known } => self.answer_call(from, *life, *known, now),
             FormationMessage::Hello(hello) => self.take_hello(from, hello, now),
             FormationMessage::Formed(record) => self.take_record(from, record, now),
+            FormationMessage::Beat(known) => self.answer_beat(from, *known),
             FormationMessage::Joined(incarnation) => {
                 if self.known() == *incarnation {
                     self.unjoined = self.unjoined.difference(MemberSet::only(from));
@@ -311,6 +317,26 @@
         outputs
     }
 
+    /// Brings whichever side is behind up to the newest record.
+    fn answer_beat(&self, from: MemberIndex, known: Incarnation) -> Vec<FormationOutput> {
+        let message = match &self.newest {
+            Some(record) if record.incarnation > known => {
+                FormationMessage::Formed(Arc::clone(record))
+            }
+            _ if self.known() < known => FormationMessage::Beat(self.known()),
+            _ => return Vec::new(),
+        };
+        vec![FormationOutput::Send { to: from, message }]
+    }
+
+    /// The members in turn, so that each is asked in time.
+    fn next_beaten(&mut self) -> MemberIndex {
+        let others = self.others();
+        let later = others.iter().find(|member| *member > self.beaten);
+        self.beaten = later.or_else(|| others.iter().next()).unwrap_or(self.index);
+        self.beaten
+    }
+
     fn take_hello(
         &mut self,
         from: MemberIndex,
@@ -398,12 +424,9 @@
             FormationAction::SendCall => {
                 self.hellos.clear();
                 self.hellos.insert(self.index, self.hello());
-                let message = FormationMessage::Call {
-                    life: self.seat.life,
-                    known: self.known(),
-                };
-                send_all(self.others(), &message, outputs);
+                self.call_missing(outputs);
             }
+            FormationAction::RepeatCall => self.call_missing(outputs),
             FormationAction::Read => {
                 self.call = self.call.next();
                 outputs.push(FormationOutput::Read { call: self.call });
@@ -443,9 +466,28 @@
                 }
                 send_all(self.unjoined, &FormationMessage::Formed(record), outputs);
             }
+            FormationAction::SendBeat => {
+                let to = self.next_beaten();
+                let message = FormationMessage::Beat(self.known());
+                outputs.push(FormationOutput::Send { to, message });
+            }
         }
     }
 
+    fn call_missing(&self, outputs: &mut Vec<FormationOutput>) {
+        let missing = self
+            .others()
+            .iter()
+            .filter(|member| !self.hellos.contains_key(member));
+        outputs.extend(missing.map(|to| FormationOutput::Send {
+            to,
+            message: FormationMessage::Call {
+                life: self.seat.life,
+                known: self.known(),
+            },
+        }));
+    }
+
     /// The next incarnation with whoever answered, and the newest map among them.
     fn draft_record(&self) -> GroupRecord {
         let newest = self.newest.as_ref();
--- a/crates/celerycrank-groups/src/message.rs
+++ b/crates/celerycrank-groups/src/message.rs
@@ -108,6 +108,8 @@
     Hello(MemberHello),
     /// The record of a new incarnation, as the key-value service accepted it.
     Formed(Arc<GroupRecord>),
+    /// The newest incarnation that the sender knows of; whoever knows a newer one answers.
+    Beat(Incarnation),
     /// The sender has entered this incarnation.
     Joined(Incarnation),
 }
--- a/crates/celerycrank-groups/src/switch/member.rs
+++ b/crates/celerycrank-groups/src/switch/member.rs
@@ -99,7 +99,7 @@
     change: Arc<MapChange>,
     /// When the state's timer fires.
     deadline: TimePoint,
-    /// When the member voted yes.
+    /// When the member voted yes, or last found the verdict overdue.
     bound_at: Option<TimePoint>,
 }
 
@@ -258,11 +258,18 @@
         };
         self.step(MemberEvent::Expire, refusal, now, &mut outputs);
         if overdue {
+            self.start_wait(now);
             outputs.push(MemberOutput::Overdue(id));
         }
         outputs
     }
 
+    fn start_wait(&mut self, now: TimePoint) {
+        if let Some(current) = &mut self.current {
+            current.bound_at = Some(now);
+        }
+    }
+
     fn prepare(
         &mut self,
         from: MemberIndex,
@@ -409,9 +416,7 @@
                 first: self.first_step(),
             })),
             MemberAction::VoteYes => {
-                if let Some(current) = &mut self.current {
-                    current.bound_at = Some(now);
-                }
+                self.start_wait(now);
                 self.vote(id, SwitchVerdict::Commit);
                 self.send_votes(id, outputs);
                 let board = *self.board().expect("the current attempt has a board");
