Follow one record by a read and a watch behind it

Cause: each process that follows the configuration or the planned stops needs the same loop, and its two faults are easy to make: a watch that begins after the read misses what was written in between, and one that is reopened without a read misses the outage.

The feed costs one read, one waiting watch and one event a change.

Shown able to fail: with the watch begun at "now", the test waits for a write that came between read and watch and did not end in 60 s; the test has a limit of its own since.

--- a/crates/celerycrank-platform/src/client.rs
+++ b/crates/celerycrank-platform/src/client.rs
@@ -110,12 +110,21 @@
     ///
     /// Fails if no address gives an answer to use.
     pub async fn get(&self, key: &str) -> Result<Option<KeyValueRecord>, KeyValueFault> {
+        self.get_at(key).await.map(|(record, _)| record)
+    }
+
+    /// Reads one key, and the service's revision at the time of the read.
+    pub(crate) async fn get_at(
+        &self,
+        key: &str,
+    ) -> Result<(Option<KeyValueRecord>, ModRevision), KeyValueFault> {
         let request = RangeRequest {
             key: key.into(),
             range_end: None,
         };
         let response = self.read::<RangeResponse>(&request).await?;
-        Ok(first_record(response))
+        let revision = ModRevision(response.header.revision.0);
+        Ok((first_record(response), revision))
     }
 
     /// Reads every key with this prefix, all at one revision.
--- a/crates/celerycrank-platform/src/lib.rs
+++ b/crates/celerycrank-platform/src/lib.rs
@@ -6,6 +6,7 @@
 mod call;
 mod client;
 mod fault;
+mod feed;
 mod gateway;
 mod lease;
 mod record;
@@ -16,6 +17,7 @@
     call::{CallCounters, CallKind},
     client::{Expected, KeyValueClient, MAX_VALUE_BYTES, SwapOutcome},
     fault::{AnswerFault, KeyValueFault, SendFault},
+    feed::RecordFeed,
     lease::{LeaseGrant, LeaseId},
     record::{KeyValueRecord, ModRevision, RangeSnapshot},
     vm::{VmListClient, VmListFault, VmOffer, VmRecord, VmState},
--- a/crates/celerycrank-platform/tests/key_value.rs
+++ b/crates/celerycrank-platform/tests/key_value.rs
@@ -1,16 +1,20 @@
 //! The key-value client against the stand-in: effects, conflicts and what faults prove.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use actix_rt::time::timeout;
 use celerycrank_platform::{
     AnswerFault, CallKind, Expected, KeyValueClient, KeyValueFault, MAX_VALUE_BYTES, ModRevision,
-    SendFault, SwapOutcome, WatchEvent, WatchTarget,
+    RecordFeed, SendFault, SwapOutcome, WatchEvent, WatchTarget,
 };
 use celerycrank_standin::{KeyValueFaults, KeyValueStandin, OutageKind};
 use celerycrank_types::TimeSpan;
 
 const TIMEOUT: TimeSpan = TimeSpan::from_millis(500);
 
+/// Longest wait for something that must happen; passing depends on no shorter time.
+const PATIENCE: Duration = Duration::from_secs(30);
+
 fn loopback() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
@@ -206,3 +210,30 @@
     let event = watch.next().await.unwrap();
     assert!(matches!(event, WatchEvent::Deleted { .. }));
 }
+
+#[actix_rt::test]
+async fn a_feed_misses_no_last_value() {
+    let (standin, client) = start().await;
+    let mut feed = RecordFeed::new(client.clone(), "a");
+    assert_eq!(feed.next().await.unwrap(), None);
+    let swap = client.compare_and_swap("a", Expected::Absent, "one".into());
+    let first = written(swap.await.unwrap());
+    // Written between the read and the watch: the watch begins behind the read.
+    let seen = timeout(PATIENCE, feed.next()).await;
+    let seen = seen.expect("the feed tells of the write").unwrap();
+    assert_eq!(seen.unwrap().value, "one");
+    standin.set_faults(KeyValueFaults {
+        outage: OutageKind::Refuse,
+        ..KeyValueFaults::default()
+    });
+    feed.next().await.unwrap_err();
+    feed.next().await.unwrap_err();
+    standin.set_faults(KeyValueFaults::default());
+    let swap = client.compare_and_swap("a", Expected::At(first), "two".into());
+    written(swap.await.unwrap());
+    assert_eq!(feed.next().await.unwrap().unwrap().value, "two");
+    client.delete("a").await.unwrap();
+    assert_eq!(feed.next().await.unwrap(), None);
+    let counts = standin.counts();
+    assert_eq!((counts.reads, counts.watches, counts.waiting), (2, 2, 1));
+}
