Carry planned stops to every process, and act on them

Cause: operators could announce stops; no process read them. Watchers follow the stops record beside the configuration; offers and updates carry it. A covered member gets no new work at any entry, a covered agent refuses new work and finishes the old, a covered entry turns unready; all of it ends when the stop is withdrawn. /status says what a stop waits for. Changed rule: an agent's word that it takes no work holds until its next word. Found while writing: the status text was read after the stream had ended; the test now holds an endless stream.

--- a/crates/celerycrank-agent/src/admin.rs
+++ b/crates/celerycrank-agent/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use celerycrank_membership::StopTarget;
 use celerycrank_process::AdminPages;
 use celerycrank_types::{BackendId, DomainId, Incarnation, Revision};
 use celerycrank_wire::OfferKind;
@@ -23,6 +24,10 @@
     revision: Revision,
     incarnation: Incarnation,
     leaving: bool,
+    /// The planned stop of this agent that has begun.
+    stopping: Option<StopTarget>,
+    /// What a stop still waits for.
+    waits_for: String,
     running: u32,
     queued: u32,
     concurrency: u32,
@@ -40,7 +45,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        !self.state.shutdown.is_raised()
+        !self.state.is_leaving()
     }
 
     fn status(&self) -> Vec<u8> {
@@ -52,6 +57,8 @@
             revision: welcome.revision,
             incarnation: welcome.incarnation,
             leaving: welcome.load.leaving,
+            stopping: self.state.sync.own_stop(),
+            waits_for: self.state.pending_work().to_string(),
             running: welcome.load.running,
             queued: welcome.load.queued,
             concurrency: welcome.load.concurrency,
--- a/crates/celerycrank-agent/src/process.rs
+++ b/crates/celerycrank-agent/src/process.rs
@@ -15,7 +15,7 @@
     DeploymentSource, HttpListener, ListenerLimits, ShutdownFlag, StaticDeployment, serve_admin,
     wait_for_stop_signal,
 };
-use celerycrank_sync::follow_service;
+use celerycrank_sync::{follow_own_stop, follow_service};
 use celerycrank_types::{ByteSize, Incarnation};
 use celerycrank_wire::PROTOCOL_VERSION;
 
@@ -121,6 +121,7 @@
                 Some(actix_rt::spawn(follow_service(sync, client, prefix)))
             }
         };
+        let looking = actix_rt::spawn(follow_own_stop(Rc::clone(&self.state.sync)));
         let claiming = actix_rt::spawn(Rc::clone(&self.state.claims).run());
         let backend = &self.state.settings.backend.backend;
         tracing::info!(%backend, %listen, %admin_listen, "agent serves");
@@ -131,6 +132,7 @@
         self.state.claims.settled().await;
         self.endpoint.close().await;
         accepting.abort();
+        looking.abort();
         claiming.abort();
         if let Some(following) = following {
             following.abort();
--- a/crates/celerycrank-agent/src/run.rs
+++ b/crates/celerycrank-agent/src/run.rs
@@ -59,7 +59,7 @@
 
 /// Checks everything that does not depend on the ledger.
 fn admit(state: &AgentState, order: &RunOrder) -> Result<Option<CallKey>, RefusalReason> {
-    if state.shutdown.is_raised() {
+    if state.is_leaving() {
         return Err(RefusalReason::BackendLeaving);
     }
     if state.revision() == Revision(0) {
--- a/crates/celerycrank-agent/src/state.rs
+++ b/crates/celerycrank-agent/src/state.rs
@@ -1,15 +1,19 @@
 //! What the tasks of an agent share.
 
-use std::{cell::Cell, cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+};
 
 use celerycrank_config::{AgentSettings, BackendKind};
-use celerycrank_membership::PeerFact;
+use celerycrank_membership::{PendingWork, VmFact, VmRole};
 use celerycrank_process::{ProcessClock, ShutdownFlag};
 use celerycrank_requests::{
     AttemptActions, AttemptEvent, AttemptId, ClaimantId, StartLedger, StartSettings,
 };
 use celerycrank_sync::SyncState;
-use celerycrank_types::{Incarnation, Revision};
+use celerycrank_types::{Incarnation, Revision, TimePoint, TimeSpan};
 use celerycrank_wire::{BackendOffer, LoadReport, OfferKind, WelcomeReply};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::sync::Notify;
@@ -29,7 +33,9 @@
     pub(crate) sync: Rc<SyncState>,
     ledger: RefCell<StartLedger>,
     random: RefCell<StdRng>,
-    in_flight: Cell<u32>,
+    /// Requests in flight by when they began; the serial number sets equal times apart.
+    flights: RefCell<BTreeSet<(TimePoint, u64)>>,
+    next_flight: Cell<u64>,
     idle: Notify,
 }
 
@@ -41,10 +47,7 @@
     ) -> Self {
         let clock = ProcessClock::start();
         let mut random = StdRng::from_os_rng();
-        let own = PeerFact {
-            vm: settings.vm.clone(),
-            domain: settings.domain.clone(),
-        };
+        let own = own_fact(&settings);
         // An agent only compares revisions; what its entries admitted travels with the order.
         let sync = SyncState::new(own, clock, metrics.sync.clone(), Box::new(|_| {}));
         Self {
@@ -62,7 +65,8 @@
             random: RefCell::new(random),
             backend: BackendClient::new(settings.backend.address),
             sync: Rc::new(sync),
-            in_flight: Cell::new(0),
+            flights: RefCell::default(),
+            next_flight: Cell::new(0),
             idle: Notify::new(),
             settings,
         }
@@ -84,8 +88,13 @@
         ClaimantId::from(self.random.borrow_mut().random::<u64>())
     }
 
+    /// Whether new requests are refused: the process ends, or its planned stop has begun.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.shutdown.is_raised() || self.sync.is_stopping()
+    }
+
     pub(crate) fn load(&self) -> LoadReport {
-        self.slots.load(self.shutdown.is_raised())
+        self.slots.load(self.is_leaving())
     }
 
     pub(crate) fn welcome(&self) -> WelcomeReply {
@@ -109,20 +118,37 @@
 
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn track(self: &Rc<Self>) -> FlightGuard {
-        self.in_flight.set(self.in_flight.get() + 1);
+        let serial = self.next_flight.get();
+        self.next_flight.set(serial + 1);
+        let flight = (self.clock.now(), serial);
+        self.flights.borrow_mut().insert(flight);
         FlightGuard {
             state: Rc::clone(self),
+            flight,
+        }
+    }
+
+    /// What a stop still waits for.
+    pub(crate) fn pending_work(&self) -> PendingWork {
+        let now = self.clock.now();
+        let flights = self.flights.borrow();
+        PendingWork {
+            requests: self.in_flight().into(),
+            oldest: flights
+                .first()
+                .map_or(TimeSpan::ZERO, |(since, _)| now.since(*since)),
+            claims: 0,
         }
     }
 
     /// Requests whose answers are not yet delivered.
     pub(crate) fn in_flight(&self) -> u32 {
-        self.in_flight.get()
+        u32::try_from(self.flights.borrow().len()).unwrap_or(u32::MAX)
     }
 
     /// Waits until no request is in flight.
     pub(crate) async fn drained(&self) {
-        while self.in_flight.get() > 0 {
+        while self.in_flight() > 0 {
             self.idle.notified().await;
         }
     }
@@ -131,14 +157,29 @@
 /// One request in flight.
 pub(crate) struct FlightGuard {
     state: Rc<AgentState>,
+    flight: (TimePoint, u64),
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        let left = self.state.in_flight.get() - 1;
-        self.state.in_flight.set(left);
-        if left == 0 {
+        let mut flights = self.state.flights.borrow_mut();
+        flights.remove(&self.flight);
+        if flights.is_empty() {
             self.state.idle.notify_one();
         }
     }
 }
+
+fn own_fact(settings: &AgentSettings) -> VmFact {
+    VmFact {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        address: settings.link.listen,
+        role: match &settings.backend.kind {
+            BackendKind::Engine(model) => VmRole::Engine(model.clone()),
+            BackendKind::Service(service) => VmRole::Service(service.clone()),
+        },
+        backend: Some(settings.backend.backend.clone()),
+        group: None,
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-cli/tests/stops.rs
@@ -0,0 +1,79 @@
+//! Planned stops cut no request in flight and let no new one begin.
+
+mod support;
+
+use serde_json::json;
+use support::{
+    caller::{BodyEnd, Caller, KEY, call},
+    platform::{PlatformDeployment, status, wait_served},
+    process::RunningProcess,
+    wait_until,
+};
+
+fn status_text(process: &RunningProcess) -> String {
+    call(process.admin, "GET", "/status", None, "").body
+}
+
+fn is_ready(process: &RunningProcess) -> bool {
+    call(process.admin, "GET", "/readyz", None, "").status == 200
+}
+
+#[test]
+fn an_announced_stop_of_every_agent_ends_new_work_and_cuts_nothing() {
+    let deployment = PlatformDeployment::start();
+    let [first, second] = &deployment.entries;
+    let mut stream = Caller::connect(first.listen);
+    stream.send_request("GET", "/first/completions", Some(KEY), "");
+    let mut answer = stream.read_head();
+    let mut endless = Caller::connect(second.listen);
+    endless.send_request("GET", "/first/endless", Some(KEY), "");
+    endless.read_head();
+    deployment
+        .platform
+        .announce(1, &[json!({ "domain": "borba" })]);
+    for agent in &deployment.agents {
+        wait_until("the agent is leaving", || !is_ready(agent));
+    }
+    for entry in [first, second] {
+        wait_until("new work is refused", || status(entry, "/first") == 503);
+        wait_until("the entry is unready", || !is_ready(entry));
+    }
+    let busy = deployment
+        .agents
+        .iter()
+        .any(|agent| status_text(agent).contains("1 requests"));
+    assert!(busy, "the status says what the stop waits for");
+    stream.read_body(&mut answer);
+    assert_eq!((answer.status, answer.end), (200, BodyEnd::Whole));
+    assert!(
+        endless.read_chunk().is_some(),
+        "a stream goes on while its agent is stopping"
+    );
+    deployment.platform.announce(2, &[]);
+    for entry in [first, second] {
+        wait_served(entry, "/first");
+        wait_until("the entry is ready", || is_ready(entry));
+    }
+}
+
+#[test]
+fn work_moves_away_from_one_stopping_agent() {
+    let deployment = PlatformDeployment::start();
+    deployment
+        .platform
+        .announce(1, &[json!({ "backend": "agent-1" })]);
+    let [stopping, staying] = &deployment.agents;
+    wait_until("the agent is leaving", || !is_ready(stopping));
+    let before = started(stopping);
+    for entry in &deployment.entries {
+        for _ in 0..20 {
+            assert_eq!(status(entry, "/first"), 200);
+        }
+    }
+    assert_eq!(started(stopping), before);
+    assert!(started(staying) >= 40);
+}
+
+fn started(agent: &RunningProcess) -> u64 {
+    agent.metric("celerycrank_agent_started_total")
+}
--- a/crates/celerycrank-entry/src/admin.rs
+++ b/crates/celerycrank-entry/src/admin.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, collections::BTreeMap, rc::Rc};
 
+use celerycrank_membership::{MemberState, StopTarget};
 use celerycrank_process::AdminPages;
 use celerycrank_types::{AccountId, BackendId, DomainId, EntryId, PlanId, Revision, ShareWeight};
 use celerycrank_wire::{LoadReport, OfferKind};
@@ -21,6 +22,8 @@
     entry: EntryId,
     revision: Revision,
     ready: bool,
+    /// The planned stop of this entry that has begun.
+    stopping: Option<StopTarget>,
     connections: u32,
     backends: Vec<BackendStatus>,
     accounts: Vec<AccountStatus>,
@@ -32,6 +35,7 @@
 #[derive(Debug, Serialize)]
 struct BackendStatus {
     backend: BackendId,
+    state: MemberState,
     kind: OfferKind,
     domain: DomainId,
     load: LoadReport,
@@ -51,6 +55,7 @@
             .records()
             .map(|record| BackendStatus {
                 backend: record.offer.backend.clone(),
+                state: record.standing(),
                 kind: record.offer.kind.clone(),
                 domain: record.offer.domain.clone(),
                 load: record.load(),
@@ -87,14 +92,15 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.state.ready.get()
+        self.state.is_ready()
     }
 
     fn status(&self) -> Vec<u8> {
         let status = EntryStatus {
             entry: self.state.settings.entry.clone(),
             revision: self.state.revision(),
-            ready: self.state.ready.get(),
+            ready: self.state.is_ready(),
+            stopping: self.state.sync.own_stop(),
             connections: self.connections.get(),
             backends: self.backends(),
             accounts: self.accounts(),
--- a/crates/celerycrank-entry/src/probe.rs
+++ b/crates/celerycrank-entry/src/probe.rs
@@ -11,6 +11,9 @@
 /// Interval at which the member table's judgements are taken.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Judgements between two questions to an agent that takes no work.
+const ROUNDS_PER_QUESTION: u64 = 20;
+
 /// Notes that an agent failed, so that it gets no work until it answers again.
 pub(crate) fn note_failure(state: &EntryState, record: &AgentRecord) {
     state.sync.observe(&record.offer.vm, MemberEvidence::Failed);
@@ -18,8 +21,16 @@
 }
 
 /// Takes the member table's judgements again and again, and probes whom it names.
+///
+/// An agent that said that it takes no work is asked again, since nothing else would
+/// bring its word that it does.
 pub(crate) async fn follow_members(state: Rc<EntryState>) {
-    loop {
+    for round in 0_u64.. {
+        if round.is_multiple_of(ROUNDS_PER_QUESTION) {
+            for fact in silent_members(&state) {
+                actix_rt::spawn(ask_load(Rc::clone(&state), fact));
+            }
+        }
         for fact in state.sync.tick_members() {
             actix_rt::spawn(probe(Rc::clone(&state), fact));
         }
@@ -28,6 +39,30 @@
     }
 }
 
+/// Members that take work by the table, but not by their agents' last word.
+fn silent_members(state: &EntryState) -> Vec<VmFact> {
+    let roster = state.roster.borrow();
+    let members = state.sync.members();
+    let leaving = roster.records().filter(|record| record.load().leaving);
+    let facts = leaving.filter_map(|record| members.fact(&record.offer.vm).cloned());
+    facts
+        .filter(|fact| members.state(&fact.vm).takes_work())
+        .collect()
+}
+
+/// Asks an agent by a connection of its own how busy it is now.
+async fn ask_load(state: Rc<EntryState>, fact: VmFact) {
+    if let Ok(link) = state.pool.open(fact.address, state.revision()).await {
+        let roster = state.roster.borrow();
+        let record = roster
+            .records()
+            .find(|record| record.offer.vm == link.welcome.offer.vm);
+        if let Some(record) = record {
+            record.note_load(link.welcome.load);
+        }
+    }
+}
+
 /// Learns who the agents named by the VM list are.
 pub(crate) fn learn_members(state: &Rc<EntryState>) {
     judge_agents(state);
@@ -62,13 +97,9 @@
     let Some(found) = take_welcome(&state, fact.address, &link.welcome) else {
         return;
     };
-    let evidence = if link.welcome.load.leaving {
-        MemberEvidence::AgentLeaving
-    } else {
-        MemberEvidence::Answered
-    };
     if found.vm == fact.vm {
-        state.sync.observe(&fact.vm, evidence);
+        state.sync.on_fact(&found);
+        state.sync.observe(&fact.vm, MemberEvidence::Answered);
     }
     judge_agents(&state);
 }
--- a/crates/celerycrank-entry/src/process.rs
+++ b/crates/celerycrank-entry/src/process.rs
@@ -5,13 +5,13 @@
 use actix_rt::{task::JoinHandle, time::sleep};
 use celerycrank_config::{Configuration, EntrySettings};
 use celerycrank_link::{LinkEndpoint, LinkKeys};
-use celerycrank_membership::PeerFact;
+use celerycrank_membership::{VmFact, VmRole};
 use celerycrank_platform::{KeyValueClient, VmListClient};
 use celerycrank_process::{
     DeploymentSource, HttpListener, ListenerLimits, ProcessClock, ShutdownFlag, StaticDeployment,
     serve_admin, wait_for_stop_signal,
 };
-use celerycrank_sync::{SyncState, follow_list, follow_service, make_offers};
+use celerycrank_sync::{SyncState, follow_list, follow_own_stop, follow_service, make_offers};
 use celerycrank_types::ByteSize;
 use celerycrank_wire::PROTOCOL_VERSION;
 
@@ -191,13 +191,17 @@
     metrics: &EntryMetrics,
     in_force: &InForceCell,
 ) -> SyncState {
-    let own = PeerFact {
+    let own = VmFact {
         vm: settings
             .entry
             .as_str()
             .parse()
             .expect("every id has one form"),
         domain: settings.domain.clone(),
+        address: settings.link.listen,
+        role: VmRole::Entry,
+        backend: None,
+        group: None,
     };
     let in_force = Rc::clone(in_force);
     let adopt = move |configuration: &Arc<Configuration>| {
@@ -220,6 +224,7 @@
     let mut tasks = vec![
         actix_rt::spawn(follow_members(Rc::clone(state))),
         actix_rt::spawn(accept_peers(Rc::clone(state), endpoint)),
+        actix_rt::spawn(follow_own_stop(Rc::clone(&state.sync))),
     ];
     if let DeploymentSource::Platform(platform) = source {
         let sync = Rc::clone(&state.sync);
--- a/crates/celerycrank-entry/src/roster.rs
+++ b/crates/celerycrank-entry/src/roster.rs
@@ -33,6 +33,11 @@
         self.load.set(load);
     }
 
+    /// How the member table judges the agent's VM.
+    pub(crate) fn standing(&self) -> MemberState {
+        self.standing.get()
+    }
+
     /// Takes the member table's judgement.
     pub(crate) fn judge(&self, standing: MemberState, weight: RampWeight) {
         self.standing.set(standing);
--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -27,7 +27,7 @@
     pub(crate) sync: Rc<SyncState>,
     pub(crate) roster: RefCell<AgentRoster>,
     pub(crate) random: RefCell<StdRng>,
-    /// Whether the balancer may send requests here.
+    /// Whether the entry has learnt enough to serve and is not shutting down.
     pub(crate) ready: Cell<bool>,
     budgets: RefCell<HashMap<AccountId, RetryBudget>>,
     in_force: InForceCell,
@@ -103,6 +103,11 @@
         budgets.get_mut(account).is_some_and(RetryBudget::spend)
     }
 
+    /// Whether the balancer may send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ready.get() && !self.sync.is_stopping()
+    }
+
     pub(crate) fn draw_request_id(&self) -> RequestId {
         RequestId(self.random.borrow_mut().random())
     }
--- a/crates/celerycrank-membership/src/member.rs
+++ b/crates/celerycrank-membership/src/member.rs
@@ -1,8 +1,9 @@
 //! What is known of each VM, merged from all evidence by one rule.
 //!
-//! The order of trust, strongest first: the VM was replaced or left the list; the
-//! agent's own word; the operators' announcements; the VM list's leaving mark; what
-//! requests show; the VM list's live mark. The chart `charts/member.json` is the rule.
+//! The order of trust, strongest first: the VM was replaced or left the list; the VM
+//! list's leaving mark; the operators' announcements; what requests show; the VM list's
+//! live mark. The chart `charts/member.json` is the rule. An agent's own word that it
+//! takes no work travels with each of its replies and holds until its next one.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,7 +17,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::PeerFact;
+use crate::{PeerFact, StopTarget};
 
 static CHART: LazyLock<StateChart<MemberState, MemberEvidence, MemberAction>> =
     LazyLock::new(|| {
@@ -117,8 +118,6 @@
     StopAnnounced,
     /// The announcement was withdrawn.
     StopWithdrawn,
-    /// Its agent says that it is leaving.
-    AgentLeaving,
     /// Its agent answered.
     Answered,
     /// A connection to it failed, or it fell silent.
@@ -294,6 +293,27 @@
         }
     }
 
+    /// Takes the planned stops that have begun.
+    pub fn on_stops(&mut self, begun: &[StopTarget], now: TimePoint) {
+        let evidence = |record: &MemberRecord| {
+            let covered = begun.iter().any(|target| target.covers(&record.fact));
+            match (covered, record.state) {
+                (true, state) if state != MemberState::Stopping => {
+                    Some(MemberEvidence::StopAnnounced)
+                }
+                (false, MemberState::Stopping) => Some(MemberEvidence::StopWithdrawn),
+                _ => None,
+            }
+        };
+        let changed = self
+            .present()
+            .filter_map(|record| Some((record.fact.vm.clone(), evidence(record)?)))
+            .collect::<Vec<_>>();
+        for (vm, evidence) in changed {
+            self.observe(&vm, evidence, now);
+        }
+    }
+
     /// Ends slow starts, begins probes whose time has come and forgets VMs long gone.
     pub fn on_tick(&mut self, now: TimePoint) {
         let tombstone = self.timings.tombstone;
@@ -359,6 +379,9 @@
         if let Some(record) = self.records.get_mut(&fact.vm) {
             // A process may listen elsewhere after a restart.
             record.fact.address = fact.address;
+            if fact.backend.is_some() {
+                record.fact.backend.clone_from(&fact.backend);
+            }
             return;
         }
         let replaced = self
--- a/crates/celerycrank-sync/src/lib.rs
+++ b/crates/celerycrank-sync/src/lib.rs
@@ -9,7 +9,7 @@
 mod state;
 
 pub use crate::{
-    list::follow_list,
+    list::{follow_list, follow_own_stop},
     offer::make_offers,
     service::follow_service,
     state::{SyncCounters, SyncState},
--- a/crates/celerycrank-sync/src/list.rs
+++ b/crates/celerycrank-sync/src/list.rs
@@ -1,4 +1,4 @@
-//! Reads the VM list.
+//! Follows the VM list and the planned stops of this process.
 
 use std::{rc::Rc, time::Duration};
 
@@ -11,6 +11,9 @@
 /// Interval between readings.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval between looks for a planned stop of this process.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Reads the VM list again and again, and tells `changed` after each reading.
 pub async fn follow_list(state: Rc<SyncState>, client: VmListClient, changed: impl Fn()) {
     loop {
@@ -40,3 +43,11 @@
     };
     (fact, record.state == VmState::Leaving)
 }
+
+/// Looks again and again whether a planned stop of this process has begun.
+pub async fn follow_own_stop(state: Rc<SyncState>) {
+    loop {
+        state.look_for_own_stop();
+        sleep(LOOK_INTERVAL).await;
+    }
+}
--- a/crates/celerycrank-sync/src/offer.rs
+++ b/crates/celerycrank-sync/src/offer.rs
@@ -4,9 +4,9 @@
 
 use actix_rt::time::{sleep, timeout};
 use celerycrank_link::{LinkPool, PeerLink};
-use celerycrank_membership::{OfferFollowUp, VmFact};
+use celerycrank_membership::VmFact;
 use celerycrank_types::VmId;
-use celerycrank_wire::{ConfigurationReply, PeerOrder, PeerReply, PullOrder};
+use celerycrank_wire::{ConfigurationReply, PeerOrder, PeerReply};
 
 use crate::state::SyncState;
 
@@ -44,20 +44,8 @@
 async fn exchange(state: &SyncState, pool: &LinkPool, peer: &VmFact) -> Option<()> {
     let link = pool.connect(peer.address, state.revision()).await.ok()?;
     let reply = ask(&link, PeerOrder::Offer(state.offer())).await?;
-    match state.follow_up(reply.revision) {
-        OfferFollowUp::Nothing => {}
-        OfferFollowUp::Push(update) => {
-            ask(&link, PeerOrder::Update(state.update_order(peer, &update))).await?;
-        }
-        OfferFollowUp::Pull => {
-            let pull = PullOrder {
-                revision: state.revision(),
-            };
-            let reply = ask(&link, PeerOrder::Pull(pull)).await?;
-            if let Some(update) = &reply.configuration {
-                state.on_update(update);
-            }
-        }
+    if let Some(order) = state.follow_up(peer, &reply) {
+        state.on_reply(&ask(&link, order).await?);
     }
     Some(())
 }
--- a/crates/celerycrank-sync/src/service.rs
+++ b/crates/celerycrank-sync/src/service.rs
@@ -4,10 +4,12 @@
 
 use actix_rt::time::sleep;
 use celerycrank_config::ConfigurationRecord;
+use celerycrank_membership::StopsRecord;
 use celerycrank_platform::{
     KeyValueClient, KeyValueFault, KeyValueRecord, ModRevision, WatchEvent, WatchTarget,
 };
 use celerycrank_types::TimeSpan;
+use futures_util::future::join;
 use rand::Rng;
 
 use crate::state::SyncState;
@@ -21,17 +23,27 @@
 /// Longest wait after failed calls; jittered, so that no stampede meets the service.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
 
-/// Reads the service while the process has learnt nothing, and watches it while the
-/// process is a watcher.
+/// Reads the configuration and the planned stops while the process has learnt nothing,
+/// and watches them while it is a watcher.
 pub async fn follow_service(state: Rc<SyncState>, client: KeyValueClient, prefix: Arc<str>) {
-    let key = Arc::<str>::from(ConfigurationRecord::key(&prefix));
+    let configuration = ConfigurationRecord::key(&prefix);
+    let configuration = follow_record(&state, &client, configuration, take_configuration);
+    let stops = follow_record(&state, &client, StopsRecord::key(&prefix), take_stops);
+    join(configuration, stops).await;
+}
+
+/// Takes one value of a record.
+type TakeRecord = fn(&SyncState, &KeyValueRecord);
+
+async fn follow_record(state: &SyncState, client: &KeyValueClient, key: String, take: TakeRecord) {
+    let key = Arc::<str>::from(key);
     let mut backoff = LEAST_BACKOFF;
     loop {
         if !state.reads_service() {
             sleep(IDLE_INTERVAL).await;
             continue;
         }
-        if read_and_watch(&state, &client, &key).await.is_ok() {
+        if read_and_watch(state, client, &key, take).await.is_ok() {
             backoff = LEAST_BACKOFF;
             continue;
         }
@@ -46,27 +58,26 @@
     state: &SyncState,
     client: &KeyValueClient,
     key: &Arc<str>,
+    take: TakeRecord,
 ) -> Result<(), KeyValueFault> {
     let record = client.get(key).await?;
-    let from = record
+    let known = record
         .as_ref()
-        .map_or(ModRevision(0), |record| record.revision)
-        .next();
+        .map_or(ModRevision(0), |record| record.revision);
     if let Some(record) = &record {
-        take_record(state, record);
+        take(state, record);
     }
     if !state.is_watcher() {
         sleep(IDLE_INTERVAL).await;
         return Ok(());
     }
-    let mut watch = client
-        .watch(&WatchTarget::Key(Arc::clone(key)), from)
-        .await?;
+    let target = WatchTarget::Key(Arc::clone(key));
+    let mut watch = client.watch(&target, known.next()).await?;
     while state.is_watcher() {
         match watch.next_within(REREAD_INTERVAL).await? {
-            Some(WatchEvent::Put(record)) => take_record(state, &record),
+            Some(WatchEvent::Put(record)) => take(state, &record),
             Some(WatchEvent::Deleted { .. }) => {}
-            None => reread(state, client, key).await?,
+            None => reread(state, client, key, take).await?,
         }
     }
     Ok(())
@@ -76,16 +87,24 @@
     state: &SyncState,
     client: &KeyValueClient,
     key: &str,
+    take: TakeRecord,
 ) -> Result<(), KeyValueFault> {
     if let Some(record) = client.get(key).await? {
-        take_record(state, &record);
+        take(state, &record);
     }
     Ok(())
 }
 
-fn take_record(state: &SyncState, record: &KeyValueRecord) {
+fn take_configuration(state: &SyncState, record: &KeyValueRecord) {
     match serde_json::from_slice::<ConfigurationRecord>(&record.value) {
         Ok(record) => state.on_service(&Arc::new(record.configuration())),
         Err(_) => state.counters.malformed.inc(),
     }
 }
+
+fn take_stops(state: &SyncState, record: &KeyValueRecord) {
+    match serde_json::from_slice::<StopsRecord>(&record.value) {
+        Ok(stops) => state.on_stops(stops),
+        Err(_) => state.counters.malformed.inc(),
+    }
+}
--- a/crates/celerycrank-sync/src/state.rs
+++ b/crates/celerycrank-sync/src/state.rs
@@ -3,17 +3,18 @@
 use std::{
     cell::{Ref, RefCell},
     sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use bytes::Bytes;
 use celerycrank_config::Configuration;
 use celerycrank_membership::{
-    ConfigurationKeeper, MemberEvidence, MemberTable, MemberTimings, OfferFollowUp, OfferTargets,
-    PeerFact, SpreadTimings, UpdateMessage, VmFact,
+    ConfigurationKeeper, GateOutcome, MemberEvidence, MemberTable, MemberTimings, OfferFollowUp,
+    OfferTargets, RevisionGate, SpreadTimings, StopTarget, StopsRecord, UpdateMessage, VmFact,
 };
 use celerycrank_process::{CounterFault, MetricSet, ProcessClock};
 use celerycrank_types::{Revision, VmId};
-use celerycrank_wire::{ConfigurationReply, OfferOrder, PullOrder, UpdateOrder};
+use celerycrank_wire::{ConfigurationReply, OfferOrder, PeerOrder, PullOrder, UpdateOrder};
 use prometheus::IntCounter;
 
 /// Called with each configuration as it is put in force.
@@ -58,10 +59,12 @@
 
 /// The configuration and the members that a process knows; lives on one arbiter.
 pub struct SyncState {
-    own: PeerFact,
+    own: VmFact,
     clock: ProcessClock,
     keeper: RefCell<ConfigurationKeeper>,
     members: RefCell<MemberTable>,
+    stops: RefCell<RevisionGate<StopsRecord>>,
+    own_stop: RefCell<Option<StopTarget>>,
     /// Peers to tell at once of a revision just learnt.
     urgent: RefCell<OfferTargets>,
     adopt: AdoptCallback,
@@ -80,17 +83,19 @@
     /// The state of a process that has learnt nothing yet.
     #[must_use]
     pub fn new(
-        own: PeerFact,
+        own: VmFact,
         clock: ProcessClock,
         counters: SyncCounters,
         adopt: AdoptCallback,
     ) -> Self {
         Self {
             keeper: RefCell::new(ConfigurationKeeper::new(
-                own.clone(),
+                own.peer(),
                 SpreadTimings::default(),
             )),
             members: RefCell::new(MemberTable::new(MemberTimings::default())),
+            stops: RefCell::default(),
+            own_stop: RefCell::default(),
             urgent: RefCell::default(),
             own,
             clock,
@@ -152,11 +157,78 @@
     /// Ends slow starts and begins probes; returns the VMs to probe.
     pub fn tick_members(&self) -> Vec<VmFact> {
         let now = self.clock.now();
-        self.members.borrow_mut().on_tick(now);
-        let members = self.members.borrow();
+        let begun = self.begun_stops();
+        let mut members = self.members.borrow_mut();
+        members.on_stops(&begun, now);
+        members.on_tick(now);
         members.probing().cloned().collect()
     }
 
+    /// Takes the planned stops, from the key-value service or from a peer.
+    pub fn on_stops(&self, stops: StopsRecord) {
+        let revision = Revision(stops.revision);
+        let outcome = self.stops.borrow_mut().offer(revision, Arc::new(stops));
+        if outcome == GateOutcome::Adopted {
+            tracing::info!(%revision, begun = self.begun_stops().len(), "planned stops changed");
+        }
+    }
+
+    /// The planned stop of this process that has begun, as of the last look.
+    #[must_use]
+    pub fn own_stop(&self) -> Option<StopTarget> {
+        self.own_stop.borrow().clone()
+    }
+
+    /// Whether a planned stop of this process has begun, as of the last look.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.own_stop.borrow().is_some()
+    }
+
+    /// Looks whether a planned stop of this process has begun.
+    pub fn look_for_own_stop(&self) {
+        let stop = self
+            .begun_stops()
+            .into_iter()
+            .find(|target| target.covers(&self.own));
+        let before = self.own_stop.replace(stop);
+        match (&before, &*self.own_stop.borrow()) {
+            (None, Some(target)) => tracing::info!(%target, "planned stop begins"),
+            (Some(target), None) => tracing::info!(%target, "planned stop is withdrawn"),
+            _ => {}
+        }
+    }
+
+    fn begun_stops(&self) -> Vec<StopTarget> {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+        let seconds = elapsed.map_or(0, |elapsed| elapsed.as_secs());
+        let stops = self.stops.borrow();
+        stops
+            .document()
+            .map(|stops| stops.begun(seconds))
+            .unwrap_or_default()
+    }
+
+    fn stops_for(&self, peer: Revision) -> Option<Bytes> {
+        let stops = self.stops.borrow();
+        let known = stops
+            .document()
+            .filter(|stops| Revision(stops.revision) > peer)?;
+        Some(
+            serde_json::to_vec(&**known)
+                .expect("stops always have a JSON form")
+                .into(),
+        )
+    }
+
+    fn take_stops(&self, stops: Option<&Bytes>) {
+        let Some(stops) = stops else { return };
+        match serde_json::from_slice(stops) {
+            Ok(stops) => self.on_stops(stops),
+            Err(_) => self.counters.malformed.inc(),
+        }
+    }
+
     /// Takes what the key-value service holds.
     pub fn on_service(&self, configuration: &Arc<Configuration>) {
         self.change(|keeper| keeper.on_service(configuration));
@@ -195,32 +267,76 @@
     /// Answers a watcher's offer.
     #[must_use]
     pub fn answer_offer(&self, _order: &OfferOrder) -> ConfigurationReply {
-        ConfigurationReply {
-            revision: self.revision(),
-            configuration: None,
-        }
+        self.reply(None, None)
     }
 
     /// Answers a watcher's update.
     #[must_use]
     pub fn answer_update(&self, order: &UpdateOrder) -> ConfigurationReply {
-        if let Some(update) = self.decode_update(&order.update) {
+        self.take_stops(order.stops.as_ref());
+        let update = order
+            .update
+            .as_ref()
+            .and_then(|update| self.decode_update(update));
+        if let Some(update) = update {
             let watchers = usize::from(order.watchers);
             self.change(|keeper| keeper.on_push(&order.watcher, watchers, update));
         }
-        ConfigurationReply {
-            revision: self.revision(),
-            configuration: None,
-        }
+        self.reply(None, None)
     }
 
     /// Answers a pull.
     #[must_use]
     pub fn answer_pull(&self, order: &PullOrder) -> ConfigurationReply {
-        let configuration = self.update_for(order.revision);
+        self.reply(self.update_for(order.revision), self.stops_for(order.stops))
+    }
+
+    fn reply(&self, configuration: Option<Bytes>, stop_list: Option<Bytes>) -> ConfigurationReply {
         ConfigurationReply {
             revision: self.revision(),
             configuration,
+            stops: self.stops.borrow().revision(),
+            stop_list,
+        }
+    }
+
+    /// What a watcher sends after a peer's answer to its offer, if anything.
+    pub(crate) fn follow_up(&self, peer: &VmFact, reply: &ConfigurationReply) -> Option<PeerOrder> {
+        let stops = self.stops.borrow().revision();
+        let follow_up = self.keeper.borrow().on_offer_reply(reply.revision);
+        let update = match follow_up {
+            OfferFollowUp::Push(update) => Some(encode_update(&update)),
+            OfferFollowUp::Nothing => None,
+            OfferFollowUp::Pull => return Some(PeerOrder::Pull(self.pull())),
+        };
+        if reply.stops > stops {
+            return Some(PeerOrder::Pull(self.pull()));
+        }
+        let stops = self.stops_for(reply.stops);
+        if update.is_none() && stops.is_none() {
+            return None;
+        }
+        let watchers = self.keeper.borrow().watchers_of(&peer.domain);
+        Some(PeerOrder::Update(UpdateOrder {
+            watcher: self.own.vm.clone(),
+            watchers: u8::try_from(watchers).unwrap_or(u8::MAX),
+            update,
+            stops,
+        }))
+    }
+
+    /// Takes the answer to whatever followed an offer.
+    pub(crate) fn on_reply(&self, reply: &ConfigurationReply) {
+        self.take_stops(reply.stop_list.as_ref());
+        if let Some(update) = &reply.configuration {
+            self.on_update(update);
+        }
+    }
+
+    fn pull(&self) -> PullOrder {
+        PullOrder {
+            revision: self.revision(),
+            stops: self.stops.borrow().revision(),
         }
     }
 
@@ -238,19 +354,7 @@
         OfferOrder {
             watcher: self.own.vm.clone(),
             revision: self.revision(),
-        }
-    }
-
-    pub(crate) fn follow_up(&self, peer: Revision) -> OfferFollowUp {
-        self.keeper.borrow().on_offer_reply(peer)
-    }
-
-    pub(crate) fn update_order(&self, peer: &VmFact, update: &UpdateMessage) -> UpdateOrder {
-        let watchers = self.keeper.borrow().watchers_of(&peer.domain);
-        UpdateOrder {
-            watcher: self.own.vm.clone(),
-            watchers: u8::try_from(watchers).unwrap_or(u8::MAX),
-            update: encode_update(update),
+            stops: self.stops.borrow().revision(),
         }
     }
 
--- a/crates/celerycrank-wire/src/order.rs
+++ b/crates/celerycrank-wire/src/order.rs
@@ -104,6 +104,8 @@
 pub struct PullOrder {
     /// The revision that the sender has in force.
     pub revision: Revision,
+    /// The revision of the planned stops that the sender knows.
+    pub stops: Revision,
 }
 
 /// Names the revision that a watcher of the key-value service has in force.
@@ -113,6 +115,8 @@
     pub watcher: VmId,
     /// The revision that it has in force.
     pub revision: Revision,
+    /// The revision of the planned stops that it knows.
+    pub stops: Revision,
 }
 
 /// Sends what is newer than the peer's revision.
@@ -122,6 +126,8 @@
     pub watcher: VmId,
     /// How many entries watch for the peer's failure domain.
     pub watchers: u8,
-    /// The update as JSON.
-    pub update: Bytes,
+    /// The update of the configuration as JSON, if the peer's is older.
+    pub update: Option<Bytes>,
+    /// The planned stops as JSON, if the peer's are older.
+    pub stops: Option<Bytes>,
 }
--- a/crates/celerycrank-wire/src/reply.rs
+++ b/crates/celerycrank-wire/src/reply.rs
@@ -184,4 +184,8 @@
     pub revision: Revision,
     /// What brings the asker to that revision, as JSON, if the asker's is older.
     pub configuration: Option<Bytes>,
+    /// The revision of the planned stops that the sender knows.
+    pub stops: Revision,
+    /// The planned stops as JSON, if the asker's are older.
+    pub stop_list: Option<Bytes>,
 }
