Let retries that add no load go without budget

Cause: a stopping agent refuses all that reaches it; paying for each such retry would use up what callers saved, and refuse requests because of a planned stop. Where a refusal shows that the request reached neither a backend server nor its queue, the next sending is free; the tries of a request bound it. Every other further sending is paid for.

Ruled out: free retries after QueueFull, DeadlineUnreachable or a revocation; these are what a retry storm is made of.

--- a/crates/celerycrank-requests/src/lib.rs
+++ b/crates/celerycrank-requests/src/lib.rs
@@ -27,7 +27,7 @@
         RequestAction, RequestActions, RequestContext, RequestEvent, RequestMachine, RequestPolicy,
         RequestState, RevokeAnswer,
     },
-    retry::{RetryBackoff, RetryBudget, is_retryable},
+    retry::{RetryBackoff, RetryBudget, costs_budget, is_retryable},
     start::{
         AttemptAction, AttemptActions, AttemptEvent, AttemptState, CallKind, StartLedger,
         StartSettings,
--- a/crates/celerycrank-requests/src/request/classify.rs
+++ b/crates/celerycrank-requests/src/request/classify.rs
@@ -9,7 +9,7 @@
     event::{EventKind, RequestEvent, RequestState, RevokeAnswer},
     machine::{AttemptProgress, LinkState, REQUEST_CHART, RequestContext, RequestMachine},
 };
-use crate::{AttemptId, LinkNumber, is_retryable};
+use crate::{AttemptId, LinkNumber, costs_budget, is_retryable};
 
 impl RequestMachine {
     /// Names the event as the chart does; none if it does not concern the request now.
@@ -138,7 +138,7 @@
         if !is_retryable(refusal) || !self.may_try_again(context.now) {
             return Some(self.not_run());
         }
-        if !context.budget.spend() {
+        if costs_budget(refusal) && !context.budget.spend() {
             self.refusal = RefusalReason::RetryBudget;
             return Some(self.not_run());
         }
--- a/crates/celerycrank-requests/src/request/machine.rs
+++ b/crates/celerycrank-requests/src/request/machine.rs
@@ -68,7 +68,7 @@
     pub(super) tries: u32,
     /// Invariant: equals the number of the latest attempt.
     pub(super) sends: u32,
-    /// Whether the budget has already paid for the next sending.
+    /// Whether the next sending is paid for, or needs no budget.
     pub(super) paid: bool,
     pub(super) link: LinkNumber,
     /// Whether the current link may still bring something.
--- a/crates/celerycrank-requests/src/retry.rs
+++ b/crates/celerycrank-requests/src/retry.rs
@@ -80,6 +80,23 @@
     }
 }
 
+/// Whether a retry after this refusal is paid from the account's budget.
+///
+/// Where the request reached neither a backend server nor its queue, trying another one
+/// adds no load, and a stopping agent must not use up what its callers saved.
+#[must_use]
+pub const fn costs_budget(reason: RefusalReason) -> bool {
+    !matches!(
+        reason,
+        RefusalReason::AgentUnreachable
+            | RefusalReason::BackendLeaving
+            | RefusalReason::BackendUnreachable
+            | RefusalReason::NoConfiguration
+            | RefusalReason::OldRevision
+            | RefusalReason::ShuttingDown
+    )
+}
+
 /// Whether another backend server might accept what one agent refused for this reason.
 #[must_use]
 pub const fn is_retryable(reason: RefusalReason) -> bool {
