Grant each account's share of the fleet, and serve it before the rest (trial)

Cause of the missed target: prefix affinity brings an account to few workers, where its fair part of each worker is less than its share of the fleet; the fair queue then held it back. The entries now mark what is within the share.

--- a/crates/celerycrank-bench/src/shares/fleet.rs
+++ b/crates/celerycrank-bench/src/shares/fleet.rs
@@ -11,7 +11,7 @@
 };
 use celerycrank_shares::{
     ANSWER_TIMEOUT, Admission, DemandReport, FairQueue, GrantHolder, GrantHome, QueueRequest,
-    QueueSettings, TokenGrant, home_of,
+    QueueSettings, ShareBand, TokenGrant, home_of,
 };
 use celerycrank_types::{
     AccountId, BackendId, EntryId, RequestId, ShareWeight, TimePoint, TimeSpan, TokenCount,
@@ -22,7 +22,7 @@
 
 use super::{
     message::ControlMeter,
-    scenario::{Scenario, SharePolicy, cap_of},
+    scenario::{Scenario, SharePolicy, allowance_of},
     tally::{self, AccountTally},
 };
 
@@ -71,6 +71,7 @@
     tokens: u64,
     arrival: TimePoint,
     prefix: PromptPrefix,
+    band: ShareBand,
     tried: Vec<BackendId>,
 }
 
@@ -222,6 +223,43 @@
     }
 
     fn result(self) -> FleetResult {
+        for (i, t) in self.tallies.iter().enumerate() {
+            let row: Vec<String> = (1..5)
+                .map(|w| {
+                    let o: f64 = t.offered[w * 10..w * 10 + 10].iter().sum();
+                    let v: f64 = t.served[w * 10..w * 10 + 10].iter().sum();
+                    format!("{:.2}/{:.2}", o / t.share / 10.0, v / t.share / 10.0)
+                })
+                .collect();
+            let n = self
+                .requests
+                .iter()
+                .filter(|r| r.account == i && r.arrival.0 > 10_000_000)
+                .count();
+            let ex = self
+                .requests
+                .iter()
+                .filter(|r| {
+                    r.account == i && r.arrival.0 > 10_000_000 && r.band == ShareBand::Excess
+                })
+                .count();
+            let tr = self
+                .requests
+                .iter()
+                .filter(|r| {
+                    r.account == i
+                        && r.arrival.0 > 10_000_000
+                        && r.band == ShareBand::Within
+                        && !r.tried.is_empty()
+                })
+                .count();
+            eprintln!(
+                "{i} w{} {:?} {} n{n} excess{ex} tried{tr}",
+                self.scenario.accounts[i].weight,
+                self.scenario.accounts[i].behaviour,
+                row.join("  ")
+            );
+        }
         let seconds = self.scenario.seconds as f64;
         let counted = seconds - tally::WARM_UP_SECONDS as f64;
         let (control_mean, control_busiest) = self.control.rates(seconds);
@@ -296,13 +334,9 @@
         self.entries[entry].listed = listed;
     }
 
-    fn is_counted(&self, time: TimePoint) -> bool {
-        time.0 >= tally::WARM_UP_SECONDS as u64 * SECOND
-    }
-
     /// Counts the slots that stay free until then although a request waits.
     fn count_idle(&mut self, until: TimePoint) {
-        if self.is_counted(self.now) {
+        if is_counted(self.now) {
             let slots = self.names.len() * SLOTS as usize;
             let unused = (slots - self.running).min(self.waiting);
             self.idle_time += unused as f64 * until.since(self.busy_from).as_secs_f64();
@@ -341,6 +375,7 @@
             arrival: self.now,
             prefix: PromptPrefix::from_blocks(blocks)
                 .with_session_hash(BlockHash(self.rng.random())),
+            band: ShareBand::Excess,
             tried: Vec::new(),
         }
     }
@@ -369,7 +404,10 @@
         let home_index = home_index.expect("a listed entry");
         let holder = &mut self.entries[entry].holder;
         match holder.admit(self.now, &home, &id, TokenCount(MEAN_TOKENS)) {
-            Admission::Admitted => self.route(index),
+            Admission::Admitted(band) => {
+                self.requests[index].band = band;
+                self.route(index);
+            }
             Admission::Ask(report) => {
                 self.park(index);
                 self.control.record(entry, home_index, &report);
@@ -419,8 +457,9 @@
             .accounts
             .iter()
             .position(|a| a.id == report.account);
-        let cap = cap_of(self.tallies[account.expect("a known account")].share);
-        let grant = self.entries[home].home.grant(self.now, report, cap);
+        let share = self.tallies[account.expect("a known account")].share;
+        let allowance = allowance_of(share);
+        let grant = self.entries[home].home.grant(self.now, report, allowance);
         self.control.record(home, entry, &grant);
         self.schedule(HOP, Happening::Grant { entry, home, grant });
     }
@@ -520,6 +559,7 @@
             .account(id)
             .weight(weight)
             .class(account.class)
+            .band(request.band)
             .cost(TokenCount(MEAN_TOKENS))
             .start_by(start_by)
             .build()
@@ -540,7 +580,7 @@
         let load = LoadReport {
             running: u32::try_from(queue.running()).unwrap_or(u32::MAX),
             waiting: u32::try_from(queue.waiting()).unwrap_or(u32::MAX),
-            waiting_cost: queue.waiting_cost(),
+            waiting_cost: queue.waiting_cost(ShareBand::Within),
         };
         let router = &mut self.entries[self.requests[index].entry].router;
         router.note_finished(&self.names[worker]);
@@ -568,12 +608,12 @@
             let second = usize::try_from(request.arrival.0 / SECOND).expect("a short run");
             let tokens = request.tokens as f64;
             self.tallies[request.account].served[second] += tokens;
-            if self.is_counted(self.now) {
+            if is_counted(self.now) {
                 self.useful += tokens;
             }
         }
         let high = self.scenario.accounts[request.account].class;
-        if high == celerycrank_config::PriorityClass::High && self.is_counted(request.arrival) {
+        if high == celerycrank_config::PriorityClass::High && is_counted(request.arrival) {
             self.waits.saturating_record(wait.0 / 1_000);
         }
         let hold = TimeSpan(PREFILL.0 + request.tokens * TOKEN_TIME.0);
@@ -647,6 +687,11 @@
     usize::try_from(id.0).expect("ids are indexes here")
 }
 
+/// Whether the queues have filled by then.
+const fn is_counted(time: TimePoint) -> bool {
+    time.0 >= tally::WARM_UP_SECONDS as u64 * SECOND
+}
+
 /// Spreads small numbers over all hashes.
 const fn spread(number: u64) -> u64 {
     (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
--- a/crates/celerycrank-bench/src/shares/scenario.rs
+++ b/crates/celerycrank-bench/src/shares/scenario.rs
@@ -1,6 +1,7 @@
 //! What the accounts demand, and what goes wrong meanwhile.
 
 use celerycrank_config::PriorityClass;
+use celerycrank_shares::AccountAllowance;
 use celerycrank_types::{AccountId, ShareWeight, TokenRate};
 
 /// Cap of an account's plan, as a multiple of its share.
@@ -127,10 +128,13 @@
     }
 }
 
-/// The cap of a plan whose share is this many tokens a second.
-pub(super) fn cap_of(share: f64) -> TokenRate {
-    let rate = std::time::Duration::from_secs_f64(share * CAP_FACTOR);
-    TokenRate(rate.as_secs())
+/// What an account may use whose share is this many tokens a second.
+pub(super) fn allowance_of(share: f64) -> AccountAllowance {
+    let rate = |tokens| TokenRate(std::time::Duration::from_secs_f64(tokens).as_secs());
+    AccountAllowance {
+        share: rate(share),
+        cap: Some(rate(share * CAP_FACTOR)),
+    }
 }
 
 fn draw_accounts(count: usize, behaviour: impl Fn(usize) -> Behaviour) -> Vec<Account> {
--- a/crates/celerycrank-shares/src/grant.rs
+++ b/crates/celerycrank-shares/src/grant.rs
@@ -1,6 +1,6 @@
 //! Messages between the entries about plans' rate caps.
 
-use celerycrank_types::{AccountId, EntryId, TimeSpan, TokenCount};
+use celerycrank_types::{AccountId, EntryId, TimeSpan, TokenCount, TokenRate};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -24,10 +24,23 @@
     pub account: AccountId,
     /// The number of the report that this answers.
     pub number: u64,
-    /// Tokens that the entry may admit; zero where the account's cap is used up.
-    pub tokens: TokenCount,
-    /// When a further report has a chance, if less was granted than wanted.
-    pub retry_after: TimeSpan,
+    /// Tokens that the entry may admit as within the account's share.
+    pub within: TokenCount,
+    /// Tokens that it may admit beyond the share; `None` where the plan has no cap.
+    pub excess: Option<TokenCount>,
+    /// When a further report may bring more of the share.
+    pub share_retry: TimeSpan,
+    /// When a further report may bring more of the cap.
+    pub cap_retry: TimeSpan,
+}
+
+/// What an account may use of the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AccountAllowance {
+    /// The account's part of the fleet's measured rate.
+    pub share: TokenRate,
+    /// Most that its plan allows; `None` where the plan has no cap.
+    pub cap: Option<TokenRate>,
 }
 
 /// The entry that is an account's home among these entries.
--- a/crates/celerycrank-shares/src/holder.rs
+++ b/crates/celerycrank-shares/src/holder.rs
@@ -4,22 +4,25 @@
 
 use celerycrank_types::{AccountId, EntryId, TimePoint, TimeSpan, TokenCount};
 
-use crate::grant::{DemandReport, TokenGrant};
+use crate::{
+    grant::{DemandReport, TokenGrant},
+    request::ShareBand,
+};
 
 /// How long granted tokens may be used, counted from the report that asked for them.
 pub const GRANT_LIFE: TimeSpan = TimeSpan::from_secs(2);
 
 /// Time for which a report asks for tokens in advance.
-const ADVANCE: TimeSpan = TimeSpan::from_millis(500);
+const ADVANCE: TimeSpan = TimeSpan::from_millis(200);
 
 /// How long an entry waits for a home before it goes on without.
 pub const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
 
-/// Whether a request may be taken under its account's rate cap.
+/// Whether a request may be taken, and whether as part of its account's share.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Admission {
     /// It may; its cost has been charged.
-    Admitted,
+    Admitted(ShareBand),
     /// The home must be asked first; send this and decide again when the answer is noted.
     Ask(DemandReport),
     /// The home has been asked and has not answered yet; decide again when it has.
@@ -40,10 +43,14 @@
 /// One account's grant.
 #[derive(Debug, Clone, Default)]
 struct HeldGrant {
-    tokens: TokenCount,
+    within: TokenCount,
+    /// `None` where the plan has no cap.
+    excess: Option<TokenCount>,
     expires: TimePoint,
-    /// Until then the home has nothing more to give.
-    empty_until: TimePoint,
+    /// Until then the home has no more of the share to give.
+    share_empty_until: TimePoint,
+    /// Until then the home has no more of the cap to give.
+    cap_empty_until: TimePoint,
     pending: Option<PendingReport>,
     /// The home that was asked last.
     home: Option<EntryId>,
@@ -76,16 +83,64 @@
             return;
         }
         if self.home.is_some() {
-            self.inherited = self.tokens + self.spent[0] + self.spent[1];
+            let held = self.within + self.excess.unwrap_or_default();
+            self.inherited = held + self.spent[0] + self.spent[1];
         }
         self.pending = None;
-        self.empty_until = TimePoint::default();
+        self.share_empty_until = TimePoint::default();
+        self.cap_empty_until = TimePoint::default();
         self.home = Some(home.clone());
     }
 
-    fn spend(&mut self, cost: TokenCount) {
-        self.tokens = TokenCount(self.tokens.0.saturating_sub(cost.0));
+    /// Drops tokens whose life has ended.
+    fn expire(&mut self, now: TimePoint) {
+        if now >= self.expires {
+            self.within = TokenCount(0);
+            self.excess = self.excess.and(Some(TokenCount(0)));
+        }
+    }
+
+    fn spend_within(&mut self, cost: TokenCount) -> bool {
+        let enough = self.within >= cost;
+        if enough {
+            self.within = TokenCount(self.within.0 - cost.0);
+            self.spent[0] += cost;
+        }
+        enough
+    }
+
+    /// Spends beyond the share; what is left of the share makes up for a shortfall.
+    fn spend_excess(&mut self, now: TimePoint, cost: TokenCount) -> bool {
+        let Some(excess) = self.excess else {
+            // Without a cap all is admitted while the grant that said so lives.
+            let known = now < self.expires;
+            self.spent[0] += if known { cost } else { TokenCount(0) };
+            return known;
+        };
+        if (excess + self.within) < cost {
+            return false;
+        }
+        let shortfall = cost.0.saturating_sub(excess.0);
+        self.within = TokenCount(self.within.0 - shortfall);
+        self.excess = Some(TokenCount(excess.0.saturating_sub(cost.0)));
         self.spent[0] += cost;
+        true
+    }
+
+    /// Takes in a home's answer to a report that was sent at this point.
+    fn accept(&mut self, now: TimePoint, sent: TimePoint, answer: &TokenGrant) {
+        self.expire(now);
+        if now >= self.expires {
+            self.expires = sent + GRANT_LIFE;
+        }
+        // Tokens of two grants are kept together, for the shorter of their lives.
+        self.within += answer.within;
+        self.excess = answer
+            .excess
+            .map(|excess| excess + self.excess.unwrap_or_default());
+        self.share_empty_until = now + answer.share_retry;
+        self.cap_empty_until = now + answer.cap_retry;
+        self.inherited = TokenCount(0);
     }
 
     /// Tokens used in a while like the one that a report asks for.
@@ -95,10 +150,10 @@
     }
 }
 
-/// Admits requests under the rate caps of their accounts' plans.
+/// Admits requests under the shares and rate caps of their accounts' plans.
 ///
-/// Invariants: no more tokens are admitted than were granted, but for one request for each
-/// home that does not answer in time; a grant is used once, and only within its life.
+/// Invariants: no more tokens are admitted than were granted, but where a home does not answer
+/// in time: then as many as before, or one request; a grant is used once, within its life.
 #[derive(Debug, Default)]
 pub struct GrantHolder {
     grants: BTreeMap<AccountId, HeldGrant>,
@@ -119,6 +174,10 @@
     }
 
     /// Decides about a request of this cost, for an account with this home.
+    ///
+    /// # Panics
+    ///
+    /// If an allowance is smaller than what it was made for: that is a broken invariant.
     pub fn admit(
         &mut self,
         now: TimePoint,
@@ -130,16 +189,18 @@
         grant.turn_span(now);
         grant.turn_to(home);
         grant.last_used = now;
-        if now >= grant.expires {
-            grant.tokens = TokenCount(0);
-        }
-        if grant.tokens >= cost {
-            grant.spend(cost);
-            return Admission::Admitted;
+        grant.expire(now);
+        if grant.spend_within(cost) {
+            return Admission::Admitted(ShareBand::Within);
         }
-        if now < grant.empty_until {
-            let retry_after = grant.empty_until.since(now);
-            return Admission::Refused { retry_after };
+        if now < grant.share_empty_until {
+            if grant.spend_excess(now, cost) {
+                return Admission::Admitted(ShareBand::Excess);
+            }
+            if now < grant.cap_empty_until {
+                let retry_after = grant.cap_empty_until.since(now);
+                return Admission::Refused { retry_after };
+            }
         }
         match &grant.pending {
             Some(pending) if now.since(pending.sent) < ANSWER_TIMEOUT => Admission::Wait,
@@ -159,19 +220,9 @@
         else {
             return;
         };
-        let expires = pending.sent + GRANT_LIFE;
-        if now >= expires {
-            return;
-        }
-        if grant.tokens == TokenCount(0) || now >= grant.expires {
-            grant.tokens = answer.tokens;
-            grant.expires = expires;
-        } else {
-            // Tokens of two grants are kept together for the shorter of their lives.
-            grant.tokens += answer.tokens;
+        if now < pending.sent + GRANT_LIFE {
+            grant.accept(now, pending.sent, answer);
         }
-        grant.inherited = TokenCount(0);
-        grant.empty_until = now + answer.retry_after;
     }
 
     /// Forgets accounts that have asked for nothing for a while.
@@ -188,12 +239,12 @@
         DemandReport {
             account: account.clone(),
             number,
-            wanted: TokenCount((cost.0 + grant.advance()).saturating_sub(grant.tokens.0)),
+            wanted: TokenCount((cost.0 + grant.advance()).saturating_sub(grant.within.0)),
             inherited: grant.inherited,
         }
     }
 
-    /// A home that does not answer costs one request above the cap, not the account's service.
+    /// Without an answer an account goes on at the pace that it had, for a while.
     fn admit_unanswered(
         &mut self,
         now: TimePoint,
@@ -201,9 +252,17 @@
         cost: TokenCount,
     ) -> Admission {
         let grant = self.grants.entry(account.clone()).or_default();
+        let usual = TokenCount(grant.advance()).max(cost);
+        let unknown = grant.expires == TimePoint::default();
         grant.pending = None;
-        grant.spent[0] += cost;
-        grant.empty_until = now + ANSWER_TIMEOUT;
-        Admission::Admitted
+        if unknown || grant.excess.is_some() {
+            grant.excess = Some(usual);
+        }
+        grant.expires = now + ADVANCE;
+        grant.share_empty_until = now + ADVANCE;
+        grant.cap_empty_until = now + ADVANCE;
+        let admitted = grant.spend_excess(now, cost);
+        assert!(admitted, "an allowance is at least the request's cost");
+        Admission::Admitted(ShareBand::Excess)
     }
 }
--- a/crates/celerycrank-shares/src/home.rs
+++ b/crates/celerycrank-shares/src/home.rs
@@ -1,42 +1,53 @@
-//! The home of accounts: hands out their rate caps.
+//! The home of accounts: hands out their shares and rate caps.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use celerycrank_types::{AccountId, TimePoint, TimeSpan, TokenCount, TokenRate};
 
-use crate::grant::{DemandReport, TokenGrant};
+use crate::grant::{AccountAllowance, DemandReport, TokenGrant};
 
-/// Tokens granted at once at most, as time at the capped rate.
-const BURST: TimeSpan = TimeSpan::from_secs(1);
+/// Tokens of a share granted at once at most, as time at its rate.
+const SHARE_BURST: TimeSpan = TimeSpan::from_secs(4);
 
-/// What is left of one account's cap.
+/// Tokens of a cap granted at once at most, as time at its rate.
+const CAP_BURST: TimeSpan = TimeSpan::from_secs(1);
+
+/// Tokens that come in at a rate.
 ///
 /// Invariant: `level` is at most the burst.
 #[derive(Debug, Clone)]
-struct CapBucket {
-    rate: f64,
+struct RateBucket {
+    rate: TokenRate,
+    span: TimeSpan,
     level: f64,
     updated: TimePoint,
 }
 
-impl CapBucket {
-    fn new(now: TimePoint, rate: f64) -> Self {
+impl RateBucket {
+    fn new(now: TimePoint, rate: TokenRate, span: TimeSpan) -> Self {
         Self {
             rate,
-            level: rate * BURST.as_secs_f64(),
+            span,
+            level: rate.0 as f64 * span.as_secs_f64(),
             updated: now,
         }
     }
 
-    fn refill(&mut self, now: TimePoint, rate: f64) {
-        let earned = self.rate * now.since(self.updated).as_secs_f64();
+    /// Adds what has come in, at the old rate, and returns it.
+    fn refill(&mut self, now: TimePoint, rate: TokenRate) -> f64 {
+        let earned = self.rate.0 as f64 * now.since(self.updated).as_secs_f64();
         self.rate = rate;
         self.level = (self.level + earned).min(self.burst());
         self.updated = self.updated.max(now);
+        earned
     }
 
     fn burst(&self) -> f64 {
-        self.rate * BURST.as_secs_f64()
+        self.rate.0 as f64 * self.span.as_secs_f64()
+    }
+
+    fn is_full(&self) -> bool {
+        self.level >= self.burst()
     }
 
     /// Charges what an entry used under an earlier home.
@@ -44,41 +55,83 @@
         self.level = (self.level - inherited.0 as f64).max(-self.burst());
     }
 
-    /// Takes whole tokens, as many as there are.
-    fn take(&mut self, wanted: TokenCount) -> TokenCount {
-        let mut granted = wanted;
+    /// Takes whole tokens, as many as there are, and says when the rest will have come in.
+    fn take(&mut self, wanted: TokenCount) -> (TokenCount, TimeSpan) {
+        let mut taken = wanted;
         if self.level < wanted.0 as f64 {
-            granted = TokenCount(whole_tokens(self.level));
+            taken = TokenCount(whole_tokens(self.level));
         }
-        self.level -= granted.0 as f64;
-        granted
+        self.level -= taken.0 as f64;
+        (taken, self.time_until((wanted.0 - taken.0) as f64))
     }
 
     /// Time until so many tokens will have come in.
     fn time_until(&self, missing: f64) -> TimeSpan {
-        let seconds = (missing - self.level).max(0.0) / self.rate.max(1.0);
-        TimeSpan::from(std::time::Duration::from_secs_f64(seconds))
+        if missing <= 0.0 {
+            return TimeSpan::ZERO;
+        }
+        let seconds = (missing - self.level).max(0.0) / (self.rate.0 as f64).max(1.0);
+        TimeSpan::from(Duration::from_secs_f64(seconds))
     }
 }
 
-/// Hands out the rate caps of the accounts whose home this entry is.
+/// What one account has been granted.
 ///
-/// Invariant: what is granted for an account in any span is at most its rate over that span
-/// plus one burst.
-#[derive(Debug, Default)]
-pub struct GrantHome {
-    buckets: BTreeMap<AccountId, HomeRecord>,
-}
-
+/// Invariant: `granted` is at most `allowed`, which counts the cap over time and one burst.
 #[derive(Debug, Clone)]
 struct HomeRecord {
-    bucket: CapBucket,
-    /// Tokens granted since the record was made.
+    share: RateBucket,
+    cap: Option<RateBucket>,
     granted: f64,
-    /// Tokens that could have been granted since then: rate over time, plus one burst.
     allowed: f64,
 }
 
+impl HomeRecord {
+    fn new(now: TimePoint, allowance: AccountAllowance) -> Self {
+        let cap = allowance
+            .cap
+            .map(|cap| RateBucket::new(now, cap, CAP_BURST));
+        Self {
+            share: RateBucket::new(now, allowance.share, SHARE_BURST),
+            granted: 0.0,
+            allowed: cap.as_ref().map_or(0.0, RateBucket::burst),
+            cap,
+        }
+    }
+
+    fn refill(&mut self, now: TimePoint, allowance: AccountAllowance) {
+        self.share.refill(now, allowance.share);
+        match (&mut self.cap, allowance.cap) {
+            (Some(bucket), Some(cap)) => self.allowed += bucket.refill(now, cap),
+            (_, cap) => {
+                self.cap = cap.map(|cap| RateBucket::new(now, cap, CAP_BURST));
+                self.granted = 0.0;
+                self.allowed = self.cap.as_ref().map_or(0.0, RateBucket::burst);
+            }
+        }
+    }
+
+    fn inherit(&mut self, inherited: TokenCount) {
+        self.share.inherit(inherited);
+        if let Some(cap) = &mut self.cap {
+            cap.inherit(inherited);
+        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.share.is_full() && self.cap.as_ref().is_none_or(RateBucket::is_full)
+    }
+}
+
+/// Hands out the shares and rate caps of the accounts whose home this entry is.
+///
+/// Invariant: what is granted for a capped account in any span is at most its cap over that
+/// span plus one burst; so is what is granted as within its share.
+#[derive(Debug, Default)]
+pub struct GrantHome {
+    records: BTreeMap<AccountId, HomeRecord>,
+}
+
 impl GrantHome {
     /// A home that knows no account yet.
     #[must_use]
@@ -89,50 +142,61 @@
     /// Number of accounts that the home remembers.
     #[must_use]
     pub fn accounts(&self) -> usize {
-        self.buckets.len()
+        self.records.len()
     }
 
-    /// Answers an entry's report, given the rate cap of the account's plan.
+    /// Answers an entry's report, given what the account may use now.
     ///
     /// # Panics
     ///
     /// If more was granted than the cap allows: that is a broken invariant.
-    pub fn grant(&mut self, now: TimePoint, report: &DemandReport, cap: TokenRate) -> TokenGrant {
-        let rate = cap.0 as f64;
+    pub fn grant(
+        &mut self,
+        now: TimePoint,
+        report: &DemandReport,
+        allowance: AccountAllowance,
+    ) -> TokenGrant {
         let record = self
-            .buckets
+            .records
             .entry(report.account.clone())
-            .or_insert_with(|| HomeRecord {
-                bucket: CapBucket::new(now, rate),
-                granted: 0.0,
-                allowed: rate * BURST.as_secs_f64(),
-            });
-        let elapsed = now.since(record.bucket.updated).as_secs_f64();
-        record.allowed += record.bucket.rate.max(rate) * elapsed;
-        record.bucket.refill(now, rate);
-        record.bucket.inherit(report.inherited);
-        let tokens = record.bucket.take(report.wanted);
-        record.granted += tokens.0 as f64;
-        assert!(
-            record.granted <= record.allowed + 1.0,
-            "account {} was granted more than its cap",
-            report.account
-        );
-        let missing = report.wanted.0.saturating_sub(tokens.0);
+            .or_insert_with(|| HomeRecord::new(now, allowance));
+        record.refill(now, allowance);
+        record.inherit(report.inherited);
+        let (total, cap_retry) = match &mut record.cap {
+            Some(cap) => cap.take(report.wanted),
+            None => (report.wanted, TimeSpan::ZERO),
+        };
+        let (within, _) = record.share.take(total);
+        let missing = report.wanted.0 - within.0;
+        // Where the cap is what holds back, more of the share waits for the cap.
+        let share_retry = record.share.time_until(missing as f64).max(cap_retry);
+        if record.cap.is_some() {
+            record.granted += total.0 as f64;
+            assert!(
+                record.granted <= record.allowed + 1.0,
+                "account {} was granted more than its cap",
+                report.account
+            );
+        }
+        let excess = TokenCount(total.0 - within.0);
         TokenGrant {
             account: report.account.clone(),
             number: report.number,
-            tokens,
-            retry_after: record.bucket.time_until(missing as f64),
+            within,
+            excess: record.cap.is_some().then_some(excess),
+            share_retry,
+            cap_retry,
         }
     }
 
-    /// Forgets accounts whose cap has filled up again.
+    /// Forgets accounts whose share and cap have filled up again.
     pub fn forget_idle(&mut self, now: TimePoint) {
-        self.buckets.retain(|_, record| {
-            let mut bucket = record.bucket.clone();
-            bucket.refill(now, bucket.rate);
-            bucket.level < bucket.burst()
+        self.records.retain(|_, record| {
+            record.share.refill(now, record.share.rate);
+            if let Some(cap) = &mut record.cap {
+                record.allowed += cap.refill(now, cap.rate);
+            }
+            !record.is_full()
         });
     }
 }
@@ -140,5 +204,5 @@
 /// The whole part of a level; zero if it is negative.
 fn whole_tokens(level: f64) -> u64 {
     // Durations round down and check the range, which a plain cast does not.
-    std::time::Duration::try_from_secs_f64(level).map_or(0, |whole| whole.as_secs())
+    Duration::try_from_secs_f64(level).map_or(0, |whole| whole.as_secs())
 }
--- a/crates/celerycrank-shares/src/queue.rs
+++ b/crates/celerycrank-shares/src/queue.rs
@@ -1,21 +1,26 @@
 //! The fair queue of an agent.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use celerycrank_config::PriorityClass;
-use celerycrank_types::{AccountId, RefusalReason, RequestId, TimePoint, TimeSpan, TokenCount};
+use celerycrank_types::{
+    AccountId, RefusalReason, RequestId, TimePoint, TimeSpan, TokenCount, TokenRate,
+};
 
 use crate::{
-    account::{AccountQueue, VirtualTime, WaitingRequest},
+    account::WaitingRequest,
     meter::ServiceMeter,
-    request::{QueueRefusal, QueueRequest, QueueStep, StartedRequest},
+    order::FairOrder,
+    request::{QueueRefusal, QueueRequest, QueueStep, ShareBand, StartedRequest},
 };
 
 /// Retry-After while nothing has been measured yet.
 const UNMEASURED_RETRY: TimeSpan = TimeSpan::from_secs(1);
 
-/// Number of priority classes.
-const CLASS_COUNT: usize = 3;
+/// Part of the wait that is added to an estimate, since service times vary.
+const WAIT_MARGIN: f64 = 0.25;
 
 /// Settings of a fair queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, bon::Builder)]
@@ -32,6 +37,7 @@
 /// Where a waiting request stands.
 #[derive(Debug, Clone)]
 struct QueuePlace {
+    band: ShareBand,
     account: AccountId,
     sequence: u64,
 }
@@ -39,45 +45,29 @@
 /// A request that holds a slot.
 #[derive(Debug, Clone)]
 struct RunningRequest {
+    band: ShareBand,
     account: AccountId,
     cost: TokenCount,
     started: TimePoint,
 }
 
-/// Weighted fair queue over accounts, in front of one backend server.
+/// Fair queue over accounts, in front of one backend server.
 ///
-/// Each account carries the virtual time up to which it has been served: tokens for each unit
-/// of weight. The account that is furthest behind is always eligible, as is each one that is
-/// ahead of it by no more than the burst. Among the eligible the higher class goes first, then
-/// the account further behind. A class therefore buys a shorter wait and never a larger share.
+/// What is within its account's share of the whole fleet goes before what exceeds it. Within
+/// each of the two bands the accounts are served in weighted fair order.
 ///
 /// Invariants:
 /// - no request waits while a slot is free (work conservation);
 /// - at most `capacity` requests wait and at most `concurrency` run;
-/// - an account is known only while it waits, runs, or is ahead of the virtual time;
-/// - the virtual time never goes back.
+/// - a request is in one place: it waits, runs, or is gone.
 #[derive(Debug)]
 pub struct FairQueue {
     settings: QueueSettings,
-    accounts: BTreeMap<AccountId, AccountQueue>,
+    within: FairOrder,
+    excess: FairOrder,
     places: BTreeMap<RequestId, QueuePlace>,
     running: BTreeMap<RequestId, RunningRequest>,
-    /// Accounts with waiting requests that are within their share, by class.
-    eligible: [BTreeSet<(VirtualTime, AccountId)>; CLASS_COUNT],
-    /// Accounts with waiting requests that are ahead of their share.
-    ahead: BTreeSet<(VirtualTime, AccountId)>,
-    /// Accounts with waiting requests, by the virtual time up to which they were served.
-    served: BTreeSet<(VirtualTime, AccountId)>,
-    /// Accounts with waiting requests, by waiting work for each unit of weight.
-    backlog: BTreeSet<(i128, AccountId)>,
-    /// Accounts of which nothing waits or runs, still ahead of the virtual time.
-    idle: BTreeSet<(VirtualTime, AccountId)>,
     deadlines: BTreeSet<(TimePoint, RequestId)>,
-    virtual_time: VirtualTime,
-    /// Invariant: the sum of the weights of the accounts in `served`.
-    waiting_weight: u64,
-    /// Invariant: the sum of the costs of all waiting requests.
-    waiting_cost: u64,
     next_sequence: u64,
     meter: ServiceMeter,
 }
@@ -88,18 +78,11 @@
     pub fn new(settings: QueueSettings) -> Self {
         Self {
             settings,
-            accounts: BTreeMap::new(),
+            within: FairOrder::new(settings.burst),
+            excess: FairOrder::new(settings.burst),
             places: BTreeMap::new(),
             running: BTreeMap::new(),
-            eligible: Default::default(),
-            ahead: BTreeSet::new(),
-            served: BTreeSet::new(),
-            backlog: BTreeSet::new(),
-            idle: BTreeSet::new(),
             deadlines: BTreeSet::new(),
-            virtual_time: VirtualTime::default(),
-            waiting_weight: 0,
-            waiting_cost: 0,
             next_sequence: 0,
             meter: ServiceMeter::default(),
         }
@@ -117,16 +100,16 @@
         self.running.len()
     }
 
-    /// Estimated work of all requests that wait.
+    /// Estimated work of the waiting requests of a band.
     #[must_use]
-    pub const fn waiting_cost(&self) -> TokenCount {
-        TokenCount(self.waiting_cost)
+    pub const fn waiting_cost(&self, band: ShareBand) -> TokenCount {
+        self.order(band).waiting_cost()
     }
 
     /// Number of accounts that the queue remembers.
     #[must_use]
     pub fn accounts(&self) -> usize {
-        self.accounts.len()
+        self.within.accounts() + self.excess.accounts()
     }
 
     /// The next point at which a waiting request would be refused.
@@ -135,6 +118,14 @@
         self.deadlines.first().map(|(point, _)| *point)
     }
 
+    /// Tokens a second that the backend server works off; `None` before anything was measured.
+    #[must_use]
+    pub fn rate(&self) -> Option<TokenRate> {
+        let rate = self.meter.slot_rate()? * f64::from(self.settings.concurrency);
+        let whole = Duration::try_from_secs_f64(rate).ok()?.as_secs();
+        Some(TokenRate(whole))
+    }
+
     /// How long a new request of this kind would wait; zero before anything was measured.
     #[must_use]
     pub fn expected_wait(&self, request: &QueueRequest) -> TimeSpan {
@@ -145,10 +136,15 @@
         if free && self.places.is_empty() {
             return TimeSpan::ZERO;
         }
-        let concurrency = f64::from(self.settings.concurrency);
-        let rate = slot_rate * concurrency;
-        let ahead = self.work_ahead(request).min(self.waiting_cost as f64);
-        seconds(ahead / rate + self.meter.mean_hold() / concurrency)
+        let rate = slot_rate * f64::from(self.settings.concurrency);
+        let ahead = match request.band {
+            ShareBand::Within => self.within.work_ahead(request) / rate,
+            ShareBand::Excess => {
+                let rest = rate * self.meter.excess_part();
+                self.within.waiting_cost().0 as f64 / rate + self.excess.work_ahead(request) / rest
+            }
+        };
+        seconds(ahead * (1.0 + WAIT_MARGIN)) + self.next_slot()
     }
 
     /// Offers a request; refuses it at once where it can't start within its deadline.
@@ -177,11 +173,8 @@
         let wait = self.expected_wait(request);
         let allowed = request.start_by.since(now);
         if wait > allowed || request.start_by < now {
-            return Err(QueueRefusal {
-                id: request.id,
-                reason: RefusalReason::DeadlineUnreachable,
-                retry_after: self.retry_after(wait.saturating_sub(allowed)),
-            });
+            let late = wait.saturating_sub(allowed);
+            return Err(self.refusal(request.id, RefusalReason::DeadlineUnreachable, late));
         }
         self.enqueue(now, request);
         let evicted = (self.places.len() > self.settings.capacity as usize).then(|| self.evict());
@@ -193,15 +186,17 @@
     }
 
     /// Refuses what is overdue, then starts as many requests as there are free slots.
+    ///
+    /// # Panics
+    ///
+    /// If a request waits although a slot is free: that is a broken invariant.
     pub fn advance(&mut self, now: TimePoint) -> QueueStep {
         let mut step = QueueStep::default();
         while let Some(id) = self.overdue(now) {
             self.remove(id);
-            step.refused.push(QueueRefusal {
-                id,
-                reason: RefusalReason::DeadlineUnreachable,
-                retry_after: self.retry_after(self.drain_time()),
-            });
+            let wait = self.drain_time();
+            let refusal = self.refusal(id, RefusalReason::DeadlineUnreachable, wait);
+            step.refused.push(refusal);
         }
         while self.running.len() < self.settings.concurrency as usize {
             match self.start_next(now) {
@@ -210,6 +205,10 @@
             }
         }
         self.assert_bounds();
+        assert!(
+            self.places.is_empty() || self.running.len() == self.settings.concurrency as usize,
+            "a request waits although a slot is free"
+        );
         step
     }
 
@@ -218,12 +217,10 @@
         let Some(request) = self.running.remove(&id) else {
             return false;
         };
-        self.meter.record(used, now.since(request.started));
-        self.change(&request.account, |account| {
-            account.running -= 1;
-            account.charge(i128::from(used.0) - i128::from(request.cost.0));
-        });
-        self.advance_virtual_time();
+        self.meter
+            .record(request.band, used, now.since(request.started));
+        self.order_mut(request.band)
+            .settle(&request.account, request.cost, used);
         true
     }
 
@@ -232,78 +229,53 @@
         let Some(place) = self.places.remove(&id) else {
             return false;
         };
-        self.take(&place);
-        self.advance_virtual_time();
+        let request = self
+            .order_mut(place.band)
+            .remove(&place.account, place.sequence);
+        self.deadlines.remove(&(request.start_by, id));
         true
     }
 
-    /// Work that is served before a new request: the account's own, at its part of the rate.
-    fn work_ahead(&self, request: &QueueRequest) -> f64 {
-        let weight = f64::from(request.weight.get());
-        let (own, others) = match self.accounts.get(&request.account) {
-            Some(account) => {
-                let debt = account
-                    .served
-                    .tokens_ahead(self.virtual_time, account.weight);
-                let counted = if account.waiting.is_empty() {
-                    0
-                } else {
-                    u64::from(account.weight.get())
-                };
-                let others = self.waiting_weight - counted;
-                (account.waiting_cost as f64 + debt, others)
-            }
-            None => (0.0, self.waiting_weight),
-        };
-        own * (others as f64 + weight) / weight
+    const fn order(&self, band: ShareBand) -> &FairOrder {
+        match band {
+            ShareBand::Within => &self.within,
+            ShareBand::Excess => &self.excess,
+        }
+    }
+
+    const fn order_mut(&mut self, band: ShareBand) -> &mut FairOrder {
+        match band {
+            ShareBand::Within => &mut self.within,
+            ShareBand::Excess => &mut self.excess,
+        }
     }
 
     fn enqueue(&mut self, now: TimePoint, request: &QueueRequest) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let virtual_time = self.virtual_time;
-        self.accounts
-            .entry(request.account.clone())
-            .or_insert_with(|| AccountQueue::new(request.weight, request.class, virtual_time));
-        self.change(&request.account, |account| {
-            if account.waiting.is_empty() {
-                // An account gains no credit while it asks for nothing.
-                account.served = account.served.max(virtual_time);
-            }
-            account.weight = request.weight;
-            account.class = request.class;
-            account.append(
-                sequence,
-                WaitingRequest {
-                    id: request.id,
-                    cost: request.cost,
-                    arrived: now,
-                    start_by: request.start_by,
-                },
-            );
-        });
-        self.waiting_cost += request.cost.0;
+        let item = WaitingRequest {
+            id: request.id,
+            cost: request.cost,
+            arrived: now,
+            start_by: request.start_by,
+        };
+        self.order_mut(request.band).append(request, sequence, item);
         self.deadlines.insert((request.start_by, request.id));
-        let account = request.account.clone();
-        self.places
-            .insert(request.id, QueuePlace { account, sequence });
-        self.advance_virtual_time();
+        let place = QueuePlace {
+            band: request.band,
+            account: request.account.clone(),
+            sequence,
+        };
+        self.places.insert(request.id, place);
     }
 
     fn evict(&mut self) -> QueueRefusal {
-        let (_, account) = self.backlog.last().expect("a full queue has a backlog");
-        let queue = &self.accounts[account];
-        let (_, request) = queue
-            .waiting
-            .last_key_value()
-            .expect("an account in the backlog has a waiting request");
-        let id = request.id;
-        self.remove(id);
-        QueueRefusal {
-            id,
-            reason: RefusalReason::QueueFull,
-            retry_after: self.retry_after(self.drain_time()),
-        }
+        let excess = self.excess.most_backlogged();
+        let request = excess
+            .or_else(|| self.within.most_backlogged())
+            .expect("a full queue has a backlog");
+        self.remove(request.id);
+        self.refusal(request.id, RefusalReason::QueueFull, self.drain_time())
     }
 
     fn overdue(&self, now: TimePoint) -> Option<RequestId> {
@@ -312,152 +284,47 @@
     }
 
     fn start_next(&mut self, now: TimePoint) -> Option<StartedRequest> {
-        let account = self
-            .eligible
-            .iter()
-            .find_map(|class| class.first())?
-            .1
-            .clone();
-        let queue = &self.accounts[&account];
-        let (sequence, _) = queue
-            .waiting
-            .first_key_value()
-            .expect("an eligible account has a waiting request");
-        let place = QueuePlace {
-            account: account.clone(),
-            sequence: *sequence,
+        let (band, (account, request)) = match self.within.start_first() {
+            Some(first) => (ShareBand::Within, first),
+            None => (ShareBand::Excess, self.excess.start_first()?),
         };
-        let request = self.take(&place);
         self.places.remove(&request.id);
-        self.change(&account, |account| {
-            account.running += 1;
-            account.charge(i128::from(request.cost.0));
-        });
-        self.running.insert(
-            request.id,
-            RunningRequest {
-                account,
-                cost: request.cost,
-                started: now,
-            },
-        );
-        self.advance_virtual_time();
+        self.deadlines.remove(&(request.start_by, request.id));
+        let running = RunningRequest {
+            band,
+            account,
+            cost: request.cost,
+            started: now,
+        };
+        self.running.insert(request.id, running);
         Some(StartedRequest {
             id: request.id,
             waited: now.since(request.arrived),
         })
     }
 
-    /// Takes a request out of its account's queue.
-    fn take(&mut self, place: &QueuePlace) -> WaitingRequest {
-        let request = self
-            .change(&place.account, |account| account.take(place.sequence))
-            .expect("a place names a waiting request");
-        self.waiting_cost -= request.cost.0;
-        self.deadlines.remove(&(request.start_by, request.id));
-        request
-    }
-
-    /// Changes an account and keeps the sets that order the accounts in step.
-    fn change<T>(&mut self, id: &AccountId, edit: impl FnOnce(&mut AccountQueue) -> T) -> T {
-        let mut account = self
-            .accounts
-            .remove(id)
-            .expect("a request in the queue has an account");
-        self.unlist(id, &account);
-        let result = edit(&mut account);
-        self.list(id, &account);
-        self.accounts.insert(id.clone(), account);
-        result
-    }
-
-    fn unlist(&mut self, id: &AccountId, account: &AccountQueue) {
-        let key = (account.served, id.clone());
-        if account.waiting.is_empty() {
-            self.idle.remove(&key);
-            return;
-        }
-        let eligible_at = account.eligible_at(self.settings.burst);
-        self.ahead.remove(&(eligible_at, id.clone()));
-        self.eligible[class_index(account.class)].remove(&key);
-        self.backlog.remove(&(account.backlog(), id.clone()));
-        self.served.remove(&key);
-        self.waiting_weight -= u64::from(account.weight.get());
-    }
-
-    fn list(&mut self, id: &AccountId, account: &AccountQueue) {
-        let key = (account.served, id.clone());
-        if account.is_idle() {
-            self.idle.insert(key);
-            return;
-        }
-        if account.waiting.is_empty() {
-            return;
-        }
-        let eligible_at = account.eligible_at(self.settings.burst);
-        if eligible_at <= self.virtual_time {
-            self.eligible[class_index(account.class)].insert(key.clone());
-        } else {
-            self.ahead.insert((eligible_at, id.clone()));
-        }
-        self.backlog.insert((account.backlog(), id.clone()));
-        self.served.insert(key);
-        self.waiting_weight += u64::from(account.weight.get());
-    }
-
-    /// Brings the virtual time up to the account that is furthest behind.
-    fn advance_virtual_time(&mut self) {
-        let furthest_behind = match self.served.first() {
-            Some((served, _)) => *served,
-            // Without contention nobody is ahead of a share.
-            None => self.latest_served(),
-        };
-        self.virtual_time = self.virtual_time.max(furthest_behind);
-        self.admit_eligible();
-        self.forget_idle();
-    }
-
-    fn latest_served(&self) -> VirtualTime {
-        let latest = self.idle.last().map(|(served, _)| *served);
-        latest.unwrap_or_default()
-    }
-
-    fn admit_eligible(&mut self) {
-        while let Some((eligible_at, _)) = self.ahead.first() {
-            if *eligible_at > self.virtual_time {
-                break;
-            }
-            if let Some((_, id)) = self.ahead.pop_first() {
-                let account = &self.accounts[&id];
-                self.eligible[class_index(account.class)].insert((account.served, id));
-            }
-        }
-    }
-
-    fn forget_idle(&mut self) {
-        while let Some((served, _)) = self.idle.first() {
-            if *served > self.virtual_time {
-                break;
-            }
-            if let Some((_, id)) = self.idle.pop_first() {
-                self.accounts.remove(&id);
-            }
-        }
+    /// Mean time until the next slot falls free.
+    fn next_slot(&self) -> TimeSpan {
+        seconds(self.meter.mean_hold() / f64::from(self.settings.concurrency))
     }
 
     /// Time after which the queue as it stands has been worked off.
     fn drain_time(&self) -> TimeSpan {
+        let waiting = self.within.waiting_cost() + self.excess.waiting_cost();
         let concurrency = f64::from(self.settings.concurrency);
         match self.meter.slot_rate() {
-            Some(rate) => seconds(self.waiting_cost as f64 / (rate * concurrency)),
+            Some(rate) => seconds(waiting.0 as f64 / (rate * concurrency)),
             None => UNMEASURED_RETRY,
         }
     }
 
-    /// At least the mean time until a slot falls free: sooner, nothing has changed.
-    fn retry_after(&self, wait: TimeSpan) -> TimeSpan {
-        let concurrency = f64::from(self.settings.concurrency);
-        wait.max(seconds(self.meter.mean_hold() / concurrency))
+    /// Nothing has changed before the next slot falls free.
+    fn refusal(&self, id: RequestId, reason: RefusalReason, wait: TimeSpan) -> QueueRefusal {
+        QueueRefusal {
+            id,
+            reason,
+            retry_after: wait.max(self.next_slot()),
+        }
     }
 
     fn assert_bounds(&self) {
@@ -469,17 +336,13 @@
             self.running.len() <= self.settings.concurrency as usize,
             "more requests run than there are slots"
         );
-    }
-}
-
-const fn class_index(class: PriorityClass) -> usize {
-    match class {
-        PriorityClass::High => 0,
-        PriorityClass::Normal => 1,
-        PriorityClass::Low => 2,
+        assert!(
+            self.deadlines.len() == self.places.len(),
+            "a request that is gone still has a deadline"
+        );
     }
 }
 
 fn seconds(seconds: f64) -> TimeSpan {
-    std::time::Duration::try_from_secs_f64(seconds).map_or(TimeSpan(u64::MAX), TimeSpan::from)
+    Duration::try_from_secs_f64(seconds).map_or(TimeSpan(u64::MAX), TimeSpan::from)
 }
--- a/crates/celerycrank-shares/src/request.rs
+++ b/crates/celerycrank-shares/src/request.rs
@@ -6,6 +6,17 @@
 };
 use smallvec::SmallVec;
 
+/// Whether a request is within its account's share of the whole fleet.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+pub enum ShareBand {
+    /// The account's home granted it as part of the account's share; goes first.
+    Within,
+    /// It takes what the others leave.
+    Excess,
+}
+
 /// A request that asks for a place in a fair queue.
 #[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
 pub struct QueueRequest {
@@ -17,6 +28,9 @@
     pub weight: ShareWeight,
     /// Whether the request goes first while its account is within its share.
     pub class: PriorityClass,
+    /// Whether the request is within the account's share.
+    #[builder(default = ShareBand::Excess)]
+    pub band: ShareBand,
     /// Estimated work; corrected by [`FairQueue::settle`](crate::FairQueue::settle).
     pub cost: TokenCount,
     /// Latest point at which it may start.
--- a/crates/celerycrank-shares/tests/grants.rs
+++ b/crates/celerycrank-shares/tests/grants.rs
@@ -4,8 +4,8 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use celerycrank_shares::{
-    ANSWER_TIMEOUT, Admission, DemandReport, GRANT_LIFE, GrantHolder, GrantHome, TokenGrant,
-    home_of,
+    ANSWER_TIMEOUT, AccountAllowance, Admission, DemandReport, GRANT_LIFE, GrantHolder, GrantHome,
+    TokenGrant, home_of,
 };
 use celerycrank_types::{AccountId, EntryId, TimePoint, TimeSpan, TokenCount, TokenRate};
 
@@ -18,6 +18,11 @@
 
 const CAP: TokenRate = TokenRate(1_000);
 
+const ALLOWANCE: AccountAllowance = AccountAllowance {
+    share: TokenRate(400),
+    cap: Some(CAP),
+};
+
 const HOLDERS: usize = 4;
 
 /// Holders of one account, the home that serves it, and the messages on their way.
@@ -54,7 +59,7 @@
     fn ask(&mut self, holder: usize, cost: u64, waited: bool) {
         let (home, cost) = (&self.homes[self.active], TokenCount(cost));
         match self.holders[holder].admit(self.now, home, &self.account, cost) {
-            Admission::Admitted => {
+            Admission::Admitted(_) => {
                 self.admitted += cost.0;
                 self.excused += if waited { cost.0 } else { 0 };
             }
@@ -82,7 +87,7 @@
         let Some((holder, report)) = self.reports.pop_front() else {
             return Ok(());
         };
-        let grant = self.home.grant(self.now, &report, CAP);
+        let grant = self.home.grant(self.now, &report, ALLOWANCE);
         self.grants.push_back((holder, grant));
         if u.ratio(1, 8)? {
             self.reports.push_back((holder, report));
@@ -151,7 +156,7 @@
         scene.now = TimePoint(1_000_000 + millisecond * 1_000);
         scene.ask(usize::try_from(millisecond).unwrap() % HOLDERS, 10, false);
         while let Some((holder, report)) = scene.reports.pop_front() {
-            let grant = scene.home.grant(scene.now, &report, CAP);
+            let grant = scene.home.grant(scene.now, &report, ALLOWANCE);
             scene.holders[holder].note_grant(scene.now, &grant);
         }
     }
