--- a/crates/celerycrank-bench/src/groups.rs
+++ b/crates/celerycrank-bench/src/groups.rs
@@ -1,6 +1,10 @@
 //! Placement policies of lock-step groups, and long runs of the switch protocol.
 
+mod placement;
+mod plot;
+mod replay;
 mod switch;
+mod trace;
 
 use clap::Subcommand;
 
@@ -13,6 +17,8 @@
 
 #[derive(Debug, Subcommand)]
 enum GroupsCommand {
+    /// Skew against cost of each way to keep the map, on seeded traces.
+    Placement(placement::PlacementArgs),
     /// Long random runs of the switch protocol with faults.
     Switch(switch::SwitchArgs),
 }
@@ -20,6 +26,7 @@
 /// Runs the measurement and prints its table.
 pub(crate) fn run(args: &GroupsArgs) {
     match &args.command {
+        GroupsCommand::Placement(args) => placement::run(args),
         GroupsCommand::Switch(args) => switch::run(args),
     }
 }
--- /dev/null
+++ b/crates/celerycrank-bench/src/groups/placement.rs
@@ -0,0 +1,127 @@
+//! Skew against cost for each way to keep the map.
+
+use std::path::PathBuf;
+
+use celerycrank_groups::{MapShape, PlacementPreset};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    plot,
+    replay::{Contender, ReplayReport, replay},
+    trace::{LoadTrace, TraceKind},
+};
+
+const BYTES_PER_GIB: f64 = (1_u64 << 30) as f64;
+
+/// Arguments of the measurement.
+#[derive(Debug, clap::Args)]
+pub(crate) struct PlacementArgs {
+    /// Seed of every random choice.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Layers of the model.
+    #[arg(long, default_value_t = 8)]
+    layers: u16,
+    /// Only this trace.
+    #[arg(long)]
+    trace: Option<TraceKind>,
+    /// Where to write the plot.
+    #[arg(long)]
+    plot: Option<PathBuf>,
+}
+
+/// Replays every trace with every contender and prints the table.
+pub(crate) fn run(args: &PlacementArgs) {
+    let shape = MapShape::builder()
+        .layers(args.layers)
+        .experts(64)
+        .ranks(32)
+        .slots(3)
+        .build();
+    println!(
+        "seed {}, {} layers, 64 experts, 32 ranks, 3 slots",
+        args.seed, args.layers
+    );
+    println!(
+        "| trace | map | mean skew | p99 skew | GiB loaded | switches | slowest decision, ms |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    let mut points = Vec::new();
+    for kind in TraceKind::ALL
+        .into_iter()
+        .filter(|it| args.trace.is_none_or(|only| only == *it))
+    {
+        let trace = LoadTrace::new(kind, shape, &mut ChaCha8Rng::seed_from_u64(args.seed));
+        let reports = contenders().map(|it| (it, replay(&trace, it, args.seed)));
+        for (contender, report) in reports {
+            print_row(kind, contender, &report);
+            points.push((kind, contender, report));
+        }
+    }
+    print_targets(&points);
+    if let Some(path) = &args.plot {
+        std::fs::write(path, plot::draw(&points)).expect("the plot's path can be written");
+    }
+}
+
+fn contenders() -> impl Iterator<Item = Contender> {
+    let named = [
+        Contender::Static,
+        Contender::Periodic,
+        Contender::Greedy,
+        Contender::Oracle,
+        Contender::Preset(PlacementPreset::AuctionHouse),
+        Contender::Preset(PlacementPreset::CoOp),
+    ];
+    let auction = [0.03, 0.1, 1.0].map(|it| Contender::Weight(PlacementPreset::AuctionHouse, it));
+    let coop = [0.01, 0.02, 0.05].map(|it| Contender::Weight(PlacementPreset::CoOp, it));
+    named.into_iter().chain(auction).chain(coop)
+}
+
+fn print_row(kind: TraceKind, contender: Contender, report: &ReplayReport) {
+    println!(
+        "| {} | {} | {:.3} | {:.3} | {:.1} | {} | {:.1} |",
+        kind.name(),
+        contender.name(),
+        report.mean_skew,
+        report.p99_skew,
+        report.bytes as f64 / BYTES_PER_GIB,
+        report.switches,
+        report.slowest_decision.as_secs_f64() * 1e3,
+    );
+}
+
+/// Prints what the targets compare, trace by trace.
+fn print_targets(points: &[(TraceKind, Contender, ReplayReport)]) {
+    println!(
+        "\n| trace | auction skew / periodic | auction bytes / periodic | co-op bytes / periodic | co-op gain / periodic gain |"
+    );
+    println!("|---|---|---|---|---|");
+    for kind in TraceKind::ALL {
+        let find = |contender| {
+            let mut found = points
+                .iter()
+                .filter(|(it, other, _)| (*it, *other) == (kind, contender));
+            found.next().map(|(_, _, report)| report)
+        };
+        let (Some(fixed), Some(periodic), Some(auction), Some(coop)) = (
+            find(Contender::Static),
+            find(Contender::Periodic),
+            find(Contender::Preset(PlacementPreset::AuctionHouse)),
+            find(Contender::Preset(PlacementPreset::CoOp)),
+        ) else {
+            continue;
+        };
+        let gain = |report: &ReplayReport| fixed.mean_skew - report.mean_skew;
+        let bytes = |report: &ReplayReport| report.bytes as f64 / periodic.bytes as f64;
+        println!(
+            "| {} | {:.3} | {:.3} | {:.3} | {:.2} |",
+            kind.name(),
+            auction.mean_skew / periodic.mean_skew,
+            bytes(auction),
+            bytes(coop),
+            gain(coop) / gain(periodic),
+        );
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-bench/src/groups/trace.rs
@@ -0,0 +1,177 @@
+//! Seeded traces of expert popularity.
+
+use celerycrank_groups::{LoadTable, MapShape};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+/// Time between two rows of a trace, in minutes.
+const MINUTES_PER_DAY: usize = 24 * 60;
+/// Spread of the logarithm of popularity among experts.
+const POPULARITY_SPREAD: f64 = 0.7;
+/// Factor by which a hot expert is more popular.
+const HOT_FACTOR: f64 = 8.0;
+/// Tokens of a group in a minute by day.
+const DAY_TOKENS: f64 = 200_000.0;
+/// Part of the day's tokens that come in a calm night.
+const NIGHT_PART: f64 = 0.03;
+
+/// The shape of a trace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub(crate) enum TraceKind {
+    /// Popularity wanders over hours.
+    SlowDrift,
+    /// One expert of each layer becomes hot and stays so.
+    SuddenHot,
+    /// One expert of each layer is hot for a few minutes, six times a day.
+    PassingHot,
+    /// Two popularities take turns at 06:00 and 18:00.
+    DailyShift,
+    /// Few tokens at night, so that observed loads are noisy.
+    CalmNight,
+}
+
+impl TraceKind {
+    /// Every kind.
+    pub(crate) const ALL: [Self; 5] = [
+        Self::SlowDrift,
+        Self::SuddenHot,
+        Self::PassingHot,
+        Self::DailyShift,
+        Self::CalmNight,
+    ];
+
+    /// The name in tables.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::SlowDrift => "slow drift",
+            Self::SuddenHot => "sudden hot",
+            Self::PassingHot => "passing hot",
+            Self::DailyShift => "daily shift",
+            Self::CalmNight => "calm night",
+        }
+    }
+
+    /// Days that the trace lasts.
+    const fn days(self) -> usize {
+        match self {
+            Self::DailyShift => 3,
+            _ => 1,
+        }
+    }
+}
+
+/// Loads minute by minute.
+#[derive(Debug)]
+pub(crate) struct LoadTrace {
+    pub(crate) shape: MapShape,
+    /// Expected loads.
+    pub(crate) expected: Vec<LoadTable>,
+    /// Loads as they came, with the noise of a finite number of tokens.
+    pub(crate) actual: Vec<LoadTable>,
+}
+
+impl LoadTrace {
+    /// The trace of a kind.
+    pub(crate) fn new(kind: TraceKind, shape: MapShape, rng: &mut ChaCha8Rng) -> Self {
+        let layers = usize::from(shape.layers);
+        let mut tracks = (0..layers)
+            .map(|_| LayerTrack::new(shape, rng))
+            .collect::<Vec<_>>();
+        let mut trace = Self {
+            shape,
+            expected: Vec::new(),
+            actual: Vec::new(),
+        };
+        for minute in 0..kind.days() * MINUTES_PER_DAY {
+            let mut expected = LoadTable::new(shape);
+            let mut actual = LoadTable::new(shape);
+            let tokens = DAY_TOKENS * volume(kind, minute);
+            for (layer, track) in tracks.iter_mut().enumerate() {
+                let loads = track.loads(kind, minute, rng);
+                for (expert, load) in loads.iter().enumerate() {
+                    let count = load * tokens;
+                    expected.layer_mut(layer)[expert] = count;
+                    actual.layer_mut(layer)[expert] = (count + noise(rng) * count.sqrt()).max(0.0);
+                }
+            }
+            trace.expected.push(expected);
+            trace.actual.push(actual);
+        }
+        trace
+    }
+}
+
+/// The popularity of one layer's experts.
+#[derive(Debug)]
+struct LayerTrack {
+    day: Vec<f64>,
+    night: Vec<f64>,
+    hot: usize,
+}
+
+impl LayerTrack {
+    fn new(shape: MapShape, rng: &mut ChaCha8Rng) -> Self {
+        let experts = usize::from(shape.experts);
+        let mut spread = || {
+            (0..experts)
+                .map(|_| noise(rng) * POPULARITY_SPREAD)
+                .collect()
+        };
+        let (day, night) = (spread(), spread());
+        Self {
+            day,
+            night,
+            hot: rng.random_range(0..experts),
+        }
+    }
+
+    fn loads(&mut self, kind: TraceKind, minute: usize, rng: &mut ChaCha8Rng) -> Vec<f64> {
+        if kind == TraceKind::SlowDrift {
+            self.drift(rng);
+        }
+        let hour = minute / 60 % 24;
+        let is_day = kind != TraceKind::DailyShift || (6..18).contains(&hour);
+        let logs = if is_day { &self.day } else { &self.night };
+        let mut loads = logs.iter().map(|log| log.exp()).collect::<Vec<_>>();
+        if is_hot(kind, minute) {
+            let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+            loads[self.hot] = mean * HOT_FACTOR;
+        }
+        let sum = loads.iter().sum::<f64>();
+        for load in &mut loads {
+            *load /= sum;
+        }
+        loads
+    }
+
+    /// A wandering logarithm that keeps its spread and forgets itself over six hours.
+    fn drift(&mut self, rng: &mut ChaCha8Rng) {
+        let pull = 1.0 / 360.0;
+        let push = POPULARITY_SPREAD * (2.0_f64 * pull).sqrt();
+        for log in &mut self.day {
+            *log += push * noise(rng) - pull * *log;
+        }
+    }
+}
+
+fn is_hot(kind: TraceKind, minute: usize) -> bool {
+    match kind {
+        TraceKind::SuddenHot => minute >= 8 * 60,
+        TraceKind::PassingHot => minute % 240 >= 120 && minute % 240 < 124,
+        _ => false,
+    }
+}
+
+fn volume(kind: TraceKind, minute: usize) -> f64 {
+    let hour = minute / 60 % 24;
+    let is_night = !(6..22).contains(&hour);
+    match (kind, is_night) {
+        (TraceKind::CalmNight, true) => NIGHT_PART,
+        _ => 1.0,
+    }
+}
+
+/// A draw from the normal distribution, as a sum of twelve even ones.
+fn noise(rng: &mut ChaCha8Rng) -> f64 {
+    (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
+}
--- a/crates/celerycrank-groups/src/lib.rs
+++ b/crates/celerycrank-groups/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing here performs I/O or reads a clock. [`SwitchMember`] and [`SwitchLead`] switch a
 //! group from one map to the next; [`GroupFormer`] forms the group anew after the loss of a
-//! rank.
+//! rank. [`PlacementPolicy`] decides what to move.
 
 mod agent;
 mod audit;
@@ -10,6 +10,7 @@
 mod map;
 mod message;
 mod number;
+mod policy;
 mod switch;
 pub mod trial;
 
@@ -28,6 +29,10 @@
         AgentLife, AttemptId, AttemptNumber, MapId, MapVersion, MemberIndex, MemberSet, RecordCall,
         StepNumber,
     },
+    policy::{
+        LoadEstimator, LoadTable, PlacementDecision, PlacementFault, PlacementPolicy,
+        PlacementPreset, PlacementSettings, full_repack,
+    },
     switch::{
         BoardHistory, MemberOutput, MemberState, SwitchLead, SwitchMember, SwitchTimes,
         SwitchVerdict, VoteBoard,
--- /dev/null
+++ b/crates/celerycrank-groups/src/policy/layer.rs
@@ -0,0 +1,171 @@
+//! The slots of one layer, their loads, and single moves that even them.
+
+use smallvec::SmallVec;
+
+use crate::{ExpertIndex, ExpertMap, MapShape, SlotLoad};
+
+/// Ranks, lightest first, that a move may load an expert into.
+const TARGET_RANKS: usize = 8;
+
+/// One or two loads that are made together.
+pub(crate) type LayerMove = SmallVec<[(usize, u16); 2]>;
+
+/// The slots of one layer while moves are tried on them.
+#[derive(Debug, Clone)]
+pub(crate) struct LayerPlacement {
+    slots: usize,
+    /// Experts by slot, the slots counted over all ranks.
+    cells: Vec<Option<u16>>,
+    replicas: Vec<u16>,
+}
+
+impl LayerPlacement {
+    /// A layer of a map.
+    pub(crate) fn of_map(map: &ExpertMap, layer: usize) -> Self {
+        let shape = map.shape();
+        let cells = (0..shape.layer_slots()).map(|slot| map.expert_at(layer, slot).map(|it| it.0));
+        Self::of_cells(shape, cells.collect())
+    }
+
+    /// A layer with these experts in its slots.
+    pub(crate) fn of_cells(shape: MapShape, cells: Vec<Option<u16>>) -> Self {
+        let mut replicas = vec![0; usize::from(shape.experts)];
+        for expert in cells.iter().flatten() {
+            replicas[usize::from(*expert)] += 1;
+        }
+        Self {
+            slots: usize::from(shape.slots),
+            cells,
+            replicas,
+        }
+    }
+
+    /// The load of each rank; replicas of an expert share its load evenly.
+    pub(crate) fn rank_loads(&self, loads: &[f64]) -> Vec<f64> {
+        let share = |expert: u16| self.share(loads, expert);
+        let ranks = self.cells.chunks(self.slots);
+        ranks
+            .map(|rank| rank.iter().flatten().map(|it| share(*it)).sum())
+            .collect()
+    }
+
+    /// The load of the slowest rank.
+    pub(crate) fn slowest(&self, loads: &[f64]) -> f64 {
+        self.rank_loads(loads).into_iter().fold(0.0, f64::max)
+    }
+
+    /// The move off the slowest rank that evens the ranks most, if any evens them.
+    pub(crate) fn best_move(&self, loads: &[f64]) -> Option<LayerMove> {
+        let ranks = self.rank_loads(loads);
+        let mut order = (0..ranks.len()).collect::<Vec<_>>();
+        order.sort_by(|a, b| ranks[*a].total_cmp(&ranks[*b]));
+        let slowest = *order.last()?;
+        let mut best = (unevenness(&ranks), None);
+        for source in self
+            .slots_of(slowest)
+            .filter(|slot| self.cells[*slot].is_some())
+        {
+            for target in order
+                .iter()
+                .take(TARGET_RANKS)
+                .filter(|rank| **rank != slowest)
+            {
+                for slot in self.slots_of(*target) {
+                    for step in self.moves(source, slot) {
+                        let mut after = self.clone();
+                        after.apply(&step);
+                        let value = unevenness(&after.rank_loads(loads));
+                        if value < best.0 {
+                            best = (value, Some(step));
+                        }
+                    }
+                }
+            }
+        }
+        best.1
+    }
+
+    /// Carries out a move.
+    pub(crate) fn apply(&mut self, step: &LayerMove) {
+        for (slot, expert) in step {
+            if let Some(old) = self.cells[*slot].replace(*expert) {
+                self.replicas[usize::from(old)] -= 1;
+            }
+            self.replicas[usize::from(*expert)] += 1;
+        }
+    }
+
+    /// The slots in which `next` holds an expert that its rank does not hold here.
+    pub(crate) fn loads_to(&self, next: &Self, layer: u16) -> Vec<SlotLoad> {
+        let cells = next.cells.iter().enumerate();
+        let changed = cells.filter(|(slot, expert)| self.cells[*slot] != **expert);
+        changed
+            .filter_map(|(slot, expert)| {
+                Some(SlotLoad {
+                    layer,
+                    slot: u16::try_from(slot).ok()?,
+                    expert: ExpertIndex((*expert)?),
+                })
+            })
+            .collect()
+    }
+
+    /// Orders the slots of each rank so that experts stay in the slot that `base` has them in.
+    pub(crate) fn align(&mut self, base: &Self) {
+        let ranks = self
+            .cells
+            .chunks_mut(self.slots)
+            .zip(base.cells.chunks(self.slots));
+        for (rank, old) in ranks {
+            for (slot, expert) in old.iter().enumerate() {
+                if let Some(place) = rank.iter().position(|it| it.is_some() && it == expert) {
+                    rank.swap(slot, place);
+                }
+            }
+        }
+    }
+
+    fn share(&self, loads: &[f64], expert: u16) -> f64 {
+        let index = usize::from(expert);
+        loads[index] / f64::from(self.replicas[index])
+    }
+
+    fn slots_of(&self, rank: usize) -> std::ops::Range<usize> {
+        rank * self.slots..(rank + 1) * self.slots
+    }
+
+    /// A replica in place of one that is spare, and an exchange of two experts.
+    fn moves(&self, source: usize, target: usize) -> SmallVec<[LayerMove; 2]> {
+        let mut moves = SmallVec::new();
+        let Some(expert) = self.cells[source] else {
+            return moves;
+        };
+        if self.holds(target / self.slots, expert) {
+            return moves;
+        }
+        let Some(other) = self.cells[target] else {
+            moves.push(SmallVec::from_slice(&[(target, expert)]));
+            return moves;
+        };
+        if self.replicas[usize::from(other)] > 1 {
+            moves.push(SmallVec::from_slice(&[(target, expert)]));
+        }
+        if !self.holds(source / self.slots, other) {
+            moves.push(SmallVec::from_slice(&[(target, expert), (source, other)]));
+        }
+        moves
+    }
+
+    fn holds(&self, rank: usize, expert: u16) -> bool {
+        self.cells[self.slots_of(rank)].contains(&Some(expert))
+    }
+}
+
+/// A sum that the heaviest ranks dominate, so that moves also help where several tie.
+fn unevenness(ranks: &[f64]) -> f64 {
+    ranks
+        .iter()
+        .map(|load| (load * load) * (load * load))
+        .map(|it| it * it)
+        .sum()
+}
--- a/crates/celerycrank-groups/tests/exhaustive.rs
+++ b/crates/celerycrank-groups/tests/exhaustive.rs
@@ -100,8 +100,8 @@
             expert: ExpertIndex(1 - u16::try_from(index).unwrap()),
         };
         let change = MapChange::new(&map, vec![load]);
-        let lead = situation.places[index].lead.as_mut().unwrap();
-        let outputs = lead.start(change, NOW);
+        let leader = situation.places[index].lead.as_mut().unwrap();
+        let outputs = leader.start(change, NOW);
         situation.carry_out(index, outputs);
     }
     situation
