--- a/crates/celerycrank-groups/src/policy/setting.rs
+++ b/crates/celerycrank-groups/src/policy/setting.rs
@@ -58,8 +58,8 @@
     #[must_use]
     pub fn preset(preset: PlacementPreset) -> Self {
         let (skew_weight, interval, recent, memory): (f64, u64, u64, u64) = match preset {
-            PlacementPreset::AuctionHouse => (4.0, 5, 2, 10),
-            PlacementPreset::CoOp => (0.5, 15, 5, 60),
+            PlacementPreset::AuctionHouse => (0.3, 5, 2, 10),
+            PlacementPreset::CoOp => (0.02, 15, 5, 60),
         };
         let minutes = |count| TimeSpan::from_secs(SECONDS_PER_MINUTE * count);
         Self::builder()
