Let an entry that is not listed yet watch, and run the demo from the service

Cause: `scripts/demo`, taken off its static file, accepted revision 2 and waited 20 s for it in vain: the roster of watchers is drawn from the VM list, which did not name the entry. Every reader of the list had revision 1 from its first read and nobody watched. The list lags, so a new deployment, or one whose entries were all just replaced, would be in this state.

An entry now counts itself among the entries, listed or not; differing rosters cost only an extra watcher. Ruled out: a slow read by every process as a safety net, which 1,560 processes would make the service pay for.

Shown able to fail: with the guard off `an_entry_that_is_not_listed_yet_watches` fails; with it `cargo test -p celerycrank-sync` passes (1 of 1).

--- a/crates/celerycrank-cli/src/operator/stop.rs
+++ b/crates/celerycrank-cli/src/operator/stop.rs
@@ -188,6 +188,7 @@
         let role = match &record.offers {
             VmOffer::Model(model) => VmRole::Engine(model.clone()),
             VmOffer::Service(service) => VmRole::Service(service.clone()),
+            VmOffer::Entry => VmRole::Entry,
         };
         let fact = VmFact {
             vm: record.vm.clone(),
--- a/crates/celerycrank-sync/src/state.rs
+++ b/crates/celerycrank-sync/src/state.rs
@@ -133,7 +133,7 @@
         self.members.borrow_mut().on_fact(fact, self.clock.now());
     }
 
-    /// Takes one reading of the VM list.
+    /// Takes one reading of the VM list; only entries read it.
     pub fn on_list(&self, facts: &[(VmFact, bool)]) {
         let now = self.clock.now();
         self.members.borrow_mut().on_list(facts, now);
@@ -144,9 +144,14 @@
                 .filter(move |fact| fact.role.is_entry() == entries);
             of_kind.map(VmFact::peer).collect::<Vec<_>>()
         };
+        let mut entries = peers(true);
+        // The list lags: an entry that it does not name yet must not wait to be told.
+        if !entries.iter().any(|entry| entry.vm == self.own.vm) {
+            entries.push(self.own.clone());
+        }
         self.keeper
             .borrow_mut()
-            .on_peers(&peers(true), &peers(false), now);
+            .on_peers(&entries, &peers(false), now);
     }
 
     /// Ends slow starts and begins probes; returns the VMs to probe.
--- /dev/null
+++ b/crates/celerycrank-sync/tests/watcher.rs
@@ -0,0 +1,19 @@
+//! Which entries watch the key-value service.
+
+use celerycrank_membership::PeerFact;
+use celerycrank_process::{MetricSet, ProcessClock};
+use celerycrank_sync::{SyncCounters, SyncState};
+
+/// The VM list lags: were an unlisted entry no watcher, a new deployment would have none,
+/// and no revision after the first would reach anyone.
+#[test]
+fn an_entry_that_is_not_listed_yet_watches() {
+    let own = PeerFact {
+        vm: "entry-1".parse().unwrap(),
+        domain: "borba".parse().unwrap(),
+    };
+    let counters = SyncCounters::register(&MetricSet::default()).unwrap();
+    let state = SyncState::new(own, ProcessClock::start(), counters, Box::new(|_| ()));
+    state.on_list(&[]);
+    assert!(state.is_watcher());
+}
