Refuse bad settings of a process with every fault named

Cause: `entry` and `agent` read their settings by serde, which named the first fault without its path and let a count of 0 or an empty path through.

--- a/crates/celerycrank-cli/src/role.rs
+++ b/crates/celerycrank-cli/src/role.rs
@@ -3,11 +3,10 @@
 use std::{error::Error, fs, path::PathBuf};
 
 use celerycrank_agent::AgentProcess;
-use celerycrank_config::{AgentSettings, EntrySettings};
+use celerycrank_config::{CheckFault, check_agent, check_entry};
 use celerycrank_entry::EntryProcess;
 use celerycrank_process::DeploymentSource;
 use clap::ValueEnum;
-use serde::de::DeserializeOwned;
 use tracing_subscriber::EnvFilter;
 
 /// Arguments of a process role.
@@ -35,7 +34,7 @@
 /// Runs an entry until it is told to stop.
 pub(crate) fn run_entry(args: &RoleArgs) -> Result<(), Box<dyn Error>> {
     start_log(args.log);
-    let settings = read_settings::<EntrySettings>(args)?;
+    let settings = read_settings(args, check_entry)?;
     let source = find_source(args, settings.platform.clone());
     actix_rt::System::new().block_on(async {
         let process = EntryProcess::start(settings, &source).await?;
@@ -47,7 +46,7 @@
 /// Runs an agent until it is told to stop.
 pub(crate) fn run_agent(args: &RoleArgs) -> Result<(), Box<dyn Error>> {
     start_log(args.log);
-    let settings = read_settings::<AgentSettings>(args)?;
+    let settings = read_settings(args, check_agent)?;
     let source = find_source(args, settings.platform.clone());
     actix_rt::System::new().block_on(async {
         let process = AgentProcess::start(settings, &source).await?;
@@ -56,9 +55,17 @@
     })
 }
 
-fn read_settings<T: DeserializeOwned>(args: &RoleArgs) -> Result<T, Box<dyn Error>> {
-    let text = fs::read(&args.settings)?;
-    Ok(serde_json::from_slice(&text)?)
+fn read_settings<T>(
+    args: &RoleArgs,
+    check: impl FnOnce(&str) -> Result<T, Vec<CheckFault>>,
+) -> Result<T, Box<dyn Error>> {
+    let path = args.settings.display();
+    let text =
+        fs::read_to_string(&args.settings).map_err(|e| format!("cannot read {path}: {e}"))?;
+    check(&text).map_err(|faults| {
+        let lines = faults.iter().map(|fault| format!("\n  {fault}"));
+        format!("{path} has faults:{}", lines.collect::<String>()).into()
+    })
 }
 
 fn find_source(
--- a/crates/celerycrank-cli/tests/sessions.rs
+++ b/crates/celerycrank-cli/tests/sessions.rs
@@ -183,6 +183,19 @@
     insta::assert_snapshot!(session.transcript());
 }
 
+#[actix_rt::test]
+async fn a_process_names_every_fault_of_its_settings() {
+    let mut session = OperatorSession::start().await;
+    let settings = include_str!("../../celerycrank-config/tests/data/bad-entry.json");
+    session.write("ana/entry.json", settings);
+    let settings = include_str!("../../celerycrank-config/tests/data/bad-agent.json");
+    session.write("ana/agent.json", settings);
+    session.run("ana", "entry --settings entry.json").await;
+    session.run("ana", "agent --settings agent.json").await;
+    session.run("ana", "entry --settings missing.json").await;
+    insta::assert_snapshot!(session.transcript());
+}
+
 /// However many operators start from one revision, and whichever answers are lost, one
 /// wins and every other one is told.
 #[actix_rt::test]
