--- a/crates/celerycrank-cli/tests/sessions.rs
+++ b/crates/celerycrank-cli/tests/sessions.rs
@@ -196,6 +196,15 @@
     insta::assert_snapshot!(session.transcript());
 }
 
+/// At 750 changes a day the operators' commands must cost the service next to nothing.
+#[actix_rt::test]
+async fn an_edit_costs_one_read_and_one_write() {
+    let mut session = session_with_lists().await;
+    session.run("ana", "apply --author ana").await;
+    let counts = session.key_value.counts();
+    assert_eq!((counts.reads, counts.writes, counts.watches), (1, 1, 0));
+}
+
 /// However many operators start from one revision, and whichever answers are lost, one
 /// wins and every other one is told.
 #[actix_rt::test]
--- a/crates/celerycrank-config/tests/policy.rs
+++ b/crates/celerycrank-config/tests/policy.rs
@@ -1,8 +1,11 @@
 //! What an account may use, and how its requests are treated.
 
+use std::sync::Arc;
+
 use celerycrank_config::{
-    Configuration, ConfigurationRecord, ListTexts, MAX_HISTORY, PolicyTable, RepeatRule,
-    RequestTarget, ResolvedOffer, check_lists, is_plain_path, list_changes,
+    AccountEntry, Configuration, ConfigurationRecord, KeyHash, ListChange, ListTexts, MAX_HISTORY,
+    PolicyTable, RepeatRule, RequestTarget, ResolvedOffer, check_lists, is_plain_path,
+    list_changes,
 };
 use celerycrank_types::{RefusalReason, Revision};
 
@@ -144,3 +147,47 @@
     assert_eq!(record.changes.len(), MAX_HISTORY);
     assert_eq!(record.changes[0].revision, Revision(8));
 }
+
+/// Largest value that the key-value service takes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+/// The record at the design size: 680 accounts with two keys each, and a full history of
+/// large changes.
+#[test]
+fn the_record_fits_the_service_at_the_design_size() {
+    let current = configuration();
+    let account = |number: usize| AccountEntry {
+        account: format!("client-account-number-{number:04}")
+            .parse()
+            .unwrap(),
+        plan: "gold".parse().unwrap(),
+        keys: [KeyHash::of_key("a"), KeyHash::of_key("b")].into(),
+    };
+    let mut record = ConfigurationRecord {
+        revision: Revision(0),
+        nonce: "0".repeat(32).into(),
+        author: Arc::from("an operator with a long name"),
+        note: "n".repeat(200).into(),
+        at: 1_800_000_000,
+        customers: current.customers,
+        plans: current.plans,
+        changes: Vec::new(),
+    };
+    record.customers.accounts = (0..680).map(account).collect();
+    for _ in 0..MAX_HISTORY {
+        record.revision = record.revision.next();
+        let changes = record
+            .customers
+            .accounts
+            .iter()
+            .map(|entry| ListChange::AccountPlan {
+                account: entry.account.clone(),
+                from: "gold".parse().unwrap(),
+                to: "plain".parse().unwrap(),
+            });
+        record.note_change(changes.collect());
+    }
+    let size = serde_json::to_vec(&record).unwrap().len();
+    println!("record of 680 accounts: {size} bytes");
+    assert!(size < MAX_VALUE_BYTES / 2, "{size} bytes");
+}
