Add a stand-in for a lock-step group and its weight store

Cause: the switch of expert maps had no engines to order about as separate processes.

It speaks the orders and reports of celerycrank-groups over HTTP, a path for each member. A step begins only when every member is there and takes as long as its most loaded rank; the store delivers one expert after another. The engines obey any order, however old, unless fencing is on, and the audit of one map a step runs inside.

--- a/crates/celerycrank-standin/src/lib.rs
+++ b/crates/celerycrank-standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod key_value;
 mod ledger;
+mod rank_group;
 mod server;
 mod vm_list;
 
@@ -16,6 +17,7 @@
     engine::{EngineCounts, EngineFaults, EngineOptions, EngineStandin},
     key_value::{KeyValueCounts, KeyValueFaults, KeyValueStandin, OutageKind},
     ledger::{AnswerSpoiler, LedgerFaults, LedgerRecord, LedgerStandin},
+    rank_group::{RankGroupCounts, RankGroupFaults, RankGroupOptions, RankGroupStandin},
     server::{HttpAnswer, HttpCall, HttpHandler, StandinServer},
     vm_list::{ListedOffer, ListedVm, VmListStandin},
 };
--- a/crates/celerycrank-standin/src/main.rs
+++ b/crates/celerycrank-standin/src/main.rs
@@ -3,7 +3,8 @@
 use std::{io, net::SocketAddr, path::PathBuf};
 
 use celerycrank_standin::{
-    EngineOptions, EngineStandin, KeyValueStandin, LedgerStandin, VmListStandin,
+    EngineOptions, EngineStandin, KeyValueStandin, LedgerStandin, RankGroupOptions,
+    RankGroupStandin, VmListStandin,
 };
 use celerycrank_types::{ModelId, TimeSpan};
 use clap::{Parser, Subcommand};
@@ -55,6 +56,21 @@
     },
     /// A plain service that records every call it runs.
     Ledger,
+    /// The engines of one lock-step group and their weight store.
+    RankGroup {
+        /// Agents that drive the group's ranks.
+        #[arg(long)]
+        members: usize,
+        /// Time of a step whose ranks are evenly loaded.
+        #[arg(long, default_value = "30ms")]
+        step_time: TimeSpan,
+        /// Time in which the weight store delivers one expert.
+        #[arg(long, default_value = "10ms")]
+        expert_time: TimeSpan,
+        /// Refuses orders that carry an old fencing number.
+        #[arg(long)]
+        fencing: bool,
+    },
 }
 
 #[actix_rt::main]
@@ -73,6 +89,21 @@
             let standin = LedgerStandin::start(arguments.listen).await?;
             run(&arguments, standin.address()).await
         }
+        StandinRole::RankGroup {
+            members,
+            step_time,
+            expert_time,
+            fencing,
+        } => {
+            let options = RankGroupOptions::builder()
+                .members(*members)
+                .step_time(*step_time)
+                .expert_time(*expert_time)
+                .fencing(*fencing)
+                .build();
+            let standin = RankGroupStandin::start(arguments.listen, options).await?;
+            run(&arguments, standin.address()).await
+        }
         StandinRole::Engine {
             model,
             batch,
--- /dev/null
+++ b/crates/celerycrank-standin/src/rank_group/member.rs
@@ -0,0 +1,196 @@
+//! The ranks that one agent of the group drives.
+
+use std::sync::Arc;
+
+use celerycrank_groups::{
+    AttemptId, EngineOrder, EngineReport, ExpertMap, MapChange, MapId, StepAudit, StepNumber,
+    trial::TrialEngine,
+};
+use celerycrank_types::Incarnation;
+use serde::Serialize;
+
+/// Steps between two reports of progress.
+const PROGRESS_STEPS: u64 = 16;
+
+/// Most reports that are kept for their agent.
+const MAX_REPORTS: usize = 1_024;
+
+/// One report with its place in the order of reports.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(crate) struct NumberedReport {
+    sequence: u64,
+    report: EngineReport,
+}
+
+/// The ranks of one agent.
+#[derive(Debug)]
+pub(crate) struct GroupMember {
+    index: usize,
+    members: usize,
+    engine: TrialEngine,
+    /// The map in force; `None` before the group is formed.
+    map: Option<ExpertMap>,
+    /// Changes whose weights were asked for.
+    changes: Vec<Arc<MapChange>>,
+    /// The switch that was ordered, by its first step.
+    switch: Option<(StepNumber, MapId)>,
+    highest: u64,
+    sequence: u64,
+    reports: Vec<NumberedReport>,
+}
+
+impl GroupMember {
+    pub(crate) fn new(index: usize, members: usize) -> Self {
+        Self {
+            index,
+            members,
+            engine: TrialEngine::default(),
+            map: None,
+            changes: Vec::new(),
+            switch: None,
+            highest: 0,
+            sequence: 0,
+            reports: Vec::new(),
+        }
+    }
+
+    /// Whether an order with this fencing number is taken.
+    pub(crate) fn accepts(&mut self, number: u64, fencing: bool) -> bool {
+        if fencing && number < self.highest {
+            return false;
+        }
+        self.highest = self.highest.max(number);
+        true
+    }
+
+    /// Carries out an order and returns how many experts it loads.
+    pub(crate) fn obey(&mut self, order: &EngineOrder) -> usize {
+        if let Some(report) = self.engine.obey(order) {
+            self.report(report);
+        }
+        match order {
+            EngineOrder::Form { map, .. } => {
+                self.map = Some(Arc::as_ref(map).clone());
+                self.changes.clear();
+                self.switch = None;
+            }
+            EngineOrder::Load { change, .. } => {
+                self.changes.push(Arc::clone(change));
+                return self.own_loads(change);
+            }
+            EngineOrder::Switch { first, map, .. } => self.switch = Some((*first, *map)),
+            EngineOrder::Hold { .. } | EngineOrder::Release { .. } => {}
+        }
+        0
+    }
+
+    /// The incarnation and step that the ranks begin next; `None` before they are formed.
+    pub(crate) fn place(&self) -> Option<(Incarnation, StepNumber)> {
+        self.map.as_ref()?;
+        Some((self.engine.incarnation(), self.engine.next()))
+    }
+
+    pub(crate) fn is_held(&self) -> bool {
+        self.engine.is_held()
+    }
+
+    /// Begins the next step.
+    pub(crate) fn begin(&mut self, audit: &mut StepAudit) {
+        let step = self.engine.next();
+        if let Some((first, next)) = self.switch
+            && step >= first
+        {
+            self.switch_map(next);
+        }
+        self.engine.begin(audit);
+        if step.0.is_multiple_of(PROGRESS_STEPS) {
+            self.report(EngineReport::Progress {
+                incarnation: self.engine.incarnation(),
+                next: self.engine.next(),
+            });
+        }
+    }
+
+    /// The load of the most loaded rank over the mean, in the worst layer.
+    pub(crate) fn skew(&self, popularity: &[u32]) -> f64 {
+        let Some(map) = &self.map else {
+            return 1.0;
+        };
+        let layers = 0..usize::from(map.shape().layers);
+        let skews = layers.map(|layer| layer_skew(map, layer, popularity));
+        skews.fold(1.0, f64::max)
+    }
+
+    pub(crate) fn report_load(&mut self, attempt: AttemptId, failed: bool) {
+        self.report(if failed {
+            EngineReport::LoadFailed(attempt)
+        } else {
+            EngineReport::Loaded(attempt)
+        });
+    }
+
+    pub(crate) fn reports_after(&self, sequence: u64) -> Vec<NumberedReport> {
+        let reports = self.reports.iter();
+        reports.filter(|r| r.sequence > sequence).copied().collect()
+    }
+
+    fn switch_map(&mut self, next: MapId) {
+        self.switch = None;
+        let found = self.changes.iter().find(|change| change.next == next);
+        if let (Some(map), Some(change)) = (&self.map, found) {
+            self.map = Some(map.successor(&change.loads));
+        }
+        self.changes.clear();
+    }
+
+    /// How many of a change's experts go to ranks of this member.
+    fn own_loads(&self, change: &MapChange) -> usize {
+        let Some(map) = &self.map else {
+            return 0;
+        };
+        let shape = map.shape();
+        let own = |slot: u16| {
+            let rank = usize::from(slot / shape.slots);
+            rank * self.members / usize::from(shape.ranks) == self.index
+        };
+        change.loads.iter().filter(|load| own(load.slot)).count()
+    }
+
+    fn report(&mut self, report: EngineReport) {
+        self.sequence += 1;
+        if self.reports.len() >= MAX_REPORTS {
+            self.reports.drain(..MAX_REPORTS / 2);
+        }
+        self.reports.push(NumberedReport {
+            sequence: self.sequence,
+            report,
+        });
+    }
+}
+
+/// The skew of one layer; replicas of an expert share its load evenly.
+fn layer_skew(map: &ExpertMap, layer: usize, popularity: &[u32]) -> f64 {
+    let shape = map.shape();
+    let slots = 0..shape.layer_slots();
+    let experts = slots.map(|slot| map.expert_at(layer, slot));
+    let placed = experts.collect::<Vec<_>>();
+    let mut replicas = vec![0_u32; usize::from(shape.experts)];
+    for expert in placed.iter().flatten() {
+        replicas[usize::from(expert.0)] += 1;
+    }
+    let mut loads = vec![0.0; usize::from(shape.ranks)];
+    for (slot, expert) in placed.iter().enumerate() {
+        let Some(expert) = expert else {
+            continue;
+        };
+        let index = usize::from(expert.0);
+        let used = popularity.get(index).copied().unwrap_or(1);
+        let rank = slot / usize::from(shape.slots);
+        loads[rank] += f64::from(used) / f64::from(replicas[index]);
+    }
+    let mean = loads.iter().sum::<f64>() / loads.len() as f64;
+    if mean == 0.0 {
+        return 1.0;
+    }
+    loads.into_iter().fold(0.0, f64::max) / mean
+}
--- /dev/null
+++ b/crates/celerycrank-standin/src/rank_group/mod.rs
@@ -0,0 +1,262 @@
+//! A stand-in for the engines of one lock-step group and their rate-limited weight store.
+//!
+//! Each member takes orders at `/members/N/orders` and tells what became of them at
+//! `/members/N/reports`. A step begins only when every member is there; it lasts as long
+//! as its most loaded rank needs.
+
+mod member;
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+use actix_http::StatusCode;
+use actix_rt::time::sleep;
+use celerycrank_groups::{EngineOrder, StepAudit};
+use celerycrank_types::TimeSpan;
+use futures_util::{FutureExt, future::LocalBoxFuture};
+use serde::{Deserialize, Serialize};
+
+use crate::{HttpAnswer, HttpCall, HttpHandler, StandinServer, rank_group::member::GroupMember};
+
+/// Header that carries the fencing number of an order.
+const FENCING_HEADER: &str = "x-fencing-number";
+
+/// How often a group that cannot begin a step looks again.
+const WAIT_INTERVAL: Duration = Duration::from_millis(1);
+
+/// How the group is built.
+#[derive(Debug, Clone, bon::Builder)]
+pub struct RankGroupOptions {
+    /// Agents that drive the group's ranks.
+    pub members: usize,
+    /// Time of a step whose ranks are evenly loaded.
+    #[builder(default = TimeSpan::from_millis(5))]
+    pub step_time: TimeSpan,
+    /// Time in which the weight store delivers one expert, to all members together.
+    #[builder(default = TimeSpan::from_millis(10))]
+    pub expert_time: TimeSpan,
+    /// Whether an order with an old fencing number is refused.
+    #[builder(default)]
+    pub fencing: bool,
+}
+
+/// The faults that the group shows until told otherwise.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RankGroupFaults {
+    /// Members whose ranks stall.
+    pub stalled: Vec<usize>,
+    /// How many of the next loads fail.
+    pub failing_loads: u32,
+    /// How much each expert of every layer is used; empty means all alike.
+    pub popularity: Vec<u32>,
+}
+
+/// Counts of what the group did.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RankGroupCounts {
+    /// Steps that were begun.
+    pub steps: u64,
+    /// Experts that were loaded.
+    pub loaded_experts: u64,
+    /// Orders refused for their fencing number.
+    pub refused_orders: u64,
+    /// Load of the most loaded rank over the mean, in the last step.
+    pub skew: f64,
+}
+
+/// A running group.
+#[derive(Debug)]
+pub struct RankGroupStandin {
+    server: StandinServer,
+    service: Rc<RankGroupService>,
+}
+
+#[derive(Debug)]
+struct RankGroupService {
+    options: RankGroupOptions,
+    members: RefCell<Vec<GroupMember>>,
+    /// Asserts that no step is begun with two maps.
+    audit: RefCell<StepAudit>,
+    faults: RefCell<RankGroupFaults>,
+    counts: Cell<RankGroupCounts>,
+    /// When the weight store has delivered what was asked of it so far.
+    store_free: Cell<Instant>,
+}
+
+impl RankGroupStandin {
+    /// Starts a group without an incarnation at this address; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn start(address: SocketAddr, options: RankGroupOptions) -> io::Result<Self> {
+        let members = (0..options.members).map(|index| GroupMember::new(index, options.members));
+        let service = Rc::new(RankGroupService {
+            members: RefCell::new(members.collect()),
+            audit: RefCell::default(),
+            faults: RefCell::default(),
+            counts: Cell::default(),
+            store_free: Cell::new(Instant::now()),
+            options,
+        });
+        let handler: Rc<dyn HttpHandler> = Rc::<RankGroupService>::clone(&service);
+        let server = StandinServer::start(address, handler).await?;
+        actix_rt::spawn(run_steps(Rc::downgrade(&service)));
+        Ok(Self { server, service })
+    }
+
+    /// Where the group listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets the faults shown from now on.
+    pub fn set_faults(&self, faults: RankGroupFaults) {
+        self.service.faults.replace(faults);
+    }
+
+    /// Counts of what it did so far.
+    #[must_use]
+    pub fn counts(&self) -> RankGroupCounts {
+        self.service.counts.get()
+    }
+}
+
+/// Begins one step after another while the group exists.
+async fn run_steps(service: Weak<RankGroupService>) {
+    loop {
+        let Some(group) = service.upgrade() else {
+            return;
+        };
+        let pause = group.begin_step().unwrap_or(WAIT_INTERVAL);
+        drop(group);
+        sleep(pause).await;
+    }
+}
+
+impl HttpHandler for RankGroupService {
+    fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer> {
+        let answer = match call.path.as_str() {
+            "/standin/counts" => HttpAnswer::json(StatusCode::OK, &self.counts.get()),
+            "/standin/faults" => self.take_faults(&call),
+            _ => self.answer_member(&call),
+        };
+        std::future::ready(answer).boxed_local()
+    }
+}
+
+impl RankGroupService {
+    fn take_faults(&self, call: &HttpCall) -> HttpAnswer {
+        match serde_json::from_slice(&call.body) {
+            Ok(faults) => self.faults.replace(faults),
+            Err(e) => return HttpAnswer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+        HttpAnswer::json(StatusCode::OK, &*self.faults.borrow())
+    }
+
+    fn answer_member(self: &Rc<Self>, call: &HttpCall) -> HttpAnswer {
+        let mut parts = call.path.trim_start_matches('/').split('/');
+        let (head, index, verb) = (parts.next(), parts.next(), parts.next());
+        let index = index.and_then(|index| index.parse::<usize>().ok());
+        match (head, index, verb) {
+            (Some("members"), Some(index), Some(verb)) if index < self.options.members => {
+                match verb {
+                    "orders" => self.take_order(index, call),
+                    "reports" => self.report(index, call),
+                    _ => HttpAnswer::text(StatusCode::NOT_FOUND, "no such path"),
+                }
+            }
+            _ => HttpAnswer::text(StatusCode::NOT_FOUND, "no such member"),
+        }
+    }
+
+    fn report(&self, index: usize, call: &HttpCall) -> HttpAnswer {
+        let after = call.header("last-event-id").and_then(|id| id.parse().ok());
+        let members = self.members.borrow();
+        let reports = members[index].reports_after(after.unwrap_or(0));
+        HttpAnswer::json(StatusCode::OK, &reports)
+    }
+
+    fn take_order(self: &Rc<Self>, index: usize, call: &HttpCall) -> HttpAnswer {
+        let order = match serde_json::from_slice::<EngineOrder>(&call.body) {
+            Ok(order) => order,
+            Err(e) => return HttpAnswer::text(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+        let number = call.header(FENCING_HEADER).and_then(|n| n.parse().ok());
+        let mut members = self.members.borrow_mut();
+        let member = &mut members[index];
+        if !member.accepts(number.unwrap_or(0), self.options.fencing) {
+            self.count(|counts| counts.refused_orders += 1);
+            return HttpAnswer::text(StatusCode::CONFLICT, "the fencing number is old");
+        }
+        let experts = member.obey(&order);
+        drop(members);
+        if let EngineOrder::Load { attempt, .. } = order {
+            let loading = Rc::clone(self).load(index, attempt, experts);
+            actix_rt::spawn(loading);
+        }
+        HttpAnswer::text(StatusCode::OK, "carried out")
+    }
+
+    /// Loads experts when the store gets to them; it serves one request after another.
+    async fn load(
+        self: Rc<Self>,
+        index: usize,
+        attempt: celerycrank_groups::AttemptId,
+        experts: usize,
+    ) {
+        let experts = u32::try_from(experts).unwrap_or(u32::MAX);
+        let free = self.store_free.get().max(Instant::now());
+        let done = free + self.options.expert_time.as_duration() * experts;
+        self.store_free.set(done);
+        sleep(done.saturating_duration_since(Instant::now())).await;
+        let failed = self.next_load_fails();
+        if !failed {
+            self.count(|counts| counts.loaded_experts += u64::from(experts));
+        }
+        self.members.borrow_mut()[index].report_load(attempt, failed);
+    }
+
+    fn next_load_fails(&self) -> bool {
+        let mut faults = self.faults.borrow_mut();
+        let fails = faults.failing_loads > 0;
+        faults.failing_loads = faults.failing_loads.saturating_sub(1);
+        fails
+    }
+
+    /// Begins a step if every member is there, and returns how long it takes.
+    fn begin_step(&self) -> Option<Duration> {
+        let mut members = self.members.borrow_mut();
+        let faults = self.faults.borrow();
+        let place = members.first()?.place()?;
+        let ready = |(index, member): (usize, &GroupMember)| {
+            member.place() == Some(place) && !member.is_held() && !faults.stalled.contains(&index)
+        };
+        if !members.iter().enumerate().all(ready) {
+            return None;
+        }
+        let mut audit = self.audit.borrow_mut();
+        for member in members.iter_mut() {
+            member.begin(&mut audit);
+        }
+        let skew = members[0].skew(&faults.popularity);
+        self.count(|counts| {
+            counts.steps += 1;
+            counts.skew = skew;
+        });
+        Some(self.options.step_time.as_duration().mul_f64(skew))
+    }
+
+    fn count(&self, increment: impl FnOnce(&mut RankGroupCounts)) {
+        let mut counts = self.counts.get();
+        increment(&mut counts);
+        self.counts.set(counts);
+    }
+}
