--- a/crates/celerycrank-sync/src/state.rs
+++ b/crates/celerycrank-sync/src/state.rs
@@ -152,7 +152,7 @@
         let mut entries = peers(true);
         // The list lags: an entry that it does not name yet must not wait to be told.
         if !entries.iter().any(|entry| entry.vm == self.own.vm) {
-            entries.push(self.own.clone());
+            entries.push(self.own.peer());
         }
         self.keeper
             .borrow_mut()
