--- a/crates/celerycrank-bench/src/capacity/mod.rs
+++ b/crates/celerycrank-bench/src/capacity/mod.rs
@@ -9,7 +9,10 @@
 
 use crate::capacity::{
     budget::{CapacityLine, CapacityTable},
-    probe::{configuration_sweep, member_sweep, roster_sweep, spread_sweep},
+    probe::{
+        configuration_sweep, ledger_sweep, link_sweep, list_sweep, member_sweep, queue_sweep,
+        roster_sweep, router_sweep, spread_sweep,
+    },
 };
 
 /// Arguments of the measurement.
@@ -32,48 +35,106 @@
 const CHANGES_PER_SECOND: f64 = 750.0 / 86_400.0;
 /// Readings of the VM list a second by a watcher.
 const LIST_READINGS_PER_SECOND: f64 = 1.0;
-/// Changes of the fleet a second (28 failures and 290 restarts a day).
-const FLEET_CHANGES_PER_SECOND: f64 = 318.0 / 86_400.0;
+/// Regions at the design size; requests stay within one.
+const REGIONS: f64 = 6.0;
+/// Watchers of one failure domain.
+const WATCHERS: f64 = 3.0;
+
+/// Requests a second at the peak.
+const REQUESTS: f64 = 4_500.0;
+/// Seconds for which an agent knows a finished attempt.
+const RETENTION: f64 = 60.0;
+/// Seconds between two offers of one watcher to one peer.
+const ROUND: f64 = 3.0;
 
 /// Runs the measurement and prints its table.
 pub(crate) fn run(args: &CapacityArgs) {
     let members = member_sweep(args.repeats);
+    let lists = list_sweep(args.repeats);
     let deltas = configuration_sweep(args.repeats);
     let rosters = roster_sweep(args.repeats);
-    let offers = spread_sweep(args.repeats);
+    let plans = spread_sweep(args.repeats);
+    let offers = link_sweep(args.repeats);
+    let routes = router_sweep(args.repeats);
+    let queues = queue_sweep(args.repeats);
+    let ledgers = ledger_sweep(args.repeats);
     let fleet = ENTRIES + AGENTS;
+    let (peers, region_agents) = (fleet / DOMAINS, AGENTS / REGIONS);
+    let (at_entry, at_agent) = (REQUESTS / ENTRIES, REQUESTS / AGENTS);
+    let line = CapacityLine::new;
     let lines = [
-        CapacityLine::new(
+        line(
             "entry",
             "configuration in force",
             &deltas,
             ACCOUNTS,
             CHANGES_PER_SECOND,
         ),
-        CapacityLine::new(
+        line(
             "entry",
             "member table",
             &members,
             fleet,
             LIST_READINGS_PER_SECOND,
         ),
-        CapacityLine::new(
+        line(
+            "entry",
+            "VM list over HTTP",
+            &lists,
+            fleet,
+            LIST_READINGS_PER_SECOND,
+        ),
+        line(
             "entry",
             "watcher roster",
             &rosters,
             ENTRIES,
-            FLEET_CHANGES_PER_SECOND,
+            LIST_READINGS_PER_SECOND,
+        ),
+        line("entry", "plan of revision offers", &plans, peers, 1.0),
+        line(
+            "entry",
+            "offers over connections",
+            &offers,
+            peers,
+            1.0 / ROUND,
         ),
-        CapacityLine::new("entry", "revision offers", &offers, fleet / DOMAINS, 1.0),
-        CapacityLine::new(
+        line(
+            "entry",
+            "connections to agents",
+            &offers,
+            region_agents,
+            0.0,
+        ),
+        line("entry", "router", &routes, AGENTS, at_entry),
+        line(
             "agent",
             "configuration in force",
             &deltas,
             ACCOUNTS,
             CHANGES_PER_SECOND,
         ),
+        line("agent", "offers answered", &offers, WATCHERS, 1.0 / ROUND),
+        line(
+            "agent",
+            "connections of entries",
+            &offers,
+            ENTRIES / REGIONS,
+            0.0,
+        ),
+        line("agent", "fair queue", &queues, ACCOUNTS, at_agent),
+        line(
+            "agent",
+            "start ledger",
+            &ledgers,
+            at_agent * RETENTION,
+            at_agent,
+        ),
+    ];
+    let sweeps = [
+        &members, &lists, &deltas, &rosters, &plans, &offers, &routes, &queues, &ledgers,
     ];
-    for sweep in [&members, &deltas, &rosters, &offers] {
+    for sweep in sweeps {
         println!("{sweep}");
     }
     println!("{}", CapacityTable::new(&lines));
--- /dev/null
+++ b/crates/celerycrank-bench/src/capacity/probe/list.rs
@@ -0,0 +1,57 @@
+//! The VM list read over HTTP from its stand-in.
+
+use celerycrank_platform::VmListClient;
+use celerycrank_standin::{ListedOffer, ListedVm, VmListStandin};
+use celerycrank_types::TimeSpan;
+use cpu_time::ThreadTime;
+
+use super::{domain, sweep};
+use crate::capacity::slope::{ProbePoint, ProbeSweep};
+
+/// Readings of the list; the size counts VMs.
+///
+/// The stand-in runs in the same thread, so the processor time is that of both ends.
+pub(crate) fn list_sweep(repeats: usize) -> ProbeSweep {
+    let sizes = [100, 300, 600, 1_200];
+    sweep(
+        "one reading of the VM list over HTTP, both ends; x counts VMs",
+        &sizes,
+        |size| actix_rt::System::new().block_on(measure(size, repeats)),
+    )
+}
+
+async fn measure(size: usize, repeats: usize) -> ProbePoint {
+    let address = ([127, 0, 0, 1], 0).into();
+    let standin = VmListStandin::start(address).await.expect("a port is free");
+    standin.set_vms((0..size).map(listed).collect());
+    let client = VmListClient::new(standin.url().into(), TimeSpan::from_secs(5));
+    let mut samples = Vec::new();
+    for _ in 0..repeats.max(1) {
+        let start = ThreadTime::now();
+        client.fetch().await.expect("the stand-in answers");
+        samples.push(start.elapsed().as_secs_f64() * 1e6);
+    }
+    samples.sort_by(f64::total_cmp);
+    let body = awc::Client::default().get(standin.url()).send().await;
+    let body = body
+        .expect("the stand-in answers")
+        .body()
+        .limit(64 << 20)
+        .await;
+    ProbePoint {
+        size: size as f64,
+        cpu_micros: samples[samples.len() / 2],
+        memory_bytes: 0.0,
+        wire_bytes: body.expect("the list is whole").len() as f64,
+    }
+}
+
+fn listed(number: usize) -> ListedVm {
+    ListedVm {
+        vm: format!("vm-{number:08}").parse().expect("a valid id"),
+        domain: domain(number % 14),
+        address: ([10, 0, 0, 1], 7_000).into(),
+        offers: ListedOffer::Model("drafting".parse().expect("a valid id")),
+        leaving: false,
+    }
+}
--- a/crates/celerycrank-bench/src/capacity/probe.rs
+++ b/crates/celerycrank-bench/src/capacity/probe/mod.rs
@@ -16,14 +16,20 @@
 
 use crate::capacity::slope::{ProbePoint, ProbeSweep};
 
+mod link;
+mod list;
+mod request;
+
+pub(super) use self::{
+    link::link_sweep,
+    list::list_sweep,
+    request::{ledger_sweep, queue_sweep, router_sweep},
+};
+
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<System> = &stats_alloc::INSTRUMENTED_SYSTEM;
 
 const DOMAINS: usize = 14;
-/// Bytes of an offer on the wire: packet headers, seals and two revisions.
-const OFFER_BYTES: f64 = 96.0;
-/// Bytes of one record of the VM list, as its protocol writes it.
-const LIST_RECORD_BYTES: f64 = 12.0;
 
 /// Readings of the VM list taken into a member table; the size counts VMs.
 pub(super) fn member_sweep(repeats: usize) -> ProbeSweep {
@@ -44,14 +50,11 @@
                 table.on_list(&facts, now);
                 table.on_tick(now);
             });
-            // A conditional reading that finds nothing new costs its headers alone; the
-            // records themselves travel only when the fleet changes.
-            let wire_bytes = size as f64 * LIST_RECORD_BYTES / 86_400.0 * 318.0;
             ProbePoint {
                 size: size as f64,
                 cpu_micros,
                 memory_bytes,
-                wire_bytes,
+                wire_bytes: 0.0,
             }
         },
     )
@@ -136,12 +139,12 @@
                 now = now + TimeSpan::from_secs(1);
                 offers = planner.on_tick(now).len();
             });
-            let wire_bytes = offers as f64 * OFFER_BYTES;
+            black_box(offers);
             ProbePoint {
                 size: size as f64,
                 cpu_micros,
                 memory_bytes,
-                wire_bytes,
+                wire_bytes: 0.0,
             }
         },
     )
--- /dev/null
+++ b/crates/celerycrank-bench/src/capacity/probe/request.rs
@@ -0,0 +1,168 @@
+//! What one request costs the decision logic of its entry and its agent.
+
+use std::hint::black_box;
+
+use celerycrank_config::PriorityClass;
+use celerycrank_requests::{AttemptEvent, AttemptId, CallKind, StartLedger, StartSettings};
+use celerycrank_routing::{
+    BackendCondition, BackendRouter, BackendSpec, PromptPrefix, RouteQuery, RouterSettings,
+};
+use celerycrank_shares::{FairQueue, QueueRequest, QueueSettings};
+use celerycrank_types::{Incarnation, RequestId, ShareWeight, TimePoint, TimeSpan, TokenCount};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use stats_alloc::Region;
+
+use super::{ALLOCATOR, domain, held_bytes, median_micros, sweep};
+use crate::capacity::slope::{ProbePoint, ProbeSweep};
+
+/// Operations timed together, since one takes less than the clock resolves.
+const BATCH: usize = 200;
+
+/// Decisions of an entry's router; the size counts workers.
+pub(crate) fn router_sweep(repeats: usize) -> ProbeSweep {
+    let sizes = [100, 300, 600, 1_200];
+    sweep("one routing decision; x counts workers", &sizes, |size| {
+        let region = Region::new(ALLOCATOR);
+        let settings = RouterSettings::builder().domain(domain(0)).build();
+        let mut router = BackendRouter::new(settings);
+        for number in 0..size {
+            router.set_backend(BackendSpec {
+                backend: format!("backend-{number}").parse().expect("a valid id"),
+                domain: domain(number % 14),
+                concurrency: 16,
+                condition: BackendCondition::Ready {
+                    since: TimePoint::default(),
+                },
+            });
+        }
+        let memory_bytes = held_bytes(&region);
+        let prompts = (0..BATCH).map(prompt).collect::<Vec<_>>();
+        let mut random = ChaCha8Rng::seed_from_u64(1);
+        let now = TimePoint::default() + TimeSpan::from_secs(100);
+        let cpu_micros = median_micros(repeats, || {
+            for prefix in &prompts {
+                let query = RouteQuery { prefix, tried: &[] };
+                if let Some(choice) = router.choose(now, &query, &mut random) {
+                    router.note_sent(&choice.backend, prefix);
+                    router.note_finished(&choice.backend);
+                }
+            }
+        });
+        let cpu_micros = cpu_micros / BATCH as f64;
+        ProbePoint {
+            size: size as f64,
+            cpu_micros,
+            memory_bytes,
+            wire_bytes: 0.0,
+        }
+    })
+}
+
+/// A request through an agent's fair queue; the size counts accounts that wait.
+pub(crate) fn queue_sweep(repeats: usize) -> ProbeSweep {
+    let sizes = [10, 100, 340, 680];
+    sweep(
+        "one request through the fair queue; x counts waiting accounts",
+        &sizes,
+        |size| {
+            let capacity = u32::try_from(size * 2).expect("sizes are small");
+            let settings = QueueSettings::builder()
+                .concurrency(1)
+                .capacity(capacity)
+                .build();
+            let region = Region::new(ALLOCATOR);
+            let mut queue = FairQueue::new(settings);
+            let now = TimePoint::default();
+            for number in 0..=size {
+                // Refusals only make the queue shorter than its nominal size.
+                black_box(queue.push(now, &request(number, number)).is_ok());
+            }
+            black_box(queue.advance(now));
+            let memory_bytes = held_bytes(&region);
+            let mut next = size + 1;
+            let cpu_micros = median_micros(repeats, || {
+                for _ in 0..BATCH {
+                    let id = RequestId(next as u128);
+                    black_box(queue.push(now, &request(next, next % size)).is_ok());
+                    black_box(queue.remove(id));
+                    next += 1;
+                }
+            });
+            let cpu_micros = cpu_micros / BATCH as f64;
+            ProbePoint {
+                size: size as f64,
+                cpu_micros,
+                memory_bytes,
+                wire_bytes: 0.0,
+            }
+        },
+    )
+}
+
+/// An attempt through an agent's start ledger; the size counts attempts it knows.
+pub(crate) fn ledger_sweep(repeats: usize) -> ProbeSweep {
+    let sizes = [100, 1_000, 5_000, 20_000];
+    sweep(
+        "one attempt through the start ledger; x counts known attempts",
+        &sizes,
+        |size| {
+            let region = Region::new(ALLOCATOR);
+            let mut ledger = StartLedger::new(Incarnation(1), StartSettings::default());
+            for number in 0..size {
+                run_attempt(&mut ledger, number);
+            }
+            let memory_bytes = held_bytes(&region);
+            let mut next = size;
+            let cpu_micros = median_micros(repeats, || {
+                for _ in 0..BATCH {
+                    run_attempt(&mut ledger, next);
+                    next += 1;
+                }
+            });
+            let cpu_micros = cpu_micros / BATCH as f64;
+            ProbePoint {
+                size: size as f64,
+                cpu_micros,
+                memory_bytes,
+                wire_bytes: 0.0,
+            }
+        },
+    )
+}
+
+fn run_attempt(ledger: &mut StartLedger, number: usize) {
+    let attempt = AttemptId {
+        request: RequestId(number as u128),
+        number: 1,
+    };
+    let now = TimePoint::default();
+    let arrived = AttemptEvent::Arrived {
+        incarnation: Incarnation(1),
+        deadline: now + TimeSpan::from_secs(1),
+        call: CallKind::Plain,
+    };
+    for event in [
+        arrived,
+        AttemptEvent::SlotFree,
+        AttemptEvent::Finished(None),
+    ] {
+        black_box(ledger.handle(attempt, event, now));
+    }
+}
+
+fn prompt(number: usize) -> PromptPrefix {
+    let text = format!("instructions of kind {} {}", number % 8, "x".repeat(512));
+    PromptPrefix::of_text(text.as_bytes()).with_session(number.to_string().as_bytes())
+}
+
+fn request(number: usize, account: usize) -> QueueRequest {
+    QueueRequest::builder()
+        .id(RequestId(number as u128))
+        .account(format!("account-{account}").parse().expect("a valid id"))
+        .weight(ShareWeight::ONE)
+        .class(PriorityClass::Normal)
+        .cost(TokenCount(100))
+        .start_by(TimePoint::default() + TimeSpan::from_secs(1_000))
+        .build()
+}
--- a/crates/celerycrank-link/src/pool.rs
+++ b/crates/celerycrank-link/src/pool.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use celerycrank_types::{EntryId, Revision, TimeSpan};
+use celerycrank_types::{ByteSize, EntryId, Revision, TimeSpan};
 use celerycrank_wire::{HelloOrder, PeerOrder, PeerReply, WelcomeReply};
 use quinn::{Connection, ConnectionError, VarInt};
 use tokio::sync::Mutex;
@@ -65,6 +65,12 @@
         self.heard.elapsed().into()
     }
 
+    /// Bytes sent on this connection, packet heads of UDP and IP left out.
+    #[must_use]
+    pub fn sent_bytes(&self) -> ByteSize {
+        ByteSize(self.connection.stats().udp_tx.bytes)
+    }
+
     /// Whether the connection is still usable as far as is known.
     #[must_use]
     pub fn is_open(&self) -> bool {
