Set aside state for 512 streams a connection in place of 4,096

Cause: a connection held 752 KB at both ends; QUIC keeps a slot for every stream that the peer may open, from the start.

--- a/crates/celerycrank-link/src/endpoint.rs
+++ b/crates/celerycrank-link/src/endpoint.rs
@@ -20,8 +20,10 @@
 /// Longest wait for a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Most requests at a time on one connection.
-const MAX_STREAMS: u32 = 4_096;
+/// Most requests at a time on one connection; further ones wait for a stream.
+///
+/// Both ends set state aside for each of them as soon as a connection opens.
+const MAX_STREAMS: u32 = 512;
 
 /// Application code with which a process closes its connections after a graceful shutdown.
 pub(crate) const CLOSE_STOPPED: u32 = 1;
