Run requests at the entry by their machine

Cause: the entry tried agents in a loop of its own, without the chart, without backoff, without asking again when a revocation went unanswered, and without any end for an attempt that starts late. Now RequestRun carries out what RequestMachine says; a keyed call goes to the owner of its key's shard.

Found on the way: a request waited without bound for a connection that others were making (5.5 s in line behind probes of a stopped agent, of a deadline of 5 s), and was then refused.

Agents keep no answers yet: a resumption is told as LinkLost at once.

--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -42,7 +42,7 @@
 ];
 
 /// A whole request of a caller, not yet admitted.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct RequestDraft {
     arrival: TimePoint,
     api_key: Arc<str>,
--- /dev/null
+++ b/crates/celerycrank-entry/src/choose.rs
@@ -0,0 +1,40 @@
+//! Chooses the agent of one request.
+
+use std::rc::Rc;
+
+use celerycrank_requests::{CallKey, ClaimLayout};
+use celerycrank_types::{BackendId, RefusalReason};
+use celerycrank_wire::OfferKind;
+
+use crate::{dispatch::PreparedRequest, roster::AgentRecord, state::EntryState};
+
+/// Chooses an agent that is not avoided: for a keyed call the owner of its key's shard.
+pub(crate) fn choose_agent(
+    state: &EntryState,
+    request: &PreparedRequest,
+    avoid: &[BackendId],
+) -> Result<Rc<AgentRecord>, RefusalReason> {
+    let key = read_key(request)?;
+    let timer = state.metrics.decision.start_timer();
+    let roster = state.roster.borrow();
+    let owner = key.and_then(|key| {
+        let layout = ClaimLayout::builder().build();
+        roster.choose_owner(&request.kind, avoid, &layout, &key)
+    });
+    let chosen = owner.or_else(|| {
+        let mut random = state.random.borrow_mut();
+        roster.choose(&request.kind, avoid, &mut *random)
+    });
+    timer.observe_duration();
+    chosen.ok_or(RefusalReason::NoBackend)
+}
+
+fn read_key(request: &PreparedRequest) -> Result<Option<CallKey>, RefusalReason> {
+    let (Some(text), OfferKind::Service(service)) = (&request.order.key, &request.kind) else {
+        return Ok(None);
+    };
+    match CallKey::parse(&request.order.account, service, text) {
+        Ok(key) => Ok(Some(key)),
+        Err(_) => Err(RefusalReason::BadRequest),
+    }
+}
--- a/crates/celerycrank-entry/src/dispatch.rs
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -1,23 +1,32 @@
-//! Hands a request to agents until one answers it, or until that is pointless.
+//! Runs one request by its machine until an answer begins or its outcome is known.
 
-use std::rc::Rc;
+use std::{collections::VecDeque, rc::Rc, time::Duration};
 
 use actix_http::{Response, body::BoxBody};
-use celerycrank_types::{BackendId, RefusalReason, RetryReason, TimePoint, TimeSpan};
-use celerycrank_wire::{OfferKind, RunOrder};
-use smallvec::SmallVec;
+use actix_rt::time::timeout;
+use celerycrank_link::PeerLink;
+use celerycrank_requests::{
+    AttemptId, PeerClock, RequestAction, RequestActions, RequestContext, RequestEvent,
+    RequestMachine, RequestPolicy,
+};
+use celerycrank_types::{
+    BackendId, RefusalReason, RequestOutcome, RetryReason, TimePoint, TimeSpan, UnknownReason,
+};
+use celerycrank_wire::{AnswerHead, OfferKind, PeerReply, RefusedReply, RevokeVerdict, RunOrder};
 
 use crate::{
     accept::{RequestDraft, admit},
     answer::pass_answer,
-    forward::{AttemptEnd, forward},
+    choose::choose_agent,
+    forward::{AttemptAnswer, AttemptLink, LinkEvent, Revocation, revoke_answer},
+    probe::note_failure,
     refusal::{refuse, tell_unknown},
     roster::AgentRecord,
     state::EntryState,
 };
 
-/// Most agents that are tried for one request.
-const MAX_ATTEMPTS: usize = 3;
+/// Longest wait of one request for a link to the chosen agent.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
 /// A request that passed every check.
 #[derive(Debug)]
@@ -30,113 +39,342 @@
     pub(crate) draft: RequestDraft,
 }
 
-/// Why the last attempt did not run, which is told if there is no other.
-struct LastRefusal {
-    reason: RefusalReason,
-    retry_after: Option<TimeSpan>,
+/// Answers a request that passed every check.
+pub(crate) async fn dispatch(state: Rc<EntryState>, request: PreparedRequest) -> Response<BoxBody> {
+    RequestRun::start(state, request).run().await
 }
 
-/// Answers a request that passed every check.
-pub(crate) async fn dispatch(
+/// One request while its machine runs.
+struct RequestRun {
     state: Rc<EntryState>,
-    mut request: PreparedRequest,
-) -> Response<BoxBody> {
-    let mut guard = CallerGuard::new(&state);
-    state.earn_retry(&request.order.account);
-    let mut tried = SmallVec::<[BackendId; MAX_ATTEMPTS]>::new();
-    let mut last = LastRefusal {
-        reason: RefusalReason::NoBackend,
-        retry_after: None,
-    };
-    for _ in 0..MAX_ATTEMPTS {
+    request: PreparedRequest,
+    machine: RequestMachine,
+    actions: VecDeque<RequestAction>,
+    /// The agent of the latest choice.
+    record: Option<Rc<AgentRecord>>,
+    /// The link that the machine asked for, until it is used.
+    connected: Option<Rc<PeerLink>>,
+    attempt: Option<AttemptLink>,
+    revocation: Option<Revocation>,
+    /// The answer's head, until it is delivered.
+    head: Option<AnswerHead>,
+    /// Why the last attempt did not run, which is told if there is no other agent.
+    refusal: Option<RefusalReason>,
+    retry_after: Option<TimeSpan>,
+    /// Counted once another agent is tried.
+    retry: Option<RetryReason>,
+    guard: CallerGuard,
+}
+
+impl RequestRun {
+    fn start(state: Rc<EntryState>, request: PreparedRequest) -> Self {
         let now = state.clock.now();
-        if now >= request.deadline {
-            last.reason = RefusalReason::DeadlineUnreachable;
-            break;
+        let policy = RequestPolicy::builder()
+            .repeat(request.order.repeat)
+            .deadline(request.deadline.since(now))
+            .build();
+        let (machine, actions) = state.with_budget(&request.order.account, |budget, _| {
+            RequestMachine::start(request.order.id, policy, now, budget)
+        });
+        Self {
+            guard: CallerGuard::new(&state),
+            state,
+            request,
+            machine,
+            actions: actions.into_iter().collect(),
+            record: None,
+            connected: None,
+            attempt: None,
+            revocation: None,
+            head: None,
+            refusal: None,
+            retry_after: None,
+            retry: None,
+        }
+    }
+
+    async fn run(mut self) -> Response<BoxBody> {
+        loop {
+            while let Some(action) = self.actions.pop_front() {
+                match action {
+                    RequestAction::DeliverHead => return self.deliver().await,
+                    RequestAction::Report(outcome) => return self.report(outcome),
+                    other => self.perform(other).await,
+                }
+            }
+            let event = self.next_event().await;
+            self.handle(&event);
+        }
+    }
+
+    fn handle(&mut self, event: &RequestEvent) {
+        let now = self.state.clock.now();
+        let machine = &mut self.machine;
+        let account = &self.request.order.account;
+        let actions: RequestActions = self.state.with_budget(account, |budget, random| {
+            let mut context = RequestContext {
+                now,
+                budget,
+                random,
+            };
+            machine.handle(event, &mut context)
+        });
+        self.actions.extend(actions);
+    }
+
+    async fn perform(&mut self, action: RequestAction) {
+        match action {
+            RequestAction::Choose { avoid } => {
+                let event = self.choose(&avoid);
+                self.handle(&event);
+            }
+            RequestAction::Connect { link, .. } => {
+                let event = match self.connect().await {
+                    Some(peer) => {
+                        let heard = self.state.clock.now() - peer.heard_since();
+                        let event = RequestEvent::Connected {
+                            link,
+                            incarnation: peer.welcome.incarnation,
+                            clock: PeerClock::new(peer.welcome.clock, heard),
+                        };
+                        self.connected = Some(peer);
+                        event
+                    }
+                    None => RequestEvent::ConnectFailed(link),
+                };
+                self.handle(&event);
+            }
+            RequestAction::Send {
+                link,
+                attempt,
+                incarnation,
+                deadline,
+                ..
+            } => {
+                let order = &mut self.request.order;
+                order.attempt = attempt.number;
+                order.agent = incarnation;
+                order.start_by = deadline;
+                if let Some(event) = self.send(attempt).await {
+                    self.handle(&event);
+                } else if let Some(held) = &mut self.attempt {
+                    held.number = link;
+                }
+            }
+            RequestAction::Revoke { attempt, .. } => self.revoke(attempt),
+            // Agents keep no answers yet, so that a broken one cannot be resumed.
+            RequestAction::Resume { attempt, .. } => {
+                let event = RequestEvent::Unproved(attempt, UnknownReason::LinkLost);
+                self.handle(&event);
+            }
+            RequestAction::Cancel { .. } => self.attempt = None,
+            RequestAction::CountRetry(reason) => self.retry = Some(reason),
+            RequestAction::DeliverHead
+            | RequestAction::Deliver { .. }
+            | RequestAction::Report(_) => {}
         }
-        let Some(record) = choose_agent(&state, &request.kind, &tried) else {
-            break;
+    }
+
+    fn choose(&mut self, avoid: &[BackendId]) -> RequestEvent {
+        self.attempt = None;
+        if let Err(reason) = self.admit_again() {
+            return RequestEvent::NoneChosen(reason);
+        }
+        // An agent that only knew a newer configuration may be asked again under it.
+        let avoid = match self.refusal {
+            Some(RefusalReason::OldRevision) => &[],
+            _ => avoid,
         };
-        request.order.attempt += 1;
-        let end = forward(&state, &record, &mut request.order, request.deadline).await;
-        let (reason, retry_after, retry) = match end {
-            AttemptEnd::Answering(answer) => {
-                guard.settled = true;
-                return pass_answer(Rc::clone(&state), *answer, request.arrival).await;
-            }
-            AttemptEnd::Unknown(reason) => {
-                guard.settled = true;
-                state.metrics.unknowns.count(reason);
-                return tell_unknown(reason);
-            }
-            AttemptEnd::NotRun {
-                reason,
-                retry_after,
-                retry,
-            } => (reason, retry_after, retry),
+        match choose_agent(&self.state, &self.request, avoid) {
+            Ok(record) => {
+                let event = RequestEvent::Chosen(record.offer.backend.clone());
+                self.record = Some(record);
+                if let Some(reason) = self.retry.take() {
+                    self.state.metrics.retries.count(reason);
+                }
+                event
+            }
+            Err(reason) => RequestEvent::NoneChosen(self.refusal.unwrap_or(reason)),
+        }
+    }
+
+    /// Judges the request by the configuration in force, as if it had only just arrived.
+    fn admit_again(&mut self) -> Result<(), RefusalReason> {
+        if self.state.revision() <= self.request.order.revision {
+            return Ok(());
+        }
+        let mut request = admit(&self.state, self.request.draft.clone())?;
+        request.order.id = self.machine.request();
+        self.request = request;
+        Ok(())
+    }
+
+    /// The link to the chosen agent, unless it takes so long that another should be tried.
+    async fn connect(&mut self) -> Option<Rc<PeerLink>> {
+        let record = self.record.as_ref()?;
+        let revision = self.request.order.revision;
+        let connecting = self.state.pool.connect(record.address, revision);
+        let reason = match timeout(CONNECT_LIMIT, connecting).await {
+            Ok(Ok(link)) => return Some(link),
+            Ok(Err(fault)) => fault.refusal_reason(),
+            // Others that wait for the same connection may be in line before this request.
+            Err(_) => RefusalReason::AgentUnreachable,
         };
-        last = LastRefusal {
-            reason,
-            retry_after,
+        note_failure(&self.state, record);
+        self.refusal = Some(reason);
+        None
+    }
+
+    /// Sends the whole order; an agent starts nothing before it has all of it, so a failure
+    /// is a proof that nothing was started.
+    async fn send(&mut self, attempt: AttemptId) -> Option<RequestEvent> {
+        let refused = RequestEvent::Refused(attempt, RefusalReason::AgentUnreachable);
+        let (Some(link), Some(record)) = (self.connected.take(), &self.record) else {
+            return Some(refused);
         };
-        if reason == RefusalReason::OldRevision && state.revision() > request.order.revision {
-            // The agent's refusal brought the newer configuration; the request is judged by
-            // it as if it had only just arrived.
-            request = match admit(&state, request.draft) {
-                Ok(request) => request,
-                Err(reason) => {
-                    last.reason = reason;
-                    break;
+        match AttemptLink::send(&self.state, link, record, &self.request.order).await {
+            Ok(held) => {
+                self.attempt = Some(held);
+                None
+            }
+            Err(_) => Some(refused),
+        }
+    }
+
+    fn revoke(&mut self, attempt: AttemptId) {
+        // The question that is under way answers this one too.
+        if self.revocation.is_none()
+            && let Some(record) = &self.record
+        {
+            let order = &self.request.order;
+            self.revocation = Some(Revocation::ask(&self.state, record, order, attempt));
+        }
+    }
+
+    /// Waits for whatever concerns the request next.
+    async fn next_event(&mut self) -> RequestEvent {
+        let wake = self.machine.wake_at();
+        let wait = wake.map(|at| at.since(self.state.clock.now()));
+        tokio::select! {
+            event = receive(&self.state, &mut self.attempt) => self.take_reply(event),
+            answer = answered(&mut self.revocation) => self.take_verdict(answer),
+            () = sleep(wait) => RequestEvent::Woke,
+        }
+    }
+
+    fn take_reply(&mut self, event: LinkEvent) -> RequestEvent {
+        let attempt = self.machine.attempt();
+        match event {
+            LinkEvent::Reply(PeerReply::Head(head)) => {
+                self.head = Some(head);
+                RequestEvent::Head(attempt)
+            }
+            LinkEvent::Reply(PeerReply::Refused(reply)) => {
+                self.attempt = None;
+                self.note_refusal(&reply);
+                RequestEvent::Refused(attempt, reply.reason)
+            }
+            LinkEvent::Reply(PeerReply::Broken(reply)) => {
+                self.attempt = None;
+                RequestEvent::Unproved(attempt, reply.reason)
+            }
+            LinkEvent::Reply(_) | LinkEvent::Garbage => {
+                self.attempt = None;
+                RequestEvent::Unproved(attempt, UnknownReason::BadAnswer)
+            }
+            // A peer that stopped has answered whatever it had started.
+            LinkEvent::Stopped => {
+                self.attempt = None;
+                self.refusal = Some(RefusalReason::BackendLeaving);
+                RequestEvent::Refused(attempt, RefusalReason::BackendLeaving)
+            }
+            LinkEvent::Lost(number) => {
+                self.attempt = None;
+                RequestEvent::LinkLost(number)
+            }
+        }
+    }
+
+    fn note_refusal(&mut self, reply: &RefusedReply) {
+        self.refusal = Some(reply.reason);
+        self.retry_after = reply.retry_after;
+        if let Some(update) = &reply.configuration {
+            self.state.sync.on_update(update);
+        }
+        if let Some(record) = &self.record
+            && reply.reason == RefusalReason::BackendUnreachable
+        {
+            note_failure(&self.state, record);
+        }
+    }
+
+    fn take_verdict(
+        &mut self,
+        (attempt, answer): (AttemptId, Option<RevokeVerdict>),
+    ) -> RequestEvent {
+        self.revocation = None;
+        match answer {
+            Some(verdict) => {
+                if verdict == RevokeVerdict::NeverStarted {
+                    self.refusal = Some(RefusalReason::Revoked);
                 }
-            };
-            state.metrics.retries.count(RetryReason::Refused);
-            continue;
+                RequestEvent::RevokeAnswered(attempt, revoke_answer(verdict))
+            }
+            None => RequestEvent::RevokeFailed(attempt),
         }
-        tried.push(record.offer.backend.clone());
-        let Some(retry) = retry else {
-            break;
+    }
+
+    async fn deliver(mut self) -> Response<BoxBody> {
+        self.guard.settled = true;
+        let (Some(head), Some(attempt), Some(record)) =
+            (self.head.take(), self.attempt.take(), self.record.take())
+        else {
+            unreachable!("a head arrives on the link of its attempt");
+        };
+        let answer = AttemptAnswer {
+            head,
+            receiver: attempt.receiver,
+            record,
+            _guard: attempt.guard,
         };
-        if !may_retry(&state, &request, &tried, reason) {
-            break;
+        pass_answer(self.state, answer, self.request.arrival).await
+    }
+
+    fn report(&mut self, outcome: RequestOutcome) -> Response<BoxBody> {
+        self.guard.settled = true;
+        match outcome {
+            RequestOutcome::NotRun(reason) => {
+                self.state.metrics.refusals.count(reason);
+                refuse(reason, self.retry_after)
+            }
+            RequestOutcome::Unknown(reason) => {
+                self.state.metrics.unknowns.count(reason);
+                tell_unknown(reason)
+            }
+            RequestOutcome::Answered => unreachable!("an answer is reported by its reader"),
         }
-        state.metrics.retries.count(retry);
     }
-    guard.settled = true;
-    state.metrics.refusals.count(last.reason);
-    refuse(last.reason, last.retry_after)
 }
 
-fn choose_agent(
-    state: &EntryState,
-    kind: &OfferKind,
-    tried: &[BackendId],
-) -> Option<Rc<AgentRecord>> {
-    let timer = state.metrics.decision.start_timer();
-    let mut random = state.random.borrow_mut();
-    let chosen = state.roster.borrow().choose(kind, tried, &mut *random);
-    timer.observe_duration();
-    chosen
+async fn receive(state: &EntryState, attempt: &mut Option<AttemptLink>) -> LinkEvent {
+    match attempt {
+        Some(attempt) => attempt.receive(state).await,
+        None => std::future::pending().await,
+    }
 }
 
-/// Whether another agent is there to try and the account's budget allows it.
-fn may_retry(
-    state: &EntryState,
-    request: &PreparedRequest,
-    tried: &[BackendId],
-    refusal: RefusalReason,
-) -> bool {
-    if tried.len() >= MAX_ATTEMPTS || choose_agent(state, &request.kind, tried).is_none() {
-        return false;
-    }
-    // Where nothing reached a backend server, and the agent gets no further request, a
-    // retry adds no load, so that it costs no budget.
-    let is_free = matches!(
-        refusal,
-        RefusalReason::AgentUnreachable
-            | RefusalReason::BackendLeaving
-            | RefusalReason::BackendUnreachable
-    );
-    is_free || state.spend_retry(&request.order.account)
+async fn answered(revocation: &mut Option<Revocation>) -> (AttemptId, Option<RevokeVerdict>) {
+    match revocation {
+        Some(revocation) => revocation.answer().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn sleep(wait: Option<TimeSpan>) {
+    match wait {
+        Some(wait) => actix_rt::time::sleep(wait.as_duration()).await,
+        None => std::future::pending().await,
+    }
 }
 
 /// Counts a caller that left while its request was dispatched.
--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -1,14 +1,13 @@
-//! One attempt to have an agent run a request.
+//! One attempt on its link, and the question what became of it.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::Pin, rc::Rc, time::Duration};
 
 use actix_rt::time::timeout;
-use celerycrank_link::{LinkFault, MessageReceiver, PeerLink, StreamFault};
-use celerycrank_requests::{PeerClock, is_retryable};
-use celerycrank_types::{RefusalReason, RetryReason, TimePoint, TimeSpan, UnknownReason};
+use celerycrank_link::{MessageReceiver, MessageSender, PeerLink, StreamFault};
+use celerycrank_requests::{AttemptId, LinkNumber, RevokeAnswer};
+use celerycrank_types::{Incarnation, RequestId};
 use celerycrank_wire::{
-    AnswerHead, PeerOrder, PeerReply, RefusedReply, RevokeOrder, RevokeReply, RevokeVerdict,
-    RunOrder,
+    AnswerHead, PeerOrder, PeerReply, RevokeOrder, RevokeReply, RevokeVerdict, RunOrder,
 };
 
 use crate::{
@@ -25,23 +24,6 @@
 /// Longest wait for the answer to a revocation.
 const REVOKE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How one attempt ended.
-pub(crate) enum AttemptEnd {
-    /// The backend server answers.
-    Answering(Box<AttemptAnswer>),
-    /// It is proved that the request was not run.
-    NotRun {
-        /// Why it was not.
-        reason: RefusalReason,
-        /// When a new attempt may succeed, if that is known.
-        retry_after: Option<TimeSpan>,
-        /// Why another agent may be tried; nothing if none may.
-        retry: Option<RetryReason>,
-    },
-    /// Nothing can be proved.
-    Unknown(UnknownReason),
-}
-
 /// An answer that has begun.
 pub(crate) struct AttemptAnswer {
     pub(crate) head: AnswerHead,
@@ -51,160 +33,170 @@
     pub(crate) _guard: OutstandingGuard,
 }
 
-/// What came back before an answer began.
-enum FirstReply {
-    Head(AnswerHead),
-    Refused(Box<RefusedReply>),
-    Broken(UnknownReason),
+/// An attempt that was sent, on the stream that carries its answer.
+pub(crate) struct AttemptLink {
+    pub(crate) number: LinkNumber,
+    pub(crate) receiver: MessageReceiver,
+    /// Held until the attempt's end.
+    pub(crate) guard: OutstandingGuard,
+    /// Kept open until the attempt's end.
+    _sender: MessageSender,
+    link: Rc<PeerLink>,
+    record: Rc<AgentRecord>,
+    id: RequestId,
+}
+
+/// What a link brought.
+pub(crate) enum LinkEvent {
+    /// The head of the answer, a refusal, or the end of what can be known.
+    Reply(PeerReply),
+    /// What came is no answer to this request.
+    Garbage,
+    /// The agent shut down gracefully without a reply.
+    Stopped,
     /// The link was lost, or the agent is silent.
-    Lost,
+    Lost(LinkNumber),
 }
 
-/// Hands a request to one agent.
-pub(crate) async fn forward(
-    state: &Rc<EntryState>,
-    record: &Rc<AgentRecord>,
-    order: &mut RunOrder,
-    deadline: TimePoint,
-) -> AttemptEnd {
-    let guard = record.hand_out();
-    let link = match state.pool.connect(record.address, order.revision).await {
-        Ok(link) => link,
-        Err(fault) => return not_connected(state, record, &fault),
-    };
-    let age = link.heard_since();
-    let introduced = state.clock.now() - age;
-    order.agent = link.welcome.incarnation;
-    order.start_by = PeerClock::new(link.welcome.clock, introduced).deadline(deadline);
-    // An agent starts nothing before it has the whole order, so a failure to send all of
-    // it is a proof that nothing was started.
-    let Ok((_sender, mut receiver)) = link.send(&PeerOrder::Run(Box::new(order.clone()))).await
-    else {
-        state.pool.forget(record.address);
-        return not_run(RefusalReason::AgentUnreachable, RetryReason::ConnectFailed);
-    };
-    match first_reply(state, record, &link, &mut receiver, order).await {
-        FirstReply::Head(head) => AttemptEnd::Answering(Box::new(AttemptAnswer {
-            head,
+impl AttemptLink {
+    /// Sends a whole order.
+    pub(crate) async fn send(
+        state: &EntryState,
+        link: Rc<PeerLink>,
+        record: &Rc<AgentRecord>,
+        order: &RunOrder,
+    ) -> Result<Self, StreamFault> {
+        let guard = record.hand_out();
+        let message = PeerOrder::Run(Box::new(order.clone()));
+        let (sender, receiver) = link.send(&message).await.inspect_err(|_| {
+            state.pool.forget(record.address);
+        })?;
+        Ok(Self {
+            number: LinkNumber::default(),
             receiver,
+            guard,
+            _sender: sender,
+            link,
             record: Rc::clone(record),
-            _guard: guard,
-        })),
-        FirstReply::Refused(reply) => refused(state, record, &reply),
-        FirstReply::Broken(reason) => AttemptEnd::Unknown(reason),
-        FirstReply::Lost => settle(state, record, &link, order).await,
+            id: order.id,
+        })
     }
-}
 
-async fn first_reply(
-    state: &EntryState,
-    record: &AgentRecord,
-    link: &PeerLink,
-    receiver: &mut MessageReceiver,
-    order: &RunOrder,
-) -> FirstReply {
-    let incarnation = link.welcome.incarnation;
-    loop {
-        let reply = match timeout(SILENCE_LIMIT, receiver.receive()).await {
-            Ok(Ok(Some(reply))) => reply,
-            Ok(Err(StreamFault::Wire(_))) => {
-                state.metrics.wire_faults.inc();
-                return FirstReply::Broken(UnknownReason::BadAnswer);
+    /// The next reply that says more than that the request waits.
+    pub(crate) async fn receive(&mut self, state: &EntryState) -> LinkEvent {
+        loop {
+            let reply = match timeout(SILENCE_LIMIT, self.receiver.receive()).await {
+                Ok(Ok(Some(reply))) => reply,
+                Ok(Err(StreamFault::Wire(_))) => {
+                    state.metrics.wire_faults.inc();
+                    return LinkEvent::Garbage;
+                }
+                Ok(Ok(None) | Err(_)) | Err(_) => return self.lost(state),
+            };
+            match reply {
+                PeerReply::Waiting(load) => self.record.note_load(load),
+                reply => return self.check(reply),
             }
-            Ok(Ok(None) | Err(_)) | Err(_) => return FirstReply::Lost,
-        };
-        match reply {
-            PeerReply::Waiting(load) => record.note_load(load),
-            PeerReply::Head(head) if head.id == order.id && head.incarnation == incarnation => {
-                record.note_load(head.load);
-                return FirstReply::Head(head);
-            }
-            PeerReply::Refused(reply)
-                if reply.id == order.id && reply.incarnation == incarnation =>
-            {
-                record.note_load(reply.load);
-                return FirstReply::Refused(reply);
-            }
-            PeerReply::Broken(reply) if reply.id == order.id => {
-                record.note_load(reply.load);
-                return FirstReply::Broken(reply.reason);
-            }
-            _ => return FirstReply::Broken(UnknownReason::BadAnswer),
         }
     }
-}
 
-/// Asks the agent, by a new connection, what became of a request whose link was lost.
-async fn settle(
-    state: &Rc<EntryState>,
-    record: &Rc<AgentRecord>,
-    link: &PeerLink,
-    order: &RunOrder,
-) -> AttemptEnd {
-    state.pool.forget(record.address);
-    note_failure(state, record);
-    if link.is_stopped() {
-        return not_run(RefusalReason::BackendLeaving, RetryReason::Refused);
+    /// Passes on what answers this request in the agent's life that it was sent to.
+    fn check(&self, reply: PeerReply) -> LinkEvent {
+        let (id, incarnation, load) = match &reply {
+            PeerReply::Head(head) => (head.id, head.incarnation, head.load),
+            PeerReply::Refused(refused) => (refused.id, refused.incarnation, refused.load),
+            PeerReply::Broken(broken) => (broken.id, self.incarnation(), broken.load),
+            _ => return LinkEvent::Garbage,
+        };
+        if id != self.id || incarnation != self.incarnation() {
+            return LinkEvent::Garbage;
+        }
+        self.record.note_load(load);
+        LinkEvent::Reply(reply)
     }
-    let asking = revoke(state, record, order);
-    let Ok(Some(reply)) = timeout(REVOKE_TIMEOUT, asking).await else {
-        return AttemptEnd::Unknown(UnknownReason::LinkLost);
-    };
-    if reply.incarnation != link.welcome.incarnation {
-        return AttemptEnd::Unknown(UnknownReason::AgentRestarted);
+
+    fn incarnation(&self) -> Incarnation {
+        self.link.welcome.incarnation
     }
-    match reply.verdict {
-        RevokeVerdict::NeverStarted => not_run(RefusalReason::Revoked, RetryReason::Revoked),
-        RevokeVerdict::Started | RevokeVerdict::Finished | RevokeVerdict::Forgotten => {
-            AttemptEnd::Unknown(UnknownReason::LinkLost)
+
+    fn lost(&self, state: &EntryState) -> LinkEvent {
+        state.pool.forget(self.record.address);
+        note_failure(state, &self.record);
+        if self.link.is_stopped() {
+            LinkEvent::Stopped
+        } else {
+            LinkEvent::Lost(self.number)
         }
-        RevokeVerdict::Unproved(reason) => AttemptEnd::Unknown(reason),
-        RevokeVerdict::OtherIncarnation => AttemptEnd::Unknown(UnknownReason::AgentRestarted),
     }
 }
 
-async fn revoke(state: &EntryState, record: &AgentRecord, order: &RunOrder) -> Option<RevokeReply> {
-    let link = state.pool.open(record.address, order.revision).await.ok()?;
-    let question = PeerOrder::Revoke(RevokeOrder {
-        id: order.id,
-        attempt: order.attempt,
-        agent: order.agent,
-        start_by: order.start_by,
-    });
-    let (_sender, mut receiver) = link.send(&question).await.ok()?;
-    match receiver.receive().await {
-        Ok(Some(PeerReply::Revoked(reply))) if reply.id == order.id => Some(reply),
-        _ => None,
-    }
+/// A question to an agent, over a connection of its own, what became of an attempt.
+pub(crate) struct Revocation {
+    attempt: AttemptId,
+    asking: Pin<Box<dyn Future<Output = Option<RevokeVerdict>>>>,
 }
 
-fn refused(state: &EntryState, record: &AgentRecord, reply: &RefusedReply) -> AttemptEnd {
-    if let Some(update) = &reply.configuration {
-        state.sync.on_update(update);
-    }
-    if reply.reason == RefusalReason::BackendUnreachable {
-        note_failure(state, record);
+impl Revocation {
+    /// Asks that the attempt never start.
+    pub(crate) fn ask(
+        state: &Rc<EntryState>,
+        record: &Rc<AgentRecord>,
+        order: &RunOrder,
+        attempt: AttemptId,
+    ) -> Self {
+        let question = RevokeOrder {
+            id: order.id,
+            attempt: attempt.number,
+            agent: order.agent,
+            start_by: order.start_by,
+        };
+        let (state, record) = (Rc::clone(state), Rc::clone(record));
+        let asking = async move {
+            let asked = timeout(REVOKE_TIMEOUT, revoke(&state, &record, question)).await;
+            let reply = asked.ok().flatten()?;
+            Some(if reply.incarnation == question.agent {
+                reply.verdict
+            } else {
+                RevokeVerdict::OtherIncarnation
+            })
+        };
+        Self {
+            attempt,
+            asking: Box::pin(asking),
+        }
     }
-    AttemptEnd::NotRun {
-        reason: reply.reason,
-        retry_after: reply.retry_after,
-        retry: is_retryable(reply.reason).then_some(RetryReason::Refused),
+
+    /// What the agent answered; nothing if it could not be asked.
+    pub(crate) async fn answer(&mut self) -> (AttemptId, Option<RevokeVerdict>) {
+        (self.attempt, self.asking.as_mut().await)
     }
 }
 
-fn not_connected(
-    state: &Rc<EntryState>,
-    record: &Rc<AgentRecord>,
-    fault: &LinkFault,
-) -> AttemptEnd {
-    note_failure(state, record);
-    not_run(fault.refusal_reason(), RetryReason::ConnectFailed)
+async fn revoke(
+    state: &EntryState,
+    record: &AgentRecord,
+    question: RevokeOrder,
+) -> Option<RevokeReply> {
+    let link = state
+        .pool
+        .open(record.address, state.revision())
+        .await
+        .ok()?;
+    let (_sender, mut receiver) = link.send(&PeerOrder::Revoke(question)).await.ok()?;
+    match receiver.receive().await {
+        Ok(Some(PeerReply::Revoked(reply))) if reply.id == question.id => Some(reply),
+        _ => None,
+    }
 }
 
-const fn not_run(reason: RefusalReason, retry: RetryReason) -> AttemptEnd {
-    AttemptEnd::NotRun {
-        reason,
-        retry_after: None,
-        retry: Some(retry),
+/// What an agent's verdict means to the request's machine.
+pub(crate) const fn revoke_answer(verdict: RevokeVerdict) -> RevokeAnswer {
+    match verdict {
+        RevokeVerdict::NeverStarted => RevokeAnswer::NeverStarted,
+        RevokeVerdict::Started => RevokeAnswer::Started,
+        RevokeVerdict::Finished => RevokeAnswer::Finished,
+        RevokeVerdict::Forgotten => RevokeAnswer::Forgotten,
+        RevokeVerdict::OtherIncarnation => RevokeAnswer::OtherIncarnation,
+        RevokeVerdict::Unproved(reason) => RevokeAnswer::Unproved(reason),
     }
 }
--- a/crates/celerycrank-entry/src/lib.rs
+++ b/crates/celerycrank-entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod admin;
 mod answer;
 mod body;
+mod choose;
 mod dispatch;
 mod fault;
 mod forward;
--- a/crates/celerycrank-entry/src/roster.rs
+++ b/crates/celerycrank-entry/src/roster.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc};
 
 use celerycrank_membership::{MemberState, MemberTable, RampWeight};
+use celerycrank_requests::{CallKey, ClaimLayout};
 use celerycrank_types::{BackendId, TimePoint, VmId};
 use celerycrank_wire::{BackendOffer, LoadReport, OfferKind};
 use rand::Rng;
@@ -137,6 +138,26 @@
         Some(Rc::clone(best))
     }
 
+    /// Chooses the usable agent that owns the shard of a key, unless it is avoided.
+    pub(crate) fn choose_owner(
+        &self,
+        kind: &OfferKind,
+        avoid: &[BackendId],
+        layout: &ClaimLayout,
+        key: &CallKey,
+    ) -> Option<Rc<AgentRecord>> {
+        let records = self.by_kind.get(kind)?;
+        let is_candidate = |record: &&Rc<AgentRecord>| {
+            record.is_usable() && !avoid.contains(&record.offer.backend)
+        };
+        let candidates = records.iter().filter(is_candidate);
+        let owner = layout.owner(key, candidates.map(|record| &record.offer.backend))?;
+        let record = records
+            .iter()
+            .find(|record| record.offer.backend == *owner)?;
+        Some(Rc::clone(record))
+    }
+
     /// Takes the member table's judgement of every agent, and drops those that are gone.
     pub(crate) fn judge_all(&mut self, members: &MemberTable, now: TimePoint) {
         let views = members
--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -88,21 +88,20 @@
         self.sync.revision()
     }
 
-    /// Notes a request of an account, which adds to its retry budget.
-    pub(crate) fn earn_retry(&self, account: &AccountId) {
+    /// Lends out an account's retry budget, and the generator of every random choice.
+    pub(crate) fn with_budget<T>(
+        &self,
+        account: &AccountId,
+        work: impl FnOnce(&mut RetryBudget, &mut StdRng) -> T,
+    ) -> T {
         let mut budgets = self.budgets.borrow_mut();
+        let mut random = self.random.borrow_mut();
         match budgets.get_mut(account) {
-            Some(budget) => budget.earn(),
-            None => budgets.entry(account.clone()).or_default().earn(),
+            Some(budget) => work(budget, &mut random),
+            None => work(budgets.entry(account.clone()).or_default(), &mut random),
         }
     }
 
-    /// Takes one retry from an account's budget, if it has one left.
-    pub(crate) fn spend_retry(&self, account: &AccountId) -> bool {
-        let mut budgets = self.budgets.borrow_mut();
-        budgets.get_mut(account).is_some_and(RetryBudget::spend)
-    }
-
     pub(crate) fn draw_request_id(&self) -> RequestId {
         RequestId(self.random.borrow_mut().random())
     }
