--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -1,6 +1,6 @@
 //! One attempt on its link, and the question what became of it.
 
-use std::{pin::Pin, rc::Rc, time::Duration};
+use std::{borrow::Cow, pin::Pin, rc::Rc, time::Duration};
 
 use actix_rt::time::timeout;
 use celerycrank_link::{MessageReceiver, MessageSender, PeerLink, StreamFault};
@@ -67,7 +67,7 @@
         order: &RunOrder,
     ) -> Result<Self, StreamFault> {
         let guard = record.hand_out();
-        let message = PeerOrder::Run(Box::new(order.clone()));
+        let message = PeerOrder::Run(Cow::Borrowed(order));
         let (sender, receiver) = link.send(&message).await.inspect_err(|_| {
             state.pool.forget(record.address);
         })?;
