Let a gain count only once the previous decision's estimate confirms it

Cause: a hot expert of 4 minutes leaves a third of a mean expert's load in a one-hour average and more in a five-minute one, so a decision soon after the burst paid for it. Ruled out: a longer memory, which also slows the answer to a shift change. The co-op preset now wants a gain to show at two decisions 15 minutes apart, with a recent estimate of 3 minutes.

--- a/crates/celerycrank-groups/src/policy/placement.rs
+++ b/crates/celerycrank-groups/src/policy/placement.rs
@@ -1,6 +1,7 @@
 //! Decides what to move and when it is worth it.
 
 use celerycrank_types::TimePoint;
+use smallvec::SmallVec;
 
 use super::layer::LayerPlacement;
 use crate::{ExpertMap, LoadEstimator, LoadTable, PlacementSettings, SlotLoad};
@@ -21,13 +22,16 @@
 
 /// Decides what to move from loads that lag and have gaps.
 ///
-/// A gain counts only as far as it shows both in the recent estimate and in the longer one,
-/// so a burst that does not last moves nothing.
+/// A gain counts only as far as it shows in every estimate: the recent one, the longer one
+/// and, where gains are to be confirmed, the recent one of the previous decision. So a burst
+/// shorter than the interval moves nothing.
 #[derive(Debug, Clone)]
 pub struct PlacementPolicy {
     settings: PlacementSettings,
     recent: LoadEstimator,
     memory: LoadEstimator,
+    /// The recent estimate at the previous decision.
+    previous: Option<LoadTable>,
     next_at: TimePoint,
 }
 
@@ -39,6 +43,7 @@
             recent: LoadEstimator::new(settings.recent),
             memory: LoadEstimator::new(settings.memory),
             settings,
+            previous: None,
             next_at: TimePoint(0),
         }
     }
@@ -54,7 +59,14 @@
         if now < self.next_at {
             return PlacementDecision::default();
         }
-        let (Some(recent), Some(memory)) = (self.recent.estimate(), self.memory.estimate()) else {
+        let decision = self.choose(map);
+        self.previous = self.recent.estimate().cloned();
+        self.next_at = now + self.settings.interval;
+        decision
+    }
+
+    fn choose(&self, map: &ExpertMap) -> PlacementDecision {
+        let Some(estimates) = self.estimates() else {
             return PlacementDecision::default();
         };
         let mut decision = PlacementDecision {
@@ -62,37 +74,49 @@
             ..PlacementDecision::default()
         };
         for layer in 0..map.shape().layers {
-            self.decide_layer(map, layer, recent, memory, &mut decision);
+            self.decide_layer(map, layer, &estimates, &mut decision);
         }
-        self.next_at = now + self.settings.interval;
         if decision.gain_seconds <= decision.cost_seconds {
             return PlacementDecision::default();
         }
         decision
     }
 
+    /// The estimates in which a gain must show, the longest memory first.
+    fn estimates(&self) -> Option<SmallVec<[&LoadTable; 3]>> {
+        let mut estimates = SmallVec::new();
+        estimates.push(self.memory.estimate()?);
+        estimates.push(self.recent.estimate()?);
+        if self.settings.confirmed {
+            estimates.push(self.previous.as_ref()?);
+        }
+        Some(estimates)
+    }
+
     /// Adds the moves of one layer up to where their gain exceeds their cost most.
     fn decide_layer(
         &self,
         map: &ExpertMap,
         layer: u16,
-        recent: &LoadTable,
-        memory: &LoadTable,
+        estimates: &[&LoadTable],
         decision: &mut PlacementDecision,
     ) {
         let index = usize::from(layer);
         let base = LayerPlacement::of_map(map, index);
-        let (recent, memory) = (recent.layer(index), memory.layer(index));
-        let before = (base.slowest(recent), base.slowest(memory));
+        let estimates = estimates.iter().map(|table| table.layer(index));
+        let estimates = estimates.collect::<SmallVec<[&[f64]; 3]>>();
+        let before = estimates.iter().map(|loads| base.slowest(loads));
+        let before = before.collect::<SmallVec<[f64; 3]>>();
         let mut tried = base.clone();
         let mut best = (0.0, 0.0, 0.0, None);
         for _ in 0..MAX_LAYER_MOVES {
-            let Some(step) = tried.best_move(memory) else {
+            let Some(step) = tried.best_move(estimates[0]) else {
                 break;
             };
             tried.apply(&step);
-            let saved = (before.0 - tried.slowest(recent)).min(before.1 - tried.slowest(memory));
-            let gain = self.worth(saved, map);
+            let savings = estimates.iter().zip(&before);
+            let savings = savings.map(|(loads, before)| before - tried.slowest(loads));
+            let gain = self.worth(savings.fold(f64::MAX, f64::min), map);
             let cost = base.loads_to(&tried, layer).len() as f64 * self.settings.load_seconds();
             if gain - cost > best.0 {
                 best = (gain - cost, gain, cost, Some(tried.clone()));
--- a/crates/celerycrank-groups/src/policy/setting.rs
+++ b/crates/celerycrank-groups/src/policy/setting.rs
@@ -41,6 +41,8 @@
     pub horizon: TimeSpan,
     /// Time between two decisions.
     pub interval: TimeSpan,
+    /// Whether a gain must have shown at the previous decision too.
+    pub confirmed: bool,
     /// Half-life of the estimate in which a gain must show now.
     pub recent: TimeSpan,
     /// Half-life of the estimate in which a gain must have shown for some time.
@@ -57,15 +59,17 @@
     /// The settings of a preset.
     #[must_use]
     pub fn preset(preset: PlacementPreset) -> Self {
-        let (skew_weight, interval, recent, memory): (f64, u64, u64, u64) = match preset {
-            PlacementPreset::AuctionHouse => (0.3, 5, 2, 10),
-            PlacementPreset::CoOp => (0.02, 15, 5, 60),
-        };
+        let (skew_weight, interval, recent, memory, confirmed): (f64, u64, u64, u64, bool) =
+            match preset {
+                PlacementPreset::AuctionHouse => (0.3, 5, 2, 10, false),
+                PlacementPreset::CoOp => (0.02, 15, 3, 60, true),
+            };
         let minutes = |count| TimeSpan::from_secs(SECONDS_PER_MINUTE * count);
         Self::builder()
             .skew_weight(skew_weight)
             .horizon(minutes(30))
             .interval(minutes(interval))
+            .confirmed(confirmed)
             .recent(minutes(recent))
             .memory(minutes(memory))
             .expert_size(ByteSize(24 << 20))
