--- a/crates/celerycrank-bench/src/groups.rs
+++ b/crates/celerycrank-bench/src/groups.rs
@@ -1,5 +1,6 @@
 //! Placement policies of lock-step groups, and long runs of the switch protocol.
 
+mod decision;
 mod placement;
 mod plot;
 mod replay;
@@ -19,6 +20,8 @@
 enum GroupsCommand {
     /// Skew against cost of each way to keep the map, on seeded traces.
     Placement(placement::PlacementArgs),
+    /// Time of one placement decision.
+    Decision(decision::DecisionArgs),
     /// Long random runs of the switch protocol with faults.
     Switch(switch::SwitchArgs),
 }
@@ -27,6 +30,7 @@
 pub(crate) fn run(args: &GroupsArgs) {
     match &args.command {
         GroupsCommand::Placement(args) => placement::run(args),
+        GroupsCommand::Decision(args) => decision::run(args),
         GroupsCommand::Switch(args) => switch::run(args),
     }
 }
--- /dev/null
+++ b/crates/celerycrank-bench/src/groups/decision.rs
@@ -0,0 +1,77 @@
+//! Time of one placement decision.
+
+use std::time::{Duration, Instant};
+
+use celerycrank_groups::{
+    ExpertMap, MapShape, PlacementPolicy, PlacementPreset, PlacementSettings, full_repack,
+};
+use celerycrank_types::{TimePoint, TimeSpan};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::trace::{LoadTrace, TraceKind};
+
+/// Minutes of the trace that a decision looks back on.
+const OBSERVED_MINUTES: usize = 60;
+
+/// Arguments of the measurement.
+#[derive(Debug, clap::Args)]
+pub(crate) struct DecisionArgs {
+    /// Seed of every random choice.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Layers of the model.
+    #[arg(long, default_value_t = 60)]
+    layers: u16,
+    /// How many decisions to time.
+    #[arg(long, default_value_t = 100)]
+    runs: usize,
+}
+
+/// Times one decision at a time after a hot expert has come up, on one thread.
+pub(crate) fn run(args: &DecisionArgs) {
+    let shape = MapShape::builder()
+        .layers(args.layers)
+        .experts(64)
+        .ranks(32)
+        .slots(3)
+        .build();
+    let mut rng = ChaCha8Rng::seed_from_u64(args.seed);
+    let trace = LoadTrace::new(TraceKind::SuddenHot, shape, &mut rng);
+    let dealt = ExpertMap::dealt(shape);
+    let map = dealt.successor(&full_repack(&dealt, &trace.expected[0]));
+    for preset in [PlacementPreset::AuctionHouse, PlacementPreset::CoOp] {
+        let mut times = (0..args.runs)
+            .map(|_| decide(&trace, &map, preset))
+            .collect::<Vec<_>>();
+        times.sort();
+        let millis = |part: usize| times[(times.len() - 1) * part / 100].as_secs_f64() * 1e3;
+        println!(
+            "{preset:?}, {} layers: decision p50 {:.1} ms, p99 {:.1} ms, longest {:.1} ms",
+            args.layers,
+            millis(50),
+            millis(99),
+            millis(100),
+        );
+    }
+}
+
+/// The time of the first decision after the hot expert was seen for an hour.
+fn decide(trace: &LoadTrace, map: &ExpertMap, preset: PlacementPreset) -> Duration {
+    let mut settings = PlacementSettings::preset(preset);
+    settings.confirmed = false;
+    let mut policy = PlacementPolicy::new(settings);
+    let mut now = TimePoint::default();
+    for seen in trace.actual.iter().rev().take(OBSERVED_MINUTES) {
+        now = now + TimeSpan::from_secs(60);
+        policy.observe(now, seen);
+    }
+    let started = Instant::now();
+    let decision = policy.decide(now, map);
+    let elapsed = started.elapsed();
+    assert!(
+        !decision.loads.is_empty(),
+        "the decision has something to move"
+    );
+    elapsed
+}
--- a/crates/celerycrank-groups/src/policy/layer.rs
+++ b/crates/celerycrank-groups/src/policy/layer.rs
@@ -60,7 +60,8 @@
         let mut order = (0..ranks.len()).collect::<Vec<_>>();
         order.sort_by(|a, b| ranks[*a].total_cmp(&ranks[*b]));
         let slowest = *order.last()?;
-        let mut best = (unevenness(&ranks), None);
+        let mut trial = MoveTrial::new(self, loads);
+        let mut best = (trial.unevenness(), None);
         for source in self
             .slots_of(slowest)
             .filter(|slot| self.cells[*slot].is_some())
@@ -72,9 +73,7 @@
             {
                 for slot in self.slots_of(*target) {
                     for step in self.moves(source, slot) {
-                        let mut after = self.clone();
-                        after.apply(&step);
-                        let value = unevenness(&after.rank_loads(loads));
+                        let value = trial.unevenness_after(&step);
                         if value < best.0 {
                             best = (value, Some(step));
                         }
@@ -161,11 +160,61 @@
     }
 }
 
-/// A sum that the heaviest ranks dominate, so that moves also help where several tie.
-fn unevenness(ranks: &[f64]) -> f64 {
-    ranks
-        .iter()
-        .map(|load| (load * load) * (load * load))
-        .map(|it| it * it)
-        .sum()
+/// A layer on which moves are tried and taken back.
+struct MoveTrial<'loads> {
+    placement: LayerPlacement,
+    loads: &'loads [f64],
+    /// The load of one replica of each expert.
+    shares: Vec<f64>,
+}
+
+impl<'loads> MoveTrial<'loads> {
+    fn new(placement: &LayerPlacement, loads: &'loads [f64]) -> Self {
+        let experts = 0..u16::try_from(loads.len()).expect("experts are counted in 16 bits");
+        Self {
+            placement: placement.clone(),
+            loads,
+            shares: experts
+                .map(|expert| placement.share(loads, expert))
+                .collect(),
+        }
+    }
+
+    /// A sum that the heaviest ranks dominate, so that moves also help where several tie.
+    fn unevenness(&self) -> f64 {
+        let ranks = self.placement.cells.chunks(self.placement.slots);
+        let share = |expert: &u16| self.shares[usize::from(*expert)];
+        let sums = ranks.map(|rank| rank.iter().flatten().map(share).sum::<f64>());
+        sums.map(|load| (load * load) * (load * load))
+            .map(|it| it * it)
+            .sum()
+    }
+
+    fn unevenness_after(&mut self, step: &LayerMove) -> f64 {
+        let before = step
+            .iter()
+            .map(|(slot, _)| (*slot, self.placement.cells[*slot]));
+        let before = before.collect::<SmallVec<[(usize, Option<u16>); 2]>>();
+        for (slot, expert) in step {
+            self.set(*slot, Some(*expert));
+        }
+        let value = self.unevenness();
+        for (slot, expert) in before.into_iter().rev() {
+            self.set(slot, expert);
+        }
+        value
+    }
+
+    fn set(&mut self, slot: usize, expert: Option<u16>) {
+        let old = std::mem::replace(&mut self.placement.cells[slot], expert);
+        if let Some(old) = old {
+            self.placement.replicas[usize::from(old)] -= 1;
+        }
+        if let Some(expert) = expert {
+            self.placement.replicas[usize::from(expert)] += 1;
+        }
+        for changed in [old, expert].into_iter().flatten() {
+            self.shares[usize::from(changed)] = self.placement.share(self.loads, changed);
+        }
+    }
 }
--- a/crates/celerycrank-groups/src/trial/fault.rs
+++ b/crates/celerycrank-groups/src/trial/fault.rs
@@ -36,9 +36,9 @@
             slot: 2,
             expert: ExpertIndex(self.rng.random_range(1..4)),
         };
-        self.report.attempts += 1;
         let change = MapChange::new(&map, vec![load]);
         let outputs = self.nodes[node].agent.start(change, self.now);
+        self.report.attempts += u64::from(!outputs.is_empty());
         self.carry_out(node, outputs);
     }
 
--- a/crates/celerycrank-groups/src/trial/plan.rs
+++ b/crates/celerycrank-groups/src/trial/plan.rs
@@ -83,6 +83,10 @@
     pub writes: u64,
     /// Bytes of messages about switches.
     pub switch_bytes: u64,
+    /// Bytes of messages about forming the group, beats included.
+    pub formation_bytes: u64,
+    /// Logical time of the trials, summed over members.
+    pub member_time: TimeSpan,
 }
 
 impl TrialReport {
@@ -109,5 +113,7 @@
         self.reads += other.reads;
         self.writes += other.writes;
         self.switch_bytes += other.switch_bytes;
+        self.formation_bytes += other.formation_bytes;
+        self.member_time = self.member_time + other.member_time;
     }
 }
--- a/crates/celerycrank-groups/src/trial/world.rs
+++ b/crates/celerycrank-groups/src/trial/world.rs
@@ -96,6 +96,7 @@
         }
         world.check_recovery(steps);
         world.report.runs = 1;
+        world.report.member_time = TimeSpan(world.now.0 * world.plan.members as u64);
         world.report.reads = world.store.reads;
         world.report.writes = world.store.writes;
         world.report
@@ -319,9 +320,10 @@
 
     /// Sends to every VM that holds or held the seat, replaced ones included.
     fn send(&mut self, from: usize, to: MemberIndex, message: &GroupMessage) {
-        if matches!(message, GroupMessage::Switch(_)) {
-            let bytes = serde_json::to_vec(message).map_or(0, |bytes| bytes.len());
-            self.report.switch_bytes += bytes as u64;
+        let bytes = postcard::to_allocvec(message).map_or(0, |bytes| bytes.len());
+        match message {
+            GroupMessage::Switch(_) => self.report.switch_bytes += bytes as u64,
+            GroupMessage::Formation(_) => self.report.formation_bytes += bytes as u64,
         }
         let sender = self.nodes[from].index;
         let targets = (0..self.nodes.len()).filter(|node| self.nodes[*node].index == to);
