--- a/crates/celerycrank-groups/src/agent.rs
+++ b/crates/celerycrank-groups/src/agent.rs
@@ -259,6 +259,11 @@
         if let Some(part) = &mut self.part {
             part.lead.settle(attempt, now);
             part.map = Arc::new(part.map.successor(&change.loads));
+            assert_eq!(
+                part.map.id(),
+                change.next,
+                "a change led to another map than it named"
+            );
             self.former.set_map(Arc::clone(&part.map));
         }
     }
--- a/crates/celerycrank-groups/src/formation.rs
+++ b/crates/celerycrank-groups/src/formation.rs
@@ -1,9 +1,11 @@
 //! Forming a group: each incarnation is one record, written by compare-and-swap.
 
 mod former;
+mod output;
 mod record;
 
 pub use self::{
-    former::{FormationOutput, FormationState, FormationTimes, GroupFormer},
+    former::{FormationState, GroupFormer},
+    output::{FormationOutput, FormationTimes},
     record::{GroupRecord, MemberSeat, RecordAnswer, StoredRecord},
 };
--- a/crates/celerycrank-groups/src/switch.rs
+++ b/crates/celerycrank-groups/src/switch.rs
@@ -3,11 +3,13 @@
 mod board;
 mod lead;
 mod member;
+mod output;
 mod time;
 
 pub use self::{
     board::{BoardHistory, SwitchVerdict, VoteBoard},
     lead::SwitchLead,
-    member::{MemberOutput, MemberState, SwitchMember},
+    member::{MemberState, SwitchMember},
+    output::MemberOutput,
     time::SwitchTimes,
 };
--- a/crates/celerycrank-groups/src/trial.rs
+++ b/crates/celerycrank-groups/src/trial.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod node;
 mod plan;
+mod step;
 mod store;
 mod world;
 
--- /dev/null
+++ b/crates/celerycrank-groups/src/trial/step.rs
@@ -0,0 +1,87 @@
+//! The steps of a trial's engines, and the waits among them.
+
+use celerycrank_types::{Incarnation, TimeSpan};
+
+use super::{
+    node::NodeInput,
+    world::{STEP_TIME, TrialWorld, WorldEvent, member_index},
+};
+use crate::EngineReport;
+
+impl TrialWorld {
+    /// Lets every engine begin its next step whose peers have begun the one before.
+    pub(super) fn step_engines(&mut self) {
+        let able = (0..self.nodes.len()).filter(|node| self.is_able(*node));
+        let able = able.collect::<Vec<_>>();
+        let farthest = able
+            .iter()
+            .map(|node| self.nodes[*node].engine.next())
+            .max();
+        for node in able {
+            let place = &mut self.nodes[node];
+            place.engine.begin(&mut self.audit);
+            let report = EngineReport::Progress {
+                incarnation: place.engine.incarnation(),
+                next: place.engine.next(),
+            };
+            let input = NodeInput::Report(place.life, report);
+            self.note_step(node);
+            let delay = self.delay();
+            self.schedule(delay, WorldEvent::Input(node, input));
+        }
+        if farthest.is_some() {
+            self.report.steps += 1;
+        }
+        self.note_waits();
+    }
+
+    fn note_step(&mut self, node: usize) {
+        let incarnation = self.nodes[node].engine.incarnation();
+        if incarnation <= self.stepped {
+            return;
+        }
+        self.stepped = incarnation;
+        if let Some(started_at) = self.started_at.take() {
+            let span = self.now.since(started_at);
+            self.report.formation_time = self.report.formation_time + span;
+            self.report.longest_formation = self.report.longest_formation.max(span);
+            self.report.timed_formations += 1;
+        }
+    }
+
+    /// Counts the attempts, and the time, in which a rank waits for a verdict.
+    fn note_waits(&mut self) {
+        let current = self.stepped;
+        let held = self.nodes.iter().map(|node| &node.engine);
+        let held = held.filter(|engine| engine.incarnation() == current && engine.is_held());
+        let Some(step) = held.map(|engine| engine.next().0).max() else {
+            self.wait = TimeSpan::ZERO;
+            return;
+        };
+        self.wait = self.wait + STEP_TIME;
+        self.report.wait_time = self.report.wait_time + STEP_TIME;
+        self.report.longest_wait = self.report.longest_wait.max(self.wait);
+        if self.waiting.insert((current, step)) {
+            self.report.waits += 1;
+        }
+    }
+
+    fn is_able(&self, node: usize) -> bool {
+        let engine = &self.nodes[node].engine;
+        let is_formed = engine.incarnation() != Incarnation::default();
+        let is_stalled = self.nodes[node].stalled_until > self.now;
+        is_formed && !is_stalled && !engine.is_held() && self.peers_are_there(node)
+    }
+
+    /// Whether every seat has an engine in the same incarnation that is as far.
+    fn peers_are_there(&self, node: usize) -> bool {
+        let engine = &self.nodes[node].engine;
+        (0..self.plan.members).map(member_index).all(|index| {
+            self.nodes.iter().any(|peer| {
+                peer.index == index
+                    && peer.engine.incarnation() == engine.incarnation()
+                    && peer.engine.next() >= engine.next()
+            })
+        })
+    }
+}
