--- a/crates/celerycrank-groups/src/trial/plan.rs
+++ b/crates/celerycrank-groups/src/trial/plan.rs
@@ -31,9 +31,12 @@
     /// Messages that arrive twice.
     #[builder(default)]
     pub double: u32,
-    /// Messages that are delayed by up to two seconds.
+    /// Messages, and calls to the key-value service, that are delayed by up to two seconds.
     #[builder(default)]
     pub late: u32,
+    /// Orders that take up to the order timeout to reach the engine.
+    #[builder(default)]
+    pub late_order: u32,
     /// Loads of weights that fail.
     #[builder(default)]
     pub load_fault: u32,
@@ -83,6 +86,10 @@
     pub writes: u64,
     /// Bytes of messages about switches.
     pub switch_bytes: u64,
+    /// Bytes of messages about forming the group, beats included.
+    pub formation_bytes: u64,
+    /// Logical time of the trials, summed over members.
+    pub member_time: TimeSpan,
 }
 
 impl TrialReport {
@@ -109,5 +116,7 @@
         self.reads += other.reads;
         self.writes += other.writes;
         self.switch_bytes += other.switch_bytes;
+        self.formation_bytes += other.formation_bytes;
+        self.member_time = self.member_time + other.member_time;
     }
 }
