Prove that a write is recognised after another was built on it

Cause: `apply` settles a lost answer by the nonces of the last changes; the sessions covered only the case in which its record still stands.

A second operator now writes revision 3 above revision 2 before the first one can settle it. Shown able to fail: with only the record's own nonce compared, the first is told of a conflict although its change was made. The help of the binary now says where to begin.

--- a/crates/celerycrank-cli/src/main.rs
+++ b/crates/celerycrank-cli/src/main.rs
@@ -8,9 +8,20 @@
 
 use clap::{Parser, Subcommand};
 
+/// Where to begin, for whoever asks for help.
+const HELP_STEPS: &str = "\
+To begin: copy a directory of examples/, edit its lists, then
+  celerycrank check && celerycrank apply --note 'first start'
+To change something: edit the lists, then
+  celerycrank diff; celerycrank apply --note 'why'
+To take something out of service:
+  celerycrank stop announce vm:vm-17 --reason 'new image'
+
+Each command's --help has more examples; pages for operators are in docs/operators/.";
+
 /// Load balancer for expert-parallel model groups.
 #[derive(Debug, Parser)]
-#[command(version)]
+#[command(version, after_help = HELP_STEPS)]
 struct ProcessArgs {
     #[command(subcommand)]
     command: ProcessCommand,
--- a/crates/celerycrank-cli/tests/sessions.rs
+++ b/crates/celerycrank-cli/tests/sessions.rs
@@ -2,7 +2,10 @@
 
 mod operator_session;
 
+use celerycrank_config::ConfigurationRecord;
+use celerycrank_platform::{Expected, KeyValueClient, RecordFeed};
 use celerycrank_standin::{KeyValueFaults, ListedOffer, ListedVm, OutageKind};
+use celerycrank_types::{Revision, TimeSpan};
 use operator_session::OperatorSession;
 
 const CUSTOMERS: &str = include_str!("../../celerycrank-config/tests/data/good-customers.json");
@@ -196,6 +199,54 @@
     insta::assert_snapshot!(session.transcript());
 }
 
+/// An operator whose answer was lost is told the truth even if someone has built on the
+/// change before it could be settled.
+#[actix_rt::test]
+async fn a_write_is_recognised_after_another_built_on_it() {
+    let mut session = session_with_lists().await;
+    session.run("ana", "apply --author ana").await;
+    let plans = PLANS.replace("\"share\": 1,", "\"share\": 3,");
+    session.write("ana/plans.json", &plans);
+    session.key_value.set_faults(faults(OutageKind::None, 1));
+    let applying = session.spawn("ana", "apply --author ana");
+    build_on_revision_two(&session.key_value.url()).await;
+    let output = applying.await.unwrap().unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(
+        text,
+        "revision 2 accepted:\n  plan plain: share 1 -> 3\n",
+        "exit {:?}",
+        output.status.code()
+    );
+    assert!(
+        session
+            .read("ana/revision.json")
+            .contains("\"revision\": 2")
+    );
+}
+
+/// Waits for revision 2 and puts revision 3 above it.
+async fn build_on_revision_two(url: &str) {
+    let client = KeyValueClient::new(&[url.into()], TimeSpan::from_secs(5));
+    let mut feed = RecordFeed::new(client.clone(), "/celerycrank/configuration");
+    loop {
+        let stored = feed.next().await.unwrap().unwrap();
+        let mut record = serde_json::from_slice::<ConfigurationRecord>(&stored.value).unwrap();
+        if record.revision != Revision(2) {
+            continue;
+        }
+        record.revision = record.revision.next();
+        record.nonce = "of rui".into();
+        record.author = "rui".into();
+        record.note_change(Vec::new());
+        let value = serde_json::to_vec(&record).unwrap();
+        let expected = Expected::At(stored.revision);
+        let swap = client.compare_and_swap(&stored.key, expected, value.into());
+        swap.await.unwrap();
+        return;
+    }
+}
+
 /// At 750 changes a day the operators' commands must cost the service next to nothing.
 #[actix_rt::test]
 async fn an_edit_costs_one_read_and_one_write() {
