--- a/crates/celerycrank-cli/src/operator/report.rs
+++ b/crates/celerycrank-cli/src/operator/report.rs
@@ -71,7 +71,7 @@
     TooLarge(KeyValueFault),
     /// say who you are with --author, or set USER
     NoAuthor,
-    /// no answer from {0}: {1}
+    /// no usable answer from {0}: {1}
     Process(Arc<str>, Arc<str>),
 }
 
--- a/crates/celerycrank-cli/tests/sessions.rs
+++ b/crates/celerycrank-cli/tests/sessions.rs
@@ -2,10 +2,17 @@
 
 mod operator_session;
 
+use std::{future::ready, net::SocketAddr, rc::Rc};
+
+use actix_http::StatusCode;
 use celerycrank_config::ConfigurationRecord;
 use celerycrank_platform::{Expected, KeyValueClient, RecordFeed};
-use celerycrank_standin::{KeyValueFaults, ListedOffer, ListedVm, OutageKind};
+use celerycrank_standin::{
+    HttpAnswer, HttpCall, HttpHandler, KeyValueFaults, ListedOffer, ListedVm, OutageKind,
+    StandinServer,
+};
 use celerycrank_types::{Revision, TimeSpan};
+use futures_util::{FutureExt, future::LocalBoxFuture};
 use operator_session::OperatorSession;
 
 const CUSTOMERS: &str = include_str!("../../celerycrank-config/tests/data/good-customers.json");
@@ -186,6 +193,38 @@
     insta::assert_snapshot!(session.transcript());
 }
 
+/// Serves a status as an entry does.
+struct StatusPage(&'static str);
+
+impl HttpHandler for StatusPage {
+    fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer> {
+        assert_eq!(call.path, "/status");
+        ready(HttpAnswer::text(StatusCode::OK, self.0)).boxed_local()
+    }
+}
+
+#[actix_rt::test]
+async fn a_status_is_told_in_plain_words() {
+    let mut session = OperatorSession::start().await;
+    let page = Rc::new(StatusPage(include_str!("data/status.json")));
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = StandinServer::start(address, page).await.unwrap();
+    let command = format!("status --address {}", server.address());
+    session.run("ana", &command).await;
+    session
+        .run("ana", &format!("{command} --format json"))
+        .await;
+    let garbled = Rc::new(StatusPage("{ \"entry\":"));
+    let garbled = StandinServer::start(address, garbled).await.unwrap();
+    session
+        .run("ana", &format!("status --address {}", garbled.address()))
+        .await;
+    let transcript = session.transcript();
+    let transcript = transcript.replace(&server.address().to_string(), "ENTRY");
+    let transcript = transcript.replace(&garbled.address().to_string(), "GARBLED");
+    insta::assert_snapshot!(transcript);
+}
+
 #[actix_rt::test]
 async fn a_process_names_every_fault_of_its_settings() {
     let mut session = OperatorSession::start().await;
