Follow the VM list by a watch, so that a change costs its own size

VmListFeed reads once and then watches (the watch of the EndpointSlice protocol); a broken watch leads to a new reading. The last reading is applied again each second, since a VM that answered lately is not yet gone.

--- a/crates/celerycrank-platform/src/lib.rs
+++ b/crates/celerycrank-platform/src/lib.rs
@@ -9,8 +9,10 @@
 mod feed;
 mod gateway;
 mod lease;
+mod line;
 mod record;
 mod vm;
+mod vm_feed;
 mod watch;
 
 pub use crate::{
@@ -21,5 +23,6 @@
     lease::{LeaseGrant, LeaseId},
     record::{KeyValueRecord, ModRevision, RangeSnapshot},
     vm::{VmListClient, VmListFault, VmOffer, VmRecord, VmState},
+    vm_feed::VmListFeed,
     watch::{KeyValueWatch, WatchEvent, WatchTarget},
 };
--- /dev/null
+++ b/crates/celerycrank-platform/src/line.rs
@@ -0,0 +1,54 @@
+//! Lines of a response that goes on, as both watch protocols send them.
+
+use std::sync::Arc;
+
+use awc::ClientResponse;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+
+/// Longest line: a value of a megabyte in base64, and what stands around it.
+const MAX_LINE_BYTES: usize = 8 << 20;
+
+/// Why the next line cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum LineFault {
+    /// The connection was lost.
+    Lost(Arc<str>),
+    /// The response ended.
+    Ended,
+    /// The line exceeds the limit.
+    TooLong,
+}
+
+/// The lines of one response.
+#[derive(Debug)]
+pub(crate) struct LineStream {
+    response: ClientResponse,
+    buffer: BytesMut,
+}
+
+impl LineStream {
+    pub(crate) fn new(response: ClientResponse) -> Self {
+        Self {
+            response,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Waits for the next line.
+    pub(crate) async fn next(&mut self) -> Result<Bytes, LineFault> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                return Ok(self.buffer.split_to(end + 1).freeze());
+            }
+            if self.buffer.len() > MAX_LINE_BYTES {
+                return Err(LineFault::TooLong);
+            }
+            match self.response.next().await {
+                Some(Ok(chunk)) => self.buffer.extend_from_slice(&chunk),
+                Some(Err(error)) => return Err(LineFault::Lost(error.to_string().into())),
+                None => return Err(LineFault::Ended),
+            }
+        }
+    }
+}
--- a/crates/celerycrank-platform/src/vm.rs
+++ b/crates/celerycrank-platform/src/vm.rs
@@ -7,10 +7,12 @@
     sync::Arc,
 };
 
-use awc::Client;
+use awc::{Client, ClientResponse};
 use celerycrank_types::{DomainId, ModelId, ServiceId, TimeSpan, VmId};
 use serde::Deserialize;
 
+use crate::line::LineStream;
+
 /// Largest VM list that is read.
 const MAX_LIST_BYTES: usize = 64 << 20;
 
@@ -117,23 +119,41 @@
     /// Fails if the list cannot be fetched or any of its entries cannot be read: a list
     /// read in part would pass VMs off as gone.
     pub async fn fetch(&self) -> Result<Vec<VmRecord>, VmListFault> {
-        self.shared.fetches.set(self.shared.fetches.get() + 1);
-        let sent = self.shared.http.get(&*self.shared.url).send().await;
-        let mut response = sent.map_err(|e| VmListFault::Unreachable(e.to_string().into()))?;
-        if !response.status().is_success() {
-            return Err(VmListFault::Status(response.status().as_u16()));
-        }
+        let list = self.fetch_list().await?;
+        read_slices(&list.items)
+    }
+
+    /// Fetches the whole list as it is published.
+    pub(crate) async fn fetch_list(&self) -> Result<SliceList, VmListFault> {
+        let mut response = self.get(&self.shared.url).await?;
         let body = response.body().limit(MAX_LIST_BYTES).await;
         let bytes = body.map_err(|e| VmListFault::Unreachable(e.to_string().into()))?;
-        read_list(&bytes)
+        serde_json::from_slice::<SliceList>(&bytes).map_err(|e| malformed(&e.to_string()))
+    }
+
+    /// Watches for changes after a version of the list.
+    pub(crate) async fn watch(&self, version: &str) -> Result<LineStream, VmListFault> {
+        let url = format!("{}?watch=1&resourceVersion={version}", self.shared.url);
+        Ok(LineStream::new(self.get(&url).await?))
+    }
+
+    async fn get(&self, url: &str) -> Result<ClientResponse, VmListFault> {
+        self.shared.fetches.set(self.shared.fetches.get() + 1);
+        let sent = self.shared.http.get(url).send().await;
+        let response = sent.map_err(|e| VmListFault::Unreachable(e.to_string().into()))?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        Err(VmListFault::Status(response.status().as_u16()))
     }
 }
 
-/// Reads an `EndpointSlice` list.
-fn read_list(bytes: &[u8]) -> Result<Vec<VmRecord>, VmListFault> {
-    let list = serde_json::from_slice::<SliceList>(bytes).map_err(|e| malformed(&e.to_string()))?;
+/// Reads every endpoint of these slices.
+pub(crate) fn read_slices<'list>(
+    slices: impl IntoIterator<Item = &'list EndpointSlice>,
+) -> Result<Vec<VmRecord>, VmListFault> {
     let mut records = Vec::new();
-    for slice in &list.items {
+    for slice in slices {
         let Some(port) = slice.link_port() else {
             continue;
         };
@@ -145,14 +165,25 @@
     Ok(records)
 }
 
+/// A list with the version from which a watch goes on.
 #[derive(Debug, Deserialize)]
-struct SliceList {
-    items: Vec<EndpointSlice>,
+pub(crate) struct SliceList {
+    #[serde(default)]
+    pub(crate) metadata: ListMetadata,
+    pub(crate) items: Vec<EndpointSlice>,
 }
 
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct ListMetadata {
+    #[serde(default)]
+    pub(crate) resource_version: Arc<str>,
+}
+
+/// Endpoints that share a port.
 #[derive(Debug, Deserialize)]
-struct EndpointSlice {
-    metadata: SliceMetadata,
+pub(crate) struct EndpointSlice {
+    pub(crate) metadata: SliceMetadata,
     #[serde(default)]
     endpoints: Vec<SliceEndpoint>,
     #[serde(default)]
@@ -160,7 +191,9 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct SliceMetadata {
+pub(crate) struct SliceMetadata {
+    #[serde(default)]
+    pub(crate) name: Arc<str>,
     #[serde(default)]
     labels: std::collections::BTreeMap<Arc<str>, Arc<str>>,
 }
@@ -249,6 +282,6 @@
     }
 }
 
-fn malformed(message: &str) -> VmListFault {
+pub(crate) fn malformed(message: &str) -> VmListFault {
     VmListFault::Malformed(message.into())
 }
--- /dev/null
+++ b/crates/celerycrank-platform/src/vm_feed.rs
@@ -0,0 +1,109 @@
+//! Follows the VM list: one reading, then a watch that carries changes alone.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::Deserialize;
+
+use crate::{
+    VmListClient, VmListFault, VmRecord,
+    line::{LineFault, LineStream},
+    vm::{EndpointSlice, malformed, read_slices},
+};
+
+/// Status of a watch that began too long ago to go on.
+const GONE_STATUS: u16 = 410;
+
+/// Follows the VM list by the watch protocol of Kubernetes.
+///
+/// The list travels whole once, and again after a watch has broken; a change costs its
+/// own size.
+#[derive(Debug)]
+pub struct VmListFeed {
+    client: VmListClient,
+    /// Invariant: the list as of the last reading and the events since.
+    slices: BTreeMap<Arc<str>, EndpointSlice>,
+    watch: Option<LineStream>,
+}
+
+/// One event of a watch.
+#[derive(Debug, Deserialize)]
+struct SliceEvent {
+    #[serde(rename = "type")]
+    kind: EventKind,
+    /// A slice, or a status that explains an error.
+    object: serde_json::Value,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+enum EventKind {
+    Added,
+    Modified,
+    Deleted,
+    Bookmark,
+    Error,
+}
+
+impl VmListFeed {
+    /// A feed that begins with a reading of the whole list.
+    #[must_use]
+    pub const fn new(client: VmListClient) -> Self {
+        Self {
+            client,
+            slices: BTreeMap::new(),
+            watch: None,
+        }
+    }
+
+    /// Waits for the next change; returns the whole list as it is then.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the list cannot be followed. The next call reads it whole again; the
+    /// caller waits a while before it.
+    pub async fn next(&mut self) -> Result<Vec<VmRecord>, VmListFault> {
+        let advanced = match self.watch.take() {
+            None => self.read().await,
+            Some(watch) => self.take_event(watch).await,
+        };
+        self.watch = Some(advanced?);
+        read_slices(self.slices.values())
+    }
+
+    async fn read(&mut self) -> Result<LineStream, VmListFault> {
+        let list = self.client.fetch_list().await?;
+        let version = list.metadata.resource_version;
+        let named = list
+            .items
+            .into_iter()
+            .map(|slice| (Arc::clone(&slice.metadata.name), slice));
+        self.slices = named.collect();
+        self.client.watch(&version).await
+    }
+
+    async fn take_event(&mut self, mut watch: LineStream) -> Result<LineStream, VmListFault> {
+        let line = watch.next().await.map_err(|fault| match fault {
+            LineFault::Lost(message) => VmListFault::Unreachable(message),
+            LineFault::Ended => VmListFault::Unreachable("the watch ended".into()),
+            LineFault::TooLong => malformed("an event exceeds the limit"),
+        })?;
+        let event = serde_json::from_slice::<SliceEvent>(&line);
+        let event = event.map_err(|error| malformed(&error.to_string()))?;
+        match event.kind {
+            EventKind::Added | EventKind::Modified => {
+                let slice = read_slice(event.object)?;
+                self.slices.insert(Arc::clone(&slice.metadata.name), slice);
+            }
+            EventKind::Deleted => {
+                self.slices.remove(&read_slice(event.object)?.metadata.name);
+            }
+            EventKind::Bookmark => {}
+            EventKind::Error => return Err(VmListFault::Status(GONE_STATUS)),
+        }
+        Ok(watch)
+    }
+}
+
+fn read_slice(object: serde_json::Value) -> Result<EndpointSlice, VmListFault> {
+    serde_json::from_value(object).map_err(|error| malformed(&error.to_string()))
+}
--- a/crates/celerycrank-platform/src/watch.rs
+++ b/crates/celerycrank-platform/src/watch.rs
@@ -4,8 +4,7 @@
 
 use actix_rt::time::timeout;
 use awc::ClientResponse;
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
 
 use crate::{
     AnswerFault, CallKind, KeyValueClient, KeyValueFault, KeyValueRecord, ModRevision, SendFault,
@@ -13,11 +12,9 @@
         EventKind, GatewayEvent, NumberText, StreamLine, WatchCreate, WatchRequest, WatchResponse,
         prefix_end,
     },
+    line::{LineFault, LineStream},
 };
 
-/// Longest line of a watch; an event carries one value.
-const MAX_LINE_BYTES: usize = 8 << 20;
-
 /// Status under which a watch that the service cancelled is reported.
 const CANCELLED_STATUS: u16 = 410;
 
@@ -59,8 +56,7 @@
 #[derive(Debug)]
 pub struct KeyValueWatch {
     client: KeyValueClient,
-    response: ClientResponse,
-    buffer: BytesMut,
+    lines: LineStream,
     events: VecDeque<WatchEvent>,
 }
 
@@ -93,8 +89,7 @@
         client.counters().open_watch();
         Self {
             client,
-            response,
-            buffer: BytesMut::new(),
+            lines: LineStream::new(response),
             events: VecDeque::new(),
         }
     }
@@ -131,22 +126,11 @@
     }
 
     async fn read_line(&mut self) -> Result<Bytes, KeyValueFault> {
-        loop {
-            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
-                return Ok(self.buffer.split_to(end + 1).freeze());
-            }
-            if self.buffer.len() > MAX_LINE_BYTES {
-                return Err(malformed("a line of a watch exceeds the limit"));
-            }
-            match self.response.next().await {
-                Some(Ok(chunk)) => self.buffer.extend_from_slice(&chunk),
-                Some(Err(e)) => {
-                    let fault = AnswerFault::Lost(e.to_string().into());
-                    return Err(KeyValueFault::Unknown(fault));
-                }
-                None => return Err(KeyValueFault::Unknown(AnswerFault::WatchEnded)),
-            }
-        }
+        self.lines.next().await.map_err(|fault| match fault {
+            LineFault::Lost(message) => KeyValueFault::Unknown(AnswerFault::Lost(message)),
+            LineFault::Ended => KeyValueFault::Unknown(AnswerFault::WatchEnded),
+            LineFault::TooLong => malformed("a line of a watch exceeds the limit"),
+        })
     }
 
     fn accept(&mut self, line: &[u8]) -> Result<(), KeyValueFault> {
--- a/crates/celerycrank-platform/tests/vm_list.rs
+++ b/crates/celerycrank-platform/tests/vm_list.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use celerycrank_platform::{VmListClient, VmListFault, VmOffer, VmState};
+use celerycrank_platform::{VmListClient, VmListFault, VmListFeed, VmOffer, VmState};
 use celerycrank_standin::{ListedOffer, ListedVm, VmListStandin};
 use celerycrank_types::TimeSpan;
 
@@ -48,3 +48,31 @@
     assert_eq!(client.fetch().await, Err(VmListFault::Status(503)));
     assert_eq!(client.fetches(), 4);
 }
+
+#[actix_rt::test]
+async fn a_feed_carries_changes_and_starts_over_after_an_outage() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let standin = VmListStandin::start(address).await.unwrap();
+    let client = VmListClient::new(standin.url().into(), TimeSpan::from_secs(5));
+    let mut feed = VmListFeed::new(client);
+    let model = || ListedOffer::Model("drafter".parse().unwrap());
+    standin.set_vms(vec![
+        listed("vm-1", false, model()),
+        listed("vm-2", false, model()),
+    ]);
+    assert_eq!(feed.next().await.unwrap().len(), 2);
+    let reads = standin.reads();
+    standin.set_vms(vec![
+        listed("vm-1", true, model()),
+        listed("vm-2", false, model()),
+    ]);
+    assert_eq!(feed.next().await.unwrap()[0].state, VmState::Leaving);
+    standin.set_vms(vec![listed("vm-2", false, model())]);
+    assert_eq!(feed.next().await.unwrap().len(), 1);
+    assert_eq!(standin.reads(), reads, "changes come by the watch alone");
+    standin.set_outage(true);
+    feed.next().await.unwrap_err();
+    standin.set_vms(Vec::new());
+    standin.set_outage(false);
+    assert_eq!(feed.next().await.unwrap(), []);
+}
--- a/crates/celerycrank-standin/src/key_value/mod.rs
+++ b/crates/celerycrank-standin/src/key_value/mod.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use actix_http::{Response, StatusCode, body::BodyStream};
+use actix_http::StatusCode;
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use celerycrank_types::TimeSpan;
@@ -352,13 +352,7 @@
         let (sender, receiver) = mpsc::unbounded_channel();
         self.begin_watch(&create, sender);
         let delay = self.faults.get().watch_delay.as_duration();
-        let stream = futures_util::stream::unfold(receiver, move |mut receiver| async move {
-            let line = receiver.recv().await?;
-            sleep(delay).await;
-            Some((Ok::<_, io::Error>(line), receiver))
-        });
-        let body = BodyStream::new(Box::pin(stream));
-        HttpAnswer::Respond(Response::ok().set_body(body).map_into_boxed_body())
+        HttpAnswer::lines(receiver, delay)
     }
 
     fn begin_watch(&self, create: &WatchCreate, lines: mpsc::UnboundedSender<Bytes>) {
--- a/crates/celerycrank-standin/src/server.rs
+++ b/crates/celerycrank-standin/src/server.rs
@@ -6,19 +6,23 @@
     fmt, io,
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use actix_http::{
     HttpMessage, HttpService, Method, Request, Response, StatusCode,
-    body::BoxBody,
+    body::{BodyStream, BoxBody},
     header::{CONTENT_TYPE, HeaderMap},
 };
-use actix_rt::{net::TcpStream, task::JoinHandle};
+use actix_rt::{net::TcpStream, task::JoinHandle, time::sleep};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::{StreamExt, future::LocalBoxFuture};
 use serde::Serialize;
-use tokio::{net::TcpListener, sync::Notify};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, mpsc::UnboundedReceiver},
+};
 
 /// A request that has arrived whole.
 #[derive(Debug)]
@@ -27,6 +31,8 @@
     pub method: Method,
     /// The path, without the query.
     pub path: String,
+    /// The query; empty if there is none.
+    pub query: String,
     /// The headers.
     pub headers: HeaderMap,
     /// The body.
@@ -64,6 +70,18 @@
         Self::Respond(builder.body(body).map_into_boxed_body())
     }
 
+    /// A response that goes on with each line as it is sent, `delay` late.
+    #[must_use]
+    pub fn lines(receiver: UnboundedReceiver<Bytes>, delay: Duration) -> Self {
+        let stream = futures_util::stream::unfold(receiver, move |mut receiver| async move {
+            let line = receiver.recv().await?;
+            sleep(delay).await;
+            Some((Ok::<_, io::Error>(line), receiver))
+        });
+        let body = BodyStream::new(Box::pin(stream));
+        Self::Respond(Response::ok().set_body(body).map_into_boxed_body())
+    }
+
     /// A response with this status and text.
     #[must_use]
     pub fn text(status: StatusCode, text: &str) -> Self {
@@ -198,6 +216,7 @@
     let call = HttpCall {
         method: request.method().clone(),
         path: request.path().to_owned(),
+        query: request.uri().query().unwrap_or_default().to_owned(),
         headers: request.headers().clone(),
         body,
     };
--- a/crates/celerycrank-standin/src/vm_list.rs
+++ b/crates/celerycrank-standin/src/vm_list.rs
@@ -10,10 +10,13 @@
 };
 
 use actix_http::StatusCode;
+use actix_rt::time::sleep;
+use bytes::Bytes;
 use celerycrank_types::{DomainId, ModelId, ServiceId, TimeSpan, VmId};
 use futures_util::{FutureExt, future::LocalBoxFuture};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use tokio::sync::mpsc::{self, UnboundedSender};
 
 use crate::{HttpAnswer, HttpCall, HttpHandler, StandinServer};
 
@@ -68,6 +71,10 @@
     pending: VecDeque<(Instant, Vec<ListedVm>)>,
     outage: bool,
     reads: u64,
+    /// Counts the changes that readers have seen.
+    version: u64,
+    /// Watches that wait for changes.
+    watchers: Vec<UnboundedSender<Bytes>>,
 }
 
 /// An order to the stand-in; absent parts stay as they are.
@@ -110,6 +117,7 @@
     /// Sets the list; readers see it once the lag has passed.
     pub fn set_vms(&self, vms: Vec<ListedVm>) {
         self.service.state.borrow_mut().set_vms(vms);
+        self.service.publish_later();
     }
 
     /// Sets how long later changes stay unseen.
@@ -119,7 +127,11 @@
 
     /// Sets whether the list answers with 503.
     pub fn set_outage(&self, outage: bool) {
-        self.service.state.borrow_mut().outage = outage;
+        let mut state = self.service.state.borrow_mut();
+        state.outage = outage;
+        if outage {
+            state.watchers.clear();
+        }
     }
 
     /// How often the list was read.
@@ -133,6 +145,7 @@
     fn answer(self: Rc<Self>, call: HttpCall) -> LocalBoxFuture<'static, HttpAnswer> {
         let answer = match call.path.as_str() {
             "/standin/vms" => self.take_order(&call),
+            _ if call.query.contains("watch=1") => self.state.borrow_mut().watch(&call.query),
             _ => self.state.borrow_mut().read(),
         };
         std::future::ready(answer).boxed_local()
@@ -140,7 +153,18 @@
 }
 
 impl VmListService {
-    fn take_order(&self, call: &HttpCall) -> HttpAnswer {
+    /// Publishes pending lists once their lag has passed, for those who watch.
+    fn publish_later(self: &Rc<Self>) {
+        let service = Rc::clone(self);
+        let lag = self.state.borrow().lag;
+        actix_rt::spawn(async move {
+            sleep(lag).await;
+            service.state.borrow_mut().publish();
+        });
+    }
+
+    fn take_order(self: &Rc<Self>, call: &HttpCall) -> HttpAnswer {
+        self.publish_later();
         let mut state = self.state.borrow_mut();
         if !call.body.is_empty() {
             match serde_json::from_slice::<ListOrder>(&call.body) {
@@ -159,6 +183,7 @@
         }
         if let Some(outage) = order.outage {
             self.outage = outage;
+            self.watchers.clear();
         }
         if let Some(vms) = order.vms {
             self.set_vms(vms);
@@ -176,11 +201,53 @@
             && *due <= now
         {
             if let Some((_, vms)) = self.pending.pop_front() {
+                self.tell(&vms);
                 self.published = vms;
             }
         }
     }
 
+    /// Tells those who watch what changes with this list.
+    fn tell(&mut self, vms: &[ListedVm]) {
+        self.version += 1;
+        let event = |kind: &str, vm: &ListedVm| json!({ "type": kind, "object": slice(vm) });
+        let before = |vm: &ListedVm| self.published.iter().find(|old| old.vm == vm.vm);
+        let gone = self
+            .published
+            .iter()
+            .filter(|old| !vms.iter().any(|vm| vm.vm == old.vm));
+        let changed = vms.iter().filter_map(|vm| match before(vm) {
+            None => Some(event("ADDED", vm)),
+            Some(old) if old != vm => Some(event("MODIFIED", vm)),
+            Some(_) => None,
+        });
+        let events = gone.map(|vm| event("DELETED", vm)).chain(changed);
+        let lines = events
+            .map(|event| Bytes::from(format!("{event}\n")))
+            .collect::<Vec<_>>();
+        self.watchers.retain(|watcher| {
+            lines.iter().all(|line| watcher.send(line.clone()).is_ok()) && !watcher.is_closed()
+        });
+    }
+
+    fn watch(&mut self, query: &str) -> HttpAnswer {
+        self.reads += 1;
+        if self.outage {
+            return HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "outage");
+        }
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let current = format!("resourceVersion={}", self.version);
+        if query.split('&').any(|part| part == current) {
+            self.watchers.push(sender);
+        } else {
+            let status = json!({ "kind": "Status", "code": 410, "reason": "Expired" });
+            let line = json!({ "type": "ERROR", "object": status });
+            // The receiver is read by the response made below.
+            let _ = sender.send(Bytes::from(format!("{line}\n")));
+        }
+        HttpAnswer::lines(receiver, Duration::ZERO)
+    }
+
     fn read(&mut self) -> HttpAnswer {
         self.reads += 1;
         if self.outage {
@@ -191,6 +258,7 @@
         let list = json!({
             "apiVersion": "discovery.k8s.io/v1",
             "kind": "EndpointSliceList",
+            "metadata": { "resourceVersion": self.version.to_string() },
             "items": items,
         });
         HttpAnswer::json(StatusCode::OK, &list)
--- a/crates/celerycrank-sync/src/list.rs
+++ b/crates/celerycrank-sync/src/list.rs
@@ -1,30 +1,62 @@
 //! Follows the VM list and the planned stops of this process.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::time::sleep;
 use celerycrank_membership::{VmFact, VmRole};
-use celerycrank_platform::{VmListClient, VmOffer, VmRecord, VmState};
+use celerycrank_platform::{VmListClient, VmListFeed, VmOffer, VmRecord, VmState};
+use futures_util::future::join;
 
 use crate::state::SyncState;
 
-/// Interval between readings.
-const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Wait after the list could not be followed.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Interval between looks for a planned stop of this process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Reads the VM list again and again, and tells `changed` after each reading.
+/// Interval at which the last reading is taken again: a VM that the list does not name
+/// is gone only once it has not answered for a while.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Follows the VM list, and tells `changed` after each change.
 pub async fn follow_list(state: Rc<SyncState>, client: VmListClient, changed: impl Fn()) {
+    let last = RefCell::new(Vec::new());
+    let take = || {
+        state.on_list(&last.borrow());
+        changed();
+    };
+    join(
+        feed_list(&state, client, &last, &take),
+        repeat_list(&last, &take),
+    )
+    .await;
+}
+
+async fn feed_list(
+    state: &SyncState,
+    client: VmListClient,
+    last: &RefCell<Vec<(VmFact, bool)>>,
+    take: &impl Fn(),
+) {
+    let mut feed = VmListFeed::new(client);
+    loop {
+        if let Ok(records) = feed.next().await {
+            last.replace(records.iter().map(read_record).collect());
+            take();
+        } else {
+            state.counters.list_faults.inc();
+            sleep(RETRY_INTERVAL).await;
+        }
+    }
+}
+
+async fn repeat_list(last: &RefCell<Vec<(VmFact, bool)>>, take: &impl Fn()) {
     loop {
-        match client.fetch().await {
-            Ok(records) => {
-                state.on_list(&records.iter().map(read_record).collect::<Vec<_>>());
-                changed();
-            }
-            Err(_) => state.counters.list_faults.inc(),
+        sleep(REPEAT_INTERVAL).await;
+        if !last.borrow().is_empty() {
+            take();
         }
-        sleep(READ_INTERVAL).await;
     }
 }
 
