Serve what is within shares by deadline, and prove the fair queue

Cause of accounts short of their share: fair order within the band held an account back on the few workers that affinity gives it; the wait estimate left out what higher classes take; grants asked in advance expired unused; a refused request went back to workers that affinity had filled. Now: earliest deadline first within shares; the estimate counts the part of the rate that the ranks before leave; tokens in advance only for busy accounts; a share is granted with a tenth of headroom; a request within its share leaves half its time for another attempt, chosen by load; a silent home lets an account keep its pace.

--- a/crates/celerycrank-bench/src/shares.rs
+++ b/crates/celerycrank-bench/src/shares.rs
@@ -48,9 +48,9 @@
 fn compare_shares(args: &SharesArgs) {
     println!(
         "| policy | worst account 10 s | worst account 1 s | Jain 10 s | Jain 1 s | idle under \
-         demand | recovery s | control B/s a node, mean and busiest |"
+         demand | recovery s | attempts | control B/s a node, mean and busiest |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|---|---|");
     for policy in [
         SharePolicy::Shares,
         SharePolicy::Fifo,
@@ -59,7 +59,7 @@
         let scenario = Scenario::contention(args.accounts, args.entries, args.seconds);
         let result = Fleet::new(scenario, policy, args.workers, args.seed).play();
         println!(
-            "| {} | {:.3} | {:.3} | {:.4} | {:.4} | {:.2}% | {} | {:.0}, {:.0} |",
+            "| {} | {:.3} | {:.3} | {:.4} | {:.4} | {:.2}% | {} | {:.3} | {:.0}, {:.0} |",
             policy.name(),
             result.worst_long,
             result.worst_short,
@@ -67,6 +67,7 @@
             result.jain_short,
             result.idle * 100.0,
             result.recovery,
+            result.attempts,
             result.control_mean,
             result.control_busiest,
         );
--- a/crates/celerycrank-bench/src/shares/fleet.rs
+++ b/crates/celerycrank-bench/src/shares/fleet.rs
@@ -34,7 +34,7 @@
 const HOP: TimeSpan = TimeSpan(500);
 const START_DEADLINE: TimeSpan = TimeSpan::from_secs(2);
 /// Other workers that a refused request is offered to.
-const RETRIES: usize = 1;
+const RETRIES: usize = 2;
 /// Time until the other entries know that one is lost.
 const DETECTION: TimeSpan = TimeSpan::from_secs(2);
 const LEAVE_SECOND: u64 = 20;
@@ -62,6 +62,8 @@
     pub(super) most_waiting: usize,
     /// Part of the requests that were accepted and then refused.
     pub(super) refused_late: f64,
+    /// Attempts for each request.
+    pub(super) attempts: f64,
 }
 
 #[derive(Debug, Clone)]
@@ -153,6 +155,7 @@
     most_waiting: usize,
     accepted: u64,
     refused_late: u64,
+    retries: usize,
 }
 
 impl Fleet {
@@ -196,6 +199,7 @@
             most_waiting: 0,
             accepted: 0,
             refused_late: 0,
+            retries: 0,
             scenario,
         }
     }
@@ -223,43 +227,6 @@
     }
 
     fn result(self) -> FleetResult {
-        for (i, t) in self.tallies.iter().enumerate() {
-            let row: Vec<String> = (1..5)
-                .map(|w| {
-                    let o: f64 = t.offered[w * 10..w * 10 + 10].iter().sum();
-                    let v: f64 = t.served[w * 10..w * 10 + 10].iter().sum();
-                    format!("{:.2}/{:.2}", o / t.share / 10.0, v / t.share / 10.0)
-                })
-                .collect();
-            let n = self
-                .requests
-                .iter()
-                .filter(|r| r.account == i && r.arrival.0 > 10_000_000)
-                .count();
-            let ex = self
-                .requests
-                .iter()
-                .filter(|r| {
-                    r.account == i && r.arrival.0 > 10_000_000 && r.band == ShareBand::Excess
-                })
-                .count();
-            let tr = self
-                .requests
-                .iter()
-                .filter(|r| {
-                    r.account == i
-                        && r.arrival.0 > 10_000_000
-                        && r.band == ShareBand::Within
-                        && !r.tried.is_empty()
-                })
-                .count();
-            eprintln!(
-                "{i} w{} {:?} {} n{n} excess{ex} tried{tr}",
-                self.scenario.accounts[i].weight,
-                self.scenario.accounts[i].behaviour,
-                row.join("  ")
-            );
-        }
         let seconds = self.scenario.seconds as f64;
         let counted = seconds - tally::WARM_UP_SECONDS as f64;
         let (control_mean, control_busiest) = self.control.rates(seconds);
@@ -281,6 +248,7 @@
             high_p99: self.waits.value_at_quantile(0.99),
             most_waiting: self.most_waiting,
             refused_late: self.refused_late as f64 / self.accepted.max(1) as f64,
+            attempts: 1.0 + self.retries as f64 / self.requests.len().max(1) as f64,
         }
     }
 
@@ -552,7 +520,7 @@
         };
         let start_by = match self.policy {
             SharePolicy::Unrefused => TimePoint(u64::MAX),
-            _ => request.arrival + START_DEADLINE,
+            _ => self.attempt_deadline(request),
         };
         QueueRequest::builder()
             .id(RequestId(index as u128))
@@ -565,21 +533,36 @@
             .build()
     }
 
+    /// Leaves time for another attempt while there may be one.
+    fn attempt_deadline(&self, request: &Request) -> TimePoint {
+        let deadline = request.arrival + START_DEADLINE;
+        if !may_retry(request) {
+            return deadline;
+        }
+        let left = deadline.since(self.now);
+        self.now + TimeSpan(left.0 / 2)
+    }
+
     fn retry(&mut self, index: usize, worker: usize) {
         self.note_ended(index, worker);
         let name = self.names[worker].clone();
         let request = &mut self.requests[index];
-        if request.tried.len() < RETRIES {
+        if may_retry(request) {
             request.tried.push(name);
+            self.retries += 1;
             self.route(index);
         }
     }
 
     fn note_ended(&mut self, index: usize, worker: usize) {
         let queue = &self.queues[worker];
+        let waiting = match self.policy {
+            SharePolicy::Shares => queue.contended(),
+            _ => queue.waiting(),
+        };
         let load = LoadReport {
             running: u32::try_from(queue.running()).unwrap_or(u32::MAX),
-            waiting: u32::try_from(queue.waiting()).unwrap_or(u32::MAX),
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             waiting_cost: queue.waiting_cost(ShareBand::Within),
         };
         let router = &mut self.entries[self.requests[index].entry].router;
@@ -592,7 +575,7 @@
         for refusal in step.refused {
             self.waiting -= 1;
             self.refused_late += 1;
-            self.note_ended(request_index(refusal.id), worker);
+            self.retry(request_index(refusal.id), worker);
         }
         for started in step.started {
             self.waiting -= 1;
@@ -692,6 +675,11 @@
     time.0 >= tally::WARM_UP_SECONDS as u64 * SECOND
 }
 
+/// Whether a refused request is offered to another worker: only what is within its share is.
+fn may_retry(request: &Request) -> bool {
+    request.band == ShareBand::Within && request.tried.len() < RETRIES
+}
+
 /// Spreads small numbers over all hashes.
 const fn spread(number: u64) -> u64 {
     (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
--- a/crates/celerycrank-routing/src/router.rs
+++ b/crates/celerycrank-routing/src/router.rs
@@ -24,6 +24,9 @@
 /// Blocks that the others keep a backend server busy with, at a load of one.
 const CROWDING_BLOCKS: f64 = 8.0;
 
+/// Candidates drawn at random for a request that was refused before.
+const RETRY_CANDIDATES: usize = 4;
+
 /// Settings of a router.
 #[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
 pub struct RouterSettings {
@@ -264,7 +267,13 @@
     }
 
     fn candidates<R: Rng>(&self, query: &RouteQuery<'_>, rng: &mut R) -> CandidateList {
-        let held = self.held_blocks(query.prefix);
+        // Where affinity led to a refusal, only the load counts.
+        let (prefix, random) = if query.tried.is_empty() {
+            (query.prefix, RANDOM_CANDIDATES)
+        } else {
+            (&PromptPrefix::default(), RETRY_CANDIDATES)
+        };
+        let held = self.held_blocks(prefix);
         let mut candidates = CandidateList::new();
         let mut add = |index, reason| {
             let known = candidates
@@ -278,7 +287,7 @@
                 });
             }
         };
-        for (rank, index) in self.homes(query).into_iter().enumerate() {
+        for (rank, index) in self.homes(prefix, query).into_iter().enumerate() {
             let reason = if rank == 0 {
                 RouteReason::Rendezvous
             } else {
@@ -298,7 +307,7 @@
                 add(slot.index, RouteReason::Holder);
             }
         }
-        for _ in 0..RANDOM_CANDIDATES {
+        for _ in 0..random {
             if let Some(index) = self.random_usable(query, rng) {
                 add(index, RouteReason::Random);
             }
@@ -346,8 +355,8 @@
     }
 
     /// The first backend servers in the conversation's order among those of its kind of prompt.
-    fn homes(&self, query: &RouteQuery<'_>) -> SmallVec<[usize; 4]> {
-        let (Some(group), Some(session)) = (query.prefix.group(), query.prefix.session()) else {
+    fn homes(&self, prefix: &PromptPrefix, query: &RouteQuery<'_>) -> SmallVec<[usize; 4]> {
+        let (Some(group), Some(session)) = (prefix.group(), prefix.session()) else {
             return SmallVec::new();
         };
         let cut = u64::MAX - self.member_range(group);
--- a/crates/celerycrank-shares/src/holder.rs
+++ b/crates/celerycrank-shares/src/holder.rs
@@ -13,7 +13,10 @@
 pub const GRANT_LIFE: TimeSpan = TimeSpan::from_secs(2);
 
 /// Time for which a report asks for tokens in advance.
-const ADVANCE: TimeSpan = TimeSpan::from_millis(200);
+const ADVANCE: TimeSpan = TimeSpan::from_millis(500);
+
+/// Least number of requests for which tokens are asked in advance.
+const WORTHWHILE_REQUESTS: u64 = 2;
 
 /// How long an entry waits for a home before it goes on without.
 pub const ANSWER_TIMEOUT: TimeSpan = TimeSpan::from_millis(100);
@@ -58,6 +61,8 @@
     inherited: TokenCount,
     /// Tokens admitted in the current span and in the one before it.
     spent: [TokenCount; 2],
+    /// Part of `spent` that was within the share.
+    spent_within: [TokenCount; 2],
     span_start: TimePoint,
     last_used: TimePoint,
 }
@@ -68,12 +73,11 @@
         if age < GRANT_LIFE {
             return;
         }
-        let previous = if age < GRANT_LIFE + GRANT_LIFE {
-            self.spent[0]
-        } else {
-            TokenCount(0)
-        };
-        self.spent = [TokenCount(0), previous];
+        let recent = age < GRANT_LIFE + GRANT_LIFE;
+        for spent in [&mut self.spent, &mut self.spent_within] {
+            let previous = if recent { spent[0] } else { TokenCount(0) };
+            *spent = [TokenCount(0), previous];
+        }
         self.span_start = now;
     }
 
@@ -84,7 +88,7 @@
         }
         if self.home.is_some() {
             let held = self.within + self.excess.unwrap_or_default();
-            self.inherited = held + self.spent[0] + self.spent[1];
+            self.inherited = held + self.spent[0];
         }
         self.pending = None;
         self.share_empty_until = TimePoint::default();
@@ -105,6 +109,7 @@
         if enough {
             self.within = TokenCount(self.within.0 - cost.0);
             self.spent[0] += cost;
+            self.spent_within[0] += cost;
         }
         enough
     }
@@ -143,13 +148,28 @@
         self.inherited = TokenCount(0);
     }
 
-    /// Tokens used in a while like the one that a report asks for.
-    fn advance(&self) -> u64 {
-        let used = self.spent[0].0.max(self.spent[1].0);
-        used * ADVANCE.0 / GRANT_LIFE.0
+    /// Goes on for a while as before, since the home does not answer.
+    fn continue_alone(&mut self, now: TimePoint, cost: TokenCount) {
+        let unknown = self.expires == TimePoint::default();
+        self.pending = None;
+        let was_within = self.spent_within.iter().any(|spent| *spent > TokenCount(0));
+        let least = if was_within { cost } else { TokenCount(0) };
+        self.within = advance(self.spent_within).max(least);
+        if unknown || self.excess.is_some() {
+            self.excess = Some(advance(self.spent).max(cost));
+        }
+        self.expires = now + ADVANCE;
+        self.share_empty_until = now + ADVANCE;
+        self.cap_empty_until = now + ADVANCE;
     }
 }
 
+/// Tokens used in a while like the one that a report asks for.
+fn advance(spent: [TokenCount; 2]) -> TokenCount {
+    let [current, previous] = spent;
+    TokenCount(current.max(previous).0 * ADVANCE.0 / GRANT_LIFE.0)
+}
+
 /// Admits requests under the shares and rate caps of their accounts' plans.
 ///
 /// Invariants: no more tokens are admitted than were granted, but where a home does not answer
@@ -236,10 +256,15 @@
         self.next_number += 1;
         let grant = self.grants.entry(account.clone()).or_default();
         grant.pending = Some(PendingReport { number, sent: now });
+        let mut in_advance = advance(grant.spent).0;
+        if in_advance < WORTHWHILE_REQUESTS * cost.0 {
+            // Tokens for a request that may not come in their life are better left at the home.
+            in_advance = 0;
+        }
         DemandReport {
             account: account.clone(),
             number,
-            wanted: TokenCount((cost.0 + grant.advance()).saturating_sub(grant.within.0)),
+            wanted: TokenCount((cost.0 + in_advance).saturating_sub(grant.within.0)),
             inherited: grant.inherited,
         }
     }
@@ -252,15 +277,10 @@
         cost: TokenCount,
     ) -> Admission {
         let grant = self.grants.entry(account.clone()).or_default();
-        let usual = TokenCount(grant.advance()).max(cost);
-        let unknown = grant.expires == TimePoint::default();
-        grant.pending = None;
-        if unknown || grant.excess.is_some() {
-            grant.excess = Some(usual);
+        grant.continue_alone(now, cost);
+        if grant.spend_within(cost) {
+            return Admission::Admitted(ShareBand::Within);
         }
-        grant.expires = now + ADVANCE;
-        grant.share_empty_until = now + ADVANCE;
-        grant.cap_empty_until = now + ADVANCE;
         let admitted = grant.spend_excess(now, cost);
         assert!(admitted, "an allowance is at least the request's cost");
         Admission::Admitted(ShareBand::Excess)
--- a/crates/celerycrank-shares/src/home.rs
+++ b/crates/celerycrank-shares/src/home.rs
@@ -4,11 +4,17 @@
 
 use celerycrank_types::{AccountId, TimePoint, TimeSpan, TokenCount, TokenRate};
 
-use crate::grant::{AccountAllowance, DemandReport, TokenGrant};
+use crate::{
+    grant::{AccountAllowance, DemandReport, TokenGrant},
+    holder::GRANT_LIFE,
+};
 
 /// Tokens of a share granted at once at most, as time at its rate.
 const SHARE_BURST: TimeSpan = TimeSpan::from_secs(4);
 
+/// What is granted of a share, in hundredths: makes up for tokens that entries leave unused.
+const SHARE_HEADROOM: u64 = 110;
+
 /// Tokens of a cap granted at once at most, as time at its rate.
 const CAP_BURST: TimeSpan = TimeSpan::from_secs(1);
 
@@ -24,11 +30,12 @@
 }
 
 impl RateBucket {
+    /// Begins with one grant life's worth at most, by which a second home may overshoot.
     fn new(now: TimePoint, rate: TokenRate, span: TimeSpan) -> Self {
         Self {
             rate,
             span,
-            level: rate.0 as f64 * span.as_secs_f64(),
+            level: rate.0 as f64 * span.min(GRANT_LIFE).as_secs_f64(),
             updated: now,
         }
     }
@@ -92,7 +99,7 @@
             .cap
             .map(|cap| RateBucket::new(now, cap, CAP_BURST));
         Self {
-            share: RateBucket::new(now, allowance.share, SHARE_BURST),
+            share: RateBucket::new(now, with_headroom(allowance.share), SHARE_BURST),
             granted: 0.0,
             allowed: cap.as_ref().map_or(0.0, RateBucket::burst),
             cap,
@@ -100,7 +107,7 @@
     }
 
     fn refill(&mut self, now: TimePoint, allowance: AccountAllowance) {
-        self.share.refill(now, allowance.share);
+        self.share.refill(now, with_headroom(allowance.share));
         match (&mut self.cap, allowance.cap) {
             (Some(bucket), Some(cap)) => self.allowed += bucket.refill(now, cap),
             (_, cap) => {
@@ -111,13 +118,6 @@
         }
     }
 
-    fn inherit(&mut self, inherited: TokenCount) {
-        self.share.inherit(inherited);
-        if let Some(cap) = &mut self.cap {
-            cap.inherit(inherited);
-        }
-    }
-
     fn is_full(&self) -> bool {
         self.share.is_full() && self.cap.as_ref().is_none_or(RateBucket::is_full)
     }
@@ -161,7 +161,9 @@
             .entry(report.account.clone())
             .or_insert_with(|| HomeRecord::new(now, allowance));
         record.refill(now, allowance);
-        record.inherit(report.inherited);
+        if let Some(cap) = &mut record.cap {
+            cap.inherit(report.inherited);
+        }
         let (total, cap_retry) = match &mut record.cap {
             Some(cap) => cap.take(report.wanted),
             None => (report.wanted, TimeSpan::ZERO),
@@ -201,6 +203,10 @@
     }
 }
 
+const fn with_headroom(share: TokenRate) -> TokenRate {
+    TokenRate(share.0 * SHARE_HEADROOM / 100)
+}
+
 /// The whole part of a level; zero if it is negative.
 fn whole_tokens(level: f64) -> u64 {
     // Durations round down and check the range, which a plain cast does not.
--- a/crates/celerycrank-shares/src/lib.rs
+++ b/crates/celerycrank-shares/src/lib.rs
@@ -6,6 +6,7 @@
 //! serves what is within a share before the rest, each in weighted fair order. Nothing here performs I/O or reads a clock.
 
 mod account;
+mod deadline;
 mod grant;
 mod holder;
 mod home;
--- a/crates/celerycrank-shares/src/meter.rs
+++ b/crates/celerycrank-shares/src/meter.rs
@@ -2,13 +2,13 @@
 
 use celerycrank_types::{TimeSpan, TokenCount};
 
-use crate::request::ShareBand;
+use crate::request::ServiceRank;
 
 /// Part of the old sums that remains after one more sample.
 const SAMPLE_DECAY: f64 = 63.0 / 64.0;
 
-/// Least part of the rate that is taken as left for what exceeds the shares.
-const LEAST_EXCESS: f64 = 0.05;
+/// Least part of the rate that is taken as left for a rank.
+const LEAST_PART: f64 = 0.05;
 
 /// Exponentially weighted tokens and slot time of settled requests.
 ///
@@ -19,18 +19,17 @@
     tokens: f64,
     seconds: f64,
     samples: f64,
-    /// Part of `tokens` that exceeded the accounts' shares.
-    excess_tokens: f64,
+    /// Invariant: `tokens` by rank.
+    by_rank: [f64; ServiceRank::COUNT],
 }
 
 impl ServiceMeter {
     /// Takes in one settled request.
-    pub(crate) fn record(&mut self, band: ShareBand, cost: TokenCount, held: TimeSpan) {
-        let excess = match band {
-            ShareBand::Within => 0.0,
-            ShareBand::Excess => cost.0 as f64,
-        };
-        self.excess_tokens = self.excess_tokens * SAMPLE_DECAY + excess;
+    pub(crate) fn record(&mut self, rank: ServiceRank, cost: TokenCount, held: TimeSpan) {
+        for tokens in &mut self.by_rank {
+            *tokens *= SAMPLE_DECAY;
+        }
+        self.by_rank[rank.index()] += cost.0 as f64;
         self.tokens = self.tokens * SAMPLE_DECAY + cost.0 as f64;
         self.seconds = self.seconds * SAMPLE_DECAY + held.as_secs_f64();
         self.samples = self.samples * SAMPLE_DECAY + 1.0;
@@ -41,10 +40,11 @@
         (self.tokens > 0.0 && self.seconds > 0.0).then(|| self.tokens / self.seconds)
     }
 
-    /// Part of the rate that is left for what exceeds the accounts' shares.
-    pub(crate) fn excess_part(&self) -> f64 {
+    /// Part of the rate that the ranks before this one leave.
+    pub(crate) fn part_left(&self, rank: ServiceRank) -> f64 {
+        let before: f64 = self.by_rank[..rank.index()].iter().sum();
         if self.tokens > 0.0 {
-            (self.excess_tokens / self.tokens).max(LEAST_EXCESS)
+            (1.0 - before / self.tokens).max(LEAST_PART)
         } else {
             1.0
         }
--- a/crates/celerycrank-shares/src/queue.rs
+++ b/crates/celerycrank-shares/src/queue.rs
@@ -11,16 +11,21 @@
 
 use crate::{
     account::WaitingRequest,
+    deadline::DeadlineOrder,
     meter::ServiceMeter,
     order::FairOrder,
-    request::{QueueRefusal, QueueRequest, QueueStep, ShareBand, StartedRequest},
+    request::{QueueRefusal, QueueRequest, QueueStep, ServiceRank, ShareBand, StartedRequest},
 };
 
 /// Retry-After while nothing has been measured yet.
 const UNMEASURED_RETRY: TimeSpan = TimeSpan::from_secs(1);
 
-/// Part of the wait that is added to an estimate, since service times vary.
-const WAIT_MARGIN: f64 = 0.25;
+/// Part of the wait that is added to an estimate for what exceeds a share, since others may
+/// still come before it.
+const EXCESS_MARGIN: f64 = 0.5;
+
+/// Part of the concurrency up to which waiting excess counts as load.
+const EXCESS_COUNTED: usize = 4;
 
 /// Settings of a fair queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, bon::Builder)]
@@ -45,7 +50,7 @@
 /// A request that holds a slot.
 #[derive(Debug, Clone)]
 struct RunningRequest {
-    band: ShareBand,
+    rank: ServiceRank,
     account: AccountId,
     cost: TokenCount,
     started: TimePoint,
@@ -53,8 +58,8 @@
 
 /// Fair queue over accounts, in front of one backend server.
 ///
-/// What is within its account's share of the whole fleet goes before what exceeds it. Within
-/// each of the two bands the accounts are served in weighted fair order.
+/// What is within its account's share of the whole fleet goes before what exceeds it, earliest
+/// deadline first; the rest is served in weighted fair order.
 ///
 /// Invariants:
 /// - no request waits while a slot is free (work conservation);
@@ -63,7 +68,7 @@
 #[derive(Debug)]
 pub struct FairQueue {
     settings: QueueSettings,
-    within: FairOrder,
+    within: DeadlineOrder,
     excess: FairOrder,
     places: BTreeMap<RequestId, QueuePlace>,
     running: BTreeMap<RequestId, RunningRequest>,
@@ -78,7 +83,7 @@
     pub fn new(settings: QueueSettings) -> Self {
         Self {
             settings,
-            within: FairOrder::new(settings.burst),
+            within: DeadlineOrder::default(),
             excess: FairOrder::new(settings.burst),
             places: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -100,16 +105,29 @@
         self.running.len()
     }
 
+    /// Number of waiting requests for a router to go by.
+    ///
+    /// A flood beyond the shares counts as a few requests only: it fills every queue alike, and
+    /// would hide where the work within the shares has piled up.
+    #[must_use]
+    pub fn contended(&self) -> usize {
+        let excess = self.places.len() - self.within.len();
+        self.within.len() + excess.min(self.settings.concurrency as usize / EXCESS_COUNTED)
+    }
+
     /// Estimated work of the waiting requests of a band.
     #[must_use]
-    pub const fn waiting_cost(&self, band: ShareBand) -> TokenCount {
-        self.order(band).waiting_cost()
+    pub fn waiting_cost(&self, band: ShareBand) -> TokenCount {
+        match band {
+            ShareBand::Within => self.within.waiting_cost(),
+            ShareBand::Excess => self.excess.waiting_cost(),
+        }
     }
 
-    /// Number of accounts that the queue remembers.
+    /// Number of accounts of which the queue remembers what they were served.
     #[must_use]
     pub fn accounts(&self) -> usize {
-        self.within.accounts() + self.excess.accounts()
+        self.excess.accounts()
     }
 
     /// The next point at which a waiting request would be refused.
@@ -138,13 +156,16 @@
         }
         let rate = slot_rate * f64::from(self.settings.concurrency);
         let ahead = match request.band {
-            ShareBand::Within => self.within.work_ahead(request) / rate,
+            ShareBand::Within => self.within.work_ahead(request).0 as f64,
             ShareBand::Excess => {
-                let rest = rate * self.meter.excess_part();
-                self.within.waiting_cost().0 as f64 / rate + self.excess.work_ahead(request) / rest
+                let ahead = self.within.waiting_cost().0 as f64 + self.excess.work_ahead(request);
+                ahead * (1.0 + EXCESS_MARGIN)
             }
         };
-        seconds(ahead * (1.0 + WAIT_MARGIN)) + self.next_slot()
+        let rank = ServiceRank::of(request.band, request.class);
+        let part_left = self.meter.part_left(rank);
+        let slot = self.next_slot().as_secs_f64();
+        seconds((ahead / rate + slot) / part_left)
     }
 
     /// Offers a request; refuses it at once where it can't start within its deadline.
@@ -218,9 +239,10 @@
             return false;
         };
         self.meter
-            .record(request.band, used, now.since(request.started));
-        self.order_mut(request.band)
-            .settle(&request.account, request.cost, used);
+            .record(request.rank, used, now.since(request.started));
+        if request.rank == ServiceRank::Excess {
+            self.excess.settle(&request.account, request.cost, used);
+        }
         true
     }
 
@@ -229,27 +251,14 @@
         let Some(place) = self.places.remove(&id) else {
             return false;
         };
-        let request = self
-            .order_mut(place.band)
-            .remove(&place.account, place.sequence);
+        let request = match place.band {
+            ShareBand::Within => self.within.remove(place.sequence).2,
+            ShareBand::Excess => self.excess.remove(&place.account, place.sequence),
+        };
         self.deadlines.remove(&(request.start_by, id));
         true
     }
 
-    const fn order(&self, band: ShareBand) -> &FairOrder {
-        match band {
-            ShareBand::Within => &self.within,
-            ShareBand::Excess => &self.excess,
-        }
-    }
-
-    const fn order_mut(&mut self, band: ShareBand) -> &mut FairOrder {
-        match band {
-            ShareBand::Within => &mut self.within,
-            ShareBand::Excess => &mut self.excess,
-        }
-    }
-
     fn enqueue(&mut self, now: TimePoint, request: &QueueRequest) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
@@ -259,7 +268,10 @@
             arrived: now,
             start_by: request.start_by,
         };
-        self.order_mut(request.band).append(request, sequence, item);
+        match request.band {
+            ShareBand::Within => self.within.append(request, sequence, item),
+            ShareBand::Excess => self.excess.append(request, sequence, item),
+        }
         self.deadlines.insert((request.start_by, request.id));
         let place = QueuePlace {
             band: request.band,
@@ -272,7 +284,7 @@
     fn evict(&mut self) -> QueueRefusal {
         let excess = self.excess.most_backlogged();
         let request = excess
-            .or_else(|| self.within.most_backlogged())
+            .or_else(|| self.within.last())
             .expect("a full queue has a backlog");
         self.remove(request.id);
         self.refusal(request.id, RefusalReason::QueueFull, self.drain_time())
@@ -284,14 +296,11 @@
     }
 
     fn start_next(&mut self, now: TimePoint) -> Option<StartedRequest> {
-        let (band, (account, request)) = match self.within.start_first() {
-            Some(first) => (ShareBand::Within, first),
-            None => (ShareBand::Excess, self.excess.start_first()?),
-        };
+        let (rank, account, request) = self.take_first()?;
         self.places.remove(&request.id);
         self.deadlines.remove(&(request.start_by, request.id));
         let running = RunningRequest {
-            band,
+            rank,
             account,
             cost: request.cost,
             started: now,
@@ -303,6 +312,15 @@
         })
     }
 
+    fn take_first(&mut self) -> Option<(ServiceRank, AccountId, WaitingRequest)> {
+        if let Some((account, class, request)) = self.within.start_first() {
+            let rank = ServiceRank::of(ShareBand::Within, class);
+            return Some((rank, account, request));
+        }
+        let (account, request) = self.excess.start_first()?;
+        Some((ServiceRank::Excess, account, request))
+    }
+
     /// Mean time until the next slot falls free.
     fn next_slot(&self) -> TimeSpan {
         seconds(self.meter.mean_hold() / f64::from(self.settings.concurrency))
--- a/crates/celerycrank-shares/src/request.rs
+++ b/crates/celerycrank-shares/src/request.rs
@@ -17,6 +17,34 @@
     Excess,
 }
 
+/// Which requests go before which: those within their shares by class, then the rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ServiceRank {
+    WithinHigh,
+    WithinNormal,
+    WithinLow,
+    Excess,
+}
+
+impl ServiceRank {
+    /// Number of ranks.
+    pub(crate) const COUNT: usize = 4;
+
+    pub(crate) const fn of(band: ShareBand, class: PriorityClass) -> Self {
+        match (band, class) {
+            (ShareBand::Excess, _) => Self::Excess,
+            (ShareBand::Within, PriorityClass::High) => Self::WithinHigh,
+            (ShareBand::Within, PriorityClass::Normal) => Self::WithinNormal,
+            (ShareBand::Within, PriorityClass::Low) => Self::WithinLow,
+        }
+    }
+
+    /// Position in the order, the first at zero.
+    pub(crate) const fn index(self) -> usize {
+        self as usize
+    }
+}
+
 /// A request that asks for a place in a fair queue.
 #[derive(Debug, Clone, PartialEq, Eq, bon::Builder)]
 pub struct QueueRequest {
--- /dev/null
+++ b/crates/celerycrank-shares/tests/properties.rs
@@ -0,0 +1,234 @@
+//! Long random runs of a fair queue; its invariants are asserted inside it.
+
+use std::collections::BTreeMap;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use celerycrank_config::PriorityClass;
+use celerycrank_shares::{FairQueue, QueueRequest, QueueSettings, QueueStep, ShareBand};
+use celerycrank_types::{RequestId, ShareWeight, TimePoint, TimeSpan, TokenCount};
+
+const SEEDS: [u64; 6] = [
+    0x0000_0011_0000_4000,
+    0x0000_0012_0000_4000,
+    0x0000_0013_0000_8000,
+    0x0000_0014_0000_8000,
+    0x0000_0015_0001_0000,
+    0x0000_0016_0001_0000,
+];
+
+const CAPACITY: u32 = 24;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Waits,
+    Runs,
+    Gone,
+}
+
+/// A queue beside a plain record of what each request's fate should be.
+struct Model {
+    now: TimePoint,
+    queue: FairQueue,
+    fates: BTreeMap<RequestId, Fate>,
+}
+
+impl Model {
+    fn new(concurrency: u32) -> Self {
+        let settings = QueueSettings::builder()
+            .concurrency(concurrency)
+            .capacity(CAPACITY)
+            .burst(TokenCount(200))
+            .build();
+        Self {
+            now: TimePoint(1_000_000),
+            queue: FairQueue::new(settings),
+            fates: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        match u.int_in_range(0..=9)? {
+            0..=4 => self.push(u)?,
+            5 | 6 => self.settle(u)?,
+            7 => self.remove(u)?,
+            8 => self.now = self.now + TimeSpan(u.int_in_range(0..=2_000_000)?),
+            _ => {}
+        }
+        let step = self.queue.advance(self.now);
+        self.note(&step);
+        Ok(())
+    }
+
+    fn push(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let id = RequestId(self.fates.len() as u128);
+        let request = QueueRequest::builder()
+            .id(id)
+            .account(
+                format!("account-{}", u.int_in_range(0..=5)?)
+                    .parse()
+                    .unwrap(),
+            )
+            .weight(ShareWeight::try_from(u.int_in_range(1..=9)?).unwrap())
+            .class(*u.choose(&[
+                PriorityClass::High,
+                PriorityClass::Normal,
+                PriorityClass::Low,
+            ])?)
+            .band(*u.choose(&[ShareBand::Within, ShareBand::Excess])?)
+            .cost(TokenCount(u.int_in_range(0..=1_000)?))
+            .start_by(self.now + TimeSpan(u.int_in_range(0..=20_000_000)?))
+            .build();
+        self.fates.insert(id, Fate::Waits);
+        let refusal = match self.queue.push(self.now, &request) {
+            Ok(evicted) => evicted,
+            Err(refusal) => {
+                assert_eq!(refusal.id, id);
+                Some(refusal)
+            }
+        };
+        if let Some(refusal) = refusal {
+            assert_eq!(self.fates.insert(refusal.id, Fate::Gone), Some(Fate::Waits));
+        }
+        Ok(())
+    }
+
+    fn settle(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let Some(id) = self.draw(u)? else {
+            return Ok(());
+        };
+        let used = TokenCount(u.int_in_range(0..=2_000)?);
+        let settled = self.queue.settle(self.now, id, used);
+        assert_eq!(settled, self.fates[&id] == Fate::Runs);
+        if settled {
+            self.fates.insert(id, Fate::Gone);
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let Some(id) = self.draw(u)? else {
+            return Ok(());
+        };
+        let removed = self.queue.remove(id);
+        assert_eq!(removed, self.fates[&id] == Fate::Waits);
+        if removed {
+            self.fates.insert(id, Fate::Gone);
+        }
+        Ok(())
+    }
+
+    /// One of the newest requests, whatever has become of it.
+    fn draw(&self, u: &mut Unstructured<'_>) -> Result<Option<RequestId>> {
+        if self.fates.is_empty() {
+            return Ok(None);
+        }
+        let back = u.int_in_range(0..=(self.fates.len() - 1).min(40))?;
+        Ok(Some(RequestId((self.fates.len() - 1 - back) as u128)))
+    }
+
+    fn note(&mut self, step: &QueueStep) {
+        for refusal in &step.refused {
+            assert_eq!(self.fates.insert(refusal.id, Fate::Gone), Some(Fate::Waits));
+        }
+        for started in &step.started {
+            assert_eq!(self.fates.insert(started.id, Fate::Runs), Some(Fate::Waits));
+        }
+        let count = |fate| self.fates.values().filter(|other| **other == fate).count();
+        assert_eq!(self.queue.waiting(), count(Fate::Waits));
+        assert_eq!(self.queue.running(), count(Fate::Runs));
+    }
+
+    /// Once everything has ended nothing is remembered.
+    fn drain(&mut self) {
+        let ids: Vec<RequestId> = self.fates.keys().copied().collect();
+        for id in &ids {
+            self.queue.remove(*id);
+        }
+        for id in ids {
+            self.queue.settle(self.now, id, TokenCount(1));
+        }
+        assert_eq!((self.queue.waiting(), self.queue.running()), (0, 0));
+        assert_eq!(self.queue.accounts(), 0);
+        assert_eq!(self.queue.next_deadline(), None);
+    }
+}
+
+#[test]
+fn every_request_is_in_one_place_and_leaves_nothing() {
+    for seed in SEEDS {
+        arbtest::arbtest(|u| {
+            let mut model = Model::new(u.int_in_range(1..=4)?);
+            while !u.is_empty() {
+                model.step(u)?;
+            }
+            model.drain();
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+/// Tokens that two always waiting accounts and a flooding one of a high class are served.
+fn serve_backlogged(weights: [u32; 3], costs: &[u64], rounds: usize) -> [f64; 3] {
+    let settings = QueueSettings::builder()
+        .concurrency(1)
+        .capacity(64)
+        .burst(TokenCount(500));
+    let mut queue = FairQueue::new(settings.build());
+    let mut owners: BTreeMap<RequestId, (usize, u64)> = BTreeMap::new();
+    let mut served = [0.0; 3];
+    let mut next_id = 0_u128;
+    let mut add = |queue: &mut FairQueue, owners: &mut BTreeMap<_, _>, account: usize| {
+        let cost = costs[usize::try_from(next_id).unwrap() % costs.len()];
+        let request = QueueRequest::builder()
+            .id(RequestId(next_id))
+            .account(format!("account-{account}").parse().unwrap())
+            .weight(ShareWeight::try_from(weights[account]).unwrap())
+            .class(if account == 0 {
+                PriorityClass::High
+            } else {
+                PriorityClass::Low
+            })
+            .cost(TokenCount(100))
+            .start_by(TimePoint(u64::MAX))
+            .build();
+        queue.push(TimePoint(0), &request).unwrap();
+        owners.insert(RequestId(next_id), (account, cost));
+        next_id += 1;
+    };
+    for account in [0, 0, 0, 0, 1, 1, 2, 2] {
+        add(&mut queue, &mut owners, account);
+    }
+    for _ in 0..rounds {
+        let id = queue.advance(TimePoint(0)).started[0].id;
+        let (account, cost) = owners.remove(&id).unwrap();
+        served[account] += cost as f64;
+        queue.settle(TimePoint(0), id, TokenCount(cost));
+        add(&mut queue, &mut owners, account);
+    }
+    served
+}
+
+#[test]
+fn backlogged_accounts_are_served_by_weight_whatever_their_class() {
+    for seed in SEEDS {
+        arbtest::arbtest(|u| {
+            let weights = [(); 3].map(|()| u.int_in_range(1..=8).unwrap_or(1));
+            let costs = [(); 7].map(|()| u.int_in_range(1..=400).unwrap_or(1));
+            let served = serve_backlogged(weights, &costs, 2_000);
+            let parts = [0, 1, 2].map(|i| served[i] / f64::from(weights[i]));
+            // Ahead by the burst, one request and one correction at most, for each weight.
+            let bound = |i: usize| (500.0 + 2.0 * 400.0) / f64::from(weights[i]);
+            for i in 0..3 {
+                for j in 0..3 {
+                    assert!(
+                        (parts[i] - parts[j]).abs() <= bound(i) + bound(j),
+                        "{served:?}"
+                    );
+                }
+            }
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
--- a/crates/celerycrank-shares/tests/session.rs
+++ b/crates/celerycrank-shares/tests/session.rs
@@ -1,7 +1,7 @@
 //! Short sessions with a fair queue.
 
 use celerycrank_config::PriorityClass;
-use celerycrank_shares::{FairQueue, QueueRequest, QueueSettings};
+use celerycrank_shares::{FairQueue, QueueRequest, QueueSettings, ShareBand};
 use celerycrank_types::{RefusalReason, RequestId, ShareWeight, TimePoint, TimeSpan, TokenCount};
 
 const SECOND: TimeSpan = TimeSpan::from_secs(1);
@@ -67,25 +67,41 @@
 
 #[test]
 fn what_cannot_start_in_time_is_refused_at_once() {
+    // A request takes a second; the wait for what exceeds a share is taken half as long again.
+    for (band, accepted) in [(ShareBand::Within, 9), (ShareBand::Excess, 6)] {
+        let mut queue = queue(1, 100);
+        let now = TimePoint(0);
+        let offered = |id| QueueRequest {
+            band,
+            ..request(id, "a", PriorityClass::Normal)
+        };
+        queue.push(now, &offered(0)).unwrap();
+        queue.advance(now);
+        queue.settle(now + SECOND, RequestId(0), TokenCount(100));
+        let now = now + SECOND;
+        for id in 1..=accepted {
+            queue.push(now, &offered(id)).unwrap();
+        }
+        let refusal = queue.push(now, &offered(20)).unwrap_err();
+        assert_eq!(refusal.reason, RefusalReason::DeadlineUnreachable);
+        // The wait is ten seconds, and nine are left.
+        assert_eq!(refusal.retry_after, SECOND);
+    }
+}
+
+#[test]
+fn what_is_within_a_share_goes_first() {
     let mut queue = queue(1, 100);
     let now = TimePoint(0);
     queue
-        .push(now, &request(0, "a", PriorityClass::Normal))
+        .push(now, &request(0, "flood", PriorityClass::High))
         .unwrap();
-    queue.advance(now);
-    queue.settle(now + SECOND, RequestId(0), TokenCount(100));
-    let now = now + SECOND;
-    for id in 1..10 {
-        queue
-            .push(now, &request(id, "a", PriorityClass::Normal))
-            .unwrap();
-    }
-    let refusal = queue
-        .push(now, &request(10, "a", PriorityClass::Normal))
-        .unwrap_err();
-    assert_eq!(refusal.reason, RefusalReason::DeadlineUnreachable);
-    // Ten requests of a second each stand before it, and nine seconds are left.
-    assert_eq!(refusal.retry_after, SECOND);
+    let within = QueueRequest {
+        band: ShareBand::Within,
+        ..request(1, "calm", PriorityClass::Low)
+    };
+    queue.push(now, &within).unwrap();
+    assert_eq!(queue.advance(now).started[0].id, RequestId(1));
 }
 
 #[test]
