--- a/crates/celerycrank-membership/src/member.rs
+++ b/crates/celerycrank-membership/src/member.rs
@@ -1,8 +1,9 @@
 //! What is known of each VM, merged from all evidence by one rule.
 //!
-//! The order of trust, strongest first: the VM was replaced or left the list; the
-//! agent's own word; the operators' announcements; the VM list's leaving mark; what
-//! requests show; the VM list's live mark. The chart `charts/member.json` is the rule.
+//! The order of trust, strongest first: the VM was replaced or left the list; the VM
+//! list's leaving mark; the operators' announcements; what requests show; the VM list's
+//! live mark. The chart `charts/member.json` is the rule. An agent's own word that it
+//! takes no work travels with each of its replies and holds until its next one.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,6 +17,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::{PeerFact, StopTarget};
+
 static CHART: LazyLock<StateChart<MemberState, MemberEvidence, MemberAction>> =
     LazyLock::new(|| {
         StateChart::parse(include_str!("../charts/member.json")).expect("the member chart is valid")
@@ -33,6 +36,14 @@
     Service(ServiceId),
 }
 
+impl VmRole {
+    /// Whether the VM runs an entry.
+    #[must_use]
+    pub const fn is_entry(&self) -> bool {
+        matches!(self, Self::Entry)
+    }
+}
+
 /// The unchanging facts about one life of a VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmFact {
@@ -50,6 +61,17 @@
     pub group: Option<GroupId>,
 }
 
+impl VmFact {
+    /// The VM as the watcher roster sees it.
+    #[must_use]
+    pub fn peer(&self) -> PeerFact {
+        PeerFact {
+            vm: self.vm.clone(),
+            domain: self.domain.clone(),
+        }
+    }
+}
+
 /// How a VM stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -96,8 +118,6 @@
     StopAnnounced,
     /// The announcement was withdrawn.
     StopWithdrawn,
-    /// Its agent says that it is leaving.
-    AgentLeaving,
     /// Its agent answered.
     Answered,
     /// A connection to it failed, or it fell silent.
@@ -208,6 +228,12 @@
         }
     }
 
+    /// Takes the facts about one VM that is known to be live.
+    pub fn on_fact(&mut self, fact: &VmFact, now: TimePoint) {
+        self.insert(fact, now);
+        self.observe(&fact.vm, MemberEvidence::Listed, now);
+    }
+
     /// Takes one whole reading of the VM list.
     ///
     /// Each fact comes with whether the list marks the VM as leaving. Members that the
@@ -267,6 +293,27 @@
         }
     }
 
+    /// Takes the planned stops that have begun.
+    pub fn on_stops(&mut self, begun: &[StopTarget], now: TimePoint) {
+        let evidence = |record: &MemberRecord| {
+            let covered = begun.iter().any(|target| target.covers(&record.fact));
+            match (covered, record.state) {
+                (true, state) if state != MemberState::Stopping => {
+                    Some(MemberEvidence::StopAnnounced)
+                }
+                (false, MemberState::Stopping) => Some(MemberEvidence::StopWithdrawn),
+                _ => None,
+            }
+        };
+        let changed = self
+            .present()
+            .filter_map(|record| Some((record.fact.vm.clone(), evidence(record)?)))
+            .collect::<Vec<_>>();
+        for (vm, evidence) in changed {
+            self.observe(&vm, evidence, now);
+        }
+    }
+
     /// Ends slow starts, begins probes whose time has come and forgets VMs long gone.
     pub fn on_tick(&mut self, now: TimePoint) {
         let tombstone = self.timings.tombstone;
@@ -290,6 +337,24 @@
             .map_or(MemberState::Unseen, |record| record.state)
     }
 
+    /// The facts about one VM that is not gone.
+    #[must_use]
+    pub fn fact(&self, vm: &VmId) -> Option<&VmFact> {
+        let record = self
+            .records
+            .get(vm)
+            .filter(|record| record.state != MemberState::Gone);
+        record.map(|record| &record.fact)
+    }
+
+    /// The facts about every VM that is due to be probed.
+    pub fn probing(&self) -> impl Iterator<Item = &VmFact> {
+        let probing = self
+            .present()
+            .filter(|record| record.state == MemberState::Probing);
+        probing.map(|record| &record.fact)
+    }
+
     /// The facts about every VM that is not gone, in order of id.
     pub fn facts(&self) -> impl Iterator<Item = &VmFact> {
         self.present().map(|record| &record.fact)
@@ -311,7 +376,12 @@
     }
 
     fn insert(&mut self, fact: &VmFact, now: TimePoint) {
-        if self.records.contains_key(&fact.vm) {
+        if let Some(record) = self.records.get_mut(&fact.vm) {
+            // A process may listen elsewhere after a restart.
+            record.fact.address = fact.address;
+            if fact.backend.is_some() {
+                record.fact.backend.clone_from(&fact.backend);
+            }
             return;
         }
         let replaced = self
--- a/crates/celerycrank-requests/src/lib.rs
+++ b/crates/celerycrank-requests/src/lib.rs
@@ -7,10 +7,14 @@
 mod attempt;
 mod claim;
 mod clock;
+#[cfg(feature = "test-util")]
+pub mod model;
 mod request;
 mod retry;
 mod start;
 
+#[cfg(feature = "test-util")]
+pub(crate) use crate::claim::open_claims;
 pub use crate::{
     attempt::{AttemptId, LinkNumber},
     claim::{
@@ -23,7 +27,7 @@
         RequestAction, RequestActions, RequestContext, RequestEvent, RequestMachine, RequestPolicy,
         RequestState, RevokeAnswer,
     },
-    retry::{RetryBackoff, RetryBudget, is_retryable},
+    retry::{RetryBackoff, RetryBudget, costs_budget, is_retryable},
     start::{
         AttemptAction, AttemptActions, AttemptEvent, AttemptState, CallKind, StartLedger,
         StartSettings,
--- a/crates/celerycrank-wire/src/order.rs
+++ b/crates/celerycrank-wire/src/order.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerycrank_config::{PriorityClass, RepeatRule};
 use celerycrank_types::{
-    AccountId, EntryId, RequestId, Revision, ShareWeight, TimeSpan, TokenCount,
+    AccountId, EntryId, Incarnation, RequestId, Revision, ShareWeight, TimePoint, TokenCount, VmId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +20,10 @@
     Revoke(RevokeOrder),
     /// Asks for the configuration that the peer has in force.
     Pull(PullOrder),
+    /// Names the revision that a watcher has in force.
+    Offer(OfferOrder),
+    /// Sends what is newer than the peer's revision.
+    Update(UpdateOrder),
 }
 
 /// Introduces an entry to an agent.
@@ -46,8 +50,12 @@
     pub priority: PriorityClass,
     /// Work that the request is estimated to need.
     pub cost: TokenCount,
-    /// Time left until the first byte of the answer is due.
-    pub deadline: TimeSpan,
+    /// Number of this sending of the request, from 1.
+    pub attempt: u32,
+    /// The agent's life to which the order is sent; another one refuses it.
+    pub agent: Incarnation,
+    /// When the request must have started, on the agent's clock.
+    pub start_by: TimePoint,
     /// Whether the call may be started again.
     pub repeat: RepeatRule,
     /// The caller's idempotency key, if the call must be claimed before it starts.
@@ -83,6 +91,12 @@
 pub struct RevokeOrder {
     /// The request to revoke.
     pub id: RequestId,
+    /// Number of the sending to revoke.
+    pub attempt: u32,
+    /// The agent's life to which it was sent.
+    pub agent: Incarnation,
+    /// When it must have started, on that agent's clock.
+    pub start_by: TimePoint,
 }
 
 /// Asks for a configuration newer than the sender's.
@@ -90,4 +104,30 @@
 pub struct PullOrder {
     /// The revision that the sender has in force.
     pub revision: Revision,
+    /// The revision of the planned stops that the sender knows.
+    pub stops: Revision,
+}
+
+/// Names the revision that a watcher of the key-value service has in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OfferOrder {
+    /// The watcher.
+    pub watcher: VmId,
+    /// The revision that it has in force.
+    pub revision: Revision,
+    /// The revision of the planned stops that it knows.
+    pub stops: Revision,
+}
+
+/// Sends what is newer than the peer's revision.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpdateOrder {
+    /// The watcher.
+    pub watcher: VmId,
+    /// How many entries watch for the peer's failure domain.
+    pub watchers: u8,
+    /// The update of the configuration as JSON, if the peer's is older.
+    pub update: Option<Bytes>,
+    /// The planned stops as JSON, if the peer's are older.
+    pub stops: Option<Bytes>,
 }
--- a/crates/celerycrank-wire/src/reply.rs
+++ b/crates/celerycrank-wire/src/reply.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use celerycrank_types::{
     BackendId, DomainId, Incarnation, ModelId, RefusalReason, RequestId, Revision, ServiceId,
-    TimeSpan, UnknownReason, VmId,
+    TimePoint, TimeSpan, UnknownReason, VmId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +41,8 @@
 pub struct WelcomeReply {
     /// The agent's present life; what it says of requests holds for this life only.
     pub incarnation: Incarnation,
+    /// The agent's clock at the moment of the reply.
+    pub clock: TimePoint,
     /// The revision that the agent has in force.
     pub revision: Revision,
     /// What the agent's backend server offers.
@@ -70,6 +72,8 @@
     Model(ModelId),
     /// A plain service.
     Service(ServiceId),
+    /// No backend server: the peer is an entry.
+    Entry,
 }
 
 /// How busy an agent is at the moment of a reply.
@@ -126,7 +130,7 @@
     pub reason: RefusalReason,
     /// When a new attempt may succeed, if that is known.
     pub retry_after: Option<TimeSpan>,
-    /// The agent's configuration as JSON, if the sender's is older.
+    /// What brings the sender to the agent's revision, as JSON, if the sender's is older.
     pub configuration: Option<Bytes>,
     /// How busy the agent is.
     pub load: LoadReport,
@@ -165,6 +169,12 @@
     Started,
     /// It was started and its answer ended.
     Finished,
+    /// It was not started here, but nothing is proved of its call.
+    Unproved(UnknownReason),
+    /// It is so old that nothing is known of it.
+    Forgotten,
+    /// It was sent to another life of the agent.
+    OtherIncarnation,
 }
 
 /// A configuration for a process whose own is older.
@@ -172,6 +182,10 @@
 pub struct ConfigurationReply {
     /// The revision that the sender has in force.
     pub revision: Revision,
-    /// The configuration as JSON, if it is newer than the asker's.
+    /// What brings the asker to that revision, as JSON, if the asker's is older.
     pub configuration: Option<Bytes>,
+    /// The revision of the planned stops that the sender knows.
+    pub stops: Revision,
+    /// The planned stops as JSON, if the asker's are older.
+    pub stop_list: Option<Bytes>,
 }
