--- a/crates/celerycrank-groups/src/formation/former.rs
+++ b/crates/celerycrank-groups/src/formation/former.rs
@@ -164,7 +164,9 @@
 
     /// Asks for a new incarnation, as after an overdue verdict.
     pub fn want(&mut self, now: TimePoint) -> Vec<FormationOutput> {
-        self.step(FormationEvent::Wanted, now)
+        let mut outputs = self.step(FormationEvent::Wanted, now);
+        outputs.extend(self.finish_call(now));
+        outputs
     }
 
     /// Takes note of the VM that the VM list names for a seat.
@@ -181,7 +183,9 @@
         if now < self.deadline || self.state == FormationState::Replaced {
             return Vec::new();
         }
-        self.step(FormationEvent::Expire, now)
+        let mut outputs = self.step(FormationEvent::Expire, now);
+        outputs.extend(self.finish_call(now));
+        outputs
     }
 
     /// Takes a message of another agent.
@@ -299,7 +303,13 @@
             return Vec::new();
         }
         self.hellos.insert(from, hello.clone());
-        if self.hellos.len() < self.members.iter().count() {
+        self.finish_call(now)
+    }
+
+    /// Goes on once every seat has answered; in a group of one that is at once.
+    fn finish_call(&mut self, now: TimePoint) -> Vec<FormationOutput> {
+        let is_calling = self.state == FormationState::Calling;
+        if !is_calling || self.hellos.len() < self.members.iter().count() {
             return Vec::new();
         }
         self.step(FormationEvent::AllHere, now)
