Take back a start that the backend server proved not to have begun

Cause: such an attempt stood in the start ledger as finished, so that a revocation of it proved nothing.

--- a/crates/celerycrank-agent/src/run.rs
+++ b/crates/celerycrank-agent/src/run.rs
@@ -252,11 +252,10 @@
             ticket.note_used(used);
         }
         self.end = Some(end);
-        if let RunEnd::Refused(..) = end {
-            // The backend server proved that it received nothing.
-            self.release_claim();
+        match end {
+            RunEnd::Refused(reason, _) => AttemptEvent::NotBegun(reason),
+            _ => AttemptEvent::Finished(status),
         }
-        AttemptEvent::Finished(status)
     }
 
     fn release_claim(&self) {
