--- a/crates/celerycrank-bench/src/groups/placement.rs
+++ b/crates/celerycrank-bench/src/groups/placement.rs
@@ -21,7 +21,7 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Layers of the model.
-    #[arg(long, default_value_t = 8)]
+    #[arg(long, default_value_t = 60)]
     layers: u16,
     /// Only this trace.
     #[arg(long)]
@@ -43,10 +43,8 @@
         "seed {}, {} layers, 64 experts, 32 ranks, 3 slots",
         args.seed, args.layers
     );
-    println!(
-        "| trace | map | mean skew | p99 skew | GiB loaded | switches | slowest decision, ms |"
-    );
-    println!("|---|---|---|---|---|---|---|");
+    println!("| trace | map | mean skew | p99 skew | GiB loaded | switches |");
+    println!("|---|---|---|---|---|---|");
     let mut points = Vec::new();
     for kind in TraceKind::ALL
         .into_iter()
@@ -74,21 +72,20 @@
         Contender::Preset(PlacementPreset::AuctionHouse),
         Contender::Preset(PlacementPreset::CoOp),
     ];
-    let auction = [0.03, 0.1, 1.0].map(|it| Contender::Weight(PlacementPreset::AuctionHouse, it));
-    let coop = [0.01, 0.02, 0.05].map(|it| Contender::Weight(PlacementPreset::CoOp, it));
+    let auction = [0.2, 0.7, 7.0].map(|it| Contender::Weight(PlacementPreset::AuctionHouse, it));
+    let coop = [0.05, 0.4, 1.0].map(|it| Contender::Weight(PlacementPreset::CoOp, it));
     named.into_iter().chain(auction).chain(coop)
 }
 
 fn print_row(kind: TraceKind, contender: Contender, report: &ReplayReport) {
     println!(
-        "| {} | {} | {:.3} | {:.3} | {:.1} | {} | {:.1} |",
+        "| {} | {} | {:.3} | {:.3} | {:.1} | {} |",
         kind.name(),
         contender.name(),
         report.mean_skew,
         report.p99_skew,
         report.bytes as f64 / BYTES_PER_GIB,
         report.switches,
-        report.slowest_decision.as_secs_f64() * 1e3,
     );
 }
 
--- a/crates/celerycrank-groups/src/trial/world.rs
+++ b/crates/celerycrank-groups/src/trial/world.rs
@@ -15,13 +15,13 @@
     store::TrialStore,
 };
 use crate::{
-    AgentLife, AgentOutput, AttemptId, EngineOrder, EngineReport, ExpertMap, FormationTimes,
-    GroupMessage, GroupRecord, MapId, MapShape, MemberIndex, RecordAnswer, RecordCall, StepAudit,
-    SwitchTimes,
+    AgentLife, AgentOutput, AttemptId, EngineOrder, EngineReport, ExpertMap, FormationMessage,
+    FormationTimes, GroupMessage, GroupRecord, MapId, MapShape, MemberIndex, RecordAnswer,
+    RecordCall, StepAudit, SwitchTimes,
 };
 
 /// Time of one step of the group.
-const STEP_TIME: TimeSpan = TimeSpan::from_millis(30);
+pub(super) const STEP_TIME: TimeSpan = TimeSpan::from_millis(30);
 /// Resolution of timers in a trial.
 const TICK_TIME: TimeSpan = TimeSpan::from_millis(10);
 /// Longest delay of an ordinary message or answer.
@@ -39,7 +39,7 @@
 
 /// Something that happens at a time.
 #[derive(Debug, Clone)]
-enum WorldEvent {
+pub(super) enum WorldEvent {
     Input(usize, NodeInput),
     Order(usize, AgentLife, EngineOrder),
     Read(usize, AgentLife, RecordCall),
@@ -60,15 +60,17 @@
     lives: u64,
     store: TrialStore,
     pub(super) outage_until: TimePoint,
-    audit: StepAudit,
+    pub(super) audit: StepAudit,
     /// Invariant: each committed attempt has one map and one first step.
     committed: BTreeMap<AttemptId, MapId>,
-    waiting: BTreeSet<(Incarnation, u64)>,
-    wait: TimeSpan,
+    pub(super) waiting: BTreeSet<(Incarnation, u64)>,
+    pub(super) wait: TimeSpan,
     /// When the last agent started, if nothing else has failed since.
     pub(super) started_at: Option<TimePoint>,
     pub(super) stepped: Incarnation,
     pub(super) report: TrialReport,
+    /// What agents sent and ordered, where it is recorded.
+    log: Option<Vec<String>>,
 }
 
 impl TrialWorld {
@@ -96,11 +98,24 @@
         }
         world.check_recovery(steps);
         world.report.runs = 1;
+        world.report.member_time = TimeSpan(world.now.0 * world.plan.members as u64);
         world.report.reads = world.store.reads;
         world.report.writes = world.store.writes;
         world.report
     }
 
+    /// Runs a trial without its recovery and returns what its agents sent and ordered.
+    #[must_use]
+    pub fn record(plan: TrialPlan) -> Vec<String> {
+        let end = TimePoint::default() + plan.duration;
+        let mut world = Self::new(plan);
+        world.log = Some(Vec::new());
+        while world.now < end {
+            world.advance(true);
+        }
+        world.log.unwrap_or_default()
+    }
+
     fn new(plan: TrialPlan) -> Self {
         let shape = MapShape::builder()
             .layers(1)
@@ -136,6 +151,7 @@
             started_at: Some(TimePoint::default()),
             stepped: Incarnation::default(),
             report: TrialReport::default(),
+            log: None,
         };
         for index in 0..world.plan.members {
             world.add_node(member_index(index));
@@ -254,7 +270,7 @@
             answer
         };
         let input = NodeInput::Answer(life, call, answer);
-        let delay = self.delay();
+        let delay = self.message_delay();
         self.schedule(delay, WorldEvent::Input(node, input));
     }
 
@@ -277,11 +293,12 @@
     pub(super) fn carry_out(&mut self, node: usize, outputs: Vec<AgentOutput>) {
         let life = self.nodes[node].life;
         for output in outputs {
+            self.note(node, &output);
             match output {
                 AgentOutput::Send { to, message } => self.send(node, to, &message),
                 AgentOutput::Order(order) => self.order(node, order),
                 AgentOutput::Read { call } => {
-                    let delay = self.delay();
+                    let delay = self.message_delay();
                     self.schedule(delay, WorldEvent::Read(node, life, call));
                 }
                 AgentOutput::Write {
@@ -289,7 +306,7 @@
                     revision,
                     record,
                 } => {
-                    let delay = self.delay();
+                    let delay = self.message_delay();
                     let event = WorldEvent::Write(node, life, call, revision, record);
                     self.schedule(delay, event);
                 }
@@ -304,6 +321,24 @@
         }
     }
 
+    /// Records an output, beats left out.
+    fn note(&mut self, node: usize, output: &AgentOutput) {
+        let is_beat = |message: &GroupMessage| {
+            matches!(message, GroupMessage::Formation(FormationMessage::Beat(_)))
+        };
+        let is_silent = matches!(output, AgentOutput::Send { message, .. } if is_beat(message));
+        if let Some(log) = self.log.as_mut().filter(|_| !is_silent) {
+            let text = match output {
+                AgentOutput::Send { to, message } => {
+                    format!("to {to}: {}", serde_json::json!(message))
+                }
+                AgentOutput::Order(order) => format!("order: {}", serde_json::json!(order)),
+                other => format!("{other:?}"),
+            };
+            log.push(format!("{} {} {text}", self.now, self.nodes[node].vm));
+        }
+    }
+
     fn note_commit(&mut self, node: usize, attempt: AttemptId) {
         let map = self.nodes[node]
             .agent
@@ -319,9 +354,10 @@
 
     /// Sends to every VM that holds or held the seat, replaced ones included.
     fn send(&mut self, from: usize, to: MemberIndex, message: &GroupMessage) {
-        if matches!(message, GroupMessage::Switch(_)) {
-            let bytes = serde_json::to_vec(message).map_or(0, |bytes| bytes.len());
-            self.report.switch_bytes += bytes as u64;
+        let bytes = postcard::to_allocvec(message).map_or(0, |bytes| bytes.len());
+        match message {
+            GroupMessage::Switch(_) => self.report.switch_bytes += bytes as u64,
+            GroupMessage::Formation(_) => self.report.formation_bytes += bytes as u64,
         }
         let sender = self.nodes[from].index;
         let targets = (0..self.nodes.len()).filter(|node| self.nodes[*node].index == to);
@@ -342,7 +378,7 @@
     fn order(&mut self, node: usize, order: EngineOrder) {
         let life = self.nodes[node].life;
         let longest = self.settings.formation.order_timeout;
-        let delay = if self.chance(self.plan.late) {
+        let delay = if self.chance(self.plan.late_order) {
             self.span(longest)
         } else {
             self.delay()
@@ -372,88 +408,12 @@
         self.schedule(delay, WorldEvent::Input(node, input));
     }
 
-    fn schedule(&mut self, delay: TimeSpan, event: WorldEvent) {
+    pub(super) fn schedule(&mut self, delay: TimeSpan, event: WorldEvent) {
         self.event_count += 1;
         self.events
             .insert((self.now + delay, self.event_count), event);
     }
 
-    /// Lets every engine begin its next step whose peers have begun the one before.
-    fn step_engines(&mut self) {
-        let able = (0..self.nodes.len()).filter(|node| self.is_able(*node));
-        let able = able.collect::<Vec<_>>();
-        let farthest = able
-            .iter()
-            .map(|node| self.nodes[*node].engine.next())
-            .max();
-        for node in able {
-            let place = &mut self.nodes[node];
-            place.engine.begin(&mut self.audit);
-            let report = EngineReport::Progress {
-                incarnation: place.engine.incarnation(),
-                next: place.engine.next(),
-            };
-            let input = NodeInput::Report(place.life, report);
-            self.note_step(node);
-            let delay = self.delay();
-            self.schedule(delay, WorldEvent::Input(node, input));
-        }
-        if farthest.is_some() {
-            self.report.steps += 1;
-        }
-        self.note_waits();
-    }
-
-    fn note_step(&mut self, node: usize) {
-        let incarnation = self.nodes[node].engine.incarnation();
-        if incarnation <= self.stepped {
-            return;
-        }
-        self.stepped = incarnation;
-        if let Some(started_at) = self.started_at.take() {
-            let span = self.now.since(started_at);
-            self.report.formation_time = self.report.formation_time + span;
-            self.report.longest_formation = self.report.longest_formation.max(span);
-            self.report.timed_formations += 1;
-        }
-    }
-
-    /// Counts the attempts, and the time, in which a rank waits for a verdict.
-    fn note_waits(&mut self) {
-        let current = self.stepped;
-        let held = self.nodes.iter().map(|node| &node.engine);
-        let held = held.filter(|engine| engine.incarnation() == current && engine.is_held());
-        let Some(step) = held.map(|engine| engine.next().0).max() else {
-            self.wait = TimeSpan::ZERO;
-            return;
-        };
-        self.wait = self.wait + STEP_TIME;
-        self.report.wait_time = self.report.wait_time + STEP_TIME;
-        self.report.longest_wait = self.report.longest_wait.max(self.wait);
-        if self.waiting.insert((current, step)) {
-            self.report.waits += 1;
-        }
-    }
-
-    fn is_able(&self, node: usize) -> bool {
-        let engine = &self.nodes[node].engine;
-        let is_formed = engine.incarnation() != Incarnation::default();
-        let is_stalled = self.nodes[node].stalled_until > self.now;
-        is_formed && !is_stalled && !engine.is_held() && self.peers_are_there(node)
-    }
-
-    /// Whether every seat has an engine in the same incarnation that is as far.
-    fn peers_are_there(&self, node: usize) -> bool {
-        let engine = &self.nodes[node].engine;
-        (0..self.plan.members).map(member_index).all(|index| {
-            self.nodes.iter().any(|peer| {
-                peer.index == index
-                    && peer.engine.incarnation() == engine.incarnation()
-                    && peer.engine.next() >= engine.next()
-            })
-        })
-    }
-
     pub(super) fn chance(&mut self, per_mille: u32) -> bool {
         self.rng.random_ratio(per_mille, PER_MILLE)
     }
@@ -466,7 +426,7 @@
         TimeSpan(self.rng.random_range(0..=longest.0))
     }
 
-    fn delay(&mut self) -> TimeSpan {
+    pub(super) fn delay(&mut self) -> TimeSpan {
         self.span(USUAL_DELAY)
     }
 
