Share the failure to connect among all who waited for it

Cause: one run in four of keyed.rs on a loaded machine hung for 30 s. Every probe and request that asks for a silent agent queued for the connection's lock and then tried for a second itself, so that the last one waited as many seconds as there were others, and probes come ten times a second.

Now those who waited for an attempt share its failure.

--- a/crates/celerycrank-link/src/pool.rs
+++ b/crates/celerycrank-link/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to peers, opened on demand and shared.
 
 use std::{
+    cell::Cell,
     cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
@@ -78,10 +79,20 @@
     endpoint: LinkEndpoint,
     entry: EntryId,
     slots: RefCell<HashMap<SocketAddr, Rc<LinkSlot>>>,
+    /// Connections that were tried.
+    attempts: Cell<u64>,
 }
 
 /// The connection to one peer; the lock lets one connect while others wait for it.
-type LinkSlot = Mutex<Option<Rc<PeerLink>>>;
+type LinkSlot = Mutex<SlotState>;
+
+/// What is known of the connection to one peer.
+#[derive(Debug, Default)]
+struct SlotState {
+    link: Option<Rc<PeerLink>>,
+    /// The last failure to connect, and when it was known.
+    failure: Option<(Instant, LinkFault)>,
+}
 
 impl LinkPool {
     /// A pool without connections.
@@ -91,6 +102,7 @@
             endpoint,
             entry,
             slots: RefCell::default(),
+            attempts: Cell::new(0),
         }
     }
 
@@ -104,14 +116,30 @@
         address: SocketAddr,
         revision: Revision,
     ) -> Result<Rc<PeerLink>, LinkFault> {
+        let asked = Instant::now();
         let slot = self.slot(address);
-        let mut place = slot.lock().await;
-        if let Some(link) = place.as_ref().filter(|link| link.is_open()) {
+        let mut state = slot.lock().await;
+        if let Some(link) = state.link.as_ref().filter(|link| link.is_open()) {
             return Ok(Rc::clone(link));
         }
-        let link = Rc::new(self.open(address, revision).await?);
-        *place = Some(Rc::clone(&link));
-        Ok(link)
+        // Those who waited for an attempt share its failure; were each to try again, the
+        // last would wait as often as there are others.
+        if let Some((at, fault)) = &state.failure
+            && *at >= asked
+        {
+            return Err(fault.clone());
+        }
+        match self.open(address, revision).await {
+            Ok(link) => {
+                let link = Rc::new(link);
+                state.link = Some(Rc::clone(&link));
+                Ok(link)
+            }
+            Err(fault) => {
+                state.failure = Some((Instant::now(), fault.clone()));
+                Err(fault)
+            }
+        }
     }
 
     /// Opens a connection beside the pooled one, to ask about requests of a doubtful one.
@@ -124,6 +152,7 @@
         address: SocketAddr,
         revision: Revision,
     ) -> Result<PeerLink, LinkFault> {
+        self.attempts.set(self.attempts.get() + 1);
         let connection = self.endpoint.connect(address).await?;
         let hello = PeerOrder::Hello(HelloOrder {
             entry: self.entry.clone(),
@@ -142,6 +171,12 @@
         })
     }
 
+    /// How many connections were tried.
+    #[must_use]
+    pub fn attempts(&self) -> u64 {
+        self.attempts.get()
+    }
+
     /// Forgets the connection to `address`, so that the next request opens a new one.
     pub fn forget(&self, address: SocketAddr) {
         self.slots.borrow_mut().remove(&address);
--- a/crates/celerycrank-sync/src/state.rs
+++ b/crates/celerycrank-sync/src/state.rs
@@ -306,7 +306,11 @@
     }
 
     /// What a watcher sends after a peer's answer to its offer, if anything.
-    pub(crate) fn follow_up(&self, peer: &VmFact, reply: &ConfigurationReply) -> Option<PeerOrder> {
+    pub(crate) fn follow_up(
+        &self,
+        peer: &VmFact,
+        reply: &ConfigurationReply,
+    ) -> Option<PeerOrder<'_>> {
         let stops = self.stops.borrow().revision();
         let follow_up = self.keeper.borrow().on_offer_reply(reply.revision);
         let update = match follow_up {
