Choose agents by the prefix router

Cause: the entry chose the less busy of two random agents, so prompts that share a prefix were spread over all engines. One BackendRouter for each model or service now stands behind the roster; loads carry the waiting work.

--- a/crates/celerycrank-agent/src/slots.rs
+++ b/crates/celerycrank-agent/src/slots.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
 use celerycrank_process::ProcessClock;
-use celerycrank_shares::{FairQueue, QueueRefusal, QueueRequest, QueueSettings};
+use celerycrank_shares::{FairQueue, QueueRefusal, QueueRequest, QueueSettings, ShareBand};
 use celerycrank_types::{RefusalReason, RequestId, TimeSpan, TokenCount};
 use celerycrank_wire::LoadReport;
 use tokio::sync::oneshot;
@@ -83,6 +83,8 @@
         LoadReport {
             running: u32::try_from(queue.running()).unwrap_or(u32::MAX),
             queued: u32::try_from(queue.waiting()).unwrap_or(u32::MAX),
+            queued_cost: queue.waiting_cost(ShareBand::Within)
+                + queue.waiting_cost(ShareBand::Excess),
             concurrency: self.concurrency,
             leaving,
         }
--- a/crates/celerycrank-cli/tests/answers.rs
+++ b/crates/celerycrank-cli/tests/answers.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 
 use support::{
-    backend::BackendEvent,
+    backend::{BackendEvent, FakeBackend},
     caller::{BodyEnd, Caller, KEY, call},
     deployment::{Deployment, DeploymentFiles},
 };
@@ -263,3 +263,29 @@
     drop(caller);
     deployment.backend.wait_for(&BackendEvent::Cancelled);
 }
+
+#[test]
+fn prompts_with_one_prefix_go_to_one_engine() {
+    const PROMPTS: usize = 8;
+    let files = DeploymentFiles::make();
+    let backends = [FakeBackend::start(), FakeBackend::start()];
+    let agents = ["engine-1", "engine-2"];
+    let agents = [0, 1].map(|index| {
+        files.start_agent(agents[index], "engine", backends[index].address, &json!({}))
+    });
+    let entry = files.start_entry(&[agents[0].listen, agents[1].listen], &json!({}));
+    entry.wait_ready();
+    support::wait_until("both agents are known", || {
+        let status = call(entry.admin, "GET", "/status", None, "").body;
+        status.matches("\"backend\":").count() == 2
+    });
+    let lot = "marble of Estremoz ".repeat(200);
+    for question in 0..PROMPTS {
+        let prompt = format!(r#"{{"model":"granite","messages":["{lot}","{question}"]}}"#);
+        let mut caller = Caller::connect(entry.listen);
+        caller.send_request("POST", "/v1/chat/completions", Some(KEY), &prompt);
+        assert_eq!(caller.read_head().status, 200);
+    }
+    let received = backends.map(|backend| backend.received("/v1/chat/completions"));
+    assert!(received.contains(&PROMPTS), "{received:?}");
+}
--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -9,8 +9,9 @@
 };
 use bytes::Bytes;
 use celerycrank_config::RepeatRule;
+use celerycrank_routing::PromptPrefix;
 use celerycrank_types::{Incarnation, RefusalReason, TimePoint};
-use celerycrank_wire::{HttpField, RequestHead, RunOrder};
+use celerycrank_wire::{HttpField, OfferKind, RequestHead, RunOrder};
 
 use crate::{
     body::read_body,
@@ -106,6 +107,7 @@
         .build();
     Ok(PreparedRequest {
         order,
+        prefix: prompt_prefix(&resolved.kind, &draft.body),
         kind: resolved.kind,
         arrival: draft.arrival,
         deadline: draft.arrival + policy.deadline,
@@ -113,6 +115,14 @@
     })
 }
 
+/// The prefix by which a model's requests are kept together.
+fn prompt_prefix(kind: &OfferKind, body: &[u8]) -> PromptPrefix {
+    match kind {
+        OfferKind::Model(_) => PromptPrefix::of_text(body),
+        _ => PromptPrefix::default(),
+    }
+}
+
 /// Checks who calls, and takes the whole request.
 async fn read_draft(
     state: &EntryState,
--- a/crates/celerycrank-entry/src/answer.rs
+++ b/crates/celerycrank-entry/src/answer.rs
@@ -188,13 +188,19 @@
             };
             match reply {
                 PeerReply::Chunk(chunk) => return Ok(Some(chunk)),
-                PeerReply::Waiting(load) => self.answer.record.note_load(load),
+                PeerReply::Waiting(load) => {
+                    self.answer.record.note_load(load, self.state.clock.now());
+                }
                 PeerReply::End(end) if end.id == self.answer.head.id => {
-                    self.answer.record.note_load(end.load);
+                    self.answer
+                        .record
+                        .note_load(end.load, self.state.clock.now());
                     return Ok(None);
                 }
                 PeerReply::Broken(broken) if broken.id == self.answer.head.id => {
-                    self.answer.record.note_load(broken.load);
+                    self.answer
+                        .record
+                        .note_load(broken.load, self.state.clock.now());
                     return Err(broken.reason);
                 }
                 _ => return Err(UnknownReason::BadAnswer),
--- a/crates/celerycrank-entry/src/choose.rs
+++ b/crates/celerycrank-entry/src/choose.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use celerycrank_requests::{CallKey, ClaimLayout};
+use celerycrank_routing::RouteQuery;
 use celerycrank_types::{BackendId, RefusalReason};
 use celerycrank_wire::OfferKind;
 
@@ -17,13 +18,18 @@
     let key = read_key(request)?;
     let timer = state.metrics.decision.start_timer();
     let roster = state.roster.borrow();
+    let query = RouteQuery {
+        prefix: &request.prefix,
+        tried: avoid,
+    };
+    let now = state.clock.now();
     let owner = key.and_then(|key| {
         let layout = ClaimLayout::builder().build();
         roster.choose_owner(&request.kind, avoid, &layout, &key)
     });
     let chosen = owner.or_else(|| {
         let mut random = state.random.borrow_mut();
-        roster.choose(&request.kind, avoid, &mut *random)
+        roster.choose(&request.kind, &query, now, &mut *random)
     });
     timer.observe_duration();
     chosen.ok_or(RefusalReason::NoBackend)
--- a/crates/celerycrank-entry/src/dispatch.rs
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -9,6 +9,7 @@
     AttemptId, PeerClock, RequestAction, RequestActions, RequestContext, RequestEvent,
     RequestMachine, RequestPolicy,
 };
+use celerycrank_routing::PromptPrefix;
 use celerycrank_types::{
     BackendId, RefusalReason, RequestOutcome, RetryReason, TimePoint, TimeSpan, UnknownReason,
 };
@@ -33,6 +34,8 @@
 pub(crate) struct PreparedRequest {
     pub(crate) order: RunOrder,
     pub(crate) kind: OfferKind,
+    /// The prompt's prefix blocks; none for a plain service.
+    pub(crate) prefix: PromptPrefix,
     pub(crate) arrival: TimePoint,
     pub(crate) deadline: TimePoint,
     /// What the caller sent, to admit it again under a newer configuration.
@@ -232,7 +235,7 @@
         let (Some(link), Some(record)) = (self.connected.take(), &self.record) else {
             return Some(refused);
         };
-        match AttemptLink::send(&self.state, link, record, &self.request.order).await {
+        match AttemptLink::send(&self.state, link, record, &self.request).await {
             Ok(held) => {
                 self.attempt = Some(held);
                 None
--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    dispatch::PreparedRequest,
     probe::note_failure,
     roster::{AgentRecord, OutstandingGuard},
     state::EntryState,
@@ -64,9 +65,10 @@
         state: &EntryState,
         link: Rc<PeerLink>,
         record: &Rc<AgentRecord>,
-        order: &RunOrder,
+        request: &PreparedRequest,
     ) -> Result<Self, StreamFault> {
-        let guard = record.hand_out();
+        let guard = record.hand_out(&request.prefix);
+        let order = &request.order;
         let message = PeerOrder::Run(Cow::Borrowed(order));
         let (sender, receiver) = link.send(&message).await.inspect_err(|_| {
             state.pool.forget(record.address);
@@ -94,14 +96,14 @@
                 Ok(Ok(None) | Err(_)) | Err(_) => return self.lost(state),
             };
             match reply {
-                PeerReply::Waiting(load) => self.record.note_load(load),
-                reply => return self.check(reply),
+                PeerReply::Waiting(load) => self.record.note_load(load, state.clock.now()),
+                reply => return self.check(state, reply),
             }
         }
     }
 
     /// Passes on what answers this request in the agent's life that it was sent to.
-    fn check(&self, reply: PeerReply) -> LinkEvent {
+    fn check(&self, state: &EntryState, reply: PeerReply) -> LinkEvent {
         let (id, incarnation, load) = match &reply {
             PeerReply::Head(head) => (head.id, head.incarnation, head.load),
             PeerReply::Refused(refused) => (refused.id, refused.incarnation, refused.load),
@@ -111,7 +113,7 @@
         if id != self.id || incarnation != self.incarnation() {
             return LinkEvent::Garbage;
         }
-        self.record.note_load(load);
+        self.record.note_load(load, state.clock.now());
         LinkEvent::Reply(reply)
     }
 
--- a/crates/celerycrank-entry/src/probe.rs
+++ b/crates/celerycrank-entry/src/probe.rs
@@ -58,7 +58,7 @@
             .records()
             .find(|record| record.offer.vm == link.welcome.offer.vm);
         if let Some(record) = record {
-            record.note_load(link.welcome.load);
+            record.note_load(link.welcome.load, state.clock.now());
         }
     }
 }
@@ -83,7 +83,12 @@
     let known = state.roster.borrow().knows(&fact.vm);
     if !known {
         let mut roster = state.roster.borrow_mut();
-        roster.insert(address, welcome.offer.clone(), welcome.load);
+        roster.insert(
+            address,
+            welcome.offer.clone(),
+            welcome.load,
+            state.clock.now(),
+        );
     }
     Some(fact)
 }
--- a/crates/celerycrank-entry/src/roster.rs
+++ b/crates/celerycrank-entry/src/roster.rs
@@ -1,13 +1,24 @@
 //! The agents that the entry knows, and the choice among them.
 
-use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+};
 
-use celerycrank_membership::{MemberState, MemberTable, RampWeight};
+use celerycrank_membership::{MemberState, MemberTable};
 use celerycrank_requests::{CallKey, ClaimLayout};
-use celerycrank_types::{BackendId, TimePoint, VmId};
+use celerycrank_routing::{
+    BackendCondition, BackendRouter, BackendSpec, LoadReport as RouterLoad, PromptPrefix,
+    RouteQuery, RouterSettings,
+};
+use celerycrank_types::{BackendId, DomainId, TimePoint, VmId};
 use celerycrank_wire::{BackendOffer, LoadReport, OfferKind};
-use rand::Rng;
-use smallvec::SmallVec;
+use rand::{Rng, seq::IteratorRandom};
+
+/// The router of one model or service, shared with the records of its agents.
+type SharedRouter = Rc<RefCell<BackendRouter>>;
 
 /// One agent, as the entry sees it.
 #[derive(Debug)]
@@ -15,11 +26,11 @@
     pub(crate) address: SocketAddr,
     pub(crate) offer: BackendOffer,
     load: Cell<LoadReport>,
-    /// Requests of this entry that the agent has.
-    outstanding: Cell<u32>,
     /// How the member table judges the agent's VM.
     standing: Cell<MemberState>,
-    weight: Cell<RampWeight>,
+    /// Since when the agent has taken work without a break.
+    ready_since: Cell<TimePoint>,
+    router: SharedRouter,
 }
 
 /// A request that an agent has, until it is dropped.
@@ -30,8 +41,16 @@
 
 impl AgentRecord {
     /// Notes how busy the agent said it is.
-    pub(crate) fn note_load(&self, load: LoadReport) {
+    pub(crate) fn note_load(&self, load: LoadReport, now: TimePoint) {
         self.load.set(load);
+        let report = RouterLoad {
+            running: load.running,
+            waiting: load.queued,
+            waiting_cost: load.queued_cost,
+        };
+        let mut router = self.router.borrow_mut();
+        router.note_load(now, &self.offer.backend, report);
+        router.set_backend(self.spec());
     }
 
     /// How the member table judges the agent's VM.
@@ -40,14 +59,21 @@
     }
 
     /// Takes the member table's judgement.
-    pub(crate) fn judge(&self, standing: MemberState, weight: RampWeight) {
-        self.standing.set(standing);
-        self.weight.set(weight);
+    fn judge(&self, standing: MemberState, now: TimePoint) {
+        let was_usable = self.is_usable();
+        let changed = self.standing.replace(standing) != standing;
+        if self.is_usable() && !was_usable {
+            self.ready_since.set(now);
+        }
+        if changed {
+            self.router.borrow_mut().set_backend(self.spec());
+        }
     }
 
     /// Counts a request as handed to the agent.
-    pub(crate) fn hand_out(self: &Rc<Self>) -> OutstandingGuard {
-        self.outstanding.set(self.outstanding.get() + 1);
+    pub(crate) fn hand_out(self: &Rc<Self>, prefix: &PromptPrefix) -> OutstandingGuard {
+        let mut router = self.router.borrow_mut();
+        router.note_sent(&self.offer.backend, prefix);
         OutstandingGuard {
             record: Rc::clone(self),
         }
@@ -57,13 +83,20 @@
         self.load.get()
     }
 
-    /// How busy the agent is, for comparison with others; one that starts slowly counts
-    /// as busier.
-    fn pressure(&self) -> u64 {
-        let load = self.load.get();
-        let requests = self.outstanding.get().max(load.running + load.queued);
-        let weight = self.weight.get().thousandths().max(1);
-        u64::from(requests + 1) * u64::from(RampWeight::FULL.thousandths()) / u64::from(weight)
+    /// What the router is told of the agent.
+    fn spec(&self) -> BackendSpec {
+        BackendSpec {
+            backend: self.offer.backend.clone(),
+            domain: self.offer.domain.clone(),
+            concurrency: self.load.get().concurrency,
+            condition: if self.is_usable() {
+                BackendCondition::Ready {
+                    since: self.ready_since.get(),
+                }
+            } else {
+                BackendCondition::Excluded
+            },
+        }
     }
 
     fn is_suspect(&self) -> bool {
@@ -77,70 +110,83 @@
 
 impl Drop for OutstandingGuard {
     fn drop(&mut self) {
-        let outstanding = &self.record.outstanding;
-        outstanding.set(outstanding.get() - 1);
+        let mut router = self.record.router.borrow_mut();
+        router.note_finished(&self.record.offer.backend);
     }
 }
 
+/// The agents that offer one model or service.
+#[derive(Debug)]
+struct KindAgents {
+    records: HashMap<BackendId, Rc<AgentRecord>>,
+    router: SharedRouter,
+}
+
 /// The agents that the entry knows, by what they offer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct AgentRoster {
-    by_kind: HashMap<OfferKind, Vec<Rc<AgentRecord>>>,
+    /// The failure domain of the entry.
+    domain: DomainId,
+    by_kind: HashMap<OfferKind, KindAgents>,
 }
 
 impl AgentRoster {
-    /// Adds an agent, or replaces the one at its address.
-    pub(crate) fn insert(&mut self, address: SocketAddr, offer: BackendOffer, load: LoadReport) {
-        for records in self.by_kind.values_mut() {
-            records.retain(|record| record.address != address);
+    /// A roster of an entry in `domain` that knows no agent yet.
+    pub(crate) fn new(domain: DomainId) -> Self {
+        Self {
+            domain,
+            by_kind: HashMap::new(),
         }
-        let records = self.by_kind.entry(offer.kind.clone()).or_default();
-        records.push(Rc::new(AgentRecord {
+    }
+
+    /// Adds an agent, or replaces the one at its address.
+    pub(crate) fn insert(
+        &mut self,
+        address: SocketAddr,
+        offer: BackendOffer,
+        load: LoadReport,
+        now: TimePoint,
+    ) {
+        self.retain(|record| record.address != address);
+        let domain = &self.domain;
+        let agents = self
+            .by_kind
+            .entry(offer.kind.clone())
+            .or_insert_with(|| KindAgents::new(domain));
+        let record = Rc::new(AgentRecord {
             address,
             offer,
             load: Cell::new(load),
-            outstanding: Cell::new(0),
             standing: Cell::new(MemberState::Ramping),
-            weight: Cell::new(RampWeight::FULL),
-        }));
+            ready_since: Cell::new(now),
+            router: Rc::clone(&agents.router),
+        });
+        record.note_load(load, now);
+        let backend = record.offer.backend.clone();
+        agents.records.insert(backend, record);
     }
 
-    /// Chooses the less busy of two random agents that offer `kind`.
+    /// Chooses an agent that offers `kind` and is not in `tried`.
     ///
-    /// Agents in `tried` are left out; failed or leaving ones are taken only for want of
-    /// others.
+    /// One that failed is taken only for want of others: it may be back before a probe
+    /// shows it. One that is leaving or stopping gets nothing.
     pub(crate) fn choose(
         &self,
         kind: &OfferKind,
-        tried: &[BackendId],
+        query: &RouteQuery<'_>,
+        now: TimePoint,
         random: &mut impl Rng,
     ) -> Option<Rc<AgentRecord>> {
-        let records = self.by_kind.get(kind)?;
-        let untried = records
-            .iter()
-            .filter(|record| !tried.contains(&record.offer.backend));
-        let untried = untried.collect::<SmallVec<[_; 32]>>();
-        let usable = untried.iter().copied().filter(|record| record.is_usable());
-        let usable = usable.collect::<SmallVec<[_; 32]>>();
-        // A member that failed may be back before a probe shows it; one that is leaving or
-        // stopping gets nothing.
-        let pool = if usable.is_empty() {
-            let suspect = untried.iter().copied().filter(|record| record.is_suspect());
-            suspect.collect()
-        } else {
-            usable
-        };
-        if pool.is_empty() {
-            return None;
+        let agents = self.by_kind.get(kind)?;
+        let chosen = agents.router.borrow_mut().choose(now, query, random);
+        if let Some(choice) = chosen {
+            return agents.records.get(&choice.backend).map(Rc::clone);
         }
-        let first = pool[random.random_range(0..pool.len())];
-        let second = pool[random.random_range(0..pool.len())];
-        let best = if second.pressure() < first.pressure() {
-            second
-        } else {
-            first
-        };
-        Some(Rc::clone(best))
+        let suspect = agents
+            .records
+            .values()
+            .filter(|record| record.is_suspect() && !query.tried.contains(&record.offer.backend));
+        suspect.choose(random).map(Rc::clone)
     }
 
     /// Chooses the usable agent that owns the shard of a key, unless it is avoided.
@@ -151,16 +197,13 @@
         layout: &ClaimLayout,
         key: &CallKey,
     ) -> Option<Rc<AgentRecord>> {
-        let records = self.by_kind.get(kind)?;
+        let records = &self.by_kind.get(kind)?.records;
         let is_candidate = |record: &&Rc<AgentRecord>| {
             record.is_usable() && !avoid.contains(&record.offer.backend)
         };
-        let candidates = records.iter().filter(is_candidate);
+        let candidates = records.values().filter(is_candidate);
         let owner = layout.owner(key, candidates.map(|record| &record.offer.backend))?;
-        let record = records
-            .iter()
-            .find(|record| record.offer.backend == *owner)?;
-        Some(Rc::clone(record))
+        records.get(owner).map(Rc::clone)
     }
 
     /// Takes the member table's judgement of every agent, and drops those that are gone.
@@ -169,14 +212,25 @@
             .views(now)
             .map(|view| (&view.fact.vm, view))
             .collect::<HashMap<_, _>>();
-        for records in self.by_kind.values_mut() {
-            records.retain(|record| {
-                let view = views.get(&record.offer.vm);
-                let view = view.filter(|view| view.fact.address == record.address);
-                if let Some(view) = view {
-                    record.judge(view.state, view.weight);
+        self.retain(|record| {
+            let view = views.get(&record.offer.vm);
+            let view = view.filter(|view| view.fact.address == record.address);
+            if let Some(view) = view {
+                record.judge(view.state, now);
+            }
+            view.is_some()
+        });
+    }
+
+    fn retain(&mut self, mut keep: impl FnMut(&AgentRecord) -> bool) {
+        for agents in self.by_kind.values_mut() {
+            let router = &agents.router;
+            agents.records.retain(|backend, record| {
+                let kept = keep(record);
+                if !kept {
+                    router.borrow_mut().remove_backend(backend);
                 }
-                view.is_some()
+                kept
             });
         }
     }
@@ -188,6 +242,17 @@
 
     /// Every agent, in no order.
     pub(crate) fn records(&self) -> impl Iterator<Item = &Rc<AgentRecord>> {
-        self.by_kind.values().flatten()
+        let agents = self.by_kind.values();
+        agents.flat_map(|agents| agents.records.values())
+    }
+}
+
+impl KindAgents {
+    fn new(domain: &DomainId) -> Self {
+        let settings = RouterSettings::builder().domain(domain.clone()).build();
+        Self {
+            records: HashMap::new(),
+            router: Rc::new(RefCell::new(BackendRouter::new(settings))),
+        }
     }
 }
--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -69,7 +69,7 @@
             metrics,
             pool: Rc::new(LinkPool::new(endpoint, settings.entry.clone())),
             sync,
-            roster: RefCell::default(),
+            roster: RefCell::new(AgentRoster::new(settings.domain.clone())),
             random: RefCell::new(StdRng::from_os_rng()),
             ready: Cell::new(false),
             budgets: RefCell::default(),
--- a/crates/celerycrank-wire/src/reply.rs
+++ b/crates/celerycrank-wire/src/reply.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use celerycrank_types::{
     BackendId, DomainId, Incarnation, ModelId, RefusalReason, RequestId, Revision, ServiceId,
-    TimePoint, TimeSpan, UnknownReason, VmId,
+    TimePoint, TimeSpan, TokenCount, UnknownReason, VmId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -83,6 +83,8 @@
     pub running: u32,
     /// Requests that wait at the agent.
     pub queued: u32,
+    /// Estimated work of those that wait.
+    pub queued_cost: TokenCount,
     /// Most requests that the backend server works on at a time.
     pub concurrency: u32,
     /// Whether the agent is leaving and takes no new request.
--- a/crates/celerycrank-wire/tests/frame.rs
+++ b/crates/celerycrank-wire/tests/frame.rs
@@ -16,6 +16,7 @@
 fn pull(revision: u64) -> PeerOrder<'static> {
     PeerOrder::Pull(PullOrder {
         revision: Revision(revision),
+        stops: Revision(0),
     })
 }
 
