--- a/crates/celerycrank-agent/src/claims.rs
+++ b/crates/celerycrank-agent/src/claims.rs
@@ -4,6 +4,7 @@
 
 use actix_rt::time::sleep;
 use bytes::Bytes;
+use celerycrank_config::BackendKind;
 use celerycrank_platform::{
     Expected, KeyValueClient, KeyValueFault, KeyValueRecord, ModRevision, SwapOutcome,
 };
@@ -166,6 +167,18 @@
     }
 }
 
+/// Where the claims of one service's calls are kept.
+///
+/// Services are kept apart, since each has owners of its own for the same shards.
+pub(crate) fn claim_prefix(prefix: &Arc<str>, kind: &BackendKind) -> Arc<str> {
+    match kind {
+        BackendKind::Service(service) => {
+            format!("{}/services/{service}", prefix.trim_end_matches('/')).into()
+        }
+        BackendKind::Engine(_) => Arc::clone(prefix),
+    }
+}
+
 impl ClaimService {
     fn key(&self, record: &str) -> String {
         format!("{}/{record}", self.prefix.trim_end_matches('/'))
--- a/crates/celerycrank-agent/src/process.rs
+++ b/crates/celerycrank-agent/src/process.rs
@@ -20,8 +20,12 @@
 use celerycrank_wire::PROTOCOL_VERSION;
 
 use crate::{
-    AgentFault, admin::AgentPages, claims::ClaimService, metrics::AgentMetrics,
-    order::accept_entries, state::AgentState,
+    AgentFault,
+    admin::AgentPages,
+    claims::{ClaimService, claim_prefix},
+    metrics::AgentMetrics,
+    order::accept_entries,
+    state::AgentState,
 };
 
 /// Largest message of an entry: a body at its limit and the head beside it.
@@ -116,7 +120,7 @@
                 let sync = Rc::clone(&self.state.sync);
                 self.state.claims.connect(ClaimService {
                     client: client.clone(),
-                    prefix: Arc::clone(&prefix),
+                    prefix: claim_prefix(&prefix, &self.state.settings.backend.kind),
                 });
                 Some(actix_rt::spawn(follow_service(sync, client, prefix)))
             }
