--- a/crates/celerycrank-routing/src/router.rs
+++ b/crates/celerycrank-routing/src/router.rs
@@ -19,7 +19,7 @@
 const RANDOM_CANDIDATES: usize = 2;
 
 /// Cost of a miss to the other requests at a backend server, at a load of one.
-const MISS_WEIGHT: f64 = 8.0;
+const MISS_WEIGHT: f64 = 6.0;
 
 /// Blocks that the others keep a backend server busy with, at a load of one.
 const CROWDING_BLOCKS: f64 = 8.0;
