--- /dev/null
+++ b/crates/celerycrank-bench/src/groups/decision.rs
@@ -0,0 +1,85 @@
+//! Time of one placement decision.
+
+use std::time::{Duration, Instant};
+
+use celerycrank_groups::{
+    ExpertMap, MapShape, PlacementPolicy, PlacementPreset, PlacementSettings, full_repack,
+};
+use celerycrank_types::{TimePoint, TimeSpan};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::trace::{LoadTrace, TraceKind};
+
+/// Minutes of the trace that a decision looks back on.
+const OBSERVED_MINUTES: usize = 60;
+
+/// Arguments of the measurement.
+#[derive(Debug, clap::Args)]
+pub(crate) struct DecisionArgs {
+    /// Seed of every random choice.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Layers of the model.
+    #[arg(long, default_value_t = 60)]
+    layers: u16,
+    /// How many decisions to time.
+    #[arg(long, default_value_t = 100)]
+    runs: usize,
+}
+
+/// Times one decision at a time after a hot expert has come up, on one thread.
+pub(crate) fn run(args: &DecisionArgs) {
+    let shape = MapShape::builder()
+        .layers(args.layers)
+        .experts(64)
+        .ranks(32)
+        .slots(3)
+        .build();
+    let mut rng = ChaCha8Rng::seed_from_u64(args.seed);
+    let trace = LoadTrace::new(TraceKind::SuddenHot, shape, &mut rng);
+    let dealt = ExpertMap::dealt(shape);
+    let map = dealt.successor(&full_repack(&dealt, &trace.expected[0]));
+    for preset in [PlacementPreset::AuctionHouse, PlacementPreset::CoOp] {
+        let times = (0..args.runs).map(|_| decide(&trace, &map, preset));
+        let (mut times, spent): (Vec<_>, Vec<_>) = times.unzip();
+        times.sort();
+        let spent = spent.iter().sum::<Duration>().as_secs_f64() * 1e3 / args.runs as f64;
+        let millis = |part: usize| times[(times.len() - 1) * part / 100].as_secs_f64() * 1e3;
+        println!(
+            "{preset:?}, {} layers: {spent:.1} ms of one core on average; \
+             elapsed p50 {:.1} ms, p99 {:.1} ms, longest {:.1} ms",
+            args.layers,
+            millis(50),
+            millis(99),
+            millis(100),
+        );
+    }
+}
+
+/// Elapsed and processor time of the first decision after an hour with the hot expert.
+fn decide(trace: &LoadTrace, map: &ExpertMap, preset: PlacementPreset) -> (Duration, Duration) {
+    let mut settings = PlacementSettings::preset(preset);
+    settings.confirmed = false;
+    let mut policy = PlacementPolicy::new(settings);
+    let mut now = TimePoint::default();
+    for seen in trace.actual.iter().rev().take(OBSERVED_MINUTES) {
+        now = now + TimeSpan::from_secs(60);
+        policy.observe(now, seen);
+    }
+    let (started, spent) = (Instant::now(), processor_time());
+    let decision = policy.decide(now, map);
+    let times = (started.elapsed(), processor_time().saturating_sub(spent));
+    assert!(
+        !decision.loads.is_empty(),
+        "the decision has something to move"
+    );
+    times
+}
+
+/// Processor time of this thread so far, from the first field of the kernel's account.
+fn processor_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let nanos = text.split(' ').next().and_then(|field| field.parse().ok());
+    Duration::from_nanos(nanos.unwrap_or_default())
+}
--- a/crates/celerycrank-cli/tests/support/platform.rs
+++ b/crates/celerycrank-cli/tests/support/platform.rs
@@ -91,6 +91,13 @@
         assert_eq!(answer.status, 200, "{}", answer.body);
     }
 
+    /// Makes the next writes take effect and lose their answers.
+    pub fn lose_answers(&self, count: u32) {
+        let faults = json!({ "lost_answers": count }).to_string();
+        let answer = call(self.key_value, "POST", "/standin/faults", None, &faults);
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
     /// Announces the stops of these targets, in place of all announced before.
     pub fn announce(&self, revision: u64, targets: &[Value]) {
         let stop =
@@ -102,7 +109,13 @@
 
     /// Accepts a configuration whose one plan may use the paths below `prefix`.
     pub fn accept(&self, revision: u64, prefix: &str) {
-        self.write(&ConfigurationRecord::key(PREFIX), record(revision, prefix));
+        self.accept_rule(revision, prefix, "never");
+    }
+
+    /// Accepts a configuration with this rule on repeated calls.
+    pub fn accept_rule(&self, revision: u64, prefix: &str, repeat: &str) {
+        let record = record(revision, prefix, repeat);
+        self.write(&ConfigurationRecord::key(PREFIX), record);
     }
 
     fn write(&self, key: &str, value: String) {
@@ -129,7 +142,7 @@
     }
 }
 
-fn record(revision: u64, prefix: &str) -> String {
+fn record(revision: u64, prefix: &str, repeat: &str) -> String {
     let record = json!({
         "revision": revision,
         "nonce": format!("nonce-{revision}"),
@@ -145,7 +158,7 @@
             "priority": "normal",
             "deadline": "5s",
             "uses": [{ "service": {
-                "service": "catalogue", "prefix": prefix, "repeat": "never",
+                "service": "catalogue", "prefix": prefix, "repeat": repeat,
             } }],
         }] },
         "changes": [],
--- a/crates/celerycrank-link/src/pool.rs
+++ b/crates/celerycrank-link/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to peers, opened on demand and shared.
 
 use std::{
+    cell::Cell,
     cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
@@ -8,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use celerycrank_types::{EntryId, Revision, TimeSpan};
+use celerycrank_types::{ByteSize, EntryId, Revision, TimeSpan};
 use celerycrank_wire::{HelloOrder, PeerOrder, PeerReply, WelcomeReply};
 use quinn::{Connection, ConnectionError, VarInt};
 use tokio::sync::Mutex;
@@ -39,7 +40,7 @@
     /// Fails if the link was lost.
     pub async fn send(
         &self,
-        order: &PeerOrder,
+        order: &PeerOrder<'_>,
     ) -> Result<(MessageSender, MessageReceiver), StreamFault> {
         let (mut sender, receiver) = self.endpoint.open_stream(&self.connection).await?;
         sender.send(order).await?;
@@ -65,6 +66,12 @@
         self.heard.elapsed().into()
     }
 
+    /// Bytes sent on this connection, packet heads of UDP and IP left out.
+    #[must_use]
+    pub fn sent_bytes(&self) -> ByteSize {
+        ByteSize(self.connection.stats().udp_tx.bytes)
+    }
+
     /// Whether the connection is still usable as far as is known.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -78,10 +85,20 @@
     endpoint: LinkEndpoint,
     entry: EntryId,
     slots: RefCell<HashMap<SocketAddr, Rc<LinkSlot>>>,
+    /// Connections that were tried.
+    attempts: Cell<u64>,
 }
 
 /// The connection to one peer; the lock lets one connect while others wait for it.
-type LinkSlot = Mutex<Option<Rc<PeerLink>>>;
+type LinkSlot = Mutex<SlotState>;
+
+/// What is known of the connection to one peer.
+#[derive(Debug, Default)]
+struct SlotState {
+    link: Option<Rc<PeerLink>>,
+    /// The last failure to connect, and when it was known.
+    failure: Option<(Instant, LinkFault)>,
+}
 
 impl LinkPool {
     /// A pool without connections.
@@ -91,6 +108,7 @@
             endpoint,
             entry,
             slots: RefCell::default(),
+            attempts: Cell::new(0),
         }
     }
 
@@ -104,14 +122,30 @@
         address: SocketAddr,
         revision: Revision,
     ) -> Result<Rc<PeerLink>, LinkFault> {
+        let asked = Instant::now();
         let slot = self.slot(address);
-        let mut place = slot.lock().await;
-        if let Some(link) = place.as_ref().filter(|link| link.is_open()) {
+        let mut state = slot.lock().await;
+        if let Some(link) = state.link.as_ref().filter(|link| link.is_open()) {
             return Ok(Rc::clone(link));
         }
-        let link = Rc::new(self.open(address, revision).await?);
-        *place = Some(Rc::clone(&link));
-        Ok(link)
+        // Those who waited for an attempt share its failure; were each to try again, the
+        // last would wait as often as there are others.
+        if let Some((at, fault)) = &state.failure
+            && *at >= asked
+        {
+            return Err(fault.clone());
+        }
+        match self.open(address, revision).await {
+            Ok(link) => {
+                let link = Rc::new(link);
+                state.link = Some(Rc::clone(&link));
+                Ok(link)
+            }
+            Err(fault) => {
+                state.failure = Some((Instant::now(), fault.clone()));
+                Err(fault)
+            }
+        }
     }
 
     /// Opens a connection beside the pooled one, to ask about requests of a doubtful one.
@@ -124,6 +158,7 @@
         address: SocketAddr,
         revision: Revision,
     ) -> Result<PeerLink, LinkFault> {
+        self.attempts.set(self.attempts.get() + 1);
         let connection = self.endpoint.connect(address).await?;
         let hello = PeerOrder::Hello(HelloOrder {
             entry: self.entry.clone(),
@@ -142,6 +177,12 @@
         })
     }
 
+    /// How many connections were tried.
+    #[must_use]
+    pub fn attempts(&self) -> u64 {
+        self.attempts.get()
+    }
+
     /// Forgets the connection to `address`, so that the next request opens a new one.
     pub fn forget(&self, address: SocketAddr) {
         self.slots.borrow_mut().remove(&address);
@@ -155,7 +196,7 @@
 async fn introduce(
     endpoint: &LinkEndpoint,
     connection: &Connection,
-    hello: &PeerOrder,
+    hello: &PeerOrder<'_>,
 ) -> Result<WelcomeReply, StreamFault> {
     let (mut sender, mut receiver) = endpoint.open_stream(connection).await?;
     sender.send(hello).await?;
