Prove that a grant ends with its life

Cause: no test covered it. Shown to fail with the expiry at admission removed. Also run against the present code: a doubled grant accepted, and the cap's bucket not charged, both fail. Dropping the life check of a late answer changes nothing, since such tokens have expired when they are next looked at.

--- a/crates/celerycrank-shares/tests/grants.rs
+++ b/crates/celerycrank-shares/tests/grants.rs
@@ -195,3 +195,17 @@
         assert!(before == after || *before == entries[0]);
     }
 }
+
+#[test]
+fn a_grant_ends_with_its_life() {
+    for (age, admitted) in [(TimeSpan(GRANT_LIFE.0 - 1), 100), (GRANT_LIFE, 0)] {
+        let mut scene = Scene::new();
+        scene.ask(0, 100, false);
+        let (holder, report) = scene.reports.pop_front().unwrap();
+        let grant = scene.home.grant(scene.now, &report, ALLOWANCE);
+        scene.holders[holder].note_grant(scene.now, &grant);
+        scene.now = scene.now + age;
+        scene.ask(0, 100, false);
+        assert_eq!(scene.admitted, admitted);
+    }
+}
