--- a/crates/celerycrank-groups/src/formation/former.rs
+++ b/crates/celerycrank-groups/src/formation/former.rs
@@ -102,7 +102,7 @@
     /// The last call to the key-value service; answers to earlier ones are dropped.
     call: RecordCall,
     /// The member that got the last beat.
-    beaten: MemberIndex,
+    last_beat_to: MemberIndex,
     /// Members that have not yet confirmed a record that this agent wrote.
     unjoined: MemberSet,
 }
@@ -134,7 +134,7 @@
             draft: None,
             stored_revision: 0,
             call: RecordCall::default(),
-            beaten: index,
+            last_beat_to: index,
             unjoined: MemberSet::default(),
         }
     }
@@ -279,11 +279,11 @@
     }
 
     /// The members in turn, so that each is asked in time.
-    fn next_beaten(&mut self) -> MemberIndex {
+    fn next_beat(&mut self) -> MemberIndex {
         let others = self.others();
-        let later = others.iter().find(|member| *member > self.beaten);
-        self.beaten = later.or_else(|| others.iter().next()).unwrap_or(self.index);
-        self.beaten
+        let later = others.iter().find(|member| *member > self.last_beat_to);
+        self.last_beat_to = later.or_else(|| others.iter().next()).unwrap_or(self.index);
+        self.last_beat_to
     }
 
     fn take_hello(
@@ -422,7 +422,7 @@
                 send_all(self.unjoined, &FormationMessage::Formed(record), outputs);
             }
             FormationAction::SendBeat => {
-                let to = self.next_beaten();
+                let to = self.next_beat();
                 let message = FormationMessage::Beat(self.known());
                 outputs.push(FormationOutput::Send { to, message });
             }
--- a/crates/celerycrank-groups/src/switch/board.rs
+++ b/crates/celerycrank-groups/src/switch/board.rs
@@ -115,7 +115,7 @@
     }
 
     /// The board of an attempt, for adding votes.
-    pub fn find(&mut self, attempt: AttemptId) -> Option<&mut VoteBoard> {
+    pub fn get_mut(&mut self, attempt: AttemptId) -> Option<&mut VoteBoard> {
         self.0.iter_mut().find(|board| board.attempt == attempt)
     }
 
@@ -124,7 +124,7 @@
     /// # Panics
     ///
     /// Never: of several boards at most one is kept.
-    pub fn entry(&mut self, board: VoteBoard, kept: Option<AttemptId>) {
+    pub fn insert(&mut self, board: VoteBoard, kept: Option<AttemptId>) {
         if self.0.len() == MAX_BOARDS {
             let oldest = self.0.iter().position(|board| Some(board.attempt) != kept);
             self.0
--- a/crates/celerycrank-groups/src/switch/member.rs
+++ b/crates/celerycrank-groups/src/switch/member.rs
@@ -284,7 +284,7 @@
         if !self.has_judged(attempt) {
             self.decline(attempt, SwitchRefusal::NotPrepared, outputs);
         }
-        let Some(mine) = self.boards.find(attempt) else {
+        let Some(mine) = self.boards.get_mut(attempt) else {
             return;
         };
         mine.merge(theirs);
@@ -313,7 +313,7 @@
 
     /// Tells a member what it lacks on an attempt.
     fn answer(&mut self, to: MemberIndex, theirs: &VoteBoard, outputs: &mut Vec<MemberOutput>) {
-        let Some(mine) = self.boards.find(theirs.attempt) else {
+        let Some(mine) = self.boards.get_mut(theirs.attempt) else {
             return;
         };
         if to != self.index && mine.adds_to(theirs) {
@@ -425,7 +425,7 @@
     fn add_board(&mut self, attempt: AttemptId) {
         let kept = self.current.as_ref().map(|current| current.id);
         self.judged.insert(attempt.lead, attempt.number);
-        self.boards.entry(VoteBoard::new(attempt, None), kept);
+        self.boards.insert(VoteBoard::new(attempt, None), kept);
     }
 
     fn vote(&mut self, attempt: AttemptId, verdict: SwitchVerdict) {
@@ -437,7 +437,7 @@
     }
 
     fn send_votes(&mut self, attempt: AttemptId, outputs: &mut Vec<MemberOutput>) {
-        let board = *self.boards.find(attempt).expect("a sent board is known");
+        let board = *self.boards.get_mut(attempt).expect("a sent board is known");
         let others = self.members.difference(MemberSet::only(self.index));
         outputs.extend(others.iter().map(|to| MemberOutput::Send {
             to,
--- a/crates/celerycrank-groups/src/trial/step.rs
+++ b/crates/celerycrank-groups/src/trial/step.rs
@@ -11,7 +11,7 @@
 impl TrialWorld {
     /// Lets every engine begin its next step whose peers have begun the one before.
     pub(super) fn step_engines(&mut self) {
-        let able = (0..self.nodes.len()).filter(|node| self.is_able(*node));
+        let able = (0..self.nodes.len()).filter(|node| self.can_begin(*node));
         let able = able.collect::<Vec<_>>();
         let farthest = able
             .iter()
@@ -66,7 +66,7 @@
         }
     }
 
-    fn is_able(&self, node: usize) -> bool {
+    fn can_begin(&self, node: usize) -> bool {
         let engine = &self.nodes[node].engine;
         let is_formed = engine.incarnation() != Incarnation::default();
         let is_stalled = self.nodes[node].stalled_until > self.now;
