--- /dev/null
+++ b/crates/celerycrank-agent/src/order.rs
@@ -0,0 +1,105 @@
+//! Takes orders from entries.
+
+use std::rc::Rc;
+
+use celerycrank_link::{LinkEndpoint, LinkIncoming, MessageReceiver, MessageSender, StreamFault};
+use celerycrank_requests::{AttemptAction, AttemptEvent, AttemptId, RevokeAnswer};
+use celerycrank_wire::{PeerOrder, PeerReply, RevokeOrder, RevokeReply, RevokeVerdict};
+
+use crate::{run::run_order, state::AgentState};
+
+/// Accepts connections of entries until the endpoint is closed.
+pub(crate) async fn accept_entries(state: Rc<AgentState>, endpoint: LinkEndpoint) {
+    while let Some(incoming) = endpoint.accept().await {
+        let state = Rc::clone(&state);
+        let endpoint = endpoint.clone();
+        actix_rt::spawn(serve_entry(state, endpoint, incoming));
+    }
+}
+
+async fn serve_entry(state: Rc<AgentState>, endpoint: LinkEndpoint, incoming: LinkIncoming) {
+    let Ok(connection) = incoming.handshake().await else {
+        state.metrics.handshake_faults.inc();
+        return;
+    };
+    while let Some((sender, receiver)) = endpoint.accept_stream(&connection).await {
+        actix_rt::spawn(serve_stream(Rc::clone(&state), sender, receiver));
+    }
+}
+
+async fn serve_stream(
+    state: Rc<AgentState>,
+    mut sender: MessageSender,
+    mut receiver: MessageReceiver,
+) {
+    let order = match receiver.receive().await {
+        Ok(Some(order)) => order,
+        Err(StreamFault::Wire(_)) => {
+            state.metrics.wire_faults.inc();
+            return;
+        }
+        Ok(None) | Err(_) => return,
+    };
+    match order {
+        PeerOrder::Run(order) => run_order(state, order.into_owned(), sender).await,
+        PeerOrder::Hello(_) => reply(&mut sender, PeerReply::Welcome(state.welcome())).await,
+        PeerOrder::Revoke(order) => {
+            let answer = revoke(&state, order);
+            reply(&mut sender, PeerReply::Revoked(answer)).await;
+        }
+        PeerOrder::Pull(order) => {
+            let answer = state.sync.answer_pull(&order);
+            reply(&mut sender, PeerReply::Configuration(answer)).await;
+        }
+        PeerOrder::Offer(order) => {
+            let answer = state.sync.answer_offer(&order);
+            reply(&mut sender, PeerReply::Configuration(answer)).await;
+        }
+        PeerOrder::Update(order) => {
+            let answer = state.sync.answer_update(&order);
+            reply(&mut sender, PeerReply::Configuration(answer)).await;
+        }
+    }
+}
+
+async fn reply(sender: &mut MessageSender, message: PeerReply) {
+    // An entry that is gone asks again, should it still care.
+    if sender.send(&message).await.is_ok() {
+        sender.finish();
+    }
+}
+
+fn revoke(state: &AgentState, order: RevokeOrder) -> RevokeReply {
+    state.metrics.revoked.inc();
+    let attempt = AttemptId {
+        request: order.id,
+        number: order.attempt,
+    };
+    let event = AttemptEvent::Revoked {
+        incarnation: order.agent,
+        deadline: order.start_by,
+    };
+    let actions = state.handle_attempt(attempt, event);
+    let answer = actions.iter().find_map(|action| match action {
+        AttemptAction::Answer(answer) => Some(*answer),
+        // The task that works on the attempt gives its claim back once it sees the
+        // tombstone.
+        _ => None,
+    });
+    RevokeReply {
+        id: order.id,
+        incarnation: state.incarnation,
+        verdict: answer.map_or(RevokeVerdict::Forgotten, verdict),
+    }
+}
+
+const fn verdict(answer: RevokeAnswer) -> RevokeVerdict {
+    match answer {
+        RevokeAnswer::NeverStarted => RevokeVerdict::NeverStarted,
+        RevokeAnswer::Started => RevokeVerdict::Started,
+        RevokeAnswer::Finished => RevokeVerdict::Finished,
+        RevokeAnswer::Unproved(reason) => RevokeVerdict::Unproved(reason),
+        RevokeAnswer::Forgotten => RevokeVerdict::Forgotten,
+        RevokeAnswer::OtherIncarnation => RevokeVerdict::OtherIncarnation,
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -0,0 +1,187 @@
+//! Takes one request from a caller and checks it before it is dispatched.
+
+use std::{rc::Rc, sync::Arc};
+
+use actix_http::{
+    Request, Response,
+    body::BoxBody,
+    header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap},
+};
+use bytes::Bytes;
+use celerycrank_config::RepeatRule;
+use celerycrank_types::{Incarnation, RefusalReason, TimePoint};
+use celerycrank_wire::{HttpField, RequestHead, RunOrder};
+
+use crate::{
+    body::read_body,
+    dispatch::{PreparedRequest, dispatch},
+    refusal::refuse,
+    resolve::resolve_use,
+    state::EntryState,
+};
+
+/// The caller's key of a call that must not be repeated.
+const KEY_HEADER: &str = "idempotency-key";
+
+const BEARER_PREFIX: &str = "Bearer ";
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Headers that concern the caller's hop only, or that the entry sets itself.
+const HOP_HEADERS: [&str; 9] = [
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "x-request-id",
+];
+
+/// A whole request of a caller, not yet admitted.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestDraft {
+    arrival: TimePoint,
+    api_key: Arc<str>,
+    idempotency_key: Option<Arc<str>>,
+    head: RequestHead,
+    body: Bytes,
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn answer_request(state: Rc<EntryState>, request: Request) -> Response<BoxBody> {
+    state.metrics.requests.inc();
+    let arrival = state.clock.now();
+    let prepared = match read_draft(&state, request, arrival).await {
+        Ok(draft) => admit(&state, draft),
+        Err(reason) => Err(reason),
+    };
+    match prepared {
+        Ok(prepared) => dispatch(state, prepared).await,
+        Err(reason) => {
+            state.metrics.refusals.count(reason);
+            refuse(reason, None)
+        }
+    }
+}
+
+/// Admits a request under the configuration in force.
+pub(crate) fn admit(
+    state: &EntryState,
+    draft: RequestDraft,
+) -> Result<PreparedRequest, RefusalReason> {
+    let in_force = state.in_force().ok_or(RefusalReason::NoConfiguration)?;
+    let table = &in_force.table;
+    let account = table
+        .authenticate(&draft.api_key)
+        .ok_or(RefusalReason::UnknownKey)?;
+    let resolved = resolve_use(table, account, &draft.head, &draft.body)?;
+    let policy = resolved.policy;
+    let key = match policy.repeat {
+        RepeatRule::Keyed => Some(
+            draft
+                .idempotency_key
+                .clone()
+                .ok_or(RefusalReason::BadRequest)?,
+        ),
+        RepeatRule::Never | RepeatRule::Repeatable => None,
+    };
+    let order = RunOrder::builder()
+        .id(state.draw_request_id())
+        .revision(in_force.revision)
+        .account(table.account(account).clone())
+        .share(policy.share)
+        .priority(policy.priority)
+        .cost(resolved.cost)
+        .attempt(0)
+        .agent(Incarnation(0))
+        .start_by(TimePoint(0))
+        .repeat(policy.repeat)
+        .maybe_key(key)
+        .head(draft.head.clone())
+        .body(draft.body.clone())
+        .build();
+    Ok(PreparedRequest {
+        order,
+        kind: resolved.kind,
+        arrival: draft.arrival,
+        deadline: draft.arrival + policy.deadline,
+        draft,
+    })
+}
+
+/// Checks who calls, and takes the whole request.
+async fn read_draft(
+    state: &EntryState,
+    request: Request,
+    arrival: TimePoint,
+) -> Result<RequestDraft, RefusalReason> {
+    let in_force = state.in_force().ok_or(RefusalReason::NoConfiguration)?;
+    let (message, payload) = request.into_parts();
+    check_head_size(&message.headers, state.settings.limits.header.0)?;
+    let api_key = read_api_key(&message.headers).ok_or(RefusalReason::UnknownKey)?;
+    // A body is read for known callers only.
+    in_force
+        .table
+        .authenticate(&api_key)
+        .ok_or(RefusalReason::UnknownKey)?;
+    let idempotency_key = read_idempotency_key(&message.headers)?;
+    let body = read_body(payload, &state.settings.limits).await?;
+    let path = message.uri.path_and_query();
+    let head = RequestHead {
+        method: message.method.as_str().into(),
+        path: path.map_or("/", |path| path.as_str()).into(),
+        fields: end_to_end(&message.headers),
+    };
+    Ok(RequestDraft {
+        arrival,
+        api_key,
+        idempotency_key,
+        head,
+        body,
+    })
+}
+
+fn read_api_key(headers: &HeaderMap) -> Option<Arc<str>> {
+    let text = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    Some(text.strip_prefix(BEARER_PREFIX)?.trim().into())
+}
+
+fn check_head_size(headers: &HeaderMap, limit: u64) -> Result<(), RefusalReason> {
+    let size = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum::<usize>();
+    if size as u64 > limit {
+        return Err(RefusalReason::HeaderTooLarge);
+    }
+    Ok(())
+}
+
+fn read_idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, RefusalReason> {
+    let Some(value) = headers.get(KEY_HEADER) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(key) if !key.is_empty() && key.len() <= MAX_KEY_BYTES => Ok(Some(key.into())),
+        _ => Err(RefusalReason::BadRequest),
+    }
+}
+
+/// The headers to pass on; the caller's API key is not among them.
+fn end_to_end(headers: &HeaderMap) -> Vec<HttpField> {
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            ![AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST].contains(name)
+                && !HOP_HEADERS.contains(&name.as_str())
+        })
+        .map(|(name, value)| HttpField {
+            name: name.as_str().into(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
--- a/crates/celerycrank-entry/src/lib.rs
+++ b/crates/celerycrank-entry/src/lib.rs
@@ -1,1 +1,23 @@
 //! The entry process: accepts callers and hands requests to agents.
+//!
+//! Every request ends in exactly one outcome: answered, not run with its reason, or
+//! unknown. `Not run` is told only on proof.
+
+mod accept;
+mod admin;
+mod answer;
+mod body;
+mod choose;
+mod dispatch;
+mod fault;
+mod forward;
+mod metrics;
+mod peer;
+mod probe;
+mod process;
+mod refusal;
+mod resolve;
+mod roster;
+mod state;
+
+pub use crate::{fault::EntryFault, process::EntryProcess};
--- /dev/null
+++ b/crates/celerycrank-entry/src/probe.rs
@@ -0,0 +1,126 @@
+//! Judges agents by the member table, and probes those that failed.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_rt::time::sleep;
+use celerycrank_membership::{MemberEvidence, VmFact, VmRole};
+use celerycrank_wire::{BackendOffer, OfferKind, WelcomeReply};
+
+use crate::{roster::AgentRecord, state::EntryState};
+
+/// Interval at which the member table's judgements are taken.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Judgements between two questions to an agent that takes no work.
+const ROUNDS_PER_QUESTION: u64 = 20;
+
+/// Notes that an agent failed, so that it gets no work until it answers again.
+pub(crate) fn note_failure(state: &EntryState, record: &AgentRecord) {
+    state.sync.observe(&record.offer.vm, MemberEvidence::Failed);
+    judge_agents(state);
+}
+
+/// Takes the member table's judgements again and again, and probes whom it names.
+///
+/// An agent that said that it takes no work is asked again, since nothing else would
+/// bring its word that it does.
+pub(crate) async fn follow_members(state: Rc<EntryState>) {
+    for round in 0_u64.. {
+        if round.is_multiple_of(ROUNDS_PER_QUESTION) {
+            for fact in silent_members(&state) {
+                actix_rt::spawn(ask_load(Rc::clone(&state), fact));
+            }
+        }
+        for fact in state.sync.tick_members() {
+            actix_rt::spawn(probe(Rc::clone(&state), fact));
+        }
+        judge_agents(&state);
+        sleep(JUDGE_INTERVAL).await;
+    }
+}
+
+/// Members that take work by the table, but not by their agents' last word.
+fn silent_members(state: &EntryState) -> Vec<VmFact> {
+    let roster = state.roster.borrow();
+    let members = state.sync.members();
+    let leaving = roster.records().filter(|record| record.load().leaving);
+    let facts = leaving.filter_map(|record| members.fact(&record.offer.vm).cloned());
+    facts
+        .filter(|fact| members.state(&fact.vm).takes_work())
+        .collect()
+}
+
+/// Asks an agent by a connection of its own how busy it is now.
+async fn ask_load(state: Rc<EntryState>, fact: VmFact) {
+    if let Ok(link) = state.pool.open(fact.address, state.revision()).await {
+        let roster = state.roster.borrow();
+        let record = roster
+            .records()
+            .find(|record| record.offer.vm == link.welcome.offer.vm);
+        if let Some(record) = record {
+            record.note_load(link.welcome.load);
+        }
+    }
+}
+
+/// Learns who the agents named by the VM list are.
+pub(crate) fn learn_members(state: &Rc<EntryState>) {
+    judge_agents(state);
+    let members = state.sync.members();
+    let agents = members.facts().filter(|fact| !fact.role.is_entry());
+    for fact in agents.filter(|fact| !state.roster.borrow().knows(&fact.vm)) {
+        actix_rt::spawn(probe(Rc::clone(state), fact.clone()));
+    }
+}
+
+/// Takes what an agent says of itself; `false` if the VM is not the one that was meant.
+pub(crate) fn take_welcome(
+    state: &EntryState,
+    address: SocketAddr,
+    welcome: &WelcomeReply,
+) -> Option<VmFact> {
+    let fact = agent_fact(address, &welcome.offer)?;
+    let known = state.roster.borrow().knows(&fact.vm);
+    if !known {
+        let mut roster = state.roster.borrow_mut();
+        roster.insert(address, welcome.offer.clone(), welcome.load);
+    }
+    Some(fact)
+}
+
+async fn probe(state: Rc<EntryState>, fact: VmFact) {
+    let connecting = state.pool.connect(fact.address, state.revision());
+    let Ok(link) = connecting.await else {
+        state.sync.observe(&fact.vm, MemberEvidence::Failed);
+        return;
+    };
+    let Some(found) = take_welcome(&state, fact.address, &link.welcome) else {
+        return;
+    };
+    if found.vm == fact.vm {
+        state.sync.on_fact(&found);
+        state.sync.observe(&fact.vm, MemberEvidence::Answered);
+    }
+    judge_agents(&state);
+}
+
+fn judge_agents(state: &EntryState) {
+    let mut roster = state.roster.borrow_mut();
+    roster.judge_all(&state.sync.members(), state.clock.now());
+}
+
+fn agent_fact(address: SocketAddr, offer: &BackendOffer) -> Option<VmFact> {
+    let role = match &offer.kind {
+        OfferKind::Model(model) => VmRole::Engine(model.clone()),
+        OfferKind::Service(service) => VmRole::Service(service.clone()),
+        OfferKind::Entry => return None,
+    };
+    Some(VmFact {
+        vm: offer.vm.clone(),
+        domain: offer.domain.clone(),
+        address,
+        role,
+        backend: Some(offer.backend.clone()),
+        group: None,
+    })
+}
--- /dev/null
+++ b/crates/celerycrank-entry/src/resolve.rs
@@ -0,0 +1,81 @@
+//! Finds what a request asks for within its account's plan.
+
+use celerycrank_config::{
+    AccountIndex, CHAT_PATH, PolicyTable, RequestPolicy, RequestTarget, ResolvedOffer,
+};
+use celerycrank_types::{RefusalReason, TokenCount};
+use celerycrank_wire::{OfferKind, RequestHead};
+use serde::Deserialize;
+
+/// Bytes of a prompt that make about one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Tokens that an answer is taken to have if the request does not say.
+const DEFAULT_ANSWER_TOKENS: u64 = 256;
+
+/// What a request asks for, as its plan allows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ResolvedUse {
+    /// What the backend server must offer.
+    pub(crate) kind: OfferKind,
+    /// How the plan treats the request.
+    pub(crate) policy: RequestPolicy,
+    /// Work that the request is estimated to need.
+    pub(crate) cost: TokenCount,
+}
+
+/// The parts of a chat-completions request that routing needs.
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    model: String,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+}
+
+/// Finds what a request asks for.
+pub(crate) fn resolve_use(
+    table: &PolicyTable,
+    account: AccountIndex,
+    head: &RequestHead,
+    body: &[u8],
+) -> Result<ResolvedUse, RefusalReason> {
+    let path = head.path.split('?').next().unwrap_or_default();
+    if path == CHAT_PATH {
+        return resolve_chat(table, account, body);
+    }
+    let target = RequestTarget::Path {
+        method: &head.method,
+        path,
+    };
+    let policy = table.resolve(account, target)?;
+    Ok(ResolvedUse {
+        kind: offer_kind(&policy),
+        policy,
+        cost: TokenCount(1),
+    })
+}
+
+fn resolve_chat(
+    table: &PolicyTable,
+    account: AccountIndex,
+    body: &[u8],
+) -> Result<ResolvedUse, RefusalReason> {
+    let chat = serde_json::from_slice::<ChatRequest>(body).ok();
+    let chat = chat.ok_or(RefusalReason::BadRequest)?;
+    let policy = table.resolve(account, RequestTarget::Model(&chat.model))?;
+    let prompt = body.len() as u64 / BYTES_PER_TOKEN;
+    let answer = chat.max_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
+    let cost = TokenCount(prompt.saturating_add(answer));
+    Ok(ResolvedUse {
+        kind: offer_kind(&policy),
+        policy,
+        cost,
+    })
+}
+
+fn offer_kind(policy: &RequestPolicy) -> OfferKind {
+    match &policy.offer {
+        ResolvedOffer::Model(model) => OfferKind::Model(model.clone()),
+        ResolvedOffer::Service(service) => OfferKind::Service(service.clone()),
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-process/src/caller.rs
@@ -0,0 +1,108 @@
+//! A caller's connection, guarded against callers that never read.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use actix_rt::{
+    net::TcpStream,
+    time::{Sleep, sleep},
+};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// What is noted of a connection while it is served.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct ConnectionNote {
+    /// Whether the connection has brought a request.
+    pub(crate) used: Rc<Cell<bool>>,
+    /// Whether the caller has closed it.
+    pub(crate) closed: Rc<Cell<bool>>,
+}
+
+/// A TCP stream that fails once the caller has left an answer unread for too long.
+#[derive(Debug)]
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    write_timeout: Duration,
+    /// Runs while a write waits for the caller to read.
+    blocked: Option<Pin<Box<Sleep>>>,
+    /// What is noted of the connection.
+    note: ConnectionNote,
+}
+
+impl CallerStream {
+    /// Guards a stream.
+    #[must_use]
+    pub(crate) const fn new(
+        stream: TcpStream,
+        write_timeout: Duration,
+        note: ConnectionNote,
+    ) -> Self {
+        Self {
+            stream,
+            write_timeout,
+            blocked: None,
+            note,
+        }
+    }
+
+    /// What is noted of the connection.
+    #[must_use]
+    pub(crate) const fn note(&self) -> &ConnectionNote {
+        &self.note
+    }
+
+    fn poll_blocked(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let timeout = self.write_timeout;
+        let sleep = self.blocked.get_or_insert_with(|| Box::pin(sleep(timeout)));
+        match sleep.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let ended = buf.filled().len() == before && buf.remaining() > 0;
+        if ended && poll.is_ready() {
+            self.note.closed.set(true);
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match Pin::new(&mut self.stream).poll_write(cx, buf) {
+            Poll::Ready(result) => {
+                self.blocked = None;
+                Poll::Ready(result)
+            }
+            Poll::Pending => self.poll_blocked(cx),
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
