--- a/crates/celerycrank-groups/src/switch/member.rs
+++ b/crates/celerycrank-groups/src/switch/member.rs
@@ -431,7 +431,7 @@
     fn vote(&mut self, attempt: AttemptId, verdict: SwitchVerdict) {
         let board = self
             .boards
-            .find(attempt)
+            .get_mut(attempt)
             .expect("a vote is on a known attempt");
         board.vote(self.index, verdict);
     }
