--- a/crates/celerycrank-requests/src/model/agent.rs
+++ b/crates/celerycrank-requests/src/model/agent.rs
@@ -9,7 +9,7 @@
     caller::{CallPlan, CallRule},
     fault::{AgentIndex, EntryIndex},
     keyed::call_key,
-    message::{Happening, Message, Order, OrderBody},
+    message::{Message, Order, OrderBody, WorldEvent},
     world::World,
 };
 use crate::{
@@ -346,7 +346,7 @@
         for job in jobs.into_values() {
             self.notice_break(job.entry, job.request, job.link);
         }
-        self.plan(self.now + span, Happening::ReviveAgent(agent));
+        self.plan(self.now + span, WorldEvent::ReviveAgent(agent));
     }
 
     pub(super) fn revive_agent(&mut self, agent: AgentIndex) {
--- a/crates/celerycrank-requests/src/model/backend.rs
+++ b/crates/celerycrank-requests/src/model/backend.rs
@@ -6,7 +6,7 @@
 use super::{
     agent::AgentJob,
     fault::{AgentIndex, EntryIndex},
-    message::{BackendStep, Frame, Happening, Message},
+    message::{BackendStep, Frame, Message, WorldEvent},
     truth::answer_byte,
     world::World,
 };
@@ -54,7 +54,7 @@
             let is_broken = !self.is_calm() && self.random.random_bool(BREAK_RATE);
             let step = if is_broken { BackendStep::Broken } else { step };
             let message = Message::FromBackend(agent, incarnation, attempt, step);
-            self.plan(at, Happening::Arrival(message));
+            self.plan(at, WorldEvent::Arrival(message));
             if is_broken {
                 return;
             }
--- a/crates/celerycrank-requests/src/model/entry.rs
+++ b/crates/celerycrank-requests/src/model/entry.rs
@@ -8,7 +8,7 @@
 use super::{
     caller::{CallPlan, CallRule, request_id},
     fault::{AgentIndex, EntryIndex},
-    message::{Frame, Happening, Message, Order, OrderBody},
+    message::{Frame, Message, Order, OrderBody, WorldEvent},
     world::World,
 };
 use crate::{
@@ -118,7 +118,7 @@
         };
         node.requests.insert(request, live);
         if let Some(at) = plan.leaves {
-            self.plan(at, Happening::Leave(entry, request));
+            self.plan(at, WorldEvent::Leave(entry, request));
         }
         self.perform(entry, request, actions, None);
     }
@@ -172,7 +172,7 @@
         if let Some(at) = wake
             && planned != wake
         {
-            self.plan(at, Happening::Local(entry, request, RequestEvent::Woke));
+            self.plan(at, WorldEvent::Local(entry, request, RequestEvent::Woke));
         }
     }
 
@@ -186,7 +186,7 @@
         match action {
             RequestAction::Choose { avoid } => {
                 let event = RequestEvent::Chosen(self.choose(&avoid));
-                self.plan(self.now, Happening::Local(entry, request, event));
+                self.plan(self.now, WorldEvent::Local(entry, request, event));
             }
             RequestAction::DeliverHead => {
                 if let Some(Frame {
@@ -319,7 +319,7 @@
             leaves: None,
             ..plan
         };
-        self.plan(at, Happening::Call(again));
+        self.plan(at, WorldEvent::Call(again));
     }
 
     /// The entry's process dies; its callers see their connections break.
@@ -333,7 +333,7 @@
                 self.send_again(live.plan);
             }
         }
-        self.plan(self.now + span, Happening::ReviveEntry(entry));
+        self.plan(self.now + span, WorldEvent::ReviveEntry(entry));
     }
 
     pub(super) fn revive_entry(&mut self, entry: EntryIndex) {
--- a/crates/celerycrank-requests/src/model/message.rs
+++ b/crates/celerycrank-requests/src/model/message.rs
@@ -12,7 +12,7 @@
 
 /// What happens at a point in time.
 #[derive(Debug, Clone)]
-pub(super) enum Happening {
+pub(super) enum WorldEvent {
     /// A caller sends a request.
     Call(CallPlan),
     /// A caller leaves.
--- a/crates/celerycrank-requests/src/model/mod.rs
+++ b/crates/celerycrank-requests/src/model/mod.rs
@@ -52,8 +52,8 @@
     pub resumed: u64,
     /// Planned faults that happened.
     pub faults: u64,
-    /// Happenings of any kind.
-    pub happenings: u64,
+    /// Events of any kind.
+    pub events: u64,
     /// Writes that the key-value service carried out.
     pub key_value_writes: u64,
     /// Operations that the key-value service carried out.
@@ -73,7 +73,7 @@
         self.retried += other.retried;
         self.resumed += other.resumed;
         self.faults += other.faults;
-        self.happenings += other.happenings;
+        self.events += other.events;
         self.key_value_writes += other.key_value_writes;
         self.key_value_operations += other.key_value_operations;
     }
--- a/crates/celerycrank-requests/src/model/world.rs
+++ b/crates/celerycrank-requests/src/model/world.rs
@@ -12,13 +12,13 @@
     entry::EntryNode,
     fault::{AgentIndex, EntryIndex, Fault, FaultRates},
     key_value::KeyValueFake,
-    message::{Happening, Message, OrderBody},
+    message::{Message, OrderBody, WorldEvent},
     truth::TruthRecord,
 };
 use crate::{LinkNumber, RequestEvent};
 
-/// Happenings after which a run that does not come to rest is given up.
-const MOST_HAPPENINGS: u64 = 500_000;
+/// Events after which a run that does not come to rest is given up.
+const MOST_EVENTS: u64 = 500_000;
 
 /// How soon the transport notices that a connection cannot be made.
 const CONNECT_TIMEOUT: TimeSpan = TimeSpan::from_millis(300);
@@ -38,7 +38,7 @@
 /// Everything that a run consists of.
 pub(super) struct World<'session> {
     pub(super) now: TimePoint,
-    queue: BTreeMap<(TimePoint, u64), Happening>,
+    queue: BTreeMap<(TimePoint, u64), WorldEvent>,
     sequence: u64,
     pub(super) random: ChaCha8Rng,
     rates: FaultRates,
@@ -86,27 +86,24 @@
             world.agents.push(node);
         }
         for call in &plan.calls {
-            world.plan(call.at, Happening::Call(*call));
+            world.plan(call.at, WorldEvent::Call(*call));
         }
         for planned in &plan.faults {
-            world.plan(planned.at, Happening::Fault(planned.fault));
+            world.plan(planned.at, WorldEvent::Fault(planned.fault));
         }
         world
     }
 
     /// Runs until nothing is left to happen.
     pub(super) fn run(mut self) -> RunReport {
-        while let Some(((at, _), happening)) = self.queue.pop_first() {
+        while let Some(((at, _), event)) = self.queue.pop_first() {
             self.now = at;
-            if self.report.happenings > 499_980 {
-                println!("{at} {happening:?}");
-            }
-            self.report.happenings += 1;
+            self.report.events += 1;
             assert!(
-                self.report.happenings < MOST_HAPPENINGS,
+                self.report.events < MOST_EVENTS,
                 "the run does not come to rest"
             );
-            self.happen(happening);
+            self.handle(event);
         }
         self.check_rest();
         self.report.key_value_writes = self.key_value.writes;
@@ -114,22 +111,22 @@
         self.report
     }
 
-    fn happen(&mut self, happening: Happening) {
-        match happening {
-            Happening::Call(plan) => self.call(plan),
-            Happening::Leave(entry, request) => {
+    fn handle(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::Call(plan) => self.call(plan),
+            WorldEvent::Leave(entry, request) => {
                 self.tell(entry, request, &RequestEvent::CallerLeft, None);
             }
-            Happening::Arrival(message) => self.arrive(message),
-            Happening::Local(entry, request, event) => self.tell(entry, request, &event, None),
-            Happening::Tick(agent) => {
+            WorldEvent::Arrival(message) => self.arrive(message),
+            WorldEvent::Local(entry, request, event) => self.tell(entry, request, &event, None),
+            WorldEvent::Tick(agent) => {
                 self.ticks.remove(&(agent, self.now));
                 self.tick_agent(agent);
             }
-            Happening::Thaw(agent) => self.thaw(agent),
-            Happening::Fault(fault) => self.strike(fault),
-            Happening::ReviveEntry(entry) => self.revive_entry(entry),
-            Happening::ReviveAgent(agent) => self.revive_agent(agent),
+            WorldEvent::Thaw(agent) => self.thaw(agent),
+            WorldEvent::Fault(fault) => self.strike(fault),
+            WorldEvent::ReviveEntry(entry) => self.revive_entry(entry),
+            WorldEvent::ReviveAgent(agent) => self.revive_agent(agent),
         }
     }
 
@@ -187,17 +184,16 @@
         }
     }
 
-    /// Plans a happening.
-    pub(super) fn plan(&mut self, at: TimePoint, happening: Happening) {
+    /// Plans an event.
+    pub(super) fn plan(&mut self, at: TimePoint, event: WorldEvent) {
         self.sequence += 1;
-        self.queue
-            .insert((at.max(self.now), self.sequence), happening);
+        self.queue.insert((at.max(self.now), self.sequence), event);
     }
 
     /// Plans a look at an agent's timers, once for each point in time.
     pub(super) fn plan_tick(&mut self, agent: AgentIndex, at: TimePoint) {
         if self.ticks.insert((agent, at.max(self.now))) {
-            self.plan(at, Happening::Tick(agent));
+            self.plan(at, WorldEvent::Tick(agent));
         }
     }
 
@@ -214,13 +210,13 @@
             Some(Fault::DelayNext(kind, span)) => {
                 self.note(&format!("late by {span}: {kind:?}"));
                 self.bounce(&message);
-                self.plan(self.now + delay + span, Happening::Arrival(message));
+                self.plan(self.now + delay + span, WorldEvent::Arrival(message));
                 return;
             }
             _ => {}
         }
         if self.is_calm() {
-            self.plan(self.now + delay, Happening::Arrival(message));
+            self.plan(self.now + delay, WorldEvent::Arrival(message));
             return;
         }
         self.send_under_faults(message, delay);
@@ -233,7 +229,7 @@
         }
         if self.random.random_bool(self.rates.double) {
             let again = delay + TimeSpan(self.random.random_range(LATE_MICROS));
-            self.plan(self.now + again, Happening::Arrival(message.clone()));
+            self.plan(self.now + again, WorldEvent::Arrival(message.clone()));
         }
         let is_late = self.random.random_bool(self.rates.late);
         let extra = if is_late {
@@ -246,7 +242,7 @@
             self.misroute(&mut message);
         }
         let at = self.now + delay + TimeSpan(extra);
-        self.plan(at, Happening::Arrival(message));
+        self.plan(at, WorldEvent::Arrival(message));
     }
 
     /// Lets a frame reach another request of the same entry.
@@ -284,7 +280,7 @@
         if self.random.random_bool(NOTICE_RATE) {
             let event = RequestEvent::LinkLost(link);
             let at = self.now + LINK_TIMEOUT;
-            self.plan(at, Happening::Local(entry, request, event));
+            self.plan(at, WorldEvent::Local(entry, request, event));
         }
     }
 
@@ -301,7 +297,7 @@
         };
         let is_connect = matches!(body, OrderBody::Connect(_));
         if is_connect || self.random.random_bool(NOTICE_RATE) {
-            self.plan(self.now + span, Happening::Local(entry, request, event));
+            self.plan(self.now + span, WorldEvent::Local(entry, request, event));
         }
     }
 
@@ -315,7 +311,7 @@
                 let node = &mut self.agents[agent.0];
                 node.frozen_until = node.frozen_until.max(self.now + span);
                 let until = node.frozen_until;
-                self.plan(until, Happening::Thaw(agent));
+                self.plan(until, WorldEvent::Thaw(agent));
             }
             Fault::Leave(agent) => self.agents[agent.0].is_leaving = true,
             Fault::ClockForward(agent, span) => self.agents[agent.0].step_clock(span, true),
