--- a/crates/celerycrank-groups/src/formation.rs
+++ b/crates/celerycrank-groups/src/formation.rs
@@ -1,11 +1,13 @@
 //! Forming a group: each incarnation is one record, written by compare-and-swap.
 
+mod chart;
 mod former;
 mod output;
 mod record;
 
 pub use self::{
-    former::{FormationState, GroupFormer},
+    chart::FormationState,
+    former::GroupFormer,
     output::{FormationOutput, FormationTimes},
     record::{GroupRecord, MemberSeat, RecordAnswer, StoredRecord},
 };
--- a/crates/celerycrank-groups/src/formation/former.rs
+++ b/crates/celerycrank-groups/src/formation/former.rs
@@ -1,76 +1,16 @@
 //! One agent's part in forming its group.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, LazyLock},
-};
+use std::{collections::BTreeMap, sync::Arc};
 
-use celerycrank_chart::{ChartStep, StateChart};
+use celerycrank_chart::ChartStep;
 use celerycrank_types::{Incarnation, TimePoint, TimeSpan, VmId};
-use serde::Deserialize;
 
+use super::chart::{CHART, FormationAction, FormationEvent, FormationState};
 use crate::{
     AgentLife, ExpertMap, FormationMessage, FormationOutput, FormationTimes, GroupRecord,
     MemberHello, MemberIndex, MemberSeat, MemberSet, RecordAnswer, RecordCall, StoredRecord,
 };
 
-type FormationChart = StateChart<FormationState, FormationEvent, FormationAction>;
-
-static CHART: LazyLock<FormationChart> = LazyLock::new(|| {
-    FormationChart::parse(include_str!("../../charts/formation.json"))
-        .expect("the chart is part of the program")
-});
-
-/// Where an agent stands in forming its group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum FormationState {
-    /// It has just started; orders of its previous life may still reach the engine.
-    Draining,
-    /// It leaves the next call to another agent for a while.
-    Waiting,
-    /// It has called and collects answers.
-    Calling,
-    /// It reads the group's record.
-    Reading,
-    /// It writes the group's record.
-    Writing,
-    /// It is a member of the newest incarnation that it knows.
-    Inside,
-    /// Another VM has taken its seat.
-    Replaced,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum FormationEvent {
-    Expire,
-    Wanted,
-    AllHere,
-    Yield,
-    Formed,
-    Unseated,
-    Replaced,
-    Found,
-    FoundOwn,
-    FoundNewer,
-    Written,
-    Conflict,
-    Unavailable,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum FormationAction {
-    SendCall,
-    RepeatCall,
-    Read,
-    Write,
-    Enter,
-    Announce,
-    SendBeat,
-}
-
 /// One agent's part in forming its group, for one life of the agent.
 ///
 /// A group needs all of its ranks, so an incarnation is formed when every seat has answered;
--- a/crates/celerycrank-groups/src/switch.rs
+++ b/crates/celerycrank-groups/src/switch.rs
@@ -1,6 +1,7 @@
 //! The switch protocol: one expert map in each step, by unanimity.
 
 mod board;
+mod chart;
 mod lead;
 mod member;
 mod output;
@@ -8,8 +9,9 @@
 
 pub use self::{
     board::{BoardHistory, SwitchVerdict, VoteBoard},
+    chart::MemberState,
     lead::SwitchLead,
-    member::{MemberState, SwitchMember},
+    member::SwitchMember,
     output::MemberOutput,
     time::SwitchTimes,
 };
--- a/crates/celerycrank-groups/src/switch/member.rs
+++ b/crates/celerycrank-groups/src/switch/member.rs
@@ -1,70 +1,17 @@
 //! One member's part in switching the map of its group.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, LazyLock},
-};
+use std::{collections::BTreeMap, sync::Arc};
 
-use celerycrank_chart::{ChartStep, StateChart};
+use celerycrank_chart::ChartStep;
 use celerycrank_types::{Incarnation, TimePoint};
-use serde::Deserialize;
 
+use super::chart::{CHART, MemberAction, MemberEvent, MemberState};
 use crate::{
     AttemptId, AttemptNumber, BoardHistory, EngineOrder, EngineReport, MapChange, MapId,
     MemberIndex, MemberOutput, MemberSet, StepNumber, SwitchMessage, SwitchRefusal, SwitchTimes,
     SwitchVerdict, VoteBoard,
 };
 
-type MemberChart = StateChart<MemberState, MemberEvent, MemberAction>;
-
-static CHART: LazyLock<MemberChart> = LazyLock::new(|| {
-    MemberChart::parse(include_str!("../../charts/member.json"))
-        .expect("the chart is part of the program")
-});
-
-/// Where a member stands in an attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberState {
-    /// It takes part in no attempt.
-    Steady,
-    /// Its engine loads the weights.
-    Loading,
-    /// Its engine holds the weights; it has promised nothing.
-    Ready,
-    /// Its engine was ordered to hold before the first step of the new map.
-    Holding,
-    /// It has voted yes and may not decide alone.
-    Bound,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum MemberEvent {
-    Prepare,
-    Loaded,
-    LoadFailed,
-    Propose,
-    Held,
-    TooLate,
-    Commit,
-    Abort,
-    Expire,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum MemberAction {
-    Load,
-    SayReady,
-    Hold,
-    VoteYes,
-    VoteNo,
-    SendVotes,
-    Switch,
-    Release,
-}
-
 /// The attempt that a member takes part in.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct MemberAttempt {
