--- a/crates/celerycrank-cli/tests/rolling.rs
+++ b/crates/celerycrank-cli/tests/rolling.rs
@@ -63,11 +63,11 @@
         })
     }
 
-    /// Sends requests until the balancer stops; returns what went wrong, and how many went.
-    fn load(&self, caller: usize) -> JoinHandle<(Vec<(String, Answer)>, Vec<String>)> {
+    /// Sends requests until the balancer stops.
+    fn load(&self, caller: usize) -> JoinHandle<LoadReport> {
         let balancer = self.clone();
         thread::spawn(move || {
-            let (mut wrong, mut paths) = (Vec::new(), Vec::new());
+            let mut report = LoadReport::default();
             for number in 0.. {
                 if balancer.stop.load(Ordering::Relaxed) {
                     break;
@@ -76,15 +76,24 @@
                 let path = format!("/first/{caller}-{number}");
                 let answer = call(ready[number % ready.len()], "GET", &path, Some(KEY), "");
                 if answer.status != 200 || answer.end != BodyEnd::Whole {
-                    wrong.push((path.clone(), answer));
+                    report.wrong.push((path.clone(), answer));
                 }
-                paths.push(path);
+                report.paths.push(path);
             }
-            (wrong, paths)
+            report
         })
     }
 }
 
+/// What one caller saw.
+#[derive(Debug, Default)]
+struct LoadReport {
+    /// Requests that were not answered as they should be.
+    wrong: Vec<(String, Answer)>,
+    /// Every request that was sent.
+    paths: Vec<String>,
+}
+
 /// Whether an entry says that it is ready; one that has ended is not.
 fn is_ready(admin: SocketAddr) -> bool {
     std::net::TcpStream::connect(admin).is_ok()
@@ -165,7 +174,7 @@
     balancer.stop.store(true, Ordering::Relaxed);
     looking.join().unwrap();
     for caller in callers {
-        let (wrong, paths) = caller.join().unwrap();
+        let LoadReport { wrong, paths } = caller.join().unwrap();
         assert_eq!(wrong, [], "of {} requests", paths.len());
         for path in paths {
             assert_eq!(deployment.backend.received(&path), 1, "{path} ran once");
