Keep a plan's rate cap across entries

Cause: a plan's 'rate' was checked and shown, and nothing enforced it. An entry charges a capped account's request to grants of the account's home (celerycrank-shares), over the link between entries; a home that does not answer in 100 ms is gone on without, as the holder decides. Ruled out for now: granting shares of the fleet's rate, which needs the agents' measured rates summed at the homes; the share is set to the cap. tests/rate.rs: two entries, cap of 20 tokens a second, 3 s of load.

--- a/crates/celerycrank-agent/src/order.rs
+++ b/crates/celerycrank-agent/src/order.rs
@@ -55,6 +55,8 @@
             let answer = state.sync.answer_offer(&order);
             reply(&mut sender, PeerReply::Configuration(answer)).await;
         }
+        // Homes are entries; the sender takes the closed stream for a lost link.
+        PeerOrder::Demand(_) => state.metrics.wire_faults.inc(),
         PeerOrder::Update(order) => {
             let answer = state.sync.answer_update(&order);
             reply(&mut sender, PeerReply::Configuration(answer)).await;
--- /dev/null
+++ b/crates/celerycrank-cli/tests/rate.rs
@@ -0,0 +1,66 @@
+//! A plan's rate cap holds across entries.
+
+mod support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+use support::{
+    caller::{Answer, KEY, call},
+    platform::PlatformDeployment,
+};
+
+/// Tokens a second that the plan allows; a plain call counts as one token.
+const RATE: u64 = 20;
+/// Longest life of a grant and of a home's burst.
+const GRANT_LIFE: Duration = Duration::from_secs(2);
+const CALLERS: usize = 4;
+const LOAD_SPAN: Duration = Duration::from_secs(3);
+
+#[test]
+fn two_entries_together_admit_no_more_than_the_cap() {
+    let deployment = PlatformDeployment::start();
+    deployment.platform.accept_plan(
+        2,
+        "/first",
+        "never",
+        &json!({ "rate": format!("{RATE}/s") }),
+    );
+    for process in deployment.entries.iter().chain(&deployment.agents) {
+        process.wait_revision(2);
+    }
+    let start = Instant::now();
+    let callers = (0..CALLERS).map(|caller| {
+        let entry = deployment.entries[caller % 2].listen;
+        thread::spawn(move || {
+            let mut answers = Vec::new();
+            while start.elapsed() < LOAD_SPAN {
+                answers.push(call(entry, "GET", "/first/hello", Some(KEY), ""));
+            }
+            answers
+        })
+    });
+    let callers = callers.collect::<Vec<_>>();
+    let answers = callers
+        .into_iter()
+        .flat_map(|caller| caller.join().unwrap());
+    let (served, refused) = answers.partition::<Vec<_>, _>(|answer| answer.status == 200);
+    let span = start.elapsed() + GRANT_LIFE;
+    let most = span.as_secs_f64() * 20.0;
+    assert!(
+        (served.len() as f64) <= most,
+        "{} served, at most {most}",
+        served.len()
+    );
+    assert!(served.len() as u64 >= RATE, "the cap is there to be used");
+    assert!(!refused.is_empty());
+    let told = |answer: &Answer| {
+        answer.status == 429
+            && answer.reason() == Some("share_exhausted")
+            && answer.field("retry-after").is_some()
+    };
+    assert!(refused.iter().all(told));
+}
--- a/crates/celerycrank-cli/tests/support/platform.rs
+++ b/crates/celerycrank-cli/tests/support/platform.rs
@@ -109,12 +109,17 @@
 
     /// Accepts a configuration whose one plan may use the paths below `prefix`.
     pub fn accept(&self, revision: u64, prefix: &str) {
-        self.accept_rule(revision, prefix, "never");
+        self.accept_plan(revision, prefix, "never", &json!({}));
     }
 
     /// Accepts a configuration with this rule on repeated calls.
     pub fn accept_rule(&self, revision: u64, prefix: &str, repeat: &str) {
-        let record = record(revision, prefix, repeat);
+        self.accept_plan(revision, prefix, repeat, &json!({}));
+    }
+
+    /// Accepts a configuration whose one plan has further fields.
+    pub fn accept_plan(&self, revision: u64, prefix: &str, repeat: &str, fields: &Value) {
+        let record = record(revision, prefix, repeat, fields);
         self.write(&ConfigurationRecord::key(PREFIX), record);
     }
 
@@ -142,8 +147,8 @@
     }
 }
 
-fn record(revision: u64, prefix: &str, repeat: &str) -> String {
-    let record = json!({
+fn record(revision: u64, prefix: &str, repeat: &str, fields: &Value) -> String {
+    let mut record = json!({
         "revision": revision,
         "nonce": format!("nonce-{revision}"),
         "author": "test",
@@ -163,6 +168,10 @@
         }] },
         "changes": [],
     });
+    let plan = &mut record["plans"]["plans"][0];
+    for (name, value) in fields.as_object().expect("fields are an object") {
+        plan[name] = value.clone();
+    }
     record.to_string()
 }
 
--- a/crates/celerycrank-config/src/policy.rs
+++ b/crates/celerycrank-config/src/policy.rs
@@ -120,6 +120,16 @@
         &self.accounts[index.0].account
     }
 
+    /// The cap of an account by its name; `None` if it has no cap or is not known.
+    #[must_use]
+    pub fn rate_of(&self, account: &AccountId) -> Option<TokenRate> {
+        let found = self
+            .accounts
+            .iter()
+            .find(|entry| entry.account == *account)?;
+        self.plans[found.plan].rate
+    }
+
     /// The plan of an account.
     #[must_use]
     pub fn plan(&self, index: AccountIndex) -> &PlanId {
--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use celerycrank_config::RepeatRule;
 use celerycrank_routing::PromptPrefix;
-use celerycrank_types::{Incarnation, RefusalReason, TimePoint};
+use celerycrank_types::{Incarnation, RefusalReason, TimePoint, TimeSpan};
 use celerycrank_wire::{HttpField, OfferKind, RequestHead, RunOrder};
 
 use crate::{
@@ -61,7 +61,13 @@
         Err(reason) => Err(reason),
     };
     match prepared {
-        Ok(prepared) => dispatch(state, prepared).await,
+        Ok(prepared) => match charge(&state, &prepared).await {
+            Ok(()) => dispatch(state, prepared).await,
+            Err(retry_after) => {
+                state.metrics.refusals.count(RefusalReason::ShareExhausted);
+                refuse(RefusalReason::ShareExhausted, Some(retry_after))
+            }
+        },
         Err(reason) => {
             state.metrics.refusals.count(reason);
             refuse(reason, None)
@@ -69,6 +75,18 @@
     }
 }
 
+/// Charges a request to its account's rate cap, if its plan has one.
+async fn charge(state: &EntryState, request: &PreparedRequest) -> Result<(), TimeSpan> {
+    if request.rate.is_none() {
+        return Ok(());
+    }
+    let order = &request.order;
+    state
+        .allowances
+        .charge(state, &order.account, order.cost)
+        .await
+}
+
 /// Admits a request under the configuration in force.
 pub(crate) fn admit(
     state: &EntryState,
@@ -109,6 +127,7 @@
         order,
         prefix: prompt_prefix(&resolved.kind, &draft.body),
         kind: resolved.kind,
+        rate: policy.rate,
         arrival: draft.arrival,
         deadline: draft.arrival + policy.deadline,
         draft,
--- /dev/null
+++ b/crates/celerycrank-entry/src/allowance.rs
@@ -0,0 +1,130 @@
+//! Keeps the rate caps of plans across entries, by grants of each account's home.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use actix_rt::time::{sleep, timeout};
+use celerycrank_membership::MemberEvidence;
+use celerycrank_shares::{
+    ANSWER_TIMEOUT, AccountAllowance, Admission, DemandReport, GrantHolder, GrantHome, TokenGrant,
+    home_of,
+};
+use celerycrank_types::{AccountId, EntryId, TimeSpan, TokenCount, TokenRate};
+use celerycrank_wire::{PeerOrder, PeerReply};
+
+use crate::state::EntryState;
+
+/// Interval at which a request looks again while another has asked the home.
+const WAIT_INTERVAL: Duration = Duration::from_millis(2);
+
+/// The grants that an entry holds, and those that it hands out as a home.
+#[derive(Debug, Default)]
+pub(crate) struct AllowanceDesk {
+    holder: RefCell<GrantHolder>,
+    home: RefCell<GrantHome>,
+    /// The entries that may be homes, this one included.
+    entries: RefCell<Vec<EntryId>>,
+}
+
+impl AllowanceDesk {
+    /// Takes the entries that are live, and forgets accounts that are idle.
+    pub(crate) fn refresh(&self, state: &EntryState) {
+        let members = state.sync.members();
+        let live = members.facts().filter(|fact| fact.role.is_entry());
+        let live = live.filter(|fact| members.state(&fact.vm).takes_work());
+        let mut entries = live
+            .filter_map(|fact| fact.vm.as_str().parse().ok())
+            .collect::<Vec<_>>();
+        if !entries.contains(&state.settings.entry) {
+            entries.push(state.settings.entry.clone());
+        }
+        self.entries.replace(entries);
+        let now = state.clock.now();
+        self.holder.borrow_mut().forget_idle(now);
+        self.home.borrow_mut().forget_idle(now);
+    }
+
+    /// Charges a request to its account's cap.
+    ///
+    /// Fails with the time after which a request has a chance again.
+    pub(crate) async fn charge(
+        &self,
+        state: &EntryState,
+        account: &AccountId,
+        cost: TokenCount,
+    ) -> Result<(), TimeSpan> {
+        loop {
+            let home = self.home_of(state, account);
+            let now = state.clock.now();
+            let admission = self.holder.borrow_mut().admit(now, &home, account, cost);
+            match admission {
+                Admission::Admitted(_) => return Ok(()),
+                Admission::Refused { retry_after } => return Err(retry_after),
+                Admission::Wait => sleep(WAIT_INTERVAL).await,
+                Admission::Ask(report) => self.ask(state, &home, report).await,
+            }
+        }
+    }
+
+    /// Answers a report as the account's home.
+    pub(crate) fn grant(&self, state: &EntryState, report: &DemandReport) -> TokenGrant {
+        let cap = state
+            .in_force()
+            .and_then(|known| known.table.rate_of(&report.account));
+        // The cap bounds the share here: the agents alone keep contended shares.
+        let share = cap.unwrap_or(TokenRate(0));
+        let allowance = AccountAllowance { share, cap };
+        self.home
+            .borrow_mut()
+            .grant(state.clock.now(), report, allowance)
+    }
+
+    fn home_of(&self, state: &EntryState, account: &AccountId) -> EntryId {
+        let entries = self.entries.borrow();
+        home_of(account, &*entries)
+            .unwrap_or(&state.settings.entry)
+            .clone()
+    }
+
+    /// Asks the home; without an answer the holder goes on alone after its time-out.
+    async fn ask(&self, state: &EntryState, home: &EntryId, report: DemandReport) {
+        let grant = if *home == state.settings.entry {
+            Some(self.grant(state, &report))
+        } else {
+            ask_peer(state, home, report).await
+        };
+        match grant {
+            Some(grant) => self
+                .holder
+                .borrow_mut()
+                .note_grant(state.clock.now(), &grant),
+            None => sleep(WAIT_INTERVAL).await,
+        }
+    }
+}
+
+async fn ask_peer(state: &EntryState, home: &EntryId, report: DemandReport) -> Option<TokenGrant> {
+    let vm = home.as_str().parse().ok()?;
+    let address = state.sync.members().fact(&vm)?.address;
+    let asking = exchange(state, address, report);
+    let grant = timeout(ANSWER_TIMEOUT.as_duration(), asking)
+        .await
+        .ok()
+        .flatten();
+    if grant.is_none() {
+        state.sync.observe(&vm, MemberEvidence::Failed);
+    }
+    grant
+}
+
+async fn exchange(
+    state: &EntryState,
+    address: SocketAddr,
+    report: DemandReport,
+) -> Option<TokenGrant> {
+    let link = state.pool.connect(address, state.revision()).await.ok()?;
+    let (_sender, mut receiver) = link.send(&PeerOrder::Demand(report)).await.ok()?;
+    match receiver.receive().await {
+        Ok(Some(PeerReply::Grant(grant))) => Some(grant),
+        _ => None,
+    }
+}
--- a/crates/celerycrank-entry/src/dispatch.rs
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -11,7 +11,8 @@
 };
 use celerycrank_routing::PromptPrefix;
 use celerycrank_types::{
-    BackendId, RefusalReason, RequestOutcome, RetryReason, TimePoint, TimeSpan, UnknownReason,
+    BackendId, RefusalReason, RequestOutcome, RetryReason, TimePoint, TimeSpan, TokenRate,
+    UnknownReason,
 };
 use celerycrank_wire::{AnswerHead, OfferKind, PeerReply, RefusedReply, RevokeVerdict, RunOrder};
 
@@ -34,6 +35,8 @@
 pub(crate) struct PreparedRequest {
     pub(crate) order: RunOrder,
     pub(crate) kind: OfferKind,
+    /// The rate cap of the account, if its plan has one.
+    pub(crate) rate: Option<TokenRate>,
     /// The prompt's prefix blocks; none for a plain service.
     pub(crate) prefix: PromptPrefix,
     pub(crate) arrival: TimePoint,
--- a/crates/celerycrank-entry/src/lib.rs
+++ b/crates/celerycrank-entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod admin;
+mod allowance;
 mod answer;
 mod body;
 mod choose;
--- a/crates/celerycrank-entry/src/peer.rs
+++ b/crates/celerycrank-entry/src/peer.rs
@@ -1,4 +1,4 @@
-//! Takes the orders of other entries, which concern the configuration only.
+//! Takes the orders of other entries: about the configuration, and demands for tokens.
 
 use std::rc::Rc;
 
@@ -43,6 +43,7 @@
         PeerOrder::Offer(order) => PeerReply::Configuration(state.sync.answer_offer(&order)),
         PeerOrder::Update(order) => PeerReply::Configuration(state.sync.answer_update(&order)),
         PeerOrder::Pull(order) => PeerReply::Configuration(state.sync.answer_pull(&order)),
+        PeerOrder::Demand(report) => PeerReply::Grant(state.allowances.grant(&state, &report)),
         // An entry runs nothing; the sender takes the closed stream for a lost link.
         PeerOrder::Run(_) | PeerOrder::Revoke(_) => {
             state.metrics.wire_faults.inc();
--- a/crates/celerycrank-entry/src/probe.rs
+++ b/crates/celerycrank-entry/src/probe.rs
@@ -66,6 +66,7 @@
 /// Learns who the agents named by the VM list are.
 pub(crate) fn learn_members(state: &Rc<EntryState>) {
     judge_agents(state);
+    state.allowances.refresh(state);
     let members = state.sync.members();
     let agents = members.facts().filter(|fact| !fact.role.is_entry());
     for fact in agents.filter(|fact| !state.roster.borrow().knows(&fact.vm)) {
@@ -73,7 +74,7 @@
     }
 }
 
-/// Takes what an agent says of itself; `false` if the VM is not the one that was meant.
+/// Takes what an agent says of itself; nothing if the peer is an entry.
 pub(crate) fn take_welcome(
     state: &EntryState,
     address: SocketAddr,
@@ -100,6 +101,8 @@
         return;
     };
     let Some(found) = take_welcome(&state, fact.address, &link.welcome) else {
+        // An entry; its welcome names no backend server.
+        state.sync.observe(&fact.vm, MemberEvidence::Answered);
         return;
     };
     if found.vm == fact.vm {
--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -15,7 +15,7 @@
 use celerycrank_types::{AccountId, RequestId, Revision};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use crate::{metrics::EntryMetrics, roster::AgentRoster};
+use crate::{allowance::AllowanceDesk, metrics::EntryMetrics, roster::AgentRoster};
 
 /// What the tasks of an entry share; all of them run on one arbiter.
 pub(crate) struct EntryState {
@@ -27,6 +27,7 @@
     pub(crate) sync: Rc<SyncState>,
     pub(crate) roster: RefCell<AgentRoster>,
     pub(crate) random: RefCell<StdRng>,
+    pub(crate) allowances: AllowanceDesk,
     /// Whether the entry has learnt enough to serve and is not shutting down.
     pub(crate) ready: Cell<bool>,
     budgets: RefCell<HashMap<AccountId, RetryBudget>>,
@@ -71,6 +72,7 @@
             sync,
             roster: RefCell::new(AgentRoster::new(settings.domain.clone())),
             random: RefCell::new(StdRng::from_os_rng()),
+            allowances: AllowanceDesk::default(),
             ready: Cell::new(false),
             budgets: RefCell::default(),
             in_force,
--- a/crates/celerycrank-wire/src/order.rs
+++ b/crates/celerycrank-wire/src/order.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use celerycrank_config::{PriorityClass, RepeatRule};
+use celerycrank_shares::DemandReport;
 use celerycrank_types::{
     AccountId, EntryId, Incarnation, RequestId, Revision, ShareWeight, TimePoint, TokenCount, VmId,
 };
@@ -24,6 +25,8 @@
     Offer(OfferOrder),
     /// Sends what is newer than the peer's revision.
     Update(UpdateOrder),
+    /// Asks an account's home for tokens under the account's rate cap.
+    Demand(DemandReport),
 }
 
 /// Introduces an entry to an agent.
--- a/crates/celerycrank-wire/src/reply.rs
+++ b/crates/celerycrank-wire/src/reply.rs
@@ -1,6 +1,7 @@
 //! What a process answers to an order.
 
 use bytes::Bytes;
+use celerycrank_shares::TokenGrant;
 use celerycrank_types::{
     BackendId, DomainId, Incarnation, ModelId, RefusalReason, RequestId, Revision, ServiceId,
     TimePoint, TimeSpan, TokenCount, UnknownReason, VmId,
@@ -34,6 +35,8 @@
     Revoked(RevokeReply),
     /// Answers a pull.
     Configuration(ConfigurationReply),
+    /// Answers a demand.
+    Grant(TokenGrant),
 }
 
 /// Introduces an agent to an entry.
