--- a/crates/celerycrank-bench/src/shares/fleet.rs
+++ b/crates/celerycrank-bench/src/shares/fleet/mod.rs
@@ -1,28 +1,27 @@
 //! Entries, agents and accounts in one discrete-event run.
 
+mod admission;
+mod service;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, VecDeque},
 };
 
 use celerycrank_routing::{
-    BackendCondition, BackendRouter, BackendSpec, BlockHash, LoadReport, PromptPrefix, RouteQuery,
-    RouterSettings,
+    BackendCondition, BackendRouter, BackendSpec, BlockHash, PromptPrefix, RouterSettings,
 };
 use celerycrank_shares::{
-    ANSWER_TIMEOUT, Admission, DemandReport, FairQueue, GrantHolder, GrantHome, QueueRequest,
-    QueueSettings, ShareBand, TokenGrant, home_of,
-};
-use celerycrank_types::{
-    AccountId, BackendId, EntryId, RequestId, ShareWeight, TimePoint, TimeSpan, TokenCount,
+    DemandReport, FairQueue, GrantHolder, GrantHome, QueueSettings, ShareBand, TokenGrant, home_of,
 };
+use celerycrank_types::{BackendId, EntryId, RequestId, TimePoint, TimeSpan};
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::{
     message::ControlMeter,
-    scenario::{Scenario, SharePolicy, allowance_of},
+    scenario::{Scenario, SharePolicy},
     tally::{self, AccountTally},
 };
 
@@ -347,278 +346,6 @@
             tried: Vec::new(),
         }
     }
-
-    /// Decides whether an entry takes a request under its account's cap.
-    fn decide(&mut self, request: usize) {
-        match self.policy {
-            SharePolicy::Shares => self.decide_by_grant(request),
-            SharePolicy::StaticSplit => {
-                if self.within_split(request) {
-                    self.route(request);
-                }
-            }
-            SharePolicy::Fifo | SharePolicy::Unrefused => self.route(request),
-        }
-    }
-
-    fn decide_by_grant(&mut self, index: usize) {
-        let Request { account, entry, .. } = self.requests[index];
-        let id: AccountId = self.scenario.accounts[account].id.clone();
-        let listed = self.entries.iter().filter(|entry| entry.listed);
-        let home = home_of(&id, listed.map(|entry| &entry.id))
-            .expect("an entry is listed")
-            .clone();
-        let home_index = self.entries.iter().position(|entry| entry.id == home);
-        let home_index = home_index.expect("a listed entry");
-        let holder = &mut self.entries[entry].holder;
-        match holder.admit(self.now, &home, &id, TokenCount(MEAN_TOKENS)) {
-            Admission::Admitted(band) => {
-                self.requests[index].band = band;
-                self.route(index);
-            }
-            Admission::Ask(report) => {
-                self.park(index);
-                self.control.record(entry, home_index, &report);
-                let happening = Happening::Report {
-                    entry,
-                    home: home_index,
-                    report,
-                };
-                self.schedule(HOP, happening);
-                self.schedule(ANSWER_TIMEOUT, Happening::GiveUp { request: index });
-            }
-            Admission::Wait => {
-                self.park(index);
-                self.schedule(ANSWER_TIMEOUT, Happening::GiveUp { request: index });
-            }
-            Admission::Refused { .. } => self.unpark(index),
-        }
-    }
-
-    fn park(&mut self, request: usize) {
-        let Request { account, entry, .. } = self.requests[request];
-        let parked = self.entries[entry].parked.entry(account).or_default();
-        if !parked.contains(&request) {
-            parked.push_back(request);
-        }
-    }
-
-    fn is_parked(&self, request: usize) -> bool {
-        let Request { account, entry, .. } = self.requests[request];
-        let parked = self.entries[entry].parked.get(&account);
-        parked.is_some_and(|parked| parked.contains(&request))
-    }
-
-    fn unpark(&mut self, request: usize) {
-        let Request { account, entry, .. } = self.requests[request];
-        if let Some(parked) = self.entries[entry].parked.get_mut(&account) {
-            parked.retain(|other| *other != request);
-        }
-    }
-
-    fn report(&mut self, entry: usize, home: usize, report: &DemandReport) {
-        if !self.entries[home].alive {
-            return;
-        }
-        let account = self
-            .scenario
-            .accounts
-            .iter()
-            .position(|a| a.id == report.account);
-        let share = self.tallies[account.expect("a known account")].share;
-        let allowance = allowance_of(share);
-        let grant = self.entries[home].home.grant(self.now, report, allowance);
-        self.control.record(home, entry, &grant);
-        self.schedule(HOP, Happening::Grant { entry, home, grant });
-    }
-
-    fn note_grant(&mut self, entry: usize, _home: usize, grant: &TokenGrant) {
-        self.entries[entry].holder.note_grant(self.now, grant);
-        let account = self
-            .scenario
-            .accounts
-            .iter()
-            .position(|a| a.id == grant.account);
-        let account = account.expect("a known account");
-        let parked = self.entries[entry].parked.remove(&account);
-        for request in parked.unwrap_or_default() {
-            self.decide_by_grant(request);
-        }
-    }
-
-    /// A token bucket for each account at each entry, with an equal part of the share.
-    fn within_split(&mut self, request: usize) -> bool {
-        let Request { account, entry, .. } = self.requests[request];
-        let rate = self.tallies[account].share / self.entries.len() as f64;
-        let burst = rate.max(MEAN_TOKENS as f64);
-        let (level, since) = self.entries[entry]
-            .split
-            .get(&account)
-            .copied()
-            .unwrap_or((burst, self.now));
-        let level = (level + rate * self.now.since(since).as_secs_f64()).min(burst);
-        let within = level >= MEAN_TOKENS as f64;
-        let left = if within {
-            level - MEAN_TOKENS as f64
-        } else {
-            level
-        };
-        self.entries[entry].split.insert(account, (left, self.now));
-        within
-    }
-
-    fn route(&mut self, index: usize) {
-        self.unpark(index);
-        let request = &self.requests[index];
-        let query = RouteQuery {
-            prefix: &request.prefix,
-            tried: &request.tried,
-        };
-        let router = &mut self.entries[request.entry].router;
-        let Some(choice) = router.choose(self.now, &query, &mut self.rng) else {
-            return;
-        };
-        router.note_sent(&choice.backend, &request.prefix);
-        let worker = self.names.iter().position(|name| *name == choice.backend);
-        let worker = worker.expect("a known worker");
-        self.schedule(
-            HOP,
-            Happening::Reach {
-                request: index,
-                worker,
-            },
-        );
-    }
-
-    fn reach(&mut self, index: usize, worker: usize) {
-        let queued = self.queue_request(index);
-        match self.queues[worker].push(self.now, &queued) {
-            Ok(evicted) => {
-                self.accepted += 1;
-                self.waiting += 1;
-                if let Some(refusal) = evicted {
-                    self.waiting -= 1;
-                    self.refused_late += 1;
-                    self.retry(request_index(refusal.id), worker);
-                }
-                self.most_waiting = self.most_waiting.max(self.queues[worker].waiting());
-                let until_overdue = queued.start_by.since(self.now) + TimeSpan(1);
-                self.schedule(until_overdue, Happening::Advance { worker });
-            }
-            Err(_) => self.retry(index, worker),
-        }
-        self.advance(worker);
-    }
-
-    fn queue_request(&self, index: usize) -> QueueRequest {
-        let request = &self.requests[index];
-        let account = &self.scenario.accounts[request.account];
-        let (id, weight) = match self.policy {
-            SharePolicy::Shares => (account.id.clone(), account.weight),
-            // One account for all makes the fair queue a plain one.
-            _ => ("all".parse().expect("a valid name"), ShareWeight::ONE),
-        };
-        let start_by = match self.policy {
-            SharePolicy::Unrefused => TimePoint(u64::MAX),
-            _ => self.attempt_deadline(request),
-        };
-        QueueRequest::builder()
-            .id(RequestId(index as u128))
-            .account(id)
-            .weight(weight)
-            .class(account.class)
-            .band(request.band)
-            .cost(TokenCount(MEAN_TOKENS))
-            .start_by(start_by)
-            .build()
-    }
-
-    /// Leaves time for another attempt while there may be one.
-    fn attempt_deadline(&self, request: &Request) -> TimePoint {
-        let deadline = request.arrival + START_DEADLINE;
-        if !may_retry(request) {
-            return deadline;
-        }
-        let left = deadline.since(self.now);
-        self.now + TimeSpan(left.0 / 2)
-    }
-
-    fn retry(&mut self, index: usize, worker: usize) {
-        self.note_ended(index, worker);
-        let name = self.names[worker].clone();
-        let request = &mut self.requests[index];
-        if may_retry(request) {
-            request.tried.push(name);
-            self.retries += 1;
-            self.route(index);
-        }
-    }
-
-    fn note_ended(&mut self, index: usize, worker: usize) {
-        let queue = &self.queues[worker];
-        let waiting = match self.policy {
-            SharePolicy::Shares => queue.contended(),
-            _ => queue.waiting(),
-        };
-        let load = LoadReport {
-            running: u32::try_from(queue.running()).unwrap_or(u32::MAX),
-            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
-            waiting_cost: queue.waiting_cost(ShareBand::Within),
-        };
-        let router = &mut self.entries[self.requests[index].entry].router;
-        router.note_finished(&self.names[worker]);
-        router.note_load(self.now, &self.names[worker], load);
-    }
-
-    fn advance(&mut self, worker: usize) {
-        let step = self.queues[worker].advance(self.now);
-        for refusal in step.refused {
-            self.waiting -= 1;
-            self.refused_late += 1;
-            self.retry(request_index(refusal.id), worker);
-        }
-        for started in step.started {
-            self.waiting -= 1;
-            self.running += 1;
-            self.start(request_index(started.id), worker);
-        }
-    }
-
-    fn start(&mut self, index: usize, worker: usize) {
-        let request = &self.requests[index];
-        let wait = self.now.since(request.arrival);
-        if wait <= START_DEADLINE {
-            let second = usize::try_from(request.arrival.0 / SECOND).expect("a short run");
-            let tokens = request.tokens as f64;
-            self.tallies[request.account].served[second] += tokens;
-            if is_counted(self.now) {
-                self.useful += tokens;
-            }
-        }
-        let high = self.scenario.accounts[request.account].class;
-        if high == celerycrank_config::PriorityClass::High && is_counted(request.arrival) {
-            self.waits.saturating_record(wait.0 / 1_000);
-        }
-        let hold = TimeSpan(PREFILL.0 + request.tokens * TOKEN_TIME.0);
-        self.schedule(
-            hold,
-            Happening::Finish {
-                request: index,
-                worker,
-            },
-        );
-    }
-
-    fn finish(&mut self, index: usize, worker: usize) {
-        self.running -= 1;
-        let tokens = TokenCount(self.requests[index].tokens);
-        self.queues[worker].settle(self.now, RequestId(index as u128), tokens);
-        self.note_ended(index, worker);
-        let request = &self.requests[index];
-        let router = &mut self.entries[request.entry].router;
-        router.note_answered(self.now, &request.prefix);
-        self.advance(worker);
-    }
 }
 
 fn new_entry(entry: usize, names: &[BackendId]) -> Entry {
--- a/crates/celerycrank-cli/src/operator/apply.rs
+++ b/crates/celerycrank-cli/src/operator/apply.rs
@@ -124,7 +124,7 @@
             }
             WriteOutcome::Conflict(record) => Ok(report_conflict(&record, base)),
             WriteOutcome::Missing => Ok(report_missing(&platform, base)),
-            WriteOutcome::Unknown(fault) => Ok(report_unknown(&fault)),
+            WriteOutcome::Unknown(fault) => Ok(CommandReport::unsettled(&fault)),
         },
     }
 }
@@ -264,15 +264,3 @@
     let json = json!({ "edited": base, "in_force": null, "key": key });
     CommandReport::new(ExitStatus::Conflict, text, &json)
 }
-
-fn report_unknown(fault: &KeyValueFault) -> CommandReport {
-    let text = format!(
-        "it is not known whether the change was made: {fault}\n\
-         run the same command again: it is never made twice\n"
-    );
-    CommandReport::new(
-        ExitStatus::Unknown,
-        text,
-        &json!({ "error": fault.to_string() }),
-    )
-}
--- a/crates/celerycrank-cli/src/operator/report.rs
+++ b/crates/celerycrank-cli/src/operator/report.rs
@@ -39,6 +39,19 @@
 }
 
 impl CommandReport {
+    /// A write whose answer was lost and that could not be settled.
+    pub(crate) fn unsettled(fault: &KeyValueFault) -> Self {
+        let text = format!(
+            "it is not known whether the change was made: {fault}\n\
+             run the same command again: it is never made twice\n"
+        );
+        Self::new(
+            ExitStatus::Unknown,
+            text,
+            &json!({ "error": fault.to_string() }),
+        )
+    }
+
     pub(crate) fn new(exit: ExitStatus, text: impl Into<String>, json: &impl Serialize) -> Self {
         Self {
             exit,
--- a/crates/celerycrank-cli/src/operator/stop.rs
+++ b/crates/celerycrank-cli/src/operator/stop.rs
@@ -253,15 +253,7 @@
         let json = json!({ "error": "others edit the stops" });
         return CommandReport::new(ExitStatus::Conflict, text, &json);
     };
-    let text = format!(
-        "it is not known whether the change was made: {fault}\n\
-         run the same command again: it is never made twice\n"
-    );
-    CommandReport::new(
-        ExitStatus::Unknown,
-        text,
-        &json!({ "error": fault.to_string() }),
-    )
+    CommandReport::unsettled(&fault)
 }
 
 async fn list(platform: &PlatformHandle) -> Result<CommandReport, CommandFault> {
