--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -9,9 +9,8 @@
 };
 use bytes::Bytes;
 use celerycrank_config::RepeatRule;
-use celerycrank_routing::PromptPrefix;
 use celerycrank_types::{Incarnation, RefusalReason, TimePoint, TimeSpan};
-use celerycrank_wire::{HttpField, OfferKind, RequestHead, RunOrder};
+use celerycrank_wire::{HttpField, RequestHead, RunOrder};
 
 use crate::{
     body::read_body,
@@ -125,7 +124,7 @@
         .build();
     Ok(PreparedRequest {
         order,
-        prefix: prompt_prefix(&resolved.kind, &draft.body),
+        prefix: resolved.prefix,
         kind: resolved.kind,
         rate: policy.rate,
         arrival: draft.arrival,
@@ -134,14 +133,6 @@
     })
 }
 
-/// The prefix by which a model's requests are kept together.
-fn prompt_prefix(kind: &OfferKind, body: &[u8]) -> PromptPrefix {
-    match kind {
-        OfferKind::Model(_) => PromptPrefix::of_text(body),
-        _ => PromptPrefix::default(),
-    }
-}
-
 /// Checks who calls, and takes the whole request.
 async fn read_draft(
     state: &EntryState,
--- a/crates/celerycrank-entry/src/lib.rs
+++ b/crates/celerycrank-entry/src/lib.rs
@@ -16,9 +16,10 @@
 mod peer;
 mod probe;
 mod process;
+mod prompt;
 mod refusal;
 mod resolve;
 mod roster;
 mod state;
 
-pub use crate::{fault::EntryFault, process::EntryProcess};
+pub use crate::{fault::EntryFault, process::EntryProcess, prompt::prompt_prefix};
--- a/crates/celerycrank-entry/src/resolve.rs
+++ b/crates/celerycrank-entry/src/resolve.rs
@@ -3,9 +3,13 @@
 use celerycrank_config::{
     AccountIndex, CHAT_PATH, PolicyTable, RequestPolicy, RequestTarget, ResolvedOffer,
 };
+use celerycrank_routing::PromptPrefix;
 use celerycrank_types::{RefusalReason, TokenCount};
 use celerycrank_wire::{OfferKind, RequestHead};
 use serde::Deserialize;
+use serde_json::Value;
+
+use crate::prompt::prompt_prefix;
 
 /// Bytes of a prompt that make about one token.
 const BYTES_PER_TOKEN: u64 = 4;
@@ -22,6 +26,8 @@
     pub(crate) policy: RequestPolicy,
     /// Work that the request is estimated to need.
     pub(crate) cost: TokenCount,
+    /// The prompt's prefix blocks; none for a plain service.
+    pub(crate) prefix: PromptPrefix,
 }
 
 /// The parts of a chat-completions request that routing needs.
@@ -30,6 +36,8 @@
     model: String,
     #[serde(default)]
     max_tokens: Option<u64>,
+    #[serde(default)]
+    messages: Vec<Value>,
 }
 
 /// Finds what a request asks for.
@@ -52,6 +60,7 @@
         kind: offer_kind(&policy),
         policy,
         cost: TokenCount(1),
+        prefix: PromptPrefix::default(),
     })
 }
 
@@ -70,6 +79,7 @@
         kind: offer_kind(&policy),
         policy,
         cost,
+        prefix: prompt_prefix(&chat.messages),
     })
 }
 
