--- a/crates/celerycrank-entry/src/process.rs
+++ b/crates/celerycrank-entry/src/process.rs
@@ -5,7 +5,7 @@
 use actix_rt::{task::JoinHandle, time::sleep};
 use celerycrank_config::{Configuration, EntrySettings};
 use celerycrank_link::{LinkEndpoint, LinkKeys};
-use celerycrank_membership::{VmFact, VmRole};
+use celerycrank_membership::{DrainState, DrainTracker, PendingWork, VmFact, VmRole};
 use celerycrank_platform::{KeyValueClient, VmListClient};
 use celerycrank_process::{
     DeploymentSource, HttpListener, ListenerLimits, ProcessClock, ShutdownFlag, StaticDeployment,
@@ -136,12 +136,8 @@
         let entry = &state.settings.entry;
         tracing::info!(%entry, %listen, %admin_listen, %link_listen, "entry serves");
         wait_for_stop_signal().await.map_err(EntryFault::Signal)?;
-        state.ready.set(false);
         tracing::info!("entry is leaving");
-        sleep(state.settings.balancer_delay.as_duration()).await;
-        state.shutdown.raise();
-        serving.abort();
-        drain(&connections).await;
+        leave(&state, &connections, &serving).await;
         learning.abort();
         for task in following {
             task.abort();
@@ -240,9 +236,24 @@
     tasks
 }
 
-/// Waits until the last caller has left.
-async fn drain(connections: &Cell<u32>) {
-    while connections.get() > 0 {
+/// Takes the entry through its planned stop, until the last caller has left.
+async fn leave(state: &EntryState, connections: &Cell<u32>, serving: &JoinHandle<()>) {
+    let mut tracker = DrainTracker::new(state.settings.balancer_delay);
+    tracker.request_stop(state.clock.now());
+    state.ready.set(tracker.is_ready());
+    loop {
+        let pending = PendingWork {
+            requests: connections.get().into(),
+            ..PendingWork::default()
+        };
+        let reached = tracker.on_tick(state.clock.now(), pending);
+        if !tracker.takes_work() {
+            state.shutdown.raise();
+            serving.abort();
+        }
+        if reached == DrainState::Finished {
+            return;
+        }
         sleep(DRAIN_INTERVAL).await;
     }
 }
