Show in the status what each account has used beside its share

An entry counts the estimated tokens of what it admits. tests/rate.rs holds the sum over both entries against the answers that callers got.

--- a/crates/celerycrank-cli/tests/rate.rs
+++ b/crates/celerycrank-cli/tests/rate.rs
@@ -11,6 +11,7 @@
 use support::{
     caller::{Answer, KEY, call},
     platform::PlatformDeployment,
+    process::RunningProcess,
 };
 
 /// Tokens a second that the plan allows; a plain call counts as one token.
@@ -32,6 +33,7 @@
     for process in deployment.entries.iter().chain(&deployment.agents) {
         process.wait_revision(2);
     }
+    let before = deployment.entries.iter().map(admitted_tokens).sum::<u64>();
     let start = Instant::now();
     let callers = (0..CALLERS).map(|caller| {
         let entry = deployment.entries[caller % 2].listen;
@@ -57,6 +59,12 @@
     );
     assert!(served.len() as u64 >= RATE, "the cap is there to be used");
     assert!(!refused.is_empty());
+    let told_use = deployment.entries.iter().map(admitted_tokens).sum::<u64>();
+    assert_eq!(
+        told_use,
+        served.len() as u64 + before,
+        "the status tells each account's use"
+    );
     let told = |answer: &Answer| {
         answer.status == 429
             && answer.reason() == Some("share_exhausted")
@@ -64,3 +72,10 @@
     };
     assert!(refused.iter().all(told));
 }
+
+/// Tokens that an entry says it has admitted for the one account.
+fn admitted_tokens(entry: &RunningProcess) -> u64 {
+    let page = call(entry.admin, "GET", "/status", None, "").body;
+    let status = serde_json::from_str::<serde_json::Value>(&page).unwrap();
+    status["accounts"][0]["admitted_tokens"].as_u64().unwrap()
+}
--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -61,7 +61,10 @@
     };
     match prepared {
         Ok(prepared) => match charge(&state, &prepared).await {
-            Ok(()) => dispatch(state, prepared).await,
+            Ok(()) => {
+                state.note_admitted(&prepared.order.account, prepared.order.cost);
+                dispatch(state, prepared).await
+            }
             Err(retry_after) => {
                 state.metrics.refusals.count(RefusalReason::ShareExhausted);
                 refuse(RefusalReason::ShareExhausted, Some(retry_after))
--- a/crates/celerycrank-entry/src/admin.rs
+++ b/crates/celerycrank-entry/src/admin.rs
@@ -4,7 +4,9 @@
 
 use celerycrank_membership::{MemberState, StopTarget};
 use celerycrank_process::AdminPages;
-use celerycrank_types::{AccountId, BackendId, DomainId, EntryId, PlanId, Revision, ShareWeight};
+use celerycrank_types::{
+    AccountId, BackendId, DomainId, EntryId, PlanId, Revision, ShareWeight, TokenCount,
+};
 use celerycrank_wire::{LoadReport, OfferKind};
 use serde::Serialize;
 
@@ -46,6 +48,8 @@
     account: AccountId,
     plan: PlanId,
     share: Option<ShareWeight>,
+    /// Estimated tokens of the requests that this entry has admitted.
+    admitted_tokens: TokenCount,
 }
 
 impl EntryPages {
@@ -79,6 +83,7 @@
                     .iter()
                     .find(|plan| plan.plan == account.plan)
                     .map(|plan| plan.share),
+                admitted_tokens: self.state.admitted(&account.account),
             })
             .collect()
     }
--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -12,7 +12,7 @@
 use celerycrank_process::{ProcessClock, ShutdownFlag};
 use celerycrank_requests::RetryBudget;
 use celerycrank_sync::SyncState;
-use celerycrank_types::{AccountId, RequestId, Revision};
+use celerycrank_types::{AccountId, RequestId, Revision, TokenCount};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{allowance::AllowanceDesk, metrics::EntryMetrics, roster::AgentRoster};
@@ -31,6 +31,8 @@
     /// Whether the entry has learnt enough to serve and is not shutting down.
     pub(crate) ready: Cell<bool>,
     budgets: RefCell<HashMap<AccountId, RetryBudget>>,
+    /// Estimated tokens of the requests admitted here, by account.
+    admitted: RefCell<HashMap<AccountId, TokenCount>>,
     in_force: InForceCell,
 }
 
@@ -75,6 +77,7 @@
             allowances: AllowanceDesk::default(),
             ready: Cell::new(false),
             budgets: RefCell::default(),
+            admitted: RefCell::default(),
             in_force,
             settings,
         }
@@ -109,6 +112,24 @@
         self.ready.get() && !self.sync.is_stopping()
     }
 
+    /// Counts a request as admitted for its account.
+    pub(crate) fn note_admitted(&self, account: &AccountId, cost: TokenCount) {
+        let mut admitted = self.admitted.borrow_mut();
+        match admitted.get_mut(account) {
+            Some(tokens) => *tokens += cost,
+            None => drop(admitted.insert(account.clone(), cost)),
+        }
+    }
+
+    /// Estimated tokens of the requests admitted here for an account.
+    pub(crate) fn admitted(&self, account: &AccountId) -> TokenCount {
+        self.admitted
+            .borrow()
+            .get(account)
+            .copied()
+            .unwrap_or_default()
+    }
+
     pub(crate) fn draw_request_id(&self) -> RequestId {
         RequestId(self.random.borrow_mut().random())
     }
