Judge members by one clock in an entry

Cause: rereading the change: the entry and its SyncState each started a clock, and slow-start weights were computed from a point of one against a point of the other. The origins differed by what start-up takes, so behaviour is the same.

--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -67,7 +67,7 @@
         in_force: InForceCell,
     ) -> Self {
         Self {
-            clock: ProcessClock::start(),
+            clock: sync.clock(),
             shutdown: ShutdownFlag::default(),
             metrics,
             pool: Rc::new(LinkPool::new(endpoint, settings.entry.clone())),
--- a/crates/celerycrank-sync/src/state.rs
+++ b/crates/celerycrank-sync/src/state.rs
@@ -104,6 +104,12 @@
         }
     }
 
+    /// The clock by which members are judged; points of another one must not be mixed in.
+    #[must_use]
+    pub const fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
     /// The revision in force; zero before the first configuration.
     #[must_use]
     pub fn revision(&self) -> Revision {
