Serve peers by one accept loop in the link

Cause: rereading the change: agent and entry had the same two loops for connections and streams. celerycrank-link's serve_streams takes their place; the counters of refused handshakes stay as they were.

--- a/crates/celerycrank-agent/src/order.rs
+++ b/crates/celerycrank-agent/src/order.rs
@@ -2,29 +2,18 @@
 
 use std::rc::Rc;
 
-use celerycrank_link::{LinkEndpoint, LinkIncoming, MessageReceiver, MessageSender, StreamFault};
+use celerycrank_link::{LinkEndpoint, MessageReceiver, MessageSender, StreamFault, serve_streams};
 use celerycrank_requests::{AttemptAction, AttemptEvent, AttemptId, RevokeAnswer};
 use celerycrank_wire::{PeerOrder, PeerReply, RevokeOrder, RevokeReply, RevokeVerdict};
 
 use crate::{run::run_order, state::AgentState};
 
-/// Accepts connections of entries until the endpoint is closed.
+/// Serves entries until the endpoint is closed.
 pub(crate) async fn accept_entries(state: Rc<AgentState>, endpoint: LinkEndpoint) {
-    while let Some(incoming) = endpoint.accept().await {
-        let state = Rc::clone(&state);
-        let endpoint = endpoint.clone();
-        actix_rt::spawn(serve_entry(state, endpoint, incoming));
-    }
-}
-
-async fn serve_entry(state: Rc<AgentState>, endpoint: LinkEndpoint, incoming: LinkIncoming) {
-    let Ok(connection) = incoming.handshake().await else {
-        state.metrics.handshake_faults.inc();
-        return;
-    };
-    while let Some((sender, receiver)) = endpoint.accept_stream(&connection).await {
-        actix_rt::spawn(serve_stream(Rc::clone(&state), sender, receiver));
-    }
+    let observed = Rc::clone(&state);
+    let refused = move || observed.metrics.handshake_faults.inc();
+    let serve = move |sender, receiver| serve_stream(Rc::clone(&state), sender, receiver);
+    serve_streams(endpoint, refused, serve).await;
 }
 
 async fn serve_stream(
--- a/crates/celerycrank-entry/src/peer.rs
+++ b/crates/celerycrank-entry/src/peer.rs
@@ -2,27 +2,18 @@
 
 use std::rc::Rc;
 
-use celerycrank_link::{LinkEndpoint, LinkIncoming, MessageReceiver, MessageSender, StreamFault};
+use celerycrank_link::{LinkEndpoint, MessageReceiver, MessageSender, StreamFault, serve_streams};
 use celerycrank_types::Incarnation;
 use celerycrank_wire::{BackendOffer, LoadReport, OfferKind, PeerOrder, PeerReply, WelcomeReply};
 
 use crate::state::EntryState;
 
-/// Accepts connections of other entries until the endpoint is closed.
+/// Serves other entries until the endpoint is closed.
 pub(crate) async fn accept_peers(state: Rc<EntryState>, endpoint: LinkEndpoint) {
-    while let Some(incoming) = endpoint.accept().await {
-        actix_rt::spawn(serve_peer(Rc::clone(&state), endpoint.clone(), incoming));
-    }
-}
-
-async fn serve_peer(state: Rc<EntryState>, endpoint: LinkEndpoint, incoming: LinkIncoming) {
-    let Ok(connection) = incoming.handshake().await else {
-        state.metrics.wire_faults.inc();
-        return;
-    };
-    while let Some((sender, receiver)) = endpoint.accept_stream(&connection).await {
-        actix_rt::spawn(serve_stream(Rc::clone(&state), sender, receiver));
-    }
+    let observed = Rc::clone(&state);
+    let refused = move || observed.metrics.wire_faults.inc();
+    let serve = move |sender, receiver| serve_stream(Rc::clone(&state), sender, receiver);
+    serve_streams(endpoint, refused, serve).await;
 }
 
 async fn serve_stream(
--- a/crates/celerycrank-link/src/lib.rs
+++ b/crates/celerycrank-link/src/lib.rs
@@ -9,6 +9,7 @@
 mod fault;
 mod keys;
 mod pool;
+mod serve;
 mod stream;
 
 pub use crate::{
@@ -17,5 +18,6 @@
     fault::{LinkFault, StreamFault},
     keys::LinkKeys,
     pool::{LinkPool, PeerLink},
+    serve::serve_streams,
     stream::{MessageReceiver, MessageSender},
 };
