--- a/crates/celerycrank-agent/src/claims.rs
+++ b/crates/celerycrank-agent/src/claims.rs
@@ -4,10 +4,10 @@
 
 use actix_rt::time::sleep;
 use bytes::Bytes;
-use celerycrank_config::BackendKind;
-use celerycrank_platform::{
+use celerycrank_client::{
     Expected, KeyValueClient, KeyValueFault, KeyValueRecord, ModRevision, SwapOutcome,
 };
+use celerycrank_config::BackendKind;
 use celerycrank_process::ProcessClock;
 use celerycrank_requests::{
     CallKey, CallStatus, ClaimAnswer, ClaimLedger, ClaimOperation, ClaimOrder, ClaimOutput,
--- a/crates/celerycrank-agent/src/process.rs
+++ b/crates/celerycrank-agent/src/process.rs
@@ -8,9 +8,9 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
+use celerycrank_client::KeyValueClient;
 use celerycrank_config::AgentSettings;
 use celerycrank_link::{LinkEndpoint, LinkKeys};
-use celerycrank_platform::KeyValueClient;
 use celerycrank_process::{
     DeploymentSource, HttpListener, ListenerLimits, ShutdownFlag, StaticDeployment, serve_admin,
     wait_for_stop_signal,
--- a/crates/celerycrank-bench/src/capacity/probe/list.rs
+++ b/crates/celerycrank-bench/src/capacity/probe/list.rs
@@ -1,6 +1,6 @@
 //! The VM list followed over HTTP from its stand-in.
 
-use celerycrank_platform::{VmListClient, VmListFeed};
+use celerycrank_client::{VmListClient, VmListFeed};
 use celerycrank_standin::{ListedOffer, ListedVm, VmListStandin};
 use celerycrank_types::TimeSpan;
 use cpu_time::ThreadTime;
--- a/crates/celerycrank-cli/src/main.rs
+++ b/crates/celerycrank-cli/src/main.rs
@@ -36,6 +36,10 @@
     Entry(role::RoleArgs),
     /// Run an agent: the only way to the backend server beside it.
     Agent(role::RoleArgs),
+    /// Run an entry that sends requests straight to backend servers.
+    DirectEntry(role::DirectArgs),
+    /// Run an agent beside a model engine that entries reach by themselves.
+    RankAgent(role::DirectArgs),
     /// Make an authority and process keys for a trial deployment.
     Keys(keys::KeysArgs),
     /// Name every fault of the lists and settings.
@@ -63,6 +67,8 @@
     match command {
         ProcessCommand::Entry(args) => exit_code(role::run_entry(&args)),
         ProcessCommand::Agent(args) => exit_code(role::run_agent(&args)),
+        ProcessCommand::DirectEntry(args) => exit_code(role::run_direct_entry(&args)),
+        ProcessCommand::RankAgent(args) => exit_code(role::run_rank_agent(&args)),
         ProcessCommand::Keys(args) => exit_code(keys::make_keys(&args)),
         ProcessCommand::Check(args) => operator::finish(format, operator::check::check(&args)),
         ProcessCommand::Diff(args) => operator::run(format, operator::diff::diff(&args)),
--- a/crates/celerycrank-cli/src/operator/apply.rs
+++ b/crates/celerycrank-cli/src/operator/apply.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
+use celerycrank_client::{Expected, KeyValueFault, KeyValueRecord, SendFault, SwapOutcome};
 use celerycrank_config::{ChangeNote, ConfigurationRecord, ListChange};
-use celerycrank_platform::{Expected, KeyValueFault, KeyValueRecord, SendFault, SwapOutcome};
 use celerycrank_types::Revision;
 use serde_json::json;
 
--- a/crates/celerycrank-cli/src/operator/report.rs
+++ b/crates/celerycrank-cli/src/operator/report.rs
@@ -2,7 +2,7 @@
 
 use std::{io, path::PathBuf, sync::Arc};
 
-use celerycrank_platform::{KeyValueFault, VmListFault};
+use celerycrank_client::{KeyValueFault, VmListFault};
 use clap::ValueEnum;
 use serde::Serialize;
 use serde_json::{Value, json};
--- a/crates/celerycrank-cli/src/operator/service.rs
+++ b/crates/celerycrank-cli/src/operator/service.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use celerycrank_config::{ConfigurationRecord, PlatformSettings};
-use celerycrank_membership::StopsRecord;
-use celerycrank_platform::{
+use celerycrank_client::{
     Expected, KeyValueClient, KeyValueFault, KeyValueRecord, SwapOutcome, VmListClient,
 };
+use celerycrank_config::{ConfigurationRecord, PlatformSettings};
+use celerycrank_membership::StopsRecord;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::operator::CommandFault;
--- a/crates/celerycrank-cli/src/operator/stop.rs
+++ b/crates/celerycrank-cli/src/operator/stop.rs
@@ -2,10 +2,10 @@
 
 use std::{fmt::Write, sync::Arc};
 
+use celerycrank_client::{Expected, KeyValueFault, SwapOutcome, VmOffer, VmRecord, VmState};
 use celerycrank_membership::{
     MemberTable, MemberTimings, PlannedStop, StopImpact, StopTarget, StopsRecord, VmFact, VmRole,
 };
-use celerycrank_platform::{Expected, KeyValueFault, SwapOutcome, VmOffer, VmRecord, VmState};
 use celerycrank_types::{TimePoint, TimeSpan};
 use clap::Subcommand;
 use serde_json::json;
--- a/crates/celerycrank-cli/src/role.rs
+++ b/crates/celerycrank-cli/src/role.rs
@@ -1,11 +1,18 @@
-//! The `entry` and `agent` commands.
+//! The commands that run a process role.
 
-use std::{error::Error, fs, path::PathBuf};
+use std::{
+    error::Error,
+    fs,
+    path::{Path, PathBuf},
+};
 
 use celerycrank_agent::AgentProcess;
-use celerycrank_config::{CheckFault, check_agent, check_entry};
+use celerycrank_config::{
+    CheckFault, check_agent, check_direct_entry, check_entry, check_rank_agent,
+};
+use celerycrank_direct::{DirectEntryProcess, RankAgentProcess};
 use celerycrank_entry::EntryProcess;
-use celerycrank_process::DeploymentSource;
+use celerycrank_process::{DeploymentSource, LogBuffer};
 use clap::ValueEnum;
 use tracing_subscriber::EnvFilter;
 
@@ -23,6 +30,14 @@
     log: LogForm,
 }
 
+/// Arguments of a process that stands straight before backend servers.
+#[derive(Debug, clap::Args)]
+pub(crate) struct DirectArgs {
+    /// Settings of the process (JSON).
+    #[arg(long, env = "CELERYCRANK_CONFIG")]
+    settings: PathBuf,
+}
+
 #[derive(Debug, Clone, Copy, ValueEnum)]
 enum LogForm {
     /// For people.
@@ -34,7 +49,7 @@
 /// Runs an entry until it is told to stop.
 pub(crate) fn run_entry(args: &RoleArgs) -> Result<(), Box<dyn Error>> {
     start_log(args.log);
-    let settings = read_settings(args, check_entry)?;
+    let settings = read_settings(&args.settings, check_entry)?;
     let source = find_source(args, settings.platform.clone());
     actix_rt::System::new().block_on(async {
         let process = EntryProcess::start(settings, &source).await?;
@@ -46,7 +61,7 @@
 /// Runs an agent until it is told to stop.
 pub(crate) fn run_agent(args: &RoleArgs) -> Result<(), Box<dyn Error>> {
     start_log(args.log);
-    let settings = read_settings(args, check_agent)?;
+    let settings = read_settings(&args.settings, check_agent)?;
     let source = find_source(args, settings.platform.clone());
     actix_rt::System::new().block_on(async {
         let process = AgentProcess::start(settings, &source).await?;
@@ -55,16 +70,39 @@
     })
 }
 
+/// Runs an entry that sends requests straight to backend servers, until it is told to stop.
+pub(crate) fn run_direct_entry(args: &DirectArgs) -> Result<(), Box<dyn Error>> {
+    let log = start_buffered_log();
+    let settings = read_settings(&args.settings, check_direct_entry)?;
+    let result = actix_rt::System::new().block_on(async {
+        let process = DirectEntryProcess::start(settings).await?;
+        process.run().await
+    });
+    log.flush_lines();
+    Ok(result?)
+}
+
+/// Runs an agent beside a model engine, until it is told to stop.
+pub(crate) fn run_rank_agent(args: &DirectArgs) -> Result<(), Box<dyn Error>> {
+    let log = start_buffered_log();
+    let settings = read_settings(&args.settings, check_rank_agent)?;
+    let result = actix_rt::System::new().block_on(async {
+        let process = RankAgentProcess::start(settings).await?;
+        process.run().await
+    });
+    log.flush_lines();
+    Ok(result?)
+}
+
 fn read_settings<T>(
-    args: &RoleArgs,
+    path: &Path,
     check: impl FnOnce(&str) -> Result<T, Vec<CheckFault>>,
 ) -> Result<T, Box<dyn Error>> {
-    let path = args.settings.display();
-    let text =
-        fs::read_to_string(&args.settings).map_err(|e| format!("cannot read {path}: {e}"))?;
+    let name = path.display();
+    let text = fs::read_to_string(path).map_err(|e| format!("cannot read {name}: {e}"))?;
     check(&text).map_err(|faults| {
         let lines = faults.iter().map(|fault| format!("\n  {fault}"));
-        format!("{path} has faults:{}", lines.collect::<String>()).into()
+        format!("{name} has faults:{}", lines.collect::<String>()).into()
     })
 }
 
@@ -88,3 +126,16 @@
         LogForm::Json => builder.json().init(),
     }
 }
+
+/// Starts structured logs on standard output, which never wait for their reader.
+fn start_buffered_log() -> LogBuffer {
+    let log = LogBuffer::start();
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(log.clone())
+        .init();
+    log
+}
--- a/crates/celerycrank-cli/tests/sessions.rs
+++ b/crates/celerycrank-cli/tests/sessions.rs
@@ -5,8 +5,8 @@
 use std::{future::ready, net::SocketAddr, rc::Rc};
 
 use actix_http::StatusCode;
+use celerycrank_client::{Expected, KeyValueClient, RecordFeed};
 use celerycrank_config::ConfigurationRecord;
-use celerycrank_platform::{Expected, KeyValueClient, RecordFeed};
 use celerycrank_standin::{
     HttpAnswer, HttpCall, HttpHandler, KeyValueFaults, ListedOffer, ListedVm, OutageKind,
     StandinServer,
--- a/crates/celerycrank-cli/tests/support/platform.rs
+++ b/crates/celerycrank-cli/tests/support/platform.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, sync::mpsc, thread};
 
+use celerycrank_client::{Expected, KeyValueClient, SwapOutcome};
 use celerycrank_config::{ConfigurationRecord, KeyHash};
 use celerycrank_membership::StopsRecord;
-use celerycrank_platform::{Expected, KeyValueClient, SwapOutcome};
 use celerycrank_standin::{KeyValueStandin, VmListStandin};
 use celerycrank_types::TimeSpan;
 use serde_json::{Value, json};
--- a/crates/celerycrank-platform/src/client.rs
+++ b/crates/celerycrank-client/src/client.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     AnswerFault, CallCounters, CallKind, KeyValueFault, KeyValueRecord, LeaseId, ModRevision,
-    RangeSnapshot, SendFault,
+    SendFault,
     gateway::{
         DeleteResponse, EncodedBytes, GatewayRecord, NumberText, PutRequest, RangeRequest,
         RangeResponse, TxnCompare, TxnOperation, TxnRequest, TxnResponse, prefix_end,
@@ -25,11 +25,31 @@
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
 
 /// Largest answer that is read; a range may hold many values.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+pub(crate) const MAX_ANSWER_BYTES: usize = 64 << 20;
 
 /// Longest part of a refusal that is kept.
 const MAX_MESSAGE_BYTES: usize = 4 << 10;
 
+/// The wire form that the key-value service speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum WireForm {
+    /// The JSON gateway of etcd's v3 protocol.
+    Gateway,
+    /// The form of the users' platform.
+    Platform,
+}
+
+/// The records under a prefix.
+///
+/// Invariant: every change that they do not show came behind the revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RangeSnapshot {
+    /// The service's revision when the read began.
+    pub revision: ModRevision,
+    /// The records, ordered by key.
+    pub records: Vec<KeyValueRecord>,
+}
+
 /// What a key must hold for a compare-and-swap to be carried out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Expected {
@@ -39,6 +59,16 @@
     At(ModRevision),
 }
 
+impl Expected {
+    /// The revision of the key; zero stands for no such key.
+    pub(crate) const fn revision(self) -> ModRevision {
+        match self {
+            Self::Absent => ModRevision(0),
+            Self::At(revision) => revision,
+        }
+    }
+}
+
 /// What a compare-and-swap did.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SwapOutcome {
@@ -59,6 +89,7 @@
 
 #[derive(Debug)]
 struct ClientState {
+    form: WireForm,
     addresses: SmallVec<[Arc<str>; 1]>,
     timeout: Duration,
     counters: CallCounters,
@@ -80,6 +111,12 @@
     /// `timeout` bounds each call on each address.
     #[must_use]
     pub fn new(addresses: &[Arc<str>], timeout: TimeSpan) -> Self {
+        Self::with_form(WireForm::Gateway, addresses, timeout)
+    }
+
+    /// Creates a client of a service that speaks this wire form.
+    #[must_use]
+    pub fn with_form(form: WireForm, addresses: &[Arc<str>], timeout: TimeSpan) -> Self {
         let duration = timeout.as_duration();
         let connector = Connector::new().timeout(duration);
         let http = Client::builder()
@@ -88,6 +125,7 @@
             .disable_redirects()
             .finish();
         let state = ClientState {
+            form,
             addresses: addresses.iter().cloned().collect(),
             timeout: duration,
             counters: CallCounters::default(),
@@ -114,10 +152,17 @@
     }
 
     /// Reads one key, and the service's revision at the time of the read.
-    pub(crate) async fn get_at(
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address gives an answer to use.
+    pub async fn get_at(
         &self,
         key: &str,
     ) -> Result<(Option<KeyValueRecord>, ModRevision), KeyValueFault> {
+        if self.shared.form == WireForm::Platform {
+            return self.get_exchanged(key).await;
+        }
         let request = RangeRequest {
             key: key.into(),
             range_end: None,
@@ -127,12 +172,15 @@
         Ok((first_record(response), revision))
     }
 
-    /// Reads every key with this prefix, all at one revision.
+    /// Reads every key with this prefix.
     ///
     /// # Errors
     ///
     /// Fails if no address gives an answer to use.
     pub async fn range(&self, prefix: &str) -> Result<RangeSnapshot, KeyValueFault> {
+        if self.shared.form == WireForm::Platform {
+            return self.range_exchanged(prefix).await;
+        }
         let request = RangeRequest {
             key: prefix.into(),
             range_end: Some(prefix_end(prefix)),
@@ -171,8 +219,7 @@
         value: Bytes,
         lease: LeaseId,
     ) -> Result<SwapOutcome, KeyValueFault> {
-        self.swap(key, expected, value, Some(NumberText(lease.0)))
-            .await
+        self.swap(key, expected, value, Some(lease)).await
     }
 
     /// Deletes a key and says whether it existed.
@@ -181,6 +228,9 @@
     ///
     /// Fails with [`KeyValueFault::Unknown`] if the key may have been deleted.
     pub async fn delete(&self, key: &str) -> Result<bool, KeyValueFault> {
+        if self.shared.form == WireForm::Platform {
+            return self.delete_exchanged(key).await;
+        }
         let request = RangeRequest {
             key: key.into(),
             range_end: None,
@@ -194,12 +244,16 @@
         key: &str,
         expected: Expected,
         value: Bytes,
-        lease: Option<NumberText>,
+        lease: Option<LeaseId>,
     ) -> Result<SwapOutcome, KeyValueFault> {
         if value.len() > MAX_VALUE_BYTES {
             let size = ByteSize(value.len() as u64);
             return Err(KeyValueFault::NotSent(SendFault::ValueTooLarge(size)));
         }
+        if self.shared.form == WireForm::Platform {
+            return self.swap_exchanged(key, expected, &value, lease).await;
+        }
+        let lease = lease.map(|lease| NumberText(lease.0));
         let request = swap_request(key, expected, value, lease);
         let response = self.call::<TxnResponse>(CallKind::Txn, &request).await?;
         if response.succeeded {
@@ -285,6 +339,18 @@
     pub(crate) fn addresses(&self) -> &[Arc<str>] {
         &self.shared.addresses
     }
+
+    pub(crate) fn form(&self) -> WireForm {
+        self.shared.form
+    }
+
+    pub(crate) fn timeout(&self) -> Duration {
+        self.shared.timeout
+    }
+
+    pub(crate) fn http(&self) -> &Client {
+        &self.shared.http.0
+    }
 }
 
 fn swap_request(
@@ -293,16 +359,12 @@
     value: Bytes,
     lease: Option<NumberText>,
 ) -> TxnRequest {
-    let revision = match expected {
-        Expected::Absent => ModRevision::default(),
-        Expected::At(revision) => revision,
-    };
     TxnRequest {
         compare: [TxnCompare {
             key: key.into(),
             target: "MOD",
             result: "EQUAL",
-            mod_revision: NumberText(revision.0),
+            mod_revision: NumberText(expected.revision().0),
         }],
         success: [TxnOperation::RequestPut(PutRequest {
             key: key.into(),
--- a/crates/celerycrank-platform/src/lease.rs
+++ b/crates/celerycrank-client/src/lease.rs
@@ -1,26 +1,14 @@
 //! Leases: records that go by themselves when their holder falls silent.
 
-use std::fmt;
-
 use celerycrank_types::TimeSpan;
 
 use crate::{
-    AnswerFault, CallKind, KeyValueClient, KeyValueFault,
+    AnswerFault, CallKind, KeyValueClient, KeyValueFault, LeaseId, WireForm,
     gateway::{LeaseRequest, LeaseResponse, NumberText, StreamLine},
 };
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
-/// A lease, as named by the service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct LeaseId(pub u64);
-
-impl fmt::Display for LeaseId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
 /// A lease and how long it lasts unless renewed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseGrant {
@@ -31,13 +19,16 @@
 }
 
 impl KeyValueClient {
-    /// Asks for a new lease; the service counts in whole seconds.
+    /// Asks for a new lease; etcd counts in whole seconds.
     ///
     /// # Errors
     ///
     /// Fails with [`KeyValueFault::Unknown`] if a lease may have been granted; it then
     /// ends by itself.
     pub async fn grant_lease(&self, ttl: TimeSpan) -> Result<LeaseGrant, KeyValueFault> {
+        if self.form() == WireForm::Platform {
+            return self.grant_exchanged(ttl).await;
+        }
         let request = LeaseRequest {
             ttl: Some(NumberText(ttl.0.div_ceil(MICROS_PER_SECOND))),
             id: NumberText::default(),
@@ -55,6 +46,9 @@
         &self,
         lease: LeaseId,
     ) -> Result<Option<LeaseGrant>, KeyValueFault> {
+        if self.form() == WireForm::Platform {
+            return self.renew_exchanged(lease).await;
+        }
         let request = id_request(lease);
         let response = self.call::<StreamLine<LeaseResponse>>(CallKind::LeaseKeepalive, &request);
         let grant = read_grant(&response.await?.result);
@@ -73,6 +67,9 @@
     ///
     /// Fails if no answer came; the lease then ends by itself.
     pub async fn revoke_lease(&self, lease: LeaseId) -> Result<(), KeyValueFault> {
+        if self.form() == WireForm::Platform {
+            return self.end_exchanged(lease).await;
+        }
         let request = id_request(lease);
         let response = self.call::<serde_json::Value>(CallKind::LeaseRevoke, &request);
         response.await.map(drop)
--- a/crates/celerycrank-platform/src/watch.rs
+++ b/crates/celerycrank-client/src/watch.rs
@@ -3,11 +3,12 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use actix_rt::time::timeout;
-use awc::ClientResponse;
 use bytes::Bytes;
+use celerycrank_types::TimeSpan;
 
 use crate::{
-    AnswerFault, CallKind, KeyValueClient, KeyValueFault, KeyValueRecord, ModRevision, SendFault,
+    AnswerFault, CallKind, KeyValueClient, KeyValueFault, ModRevision, SendFault, WatchEvent,
+    WireForm,
     gateway::{
         EventKind, GatewayEvent, NumberText, StreamLine, WatchCreate, WatchRequest, WatchResponse,
         prefix_end,
@@ -27,37 +28,46 @@
     Prefix(Arc<str>),
 }
 
-/// A change of one key.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum WatchEvent {
-    /// The key was written.
-    Put(KeyValueRecord),
-    /// The key was deleted, or its lease ended.
-    Deleted {
-        /// The key.
-        key: Arc<str>,
-        /// When it was deleted.
-        revision: ModRevision,
+/// Longest wait of one question for changes, in the wire form that asks again and again.
+const POLL_WAIT: TimeSpan = TimeSpan::from_secs(10);
+
+/// A watch that waits for changes; dropping it ends it.
+#[derive(Debug)]
+pub struct KeyValueWatch {
+    client: KeyValueClient,
+    source: WatchSource,
+    events: VecDeque<WatchEvent>,
+}
+
+/// Where the changes come from.
+#[derive(Debug)]
+enum WatchSource {
+    /// A streamed answer that goes on.
+    Lines(LineStream),
+    /// Questions that wait, each for the changes behind the last answer.
+    Polls {
+        target: WatchTarget,
+        behind: ModRevision,
     },
 }
 
-impl WatchEvent {
-    /// The revision of the change.
-    #[must_use]
-    pub const fn revision(&self) -> ModRevision {
+impl WatchTarget {
+    fn prefix(&self) -> &str {
         match self {
-            Self::Put(record) => record.revision,
-            Self::Deleted { revision, .. } => *revision,
+            Self::Key(name) | Self::Prefix(name) => name,
         }
     }
-}
 
-/// A watch that waits for changes; dropping it ends it.
-#[derive(Debug)]
-pub struct KeyValueWatch {
-    client: KeyValueClient,
-    lines: LineStream,
-    events: VecDeque<WatchEvent>,
+    fn covers(&self, event: &WatchEvent) -> bool {
+        let key = match event {
+            WatchEvent::Put(record) => &record.key,
+            WatchEvent::Deleted { key, .. } => key,
+        };
+        match self {
+            Self::Key(name) => key == name,
+            Self::Prefix(_) => true,
+        }
+    }
 }
 
 impl KeyValueClient {
@@ -71,11 +81,22 @@
         target: &WatchTarget,
         from: ModRevision,
     ) -> Result<KeyValueWatch, KeyValueFault> {
+        if self.form() == WireForm::Platform {
+            let behind = ModRevision(from.0.saturating_sub(1));
+            let target = target.clone();
+            return Ok(KeyValueWatch::new(
+                self.clone(),
+                WatchSource::Polls { target, behind },
+            ));
+        }
         let request = watch_request(target, from);
         let mut last = KeyValueFault::NotSent(SendFault::NoAddress);
         for address in self.addresses() {
             match self.send(address, CallKind::Watch, &request).await {
-                Ok(response) => return Ok(KeyValueWatch::new(self.clone(), response)),
+                Ok(response) => {
+                    let source = WatchSource::Lines(LineStream::new(response));
+                    return Ok(KeyValueWatch::new(self.clone(), source));
+                }
                 Err(fault) => last = fault,
             }
             self.counters().count_failed(CallKind::Watch);
@@ -85,11 +106,11 @@
 }
 
 impl KeyValueWatch {
-    fn new(client: KeyValueClient, response: ClientResponse) -> Self {
+    fn new(client: KeyValueClient, source: WatchSource) -> Self {
         client.counters().open_watch();
         Self {
             client,
-            lines: LineStream::new(response),
+            source,
             events: VecDeque::new(),
         }
     }
@@ -105,8 +126,21 @@
             if let Some(event) = self.events.pop_front() {
                 return Ok(event);
             }
-            let line = self.read_line().await?;
-            self.accept(&line)?;
+            match &mut self.source {
+                WatchSource::Lines(lines) => {
+                    let line = read_line(lines).await?;
+                    self.accept(&line)?;
+                }
+                WatchSource::Polls { target, behind } => {
+                    let batch = self
+                        .client
+                        .poll_exchanged(target.prefix(), *behind, POLL_WAIT)
+                        .await?;
+                    *behind = batch.revision;
+                    let covered = batch.events.into_iter().filter(|it| target.covers(it));
+                    self.events.extend(covered);
+                }
+            }
         }
     }
 
@@ -117,7 +151,7 @@
     /// Fails as [`Self::next`] does.
     pub async fn next_within(
         &mut self,
-        span: celerycrank_types::TimeSpan,
+        span: TimeSpan,
     ) -> Result<Option<WatchEvent>, KeyValueFault> {
         match timeout(span.as_duration(), self.next()).await {
             Ok(event) => event.map(Some),
@@ -125,14 +159,6 @@
         }
     }
 
-    async fn read_line(&mut self) -> Result<Bytes, KeyValueFault> {
-        self.lines.next().await.map_err(|fault| match fault {
-            LineFault::Lost(message) => KeyValueFault::Unknown(AnswerFault::Lost(message)),
-            LineFault::Ended => KeyValueFault::Unknown(AnswerFault::WatchEnded),
-            LineFault::TooLong => malformed("a line of a watch exceeds the limit"),
-        })
-    }
-
     fn accept(&mut self, line: &[u8]) -> Result<(), KeyValueFault> {
         let parsed = serde_json::from_slice::<StreamLine<WatchResponse>>(line);
         let response = parsed.map_err(|e| malformed(&e.to_string()))?.result;
@@ -154,6 +180,14 @@
     }
 }
 
+async fn read_line(lines: &mut LineStream) -> Result<Bytes, KeyValueFault> {
+    lines.next().await.map_err(|fault| match fault {
+        LineFault::Lost(message) => KeyValueFault::Unknown(AnswerFault::Lost(message)),
+        LineFault::Ended => KeyValueFault::Unknown(AnswerFault::WatchEnded),
+        LineFault::TooLong => malformed("a line of a watch exceeds the limit"),
+    })
+}
+
 fn watch_request(target: &WatchTarget, from: ModRevision) -> WatchRequest {
     let (key, range_end) = match target {
         WatchTarget::Key(key) => (key, None),
--- a/crates/celerycrank-platform/tests/key_value.rs
+++ b/crates/celerycrank-client/tests/key_value.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use actix_rt::time::timeout;
-use celerycrank_platform::{
+use celerycrank_client::{
     AnswerFault, CallKind, Expected, KeyValueClient, KeyValueFault, MAX_VALUE_BYTES, ModRevision,
     RecordFeed, SendFault, SwapOutcome, WatchEvent, WatchTarget,
 };
--- a/crates/celerycrank-platform/tests/vm_list.rs
+++ b/crates/celerycrank-client/tests/vm_list.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use celerycrank_platform::{VmListClient, VmListFault, VmListFeed, VmOffer, VmState};
+use celerycrank_client::{VmListClient, VmListFault, VmListFeed, VmOffer, VmState};
 use celerycrank_standin::{ListedOffer, ListedVm, VmListStandin};
 use celerycrank_types::TimeSpan;
 
--- a/crates/celerycrank-config/src/check/mod.rs
+++ b/crates/celerycrank-config/src/check/mod.rs
@@ -9,5 +9,5 @@
 pub use crate::check::{
     fault::{CheckFault, FaultKind, ListFaults},
     list::{ListTexts, check_lists, lists_text},
-    setting::{check_agent, check_entry, check_platform},
+    setting::{check_agent, check_direct_entry, check_entry, check_platform, check_rank_agent},
 };
--- a/crates/celerycrank-config/src/check/setting.rs
+++ b/crates/celerycrank-config/src/check/setting.rs
@@ -3,12 +3,12 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use celerycrank_types::{
-    BackendId, ByteSize, DomainId, EntryId, ModelId, ServiceId, TimeSpan, VmId,
+    BackendId, ByteSize, DomainId, EntryId, Fraction, ModelId, ServiceId, TimeSpan, VmId,
 };
 use serde::de::DeserializeOwned;
 
 use crate::{
-    AgentSettings, EntrySettings, PlatformSettings,
+    AgentSettings, DirectEntrySettings, EntrySettings, PlatformSettings, RankAgentSettings,
     check::{
         fault::{CheckFault, FaultKind},
         shape::{FaultLog, Shape, check_text, optional, required, text, wrong_form},
@@ -35,6 +35,40 @@
     required("platform", PLATFORM),
 ]);
 
+const DIRECT_ENTRY_SHAPE: Shape = Shape::Object(&[
+    required("entry", text::<EntryId>()),
+    required("domain", text::<DomainId>()),
+    required("listen", text::<SocketAddr>()),
+    required("probe", text::<SocketAddr>()),
+    required("admin", text::<SocketAddr>()),
+    required("peer", text::<SocketAddr>()),
+    required("store", STORE),
+    optional("revocation", SPAN),
+    required("retries", RETRIES),
+    required("grace", SPAN),
+]);
+
+const RANK_AGENT_SHAPE: Shape = Shape::Object(&[
+    required("vm", text::<VmId>()),
+    required("domain", text::<DomainId>()),
+    required("admin", text::<SocketAddr>()),
+    required("peer", text::<SocketAddr>()),
+    required("backend", text::<SocketAddr>()),
+    required("service", text::<ServiceId>()),
+    required("store", STORE),
+]);
+
+const STORE: Shape = Shape::Object(&[
+    required("address", Shape::Text(check_url)),
+    required("timeout", SPAN),
+]);
+
+const RETRIES: Shape = Shape::Object(&[
+    required("window", SPAN),
+    required("ratio", text::<Fraction>()),
+    required("slack", text::<Fraction>()),
+]);
+
 const LIMITS: Shape = Shape::Object(&[
     optional("header", SIZE),
     optional("body", SIZE),
@@ -95,6 +129,25 @@
     check_settings(text, &AGENT_SHAPE)
 }
 
+/// Reads the settings of an entry that stands straight before backend servers, or names
+/// every fault.
+///
+/// # Errors
+///
+/// Fails with all faults at once.
+pub fn check_direct_entry(text: &str) -> Result<DirectEntrySettings, Vec<CheckFault>> {
+    check_settings(text, &DIRECT_ENTRY_SHAPE)
+}
+
+/// Reads the settings of an agent beside such a backend server, or names every fault.
+///
+/// # Errors
+///
+/// Fails with all faults at once.
+pub fn check_rank_agent(text: &str) -> Result<RankAgentSettings, Vec<CheckFault>> {
+    check_settings(text, &RANK_AGENT_SHAPE)
+}
+
 /// Reads where the platform's services are, or names every fault.
 ///
 /// # Errors
--- a/crates/celerycrank-config/src/lib.rs
+++ b/crates/celerycrank-config/src/lib.rs
@@ -6,6 +6,7 @@
 mod check;
 mod configuration;
 mod diff;
+mod direct;
 mod key;
 mod list;
 mod policy;
@@ -14,11 +15,12 @@
 
 pub use crate::{
     check::{
-        CheckFault, FaultKind, ListFaults, ListTexts, check_agent, check_entry, check_lists,
-        check_platform, lists_text,
+        CheckFault, FaultKind, ListFaults, ListTexts, check_agent, check_direct_entry, check_entry,
+        check_lists, check_platform, check_rank_agent, lists_text,
     },
     configuration::Configuration,
     diff::{ListChange, list_changes},
+    direct::{DirectEntrySettings, RankAgentSettings, RetrySettings, StoreSettings},
     key::{KeyFault, KeyHash},
     list::{
         AccountEntry, CustomerList, ModelUse, PlanEntry, PlanList, PriorityClass, RepeatRule,
--- /dev/null
+++ b/crates/celerycrank-direct/src/agent/mod.rs
@@ -0,0 +1,5 @@
+//! The agent beside a model engine.
+
+mod process;
+
+pub use process::RankAgentProcess;
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -0,0 +1,70 @@
+//! The pages for operators.
+
+use std::rc::Rc;
+
+use celerycrank_process::AdminPages;
+use serde::Serialize;
+
+use super::state::EntryState;
+
+/// The pages of an entry.
+pub(crate) struct EntryPages {
+    pub(crate) state: Rc<EntryState>,
+}
+
+#[derive(Serialize)]
+struct EntryStatus {
+    entry: String,
+    revision: Option<String>,
+    configuration_age: Option<String>,
+    is_ready: bool,
+    callers: u32,
+    requests: u32,
+    backends: Vec<BackendStatus>,
+}
+
+#[derive(Serialize)]
+struct BackendStatus {
+    backend: String,
+    service: String,
+    address: String,
+    is_usable: bool,
+    own_requests: u32,
+    requests: u32,
+    failures: f64,
+}
+
+impl AdminPages for EntryPages {
+    fn metrics(&self) -> Vec<u8> {
+        self.state.metrics.set.render()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.state.is_ready()
+    }
+
+    fn status(&self) -> Vec<u8> {
+        let state = &self.state;
+        let now = state.clock.now();
+        let backends = state.backends.borrow();
+        let backends = backends.iter().map(|it| BackendStatus {
+            backend: it.entry.backend.to_string(),
+            service: it.entry.service.to_string(),
+            address: it.entry.address.to_string(),
+            is_usable: it.is_usable(now),
+            own_requests: it.load.own(),
+            requests: it.load.total(now),
+            failures: it.failures(),
+        });
+        let status = EntryStatus {
+            entry: state.settings.entry.to_string(),
+            revision: state.in_force().map(|it| it.revision.to_string()),
+            configuration_age: state.configuration_age().map(|it| it.to_string()),
+            is_ready: state.is_ready(),
+            callers: state.callers.get(),
+            requests: state.requests.get(),
+            backends: backends.collect(),
+        };
+        serde_json::to_vec(&status).expect("plain fields encode into memory")
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -0,0 +1,189 @@
+//! Answers one request: admits it, sends it on and passes the answer back.
+
+use bytes::BytesMut;
+use celerycrank_http::{BodyFraming, ResponseHead};
+use celerycrank_platform::write_answer_head;
+use celerycrank_types::{RefusalReason, TimePoint, UnknownReason};
+use tokio::select;
+
+use super::{
+    caller::{CallerConnection, ConnectionStep},
+    dispatch::{DispatchFault, RequestDispatch},
+    refusal::{refuse, tell_unknown},
+    request::{AdmittedRequest, RequestDraft, admit},
+    state::EntryState,
+    stream::stream_answer,
+    tell::{RequestEnd, tell_end, tell_refusal},
+};
+
+/// Largest answer that is read whole before any of it is passed on, in bytes.
+const MAX_WHOLE_ANSWER: usize = 4 << 20;
+
+/// Answers one request of a caller.
+pub(crate) async fn answer_request(
+    state: &EntryState,
+    caller: &mut CallerConnection,
+    draft: RequestDraft,
+) -> ConnectionStep {
+    let is_persistent = draft.head.is_persistent();
+    let arrival = draft.arrival;
+    let request = match admit(state, draft) {
+        Ok(request) => request,
+        Err(reason) => {
+            let is_last = !is_persistent || state.is_stopping.get();
+            tell_refusal(state, arrival, reason);
+            let answer = refuse(state, None, reason, is_last);
+            let is_sent = caller.send(&answer).await;
+            return next_step(is_sent && !is_last);
+        }
+    };
+    let mut dispatch = RequestDispatch::new(state, &request);
+    let (end, step) = if request.route.run.is_stream() {
+        Box::pin(stream_answer(caller, &mut dispatch, is_persistent)).await
+    } else {
+        plain_answer(caller, &mut dispatch, is_persistent).await
+    };
+    tell_end(state, &request, dispatch.sendings.get(), end);
+    step
+}
+
+/// An answer that was read to its end.
+struct WholeAnswer {
+    head: ResponseHead,
+    body: BytesMut,
+}
+
+async fn plain_answer(
+    caller: &mut CallerConnection,
+    dispatch: &mut RequestDispatch<'_>,
+    is_persistent: bool,
+) -> (RequestEnd, ConnectionStep) {
+    let state = dispatch.state;
+    let request = dispatch.request;
+    let watched = watch(state, caller, request.deadline, whole_answer(dispatch)).await;
+    let is_last = !is_persistent || state.is_stopping.get();
+    let (end, message) = match watched {
+        Watched::Done(Ok(answer)) => {
+            let framing = BodyFraming::Length(answer.body.len() as u64);
+            let mut writer = write_answer_head(&answer.head, framing, is_last);
+            writer.put(&answer.body);
+            let status = answer.head.status;
+            (RequestEnd::Answered(status), writer.into_bytes())
+        }
+        Watched::Done(Err(fault)) => tell_fault(state, request, fault, is_last),
+        Watched::Expired => {
+            let fault = expired_fault(dispatch);
+            tell_fault(state, request, fault, is_last)
+        }
+        Watched::CallerLeft => return (RequestEnd::CallerLeft, ConnectionStep::Close),
+    };
+    let is_sent = caller.send(&message).await;
+    (end, next_step(is_sent && !is_last))
+}
+
+/// Reads an answer to its end; one that breaks off or fails is asked for elsewhere.
+async fn whole_answer(dispatch: &mut RequestDispatch<'_>) -> Result<WholeAnswer, DispatchFault> {
+    let mut failed: Option<WholeAnswer> = None;
+    loop {
+        let served = match dispatch.open(None).await {
+            Ok(served) => served,
+            // A failure that was told by a backend server is better than one of our own.
+            Err(fault) => return failed.ok_or(fault),
+        };
+        let (mut answer, source) = (served.answer, served.source);
+        let mut body = BytesMut::new();
+        let read = loop {
+            match answer.body.next().await {
+                Ok(Some(data)) if body.len() + data.len() > MAX_WHOLE_ANSWER => {
+                    break Err(UnknownReason::BadAnswer);
+                }
+                Ok(Some(data)) => body.extend_from_slice(&data),
+                Ok(None) => break Ok(()),
+                Err(reason) => break Err(reason),
+            }
+        };
+        let backend = source.backend.clone();
+        drop(source);
+        if let Err(reason) = read {
+            if let Err(fault) = dispatch.retry_broken(&backend, reason) {
+                return failed.ok_or(fault);
+            }
+            continue;
+        }
+        let is_failure = answer.head.status >= 500;
+        let state = dispatch.state;
+        state
+            .backends
+            .borrow_mut()
+            .note_answer(&backend, is_failure);
+        answer.body.release(state);
+        let whole = WholeAnswer {
+            head: answer.head,
+            body,
+        };
+        if !is_failure || !dispatch.may_repeat_failure() {
+            return Ok(whole);
+        }
+        failed = Some(whole);
+    }
+}
+
+/// What a request's work ended with.
+pub(crate) enum Watched<T> {
+    Done(T),
+    CallerLeft,
+    Expired,
+}
+
+/// Does a request's work until the caller leaves or its time is over.
+pub(crate) async fn watch<T>(
+    state: &EntryState,
+    caller: &mut CallerConnection,
+    deadline: TimePoint,
+    work: impl Future<Output = T>,
+) -> Watched<T> {
+    let left = state.clock.until(deadline).as_duration();
+    select! {
+        biased;
+        done = work => Watched::Done(done),
+        () = caller.left() => Watched::CallerLeft,
+        () = actix_rt::time::sleep(left) => Watched::Expired,
+    }
+}
+
+/// What is told of a request whose time is over.
+pub(crate) fn expired_fault(dispatch: &RequestDispatch<'_>) -> DispatchFault {
+    if dispatch.may_have_run.get() {
+        DispatchFault::Unknown(UnknownReason::BackendTimeout)
+    } else {
+        DispatchFault::Refused(RefusalReason::DeadlineUnreachable)
+    }
+}
+
+/// The end and the answer of a request that no backend server answered.
+pub(crate) fn tell_fault(
+    state: &EntryState,
+    request: &AdmittedRequest,
+    fault: DispatchFault,
+    is_last: bool,
+) -> (RequestEnd, BytesMut) {
+    let attempt = &*request.attempt;
+    match fault {
+        DispatchFault::Refused(reason) => (
+            RequestEnd::Refused(reason),
+            refuse(state, Some(attempt), reason, is_last),
+        ),
+        DispatchFault::Unknown(reason) => (
+            RequestEnd::Unknown(reason),
+            tell_unknown(state, attempt, reason, is_last),
+        ),
+    }
+}
+
+pub(crate) const fn next_step(is_kept: bool) -> ConnectionStep {
+    if is_kept {
+        ConnectionStep::Keep
+    } else {
+        ConnectionStep::Close
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -0,0 +1,226 @@
+//! One sending of a request to one backend server, up to the head of its answer.
+
+use std::{cell::Cell, net::SocketAddr, time::Duration};
+
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use celerycrank_http::{
+    BodyDecoder, BodyFraming, BodyStep, HttpStream, ResponseHead, StreamTimeouts, parse_response,
+};
+use celerycrank_platform::{AnswerFacts, ForwardFacts, read_answer, write_forwarded};
+use celerycrank_serving::BackendEntry;
+use celerycrank_types::{TimeSpan, UnknownReason};
+
+use super::{request::AdmittedRequest, state::EntryState};
+
+/// Longest time in which a connection to a backend server is made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Largest head of an answer, in bytes.
+const MAX_ANSWER_HEAD: usize = 32 << 10;
+
+/// How a backend server that fell silent is noticed.
+const SILENCE_TIMEOUTS: StreamTimeouts = StreamTimeouts {
+    unacknowledged: Duration::from_millis(1_500),
+    silence: Duration::from_secs(1),
+    interval: Duration::from_millis(500),
+    questions: 2,
+};
+
+/// Smallest time that is handed on; a backend server would drop the request at once.
+const LEAST_TIME: TimeSpan = TimeSpan::from_millis(5);
+
+/// Why an attempt gave no answer to pass on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptFault {
+    /// Nothing was sent.
+    NotSent,
+    /// The backend server says that it did not run the request.
+    NotRun,
+    /// The address belongs to another backend server, which did not run the request.
+    Misdirected,
+    /// The request may have run.
+    Broken(UnknownReason),
+    /// Nothing was sent, since the key may have been taken away by now.
+    Stale,
+}
+
+/// An answer whose head has arrived.
+#[derive(Debug)]
+pub(crate) struct OpenAnswer {
+    pub(crate) head: ResponseHead,
+    pub(crate) body: AnswerBody,
+}
+
+/// The rest of an answer, still on its connection.
+#[derive(Debug)]
+pub(crate) struct AnswerBody {
+    pub(crate) stream: HttpStream,
+    decoder: BodyDecoder,
+    is_persistent: bool,
+    idle_span: Option<TimeSpan>,
+    entry: BackendEntry,
+}
+
+impl AnswerBody {
+    /// The next bytes of the body; nothing at its end.
+    ///
+    /// Nothing is lost if the future is dropped.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, UnknownReason> {
+        loop {
+            let step = self.decoder.decode(&mut self.stream.buffer);
+            match step.map_err(bad_answer)? {
+                BodyStep::Data(data) => return Ok(Some(data)),
+                BodyStep::Complete => return Ok(None),
+                BodyStep::Incomplete => {}
+            }
+            match self.stream.fill().await {
+                Ok(0) => {
+                    self.is_persistent = false;
+                    self.decoder.finish().map_err(broken_answer)?;
+                }
+                Ok(_) => {}
+                Err(_) => return Err(UnknownReason::BackendBroke),
+            }
+        }
+    }
+
+    /// Keeps the connection for another request if the answer was read to its end.
+    pub(crate) fn release(mut self, state: &EntryState) {
+        let is_clean = self.decoder.is_complete() && self.is_persistent && self.stream.is_quiet();
+        if is_clean {
+            let (backend, address) = (&self.entry.backend, self.entry.address);
+            let now = state.clock.now();
+            state
+                .pool
+                .put(backend, address, self.stream, self.idle_span, now);
+        }
+    }
+}
+
+/// Sends a request to a backend server and reads the head of its answer.
+///
+/// `is_sent` tells a caller that drops the future whether the request may run.
+pub(crate) async fn open_attempt(
+    state: &EntryState,
+    request: &AdmittedRequest,
+    entry: &BackendEntry,
+    last_event: Option<u64>,
+    is_sent: &Cell<bool>,
+) -> Result<OpenAnswer, AttemptFault> {
+    let mut stream = connect(state, entry).await?;
+    // A key must not be used later than it may have been taken away.
+    if request.account.is_some() && !state.is_fresh() {
+        return Err(AttemptFault::Stale);
+    }
+    let now = state.clock.now();
+    let time_left = request.deadline.since(now);
+    if time_left < LEAST_TIME {
+        return Err(AttemptFault::NotSent);
+    }
+    let facts = ForwardFacts {
+        account: request.account.as_ref(),
+        time_left: Some(time_left),
+        backend: &entry.backend,
+        last_event,
+        length: request.body.len(),
+    };
+    let mut message = write_forwarded(&request.head, &facts);
+    message.extend_from_slice(&request.body);
+    is_sent.set(true);
+    let sent = stream.send(&message).await;
+    // An answer may have come before the request was taken whole.
+    let head = match read_head(&mut stream).await {
+        Ok(head) => head,
+        Err(fault) => return Err(fault),
+    };
+    let is_whole = sent.is_ok();
+    check_answer(request, stream, head, is_whole, entry)
+}
+
+async fn connect(state: &EntryState, entry: &BackendEntry) -> Result<HttpStream, AttemptFault> {
+    let now = state.clock.now();
+    if let Some(stream) = state.pool.take(&entry.backend, entry.address, now) {
+        return Ok(stream);
+    }
+    state.metrics.connections_made.inc();
+    open_connection(entry.address)
+        .await
+        .ok_or(AttemptFault::NotSent)
+}
+
+async fn open_connection(address: SocketAddr) -> Option<HttpStream> {
+    let connecting = HttpStream::connect(address, SILENCE_TIMEOUTS);
+    timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()
+}
+
+/// Reads the head of the final answer; interim ones are passed over.
+async fn read_head(stream: &mut HttpStream) -> Result<ResponseHead, AttemptFault> {
+    loop {
+        let parsed = parse_response(&mut stream.buffer, MAX_ANSWER_HEAD);
+        match parsed.map_err(|fault| AttemptFault::Broken(bad_answer(fault)))? {
+            Some(head) if head.status == 101 => {
+                return Err(AttemptFault::Broken(UnknownReason::BadAnswer));
+            }
+            Some(head) if head.status >= 200 => return Ok(head),
+            Some(_) => {}
+            None => match stream.fill().await {
+                Ok(0) | Err(_) => return Err(AttemptFault::Broken(UnknownReason::BackendBroke)),
+                Ok(_) => {}
+            },
+        }
+    }
+}
+
+/// Tells an answer to this request from anything else that came on the connection.
+fn check_answer(
+    request: &AdmittedRequest,
+    stream: HttpStream,
+    head: ResponseHead,
+    is_whole: bool,
+    entry: &BackendEntry,
+) -> Result<OpenAnswer, AttemptFault> {
+    let facts = read_answer(&head);
+    if !is_answer_to(&facts, request) {
+        return Err(AttemptFault::Broken(UnknownReason::BadAnswer));
+    }
+    let framing = BodyFraming::of_response(&head, &request.head.method);
+    let framing = framing.map_err(|fault| AttemptFault::Broken(bad_answer(fault)))?;
+    let body = AnswerBody {
+        stream,
+        decoder: BodyDecoder::new(framing),
+        is_persistent: head.is_persistent() && is_whole,
+        idle_span: head.idle_span(),
+        entry: entry.clone(),
+    };
+    if facts.is_misdirected {
+        return Err(AttemptFault::Misdirected);
+    }
+    if facts.is_not_run {
+        return Err(AttemptFault::NotRun);
+    }
+    if !facts.is_signed {
+        return Err(AttemptFault::Broken(UnknownReason::BadAnswer));
+    }
+    Ok(OpenAnswer { head, body })
+}
+
+fn is_answer_to(facts: &AnswerFacts, request: &AdmittedRequest) -> bool {
+    match &facts.attempt {
+        Some(attempt) => *attempt == request.attempt.as_bytes(),
+        // A refusal need not name the attempt, and says nothing that could be another's.
+        None => facts.is_not_run,
+    }
+}
+
+/// Logs why the bytes of a backend server cannot be passed on.
+pub(crate) fn bad_answer(fault: impl std::fmt::Display) -> UnknownReason {
+    tracing::info!(%fault, "answer of a backend server cannot be used");
+    UnknownReason::BadAnswer
+}
+
+/// Logs why an answer of a backend server is not whole.
+fn broken_answer(fault: impl std::fmt::Display) -> UnknownReason {
+    tracing::info!(%fault, "answer of a backend server broke off");
+    UnknownReason::BackendBroke
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -0,0 +1,186 @@
+//! One connection of a caller, request after request.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::time::timeout;
+use celerycrank_http::{BodyFraming, HeadFault, HttpStream, RequestHead, parse_request};
+use celerycrank_serving::CallerBounds;
+use celerycrank_types::{RefusalReason, TimePoint};
+use tokio::{net::TcpStream, select};
+
+use super::{
+    answer::answer_request,
+    body::read_body,
+    refusal::{bad_request, refuse},
+    request::RequestDraft,
+    state::{CountGuard, EntryState},
+};
+
+/// Bytes of further requests that are read while one is answered.
+const MAX_PIPELINED_BYTES: usize = 64 << 10;
+
+/// Longest time for which a caller may leave an answer unread.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for which the rest of a refused request is read, so that its answer is not lost.
+const LINGER_SPAN: Duration = Duration::from_millis(500);
+
+/// Whether a connection goes on after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionStep {
+    /// It takes another request.
+    Keep,
+    /// It ends.
+    Close,
+}
+
+/// One connection of a caller.
+#[derive(Debug)]
+pub(crate) struct CallerConnection {
+    pub(crate) stream: HttpStream,
+}
+
+impl CallerConnection {
+    /// Waits until the caller has closed its connection.
+    ///
+    /// What it sends meanwhile is kept for later.
+    pub(crate) async fn left(&mut self) {
+        loop {
+            if self.stream.buffer.len() > MAX_PIPELINED_BYTES {
+                std::future::pending::<()>().await;
+            }
+            match self.stream.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Writes to the caller; says whether it still takes anything.
+    pub(crate) async fn send(&mut self, bytes: &[u8]) -> bool {
+        matches!(
+            timeout(WRITE_TIMEOUT, self.stream.send(bytes)).await,
+            Ok(Ok(()))
+        )
+    }
+
+    /// Ends the connection so that the caller reads everything that was written.
+    async fn finish(mut self) {
+        self.stream.shutdown().await;
+        let draining = async {
+            while matches!(self.stream.fill().await, Ok(count) if count > 0) {
+                self.stream.buffer.clear();
+            }
+        };
+        // A caller that goes on sending loses nothing it was promised.
+        let _ = timeout(LINGER_SPAN, draining).await;
+    }
+}
+
+/// What came instead of a request's head.
+enum HeadEnd {
+    /// The caller or the entry is done with the connection.
+    Closed,
+    /// The caller is told why its request is refused.
+    Refused(RefusalReason),
+}
+
+/// Serves one connection until either side ends it.
+pub(crate) async fn serve_caller(state: Rc<EntryState>, socket: TcpStream) {
+    let _guard = CountGuard::new(&state.callers);
+    let mut caller = CallerConnection {
+        stream: HttpStream::new(socket),
+    };
+    loop {
+        let limits = state
+            .in_force()
+            .map_or_else(CallerBounds::default, |it| it.limits);
+        let (head, arrival) = match read_head(&state, &mut caller, &limits).await {
+            Ok(read) => read,
+            Err(HeadEnd::Closed) => break,
+            Err(HeadEnd::Refused(reason)) => {
+                let answer = refuse(&state, None, reason, true);
+                caller.send(&answer).await;
+                break;
+            }
+        };
+        let serving = serve_request(&state, &mut caller, head, arrival, &limits);
+        // An idle connection must not hold the memory of a request.
+        let step = Box::pin(serving).await;
+        if step == ConnectionStep::Close {
+            break;
+        }
+    }
+    caller.finish().await;
+}
+
+async fn serve_request(
+    state: &EntryState,
+    caller: &mut CallerConnection,
+    head: RequestHead,
+    arrival: TimePoint,
+    limits: &CallerBounds,
+) -> ConnectionStep {
+    let _guard = CountGuard::new(&state.requests);
+    state.metrics.requests.inc();
+    let framing = BodyFraming::of_request(&head);
+    let read = match framing {
+        Ok(framing) => read_body(caller, &head, framing, limits).await,
+        Err(fault) => Err(bad_request(fault)),
+    };
+    let body = match read {
+        Ok(Some(body)) => body,
+        Ok(None) => return ConnectionStep::Close,
+        Err(reason) => {
+            let answer = refuse(state, None, reason, true);
+            caller.send(&answer).await;
+            return ConnectionStep::Close;
+        }
+    };
+    let draft = RequestDraft {
+        head,
+        body,
+        arrival,
+    };
+    Box::pin(answer_request(state, caller, draft)).await
+}
+
+/// Reads the head of the next request, and says when it began to arrive.
+async fn read_head(
+    state: &EntryState,
+    caller: &mut CallerConnection,
+    limits: &CallerBounds,
+) -> Result<(RequestHead, TimePoint), HeadEnd> {
+    if caller.stream.buffer.is_empty() {
+        let idle = timeout(limits.idle_timeout.as_duration(), caller.stream.fill());
+        select! {
+            read = idle => match read {
+                Ok(Ok(count)) if count > 0 => {}
+                _ => return Err(HeadEnd::Closed),
+            },
+            () = state.shutdown.raised() => return Err(HeadEnd::Closed),
+        }
+    }
+    let arrival = state.clock.now();
+    let limit = usize::try_from(limits.head.0).unwrap_or(usize::MAX);
+    let reading = async {
+        loop {
+            match parse_request(&mut caller.stream.buffer, limit) {
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) => {}
+                Err(HeadFault::TooLarge | HeadFault::TooManyFields) => {
+                    return Err(HeadEnd::Refused(RefusalReason::HeaderTooLarge));
+                }
+                Err(fault) => return Err(HeadEnd::Refused(bad_request(fault))),
+            }
+            if !matches!(caller.stream.fill().await, Ok(count) if count > 0) {
+                return Err(HeadEnd::Closed);
+            }
+        }
+    };
+    match timeout(limits.head_timeout.as_duration(), reading).await {
+        Ok(Ok(head)) => Ok((head, arrival)),
+        Ok(Err(end)) => Err(end),
+        Err(_) => Err(HeadEnd::Refused(RefusalReason::CallerTooSlow)),
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -0,0 +1,264 @@
+//! Sends a request to one backend server after another until one answers.
+
+use std::cell::Cell;
+
+use celerycrank_serving::{BackendEntry, ChoiceQuery, RunRule, choose_backend};
+use celerycrank_types::{BackendId, RefusalReason, RetryReason, UnknownReason};
+use smallvec::SmallVec;
+
+use super::{
+    attempt::{AttemptFault, OpenAnswer, open_attempt},
+    request::AdmittedRequest,
+    state::EntryState,
+};
+
+/// Most backend servers that are tried in vain without having been sent anything.
+const MAX_UNREACHED: u32 = 4;
+
+/// Why no answer can be passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DispatchFault {
+    /// The request has not run and will not.
+    Refused(RefusalReason),
+    /// The request may have run.
+    Unknown(UnknownReason),
+}
+
+/// The way of one request from backend server to backend server.
+pub(crate) struct RequestDispatch<'run> {
+    pub(crate) state: &'run EntryState,
+    pub(crate) request: &'run AdmittedRequest,
+    /// Backend servers that were tried.
+    tried: SmallVec<[BackendId; 4]>,
+    /// Backend servers that the request was sent to.
+    pub(crate) sendings: Cell<u32>,
+    unreached: u32,
+    /// Whether a backend server may have run the request.
+    pub(crate) may_have_run: Cell<bool>,
+    /// Why the last attempt failed.
+    last_fault: Option<AttemptFault>,
+}
+
+/// An answer that is being read, and where it comes from.
+pub(crate) struct ServedAnswer<'run> {
+    pub(crate) answer: OpenAnswer,
+    pub(crate) source: InFlight<'run>,
+}
+
+/// Counts a request as being with a backend server for as long as it lives.
+pub(crate) struct InFlight<'run> {
+    state: &'run EntryState,
+    pub(crate) backend: BackendId,
+}
+
+impl<'run> InFlight<'run> {
+    fn new(state: &'run EntryState, backend: &BackendId) -> Self {
+        state.backends.borrow_mut().begin(backend);
+        Self {
+            state,
+            backend: backend.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.state.backends.borrow_mut().finish(&self.backend);
+    }
+}
+
+impl<'run> RequestDispatch<'run> {
+    pub(crate) fn new(state: &'run EntryState, request: &'run AdmittedRequest) -> Self {
+        let now = state.clock.now();
+        state.with_retries(&request.service, |window| window.note_request(now));
+        Self {
+            state,
+            request,
+            tried: SmallVec::new(),
+            sendings: Cell::new(0),
+            unreached: 0,
+            may_have_run: Cell::new(false),
+            last_fault: None,
+        }
+    }
+
+    /// Sends the request until a backend server begins to answer it.
+    pub(crate) async fn open(
+        &mut self,
+        last_event: Option<u64>,
+    ) -> Result<ServedAnswer<'run>, DispatchFault> {
+        loop {
+            let Some(entry) = self.choose() else {
+                return Err(self.give_up(RefusalReason::NoBackend));
+            };
+            self.tried.push(entry.backend.clone());
+            let source = InFlight::new(self.state, &entry.backend);
+            let is_sent = Cell::new(false);
+            let mark = SentMark {
+                is_sent: &is_sent,
+                sendings: &self.sendings,
+                may_have_run: &self.may_have_run,
+            };
+            let opened = open_attempt(self.state, self.request, &entry, last_event, &is_sent).await;
+            mark.settle(&opened);
+            match opened {
+                Ok(answer) => return Ok(ServedAnswer { answer, source }),
+                Err(fault) => {
+                    drop(source);
+                    self.note_fault(&entry.backend, fault);
+                    self.check_retry(fault)?;
+                }
+            }
+        }
+    }
+
+    /// Notes that an answer broke off, and says whether the request goes to another backend
+    /// server.
+    pub(crate) fn retry_broken(
+        &mut self,
+        backend: &BackendId,
+        reason: UnknownReason,
+    ) -> Result<(), DispatchFault> {
+        let fault = AttemptFault::Broken(reason);
+        self.may_have_run.set(true);
+        self.note_fault(backend, fault);
+        self.check_retry(fault)
+    }
+
+    /// Notes that the last backend server stays silent, and says whether the request goes to
+    /// another one.
+    pub(crate) fn retry_silent(&mut self) -> Result<(), DispatchFault> {
+        let Some(backend) = self.tried.last().cloned() else {
+            return Ok(());
+        };
+        if self.may_have_run.get() {
+            return self.retry_broken(&backend, UnknownReason::BackendTimeout);
+        }
+        self.note_fault(&backend, AttemptFault::NotSent);
+        self.check_retry(AttemptFault::NotSent)
+    }
+
+    /// Whether an answer that tells of a failure may be asked for at another backend server.
+    pub(crate) fn may_repeat_failure(&mut self) -> bool {
+        self.request.route.run == RunRule::Repeatable
+            && self.has_sendings_left()
+            && self.choose().is_some()
+            && self.take_retry(RetryReason::Repeatable)
+    }
+
+    fn choose(&self) -> Option<BackendEntry> {
+        let query = ChoiceQuery {
+            service: &self.request.service,
+            domain: &self.state.settings.domain,
+            tried: &self.tried,
+            now: self.state.clock.now(),
+        };
+        let backends = self.state.backends.borrow();
+        let mut random = self.state.random.borrow_mut();
+        let chosen = choose_backend(&backends, &query, &mut *random);
+        chosen.map(|state| state.entry.clone())
+    }
+
+    fn note_fault(&mut self, backend: &BackendId, fault: AttemptFault) {
+        self.last_fault = Some(fault);
+        let now = self.state.clock.now();
+        let mut backends = self.state.backends.borrow_mut();
+        match fault {
+            AttemptFault::NotSent | AttemptFault::Misdirected => {
+                backends.note_unreachable(backend, now);
+            }
+            AttemptFault::Broken(_) => backends.note_answer(backend, true),
+            AttemptFault::NotRun | AttemptFault::Stale => {}
+        }
+        tracing::info!(
+            request = %self.request.attempt,
+            %backend,
+            ?fault,
+            sendings = self.sendings.get(),
+            "attempt failed"
+        );
+    }
+
+    /// Whether another attempt follows a fault.
+    fn check_retry(&mut self, fault: AttemptFault) -> Result<(), DispatchFault> {
+        let reason = match fault {
+            AttemptFault::Stale => return Err(self.give_up(RefusalReason::StaleConfiguration)),
+            AttemptFault::NotSent => {
+                self.unreached += 1;
+                return if self.unreached <= MAX_UNREACHED {
+                    Ok(())
+                } else {
+                    Err(self.give_up(RefusalReason::BackendUnreachable))
+                };
+            }
+            AttemptFault::Broken(reason) if !self.request.route.run.may_repeat() => {
+                return Err(DispatchFault::Unknown(reason));
+            }
+            AttemptFault::Broken(_) => RetryReason::Repeatable,
+            AttemptFault::NotRun | AttemptFault::Misdirected => RetryReason::Refused,
+        };
+        if self.has_sendings_left() && self.take_retry(reason) {
+            Ok(())
+        } else {
+            Err(self.give_up(RefusalReason::QueueFull))
+        }
+    }
+
+    /// The fault to tell, now that no further attempt is made.
+    fn give_up(&self, reason: RefusalReason) -> DispatchFault {
+        if !self.may_have_run.get() {
+            return DispatchFault::Refused(reason);
+        }
+        match self.last_fault {
+            Some(AttemptFault::Broken(reason)) => DispatchFault::Unknown(reason),
+            _ => DispatchFault::Unknown(UnknownReason::BackendBroke),
+        }
+    }
+
+    fn has_sendings_left(&self) -> bool {
+        self.sendings.get() < self.request.route.max_attempts
+    }
+
+    fn take_retry(&self, reason: RetryReason) -> bool {
+        let now = self.state.clock.now();
+        let is_granted = self
+            .state
+            .with_retries(&self.request.service, |window| window.take_retry(now));
+        if is_granted {
+            self.state.metrics.retries.count(reason);
+        }
+        is_granted
+    }
+}
+
+/// Notes a sending also where its future is dropped before it ends.
+struct SentMark<'mark> {
+    is_sent: &'mark Cell<bool>,
+    sendings: &'mark Cell<u32>,
+    may_have_run: &'mark Cell<bool>,
+}
+
+impl SentMark<'_> {
+    /// Takes what is known once the attempt has ended.
+    fn settle(self, opened: &Result<OpenAnswer, AttemptFault>) {
+        let is_not_run = matches!(
+            opened,
+            Err(AttemptFault::NotRun | AttemptFault::Misdirected)
+        );
+        let may_have_run = self.may_have_run.get();
+        if self.is_sent.get() {
+            self.sendings.set(self.sendings.get() + 1);
+            self.may_have_run.set(may_have_run || !is_not_run);
+        }
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for SentMark<'_> {
+    fn drop(&mut self) {
+        if self.is_sent.get() {
+            self.sendings.set(self.sendings.get() + 1);
+            self.may_have_run.set(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -0,0 +1,89 @@
+//! Takes the reports of agents, which tell the load of the backend servers beside them.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_rt::time::interval;
+use celerycrank_serving::LoadReport;
+use celerycrank_types::BackendId;
+use tokio::{net::UdpSocket, select};
+
+use super::state::EntryState;
+use crate::message::{MAX_DATAGRAM, PeerMessage};
+
+/// Interval at which agents are asked for their reports.
+const SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Receives reports, and asks every agent for them.
+pub(crate) async fn follow_loads(state: Rc<EntryState>, socket: UdpSocket) {
+    let mut ticks = interval(SUBSCRIBE_INTERVAL);
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    let mut agents = HashMap::new();
+    loop {
+        select! {
+            _ = ticks.tick() => {
+                agents = list_agents(&state);
+                subscribe(&state, &socket, &agents).await;
+                state.pool.close_old(state.clock.now());
+            }
+            received = socket.recv_from(&mut buffer) => {
+                let Ok((length, sender)) = received else {
+                    continue;
+                };
+                if let Some(PeerMessage::Load(report)) = PeerMessage::decode(&buffer[..length]) {
+                    take_report(&state, &agents, sender, report);
+                }
+            }
+        }
+    }
+}
+
+/// The backend servers that have an agent, by the address of their VM.
+fn list_agents(state: &EntryState) -> HashMap<IpAddr, BackendId> {
+    let Some(in_force) = state.in_force() else {
+        return HashMap::new();
+    };
+    let backends = state.backends.borrow();
+    let engines = in_force.engine_services.iter();
+    let engines = engines.flat_map(|service| backends.of_service(service));
+    engines
+        .map(|it| (it.entry.address.ip(), it.entry.backend.clone()))
+        .collect()
+}
+
+async fn subscribe(state: &EntryState, socket: &UdpSocket, agents: &HashMap<IpAddr, BackendId>) {
+    let message = PeerMessage::Subscribe.encode();
+    let port = state.settings.peer.port();
+    for address in agents.keys() {
+        let sent = socket
+            .send_to(&message, SocketAddr::new(*address, port))
+            .await;
+        if let Err(fault) = sent {
+            note_send_fault(*address, &fault);
+        }
+    }
+}
+
+fn note_send_fault(address: IpAddr, fault: &io::Error) {
+    tracing::debug!(%address, %fault, "agent not asked for its load");
+}
+
+fn take_report(
+    state: &EntryState,
+    agents: &HashMap<IpAddr, BackendId>,
+    sender: SocketAddr,
+    report: LoadReport,
+) {
+    let Some(backend) = agents.get(&sender.ip()) else {
+        return;
+    };
+    let now = state.clock.now();
+    if let Some(known) = state.backends.borrow_mut().find_mut(backend) {
+        known.load.observe(report, now);
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -0,0 +1,58 @@
+//! The entry's counters.
+
+use celerycrank_process::{CounterFault, LabelledCounter, MetricSet};
+use celerycrank_types::{RefusalReason, RetryReason, UnknownReason};
+use prometheus::{Histogram, IntCounter};
+
+/// The entry's counters.
+#[derive(Debug)]
+pub(crate) struct EntryMetrics {
+    pub(crate) set: MetricSet,
+    pub(crate) requests: IntCounter,
+    pub(crate) answered: IntCounter,
+    pub(crate) callers_left: IntCounter,
+    pub(crate) connections_made: IntCounter,
+    pub(crate) store_faults: IntCounter,
+    pub(crate) refusals: LabelledCounter<RefusalReason>,
+    pub(crate) retries: LabelledCounter<RetryReason>,
+    pub(crate) unknowns: LabelledCounter<UnknownReason>,
+    pub(crate) first_event: Histogram,
+    pub(crate) answer_time: Histogram,
+}
+
+impl EntryMetrics {
+    pub(crate) fn register() -> Result<Self, CounterFault> {
+        let set = MetricSet::default();
+        Ok(Self {
+            requests: set.counter("celerycrank_direct_requests_total", "requests of callers")?,
+            answered: set.counter(
+                "celerycrank_direct_answered_total",
+                "requests whose whole answer was passed on",
+            )?,
+            callers_left: set.counter(
+                "celerycrank_direct_callers_left_total",
+                "requests whose caller left before its answer was complete",
+            )?,
+            connections_made: set.counter(
+                "celerycrank_direct_backend_connections_total",
+                "connections made to backend servers",
+            )?,
+            store_faults: set.counter(
+                "celerycrank_direct_store_faults_total",
+                "calls to the store that gave no answer to use",
+            )?,
+            refusals: set.refusals("celerycrank_direct_refusals_total")?,
+            retries: set.retries("celerycrank_direct_retries_total")?,
+            unknowns: set.unknowns("celerycrank_direct_unknown_total")?,
+            first_event: set.latency(
+                "celerycrank_direct_first_event_seconds",
+                "time from a request to the first event of its stream",
+            )?,
+            answer_time: set.latency(
+                "celerycrank_direct_answer_seconds",
+                "time from a request to the end of its answer",
+            )?,
+            set,
+        })
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -0,0 +1,113 @@
+//! Admits a request under the configuration in force.
+
+use std::{rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use celerycrank_http::RequestHead;
+use celerycrank_platform::{RequestFacts, read_request};
+use celerycrank_serving::RouteRule;
+use celerycrank_types::{AccountId, RefusalReason, Revision, ServiceId, TimePoint};
+
+use super::{
+    refusal::bad_request,
+    state::{ConfigurationInForce, EntryState},
+};
+
+/// A whole request that a route allows.
+#[derive(Debug)]
+pub(crate) struct AdmittedRequest {
+    /// The caller's name for this attempt.
+    pub(crate) attempt: Arc<str>,
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+    pub(crate) route: Rc<RouteRule>,
+    /// The revision under which it was admitted.
+    pub(crate) revision: Revision,
+    /// The account that holds the caller's key; none on routes that need no key.
+    pub(crate) account: Option<AccountId>,
+    pub(crate) service: ServiceId,
+    pub(crate) arrival: TimePoint,
+    /// When the caller or the route's operator gives up, whichever comes first.
+    pub(crate) deadline: TimePoint,
+    /// The last event that the caller has of a stream that it goes on with.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// A request as it was read, not yet admitted.
+#[derive(Debug)]
+pub(crate) struct RequestDraft {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Bytes,
+    pub(crate) arrival: TimePoint,
+}
+
+/// Admits a request, or says why not.
+pub(crate) fn admit(
+    state: &EntryState,
+    draft: RequestDraft,
+) -> Result<AdmittedRequest, RefusalReason> {
+    let facts = read_request(&draft.head).map_err(bad_request)?;
+    let in_force = state.in_force().ok_or(RefusalReason::NoConfiguration)?;
+    let route = find_route(state, &in_force, &facts, &draft.head)?;
+    let account = find_account(state, &in_force, &facts, &route)?;
+    let drawn = route.draw_service(&mut *state.random.borrow_mut()).cloned();
+    let service = drawn.ok_or(RefusalReason::NoBackend)?;
+    let wait = facts
+        .deadline
+        .map_or(route.timeout, |span| span.min(route.timeout));
+    Ok(AdmittedRequest {
+        attempt: facts.attempt,
+        revision: in_force.revision,
+        deadline: draft.arrival + wait,
+        arrival: draft.arrival,
+        last_event: facts.last_event,
+        head: draft.head,
+        body: draft.body,
+        route,
+        account,
+        service,
+    })
+}
+
+fn find_route(
+    state: &EntryState,
+    in_force: &ConfigurationInForce,
+    facts: &RequestFacts,
+    head: &RequestHead,
+) -> Result<Rc<RouteRule>, RefusalReason> {
+    let path = str::from_utf8(head.path()).ok();
+    let path = path.ok_or(RefusalReason::BadRequest)?;
+    let found = in_force.routes.find(&facts.host, path);
+    found
+        .map(Rc::clone)
+        .ok_or_else(|| unless_stale(state, RefusalReason::NoRoute))
+}
+
+fn find_account(
+    state: &EntryState,
+    in_force: &ConfigurationInForce,
+    facts: &RequestFacts,
+    route: &RouteRule,
+) -> Result<Option<AccountId>, RefusalReason> {
+    if route.is_anonymous || in_force.accounts.is_empty() {
+        return Ok(None);
+    }
+    let key = facts.key.as_ref().ok_or(RefusalReason::UnknownKey)?;
+    let Some((account, _)) = in_force.accounts.find(key) else {
+        return Err(unless_stale(state, RefusalReason::UnknownKey));
+    };
+    if state.is_fresh() {
+        Ok(Some(account.clone()))
+    } else {
+        Err(RefusalReason::StaleConfiguration)
+    }
+}
+
+/// The reason, unless a newer configuration may say otherwise.
+fn unless_stale(state: &EntryState, reason: RefusalReason) -> RefusalReason {
+    if state.is_fresh() {
+        reason
+    } else {
+        RefusalReason::StaleConfiguration
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/tell.rs
@@ -0,0 +1,63 @@
+//! Log lines and counters of requests that have ended.
+
+use celerycrank_types::{RefusalReason, TimePoint, UnknownReason};
+
+use super::{request::AdmittedRequest, state::EntryState};
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestEnd {
+    /// The whole answer of a backend server was passed on, with this status.
+    Answered(u16),
+    /// The caller was told that it has not run.
+    Refused(RefusalReason),
+    /// The caller was told that it may have run.
+    Unknown(UnknownReason),
+    /// The caller got a part of a stream and no end.
+    CutOff(UnknownReason),
+    /// The caller left before its answer was complete.
+    CallerLeft,
+}
+
+/// Counts the end of an admitted request and logs one line.
+pub(crate) fn tell_end(
+    state: &EntryState,
+    request: &AdmittedRequest,
+    sendings: u32,
+    end: RequestEnd,
+) {
+    let span = state.clock.now().since(request.arrival);
+    match end {
+        RequestEnd::Answered(_) => {
+            state.metrics.answered.inc();
+            state.metrics.answer_time.observe(span.as_secs_f64());
+        }
+        RequestEnd::CallerLeft => state.metrics.callers_left.inc(),
+        RequestEnd::CutOff(reason) => state.metrics.unknowns.count(reason),
+        RequestEnd::Refused(_) | RequestEnd::Unknown(_) => {}
+    }
+    tracing::info!(
+        request = %request.attempt,
+        route = %request.route.name,
+        service = %request.service,
+        account = request.account.as_ref().map(tracing::field::display),
+        revision = %request.revision,
+        configuration_age = state.configuration_age().map(tracing::field::display),
+        sendings,
+        took = %span,
+        ?end,
+        "request ended"
+    );
+}
+
+/// Logs a request that was not admitted.
+pub(crate) fn tell_refusal(state: &EntryState, arrival: TimePoint, reason: RefusalReason) {
+    let revision = state.in_force().map(|it| it.revision);
+    tracing::info!(
+        %reason,
+        revision = revision.map(tracing::field::display),
+        configuration_age = state.configuration_age().map(tracing::field::display),
+        took = %state.clock.now().since(arrival),
+        "request not admitted"
+    );
+}
--- a/crates/celerycrank-entry/src/process.rs
+++ b/crates/celerycrank-entry/src/process.rs
@@ -3,10 +3,10 @@
 use std::{cell::Cell, fmt, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use actix_rt::{task::JoinHandle, time::sleep};
+use celerycrank_client::{KeyValueClient, VmListClient};
 use celerycrank_config::{Configuration, EntrySettings};
 use celerycrank_link::{LinkEndpoint, LinkKeys};
 use celerycrank_membership::{DrainState, DrainTracker, PendingWork, VmFact, VmRole};
-use celerycrank_platform::{KeyValueClient, VmListClient};
 use celerycrank_process::{
     DeploymentSource, HttpListener, ListenerLimits, ProcessClock, ShutdownFlag, StaticDeployment,
     serve_admin, wait_for_stop_signal,
--- /dev/null
+++ b/crates/celerycrank-http/src/body.rs
@@ -0,0 +1,264 @@
+//! Framing of bodies: where a body ends, and whether it is whole.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::{FieldList, RequestHead, ResponseHead};
+
+/// Longest line that gives a chunk's size, with its extensions, in bytes.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// Most bytes of the fields that follow the last chunk.
+const MAX_TRAILER_BYTES: usize = 4 << 10;
+
+/// Most digits of a chunk's size.
+const MAX_SIZE_DIGITS: usize = 8;
+
+/// Why a body's end cannot be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum FramingFault {
+    /// the message has more than one length
+    TwoLengths,
+    /// the length is not a number
+    BadLength,
+    /// the transfer coding is not `chunked` alone
+    BadCoding,
+    /// a chunk is malformed
+    BadChunk,
+    /// the body ends before its length
+    Truncated,
+}
+
+impl std::error::Error for FramingFault {}
+
+/// How the end of a body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body comes in chunks.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// How the end of a request's body is marked.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it could be read in two ways.
+    pub fn of_request(head: &RequestHead) -> Result<Self, FramingFault> {
+        let framing = read_framing(&head.fields)?;
+        match framing {
+            Some(Self::Chunked) if !head.is_current => Err(FramingFault::BadCoding),
+            Some(framing) => Ok(framing),
+            None => Ok(Self::Length(0)),
+        }
+    }
+
+    /// How the end of a response's body is marked.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it could be read in two ways.
+    pub fn of_response(head: &ResponseHead, method: &[u8]) -> Result<Self, FramingFault> {
+        let framing = read_framing(&head.fields)?;
+        if method == b"HEAD" || matches!(head.status, 100..=199 | 204 | 304) {
+            return Ok(Self::Length(0));
+        }
+        Ok(framing.unwrap_or(Self::UntilClose))
+    }
+}
+
+fn read_framing(fields: &FieldList) -> Result<Option<BodyFraming>, FramingFault> {
+    let mut codings = fields.get_all("transfer-encoding");
+    let mut lengths = fields.get_all("content-length");
+    match (codings.next(), lengths.next()) {
+        (Some(_), Some(_)) => Err(FramingFault::TwoLengths),
+        (Some(coding), None) => {
+            if codings.next().is_some() || !coding.eq_ignore_ascii_case(b"chunked") {
+                return Err(FramingFault::BadCoding);
+            }
+            Ok(Some(BodyFraming::Chunked))
+        }
+        (None, Some(length)) => {
+            if lengths.next().is_some() {
+                return Err(FramingFault::TwoLengths);
+            }
+            Ok(Some(BodyFraming::Length(read_length(length)?)))
+        }
+        (None, None) => Ok(None),
+    }
+}
+
+/// Reads a length of digits only; a sign or white space is refused.
+fn read_length(text: &[u8]) -> Result<u64, FramingFault> {
+    if !text.iter().all(u8::is_ascii_digit) {
+        return Err(FramingFault::BadLength);
+    }
+    let text = str::from_utf8(text).ok().ok_or(FramingFault::BadLength)?;
+    text.parse().ok().ok_or(FramingFault::BadLength)
+}
+
+/// What the decoder found in its buffer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BodyStep {
+    /// The next bytes of the body.
+    Data(Bytes),
+    /// More bytes are needed.
+    Incomplete,
+    /// The body is whole; what is left in the buffer is no part of it.
+    Complete,
+}
+
+/// Where in a chunked body the decoder stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ChunkState {
+    Size,
+    Data(u64),
+    DataEnd,
+    Trailer(usize),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DecoderState {
+    Length(u64),
+    Chunk(ChunkState),
+    UntilClose,
+    Complete,
+}
+
+/// Takes a body off a buffer, part by part.
+#[derive(Debug, Clone)]
+pub struct BodyDecoder {
+    state: DecoderState,
+}
+
+impl BodyDecoder {
+    /// A decoder that stands before a body's first byte.
+    #[must_use]
+    pub const fn new(framing: BodyFraming) -> Self {
+        let state = match framing {
+            BodyFraming::Length(0) => DecoderState::Complete,
+            BodyFraming::Length(length) => DecoderState::Length(length),
+            BodyFraming::Chunked => DecoderState::Chunk(ChunkState::Size),
+            BodyFraming::UntilClose => DecoderState::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Whether the body was read to its end.
+    #[must_use]
+    pub const fn is_complete(&self) -> bool {
+        matches!(self.state, DecoderState::Complete)
+    }
+
+    /// Takes what the buffer holds of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a chunk is malformed.
+    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<BodyStep, FramingFault> {
+        loop {
+            match self.state {
+                DecoderState::Complete => return Ok(BodyStep::Complete),
+                _ if buffer.is_empty() => return Ok(BodyStep::Incomplete),
+                DecoderState::UntilClose => return Ok(BodyStep::Data(buffer.split().freeze())),
+                DecoderState::Length(left) => {
+                    let (data, left) = take_data(buffer, left);
+                    self.state = if left == 0 {
+                        DecoderState::Complete
+                    } else {
+                        DecoderState::Length(left)
+                    };
+                    return Ok(BodyStep::Data(data));
+                }
+                DecoderState::Chunk(ChunkState::Data(left)) => {
+                    let (data, left) = take_data(buffer, left);
+                    self.state = DecoderState::Chunk(if left == 0 {
+                        ChunkState::DataEnd
+                    } else {
+                        ChunkState::Data(left)
+                    });
+                    return Ok(BodyStep::Data(data));
+                }
+                DecoderState::Chunk(chunk) => {
+                    let Some(line) = take_line(buffer)? else {
+                        return Ok(BodyStep::Incomplete);
+                    };
+                    self.state = next_chunk(chunk, &line)?;
+                }
+            }
+        }
+    }
+
+    /// Ends the body with its connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body's end was announced in another way and has not come.
+    pub fn finish(&mut self) -> Result<(), FramingFault> {
+        match self.state {
+            DecoderState::Complete | DecoderState::UntilClose => {
+                self.state = DecoderState::Complete;
+                Ok(())
+            }
+            DecoderState::Length(_) | DecoderState::Chunk(_) => Err(FramingFault::Truncated),
+        }
+    }
+}
+
+fn take_data(buffer: &mut BytesMut, left: u64) -> (Bytes, u64) {
+    let size = usize::try_from(left).map_or(buffer.len(), |left| left.min(buffer.len()));
+    let data = buffer.split_to(size).freeze();
+    (data, left - size as u64)
+}
+
+/// Takes a line off the buffer, without its CR LF.
+fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, FramingFault> {
+    let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
+        return if buffer.len() > MAX_CHUNK_LINE {
+            Err(FramingFault::BadChunk)
+        } else {
+            Ok(None)
+        };
+    };
+    if end == 0 || end > MAX_CHUNK_LINE || buffer[end - 1] != b'\r' {
+        return Err(FramingFault::BadChunk);
+    }
+    let line = buffer.split_to(end - 1).freeze();
+    buffer.advance(2);
+    Ok(Some(line))
+}
+
+fn next_chunk(state: ChunkState, line: &[u8]) -> Result<DecoderState, FramingFault> {
+    let next = match state {
+        ChunkState::Size => match read_size(line)? {
+            0 => ChunkState::Trailer(0),
+            size => ChunkState::Data(size),
+        },
+        ChunkState::DataEnd if line.is_empty() => ChunkState::Size,
+        ChunkState::DataEnd | ChunkState::Data(_) => return Err(FramingFault::BadChunk),
+        ChunkState::Trailer(_) if line.is_empty() => return Ok(DecoderState::Complete),
+        ChunkState::Trailer(seen) if seen + line.len() > MAX_TRAILER_BYTES => {
+            return Err(FramingFault::BadChunk);
+        }
+        ChunkState::Trailer(seen) => ChunkState::Trailer(seen + line.len()),
+    };
+    Ok(DecoderState::Chunk(next))
+}
+
+fn read_size(line: &[u8]) -> Result<u64, FramingFault> {
+    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = digits.trim_ascii_end();
+    if digits.is_empty() || digits.len() > MAX_SIZE_DIGITS {
+        return Err(FramingFault::BadChunk);
+    }
+    if !digits.iter().all(u8::is_ascii_hexdigit) {
+        return Err(FramingFault::BadChunk);
+    }
+    let text = str::from_utf8(digits).ok().ok_or(FramingFault::BadChunk)?;
+    u64::from_str_radix(text, 16)
+        .ok()
+        .ok_or(FramingFault::BadChunk)
+}
--- /dev/null
+++ b/crates/celerycrank-http/src/head.rs
@@ -0,0 +1,201 @@
+//! Heads of requests and responses.
+
+use bytes::{Bytes, BytesMut};
+use celerycrank_types::TimeSpan;
+use httparse::{EMPTY_HEADER, Header, Request, Response, Status};
+
+use crate::{FieldList, HeaderField};
+
+/// Most header fields of one message.
+const MAX_FIELDS: usize = 96;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Why a head cannot be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum HeadFault {
+    /// the head exceeds the limit
+    TooLarge,
+    /// the head has more than 96 fields
+    TooManyFields,
+    /// the head has a line that does not end with CR LF
+    BareLineFeed,
+    /// the head is malformed: {0}
+    Malformed(httparse::Error),
+}
+
+impl std::error::Error for HeadFault {}
+
+/// The head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method as it was written.
+    pub method: Bytes,
+    /// The path and query as they were written.
+    pub target: Bytes,
+    /// Whether the version is 1.1, in which connections persist and bodies may be chunked.
+    pub is_current: bool,
+    /// The header fields.
+    pub fields: FieldList,
+}
+
+impl RequestHead {
+    /// The target up to its query.
+    #[must_use]
+    pub fn path(&self) -> &[u8] {
+        let end = self.target.iter().position(|byte| *byte == b'?');
+        &self.target[..end.unwrap_or(self.target.len())]
+    }
+
+    /// Whether the connection goes on after the answer.
+    #[must_use]
+    pub fn is_persistent(&self) -> bool {
+        is_persistent(self.is_current, &self.fields)
+    }
+}
+
+/// The head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: u16,
+    /// Whether the version is 1.1.
+    pub is_current: bool,
+    /// The header fields.
+    pub fields: FieldList,
+}
+
+impl ResponseHead {
+    /// Whether the connection goes on after the answer.
+    #[must_use]
+    pub fn is_persistent(&self) -> bool {
+        is_persistent(self.is_current, &self.fields)
+    }
+}
+
+impl ResponseHead {
+    /// How long the sender keeps the idle connection, where it says so.
+    #[must_use]
+    pub fn idle_span(&self) -> Option<TimeSpan> {
+        let text = str::from_utf8(self.fields.get("keep-alive")?).ok()?;
+        let mut parts = text.split(',').map(str::trim);
+        let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
+        seconds.parse().ok().map(TimeSpan::from_secs)
+    }
+}
+
+fn is_persistent(is_current: bool, fields: &FieldList) -> bool {
+    if is_current {
+        !fields.has_token("connection", "close")
+    } else {
+        fields.has_token("connection", "keep-alive")
+    }
+}
+
+/// Takes a request's head off the front of a buffer; nothing while it is incomplete.
+///
+/// # Errors
+///
+/// Fails if the head is too large or not well-formed.
+pub fn parse_request(
+    buffer: &mut BytesMut,
+    limit: usize,
+) -> Result<Option<RequestHead>, HeadFault> {
+    let Some(head) = take_head(buffer, limit)? else {
+        return Ok(None);
+    };
+    let mut storage = [EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = Request::new(&mut storage);
+    if parsed.parse(&head).map_err(head_fault)? == Status::Partial {
+        return Err(HeadFault::Malformed(httparse::Error::NewLine));
+    }
+    Ok(Some(RequestHead {
+        method: slice(&head, parsed.method.unwrap_or_default().as_bytes()),
+        target: slice(&head, parsed.path.unwrap_or_default().as_bytes()),
+        is_current: parsed.version == Some(1),
+        fields: read_fields(&head, parsed.headers),
+    }))
+}
+
+/// Takes a response's head off the front of a buffer; nothing while it is incomplete.
+///
+/// # Errors
+///
+/// Fails if the head is too large or not well-formed.
+pub fn parse_response(
+    buffer: &mut BytesMut,
+    limit: usize,
+) -> Result<Option<ResponseHead>, HeadFault> {
+    // Bytes that are no response must not be waited for until their head is complete.
+    let start = &buffer[..buffer.len().min(5)];
+    if !b"HTTP/".starts_with(start) {
+        return Err(HeadFault::Malformed(httparse::Error::Version));
+    }
+    let Some(head) = take_head(buffer, limit)? else {
+        return Ok(None);
+    };
+    let mut storage = [EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = Response::new(&mut storage);
+    if parsed.parse(&head).map_err(head_fault)? == Status::Partial {
+        return Err(HeadFault::Malformed(httparse::Error::NewLine));
+    }
+    Ok(Some(ResponseHead {
+        status: parsed.code.unwrap_or_default(),
+        is_current: parsed.version == Some(1),
+        fields: read_fields(&head, parsed.headers),
+    }))
+}
+
+/// Cuts a complete head off the buffer and checks the ends of its lines.
+fn take_head(buffer: &mut BytesMut, limit: usize) -> Result<Option<Bytes>, HeadFault> {
+    let end = buffer
+        .windows(HEAD_END.len())
+        .position(|window| window == HEAD_END);
+    let Some(end) = end else {
+        return if buffer.len() > limit {
+            Err(HeadFault::TooLarge)
+        } else {
+            Ok(None)
+        };
+    };
+    let length = end + HEAD_END.len();
+    if length > limit {
+        return Err(HeadFault::TooLarge);
+    }
+    let head = buffer.split_to(length).freeze();
+    let mut previous = 0;
+    for byte in &head {
+        if *byte == b'\n' && previous != b'\r' {
+            return Err(HeadFault::BareLineFeed);
+        }
+        previous = *byte;
+    }
+    Ok(Some(head))
+}
+
+fn head_fault(error: httparse::Error) -> HeadFault {
+    match error {
+        httparse::Error::TooManyHeaders => HeadFault::TooManyFields,
+        other => HeadFault::Malformed(other),
+    }
+}
+
+fn read_fields(head: &Bytes, parsed: &[Header<'_>]) -> FieldList {
+    let mut fields = FieldList::default();
+    for header in parsed {
+        fields.push(HeaderField {
+            name: slice(head, header.name.as_bytes()),
+            value: slice(head, header.value.trim_ascii()),
+        });
+    }
+    fields
+}
+
+/// A part of the head as bytes of its own; it shares the head's memory.
+fn slice(head: &Bytes, part: &[u8]) -> Bytes {
+    if part.is_empty() {
+        Bytes::new()
+    } else {
+        head.slice_ref(part)
+    }
+}
--- a/crates/celerycrank-process/src/lib.rs
+++ b/crates/celerycrank-process/src/lib.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod counter;
 mod listener;
+mod log;
 mod shutdown;
 mod source;
 
@@ -13,6 +14,7 @@
     clock::ProcessClock,
     counter::{CounterFault, LabelledCounter, MetricSet},
     listener::{ConnectionEvent, HttpListener, ListenerLimits},
+    log::LogBuffer,
     shutdown::{ShutdownFlag, wait_for_stop_signal},
     source::{DeploymentSource, SourceFault, StaticDeployment},
 };
--- a/crates/celerycrank-requests/src/retry.rs
+++ b/crates/celerycrank-requests/src/retry.rs
@@ -108,10 +108,12 @@
         | RefusalReason::AgentUnreachable
         | RefusalReason::OldRevision
         | RefusalReason::NoConfiguration
+        | RefusalReason::StaleConfiguration
         | RefusalReason::Revoked
         | RefusalReason::ProtocolVersion
         | RefusalReason::ShuttingDown => true,
         RefusalReason::UnknownKey
+        | RefusalReason::NoRoute
         | RefusalReason::OutsidePlan
         | RefusalReason::BadRequest
         | RefusalReason::HeaderTooLarge
--- a/crates/celerycrank-sync/src/list.rs
+++ b/crates/celerycrank-sync/src/list.rs
@@ -3,8 +3,8 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::time::sleep;
+use celerycrank_client::{VmListClient, VmListFeed, VmOffer, VmRecord, VmState};
 use celerycrank_membership::{VmFact, VmRole};
-use celerycrank_platform::{VmListClient, VmListFeed, VmOffer, VmRecord, VmState};
 use futures_util::future::join;
 
 use crate::state::SyncState;
--- a/crates/celerycrank-sync/src/service.rs
+++ b/crates/celerycrank-sync/src/service.rs
@@ -3,9 +3,9 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use actix_rt::time::{sleep, timeout};
+use celerycrank_client::{KeyValueClient, KeyValueFault, KeyValueRecord, RecordFeed};
 use celerycrank_config::ConfigurationRecord;
 use celerycrank_membership::StopsRecord;
-use celerycrank_platform::{KeyValueClient, KeyValueFault, KeyValueRecord, RecordFeed};
 use futures_util::future::join;
 use rand::Rng;
 
--- a/crates/celerycrank-types/src/lib.rs
+++ b/crates/celerycrank-types/src/lib.rs
@@ -6,6 +6,7 @@
 mod id;
 mod label;
 mod outcome;
+mod record;
 mod time;
 mod unit;
 
@@ -16,6 +17,7 @@
     },
     label::UnknownLabel,
     outcome::{RefusalReason, RequestOutcome, RetryReason, UnknownReason},
+    record::{KeyValueRecord, LeaseId, ModRevision, WatchEvent},
     time::{TimeFault, TimePoint, TimeSpan},
-    unit::{ByteSize, ShareWeight, TokenCount, TokenRate, UnitFault},
+    unit::{ByteSize, Fraction, ShareWeight, TokenCount, TokenRate, UnitFault},
 };
--- a/crates/celerycrank-types/src/outcome.rs
+++ b/crates/celerycrank-types/src/outcome.rs
@@ -24,6 +24,8 @@
         UnknownKey = "unknown_key",
         /// The account's plan does not include what was asked for (403).
         OutsidePlan = "outside_plan",
+        /// No route begins the request's path on its host (404).
+        NoRoute = "no_route",
         /// The request is malformed (400).
         BadRequest = "bad_request",
         /// The request's headers exceed the limit (431).
@@ -52,6 +54,8 @@
         OldRevision = "old_revision",
         /// The process has not yet learnt a configuration (503).
         NoConfiguration = "no_configuration",
+        /// The configuration in force is not known to be the newest (503).
+        StaleConfiguration = "stale_configuration",
         /// The claim for an idempotency key could not be recorded (503).
         ClaimUnavailable = "claim_unavailable",
         /// The idempotency key is older than the record reaches (409).
@@ -113,6 +117,7 @@
             Self::BadRequest => 400,
             Self::UnknownKey => 401,
             Self::OutsidePlan => 403,
+            Self::NoRoute => 404,
             Self::CallerTooSlow => 408,
             Self::KeyExpired => 409,
             Self::BodyTooLarge => 413,
--- a/crates/celerycrank-platform/src/record.rs
+++ b/crates/celerycrank-types/src/record.rs
@@ -48,11 +48,37 @@
     pub revision: ModRevision,
 }
 
-/// The records under a prefix, all read at one revision.
+/// A change of one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RangeSnapshot {
-    /// The service's revision at the time of the read.
-    pub revision: ModRevision,
-    /// The records, ordered by key.
-    pub records: Vec<KeyValueRecord>,
+pub enum WatchEvent {
+    /// The key was written.
+    Put(KeyValueRecord),
+    /// The key was deleted, or its lease ended.
+    Deleted {
+        /// The key.
+        key: Arc<str>,
+        /// When it was deleted.
+        revision: ModRevision,
+    },
+}
+
+impl WatchEvent {
+    /// The revision of the change.
+    #[must_use]
+    pub const fn revision(&self) -> ModRevision {
+        match self {
+            Self::Put(record) => record.revision,
+            Self::Deleted { revision, .. } => *revision,
+        }
+    }
+}
+
+/// A lease, as named by the service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct LeaseId(pub u64);
+
+impl fmt::Display for LeaseId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
 }
--- a/crates/celerycrank-types/src/time.rs
+++ b/crates/celerycrank-types/src/time.rs
@@ -77,7 +77,7 @@
     }
 }
 
-/// A span of time in microseconds, written `250ms`, `5s`, `10m`.
+/// A span of time in microseconds, written `250ms`, `1.5s`, `10m`.
 #[derive(
     Debug,
     Default,
@@ -110,6 +110,12 @@
         Self(seconds * MICROS_PER_SECOND)
     }
 
+    /// A span of seconds that need not be whole; zero if it is negative or no number.
+    #[must_use]
+    pub fn from_secs_f64(seconds: f64) -> Self {
+        Duration::try_from_secs_f64(seconds).map_or(Self::ZERO, Self::from)
+    }
+
     /// The span in seconds.
     #[must_use]
     pub const fn as_secs_f64(self) -> f64 {
@@ -161,13 +167,26 @@
         let fault = || TimeFault(text.into());
         let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
         let suffix = &text[digits.len()..];
-        let number = digits.parse::<u64>().ok().ok_or_else(fault)?;
         let (_, unit) = SPAN_UNITS
             .iter()
             .find(|(name, _)| *name == suffix)
             .ok_or_else(fault)?;
-        number.checked_mul(*unit).map(Self).ok_or_else(fault)
+        let (whole, fraction) = digits.split_once('.').unwrap_or((digits, "0"));
+        let number = whole.parse::<u64>().ok().ok_or_else(fault)?;
+        let micros = number.checked_mul(*unit).ok_or_else(fault)?;
+        let part = read_fraction(fraction, *unit).ok_or_else(fault)?;
+        micros.checked_add(part).map(Self).ok_or_else(fault)
+    }
+}
+
+/// The part of a unit, in microseconds, that the digits behind a decimal point stand for.
+fn read_fraction(digits: &str, unit: u64) -> Option<u64> {
+    if digits.is_empty() || !digits.bytes().all(|digit| digit.is_ascii_digit()) {
+        return None;
     }
+    let part = format!("0.{digits}").parse::<f64>().ok()?;
+    let micros = part * unit as f64;
+    Some(TimeSpan::from_secs_f64(micros / MICROS_PER_SECOND as f64).0)
 }
 
 impl TryFrom<Arc<str>> for TimeSpan {
--- a/crates/celerycrank-types/src/unit.rs
+++ b/crates/celerycrank-types/src/unit.rs
@@ -28,6 +28,8 @@
     Rate(Arc<str>),
     /// `{0}` is not a whole number
     Count(Arc<str>),
+    /// `{0}` is not a number of zero or more
+    Fraction(Arc<str>),
     /// a share must be above 0
     Share,
 }
@@ -240,3 +242,52 @@
         Self::try_from(weight)
     }
 }
+
+/// A ratio or a number that need not be whole, written `0.2`.
+///
+/// Invariant: zero or more, and finite.
+#[derive(
+    Debug, Default, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "Arc<str>", into = "Arc<str>")]
+pub struct Fraction(f64);
+
+impl Fraction {
+    /// The number.
+    #[must_use]
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Fraction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Fraction {
+    type Err = UnitFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.parse::<f64>().ok();
+        let number = number.filter(|number| number.is_finite() && *number >= 0.0);
+        number
+            .map(Self)
+            .ok_or_else(|| UnitFault::Fraction(text.into()))
+    }
+}
+
+impl TryFrom<Arc<str>> for Fraction {
+    type Error = UnitFault;
+
+    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<Fraction> for Arc<str> {
+    fn from(number: Fraction) -> Self {
+        number.to_string().into()
+    }
+}
