--- /dev/null
+++ b/crates/celerycrank-direct/src/agent/engine.rs
@@ -0,0 +1,172 @@
+//! Calls to the engine beside the agent.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use actix_rt::time::timeout;
+use bytes::{Bytes, BytesMut};
+use celerycrank_http::{
+    BodyDecoder, BodyFraming, BodyStep, HttpStream, MessageWriter, StreamTimeouts, parse_response,
+};
+
+/// Longest wait for an answer of the engine, which is on the same machine.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Largest head of an answer, in bytes.
+const MAX_HEAD: usize = 16 << 10;
+
+/// Largest body of an answer, in bytes.
+const MAX_BODY: usize = 1 << 20;
+
+/// How an engine that fell silent is noticed.
+const SILENCE_TIMEOUTS: StreamTimeouts = StreamTimeouts {
+    unacknowledged: Duration::from_secs(1),
+    silence: Duration::from_secs(2),
+    interval: Duration::from_secs(1),
+    questions: 2,
+};
+
+/// Why a call gave no answer to use.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub(crate) enum CallFault {
+    /// no connection to the engine
+    Connect,
+    /// the engine did not answer in time
+    Timeout,
+    /// the connection to the engine was lost
+    Lost,
+    /// the engine answered with status {0}
+    Status(u16),
+    /// the engine's answer cannot be read: {0}
+    Unreadable(std::sync::Arc<str>),
+}
+
+/// An answer of the engine.
+#[derive(Debug)]
+pub(crate) struct EngineAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: BytesMut,
+}
+
+/// Calls to one engine, one after the other on a connection that is kept.
+pub(crate) struct EngineClient {
+    address: SocketAddr,
+    idle: RefCell<Option<HttpStream>>,
+}
+
+impl EngineClient {
+    pub(crate) const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: RefCell::new(None),
+        }
+    }
+
+    /// Reads a page of the engine.
+    pub(crate) async fn get(&self, target: &str) -> Result<BytesMut, CallFault> {
+        let answer = self.call(b"GET", target, Bytes::new()).await?;
+        match answer.status {
+            200 => Ok(answer.body),
+            status => Err(CallFault::Status(status)),
+        }
+    }
+
+    /// Sends a call once, and reads the whole answer.
+    pub(crate) async fn call(
+        &self,
+        method: &[u8],
+        target: &str,
+        body: Bytes,
+    ) -> Result<EngineAnswer, CallFault> {
+        let exchange = self.exchange(method, target, body);
+        timeout(ANSWER_TIMEOUT, exchange)
+            .await
+            .unwrap_or(Err(CallFault::Timeout))
+    }
+
+    async fn exchange(
+        &self,
+        method: &[u8],
+        target: &str,
+        body: Bytes,
+    ) -> Result<EngineAnswer, CallFault> {
+        let mut stream = self.connect().await?;
+        let mut writer = MessageWriter::request(method, target.as_bytes());
+        writer.field_of("Host", self.address);
+        if !body.is_empty() {
+            writer.field("Content-Type", b"application/json");
+            writer.framing(BodyFraming::Length(body.len() as u64));
+        }
+        writer.end_head();
+        writer.put(&body);
+        let sent = stream.send(&writer.into_bytes()).await;
+        sent.map_err(|fault| lost(&fault))?;
+        let (answer, is_persistent) = read_answer(&mut stream, method).await?;
+        if is_persistent {
+            *self.idle.borrow_mut() = Some(stream);
+        }
+        Ok(answer)
+    }
+
+    async fn connect(&self) -> Result<HttpStream, CallFault> {
+        let idle = self.idle.borrow_mut().take();
+        if let Some(mut stream) = idle
+            && stream.is_quiet()
+        {
+            return Ok(stream);
+        }
+        let connecting = HttpStream::connect(self.address, SILENCE_TIMEOUTS).await;
+        connecting.map_err(|fault| {
+            tracing::debug!(%fault, "engine not reached");
+            CallFault::Connect
+        })
+    }
+}
+
+async fn read_answer(
+    stream: &mut HttpStream,
+    method: &[u8],
+) -> Result<(EngineAnswer, bool), CallFault> {
+    let head = loop {
+        match parse_response(&mut stream.buffer, MAX_HEAD).map_err(unreadable)? {
+            Some(head) if head.status >= 200 => break head,
+            Some(_) => {}
+            None => fill(stream).await?,
+        }
+    };
+    let framing = BodyFraming::of_response(&head, method).map_err(unreadable)?;
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = BytesMut::new();
+    loop {
+        match decoder.decode(&mut stream.buffer).map_err(unreadable)? {
+            BodyStep::Data(data) if body.len() + data.len() > MAX_BODY => {
+                return Err(unreadable("it exceeds 1MiB"));
+            }
+            BodyStep::Data(data) => body.extend_from_slice(&data),
+            BodyStep::Complete => break,
+            BodyStep::Incomplete => fill(stream).await?,
+        }
+    }
+    let is_persistent = head.is_persistent() && stream.buffer.is_empty();
+    let answer = EngineAnswer {
+        status: head.status,
+        body,
+    };
+    Ok((answer, is_persistent))
+}
+
+async fn fill(stream: &mut HttpStream) -> Result<(), CallFault> {
+    match stream.fill().await {
+        Ok(0) => Err(CallFault::Lost),
+        Ok(_) => Ok(()),
+        Err(fault) => Err(lost(&fault)),
+    }
+}
+
+fn lost(fault: &std::io::Error) -> CallFault {
+    tracing::debug!(%fault, "connection to the engine lost");
+    CallFault::Lost
+}
+
+pub(crate) fn unreadable(fault: impl std::fmt::Display) -> CallFault {
+    CallFault::Unreadable(fault.to_string().into())
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/agent/metrics.rs
@@ -0,0 +1,66 @@
+//! The agent's counters.
+
+use celerycrank_process::{CounterFault, MetricSet};
+use prometheus::{Histogram, IntCounter, IntGauge};
+
+/// The agent's counters.
+#[derive(Debug)]
+pub(crate) struct AgentMetrics {
+    pub(crate) set: MetricSet,
+    pub(crate) orders: IntCounter,
+    pub(crate) orders_refused: IntCounter,
+    pub(crate) orders_unanswered: IntCounter,
+    pub(crate) attempts: IntCounter,
+    pub(crate) switches: IntCounter,
+    pub(crate) taken_back: IntCounter,
+    pub(crate) loads: IntCounter,
+    pub(crate) engine_faults: IntCounter,
+    pub(crate) map_version: IntGauge,
+    pub(crate) planning: Histogram,
+}
+
+impl AgentMetrics {
+    pub(crate) fn register() -> Result<Self, CounterFault> {
+        let set = MetricSet::default();
+        Ok(Self {
+            orders: set.counter(
+                "celerycrank_rank_orders_total",
+                "orders given to the engine",
+            )?,
+            orders_refused: set.counter(
+                "celerycrank_rank_orders_refused_total",
+                "orders that the engine refused",
+            )?,
+            orders_unanswered: set.counter(
+                "celerycrank_rank_orders_unanswered_total",
+                "orders that got no answer in time",
+            )?,
+            attempts: set.counter(
+                "celerycrank_rank_attempts_total",
+                "attempts to change the group's map that this agent led",
+            )?,
+            switches: set.counter(
+                "celerycrank_rank_switches_total",
+                "attempts for which every rank was armed",
+            )?,
+            taken_back: set.counter(
+                "celerycrank_rank_taken_back_total",
+                "attempts that were taken back",
+            )?,
+            loads: set.counter(
+                "celerycrank_rank_loads_total",
+                "experts that attempts of this agent had ranks load",
+            )?,
+            engine_faults: set.counter(
+                "celerycrank_rank_engine_faults_total",
+                "readings of the engine that gave no answer to use",
+            )?,
+            map_version: set.gauge("celerycrank_rank_map_version", "version of the map in use")?,
+            planning: set.decision(
+                "celerycrank_rank_planning_seconds",
+                "time to find what to load",
+            )?,
+            set,
+        })
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/agent/order.rs
@@ -0,0 +1,130 @@
+//! Carries out what the agent's logic decides.
+
+use std::rc::Rc;
+
+use celerycrank_groups::{
+    LeadEvent, MemberIndex, OrderAnswer, RankMessage, RankOrder, RankOutput, RankOutputs,
+};
+use celerycrank_platform::{LISTS_TARGET, ORDER_TARGET, read_lists, write_order};
+
+use super::{
+    engine::{CallFault, EngineAnswer, unreadable},
+    state::AgentState,
+};
+use crate::message::PeerMessage;
+
+/// Carries out outputs of the agent's logic, in order.
+pub(crate) fn carry_out(state: &Rc<AgentState>, outputs: RankOutputs) {
+    for output in outputs {
+        match output {
+            RankOutput::Send(target, message) => send(state, target, message),
+            RankOutput::Order(order) => {
+                actix_rt::spawn(give_order(Rc::clone(state), order));
+            }
+            RankOutput::ReadReport => state.wake.notify_one(),
+            RankOutput::ReadLists => {
+                actix_rt::spawn(tell_lists(Rc::clone(state)));
+            }
+            RankOutput::Event(event) => note_event(state, event),
+        }
+    }
+}
+
+fn send(state: &AgentState, target: MemberIndex, message: RankMessage) {
+    let address = state.peers.borrow().get(&target).copied();
+    let agent = state.agent.borrow();
+    let (Some(address), Some(place)) = (address, agent.place()) else {
+        return;
+    };
+    let datagram = PeerMessage::Rank {
+        group: place.group.clone(),
+        from: place.rank,
+        message,
+    };
+    if let Err(fault) = state.socket.try_send_to(&datagram.encode(), address) {
+        // The message is sent again if it is not answered.
+        tracing::debug!(%target, %address, %fault, "datagram not sent");
+    }
+}
+
+/// Gives the engine an order.
+async fn give_order(state: Rc<AgentState>, order: RankOrder) {
+    let body = write_order(&order);
+    let called = state.orderer.call(b"POST", ORDER_TARGET, body).await;
+    let answer = read_order_answer(&called);
+    state.metrics.orders.inc();
+    match answer {
+        OrderAnswer::Accepted => {}
+        OrderAnswer::Refused => state.metrics.orders_refused.inc(),
+        OrderAnswer::Unanswered => state.metrics.orders_unanswered.inc(),
+    }
+    let status = called.as_ref().map_or(0, |answer| answer.status);
+    tracing::info!(
+        order = name_of(&order),
+        epoch = %order.epoch,
+        expected = %order.expected,
+        status,
+        ?answer,
+        "order given"
+    );
+    let now = state.clock.now();
+    let outputs = state.agent.borrow_mut().on_answer(answer, now);
+    carry_out(&state, outputs);
+}
+
+fn read_order_answer(called: &Result<EngineAnswer, CallFault>) -> OrderAnswer {
+    match called {
+        Ok(answer) if matches!(answer.status, 200 | 202) => OrderAnswer::Accepted,
+        Ok(answer) if matches!(answer.status, 400..=499) => OrderAnswer::Refused,
+        Err(CallFault::Connect) => OrderAnswer::Refused,
+        Ok(_) | Err(_) => OrderAnswer::Unanswered,
+    }
+}
+
+fn name_of(order: &RankOrder) -> String {
+    use celerycrank_groups::RankAction;
+    match &order.action {
+        RankAction::Prepare(map) => format!("prepare {}", map.id().version),
+        RankAction::Arm { version, step } => format!("arm {version} at {step}"),
+        RankAction::Disarm { version } => format!("disarm {version}"),
+        RankAction::Hold { step } => format!("hold {step}"),
+        RankAction::Release { step } => format!("release {step}"),
+    }
+}
+
+/// Tells the lead which experts the own rank holds.
+async fn tell_lists(state: Rc<AgentState>) {
+    let read = state.reader.get(LISTS_TARGET).await;
+    match read.and_then(|body| read_lists(&body).map_err(unreadable)) {
+        Ok(lists) => {
+            let now = state.clock.now();
+            let outputs = state.agent.borrow_mut().on_lists(lists, now);
+            carry_out(&state, outputs);
+        }
+        // The lead asks again.
+        Err(fault) => tracing::info!(%fault, "lists not read"),
+    }
+}
+
+fn note_event(state: &AgentState, event: LeadEvent) {
+    match event {
+        LeadEvent::Began(attempt) => {
+            state.metrics.attempts.inc();
+            tracing::info!(%attempt, "map change begun");
+        }
+        LeadEvent::Switched(attempt) => {
+            state.metrics.switches.inc();
+            tracing::info!(%attempt, "every rank armed");
+        }
+        LeadEvent::TakenBack(attempt) => {
+            state.metrics.taken_back.inc();
+            tracing::warn!(%attempt, "map change taken back");
+        }
+        LeadEvent::FoundHeld(step) => {
+            tracing::warn!(%step, "group found held; whatever was begun is taken back");
+        }
+        LeadEvent::FoundReleased => {
+            tracing::info!("group released by an order of an earlier life, with every rank armed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/agent/peer.rs
@@ -0,0 +1,95 @@
+//! Datagrams of entries and of the agents beside other ranks.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_rt::time::interval;
+use celerycrank_groups::{MemberIndex, RankMessage};
+use celerycrank_types::GroupId;
+use tokio::select;
+
+use super::{load::subscribe, order::carry_out, state::AgentState};
+use crate::message::{MAX_DATAGRAM, PeerMessage};
+
+/// Interval at which other agents are greeted.
+const HELLO_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Takes datagrams, and greets the agents beside other ranks, until the future is dropped.
+pub(crate) async fn follow_peers(state: Rc<AgentState>) {
+    let mut ticks = interval(HELLO_INTERVAL);
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        select! {
+            _ = ticks.tick() => greet(&state),
+            received = state.socket.recv_from(&mut buffer) => {
+                let Ok((length, sender)) = received else {
+                    continue;
+                };
+                match PeerMessage::decode(&buffer[..length]) {
+                    Some(PeerMessage::Subscribe) => subscribe(&state, sender),
+                    Some(PeerMessage::Rank { group, from, message }) => {
+                        take_message(&state, sender, &group, from, &message);
+                    }
+                    Some(PeerMessage::Load(_)) | None => {}
+                }
+            }
+        }
+    }
+}
+
+/// Greets the agents of the group; while some are unknown, those of the whole service.
+fn greet(state: &AgentState) {
+    let agent = state.agent.borrow();
+    let (Some(hello), Some(place)) = (agent.hello(), agent.place()) else {
+        return;
+    };
+    let datagram = PeerMessage::Rank {
+        group: place.group.clone(),
+        from: place.rank,
+        message: hello,
+    };
+    let datagram = datagram.encode();
+    let peers = state.peers.borrow();
+    let is_complete = peers.len() + 1 >= usize::from(place.size);
+    let port = state.settings.peer.port();
+    let targets = if is_complete {
+        peers.values().copied().collect::<Vec<_>>()
+    } else {
+        let candidates = state.candidates.borrow();
+        let others = candidates.iter().filter(|ip| !is_own(state, **ip));
+        others.map(|ip| SocketAddr::new(*ip, port)).collect()
+    };
+    for target in targets {
+        if let Err(fault) = state.socket.try_send_to(&datagram, target) {
+            tracing::debug!(%target, %fault, "agent not greeted");
+        }
+    }
+}
+
+fn is_own(state: &AgentState, ip: IpAddr) -> bool {
+    state.settings.peer.ip() == ip
+}
+
+fn take_message(
+    state: &Rc<AgentState>,
+    sender: SocketAddr,
+    group: &GroupId,
+    from: MemberIndex,
+    message: &RankMessage,
+) {
+    let place = state.agent.borrow().place().cloned();
+    let is_of_group = place.is_some_and(|place| place.group == *group && place.rank != from);
+    if !is_of_group {
+        return;
+    }
+    let known = state.peers.borrow_mut().insert(from, sender);
+    if known != Some(sender) {
+        tracing::info!(%group, rank = %from, address = %sender, "agent of another rank");
+    }
+    let now = state.clock.now();
+    let outputs = state.agent.borrow_mut().on_message(from, message, now);
+    carry_out(state, outputs);
+}
--- /dev/null
+++ b/crates/celerycrank-direct/src/agent/poll.rs
@@ -0,0 +1,134 @@
+//! Reads the engine's report and counts from time to time.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::time::{sleep, timeout};
+use celerycrank_groups::RankReport;
+use celerycrank_platform::{COUNTS_TARGET, REPORT_TARGET, read_counts, read_report};
+use celerycrank_types::TimeSpan;
+use rand::Rng;
+
+use super::{
+    engine::{CallFault, unreadable},
+    load::tell_load,
+    order::carry_out,
+    state::AgentState,
+};
+
+/// Interval at which the engine's report is read.
+const CALM_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Interval at which it is read while a map is loaded or a switch is under way.
+const BUSY_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Interval at which the lead reads how often experts were chosen.
+const COUNT_INTERVAL: TimeSpan = TimeSpan::from_millis(95);
+
+/// Reads the engine's report until the future is dropped.
+pub(crate) async fn poll_engine(state: Rc<AgentState>) {
+    let mut is_lost = false;
+    let mut counted_at = state.clock.now();
+    loop {
+        match read_own_report(&state).await {
+            Ok(report) => {
+                if std::mem::take(&mut is_lost) {
+                    tracing::info!(dependency = "engine", "engine regained");
+                }
+                take_report(&state, report);
+            }
+            Err(fault) => {
+                state.metrics.engine_faults.inc();
+                if !std::mem::replace(&mut is_lost, true) {
+                    tracing::warn!(dependency = "engine", %fault, "engine lost");
+                }
+                sleep(CALM_INTERVAL).await;
+            }
+        }
+        let is_due = state.clock.now().since(counted_at) >= COUNT_INTERVAL;
+        if is_due && state.agent.borrow().is_lead() {
+            counted_at = state.clock.now();
+            watch_counts(&state).await;
+        }
+        let is_waiting = state.agent.borrow().is_waiting();
+        let interval = if is_waiting {
+            BUSY_INTERVAL
+        } else {
+            CALM_INTERVAL
+        };
+        // Whichever comes first: the next interval, or a report that is wanted now.
+        let _ = timeout(interval, state.wake.notified()).await;
+    }
+}
+
+async fn read_own_report(state: &AgentState) -> Result<RankReport, CallFault> {
+    let body = state.reader.get(REPORT_TARGET).await?;
+    read_report(&body).map_err(unreadable)
+}
+
+fn take_report(state: &Rc<AgentState>, report: RankReport) {
+    let now = state.clock.now();
+    let version = i64::try_from(report.map.0).unwrap_or(i64::MAX);
+    state.metrics.map_version.set(version);
+    tell_load(state, &report, now);
+    let before = state.agent.borrow().place().cloned();
+    let outputs = state.agent.borrow_mut().on_report(report, now);
+    let after = state.agent.borrow().place().cloned();
+    if before != after {
+        if let Some(place) = &after {
+            tracing::info!(group = %place.group, epoch = %place.epoch, rank = %place.rank, is_open = place.is_open, "place in the group");
+        }
+        let group = |place: &Option<celerycrank_groups::RankPlace>| {
+            place
+                .as_ref()
+                .map(|place| (place.group.clone(), place.epoch))
+        };
+        if group(&before) != group(&after) {
+            state.peers.borrow_mut().clear();
+        }
+    }
+    carry_out(state, outputs);
+}
+
+/// Reads how often experts were chosen, and proposes a change of the map if one is worth it.
+async fn watch_counts(state: &Rc<AgentState>) {
+    let read = state.reader.get(COUNTS_TARGET).await;
+    let counts = match read.and_then(|body| read_counts(&body).map_err(unreadable)) {
+        Ok(counts) => counts,
+        Err(fault) => {
+            state.metrics.engine_faults.inc();
+            tracing::info!(%fault, "counts not read");
+            return;
+        }
+    };
+    let now = state.clock.now();
+    state.watch.borrow_mut().observe(now, counts);
+    let (Some(profile), Some(shape)) = (state.profile.get(), state.shape()) else {
+        return;
+    };
+    let mut agent = state.agent.borrow_mut();
+    agent.learn_map(shape);
+    if !agent.may_propose(now) {
+        return;
+    }
+    let Some(map) = agent.map().cloned() else {
+        return;
+    };
+    let proposed = state.watch.borrow().propose(&map, profile.spare);
+    let planned = state.clock.now().since(now);
+    state.metrics.planning.observe(planned.as_secs_f64());
+    let Some(proposal) = proposed else {
+        return;
+    };
+    tracing::info!(
+        loads = proposal.loads.len(),
+        skew = proposal.skew_before,
+        expected = proposal.skew_after,
+        planning = %planned,
+        "map change proposed"
+    );
+    state.metrics.loads.inc_by(proposal.loads.len() as u64);
+    let draw = state.random.borrow_mut().random();
+    let outputs = agent.propose(&proposal.loads, draw, now);
+    drop(agent);
+    carry_out(state, outputs);
+}
--- a/crates/celerycrank-direct/src/agent/process.rs
+++ b/crates/celerycrank-direct/src/agent/process.rs
@@ -1,18 +1,23 @@
 //! The agent process: start, run, stop.
 
-use std::{fmt, time::Duration};
+use std::{fmt, rc::Rc};
 
 use celerycrank_config::RankAgentSettings;
-use celerycrank_http::{HttpStream, MessageWriter, StreamTimeouts};
-use celerycrank_process::wait_for_stop_signal;
+use celerycrank_process::{
+    HttpListener, ListenerLimits, ShutdownFlag, serve_admin, wait_for_stop_signal,
+};
 use tokio::net::UdpSocket;
 
+use super::{
+    admin::AgentPages, metrics::AgentMetrics, peer::follow_peers, poll::poll_engine,
+    profile::learn_profile, state::AgentState,
+};
 use crate::DirectFault;
 
 /// An agent that is bound to its addresses.
 pub struct RankAgentProcess {
-    settings: RankAgentSettings,
-    peers: UdpSocket,
+    state: Rc<AgentState>,
+    admin: HttpListener,
 }
 
 impl fmt::Debug for RankAgentProcess {
@@ -28,44 +33,44 @@
     ///
     /// Fails if an address cannot be bound.
     pub async fn start(settings: RankAgentSettings) -> Result<Self, DirectFault> {
-        let peers = UdpSocket::bind(settings.peer)
+        let socket = UdpSocket::bind(settings.peer)
             .await
             .map_err(DirectFault::Peer)?;
-        Ok(Self { settings, peers })
+        let limits = ListenerLimits::ADMIN;
+        let admin = HttpListener::bind(settings.admin, limits, ShutdownFlag::default())
+            .await
+            .map_err(DirectFault::Admin)?;
+        let metrics = AgentMetrics::register()?;
+        let state = Rc::new(AgentState::new(settings, metrics, socket));
+        Ok(Self { state, admin })
     }
 
     /// Runs until a signal asks to stop.
     ///
+    /// Nothing is handed over: whatever is under way in the group is settled by the next
+    /// life of this agent, or by the lead without it.
+    ///
     /// # Errors
     ///
     /// Fails if signals cannot be caught.
     pub async fn run(self) -> Result<(), DirectFault> {
-        let _ = &self.peers;
-        let backend = self.settings.backend;
-        actix_rt::spawn(async move {
-            loop {
-                for target in ["/-/report", "/-/picked", "/-/picked?lists=1"] {
-                    let t = StreamTimeouts {
-                        unacknowledged: Duration::from_secs(1),
-                        silence: Duration::from_secs(1),
-                        interval: Duration::from_secs(1),
-                        questions: 2,
-                    };
-                    if let Ok(mut stream) = HttpStream::connect(backend, t).await {
-                        let mut writer = MessageWriter::request(b"GET", target.as_bytes());
-                        writer.field("Host", b"x");
-                        writer.end_head();
-                        let _ = stream.send(&writer.into_bytes()).await;
-                        let _ = stream.fill().await;
-                        actix_rt::time::sleep(Duration::from_millis(50)).await;
-                        let _ = stream.fill().await;
-                        let text = String::from_utf8_lossy(&stream.buffer);
-                        tracing::info!(%target, %text, "raw");
-                    }
-                }
-                actix_rt::time::sleep(Duration::from_secs(3)).await;
-            }
+        let state = self.state;
+        let pages = Rc::new(AgentPages {
+            state: Rc::clone(&state),
         });
-        wait_for_stop_signal().await.map_err(DirectFault::Signal)
+        let tasks = [
+            actix_rt::spawn(poll_engine(Rc::clone(&state))),
+            actix_rt::spawn(follow_peers(Rc::clone(&state))),
+            actix_rt::spawn(learn_profile(Rc::clone(&state))),
+            actix_rt::spawn(serve_admin(self.admin, pages)),
+        ];
+        let settings = &state.settings;
+        tracing::info!(vm = %settings.vm, backend = %settings.backend, "agent runs");
+        wait_for_stop_signal().await.map_err(DirectFault::Signal)?;
+        for task in tasks {
+            task.abort();
+        }
+        tracing::info!("agent stopped");
+        Ok(())
     }
 }
--- /dev/null
+++ b/crates/celerycrank-direct/src/agent/profile.rs
@@ -0,0 +1,74 @@
+//! Learns from the store how the group holds experts, and where the other ranks are.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::time::sleep;
+use celerycrank_client::KeyValueFault;
+use celerycrank_platform::{CONFIGURATION_KEY, ENTRY_PREFIX, read_configuration, read_entry};
+
+use super::state::AgentState;
+
+/// Wait before the store is asked again for what is missing.
+const MISSING_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Longest such wait.
+const LONGEST_PAUSE: Duration = Duration::from_secs(12);
+
+/// Interval at which the agent looks whether something is missing.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Asks the store for what the agent misses, less often the longer it is missing.
+pub(crate) async fn learn_profile(state: Rc<AgentState>) {
+    let mut pause = MISSING_PAUSE;
+    loop {
+        if state.profile.get().is_some() && knows_peers(&state) {
+            pause = MISSING_PAUSE;
+            sleep(LOOK_INTERVAL).await;
+            continue;
+        }
+        if let Err(fault) = ask_store(&state).await {
+            tracing::info!(dependency = "store", %fault, "store not read");
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Whether every other rank of the group was heard of.
+fn knows_peers(state: &AgentState) -> bool {
+    let agent = state.agent.borrow();
+    let size = agent.place().map_or(0, |place| usize::from(place.size));
+    size > 0 && state.peers.borrow().len() + 1 >= size
+}
+
+async fn ask_store(state: &AgentState) -> Result<(), KeyValueFault> {
+    if state.profile.get().is_none() {
+        learn_group_profile(state).await?;
+    }
+    let service = &state.settings.service;
+    let snapshot = state.client.range(ENTRY_PREFIX).await?;
+    let entries = snapshot.records.iter();
+    // An entry that cannot be read names no backend server, and the entries tell of it.
+    let entries = entries.filter_map(|record| read_entry(&record.key, &record.value).ok());
+    let same = entries.filter(|entry| entry.service == *service);
+    let candidates = same.map(|entry| entry.address.ip()).collect();
+    *state.candidates.borrow_mut() = candidates;
+    Ok(())
+}
+
+async fn learn_group_profile(state: &AgentState) -> Result<(), KeyValueFault> {
+    let (record, _) = state.client.get_at(CONFIGURATION_KEY).await?;
+    let Some(record) = record else {
+        return Ok(());
+    };
+    match read_configuration(&record.value) {
+        Ok((configuration, _)) => {
+            let mut services = configuration.services.iter();
+            let own = services.find(|it| it.service == state.settings.service);
+            let engine = own.and_then(|service| service.engine);
+            state.profile.set(engine.and_then(|engine| engine.group));
+        }
+        Err(fault) => tracing::error!(%fault, "configuration refused"),
+    }
+    Ok(())
+}
--- a/crates/celerycrank-direct/src/message.rs
+++ b/crates/celerycrank-direct/src/message.rs
@@ -1,6 +1,8 @@
 //! Datagrams between entries and agents.
 
+use celerycrank_groups::{MemberIndex, RankMessage};
 use celerycrank_serving::LoadReport;
+use celerycrank_types::GroupId;
 use serde::{Deserialize, Serialize};
 
 /// Largest datagram that is sent or read, in bytes.
@@ -13,6 +15,15 @@
     Subscribe,
     /// An agent tells the load of the backend server beside it.
     Load(LoadReport),
+    /// The agent beside one rank of a group speaks to that beside another.
+    Rank {
+        /// The group.
+        group: GroupId,
+        /// The rank of the sender.
+        from: MemberIndex,
+        /// What it says.
+        message: RankMessage,
+    },
 }
 
 impl PeerMessage {
--- a/crates/celerycrank-groups/src/lib.rs
+++ b/crates/celerycrank-groups/src/lib.rs
@@ -11,6 +11,7 @@
 mod message;
 mod number;
 mod policy;
+mod rank;
 mod switch;
 pub mod trial;
 
@@ -31,7 +32,12 @@
     },
     policy::{
         LoadEstimator, LoadTable, PlacementDecision, PlacementFault, PlacementPolicy,
-        PlacementPreset, PlacementSettings, full_repack,
+        PlacementPreset, PlacementSettings, SpreadLimits, full_repack, spread_hot_experts,
+    },
+    rank::{
+        ArmedSwitch, AttemptName, CountWindow, GroupEpoch, LeadEvent, LoadWatch, MapProposal,
+        OrderAnswer, OrderSequence, RankAction, RankAgent, RankLead, RankLists, RankMember,
+        RankMessage, RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes,
     },
     switch::{
         BoardHistory, MemberOutput, MemberState, SwitchLead, SwitchMember, SwitchTimes,
--- a/crates/celerycrank-groups/src/map.rs
+++ b/crates/celerycrank-groups/src/map.rs
@@ -128,6 +128,52 @@
         map
     }
 
+    /// The same content under another version.
+    #[must_use]
+    pub fn with_version(&self, version: MapVersion) -> Self {
+        Self {
+            version,
+            ..self.clone()
+        }
+    }
+
+    /// A map of these experts, by layer, then rank; missing slots stay empty.
+    ///
+    /// Nothing if an expert or a rank is out of the shape's bounds.
+    #[must_use]
+    pub fn from_lists(
+        shape: MapShape,
+        version: MapVersion,
+        lists: &[Vec<Vec<u16>>],
+    ) -> Option<Self> {
+        let mut cells = vec![EMPTY_SLOT; shape.layer_slots() * usize::from(shape.layers)];
+        let slots = usize::from(shape.slots);
+        for (layer, ranks) in lists.iter().enumerate() {
+            for (rank, experts) in ranks.iter().enumerate() {
+                let start = layer * shape.layer_slots() + rank * slots;
+                let room = cells.get_mut(start..start + slots)?;
+                if experts.len() > slots || experts.iter().any(|it| *it >= shape.experts) {
+                    return None;
+                }
+                room[..experts.len()].copy_from_slice(experts);
+            }
+        }
+        let map = Self {
+            version,
+            shape,
+            cells,
+        };
+        map.is_complete().then_some(map)
+    }
+
+    /// The experts that a rank holds in a layer.
+    pub fn experts_of(&self, layer: usize, rank: usize) -> impl Iterator<Item = u16> {
+        let slots = usize::from(self.shape.slots);
+        let start = layer * self.shape.layer_slots() + rank * slots;
+        let cells = self.cells[start..start + slots].iter().copied();
+        cells.filter(|cell| *cell != EMPTY_SLOT)
+    }
+
     /// Whether every layer holds every expert, and no rank an expert twice.
     #[must_use]
     pub fn is_complete(&self) -> bool {
--- a/crates/celerycrank-groups/src/number.rs
+++ b/crates/celerycrank-groups/src/number.rs
@@ -54,7 +54,7 @@
     RecordCall
 }
 count_number! {
-    /// One life of an agent process, drawn at random when it starts.
+    /// One life of an agent process; a later one beside the same rank has a higher number.
     AgentLife
 }
 
--- a/crates/celerycrank-groups/src/policy.rs
+++ b/crates/celerycrank-groups/src/policy.rs
@@ -5,10 +5,12 @@
 mod pack;
 mod placement;
 mod setting;
+mod spread;
 
 pub use self::{
     load::{LoadEstimator, LoadTable},
     pack::full_repack,
     placement::{PlacementDecision, PlacementPolicy},
     setting::{PlacementFault, PlacementPreset, PlacementSettings},
+    spread::{SpreadLimits, spread_hot_experts},
 };
--- /dev/null
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -0,0 +1,533 @@
+//! The logic of one agent: the member of its rank, and the lead if it is the first rank.
+
+use std::sync::Arc;
+
+use celerycrank_types::{TimePoint, TimeSpan};
+use smallvec::SmallVec;
+
+use crate::{
+    AgentLife, ExpertMap, GroupEpoch, LeadEvent, MapShape, MapVersion, MemberIndex, OrderAnswer,
+    RankAction, RankLead, RankLists, RankMember, RankMessage, RankOrder, RankPlace, RankReport,
+    SlotLoad,
+};
+
+/// Age up to which a report counts as fresh.
+const FRESH_AGE: TimeSpan = TimeSpan::from_millis(15);
+
+/// Time after which an agent that was not heard of counts as away.
+const AWAY_AFTER: TimeSpan = TimeSpan::from_millis(2_500);
+
+/// Interval at which the lead asks for lists that it misses.
+const ASK_INTERVAL: TimeSpan = TimeSpan::from_millis(300);
+
+/// Silence of a lead after which a life with a lower number is believed: its machine may
+/// count lives anew.
+const LEAD_SILENCE: TimeSpan = TimeSpan::from_millis(5_000);
+
+/// The times by which attempts are bounded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RankTimes {
+    /// Longest time in which ranks load a map.
+    pub prepare: TimeSpan,
+    /// Longest time in which ranks are armed while the group may be held.
+    pub arm: TimeSpan,
+    /// Interval at which unanswered messages are sent again.
+    pub resend: TimeSpan,
+    /// Shortest time between two attempts.
+    pub pause: TimeSpan,
+}
+
+impl Default for RankTimes {
+    fn default() -> Self {
+        Self {
+            prepare: TimeSpan::from_millis(3_000),
+            arm: TimeSpan::from_millis(300),
+            resend: TimeSpan::from_millis(80),
+            pause: TimeSpan::from_millis(100),
+        }
+    }
+}
+
+/// What the agent's process is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RankOutput {
+    /// Send a message to the agent of another rank.
+    Send(MemberIndex, RankMessage),
+    /// Give the own rank an order, and read its report after the answer.
+    Order(RankOrder),
+    /// Read the own rank's report now.
+    ReadReport,
+    /// Read the own rank's lists now.
+    ReadLists,
+    /// Log and count what the lead decided.
+    Event(LeadEvent),
+}
+
+/// What is to be done, in order.
+pub type RankOutputs = SmallVec<[RankOutput; 4]>;
+
+/// Who gave the order that has no answer yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderSource {
+    Lead,
+    Member,
+}
+
+/// The logic of the agent beside one rank.
+#[derive(Debug, Clone)]
+pub struct RankAgent {
+    life: AgentLife,
+    times: RankTimes,
+    report: Option<(RankReport, TimePoint)>,
+    member: RankMember,
+    /// Invariant: present if and only if the agent stands beside the first rank.
+    lead: Option<RankLead>,
+    /// The order that has no answer yet, or after whose answer no report was read.
+    pending: Option<(OrderSource, RankOrder)>,
+    is_answered: bool,
+    /// The reply that the lead was sent last.
+    last_reply: Option<RankMessage>,
+    /// The present life of the lead, and when it was last heard of.
+    lead_life: Option<(AgentLife, TimePoint)>,
+    /// When the agent of each rank was last heard of.
+    heard: Vec<Option<TimePoint>>,
+    /// The map in use, where the lead knows it.
+    map: Option<Arc<ExpertMap>>,
+    /// The lists of the ranks, while the lead does not know the map in use.
+    lists: Vec<Option<RankLists>>,
+    ask_at: TimePoint,
+    highest: MapVersion,
+}
+
+impl RankAgent {
+    /// An agent that knows nothing yet; later lives beside the same rank have higher numbers.
+    #[must_use]
+    pub fn new(life: AgentLife, times: RankTimes) -> Self {
+        Self {
+            life,
+            times,
+            report: None,
+            member: RankMember::default(),
+            lead: None,
+            pending: None,
+            is_answered: false,
+            last_reply: None,
+            lead_life: None,
+            heard: Vec::new(),
+            map: None,
+            lists: Vec::new(),
+            ask_at: TimePoint(0),
+            highest: MapVersion(0),
+        }
+    }
+
+    /// The place of the agent's rank, if it is known.
+    #[must_use]
+    pub fn place(&self) -> Option<&RankPlace> {
+        self.report.as_ref()?.0.place.as_ref()
+    }
+
+    /// The own rank's last report.
+    #[must_use]
+    pub fn report(&self) -> Option<&RankReport> {
+        self.report.as_ref().map(|(report, _)| report)
+    }
+
+    /// Whether the agent leads its group.
+    #[must_use]
+    pub const fn is_lead(&self) -> bool {
+        self.lead.is_some()
+    }
+
+    /// The map in use, where the lead knows it.
+    #[must_use]
+    pub const fn map(&self) -> Option<&Arc<ExpertMap>> {
+        self.map.as_ref()
+    }
+
+    /// Whether the agent waits for its rank, whose report it wants to see soon.
+    #[must_use]
+    pub fn is_waiting(&self) -> bool {
+        let is_leading = self.lead.as_ref().is_some_and(RankLead::is_under_way);
+        is_leading || self.member.is_under_way(self.report())
+    }
+
+    /// The greeting that tells the other agents which rank this one stands beside.
+    #[must_use]
+    pub fn hello(&self) -> Option<RankMessage> {
+        let place = self.place()?;
+        Some(RankMessage::Hello {
+            group: place.group.clone(),
+            epoch: place.epoch,
+            rank: place.rank,
+            life: self.life,
+            highest: self.highest,
+        })
+    }
+
+    /// Whether the lead could begin an attempt now: the group works, every agent is there,
+    /// and nothing is under way.
+    #[must_use]
+    pub fn may_propose(&self, now: TimePoint) -> bool {
+        let (Some(lead), Some((report, _))) = (&self.lead, &self.report) else {
+            return false;
+        };
+        let is_open = report.place.as_ref().is_some_and(|place| place.is_open);
+        let is_map_known = self
+            .map
+            .as_ref()
+            .is_some_and(|map| map.id().version == report.map);
+        let is_idle = self.pending.is_none() && lead.is_free(now, report);
+        is_open && is_map_known && is_idle && self.is_complete(now)
+    }
+
+    /// Begins an attempt to make these changes to the map in use.
+    pub fn propose(&mut self, changes: &[SlotLoad], draw: u64, now: TimePoint) -> RankOutputs {
+        let mut outputs = RankOutputs::new();
+        let (Some(map), Some(epoch)) = (&self.map, self.epoch()) else {
+            return outputs;
+        };
+        if let Some(lead) = &mut self.lead {
+            let version = lead.version_after(self.highest, draw);
+            let next = Arc::new(map.successor(changes).with_version(version));
+            self.highest = version;
+            let (message, event) = lead.begin(next, epoch, now);
+            outputs.push(RankOutput::Event(event));
+            self.send_all(&message, now, &mut outputs);
+        }
+        self.advance(now, &mut outputs);
+        outputs
+    }
+
+    /// Takes what the own rank says of itself.
+    pub fn on_report(&mut self, report: RankReport, now: TimePoint) -> RankOutputs {
+        let mut outputs = RankOutputs::new();
+        if self.is_new_forming(&report) {
+            let is_first = self.report.is_none();
+            self.begin_forming(&report, now);
+            if is_first {
+                self.member.doubt_past(&report);
+            }
+        }
+        self.member.observe(&report);
+        self.highest = self.highest.max(self.member.highest());
+        if self.is_answered {
+            self.pending = None;
+            self.is_answered = false;
+        }
+        self.report = Some((report, now));
+        self.follow_map();
+        self.advance(now, &mut outputs);
+        outputs
+    }
+
+    /// Takes the answer to the order that was given last.
+    pub fn on_answer(&mut self, answer: OrderAnswer, now: TimePoint) -> RankOutputs {
+        let mut outputs = RankOutputs::new();
+        if let Some((source, order)) = &self.pending {
+            match source {
+                OrderSource::Member => self.member.on_answer(answer, order.expected),
+                OrderSource::Lead => {
+                    let lead = self.lead.as_mut();
+                    let event = lead.and_then(|lead| lead.on_answer(answer, now));
+                    outputs.extend(event.map(RankOutput::Event));
+                }
+            }
+        }
+        self.is_answered = true;
+        outputs.push(RankOutput::ReadReport);
+        outputs
+    }
+
+    /// Takes a message of the agent beside another rank of the group.
+    pub fn on_message(
+        &mut self,
+        from: MemberIndex,
+        message: &RankMessage,
+        now: TimePoint,
+    ) -> RankOutputs {
+        let mut outputs = RankOutputs::new();
+        if from == MemberIndex(0) && !self.is_of_present_lead(message, now) {
+            return outputs;
+        }
+        if let Some(heard) = self.heard.get_mut(usize::from(from.0)) {
+            *heard = Some(now);
+        }
+        self.take_message(from, message, now, &mut outputs);
+        self.advance(now, &mut outputs);
+        outputs
+    }
+
+    /// Takes the own rank's lists, for the lead.
+    pub fn on_lists(&mut self, lists: RankLists, now: TimePoint) -> RankOutputs {
+        let mut outputs = RankOutputs::new();
+        let message = RankMessage::Lists(lists);
+        self.send_lead(message, now, &mut outputs);
+        outputs
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, now: TimePoint) -> RankOutputs {
+        let mut outputs = RankOutputs::new();
+        self.advance(now, &mut outputs);
+        outputs
+    }
+
+    /// Builds the map in use from the lists of all ranks, once they are there.
+    pub fn learn_map(&mut self, shape: MapShape) {
+        if self.map.is_some() || self.lead.is_none() {
+            return;
+        }
+        let Some(report) = self.report() else {
+            return;
+        };
+        let version = report.map;
+        if version == MapVersion(0) {
+            self.map = Some(Arc::new(ExpertMap::dealt(shape)));
+            return;
+        }
+        let ranks = self.lists.iter();
+        let ranks = ranks.map(|lists| lists.as_ref().filter(|it| it.version == version));
+        let Some(ranks) = ranks.collect::<Option<Vec<_>>>() else {
+            return;
+        };
+        let layers = 0..usize::from(shape.layers);
+        let lists = layers.map(|layer| {
+            let experts = ranks.iter().map(|rank| rank.experts.get(layer).cloned());
+            experts.collect::<Option<Vec<_>>>()
+        });
+        let lists = lists.collect::<Option<Vec<_>>>();
+        self.map = lists
+            .and_then(|lists| ExpertMap::from_lists(shape, version, &lists))
+            .map(Arc::new);
+    }
+
+    /// Whether a message of the first rank's agent was sent by its present life.
+    fn is_of_present_lead(&mut self, message: &RankMessage, now: TimePoint) -> bool {
+        let Some(life) = message.lead_life() else {
+            return true;
+        };
+        let is_present = self
+            .lead_life
+            .is_none_or(|(known, at)| life >= known || now.since(at) > LEAD_SILENCE);
+        if is_present {
+            self.lead_life = Some((life, now));
+        }
+        is_present
+    }
+
+    fn take_message(
+        &mut self,
+        from: MemberIndex,
+        message: &RankMessage,
+        now: TimePoint,
+        outputs: &mut RankOutputs,
+    ) {
+        match message {
+            RankMessage::Hello { highest, .. } | RankMessage::Failed { highest, .. } => {
+                self.highest = self.highest.max(*highest);
+            }
+            RankMessage::Prepare { epoch, .. } | RankMessage::Clear { epoch, .. }
+                if Some(*epoch) != self.epoch() =>
+            {
+                return;
+            }
+            RankMessage::AskLists => outputs.push(RankOutput::ReadLists),
+            RankMessage::Lists(lists) => {
+                if let Some(known) = self.lists.get_mut(usize::from(from.0)) {
+                    *known = Some(lists.clone());
+                }
+            }
+            _ => {}
+        }
+        if from == MemberIndex(0) {
+            // The lead that asks again has not heard the last reply.
+            self.last_reply = None;
+            if let Some((report, _)) = &self.report {
+                self.member.on_message(message, report);
+            }
+        }
+        if let Some(lead) = &mut self.lead {
+            let event = lead.on_message(from, message, now);
+            outputs.extend(event.map(RankOutput::Event));
+        }
+    }
+
+    /// Replies, repeats what was not answered, and gives the next order.
+    fn advance(&mut self, now: TimePoint, outputs: &mut RankOutputs) {
+        let Some(epoch) = self.epoch() else {
+            return;
+        };
+        self.reply(now, outputs);
+        if let (Some(lead), Some((report, _))) = (&mut self.lead, &self.report) {
+            let event = lead.observe(report, now);
+            if event == Some(LeadEvent::FoundReleased) {
+                self.member.reset();
+            }
+            outputs.extend(event.map(RankOutput::Event));
+        }
+        let resent = self.lead.as_mut().and_then(|lead| lead.resend(epoch, now));
+        if let Some((targets, message)) = resent {
+            for target in targets.iter() {
+                self.send(target, message.clone(), now, outputs);
+            }
+            self.reply(now, outputs);
+        }
+        self.ask_lists(now, outputs);
+        self.give_order(epoch, now, outputs);
+    }
+
+    fn give_order(&mut self, epoch: GroupEpoch, now: TimePoint, outputs: &mut RankOutputs) {
+        let Some((report, read_at)) = &self.report else {
+            return;
+        };
+        if self.pending.is_some() {
+            return;
+        }
+        let is_lead = self.lead.is_some();
+        let needs_fresh = self.lead.as_ref().is_some_and(RankLead::needs_fresh_report);
+        if needs_fresh && now.since(*read_at) > FRESH_AGE {
+            outputs.push(RankOutput::ReadReport);
+            return;
+        }
+        let lead_action = self.lead.as_mut().and_then(|lead| lead.next_action(report));
+        let (source, action) = if let Some(action) = lead_action {
+            (OrderSource::Lead, action)
+        } else {
+            let version = self.highest.next();
+            let same = self.map.as_ref().map(|map| map.with_version(version));
+            let member = &mut self.member;
+            let Some(action) = member.next_action(report, is_lead, same.map(Arc::new)) else {
+                return;
+            };
+            (OrderSource::Member, action)
+        };
+        if let RankAction::Prepare(map) = &action {
+            self.highest = self.highest.max(map.id().version);
+        }
+        let order = RankOrder {
+            action,
+            epoch,
+            expected: report.sequence,
+        };
+        self.pending = Some((source, order.clone()));
+        self.is_answered = false;
+        outputs.push(RankOutput::Order(order));
+    }
+
+    fn reply(&mut self, now: TimePoint, outputs: &mut RankOutputs) {
+        // What an order has brought about shows in the report after its answer only.
+        let Some((report, _)) = &self.report else {
+            return;
+        };
+        if self.pending.is_some() {
+            return;
+        }
+        let reply = self.member.reply(report);
+        if reply == self.last_reply {
+            return;
+        }
+        self.last_reply.clone_from(&reply);
+        if let Some(reply) = reply {
+            self.send_lead(reply, now, outputs);
+        }
+    }
+
+    fn ask_lists(&mut self, now: TimePoint, outputs: &mut RankOutputs) {
+        let is_unknown = self.lead.is_some() && self.map.is_none();
+        if !is_unknown || now < self.ask_at {
+            return;
+        }
+        self.ask_at = now + ASK_INTERVAL;
+        self.send_all(&RankMessage::AskLists, now, outputs);
+    }
+
+    fn send_all(&mut self, message: &RankMessage, now: TimePoint, outputs: &mut RankOutputs) {
+        let size = self.place().map_or(0, |place| place.size);
+        for rank in (0..size).map(MemberIndex) {
+            self.send(rank, message.clone(), now, outputs);
+        }
+    }
+
+    fn send_lead(&mut self, message: RankMessage, now: TimePoint, outputs: &mut RankOutputs) {
+        self.send(MemberIndex(0), message, now, outputs);
+    }
+
+    /// Sends a message; one to the own rank is taken at once.
+    fn send(
+        &mut self,
+        target: MemberIndex,
+        message: RankMessage,
+        now: TimePoint,
+        outputs: &mut RankOutputs,
+    ) {
+        let own = self.place().map(|place| place.rank);
+        if own == Some(target) {
+            self.take_message(target, &message, now, outputs);
+        } else {
+            outputs.push(RankOutput::Send(target, message));
+        }
+    }
+
+    fn epoch(&self) -> Option<GroupEpoch> {
+        self.place().map(|place| place.epoch)
+    }
+
+    fn is_complete(&self, now: TimePoint) -> bool {
+        let own = self.place().map(|place| usize::from(place.rank.0));
+        self.heard.iter().enumerate().all(|(rank, heard)| {
+            Some(rank) == own || heard.is_some_and(|at| now.since(at) < AWAY_AFTER)
+        })
+    }
+
+    fn is_new_forming(&self, report: &RankReport) -> bool {
+        self.report().is_none_or(|known| {
+            let name = |it: &RankReport| {
+                let place = it.place.as_ref();
+                place.map(|place| (place.group.clone(), place.epoch, place.rank, place.size))
+            };
+            known.start_mark != report.start_mark || name(known) != name(report)
+        })
+    }
+
+    fn begin_forming(&mut self, report: &RankReport, now: TimePoint) {
+        self.member.reset();
+        self.pending = None;
+        self.is_answered = false;
+        self.last_reply = None;
+        self.map = None;
+        let place = report.place.as_ref();
+        let size = place.map_or(0, |place| usize::from(place.size));
+        self.heard.resize(size, None);
+        self.lists = vec![None; size];
+        let leads = place.filter(|place| place.rank == MemberIndex(0));
+        match (leads, &mut self.lead) {
+            (None, _) => self.lead = None,
+            (Some(_), Some(lead)) => lead.reset(now),
+            (Some(place), lead @ None) => {
+                *lead = Some(RankLead::new(self.life, place.size, self.times, now));
+            }
+        }
+    }
+
+    /// Notes which map came into use.
+    fn follow_map(&mut self) {
+        let Some(version) = self.report().map(|report| report.map) else {
+            return;
+        };
+        let is_known = self
+            .map
+            .as_ref()
+            .is_some_and(|map| map.id().version == version);
+        if is_known {
+            return;
+        }
+        let next = self.lead.as_ref().and_then(RankLead::next_map);
+        let next = next.filter(|map| map.id().version == version);
+        let was_known = self.map.is_some();
+        self.map = next.map(Arc::clone);
+        if was_known && self.map.is_none() {
+            self.lists.fill(None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-groups/src/rank/message.rs
@@ -0,0 +1,108 @@
+//! Messages between the agents of a group.
+
+use std::{fmt, sync::Arc};
+
+use celerycrank_types::GroupId;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    AgentLife, AttemptNumber, ExpertMap, GroupEpoch, MapVersion, MemberIndex, RankLists, StepNumber,
+};
+
+/// Names one attempt to switch a group's map.
+///
+/// Invariant: one life of the lead uses each number once, in rising order.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct AttemptName {
+    /// The life of the lead's agent.
+    pub life: AgentLife,
+    /// Which attempt of that life.
+    pub number: AttemptNumber,
+}
+
+impl fmt::Display for AttemptName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}-{}", self.life.0, self.number)
+    }
+}
+
+/// A message between the agents of a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RankMessage {
+    /// An agent tells which rank it stands beside.
+    Hello {
+        /// The group.
+        group: GroupId,
+        /// The group's forming.
+        epoch: GroupEpoch,
+        /// The rank.
+        rank: MemberIndex,
+        /// The agent's life.
+        life: AgentLife,
+        /// The highest map version that the agent has heard of.
+        highest: MapVersion,
+    },
+    /// The lead has a rank load a map.
+    Prepare {
+        /// The attempt.
+        attempt: AttemptName,
+        /// The group's forming.
+        epoch: GroupEpoch,
+        /// The map.
+        map: Arc<ExpertMap>,
+    },
+    /// A rank has loaded the map.
+    Prepared {
+        /// The attempt.
+        attempt: AttemptName,
+    },
+    /// The lead has a rank armed; the group is held before the step.
+    Arm {
+        /// The attempt.
+        attempt: AttemptName,
+        /// The step.
+        step: StepNumber,
+    },
+    /// A rank is armed.
+    Armed {
+        /// The attempt.
+        attempt: AttemptName,
+    },
+    /// A rank cannot do what the attempt asks.
+    Failed {
+        /// The attempt.
+        attempt: AttemptName,
+        /// The highest map version that the agent has heard of.
+        highest: MapVersion,
+    },
+    /// The lead takes an attempt back.
+    Clear {
+        /// The attempt, or a later one that armed nothing.
+        attempt: AttemptName,
+        /// The group's forming.
+        epoch: GroupEpoch,
+    },
+    /// A rank is not armed, and nothing that was ordered before can arm it any more.
+    Cleared {
+        /// The attempt.
+        attempt: AttemptName,
+    },
+    /// The lead asks which experts a rank holds.
+    AskLists,
+    /// The experts that a rank holds.
+    Lists(RankLists),
+}
+
+impl RankMessage {
+    /// The life of the lead that sent the message, where it says so.
+    #[must_use]
+    pub const fn lead_life(&self) -> Option<AgentLife> {
+        match self {
+            Self::Hello { life, .. } => Some(*life),
+            Self::Prepare { attempt, .. }
+            | Self::Arm { attempt, .. }
+            | Self::Clear { attempt, .. } => Some(attempt.life),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerycrank-groups/tests/lockstep/world.rs
@@ -0,0 +1,344 @@
+//! A group with its agents, in logical time, under faults drawn from a seed.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use celerycrank_groups::{
+    AgentLife, ExpertIndex, LeadEvent, MapShape, MemberIndex, OrderAnswer, RankAgent, RankMessage,
+    RankOrder, RankOutput, RankOutputs, RankTimes, SlotLoad,
+};
+use celerycrank_types::TimePoint;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::engine::{Group, member};
+
+const MILLI: u64 = 1_000;
+
+/// How often things go wrong, each from 0 to 1.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Orders that get no answer and are carried out seconds later.
+    pub late_orders: f64,
+    /// Orders that get no answer and are carried out at once.
+    pub mute_orders: f64,
+    /// Datagrams that are lost.
+    pub lost: f64,
+    /// Datagrams that come twice.
+    pub doubled: f64,
+    /// Agents killed in a second.
+    pub kills: f64,
+    /// Groups formed anew in a second.
+    pub formings: f64,
+    /// Agents that stand still for a while, in a second.
+    pub freezes: f64,
+    /// Seconds in which the group makes no passes.
+    pub idle: f64,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Event {
+    Pass,
+    Poll(usize, u64),
+    Deliver(usize, MemberIndex, RankMessage),
+    Answer(usize, u64, OrderAnswer),
+    Late(usize, RankOrder),
+    Return(usize),
+    Second,
+}
+
+struct Queued(u64, u64, Event);
+
+impl PartialEq for Queued {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Queued {}
+impl PartialOrd for Queued {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Queued {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// What a run came to.
+#[derive(Debug, Default, Clone)]
+pub struct Outcome {
+    pub switches: u32,
+    pub taken_back: u32,
+    /// Time for which passes were held, in microseconds.
+    pub held: u64,
+    /// Switches in the last five seconds, which are free of faults.
+    pub late_switches: u32,
+}
+
+pub struct World {
+    seed: u64,
+    now: u64,
+    end: u64,
+    calm_from: u64,
+    faults: Faults,
+    random: ChaCha8Rng,
+    queue: BinaryHeap<Reverse<Queued>>,
+    serial: u64,
+    group: Group,
+    shape: MapShape,
+    agents: Vec<Option<RankAgent>>,
+    lives: Vec<u64>,
+    frozen_until: Vec<u64>,
+    is_idle: bool,
+    outcome: Outcome,
+}
+
+impl World {
+    pub fn new(seed: u64, shape: MapShape, seconds: u64, faults: Faults) -> Self {
+        let size = usize::from(shape.ranks);
+        let mut world = Self {
+            seed,
+            now: 0,
+            end: seconds * 1_000 * MILLI,
+            calm_from: seconds.saturating_sub(25) * 1_000 * MILLI,
+            faults,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            serial: 0,
+            group: Group::new(shape),
+            shape,
+            agents: vec![None; size],
+            lives: vec![0; size],
+            frozen_until: vec![0; size],
+            is_idle: false,
+            outcome: Outcome::default(),
+        };
+        for index in 0..size {
+            world.start_agent(index);
+        }
+        world.push(0, Event::Pass);
+        world.push(1_000 * MILLI, Event::Second);
+        world
+    }
+
+    pub fn run(mut self) -> Outcome {
+        while let Some(Reverse(Queued(at, _, event))) = self.queue.pop() {
+            if at > self.end {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.outcome
+    }
+
+    fn push(&mut self, delay: u64, event: Event) {
+        self.serial += 1;
+        let queued = Queued(self.now + delay, self.serial, event);
+        self.queue.push(Reverse(queued));
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        let is_calm = self.now >= self.calm_from;
+        !is_calm && self.random.random_bool(share)
+    }
+
+    fn start_agent(&mut self, index: usize) {
+        self.lives[index] += 1;
+        let life = AgentLife(self.now);
+        self.agents[index] = Some(RankAgent::new(life, RankTimes::default()));
+        let life = self.lives[index];
+        self.push(MILLI, Event::Poll(index, life));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Pass => self.pass(),
+            Event::Second => self.second(),
+            Event::Poll(index, life) => self.poll(index, life),
+            Event::Return(index) => self.start_agent(index),
+            Event::Late(index, order) => {
+                let copied = TimePoint(self.now + 300 * MILLI);
+                let now = TimePoint(self.now);
+                self.group.carry_out(index, &order, copied, now);
+            }
+            Event::Answer(index, life, answer) => {
+                if self.lives[index] == life {
+                    self.with_agent(index, |agent, now| agent.on_answer(answer, now));
+                }
+            }
+            Event::Deliver(index, from, message) => {
+                if self.frozen_until[index] > self.now {
+                    let delay = self.frozen_until[index] - self.now + MILLI;
+                    self.push(delay, Event::Deliver(index, from, message));
+                } else {
+                    self.with_agent(index, |agent, now| agent.on_message(from, &message, now));
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self) {
+        let delay = self.random.random_range(25..110) * MILLI;
+        if !self.is_idle && !self.group.begin_pass(&format!("seed {}", self.seed)) {
+            self.outcome.held += MILLI;
+            self.push(MILLI, Event::Pass);
+            return;
+        }
+        self.push(delay, Event::Pass);
+    }
+
+    fn second(&mut self) {
+        self.push(1_000 * MILLI, Event::Second);
+        self.is_idle = self.chance(self.faults.idle);
+        for index in 0..self.agents.len() {
+            if self.chance(self.faults.kills) && self.agents[index].is_some() {
+                self.agents[index] = None;
+                self.lives[index] += 1;
+                let delay = self.random.random_range(50..3_500) * MILLI;
+                self.push(delay, Event::Return(index));
+            }
+            if self.chance(self.faults.freezes) {
+                let span = self.random.random_range(100..4_000) * MILLI;
+                self.frozen_until[index] = self.now + span;
+            }
+        }
+        if self.chance(self.faults.formings) {
+            self.group.form_anew();
+        }
+    }
+
+    fn poll(&mut self, index: usize, life: u64) {
+        if self.lives[index] != life {
+            return;
+        }
+        if self.frozen_until[index] > self.now {
+            let delay = self.frozen_until[index] - self.now + MILLI;
+            self.push(delay, Event::Poll(index, life));
+            return;
+        }
+        self.push(100 * MILLI, Event::Poll(index, life));
+        let report = self.group.report(index, TimePoint(self.now));
+        self.with_agent(index, |agent, now| agent.on_report(report, now));
+        let hello = self.agents[index].as_ref().and_then(RankAgent::hello);
+        if let Some(hello) = hello {
+            for other in 0..self.agents.len() {
+                if other != index {
+                    self.send(index, member(other), &hello);
+                }
+            }
+        }
+        self.propose(index);
+    }
+
+    fn propose(&mut self, index: usize) {
+        let shape = self.shape;
+        let now = TimePoint(self.now);
+        let slot = self.random.random_range(0..shape.layer_slots());
+        let draw = self.random.random();
+        let Some(agent) = self.agents[index].as_mut() else {
+            return;
+        };
+        agent.learn_map(shape);
+        if !agent.may_propose(now) {
+            return;
+        }
+        // Any change will do that leaves the map complete: a copy in an empty slot.
+        let map = agent.map().expect("a lead that may propose knows the map");
+        let expert = ExpertIndex(u16::try_from(draw % u64::from(shape.experts)).expect("small"));
+        let change = SlotLoad {
+            layer: 0,
+            slot: u16::try_from(slot).expect("small"),
+            expert,
+        };
+        if !map.successor(&[change]).is_complete() {
+            return;
+        }
+        let outputs = agent.propose(&[change], draw, now);
+        self.carry(index, outputs);
+    }
+
+    fn with_agent(
+        &mut self,
+        index: usize,
+        work: impl FnOnce(&mut RankAgent, TimePoint) -> RankOutputs,
+    ) {
+        let now = TimePoint(self.now);
+        if let Some(agent) = self.agents[index].as_mut() {
+            let outputs = work(agent, now);
+            self.carry(index, outputs);
+        }
+    }
+
+    fn carry(&mut self, index: usize, outputs: RankOutputs) {
+        for output in outputs {
+            match output {
+                RankOutput::Send(target, message) => self.send(index, target, &message),
+                RankOutput::Order(order) => self.order(index, order),
+                RankOutput::ReadReport => {
+                    let report = self.group.report(index, TimePoint(self.now));
+                    self.with_agent(index, |agent, now| agent.on_report(report, now));
+                }
+                RankOutput::ReadLists => {
+                    let lists = self.group.lists(index);
+                    self.with_agent(index, |agent, now| agent.on_lists(lists, now));
+                }
+                RankOutput::Event(event) => self.note(event),
+            }
+        }
+    }
+
+    fn note(&mut self, event: LeadEvent) {
+        match event {
+            LeadEvent::Switched(_) => {
+                self.outcome.switches += 1;
+                if self.now + 5_000 * MILLI > self.end {
+                    self.outcome.late_switches += 1;
+                }
+            }
+            LeadEvent::TakenBack(_) => self.outcome.taken_back += 1,
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, target: MemberIndex, message: &RankMessage) {
+        let copies = if self.chance(self.faults.lost) {
+            0
+        } else if self.chance(self.faults.doubled) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let delay = self.random.random_range(300..3_000);
+            let target = usize::from(target.0);
+            self.push(delay, Event::Deliver(target, member(from), message.clone()));
+        }
+    }
+
+    fn order(&mut self, index: usize, order: RankOrder) {
+        const ANSWER_TIMEOUT: u64 = 250 * MILLI;
+        let life = self.lives[index];
+        let now = TimePoint(self.now);
+        let copied = TimePoint(self.now + self.random.random_range(0..600) * MILLI);
+        if self.chance(self.faults.late_orders) {
+            let delay = self.random.random_range(2_000..12_000) * MILLI;
+            self.push(delay, Event::Late(index, order));
+            self.push(
+                ANSWER_TIMEOUT,
+                Event::Answer(index, life, OrderAnswer::Unanswered),
+            );
+            return;
+        }
+        let is_mute = self.chance(self.faults.mute_orders);
+        let answer = self.group.carry_out(index, &order, copied, now);
+        if is_mute {
+            let silent = OrderAnswer::Unanswered;
+            self.push(ANSWER_TIMEOUT, Event::Answer(index, life, silent));
+        } else {
+            let delay = self.random.random_range(200..2_000);
+            self.push(delay, Event::Answer(index, life, answer));
+        }
+    }
+}
--- a/crates/celerycrank-process/src/clock.rs
+++ b/crates/celerycrank-process/src/clock.rs
@@ -31,6 +31,12 @@
         TimePoint(read_micros().saturating_sub(self.origin))
     }
 
+    /// Microseconds since the machine's start, which later processes on it see grown.
+    #[must_use]
+    pub fn machine_micros(&self) -> u64 {
+        read_micros()
+    }
+
     /// How long from now a point of time is; zero if it has passed.
     #[must_use]
     pub fn until(&self, point: TimePoint) -> TimeSpan {
