Take a map change back by a newer map, since engines do not count these orders

The engines leave their count of orders at 0 for prepare, arm, hold and go, so that naming it settles nothing. Change: orders are repeated until the rank's report shows them; an attempt taken back makes every rank load the map in use under a newer version, after which a late arm is refused; a group found held is released if every rank is armed alike, else cleared first.

--- a/crates/celerycrank-direct/src/agent/engine.rs
+++ b/crates/celerycrank-direct/src/agent/engine.rs
@@ -8,8 +8,11 @@
     BodyDecoder, BodyFraming, BodyStep, HttpStream, MessageWriter, StreamTimeouts, parse_response,
 };
 
-/// Longest wait for an answer of the engine, which is on the same machine.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for a page of the engine.
+pub(crate) const PAGE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Longest wait for the answer to an order, which is given again after it.
+pub(crate) const ORDER_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Largest head of an answer, in bytes.
 const MAX_HEAD: usize = 16 << 10;
@@ -50,13 +53,15 @@
 /// Calls to one engine, one after the other on a connection that is kept.
 pub(crate) struct EngineClient {
     address: SocketAddr,
+    timeout: Duration,
     idle: RefCell<Option<HttpStream>>,
 }
 
 impl EngineClient {
-    pub(crate) const fn new(address: SocketAddr) -> Self {
+    pub(crate) const fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self {
             address,
+            timeout,
             idle: RefCell::new(None),
         }
     }
@@ -78,7 +83,7 @@
         body: Bytes,
     ) -> Result<EngineAnswer, CallFault> {
         let exchange = self.exchange(method, target, body);
-        timeout(ANSWER_TIMEOUT, exchange)
+        timeout(self.timeout, exchange)
             .await
             .unwrap_or(Err(CallFault::Timeout))
     }
--- a/crates/celerycrank-direct/src/agent/order.rs
+++ b/crates/celerycrank-direct/src/agent/order.rs
@@ -121,10 +121,10 @@
             tracing::warn!(%attempt, "map change taken back");
         }
         LeadEvent::FoundHeld(step) => {
-            tracing::warn!(%step, "group found held; whatever was begun is taken back");
+            tracing::warn!(%step, "group found held; ranks are asked what they are armed for");
         }
-        LeadEvent::FoundReleased => {
-            tracing::info!("group released by an order of an earlier life, with every rank armed");
+        LeadEvent::FoundArmed(switch) => {
+            tracing::info!(version = %switch.version, step = %switch.step, "every rank found armed alike");
         }
     }
 }
--- a/crates/celerycrank-direct/src/agent/state.rs
+++ b/crates/celerycrank-direct/src/agent/state.rs
@@ -15,7 +15,10 @@
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::{net::UdpSocket, sync::Notify};
 
-use super::{engine::EngineClient, metrics::AgentMetrics};
+use super::{
+    engine::{EngineClient, ORDER_TIMEOUT, PAGE_TIMEOUT},
+    metrics::AgentMetrics,
+};
 
 /// What the tasks of an agent share; all of them run on one arbiter.
 pub(crate) struct AgentState {
@@ -59,8 +62,8 @@
             metrics,
             client: KeyValueClient::with_form(WireForm::Platform, &addresses, timeout),
             socket,
-            reader: EngineClient::new(settings.backend),
-            orderer: EngineClient::new(settings.backend),
+            reader: EngineClient::new(settings.backend, PAGE_TIMEOUT),
+            orderer: EngineClient::new(settings.backend, ORDER_TIMEOUT),
             agent: RefCell::new(RankAgent::new(
                 AgentLife(clock.machine_micros()),
                 RankTimes::default(),
--- a/crates/celerycrank-groups/src/rank/agent.rs
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -6,11 +6,17 @@
 use smallvec::SmallVec;
 
 use crate::{
-    AgentLife, ExpertMap, GroupEpoch, LeadEvent, MapShape, MapVersion, MemberIndex, OrderAnswer,
-    RankAction, RankLead, RankLists, RankMember, RankMessage, RankOrder, RankPlace, RankReport,
-    SlotLoad,
+    AgentLife, AttemptName, ExpertMap, GroupEpoch, LeadEvent, MapShape, MapVersion, MemberIndex,
+    OrderAnswer, RankAction, RankLead, RankLists, RankMember, RankMessage, RankOrder, RankPlace,
+    RankReport, SlotLoad,
 };
 
+/// Time before the same order is given again.
+const REPEAT_AFTER: TimeSpan = TimeSpan::from_millis(50);
+
+/// Versions by which a map that only voids others is above the highest one.
+const VOID_GAP: u64 = 100;
+
 /// Age up to which a report counts as fresh.
 const FRESH_AGE: TimeSpan = TimeSpan::from_millis(15);
 
@@ -89,6 +95,10 @@
     last_reply: Option<RankMessage>,
     /// The present life of the lead, and when it was last heard of.
     lead_life: Option<(AgentLife, TimePoint)>,
+    /// The lead's question what the rank is armed for, until a report was read after it.
+    asked: Option<AttemptName>,
+    /// The last order, and when it was given.
+    last_order: Option<(RankAction, TimePoint)>,
     /// When the agent of each rank was last heard of.
     heard: Vec<Option<TimePoint>>,
     /// The map in use, where the lead knows it.
@@ -113,6 +123,8 @@
             is_answered: false,
             last_reply: None,
             lead_life: None,
+            asked: None,
+            last_order: None,
             heard: Vec::new(),
             map: None,
             lists: Vec::new(),
@@ -149,7 +161,8 @@
     #[must_use]
     pub fn is_waiting(&self) -> bool {
         let is_leading = self.lead.as_ref().is_some_and(RankLead::is_under_way);
-        is_leading || self.member.is_under_way(self.report())
+        let report = self.report();
+        is_leading || report.is_some_and(|report| self.member.is_under_way(report))
     }
 
     /// The greeting that tells the other agents which rank this one stands beside.
@@ -203,11 +216,7 @@
     pub fn on_report(&mut self, report: RankReport, now: TimePoint) -> RankOutputs {
         let mut outputs = RankOutputs::new();
         if self.is_new_forming(&report) {
-            let is_first = self.report.is_none();
             self.begin_forming(&report, now);
-            if is_first {
-                self.member.doubt_past(&report);
-            }
         }
         self.member.observe(&report);
         self.highest = self.highest.max(self.member.highest());
@@ -215,8 +224,15 @@
             self.pending = None;
             self.is_answered = false;
         }
+        let armed = report.armed;
         self.report = Some((report, now));
         self.follow_map();
+        if self.pending.is_none()
+            && let Some(attempt) = self.asked.take()
+        {
+            let state = RankMessage::ArmedState { attempt, armed };
+            self.send_lead(state, now, &mut outputs);
+        }
         self.advance(now, &mut outputs);
         outputs
     }
@@ -224,9 +240,9 @@
     /// Takes the answer to the order that was given last.
     pub fn on_answer(&mut self, answer: OrderAnswer, now: TimePoint) -> RankOutputs {
         let mut outputs = RankOutputs::new();
-        if let Some((source, order)) = &self.pending {
+        if let Some((source, _)) = &self.pending {
             match source {
-                OrderSource::Member => self.member.on_answer(answer, order.expected),
+                OrderSource::Member => self.member.on_answer(answer),
                 OrderSource::Lead => {
                     let lead = self.lead.as_mut();
                     let event = lead.and_then(|lead| lead.on_answer(answer, now));
@@ -332,6 +348,11 @@
             {
                 return;
             }
+            RankMessage::AskArmed { attempt } => {
+                // Only a report that was read after the question says what holds now.
+                self.asked = Some(*attempt);
+                outputs.push(RankOutput::ReadReport);
+            }
             RankMessage::AskLists => outputs.push(RankOutput::ReadLists),
             RankMessage::Lists(lists) => {
                 if let Some(known) = self.lists.get_mut(usize::from(from.0)) {
@@ -361,12 +382,14 @@
         self.reply(now, outputs);
         if let (Some(lead), Some((report, _))) = (&mut self.lead, &self.report) {
             let event = lead.observe(report, now);
-            if event == Some(LeadEvent::FoundReleased) {
-                self.member.reset();
-            }
             outputs.extend(event.map(RankOutput::Event));
         }
-        let resent = self.lead.as_mut().and_then(|lead| lead.resend(epoch, now));
+        let same_map = self.map.as_ref().map(|map| {
+            let version = MapVersion(self.highest.0 + VOID_GAP);
+            Arc::new(map.with_version(version))
+        });
+        let lead = self.lead.as_mut();
+        let resent = lead.and_then(|lead| lead.resend(epoch, same_map, now));
         if let Some((targets, message)) = resent {
             for target in targets.iter() {
                 self.send(target, message.clone(), now, outputs);
@@ -384,7 +407,6 @@
         if self.pending.is_some() {
             return;
         }
-        let is_lead = self.lead.is_some();
         let needs_fresh = self.lead.as_ref().is_some_and(RankLead::needs_fresh_report);
         if needs_fresh && now.since(*read_at) > FRESH_AGE {
             outputs.push(RankOutput::ReadReport);
@@ -393,15 +415,19 @@
         let lead_action = self.lead.as_mut().and_then(|lead| lead.next_action(report));
         let (source, action) = if let Some(action) = lead_action {
             (OrderSource::Lead, action)
-        } else {
-            let version = self.highest.next();
-            let same = self.map.as_ref().map(|map| map.with_version(version));
-            let member = &mut self.member;
-            let Some(action) = member.next_action(report, is_lead, same.map(Arc::new)) else {
-                return;
-            };
+        } else if let Some(action) = self.member.next_action(report) {
             (OrderSource::Member, action)
+        } else {
+            return;
         };
+        let is_repeated = self
+            .last_order
+            .as_ref()
+            .is_some_and(|(last, at)| *last == action && now.since(*at) < REPEAT_AFTER);
+        if is_repeated {
+            return;
+        }
+        self.last_order = Some((action.clone(), now));
         if let RankAction::Prepare(map) = &action {
             self.highest = self.highest.max(map.id().version);
         }
@@ -495,6 +521,8 @@
         self.pending = None;
         self.is_answered = false;
         self.last_reply = None;
+        self.asked = None;
+        self.last_order = None;
         self.map = None;
         let place = report.place.as_ref();
         let size = place.map_or(0, |place| usize::from(place.size));
--- a/crates/celerycrank-groups/src/rank/lead.rs
+++ b/crates/celerycrank-groups/src/rank/lead.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use celerycrank_types::{TimePoint, TimeSpan};
+use smallvec::SmallVec;
 
 use crate::{
-    AgentLife, AttemptName, AttemptNumber, ExpertMap, GroupEpoch, MapVersion, MemberIndex,
-    MemberSet, OrderAnswer, RankAction, RankMessage, RankReport, RankTimes, StepNumber,
-    rank::member::FAR_STEPS,
+    AgentLife, ArmedSwitch, AttemptName, AttemptNumber, ExpertMap, GroupEpoch, MapVersion,
+    MemberIndex, MemberSet, OrderAnswer, RankAction, RankMessage, RankReport, RankTimes,
+    StepNumber,
 };
 
 /// Steps after the present one before which the group is held.
@@ -19,6 +20,9 @@
 /// Most doublings of the pause after attempts that failed.
 const MOST_DOUBLINGS: u32 = 4;
 
+/// What each rank said that it is armed for.
+type ArmedAnswers = SmallVec<[Option<Option<ArmedSwitch>>; 8]>;
+
 /// Where the lead stands.
 #[derive(Debug, Clone, PartialEq)]
 enum LeadPhase {
@@ -30,17 +34,26 @@
         deadline: TimePoint,
     },
     /// The own rank is to hold the group; the step is chosen when the order is given.
-    Holding { step: Option<StepNumber> },
+    Holding {
+        step: Option<StepNumber>,
+        deadline: TimePoint,
+    },
     /// The group is held, and ranks are being armed.
     Arming {
         step: StepNumber,
         done: MemberSet,
         deadline: TimePoint,
     },
-    /// Every rank is armed, and the group is to be released.
+    /// The group was found held, and ranks are asked what they are armed for.
+    Asking { answers: ArmedAnswers },
+    /// Ranks are being made sure not to be armed.
+    Clearing {
+        done: MemberSet,
+        /// The map in use under a version that no rank has had.
+        map: Option<Arc<ExpertMap>>,
+    },
+    /// Every rank is armed, or none is and none can become so: the group is to go on.
     Releasing,
-    /// The attempt is taken back; the own rank comes first.
-    Clearing { done: MemberSet },
 }
 
 /// What the lead decided, for logs and counters.
@@ -52,16 +65,17 @@
     Switched(AttemptName),
     /// A rank failed or did not answer in time; the attempt is taken back.
     TakenBack(AttemptName),
-    /// The group was released by an order of another life, with every rank armed.
-    FoundReleased,
-    /// The group was found held by an attempt that this life knows nothing of.
+    /// The group was found held by an order that came late or by an earlier life.
     FoundHeld(StepNumber),
+    /// Every rank was found armed alike, and the group is released.
+    FoundArmed(ArmedSwitch),
 }
 
 /// Leads a group from one map to the next.
 ///
-/// Invariants: the group is held before a rank other than by its own wish can be armed;
-/// it is released only when every rank is armed, or none is and none can become so.
+/// Invariants: ranks are asked to arm only while the group is held before that very step.
+/// The group is released only when every rank is armed for it alike, or when none is armed
+/// and none can become so. No two attempts hold the group before the same step.
 #[derive(Debug, Clone)]
 pub struct RankLead {
     size: u8,
@@ -73,6 +87,8 @@
     not_before: TimePoint,
     failures: u32,
     resend_at: TimePoint,
+    /// The highest step before which the group was held or was to be.
+    last_held: StepNumber,
 }
 
 impl RankLead {
@@ -91,6 +107,7 @@
             not_before: now,
             failures: 0,
             resend_at: now,
+            last_held: StepNumber(0),
         }
     }
 
@@ -113,6 +130,16 @@
         self.next_map.as_ref()
     }
 
+    /// The version of a new map: one that no rank has had.
+    ///
+    /// A rank may have had versions that no agent remembers, so attempts that fail leave ever
+    /// larger gaps. Lives of the lead draw at random, so that none uses another's version.
+    #[must_use]
+    pub const fn version_after(&self, highest: MapVersion, draw: u64) -> MapVersion {
+        let gap = (self.failures as u64) * VERSION_DRAWS;
+        MapVersion(highest.0 + 1 + gap + draw % VERSION_DRAWS)
+    }
+
     /// Begins an attempt to bring a map into use.
     pub fn begin(
         &mut self,
@@ -142,86 +169,90 @@
         message: &RankMessage,
         now: TimePoint,
     ) -> Option<LeadEvent> {
-        let attempt = self.attempt;
+        if message.answered_attempt() != Some(self.attempt) {
+            return None;
+        }
         let everyone = MemberSet::first(usize::from(self.size));
         let is_everyone = |done: MemberSet| everyone.difference(done).is_empty();
         match (message, &mut self.phase) {
-            (RankMessage::Prepared { attempt: name }, LeadPhase::Preparing { done, .. })
-                if *name == attempt =>
-            {
+            (RankMessage::Prepared { .. }, LeadPhase::Preparing { done, .. }) => {
                 done.insert(from);
                 if is_everyone(*done) {
-                    self.phase = LeadPhase::Holding { step: None };
+                    let deadline = now + self.times.arm;
+                    self.phase = LeadPhase::Holding {
+                        step: None,
+                        deadline,
+                    };
                 }
+                None
             }
-            (RankMessage::Armed { attempt: name }, LeadPhase::Arming { done, .. })
-                if *name == attempt =>
-            {
+            (RankMessage::Armed { .. }, LeadPhase::Arming { done, .. }) => {
                 done.insert(from);
-                if is_everyone(*done) {
-                    self.phase = LeadPhase::Releasing;
-                    self.failures = 0;
-                    self.not_before = now + self.times.pause;
-                    return Some(LeadEvent::Switched(attempt));
+                if !is_everyone(*done) {
+                    return None;
                 }
+                self.phase = LeadPhase::Releasing;
+                self.failures = 0;
+                self.not_before = now + self.times.pause;
+                Some(LeadEvent::Switched(self.attempt))
             }
-            (RankMessage::Cleared { attempt: name }, LeadPhase::Clearing { done })
-                if *name == attempt =>
-            {
+            (RankMessage::Cleared { .. }, LeadPhase::Clearing { done, .. }) => {
                 done.insert(from);
                 if is_everyone(*done) {
                     self.phase = LeadPhase::Releasing;
                 }
+                None
             }
-            (RankMessage::Failed { attempt: name, .. }, phase) if *name == attempt => {
-                let is_under_way = matches!(
-                    phase,
-                    LeadPhase::Preparing { .. } | LeadPhase::Arming { .. }
-                );
-                return is_under_way.then(|| self.take_back(now));
+            (RankMessage::ArmedState { armed, .. }, LeadPhase::Asking { answers }) => {
+                if let Some(answer) = answers.get_mut(usize::from(from.0)) {
+                    *answer = Some(*armed);
+                }
+                self.judge_answers(now)
             }
-            _ => {}
+            (RankMessage::Failed { .. }, LeadPhase::Preparing { .. }) => Some(self.give_up(now)),
+            (RankMessage::Failed { .. }, LeadPhase::Arming { .. }) => Some(self.take_back(now)),
+            _ => None,
         }
-        None
     }
 
     /// Takes the answer to the lead's last order.
     pub fn on_answer(&mut self, answer: OrderAnswer, now: TimePoint) -> Option<LeadEvent> {
-        match self.phase {
-            // Nobody was told to arm, so a hold that comes late is released at once.
-            LeadPhase::Holding { .. } if answer != OrderAnswer::Accepted => {
-                Some(self.take_back(now))
-            }
-            _ => None,
-        }
+        let is_refused = answer == OrderAnswer::Refused;
+        let is_holding = matches!(self.phase, LeadPhase::Holding { .. });
+        // The step has begun; nobody was told to arm.
+        (is_refused && is_holding).then(|| self.give_up(now))
     }
 
     /// Takes what the own rank says of itself.
     pub fn observe(&mut self, report: &RankReport, now: TimePoint) -> Option<LeadEvent> {
-        match self.phase {
-            LeadPhase::Holding { step: Some(step) } if report.held == Some(step) => {
+        if let Some(held) = report.held {
+            self.last_held = self.last_held.max(held);
+        }
+        match &self.phase {
+            LeadPhase::Holding {
+                step: Some(step), ..
+            } if report.held == Some(*step) => {
                 self.phase = LeadPhase::Arming {
-                    step,
+                    step: *step,
                     done: MemberSet::default(),
                     deadline: now + self.times.arm,
                 };
                 self.resend_at = now;
                 None
             }
+            LeadPhase::Preparing { deadline, .. } | LeadPhase::Holding { deadline, .. }
+                if now >= *deadline =>
+            {
+                Some(self.give_up(now))
+            }
+            LeadPhase::Arming { deadline, .. } if now >= *deadline => Some(self.take_back(now)),
             LeadPhase::Releasing if report.held.is_none() => {
                 self.phase = LeadPhase::Idle;
                 None
             }
-            LeadPhase::Idle => self.settle_past(report),
-            // An order of an earlier life has released the group: every rank is armed.
-            LeadPhase::Clearing { .. } if report.held.is_none() && report.armed.is_some() => {
-                self.phase = LeadPhase::Idle;
-                Some(LeadEvent::FoundReleased)
-            }
-            LeadPhase::Preparing { deadline, .. } | LeadPhase::Arming { deadline, .. }
-                if now >= deadline =>
-            {
-                Some(self.take_back(now))
+            LeadPhase::Idle | LeadPhase::Preparing { .. } => {
+                let held = report.held?;
+                Some(self.ask_armed(held, now))
             }
             _ => None,
         }
@@ -230,27 +261,37 @@
     /// The order that the own rank needs now, if any.
     pub fn next_action(&mut self, report: &RankReport) -> Option<RankAction> {
         match &mut self.phase {
-            LeadPhase::Holding { step: step @ None } => {
-                let chosen = StepNumber(report.step.0 + STEPS_AHEAD);
-                *step = Some(chosen);
-                Some(RankAction::Hold { step: chosen })
+            LeadPhase::Holding { step, .. } => {
+                let ahead = StepNumber(report.step.0 + STEPS_AHEAD);
+                let step = *step.get_or_insert(ahead.max(self.last_held.next()));
+                self.last_held = self.last_held.max(step);
+                Some(RankAction::Hold { step })
             }
             LeadPhase::Releasing => report.held.map(|step| RankAction::Release { step }),
             _ => None,
         }
     }
 
+    /// Whether the next order needs a report that is not old.
+    #[must_use]
+    pub const fn needs_fresh_report(&self) -> bool {
+        matches!(self.phase, LeadPhase::Holding { step: None, .. })
+    }
+
     /// The message that goes again to the ranks that have not answered, if it is time.
+    ///
+    /// `same_map` is the map in use under a version that no rank has had, where it is known.
     pub fn resend(
         &mut self,
         epoch: GroupEpoch,
+        same_map: Option<Arc<ExpertMap>>,
         now: TimePoint,
     ) -> Option<(MemberSet, RankMessage)> {
         if now < self.resend_at {
             return None;
         }
         let attempt = self.attempt;
-        let (done, message) = match &self.phase {
+        let (done, message) = match &mut self.phase {
             LeadPhase::Preparing { done, .. } => {
                 let map = Arc::clone(self.next_map.as_ref()?);
                 let message = RankMessage::Prepare {
@@ -264,75 +305,100 @@
                 let step = *step;
                 (*done, RankMessage::Arm { attempt, step })
             }
-            LeadPhase::Clearing { done } => (*done, RankMessage::Clear { attempt, epoch }),
+            LeadPhase::Asking { answers } => {
+                let mut done = MemberSet::default();
+                let answered = answers.iter().enumerate().filter(|(_, it)| it.is_some());
+                for (rank, _) in answered {
+                    done.insert(MemberIndex(u8::try_from(rank).unwrap_or(u8::MAX)));
+                }
+                (done, RankMessage::AskArmed { attempt })
+            }
+            LeadPhase::Clearing { done, map } => {
+                if map.is_none() {
+                    *map = same_map;
+                }
+                let map = Arc::clone(map.as_ref()?);
+                let message = RankMessage::Clear {
+                    attempt,
+                    epoch,
+                    map,
+                };
+                (*done, message)
+            }
             _ => return None,
         };
         self.resend_at = now + self.times.resend;
-        let open = MemberSet::first(usize::from(self.size)).difference(done);
-        let own = MemberSet::only(MemberIndex(0));
-        // What the own rank's orders may still bring about is ended before the others move.
-        let is_own_open =
-            matches!(self.phase, LeadPhase::Clearing { .. }) && !done.contains(MemberIndex(0));
-        let targets = if is_own_open { own } else { open };
-        Some((targets, message))
+        let everyone = MemberSet::first(usize::from(self.size));
+        Some((everyone.difference(done), message))
     }
 
-    /// How long the lead waits before it begins again after a failure.
-    fn failure_pause(&self) -> TimeSpan {
-        let doublings = self.failures.min(MOST_DOUBLINGS);
-        TimeSpan(self.times.pause.0 << doublings)
+    /// Forgets the attempt under way, as a new forming of the group does.
+    pub fn reset(&mut self, now: TimePoint) {
+        self.phase = LeadPhase::Idle;
+        self.next_map = None;
+        self.not_before = now;
+        self.failures = 0;
     }
 
-    fn take_back(&mut self, now: TimePoint) -> LeadEvent {
-        self.failures += 1;
-        self.not_before = now + self.failure_pause();
-        self.resend_at = now;
-        self.next_map = None;
-        self.phase = LeadPhase::Clearing {
-            done: MemberSet::default(),
-        };
+    /// Ends an attempt in which nobody was asked to arm.
+    fn give_up(&mut self, now: TimePoint) -> LeadEvent {
+        self.fail(now);
+        self.phase = LeadPhase::Idle;
         LeadEvent::TakenBack(self.attempt)
     }
 
-    /// Takes back what an earlier life of the lead, or an order that came late, left behind.
-    ///
-    /// A group that is not held was released, or never held: either every rank is armed or
-    /// none is.
-    fn settle_past(&mut self, report: &RankReport) -> Option<LeadEvent> {
-        let held = report.held?;
-        if held.0 > report.step.0 + FAR_STEPS / 2 {
-            // It delays nobody, and was ordered only to be counted.
-            self.phase = LeadPhase::Releasing;
-            return None;
-        }
-        self.attempt.number = self.attempt.number.next();
+    /// Takes an attempt back in which ranks may be armed.
+    fn take_back(&mut self, now: TimePoint) -> LeadEvent {
+        self.fail(now);
         self.phase = LeadPhase::Clearing {
             done: MemberSet::default(),
+            map: None,
         };
-        Some(LeadEvent::FoundHeld(held))
+        LeadEvent::TakenBack(self.attempt)
     }
 
-    /// Whether the next order needs a report that is not old.
-    #[must_use]
-    pub const fn needs_fresh_report(&self) -> bool {
-        matches!(self.phase, LeadPhase::Holding { step: None })
+    fn fail(&mut self, now: TimePoint) {
+        self.failures += 1;
+        let doublings = self.failures.min(MOST_DOUBLINGS);
+        self.not_before = now + TimeSpan(self.times.pause.0 << doublings);
+        self.resend_at = now;
+        self.next_map = None;
     }
 
-    /// Forgets the attempt under way, as a new forming of the group does.
-    pub fn reset(&mut self, now: TimePoint) {
-        self.phase = LeadPhase::Idle;
+    /// Asks what ranks are armed for, since the group is held by an order of an earlier life
+    /// or by one that came late.
+    fn ask_armed(&mut self, held: StepNumber, now: TimePoint) -> LeadEvent {
+        self.attempt.number = self.attempt.number.next();
         self.next_map = None;
-        self.not_before = now;
-        self.failures = 0;
+        self.resend_at = now;
+        self.phase = LeadPhase::Asking {
+            answers: ArmedAnswers::from_elem(None, usize::from(self.size)),
+        };
+        LeadEvent::FoundHeld(held)
     }
 
-    /// The version of a new map: one that no rank has had.
+    /// Decides how to go on once every rank has said what it is armed for.
     ///
-    /// A rank may have had versions that no agent remembers, so attempts that fail leave ever
-    /// larger gaps. Lives of the lead draw at random, so that none uses another's version.
-    #[must_use]
-    pub const fn version_after(&self, highest: MapVersion, draw: u64) -> MapVersion {
-        let gap = (self.failures as u64) * VERSION_DRAWS;
-        MapVersion(highest.0 + 1 + gap + draw % VERSION_DRAWS)
+    /// A release may be on its way only if every rank is armed, and then it is right.
+    fn judge_answers(&mut self, now: TimePoint) -> Option<LeadEvent> {
+        let LeadPhase::Asking { answers } = &self.phase else {
+            return None;
+        };
+        let answers = answers.iter().copied().collect::<Option<ArmedList>>()?;
+        let first = answers.first().copied().flatten();
+        self.resend_at = now;
+        if let Some(switch) = first
+            && answers.iter().all(|answer| *answer == Some(switch))
+        {
+            self.phase = LeadPhase::Releasing;
+            return Some(LeadEvent::FoundArmed(switch));
+        }
+        self.phase = LeadPhase::Clearing {
+            done: MemberSet::default(),
+            map: None,
+        };
+        None
     }
 }
+
+type ArmedList = SmallVec<[Option<ArmedSwitch>; 8]>;
--- a/crates/celerycrank-groups/src/rank/message.rs
+++ b/crates/celerycrank-groups/src/rank/message.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AgentLife, AttemptNumber, ExpertMap, GroupEpoch, MapVersion, MemberIndex, RankLists, StepNumber,
+    AgentLife, ArmedSwitch, AttemptNumber, ExpertMap, GroupEpoch, MapVersion, MemberIndex,
+    RankLists, StepNumber,
 };
 
 /// Names one attempt to switch a group's map.
@@ -81,12 +82,26 @@
         attempt: AttemptName,
         /// The group's forming.
         epoch: GroupEpoch,
+        /// The map in use under a version that no rank has had; loading it voids the others.
+        map: Arc<ExpertMap>,
     },
     /// A rank is not armed, and nothing that was ordered before can arm it any more.
     Cleared {
         /// The attempt.
         attempt: AttemptName,
     },
+    /// The lead asks what a rank is armed for.
+    AskArmed {
+        /// The question's name.
+        attempt: AttemptName,
+    },
+    /// What a rank is armed for.
+    ArmedState {
+        /// The question's name.
+        attempt: AttemptName,
+        /// The switch that it will make.
+        armed: Option<ArmedSwitch>,
+    },
     /// The lead asks which experts a rank holds.
     AskLists,
     /// The experts that a rank holds.
@@ -101,8 +116,22 @@
             Self::Hello { life, .. } => Some(*life),
             Self::Prepare { attempt, .. }
             | Self::Arm { attempt, .. }
+            | Self::AskArmed { attempt }
             | Self::Clear { attempt, .. } => Some(attempt.life),
             _ => None,
         }
     }
+
+    /// The attempt that a rank answers, where the message is an answer.
+    #[must_use]
+    pub const fn answered_attempt(&self) -> Option<AttemptName> {
+        match self {
+            Self::Prepared { attempt }
+            | Self::Armed { attempt }
+            | Self::Cleared { attempt }
+            | Self::ArmedState { attempt, .. }
+            | Self::Failed { attempt, .. } => Some(*attempt),
+            _ => None,
+        }
+    }
 }
--- a/crates/celerycrank-groups/src/rank/order.rs
+++ b/crates/celerycrank-groups/src/rank/order.rs
@@ -35,7 +35,7 @@
 
 /// An order to a rank.
 ///
-/// Invariant: it is carried out at most once, in the epoch and after exactly the number of
+/// Engines that count the orders of this kind carry it out only after exactly the number of
 /// orders that it names.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RankOrder {
--- a/crates/celerycrank-groups/tests/lockstep/engine.rs
+++ b/crates/celerycrank-groups/tests/lockstep/engine.rs
@@ -39,6 +39,8 @@
     pub epoch: GroupEpoch,
     pub step: StepNumber,
     pub ranks: Vec<Engine>,
+    /// Whether engines count orders of this kind.
+    pub counts_orders: bool,
     shape: MapShape,
 }
 
@@ -48,6 +50,7 @@
             epoch: GroupEpoch(1),
             step: StepNumber(0),
             ranks: vec![Engine::new(shape); usize::from(shape.ranks)],
+            counts_orders: false,
             shape,
         }
     }
@@ -183,7 +186,7 @@
             }
         };
         if is_accepted {
-            rank.sequence += 1;
+            rank.sequence += u64::from(self.counts_orders);
             OrderAnswer::Accepted
         } else {
             OrderAnswer::Refused
--- a/crates/celerycrank-groups/tests/lockstep/world.rs
+++ b/crates/celerycrank-groups/tests/lockstep/world.rs
@@ -114,6 +114,7 @@
             is_idle: false,
             outcome: Outcome::default(),
         };
+        world.group.counts_orders = seed.is_multiple_of(3);
         for index in 0..size {
             world.start_agent(index);
         }
@@ -318,7 +319,7 @@
     }
 
     fn order(&mut self, index: usize, order: RankOrder) {
-        const ANSWER_TIMEOUT: u64 = 250 * MILLI;
+        const ANSWER_TIMEOUT: u64 = 60 * MILLI;
         let life = self.lives[index];
         let now = TimePoint(self.now);
         let copied = TimePoint(self.now + self.random.random_range(0..600) * MILLI);
