--- /dev/null
+++ b/crates/celerycrank-groups/tests/spread.rs
@@ -0,0 +1,137 @@
+//! One hot expert in each set, and another one after each shift.
+
+use celerycrank_groups::{
+    ExpertMap, LoadTable, LoadWatch, MapShape, SpreadLimits, full_repack, spread_hot_experts,
+};
+use celerycrank_types::TimePoint;
+
+/// The group of both sites.
+const SHAPE: MapShape = MapShape {
+    layers: 6,
+    experts: 64,
+    ranks: 8,
+    slots: 11,
+};
+
+const LIMITS: SpreadLimits = SpreadLimits {
+    per_layer: 2,
+    per_rank: 3,
+    enough: 1.2,
+};
+
+/// Shares of one set in descending order: a third for the hot expert, as recorded.
+fn share(rank: usize) -> f64 {
+    match rank {
+        0 => 0.345,
+        1 => 0.118,
+        2 => 0.07,
+        3 => 0.045,
+        _ => 0.422 / 60.0,
+    }
+}
+
+/// Loads in which each set has hot experts of its own.
+fn hot_loads(shift: usize) -> LoadTable {
+    let mut loads = LoadTable::new(SHAPE);
+    for layer in 0..usize::from(SHAPE.layers) {
+        for (expert, load) in loads.layer_mut(layer).iter_mut().enumerate() {
+            *load = share((expert + 7 * layer + 11 * shift) % 64);
+        }
+    }
+    loads
+}
+
+#[test]
+fn a_few_copies_take_most_of_the_skew() {
+    let map = ExpertMap::dealt(SHAPE);
+    let loads = hot_loads(0);
+    let before = loads.skew(&map);
+    assert!(before > 3.0, "nothing done leaves {before}");
+    let changes = spread_hot_experts(&map, &loads, &LIMITS);
+    let next = map.successor(&changes);
+    let after = loads.skew(&next);
+    assert!(next.is_complete());
+    assert!(after < 1.45, "{before} to {after}");
+    assert!(changes.len() <= 24, "{} loads", changes.len());
+    let repack = full_repack(&map, &loads);
+    assert!(
+        repack.len() > 3 * changes.len(),
+        "a repack loads {}",
+        repack.len()
+    );
+}
+
+#[test]
+fn no_rank_loads_more_than_it_may() {
+    let map = ExpertMap::dealt(SHAPE);
+    for shift in 0..20 {
+        let changes = spread_hot_experts(&map, &hot_loads(shift), &LIMITS);
+        for rank in 0..usize::from(SHAPE.ranks) {
+            let own = |slot: u16| usize::from(slot) / usize::from(SHAPE.slots) == rank;
+            let loads = changes.iter().filter(|load| own(load.slot));
+            assert!(loads.clone().count() <= 3, "rank {rank} in shift {shift}");
+            for layer in 0..SHAPE.layers {
+                let in_layer = loads.clone().filter(|load| load.layer == layer).count();
+                assert!(in_layer <= 2, "rank {rank}, layer {layer} in shift {shift}");
+            }
+        }
+    }
+}
+
+#[test]
+fn shift_after_shift_the_map_stays_whole_and_even() {
+    let mut map = ExpertMap::dealt(SHAPE);
+    for shift in 0..40 {
+        let loads = hot_loads(shift);
+        // Three changes fit between two shifts.
+        for _ in 0..3 {
+            map = map.successor(&spread_hot_experts(&map, &loads, &LIMITS));
+            assert!(map.is_complete());
+        }
+        let skew = loads.skew(&map);
+        assert!(skew < 1.35, "shift {shift}: {skew}");
+    }
+}
+
+#[test]
+fn the_watch_acts_within_a_quarter_second_of_a_shift_and_rests_otherwise() {
+    const TICK: u64 = 100_000;
+    let mut watch = LoadWatch::default();
+    let mut map = ExpertMap::dealt(SHAPE);
+    let mut totals = vec![0_u64; 6 * 64];
+    let mut changes = Vec::new();
+    for tick in 0..90_u64 {
+        let loads = hot_loads(usize::try_from(tick / 30).expect("small"));
+        for layer in 0..6 {
+            for (expert, load) in loads.layer(layer).iter().enumerate() {
+                totals[layer * 64 + expert] += (load * 10_000.0) as u64;
+            }
+        }
+        watch.observe(TimePoint(tick * TICK), totals.clone());
+        if let Some(proposal) = watch.propose(&map, 4) {
+            assert!(proposal.skew_after < proposal.skew_before);
+            map = map.successor(&proposal.loads);
+            changes.push(tick);
+        }
+    }
+    for shift in [0, 30, 60] {
+        let first = changes.iter().find(|tick| **tick >= shift);
+        assert!(first.is_some_and(|tick| *tick <= shift + 3), "{changes:?}");
+        let rest = shift + 12..shift + 30;
+        assert!(
+            !changes.iter().any(|tick| rest.contains(tick)),
+            "{changes:?}"
+        );
+    }
+}
+
+#[test]
+fn totals_that_begin_anew_are_no_load() {
+    let mut watch = LoadWatch::default();
+    let map = ExpertMap::dealt(SHAPE);
+    watch.observe(TimePoint(0), vec![1_000_000; 384]);
+    watch.observe(TimePoint(100_000), vec![5; 384]);
+    assert!(watch.propose(&map, 4).is_none());
+    watch.observe(TimePoint(200_000), vec![9; 12]);
+    assert!(watch.propose(&map, 4).is_none(), "counts of another shape");
+}
--- /dev/null
+++ b/crates/celerycrank-http/tests/framing.rs
@@ -0,0 +1,174 @@
+//! Bodies are read to their end and no further, however the bytes arrive.
+
+use arbtest::arbtest;
+use bytes::BytesMut;
+use celerycrank_http::{
+    BodyDecoder, BodyFraming, BodyStep, FramingFault, HeadFault, MessageWriter, parse_request,
+    parse_response,
+};
+
+const LIMIT: usize = 16 << 10;
+
+/// Seeds of the random tests.
+const SEEDS: std::ops::Range<u64> = 0..256;
+
+/// Reads a body that arrives in these pieces; the rest of the bytes is returned too.
+fn read(framing: BodyFraming, pieces: &[&[u8]]) -> Result<(Vec<u8>, Vec<u8>), FramingFault> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut buffer = BytesMut::new();
+    let mut body = Vec::new();
+    for piece in pieces {
+        buffer.extend_from_slice(piece);
+        while let BodyStep::Data(data) = decoder.decode(&mut buffer)? {
+            body.extend_from_slice(&data);
+        }
+    }
+    decoder.finish()?;
+    Ok((body, buffer.to_vec()))
+}
+
+fn request_framing(head: &str) -> Result<BodyFraming, String> {
+    let mut buffer = BytesMut::from(head);
+    let head = parse_request(&mut buffer, LIMIT).map_err(|fault| fault.to_string())?;
+    let head = head.ok_or("incomplete")?;
+    BodyFraming::of_request(&head).map_err(|fault| fault.to_string())
+}
+
+#[test]
+fn chunks_come_out_as_they_went_in() {
+    for seed in SEEDS {
+        arbtest(|u| {
+            let parts = u.arbitrary::<Vec<Vec<u8>>>()?;
+            let mut writer = MessageWriter::default();
+            for part in &parts {
+                writer.chunk(part);
+            }
+            writer.end_chunks();
+            writer.put(b"HTTP/1.1");
+            let bytes = writer.into_bytes();
+            let cut = u.choose_index(bytes.len())?;
+            let (first, second) = bytes.split_at(cut);
+            let (body, rest) = read(BodyFraming::Chunked, &[first, second]).expect("well-formed");
+            assert_eq!(body, parts.concat());
+            assert_eq!(rest, b"HTTP/1.1");
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+#[test]
+fn any_bytes_are_read_or_refused() {
+    for seed in SEEDS {
+        arbtest(|u| {
+            let bytes = u.arbitrary::<Vec<u8>>()?;
+            let mut decoder = BodyDecoder::new(BodyFraming::Chunked);
+            let mut buffer = BytesMut::from(bytes.as_slice());
+            let mut taken = 0;
+            while let Ok(BodyStep::Data(data)) = decoder.decode(&mut buffer) {
+                taken += data.len();
+            }
+            assert!(taken <= bytes.len());
+            let mut head = BytesMut::from(bytes.as_slice());
+            let _ = parse_request(&mut head, LIMIT);
+            let mut head = BytesMut::from(bytes.as_slice());
+            let _ = parse_response(&mut head, LIMIT);
+            Ok(())
+        })
+        .seed(seed);
+    }
+}
+
+#[test]
+fn a_request_that_reads_in_two_ways_is_refused() {
+    let refused = [
+        "POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: 3,3\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: a\nContent-Length: 3\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length : 3\r\n\r\n",
+        "POST /a HTTP/1.1\r\nHost: a\r\n Content-Length: 3\r\n\r\n",
+    ];
+    for head in refused {
+        assert!(request_framing(head).is_err(), "{head:?}");
+    }
+    let plain = request_framing("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(plain, Ok(BodyFraming::Length(0)));
+}
+
+#[test]
+fn a_broken_chunk_is_refused() {
+    let broken: [&[u8]; 5] = [
+        b"x\r\n",
+        b"-1\r\n",
+        b"3\nabc\r\n0\r\n\r\n",
+        b"3\r\nabcd\r\n0\r\n\r\n",
+        b"fffffffff\r\n",
+    ];
+    for bytes in broken {
+        let result = read(BodyFraming::Chunked, &[bytes]);
+        assert_eq!(result, Err(FramingFault::BadChunk), "{bytes:?}");
+    }
+}
+
+#[test]
+fn a_body_without_its_end_is_not_whole() {
+    let cut = Err(FramingFault::Truncated);
+    assert_eq!(read(BodyFraming::Length(5), &[b"abc"]), cut);
+    assert_eq!(read(BodyFraming::Chunked, &[b"3\r\nabc\r\n"]), cut);
+    let (body, _) = read(BodyFraming::UntilClose, &[b"ab", b"c"]).expect("it ends as announced");
+    assert_eq!(body, b"abc");
+}
+
+#[test]
+fn a_response_without_a_length_ends_with_its_connection() {
+    let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\nServer: a\r\n\r\nbytes");
+    let head = parse_response(&mut buffer, LIMIT)
+        .expect("well-formed")
+        .expect("whole");
+    let framing = BodyFraming::of_response(&head, b"GET");
+    assert_eq!(framing, Ok(BodyFraming::UntilClose));
+    assert_eq!(
+        BodyFraming::of_response(&head, b"HEAD"),
+        Ok(BodyFraming::Length(0))
+    );
+}
+
+#[test]
+fn bytes_that_are_no_response_are_refused_at_once() {
+    for bytes in ["garbage", "HTTQ", "\r\n"] {
+        let mut buffer = BytesMut::from(bytes);
+        assert!(parse_response(&mut buffer, LIMIT).is_err(), "{bytes:?}");
+    }
+    let mut start = BytesMut::from("HTT");
+    assert_eq!(parse_response(&mut start, LIMIT), Ok(None));
+}
+
+#[test]
+fn a_head_beyond_the_limit_is_refused() {
+    let mut buffer = BytesMut::from("GET /a HTTP/1.1\r\n");
+    buffer.resize(LIMIT + 1, b'a');
+    let parsed = parse_request(&mut buffer, LIMIT);
+    assert_eq!(parsed, Err(HeadFault::TooLarge));
+}
+
+#[test]
+fn fields_of_one_hop_stay_there() {
+    let mut buffer = BytesMut::from(
+        "GET /a HTTP/1.1\r\nHost: a\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: x\r\nX-Kept: 2\r\n\r\n",
+    );
+    let head = parse_request(&mut buffer, LIMIT)
+        .expect("well-formed")
+        .expect("whole");
+    let names = head.fields.end_to_end().map(|field| field.name.to_vec());
+    assert_eq!(
+        names.collect::<Vec<_>>(),
+        [b"Host".to_vec(), b"X-Kept".to_vec()]
+    );
+    assert!(!head.is_persistent());
+}
--- /dev/null
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -0,0 +1,252 @@
+//! Decisions of a direct entry: routes, keys, freshness, retries and backend servers.
+
+use celerycrank_serving::{
+    AccountRule, AccountTable, BackendEntry, BackendTable, ChoiceQuery, EntryChange, EntryState,
+    FreshnessGuard, LoadReport, RetryAllowance, RetryWindow, RouteRule, RouteTable, RunRule,
+    WeightedService, choose_backend,
+};
+use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use smallvec::smallvec;
+
+const MILLI: u64 = 1_000;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint(millis * MILLI)
+}
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteRule {
+    RouteRule::builder()
+        .name(name.into())
+        .host(host.into())
+        .prefix(prefix.into())
+        .run(RunRule::Once)
+        .timeout(TimeSpan::from_millis(1_200))
+        .target(TimeSpan::from_millis(150))
+        .priority(1)
+        .services(smallvec![WeightedService {
+            service: service(),
+            weight: 1.0,
+        }])
+        .max_attempts(1)
+        .is_anonymous(false)
+        .build()
+}
+
+fn service() -> ServiceId {
+    "ledger".parse().expect("a plain name")
+}
+
+fn domain(name: &str) -> DomainId {
+    name.parse().expect("a plain name")
+}
+
+fn backend(name: &str) -> BackendId {
+    name.parse().expect("a plain name")
+}
+
+fn entry(name: &str, domain_name: &str, start_mark: u64) -> BackendEntry {
+    BackendEntry {
+        backend: backend(name),
+        service: service(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: domain(domain_name),
+        slots: 4,
+        state: EntryState::Ready,
+        start_mark,
+        warming: TimeSpan::ZERO,
+    }
+}
+
+fn choose(table: &BackendTable, tried: &[BackendId], now: TimePoint) -> Option<BackendId> {
+    let query = ChoiceQuery {
+        service: &service(),
+        domain: &domain("a"),
+        tried,
+        now,
+    };
+    let mut random = StdRng::seed_from_u64(1);
+    choose_backend(table, &query, &mut random).map(|state| state.entry.backend.clone())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = RouteTable::new(&[
+        route("short", "shop.example", "/a/"),
+        route("long", "shop.example", "/a/b/"),
+        route("other", "else.example", "/a/b/c/"),
+    ]);
+    let found = |host: &str, path: &str| table.find(host, path).map(|it| it.name.to_string());
+    assert_eq!(found("shop.example", "/a/b/c/d"), Some("long".into()));
+    assert_eq!(found("SHOP.example:8080", "/a/bc"), Some("short".into()));
+    assert_eq!(found("shop.example", "/a"), None);
+    assert_eq!(found("none.example", "/a/"), None);
+}
+
+#[test]
+fn services_share_a_route_by_weight() {
+    let mut split = route("split", "h", "/");
+    let other = "other".parse::<ServiceId>().expect("a plain name");
+    split.services.push(WeightedService {
+        service: other.clone(),
+        weight: 9.0,
+    });
+    let mut random = StdRng::seed_from_u64(7);
+    let drawn = (0..10_000).filter(|_| split.draw_service(&mut random) == Some(&other));
+    let share = drawn.count();
+    assert!((8_800..9_200).contains(&share), "{share} of 10,000");
+}
+
+#[test]
+fn a_key_names_its_account_and_nothing_else_does() {
+    let table = AccountTable::new(&[AccountRule {
+        account: "acme".parse().expect("a plain name"),
+        keys: vec!["secret-1".into(), "secret-2".into()],
+        priority: Some(0),
+    }]);
+    let found = table.find(b"secret-2").map(|(account, _)| account.as_str());
+    assert_eq!(found, Some("acme"));
+    assert!(table.find(b"secret-3").is_none());
+    assert!(
+        !format!("{table:?}").contains("secret"),
+        "keys are kept as hashes"
+    );
+}
+
+#[test]
+fn keys_are_refused_before_they_may_have_been_taken_away_for_long() {
+    let revocation = TimeSpan::from_millis(5_000);
+    let mut guard = FreshnessGuard::new(revocation);
+    assert!(!guard.is_fresh(at(0)));
+    guard.confirm(at(1_000));
+    guard.confirm(at(500));
+    assert!(guard.is_fresh(at(4_000)));
+    // Whatever the store did not tell for a second before the answer counts too.
+    assert!(!guard.is_fresh(at(1_000) + revocation - TimeSpan::from_millis(1_100)));
+}
+
+#[test]
+fn retries_of_all_entries_together_stay_within_the_allowance() {
+    const ENTRIES: u64 = 17;
+    let allowance = RetryAllowance {
+        window: TimeSpan::from_secs(10),
+        ratio: 0.2,
+        slack: 90.0,
+    };
+    let mut random = StdRng::seed_from_u64(3);
+    let mut windows = vec![RetryWindow::new(allowance); usize::try_from(ENTRIES).expect("small")];
+    let mut requests = Vec::new();
+    let mut retries = Vec::new();
+    for milli in 0..60_000 {
+        let window = &mut windows[random.random_range(0..17)];
+        // Requests come in bursts, and every one of them fails.
+        if random.random_bool(if milli / 5_000 % 2 == 0 { 0.4 } else { 0.01 }) {
+            window.note_request(at(milli));
+            requests.push(milli);
+            if window.take_retry(at(milli)) {
+                retries.push(milli);
+            }
+        }
+    }
+    for start in (0..50_000_u64).step_by(100) {
+        let within = |list: &[u64], from: u64| {
+            list.iter()
+                .filter(|it| (from..from + 10_000).contains(*it))
+                .count()
+        };
+        let before = start.saturating_sub(5_000);
+        let most = within(&requests, start).max(within(&requests, before));
+        let bound = 0.2 * most as f64 + 90.0;
+        let seen = within(&retries, start);
+        assert!(
+            seen as f64 <= bound,
+            "{seen} retries from {start}, {bound} allowed"
+        );
+    }
+    assert!(
+        retries.len() > 500,
+        "the allowance is of use: {}",
+        retries.len()
+    );
+}
+
+#[test]
+fn work_goes_where_there_is_least() {
+    let mut table = BackendTable::default();
+    table.replace(vec![entry("x", "a", 1), entry("y", "a", 1)], at(0));
+    table.begin(&backend("x"));
+    assert_eq!(choose(&table, &[], at(0)), Some(backend("y")));
+    let load = LoadReport {
+        running: 4,
+        waiting: 2,
+        pace: 1.0,
+        group: None,
+        is_open: true,
+    };
+    table
+        .find_mut(&backend("y"))
+        .expect("known")
+        .load
+        .observe(load, at(10));
+    assert_eq!(choose(&table, &[], at(20)), Some(backend("x")));
+    // What was reported long ago says nothing any more.
+    assert_eq!(choose(&table, &[], at(5_000)), Some(backend("y")));
+    assert_eq!(choose(&table, &[backend("x"), backend("y")], at(20)), None);
+}
+
+#[test]
+fn leaving_unreachable_and_failing_ones_get_no_new_work() {
+    let mut table = BackendTable::default();
+    let mut leaving = entry("x", "a", 1);
+    leaving.state = EntryState::Draining;
+    table.replace(vec![leaving, entry("y", "b", 1), entry("z", "b", 1)], at(0));
+    assert_ne!(choose(&table, &[], at(0)), Some(backend("x")));
+    table.note_unreachable(&backend("y"), at(0));
+    assert_eq!(choose(&table, &[], at(1)), Some(backend("z")));
+    assert_eq!(
+        choose(&table, &[backend("z")], at(1)),
+        Some(backend("y")),
+        "better than none"
+    );
+    for _ in 0..10 {
+        table.note_answer(&backend("z"), true);
+    }
+    assert_eq!(choose(&table, &[], at(1_000)), Some(backend("y")));
+    assert_eq!(
+        choose(&table, &[backend("y"), backend("z")], at(1_000)),
+        None
+    );
+}
+
+#[test]
+fn an_entry_that_lapsed_is_used_for_a_moment_only_and_only_if_none_is_left() {
+    let mut table = BackendTable::default();
+    table.replace(vec![entry("x", "a", 1), entry("y", "a", 1)], at(0));
+    table.apply(EntryChange::Removed(backend("x")), at(100));
+    for _ in 0..3 {
+        table.begin(&backend("y"));
+    }
+    assert_eq!(choose(&table, &[], at(200)), Some(backend("y")));
+    table.replace(Vec::new(), at(300));
+    assert!(choose(&table, &[], at(400)).is_some());
+    assert_eq!(choose(&table, &[], at(2_500)), None);
+    table.apply(EntryChange::Written(entry("x", "a", 1)), at(2_600));
+    assert_eq!(choose(&table, &[], at(2_700)), Some(backend("x")));
+}
+
+#[test]
+fn another_start_under_the_same_name_begins_with_a_clean_record() {
+    let mut table = BackendTable::default();
+    table.replace(vec![entry("x", "a", 1)], at(0));
+    for _ in 0..5 {
+        table.begin(&backend("x"));
+        table.note_answer(&backend("x"), true);
+    }
+    table.apply(EntryChange::Written(entry("x", "a", 2)), at(1));
+    let state = table.find_mut(&backend("x")).expect("known");
+    assert_eq!(state.load.own(), 0);
+    assert!(state.failures() < 0.01);
+    // Requests of the earlier start end without a trace.
+    table.finish(&backend("x"));
+    assert_eq!(table.find_mut(&backend("x")).expect("known").load.own(), 0);
+}
