Reload settings on SIGHUP in place of ending by it

Change: an entry reads its settings again and uses what is not bound to an address; an agent notes the signal. Settings that cannot be read leave the old ones in use.

--- a/crates/celerycrank-cli/src/role.rs
+++ b/crates/celerycrank-cli/src/role.rs
@@ -73,10 +73,12 @@
 /// Runs an entry that sends requests straight to backend servers, until it is told to stop.
 pub(crate) fn run_direct_entry(args: &DirectArgs) -> Result<(), Box<dyn Error>> {
     let log = start_buffered_log();
-    let settings = read_settings(&args.settings, check_direct_entry)?;
+    let path = args.settings.clone();
+    let read = move || read_settings(&path, check_direct_entry);
+    let settings = read()?;
     let result = actix_rt::System::new().block_on(async {
         let process = DirectEntryProcess::start(settings).await?;
-        process.run().await
+        process.run(read).await
     });
     log.flush_lines();
     Ok(result?)
--- a/crates/celerycrank-direct/src/agent/process.rs
+++ b/crates/celerycrank-direct/src/agent/process.rs
@@ -4,7 +4,7 @@
 
 use celerycrank_config::RankAgentSettings;
 use celerycrank_process::{
-    HttpListener, ListenerLimits, ShutdownFlag, serve_admin, wait_for_stop_signal,
+    HttpListener, ListenerLimits, ShutdownFlag, on_reload_signal, serve_admin, wait_for_stop_signal,
 };
 use tokio::net::UdpSocket;
 
@@ -47,7 +47,8 @@
 
     /// Runs until a signal asks to stop.
     ///
-    /// Nothing is handed over: whatever is under way in the group is settled by the next
+    /// A signal that the settings have changed is noted: what an agent is set up with lasts
+    /// for its whole life. Nothing is handed over at the end: whatever is under way in the group is settled by the next
     /// life of this agent, or by the lead without it.
     ///
     /// # Errors
@@ -58,7 +59,13 @@
         let pages = Rc::new(AgentPages {
             state: Rc::clone(&state),
         });
+        let reload = || tracing::info!("changed settings are used from the next start on");
         let tasks = [
+            actix_rt::spawn(async move {
+                if let Err(fault) = on_reload_signal(reload).await {
+                    tracing::error!(%fault, "signal to reload cannot be caught");
+                }
+            }),
             actix_rt::spawn(poll_engine(Rc::clone(&state))),
             actix_rt::spawn(follow_peers(Rc::clone(&state))),
             actix_rt::spawn(learn_profile(Rc::clone(&state))),
--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -57,7 +57,7 @@
             failures: it.failures(),
         });
         let status = EntryStatus {
-            entry: state.settings.entry.to_string(),
+            entry: state.settings().entry.to_string(),
             revision: state.in_force().map(|it| it.revision.to_string()),
             configuration_age: state.configuration_age().map(|it| it.to_string()),
             is_ready: state.is_ready(),
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -147,9 +147,10 @@
     }
 
     fn choose(&self) -> Option<BackendEntry> {
+        let settings = self.state.settings();
         let query = ChoiceQuery {
             service: &self.request.service,
-            domain: &self.state.settings.domain,
+            domain: &settings.domain,
             tried: &self.tried,
             now: self.state.clock.now(),
         };
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -58,7 +58,7 @@
 
 async fn subscribe(state: &EntryState, socket: &UdpSocket, agents: &HashMap<IpAddr, BackendId>) {
     let message = PeerMessage::Subscribe.encode();
-    let port = state.settings.peer.port();
+    let port = state.settings().peer.port();
     for address in agents.keys() {
         let sent = socket
             .send_to(&message, SocketAddr::new(*address, port))
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -5,7 +5,7 @@
 use actix_rt::{task::JoinHandle, time::sleep};
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{
-    HttpListener, ListenerLimits, ShutdownFlag, serve_admin, wait_for_stop_signal,
+    HttpListener, ListenerLimits, ShutdownFlag, on_reload_signal, serve_admin, wait_for_stop_signal,
 };
 use celerycrank_types::TimeSpan;
 use tokio::net::{TcpListener, UdpSocket};
@@ -99,16 +99,27 @@
 
     /// Serves until a signal asks to stop and the last request has its answer.
     ///
+    /// `read_settings` reads the settings again when a signal says that they have changed.
+    ///
     /// # Errors
     ///
     /// Fails if signals cannot be caught.
-    pub async fn run(self) -> Result<(), DirectFault> {
+    pub async fn run<E: fmt::Display>(
+        self,
+        read_settings: impl Fn() -> Result<DirectEntrySettings, E> + 'static,
+    ) -> Result<(), DirectFault> {
         let listen = self.caller_address()?;
         let state = self.state;
         let pages = Rc::new(EntryPages {
             state: Rc::clone(&state),
         });
+        let reloaded = Rc::clone(&state);
+        let reload = move || match read_settings() {
+            Ok(settings) => reloaded.reload(settings),
+            Err(fault) => tracing::error!(%fault, "settings not reloaded; the old ones stay"),
+        };
         let tasks = [
+            actix_rt::spawn(follow_reloads(reload)),
             actix_rt::spawn(follow_configuration(Rc::clone(&state))),
             actix_rt::spawn(follow_backends(Rc::clone(&state))),
             actix_rt::spawn(follow_loads(Rc::clone(&state), self.peers)),
@@ -116,7 +127,7 @@
             actix_rt::spawn(serve_admin(self.admin, pages)),
         ];
         let accepting = actix_rt::spawn(accept_callers(Rc::clone(&state), self.callers));
-        tracing::info!(entry = %state.settings.entry, %listen, "entry serves");
+        tracing::info!(entry = %state.settings().entry, %listen, "entry serves");
         wait_for_stop_signal().await.map_err(DirectFault::Signal)?;
         tracing::info!(requests = state.requests.get(), "entry is leaving");
         leave(&state, &accepting).await;
@@ -128,6 +139,12 @@
     }
 }
 
+async fn follow_reloads(reload: impl FnMut()) {
+    if let Err(fault) = on_reload_signal(reload).await {
+        tracing::error!(%fault, "signal to reload cannot be caught");
+    }
+}
+
 async fn accept_callers(state: Rc<EntryState>, listener: TcpListener) {
     loop {
         match listener.accept().await {
@@ -149,7 +166,7 @@
 async fn leave(state: &EntryState, accepting: &JoinHandle<()>) {
     let begun = state.clock.now();
     state.is_stopping.set(true);
-    let grace = state.settings.grace.saturating_sub(END_RESERVE);
+    let grace = state.settings().grace.saturating_sub(END_RESERVE);
     sleep(BALANCER_DELAY.min(grace.as_duration())).await;
     accepting.abort();
     state.shutdown.raise();
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -21,7 +21,7 @@
 
 /// What the tasks of an entry share; all of them run on one arbiter.
 pub(crate) struct EntryState {
-    pub(crate) settings: DirectEntrySettings,
+    settings: RefCell<Rc<DirectEntrySettings>>,
     pub(crate) clock: ProcessClock,
     pub(crate) shutdown: ShutdownFlag,
     pub(crate) metrics: EntryMetrics,
@@ -87,10 +87,43 @@
             requests: Cell::new(0),
             in_force: RefCell::default(),
             retries: RefCell::default(),
-            settings,
+            settings: RefCell::new(Rc::new(settings)),
         }
     }
 
+    /// The settings in use.
+    pub(crate) fn settings(&self) -> Rc<DirectEntrySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Takes settings that were read again; addresses stay as they were bound at the start.
+    pub(crate) fn reload(&self, settings: DirectEntrySettings) {
+        let known = self.settings();
+        if settings == *known {
+            tracing::info!("settings read again; nothing has changed");
+            return;
+        }
+        let is_bound_elsewhere = (
+            settings.listen,
+            settings.probe,
+            settings.admin,
+            settings.peer,
+        ) != (known.listen, known.probe, known.admin, known.peer);
+        if is_bound_elsewhere || settings.store != known.store {
+            tracing::warn!("changed addresses are used from the next start on");
+        }
+        if settings.revocation != known.revocation {
+            let mut guard = self.freshness.borrow_mut();
+            *guard = settings.revocation.map(|span| {
+                let known = guard.unwrap_or_else(|| FreshnessGuard::new(span));
+                known.with_revocation(span)
+            });
+        }
+        self.retries.borrow_mut().clear();
+        *self.settings.borrow_mut() = Rc::new(settings);
+        tracing::info!("settings reloaded");
+    }
+
     /// The configuration in force, if one is known.
     pub(crate) fn in_force(&self) -> Option<Rc<ConfigurationInForce>> {
         self.in_force.borrow().as_ref().map(Rc::clone)
@@ -141,7 +174,7 @@
     ) -> T {
         let mut windows = self.retries.borrow_mut();
         if !windows.contains_key(service) {
-            let settings = self.settings.retries;
+            let settings = self.settings().retries;
             let allowance = RetryAllowance {
                 window: settings.window,
                 ratio: settings.ratio.get(),
--- a/crates/celerycrank-groups/tests/spread.rs
+++ b/crates/celerycrank-groups/tests/spread.rs
@@ -19,23 +19,27 @@
     enough: 1.2,
 };
 
-/// Shares of one set in descending order: a third for the hot expert, as recorded.
-fn share(rank: usize) -> f64 {
+/// Choices of one set in descending order: a third for the hot expert, as recorded.
+fn choices(rank: usize) -> u32 {
     match rank {
-        0 => 0.345,
-        1 => 0.118,
-        2 => 0.07,
-        3 => 0.045,
-        _ => 0.422 / 60.0,
+        0 => 3_450,
+        1 => 1_180,
+        2 => 700,
+        3 => 450,
+        _ => 70,
     }
 }
 
+fn hot_choices(shift: usize, layer: usize, expert: usize) -> u32 {
+    choices((expert + 7 * layer + 11 * shift) % 64)
+}
+
 /// Loads in which each set has hot experts of its own.
 fn hot_loads(shift: usize) -> LoadTable {
     let mut loads = LoadTable::new(SHAPE);
     for layer in 0..usize::from(SHAPE.layers) {
         for (expert, load) in loads.layer_mut(layer).iter_mut().enumerate() {
-            *load = share((expert + 7 * layer + 11 * shift) % 64);
+            *load = f64::from(hot_choices(shift, layer, expert));
         }
     }
     loads
@@ -101,11 +105,9 @@
     let mut totals = vec![0_u64; 6 * 64];
     let mut changes = Vec::new();
     for tick in 0..90_u64 {
-        let loads = hot_loads(usize::try_from(tick / 30).expect("small"));
-        for layer in 0..6 {
-            for (expert, load) in loads.layer(layer).iter().enumerate() {
-                totals[layer * 64 + expert] += (load * 10_000.0) as u64;
-            }
+        let shift = usize::try_from(tick / 30).expect("small");
+        for (index, total) in totals.iter_mut().enumerate() {
+            *total += u64::from(hot_choices(shift, index / 64, index % 64));
         }
         watch.observe(TimePoint(tick * TICK), totals.clone());
         if let Some(proposal) = watch.propose(&map, 4) {
--- a/crates/celerycrank-process/src/lib.rs
+++ b/crates/celerycrank-process/src/lib.rs
@@ -15,6 +15,6 @@
     counter::{CounterFault, LabelledCounter, MetricSet},
     listener::{ConnectionEvent, HttpListener, ListenerLimits},
     log::LogBuffer,
-    shutdown::{ShutdownFlag, wait_for_stop_signal},
+    shutdown::{ShutdownFlag, on_reload_signal, wait_for_stop_signal},
     source::{DeploymentSource, SourceFault, StaticDeployment},
 };
--- a/crates/celerycrank-process/src/shutdown.rs
+++ b/crates/celerycrank-process/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! Shutting down: the signal, and the flag that the rest of the process watches.
+//! Signals: to reload and to stop, and the flag that the rest of the process watches.
 
 use std::io;
 
@@ -22,6 +22,19 @@
     Ok(())
 }
 
+/// Does something at each SIGHUP, which says that the settings file has changed.
+///
+/// # Errors
+///
+/// Fails if the signal cannot be caught.
+pub async fn on_reload_signal(mut reload: impl FnMut()) -> io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    while hangup.recv().await.is_some() {
+        reload();
+    }
+    Ok(())
+}
+
 /// Tells the parts of a process that it is shutting down.
 #[derive(Debug, Clone)]
 pub struct ShutdownFlag {
--- a/crates/celerycrank-serving/src/freshness.rs
+++ b/crates/celerycrank-serving/src/freshness.rs
@@ -33,6 +33,15 @@
         }
     }
 
+    /// The same knowledge under another limit.
+    #[must_use]
+    pub const fn with_revocation(self, revocation: TimeSpan) -> Self {
+        Self {
+            confirmed_at: self.confirmed_at,
+            ..Self::new(revocation)
+        }
+    }
+
     /// Notes that a question sent at `asked_at` found the configuration in force unchanged.
     pub fn confirm(&mut self, asked_at: TimePoint) {
         self.confirmed_at = self.confirmed_at.max(Some(asked_at));
--- a/crates/celerycrank-serving/tests/events.rs
+++ b/crates/celerycrank-serving/tests/events.rs
@@ -47,7 +47,8 @@
 #[test]
 fn a_stream_goes_on_behind_the_last_event_or_not_at_all() {
     let mut reader = EventReader::after(Some(4));
-    assert!(reader.push(&stream(5..7)).is_ok());
+    let passed = reader.push(&stream(5..7)).expect("in order");
+    assert_eq!(&*passed, stream(5..7));
     let mut doubled = EventReader::after(Some(4));
     let fault = Err(EventFault::OutOfOrder { last: 4, found: 4 });
     assert_eq!(doubled.push(&stream(4..6)), fault);
