Stand-ins of the users' platform, and tests of a direct entry against them

Found by them: the interval of keep-alive questions was half a second, which a Linux kernel refuses, so that no connection to a backend server was made outside the bench.

--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -23,7 +23,7 @@
 const SILENCE_TIMEOUTS: StreamTimeouts = StreamTimeouts {
     unacknowledged: Duration::from_millis(1_500),
     silence: Duration::from_secs(1),
-    interval: Duration::from_millis(500),
+    interval: Duration::from_secs(1),
     questions: 2,
 };
 
--- /dev/null
+++ b/crates/celerycrank-direct/tests/entry.rs
@@ -0,0 +1,346 @@
+//! A direct entry between callers and backend servers that misbehave.
+
+mod support;
+
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use celerycrank_platform_standin::{TestRequest, WorkerBehaviour};
+use support::Deployment;
+
+/// A call that may run once, on a route that allows one sending.
+fn bid(attempt: &str) -> TestRequest {
+    TestRequest::new("POST", "/bid/7", attempt).body(b"one hundred")
+}
+
+/// A call that may be repeated.
+fn lookup(attempt: &str) -> TestRequest {
+    TestRequest::new("GET", "/look/7", attempt)
+}
+
+/// A call that a stream answers.
+fn draft(attempt: &str) -> TestRequest {
+    TestRequest::new("POST", "/stream/7", attempt).body(b"a prompt")
+}
+
+#[actix_rt::test]
+async fn a_request_reaches_a_backend_server_as_it_was_sent() {
+    let deployment = Deployment::start(1).await;
+    let mut caller = deployment.caller().await;
+    let request = bid("a1").field("Tenant", "forged").field("X-Own", "kept");
+    let answer = caller.ask(&request).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.body, "answer to a1");
+    assert_eq!(answer.attempt.as_deref(), Some("a1"));
+    assert_eq!(answer.signature.as_deref(), Some("seal-w0"));
+    let seen = deployment.workers[0].seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].line, "POST /bid/7");
+    assert_eq!(seen[0].body, b"one hundred");
+    assert_eq!(
+        seen[0].account.as_deref(),
+        Some("acme"),
+        "not what the caller claimed"
+    );
+    assert_eq!(seen[0].key, None, "the key stays at the entry");
+    assert!(
+        seen[0].deadline.is_some_and(|left| left <= 1_200),
+        "{seen:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn what_cannot_be_allowed_reaches_nobody() {
+    let deployment = Deployment::start(1).await;
+    let cases = [
+        (bid("b1").field("Credential", "wrong"), 401),
+        (bid("b2").without("Credential"), 401),
+        (bid("b3").second_field("Credential", "secret"), 400),
+        (bid("b4").without("Attempt-Id"), 400),
+        (bid("b5").second_field("Attempt-Id", "b5"), 400),
+        (bid("b6").field("Host", "none.example"), 404),
+        (TestRequest::new("GET", "/none/", "b7"), 404),
+        (bid("b8").second_field("Content-Length", "3"), 400),
+        (bid("b9").field("Transfer-Encoding", "chunked"), 400),
+        (bid("b10").field("X-Long", &"x".repeat(20_000)), 431),
+        (bid("b11").field("Deadline-Ms", "soon"), 400),
+    ];
+    for (request, status) in cases {
+        let mut caller = deployment.caller().await;
+        let answer = caller.ask(&request).await.expect("an answer");
+        assert_eq!(answer.status, status, "{request:?}");
+    }
+    assert_eq!(deployment.workers[0].seen(), []);
+}
+
+#[actix_rt::test]
+async fn smuggled_bytes_are_a_request_of_their_own() {
+    let deployment = Deployment::start(1).await;
+    let mut caller = deployment.caller().await;
+    let bytes = b"POST /bid/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: c1\r\n\
+        Credential: secret\r\nContent-Length: 2\r\n\r\nabGET /none HTTP/1.1\r\nHost: x\r\n\r\n";
+    caller.send(bytes).await;
+    assert_eq!(caller.read().await.expect("an answer").status, 200);
+    let second = caller.read().await.expect("an answer");
+    assert_eq!(second.status, 400, "it has no attempt of its own");
+    let seen = deployment.workers[0].seen();
+    assert_eq!(seen.len(), 1);
+    assert_eq!(seen[0].body, b"ab");
+}
+
+#[actix_rt::test]
+async fn bodies_in_chunks_and_kept_connections_are_served() {
+    let deployment = Deployment::start(1).await;
+    let mut caller = deployment.caller().await;
+    for round in 0..5 {
+        let head = format!(
+            "POST /bid/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: d{round}\r\n\
+             Credential: secret\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        caller.send(head.as_bytes()).await;
+        caller.send(b"3\r\nabc\r\n2\r\nde\r\n").await;
+        sleep(Duration::from_millis(5)).await;
+        caller.send(b"0\r\n\r\n").await;
+        assert_eq!(caller.read().await.expect("an answer").status, 200);
+    }
+    let seen = deployment.workers[0].seen();
+    assert!(seen.iter().all(|request| request.body == b"abcde"));
+    assert_eq!(
+        deployment.workers[0].connections(),
+        1,
+        "connections are used again"
+    );
+}
+
+#[actix_rt::test]
+async fn a_bid_runs_once_whatever_becomes_of_its_answer() {
+    let behaviours = [
+        WorkerBehaviour::Cut,
+        WorkerBehaviour::Garbage,
+        WorkerBehaviour::WrongAttempt,
+        WorkerBehaviour::Unsigned,
+        WorkerBehaviour::Mute,
+        WorkerBehaviour::Failing(500),
+    ];
+    for behaviour in behaviours {
+        let deployment = Deployment::start(3).await;
+        deployment.behave(behaviour);
+        let mut caller = deployment.caller().await;
+        let answer = caller.ask(&bid("e1")).await.expect("an answer");
+        let expected: &[u16] = match behaviour {
+            WorkerBehaviour::Failing(status) => &[status],
+            WorkerBehaviour::Mute => &[504],
+            _ => &[502],
+        };
+        assert!(
+            expected.contains(&answer.status),
+            "{behaviour:?}: {answer:?}"
+        );
+        assert_eq!(deployment.runs(), 1, "{behaviour:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn told_not_run_means_not_run() {
+    for behaviour in [WorkerBehaviour::Shedding, WorkerBehaviour::Misdirected] {
+        let deployment = Deployment::start(2).await;
+        deployment.behave(behaviour);
+        let mut caller = deployment.caller().await;
+        let answer = caller.ask(&bid("f1")).await.expect("an answer");
+        assert_eq!(answer.status, 503, "{behaviour:?}");
+        assert!(answer.retry_after.is_some_and(|span| span > 0.0));
+        assert_eq!(deployment.runs(), 0);
+    }
+}
+
+#[actix_rt::test]
+async fn a_lookup_goes_on_to_another_backend_server() {
+    let behaviours = [
+        WorkerBehaviour::Cut,
+        WorkerBehaviour::Garbage,
+        WorkerBehaviour::WrongAttempt,
+        WorkerBehaviour::Shedding,
+        WorkerBehaviour::Misdirected,
+        WorkerBehaviour::Failing(500),
+    ];
+    for behaviour in behaviours {
+        let deployment = Deployment::start(2).await;
+        for round in 0..4 {
+            deployment.workers[0].behave(behaviour);
+            let mut caller = deployment.caller().await;
+            let answer = caller.ask(&lookup(&format!("g{round}"))).await;
+            let answer = answer.expect("an answer");
+            assert_eq!(answer.status, 200, "{behaviour:?}");
+            assert_eq!(answer.signature.as_deref(), Some("seal-w1"));
+        }
+        let lookups = deployment.workers.iter().map(|worker| worker.seen().len());
+        assert!(
+            lookups.sum::<usize>() <= 8,
+            "each lookup goes to two at most"
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn a_second_answer_is_nobodys() {
+    let deployment = Deployment::start(1).await;
+    deployment.behave(WorkerBehaviour::Doubled);
+    let mut caller = deployment.caller().await;
+    for round in 0..4 {
+        let answer = caller.ask(&lookup(&format!("h{round}"))).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.body, format!("answer to h{round}"));
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_without_a_length_is_whole_when_its_connection_ends() {
+    let deployment = Deployment::start(1).await;
+    deployment.behave(WorkerBehaviour::Unframed);
+    let mut caller = deployment.caller().await;
+    let answer = caller.ask(&bid("i1")).await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert_eq!(answer.body, "answer to i1");
+}
+
+#[actix_rt::test]
+async fn a_stream_goes_on_at_another_backend_server_inside_the_same_answer() {
+    let deployment = Deployment::start(2).await;
+    deployment.behave(WorkerBehaviour::BreakingOnce(4));
+    let mut caller = deployment.caller().await;
+    let answer = caller.ask(&draft("j1")).await.expect("an answer");
+    let events = answer.body.matches("data: event").count();
+    assert_eq!(
+        (answer.status, events, answer.is_whole),
+        (200, 10, true),
+        "{answer:?}"
+    );
+    for number in 1..=10 {
+        let event = format!("id: {number}\ndata: event {number}\n\n");
+        assert_eq!(answer.body.matches(&event).count(), 1, "{number}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_stream_that_cannot_go_on_does_not_look_complete() {
+    let deployment = Deployment::start(2).await;
+    deployment.behave(WorkerBehaviour::Breaking(4));
+    let mut caller = deployment.caller().await;
+    let answer = caller.ask(&draft("k1")).await.expect("a part of an answer");
+    assert!(!answer.is_whole, "{answer:?}");
+    assert!(
+        answer.body.ends_with("data: event 4\n\n"),
+        "whole events only: {answer:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_caller_that_leaves_cancels_its_request() {
+    let deployment = Deployment::start(1).await;
+    deployment.behave(WorkerBehaviour::Slow(5_000));
+    let mut caller = deployment.caller().await;
+    caller.begin(&bid("l1")).await;
+    deployment.until(|it| it.workers[0].runs() == 1).await;
+    drop(caller);
+    deployment.until(|it| it.workers[0].cancelled() == 1).await;
+}
+
+#[actix_rt::test]
+async fn nobody_is_kept_waiting_beyond_the_routes_timeout() {
+    let deployment = Deployment::start(1).await;
+    deployment.behave(WorkerBehaviour::Slow(60_000));
+    let mut caller = deployment.caller().await;
+    let answer = caller.ask(&bid("m1")).await.expect("an answer");
+    assert_eq!(answer.status, 504, "it may have run");
+}
+
+#[actix_rt::test]
+async fn a_leaving_backend_server_gets_nothing_new() {
+    let deployment = Deployment::start(2).await;
+    let leaving = &deployment.workers[0];
+    let entry = leaving.entry("shop", "draining");
+    deployment.store.put(&leaving.entry_key(), &entry);
+    deployment
+        .until_asked(&lookup("n"), |it| it.seen_by_first_is_over())
+        .await;
+    let before = leaving.seen().len();
+    let mut caller = deployment.caller().await;
+    for round in 0..10 {
+        let answer = caller.ask(&lookup(&format!("n{round}"))).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+    assert_eq!(leaving.seen().len(), before);
+}
+
+#[actix_rt::test]
+async fn entries_that_cannot_be_read_harm_nobody() {
+    let deployment = Deployment::start(1).await;
+    for (key, value) in [
+        ("servers/odd-1", &b"\xff\xfe"[..]),
+        ("servers/odd-2", br#"{"service":7}"#),
+        ("servers/odd-3", br#"{"service":"shop","address":"x","zone":"here","slots":1,"state":"ready"}"#),
+        ("servers/odd-4", br#"{"service":"shop","address":"127.0.0.1:1","zone":"here","slots":1,"state":"asleep"}"#),
+        ("servers/", b"{}"),
+    ] {
+        deployment.store.put(key, value);
+    }
+    sleep(Duration::from_millis(50)).await;
+    let mut caller = deployment.caller().await;
+    for round in 0..10 {
+        let answer = caller.ask(&lookup(&format!("o{round}"))).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+}
+
+#[actix_rt::test]
+async fn a_key_that_was_taken_away_is_refused_also_by_an_entry_cut_off_from_the_store() {
+    let deployment = Deployment::start(1).await;
+    deployment.store.set_silent(true);
+    // The setting under test: keys must be refused two seconds after they were taken away.
+    sleep(Duration::from_millis(2_100)).await;
+    let mut caller = deployment.caller().await;
+    let answer = caller.ask(&bid("p1")).await.expect("an answer");
+    assert_eq!(answer.status, 503);
+    let answer = caller.ask(&bid("p2").field("Credential", "new")).await;
+    assert_eq!(
+        answer.expect("an answer").status,
+        503,
+        "a newer list may know the key"
+    );
+    assert!(!deployment.is_ready().await);
+    let open = caller
+        .ask(&TestRequest::new("GET", "/open/1", "p3").without("Credential"))
+        .await;
+    assert_eq!(
+        open.expect("an answer").status,
+        200,
+        "routes without keys go on"
+    );
+    deployment.store.set_silent(false);
+    deployment.until_asked(&bid("p"), |_| true).await;
+    assert_eq!(deployment.workers[0].runs(), 2);
+}
+
+#[actix_rt::test]
+async fn a_newer_configuration_comes_into_force_and_an_older_one_never_again() {
+    let deployment = Deployment::start(1).await;
+    let mut caller = deployment.caller().await;
+    deployment.write_configuration(7, "other-secret");
+    let newer = bid("q").field("Credential", "other-secret");
+    deployment.until_asked(&newer, |_| true).await;
+    assert_eq!(caller.ask(&bid("q1")).await.expect("an answer").status, 401);
+    deployment.write_configuration(6, "secret");
+    deployment.store.forget_history();
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(caller.ask(&bid("q2")).await.expect("an answer").status, 401);
+}
+
+#[actix_rt::test]
+async fn a_store_without_answers_is_not_stormed() {
+    let deployment = Deployment::start(1).await;
+    deployment.store.set_silent(true);
+    let before = deployment.store.calls();
+    sleep(Duration::from_millis(3_000)).await;
+    let made = deployment.store.calls() - before;
+    assert!(made <= 20, "{made} calls in three seconds");
+}
--- a/crates/celerycrank-http/src/stream.rs
+++ b/crates/celerycrank-http/src/stream.rs
@@ -17,9 +17,9 @@
 pub struct StreamTimeouts {
     /// Longest time for which sent bytes may stay unacknowledged.
     pub unacknowledged: Duration,
-    /// Silence after which the kernel asks whether the peer is still there.
+    /// Silence after which the kernel asks whether the peer is still there, in whole seconds.
     pub silence: Duration,
-    /// Interval of further such questions.
+    /// Interval of further such questions, in whole seconds.
     pub interval: Duration,
     /// Questions without an answer after which the connection is given up.
     pub questions: u32,
