--- a/crates/celerycrank-direct/tests/entry.rs
+++ b/crates/celerycrank-direct/tests/entry.rs
@@ -261,7 +261,7 @@
     let entry = leaving.entry("shop", "draining");
     deployment.store.put(&leaving.entry_key(), &entry);
     deployment
-        .until_asked(&lookup("n"), |it| it.seen_by_first_is_over())
+        .until_asked(&lookup("n"), support::Deployment::seen_by_first_is_over)
         .await;
     let before = leaving.seen().len();
     let mut caller = deployment.caller().await;
@@ -340,7 +340,7 @@
     let deployment = Deployment::start(1).await;
     deployment.store.set_silent(true);
     let before = deployment.store.calls();
-    sleep(Duration::from_millis(3_000)).await;
+    sleep(Duration::from_secs(3)).await;
     let made = deployment.store.calls() - before;
     assert!(made <= 20, "{made} calls in three seconds");
 }
