--- a/crates/celerycrank-client/src/client.rs
+++ b/crates/celerycrank-client/src/client.rs
@@ -8,6 +8,7 @@
     error::{ConnectError, SendRequestError},
 };
 use bytes::Bytes;
+use celerycrank_platform::ReadAge;
 use celerycrank_types::{ByteSize, TimeSpan};
 use serde::{Serialize, de::DeserializeOwned};
 use smallvec::SmallVec;
@@ -179,7 +180,7 @@
     /// Fails if no address gives an answer to use.
     pub async fn range(&self, prefix: &str) -> Result<RangeSnapshot, KeyValueFault> {
         if self.shared.form == WireForm::Platform {
-            return self.range_exchanged(prefix).await;
+            return self.range_exchanged(prefix, ReadAge::Newest).await;
         }
         let request = RangeRequest {
             key: prefix.into(),
@@ -193,6 +194,20 @@
         })
     }
 
+    /// Reads every key with this prefix, as it may have been some seconds ago.
+    ///
+    /// Costs less where the service has such reads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no address gives an answer to use.
+    pub async fn range_of_any_age(&self, prefix: &str) -> Result<RangeSnapshot, KeyValueFault> {
+        match self.shared.form {
+            WireForm::Gateway => self.range(prefix).await,
+            WireForm::Platform => self.range_exchanged(prefix, ReadAge::Any).await,
+        }
+    }
+
     /// Writes a value if the key holds what is expected.
     ///
     /// # Errors
--- a/crates/celerycrank-client/src/exchange.rs
+++ b/crates/celerycrank-client/src/exchange.rs
@@ -5,9 +5,9 @@
 use actix_rt::time::timeout;
 use bytes::Bytes;
 use celerycrank_platform::{
-    LeaseAnswer, StoreCall, StoreFault, StoreMethod, SwapAnswer, lease_call, lease_end_call,
-    lease_renewal_call, page_call, read_lease, read_page, read_record, read_swap, record_call,
-    removal_call, swap_call,
+    LeaseAnswer, ReadAge, StoreCall, StoreFault, StoreMethod, SwapAnswer, lease_call,
+    lease_end_call, lease_renewal_call, page_call, read_lease, read_page, read_record, read_swap,
+    record_call, removal_call, swap_call,
 };
 use celerycrank_types::TimeSpan;
 
@@ -84,12 +84,13 @@
     pub(crate) async fn range_exchanged(
         &self,
         prefix: &str,
+        age: ReadAge,
     ) -> Result<RangeSnapshot, KeyValueFault> {
         let mut records = Vec::<KeyValueRecord>::new();
         let mut revision = None;
         loop {
             let behind = records.last().map(|record| &*record.key);
-            let call = page_call(prefix, behind);
+            let call = page_call(prefix, behind, age);
             let (status, body) = self
                 .exchange(CallKind::Range, &call, self.timeout())
                 .await?;
--- a/crates/celerycrank-direct/src/agent/profile.rs
+++ b/crates/celerycrank-direct/src/agent/profile.rs
@@ -46,7 +46,7 @@
         learn_group_profile(state).await?;
     }
     let service = &state.settings.service;
-    let snapshot = state.client.range(ENTRY_PREFIX).await?;
+    let snapshot = state.client.range_of_any_age(ENTRY_PREFIX).await?;
     let entries = snapshot.records.iter();
     // An entry that cannot be read names no backend server, and the entries tell of it.
     let entries = entries.filter_map(|record| read_entry(&record.key, &record.value).ok());
--- a/crates/celerycrank-direct/src/entry/follow.rs
+++ b/crates/celerycrank-direct/src/entry/follow.rs
@@ -13,8 +13,12 @@
 
 use super::state::EntryState;
 
-/// How long one question for changes waits; its answer proves that there were none.
-const CHANGE_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
+/// How long a question for changes of the configuration waits; its answer proves that there
+/// were none, without which keys are soon refused.
+const CONFIGURATION_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
+
+/// How long a question for changes of the backend servers waits.
+const BACKEND_WAIT: TimeSpan = TimeSpan::from_millis(2_500);
 
 /// Wait before the first repetition of a call that failed.
 const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(100);
@@ -94,7 +98,7 @@
         let asked_at = state.clock.now();
         let poll = state
             .client
-            .poll_changes(CONFIGURATION_KEY, behind, CHANGE_WAIT);
+            .poll_changes(CONFIGURATION_KEY, behind, CONFIGURATION_WAIT);
         let batch = poll.await?;
         backoff.succeed();
         behind = batch.revision;
@@ -157,7 +161,9 @@
     state.knows_backends.set(true);
     let mut behind: ModRevision = snapshot.revision;
     loop {
-        let poll = state.client.poll_changes(ENTRY_PREFIX, behind, CHANGE_WAIT);
+        let poll = state
+            .client
+            .poll_changes(ENTRY_PREFIX, behind, BACKEND_WAIT);
         let batch = poll.await?;
         backoff.succeed();
         behind = batch.revision;
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -1,13 +1,19 @@
 //! Chooses the backend server of one attempt.
 //!
-//! Answers the pattern of many short streams over the ranks of lock-step groups: every rank
-//! of a group is as slow as its fullest one, so requests are kept even over ranks first.
+//! Answers two patterns. Many short streams over the ranks of lock-step groups: every rank of
+//! a group is as slow as its fullest one, so requests are kept even over ranks first. Many
+//! entries that see the same loads, a little late: each chooses among a few drawn at random,
+//! so that they do not all send to the one that had least to do.
 
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint};
-use rand::Rng;
+use rand::{Rng, seq::IndexedRandom};
+use smallvec::SmallVec;
 
 use crate::{BackendState, BackendTable};
 
+/// Backend servers among which the one with the least work is chosen.
+const SAMPLE_SIZE: usize = 4;
+
 /// Requests that a failure rate of 1 counts for.
 const FAILURE_WEIGHT: f64 = 4.0;
 
@@ -51,8 +57,13 @@
     query: &ChoiceQuery<'_>,
     random: &mut R,
 ) -> Option<&'table BackendState> {
+    let states = states.collect::<SmallVec<[&BackendState; 32]>>();
     let mut best: Option<(f64, &BackendState)> = None;
-    for state in states {
+    for state in states
+        .choose_multiple(random, SAMPLE_SIZE)
+        .copied()
+        .collect::<SmallVec<[&BackendState; SAMPLE_SIZE]>>()
+    {
         // Entries that see the same loads must not all choose the same backend server.
         let cost = cost_of(state, query) + random.random_range(0.0..0.1);
         if best.is_none_or(|(least, _)| cost < least) {
