--- a/crates/celerycrank-groups/src/rank/watch.rs
+++ b/crates/celerycrank-groups/src/rank/watch.rs
@@ -13,16 +13,16 @@
 const LEAST_CHOICES: u64 = 2_000;
 
 /// Step time, in that of even ranks, above which the map is changed.
-const SKEW_LIMIT: f64 = 1.35;
+const SKEW_LIMIT: f64 = 1.6;
 
 /// Part of the step time that a change must save.
-const LEAST_GAIN: f64 = 0.12;
+const LEAST_GAIN: f64 = 0.2;
 
 /// Bounds of one change: most of the gain comes with the first few copies.
 const CHANGE_LIMITS: SpreadLimits = SpreadLimits {
     per_layer: 2,
     per_rank: 3,
-    enough: 1.2,
+    enough: 1.3,
 };
 
 /// Totals of choices, sampled from time to time.
