--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -169,7 +169,8 @@
                 backends.note_unreachable(backend, now);
             }
             AttemptFault::Broken(_) => backends.note_answer(backend, true),
-            AttemptFault::NotRun | AttemptFault::Stale => {}
+            AttemptFault::NotRun => backends.note_refused(backend, now),
+            AttemptFault::Stale => {}
         }
         tracing::info!(
             request = %self.request.attempt,
--- a/crates/celerycrank-groups/src/rank/lead.rs
+++ b/crates/celerycrank-groups/src/rank/lead.rs
@@ -89,6 +89,10 @@
     resend_at: TimePoint,
     /// The highest step before which the group was held or was to be.
     last_held: StepNumber,
+    /// Whether it is known that either every rank is armed alike or none is.
+    ///
+    /// Invariant: false from the start of a life, and while ranks are being armed.
+    is_settled: bool,
 }
 
 impl RankLead {
@@ -108,6 +112,7 @@
             failures: 0,
             resend_at: now,
             last_held: StepNumber(0),
+            is_settled: false,
         }
     }
 
@@ -192,6 +197,7 @@
                     return None;
                 }
                 self.phase = LeadPhase::Releasing;
+                self.is_settled = true;
                 self.failures = 0;
                 self.not_before = now + self.times.pause;
                 Some(LeadEvent::Switched(self.attempt))
@@ -200,6 +206,7 @@
                 done.insert(from);
                 if is_everyone(*done) {
                     self.phase = LeadPhase::Releasing;
+                    self.is_settled = true;
                 }
                 None
             }
@@ -237,6 +244,7 @@
                     done: MemberSet::default(),
                     deadline: now + self.times.arm,
                 };
+                self.is_settled = false;
                 self.resend_at = now;
                 None
             }
@@ -252,6 +260,12 @@
             }
             LeadPhase::Idle | LeadPhase::Preparing { .. } => {
                 let held = report.held?;
+                if self.is_settled {
+                    // A hold of this life that came late.
+                    self.phase = LeadPhase::Releasing;
+                    self.next_map = None;
+                    return None;
+                }
                 Some(self.ask_armed(held, now))
             }
             _ => None,
@@ -338,6 +352,8 @@
         self.next_map = None;
         self.not_before = now;
         self.failures = 0;
+        // Nothing of before goes on in a new forming of the group.
+        self.is_settled = true;
     }
 
     /// Ends an attempt in which nobody was asked to arm.
@@ -391,6 +407,7 @@
             && answers.iter().all(|answer| *answer == Some(switch))
         {
             self.phase = LeadPhase::Releasing;
+            self.is_settled = true;
             return Some(LeadEvent::FoundArmed(switch));
         }
         self.phase = LeadPhase::Clearing {
--- /dev/null
+++ b/crates/celerycrank-groups/tests/rank_lead.rs
@@ -0,0 +1,203 @@
+//! The lead of a group, message by message.
+
+use std::sync::Arc;
+
+use celerycrank_groups::{
+    AgentLife, ArmedSwitch, ExpertMap, GroupEpoch, LeadEvent, MapShape, MapVersion, MemberIndex,
+    OrderSequence, RankAction, RankLead, RankMessage, RankReport, RankTimes, StepNumber,
+};
+use celerycrank_types::TimePoint;
+
+const SHAPE: MapShape = MapShape {
+    layers: 1,
+    experts: 4,
+    ranks: 2,
+    slots: 3,
+};
+
+const EPOCH: GroupEpoch = GroupEpoch(1);
+
+fn report(step: u64) -> RankReport {
+    RankReport {
+        place: None,
+        start_mark: 1,
+        sequence: OrderSequence(0),
+        running: 0,
+        waiting: 0,
+        pace: 1.0,
+        step: StepNumber(step),
+        map: MapVersion(0),
+        prepared: None,
+        armed: None,
+        held: None,
+    }
+}
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint(millis * 1_000)
+}
+
+fn lead() -> RankLead {
+    RankLead::new(AgentLife(1), 2, RankTimes::default(), at(0))
+}
+
+/// Brings a lead to the point where it wants the group held before step 12.
+fn prepared_lead() -> RankLead {
+    let mut lead = lead();
+    let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(5));
+    let (message, _) = lead.begin(Arc::new(map), EPOCH, at(1));
+    let RankMessage::Prepare { attempt, .. } = message else {
+        panic!("an attempt begins with the loading of its map");
+    };
+    for rank in 0..2 {
+        let done = RankMessage::Prepared { attempt };
+        lead.on_message(MemberIndex(rank), &done, at(2));
+    }
+    let hold = lead.next_action(&report(10));
+    let step = StepNumber(12);
+    assert_eq!(hold, Some(RankAction::Hold { step }));
+    lead
+}
+
+/// What the lead asks of the other ranks now.
+fn request(lead: &mut RankLead, now: TimePoint) -> Option<RankMessage> {
+    let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(99));
+    let resent = lead.resend(EPOCH, Some(Arc::new(map)), now);
+    resent.map(|(_, message)| message)
+}
+
+#[test]
+fn nobody_is_asked_to_arm_before_the_group_is_held() {
+    let mut lead = prepared_lead();
+    assert_eq!(request(&mut lead, at(200)), None);
+    let mut held = report(10);
+    held.held = Some(StepNumber(12));
+    lead.observe(&held, at(201));
+    let message = request(&mut lead, at(201));
+    let step = StepNumber(12);
+    assert!(matches!(message, Some(RankMessage::Arm { step: asked, .. }) if asked == step));
+}
+
+#[test]
+fn the_group_goes_on_only_when_every_rank_is_armed() {
+    let mut lead = prepared_lead();
+    let mut held = report(10);
+    held.held = Some(StepNumber(12));
+    lead.observe(&held, at(3));
+    let Some(RankMessage::Arm { attempt, .. }) = request(&mut lead, at(3)) else {
+        panic!("ranks are asked to arm");
+    };
+    let armed = RankMessage::Armed { attempt };
+    assert_eq!(lead.on_message(MemberIndex(0), &armed, at(4)), None);
+    assert_eq!(lead.next_action(&held), None);
+    let event = lead.on_message(MemberIndex(1), &armed, at(5));
+    assert_eq!(event, Some(LeadEvent::Switched(attempt)));
+    let release = Some(RankAction::Release {
+        step: StepNumber(12),
+    });
+    assert_eq!(lead.next_action(&held), release);
+}
+
+#[test]
+fn a_rank_that_does_not_arm_in_time_has_every_rank_cleared_first() {
+    let mut lead = prepared_lead();
+    let mut held = report(11);
+    held.held = Some(StepNumber(12));
+    lead.observe(&held, at(3));
+    let event = lead.observe(&held, at(1_000));
+    assert!(matches!(event, Some(LeadEvent::TakenBack(_))));
+    assert_eq!(lead.next_action(&held), None, "a rank may be armed");
+    let Some(RankMessage::Clear { attempt, .. }) = request(&mut lead, at(1_000)) else {
+        panic!("ranks are cleared");
+    };
+    let cleared = RankMessage::Cleared { attempt };
+    lead.on_message(MemberIndex(0), &cleared, at(1_001));
+    assert_eq!(lead.next_action(&held), None);
+    lead.on_message(MemberIndex(1), &cleared, at(1_002));
+    assert!(matches!(
+        lead.next_action(&held),
+        Some(RankAction::Release { .. })
+    ));
+}
+
+#[test]
+fn a_new_life_asks_before_it_lets_a_held_group_go_on() {
+    let mut lead = lead();
+    let mut held = report(10);
+    held.held = Some(StepNumber(12));
+    let event = lead.observe(&held, at(1));
+    assert_eq!(event, Some(LeadEvent::FoundHeld(StepNumber(12))));
+    assert_eq!(lead.next_action(&held), None);
+    let Some(RankMessage::AskArmed { attempt }) = request(&mut lead, at(1)) else {
+        panic!("ranks are asked what they are armed for");
+    };
+    let switch = ArmedSwitch {
+        version: MapVersion(5),
+        step: StepNumber(12),
+    };
+    let answer = |armed| RankMessage::ArmedState { attempt, armed };
+    lead.on_message(MemberIndex(0), &answer(Some(switch)), at(2));
+    let event = lead.on_message(MemberIndex(1), &answer(Some(switch)), at(3));
+    assert_eq!(event, Some(LeadEvent::FoundArmed(switch)));
+    assert!(matches!(
+        lead.next_action(&held),
+        Some(RankAction::Release { .. })
+    ));
+}
+
+#[test]
+fn ranks_that_are_not_armed_alike_are_cleared_by_a_new_life() {
+    let mut lead = lead();
+    let mut held = report(10);
+    held.held = Some(StepNumber(12));
+    lead.observe(&held, at(1));
+    let Some(RankMessage::AskArmed { attempt }) = request(&mut lead, at(1)) else {
+        panic!("ranks are asked what they are armed for");
+    };
+    let switch = ArmedSwitch {
+        version: MapVersion(5),
+        step: StepNumber(12),
+    };
+    let answer = |armed| RankMessage::ArmedState { attempt, armed };
+    lead.on_message(MemberIndex(0), &answer(Some(switch)), at(2));
+    lead.on_message(MemberIndex(1), &answer(None), at(3));
+    assert_eq!(lead.next_action(&held), None);
+    assert!(matches!(
+        request(&mut lead, at(4)),
+        Some(RankMessage::Clear { .. })
+    ));
+}
+
+#[test]
+fn a_hold_of_this_life_that_comes_late_is_released_without_asking() {
+    let mut lead = prepared_lead();
+    lead.reset(at(3));
+    let mut held = report(11);
+    held.held = Some(StepNumber(12));
+    assert_eq!(lead.observe(&held, at(500)), None);
+    assert!(matches!(
+        lead.next_action(&held),
+        Some(RankAction::Release { .. })
+    ));
+}
+
+#[test]
+fn no_two_attempts_hold_the_group_before_the_same_step() {
+    let mut lead = prepared_lead();
+    lead.observe(&report(10), at(1_000));
+    let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(70));
+    let (message, _) = lead.begin(Arc::new(map), EPOCH, at(5_000));
+    let RankMessage::Prepare { attempt, .. } = message else {
+        panic!("an attempt begins with the loading of its map");
+    };
+    for rank in 0..2 {
+        let done = RankMessage::Prepared { attempt };
+        lead.on_message(MemberIndex(rank), &done, at(5_001));
+    }
+    // The group has made no step since.
+    let step = StepNumber(13);
+    assert_eq!(
+        lead.next_action(&report(10)),
+        Some(RankAction::Hold { step })
+    );
+}
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -213,6 +213,15 @@
         }
     }
 
+    /// Notes that a backend server refused to run a request.
+    ///
+    /// It is full, or a rank of its group is missing; others are tried first for a moment.
+    pub fn note_refused(&mut self, backend: &BackendId, now: TimePoint) {
+        if let Some(state) = self.find_mut(backend) {
+            state.paused.get_or_insert((now + FIRST_PAUSE, FIRST_PAUSE));
+        }
+    }
+
     /// Notes that a backend server could not be reached or broke off.
     pub fn note_unreachable(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
