--- /dev/null
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -0,0 +1,234 @@
+//! A direct entry as a process: settings, signals, and the end of its life.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::mpsc::{Receiver, channel},
+    thread,
+    time::Duration,
+};
+
+use actix_rt::time::sleep;
+use celerycrank_platform_standin::{
+    StoreStandin, TestCaller, TestRequest, WorkerBehaviour, WorkerStandin,
+};
+use serde_json::{Value, json};
+
+/// Interval at which a test looks for what it waits for.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Longest wait of a test, in looks.
+const PATIENCE: u32 = 1_000;
+
+/// A process that is killed when dropped.
+struct DirectProcess {
+    child: Child,
+    lines: Receiver<String>,
+    listen: SocketAddr,
+    probe: SocketAddr,
+}
+
+impl DirectProcess {
+    async fn start(settings: &Path) -> Self {
+        let mut child = command(settings).spawn().expect("the binary runs");
+        let stdout = child.stdout.take().expect("it is piped");
+        let (sender, lines) = channel();
+        thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                // The test may be over.
+                let _ = sender.send(line);
+            }
+        });
+        let mut process = Self {
+            child,
+            lines,
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            probe: SocketAddr::from(([127, 0, 0, 1], 0)),
+        };
+        let line = process.wait_line("entry serves").await;
+        let line = serde_json::from_str::<Value>(&line).expect("lines are JSON");
+        let address = |name: &str| {
+            let text = line[name].as_str().expect("an address");
+            text.parse::<SocketAddr>().expect("an address")
+        };
+        process.listen = address("listen");
+        process.probe = address("probe");
+        process
+    }
+
+    async fn wait_line(&mut self, text: &str) -> String {
+        for _ in 0..PATIENCE {
+            while let Ok(line) = self.lines.try_recv() {
+                if line.contains(text) {
+                    return line;
+                }
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+        panic!("no line with {text}");
+    }
+
+    async fn is_ready(&self) -> bool {
+        let mut prober = TestCaller::connect(self.probe).await;
+        let question = TestRequest::new("GET", "/-/readyz", "probe");
+        prober
+            .ask(&question)
+            .await
+            .is_some_and(|it| it.status == 200)
+    }
+
+    async fn wait_ready(&self) {
+        for _ in 0..PATIENCE {
+            if self.is_ready().await {
+                return;
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+        panic!("the entry does not become ready");
+    }
+
+    async fn wait_end(&mut self) -> bool {
+        for _ in 0..PATIENCE {
+            if let Some(status) = self.child.try_wait().expect("the child is ours") {
+                return status.success();
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+        panic!("the process does not end");
+    }
+
+    fn signal(&self, signal: libc::c_int) {
+        let id = libc::pid_t::try_from(self.child.id()).expect("ids are small");
+        // SAFETY: `kill` touches no memory; the id is of a child that is not yet reaped.
+        let result = unsafe { libc::kill(id, signal) };
+        assert_eq!(result, 0, "the child is there");
+    }
+}
+
+impl Drop for DirectProcess {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn command(settings: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_celerycrank"));
+    command.arg("direct-entry");
+    command.env("CELERYCRANK_CONFIG", settings);
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+/// A settings file of its own for each test.
+fn write_settings(name: &str, settings: &Value) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+    fs::write(&path, settings.to_string()).expect("the folder of the tests can be written");
+    path
+}
+
+fn settings(store: &StoreStandin) -> Value {
+    json!({
+        "entry": "entry-1",
+        "domain": "here",
+        "listen": "127.0.0.1:0",
+        "probe": "127.0.0.1:0",
+        "admin": "127.0.0.1:0",
+        "peer": "127.0.0.1:0",
+        "store": {"address": format!("http://{}", store.address()), "timeout": "900ms"},
+        "revocation": "5000ms",
+        "retries": {"window": "10s", "ratio": "0.2", "slack": "90"},
+        "grace": "8.0s",
+    })
+}
+
+async fn start_platform() -> (StoreStandin, WorkerStandin) {
+    let store = StoreStandin::start().await;
+    let worker = WorkerStandin::start("w0").await;
+    store.put(&worker.entry_key(), &worker.entry("shop", "ready"));
+    let configuration = json!({
+        "version": 1,
+        "routes": [{
+            "name": "bid", "host": "shop.example", "prefix": "/bid/",
+            "route_type": "non_idempotent", "timeout_ms": 5000, "target_latency_ms": 150,
+            "service": "shop",
+        }],
+        "services": [{"name": "shop"}],
+        "tenants": [{"name": "acme", "api_keys": ["secret"]}],
+    });
+    store.put("op/config", configuration.to_string().as_bytes());
+    (store, worker)
+}
+
+fn bid(attempt: &str) -> TestRequest {
+    let request = TestRequest::new("POST", "/bid/1", attempt).body(b"one hundred");
+    request.field("Deadline-Ms", "5000")
+}
+
+#[actix_rt::test]
+async fn a_signal_to_reload_cuts_nothing_and_keeps_the_old_settings_if_the_new_are_bad() {
+    let (store, worker) = start_platform().await;
+    let path = write_settings("reload", &settings(&store));
+    let mut process = DirectProcess::start(&path).await;
+    process.wait_ready().await;
+    worker.behave(WorkerBehaviour::Slow(400));
+    let mut caller = TestCaller::connect(process.listen).await;
+    caller.begin(&bid("a1")).await;
+    process.signal(libc::SIGHUP);
+    process.wait_line("nothing has changed").await;
+    let mut changed = settings(&store);
+    changed["retries"]["ratio"] = json!("0.1");
+    write_settings("reload", &changed);
+    process.signal(libc::SIGHUP);
+    process.wait_line("settings reloaded").await;
+    write_settings("reload", &json!({"entry": "entry-1"}));
+    process.signal(libc::SIGHUP);
+    process.wait_line("settings not reloaded").await;
+    assert_eq!(caller.read().await.expect("an answer").status, 200);
+    let answer = caller.ask(&bid("a2")).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+}
+
+#[actix_rt::test]
+async fn a_stop_answers_what_is_in_flight_and_says_that_it_is_not_ready() {
+    let (store, worker) = start_platform().await;
+    let path = write_settings("stop", &settings(&store));
+    let mut process = DirectProcess::start(&path).await;
+    process.wait_ready().await;
+    worker.behave(WorkerBehaviour::Slow(1_000));
+    let mut caller = TestCaller::connect(process.listen).await;
+    let mut idle = TestCaller::connect(process.listen).await;
+    caller.begin(&bid("b1")).await;
+    while worker.runs() == 0 {
+        sleep(LOOK_INTERVAL).await;
+    }
+    process.signal(libc::SIGTERM);
+    process.wait_line("entry is leaving").await;
+    assert!(!process.is_ready().await);
+    // A caller that has not heard of it is served all the same.
+    let late = idle.ask(&bid("b2")).await.expect("an answer");
+    assert_eq!(late.status, 200);
+    let answer = caller.read().await.expect("an answer");
+    assert_eq!((answer.status, answer.is_whole), (200, true));
+    assert!(process.wait_end().await);
+}
+
+#[actix_rt::test]
+async fn bad_settings_are_named_and_nothing_starts() {
+    let (store, _) = start_platform().await;
+    let mut bad = settings(&store);
+    bad["grace"] = json!("soon");
+    bad.as_object_mut().expect("an object").remove("probe");
+    bad["unheard"] = json!(1);
+    let path = write_settings("bad", &bad);
+    let output = command(&path).output().expect("the binary runs");
+    assert!(!output.status.success());
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    for word in ["grace", "probe", "unheard"] {
+        assert!(text.contains(word), "{word} in {text}");
+    }
+}
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -109,6 +109,7 @@
         read_settings: impl Fn() -> Result<DirectEntrySettings, E> + 'static,
     ) -> Result<(), DirectFault> {
         let listen = self.caller_address()?;
+        let probe = self.probe_address()?;
         let state = self.state;
         let pages = Rc::new(EntryPages {
             state: Rc::clone(&state),
@@ -127,7 +128,7 @@
             actix_rt::spawn(serve_admin(self.admin, pages)),
         ];
         let accepting = actix_rt::spawn(accept_callers(Rc::clone(&state), self.callers));
-        tracing::info!(entry = %state.settings().entry, %listen, "entry serves");
+        tracing::info!(entry = %state.settings().entry, %listen, %probe, "entry serves");
         wait_for_stop_signal().await.map_err(DirectFault::Signal)?;
         tracing::info!(requests = state.requests.get(), "entry is leaving");
         leave(&state, &accepting).await;
