--- a/crates/celerycrank-direct/src/entry/refusal.rs
+++ b/crates/celerycrank-direct/src/entry/refusal.rs
@@ -1,16 +1,18 @@
 //! Answers of the entry's own.
 
+use std::ops::RangeInclusive;
+
 use celerycrank_platform::{OwnAnswer, write_own_answer};
 use celerycrank_types::{RefusalReason, TimeSpan, UnknownReason};
 use rand::Rng;
 
 use super::state::EntryState;
 
-/// Shortest wait that a refused caller is told.
-const LEAST_WAIT: TimeSpan = TimeSpan::from_millis(150);
+/// Waits that a caller is told where backend servers had no room.
+const ROOM_WAITS: RangeInclusive<u64> = wait_range(150, 900);
 
-/// Longest wait that a refused caller is told.
-const LONGEST_WAIT: TimeSpan = TimeSpan::from_millis(900);
+/// Waits that a caller is told while the store is away, which lasts seconds.
+const STORE_WAITS: RangeInclusive<u64> = wait_range(1_000, 2_500);
 
 /// Tells a caller that its request has not run and will not.
 pub(crate) fn refuse(
@@ -26,7 +28,7 @@
         status,
         attempt,
         reason: reason.label(),
-        retry_after: may_return.then(|| draw_wait(state)),
+        retry_after: may_return.then(|| draw_wait(state, reason)),
         is_last,
     })
 }
@@ -53,9 +55,16 @@
 }
 
 /// A wait that differs from caller to caller, so that they do not return together.
-fn draw_wait(state: &EntryState) -> TimeSpan {
-    let mut random = state.random.borrow_mut();
-    TimeSpan(random.random_range(LEAST_WAIT.0..=LONGEST_WAIT.0))
+fn draw_wait(state: &EntryState, reason: RefusalReason) -> TimeSpan {
+    let waits = match reason {
+        RefusalReason::StaleConfiguration | RefusalReason::NoConfiguration => STORE_WAITS,
+        _ => ROOM_WAITS,
+    };
+    TimeSpan(state.random.borrow_mut().random_range(waits))
+}
+
+const fn wait_range(least_millis: u64, most_millis: u64) -> RangeInclusive<u64> {
+    TimeSpan::from_millis(least_millis).0..=TimeSpan::from_millis(most_millis).0
 }
 
 /// Logs why a request cannot be understood.
