--- a/crates/celerycrank-groups/src/rank/agent.rs
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -35,6 +35,8 @@
 pub struct RankTimes {
     /// Longest time in which ranks load a map.
     pub prepare: TimeSpan,
+    /// Longest time in which every agent answers before the group is held.
+    pub check: TimeSpan,
     /// Longest time in which ranks are armed while the group may be held.
     pub arm: TimeSpan,
     /// Interval at which unanswered messages are sent again.
@@ -47,6 +49,7 @@
     fn default() -> Self {
         Self {
             prepare: TimeSpan::from_millis(3_000),
+            check: TimeSpan::from_millis(150),
             arm: TimeSpan::from_millis(300),
             resend: TimeSpan::from_millis(80),
             pause: TimeSpan::from_millis(100),
--- a/crates/celerycrank-groups/src/rank/lead.rs
+++ b/crates/celerycrank-groups/src/rank/lead.rs
@@ -33,6 +33,11 @@
         done: MemberSet,
         deadline: TimePoint,
     },
+    /// Every agent is to answer once more, lest the group be held for one that has gone.
+    Checking {
+        answers: ArmedAnswers,
+        deadline: TimePoint,
+    },
     /// The own rank is to hold the group; the step is chosen when the order is given.
     Holding {
         step: Option<StepNumber>,
@@ -180,13 +185,28 @@
         let everyone = MemberSet::first(usize::from(self.size));
         let is_everyone = |done: MemberSet| everyone.difference(done).is_empty();
         match (message, &mut self.phase) {
-            (RankMessage::Prepared { .. }, LeadPhase::Preparing { done, .. }) => {
+            (
+                RankMessage::Prepared {
+                    is_prompt: true, ..
+                },
+                LeadPhase::Preparing { done, .. },
+            ) => {
                 done.insert(from);
                 if is_everyone(*done) {
-                    let deadline = now + self.times.arm;
+                    self.phase = LeadPhase::Checking {
+                        answers: no_answers(self.size),
+                        deadline: now + self.times.check,
+                    };
+                    self.resend_at = now;
+                }
+                None
+            }
+            (RankMessage::ArmedState { .. }, LeadPhase::Checking { answers, .. }) => {
+                take_answer(answers, from, message);
+                if answers.iter().all(Option::is_some) {
                     self.phase = LeadPhase::Holding {
                         step: None,
-                        deadline,
+                        deadline: now + self.times.arm,
                     };
                 }
                 None
@@ -210,13 +230,15 @@
                 }
                 None
             }
-            (RankMessage::ArmedState { armed, .. }, LeadPhase::Asking { answers }) => {
-                if let Some(answer) = answers.get_mut(usize::from(from.0)) {
-                    *answer = Some(*armed);
-                }
+            (RankMessage::ArmedState { .. }, LeadPhase::Asking { answers }) => {
+                take_answer(answers, from, message);
                 self.judge_answers(now)
             }
-            (RankMessage::Failed { .. }, LeadPhase::Preparing { .. }) => Some(self.give_up(now)),
+            // While orders come late, ranks would be armed one by one in a held group.
+            (
+                RankMessage::Prepared { .. } | RankMessage::Failed { .. },
+                LeadPhase::Preparing { .. },
+            ) => Some(self.give_up(now)),
             (RankMessage::Failed { .. }, LeadPhase::Arming { .. }) => Some(self.take_back(now)),
             _ => None,
         }
@@ -224,10 +246,10 @@
 
     /// Takes the answer to the lead's last order.
     pub fn on_answer(&mut self, answer: OrderAnswer, now: TimePoint) -> Option<LeadEvent> {
-        let is_refused = answer == OrderAnswer::Refused;
+        let is_failed = answer != OrderAnswer::Accepted;
         let is_holding = matches!(self.phase, LeadPhase::Holding { .. });
-        // The step has begun; nobody was told to arm.
-        (is_refused && is_holding).then(|| self.give_up(now))
+        // The step has begun, or orders come late; nobody was told to arm.
+        (is_failed && is_holding).then(|| self.give_up(now))
     }
 
     /// Takes what the own rank says of itself.
@@ -248,7 +270,9 @@
                 self.resend_at = now;
                 None
             }
-            LeadPhase::Preparing { deadline, .. } | LeadPhase::Holding { deadline, .. }
+            LeadPhase::Preparing { deadline, .. }
+            | LeadPhase::Checking { deadline, .. }
+            | LeadPhase::Holding { deadline, .. }
                 if now >= *deadline =>
             {
                 Some(self.give_up(now))
@@ -258,7 +282,7 @@
                 self.phase = LeadPhase::Idle;
                 None
             }
-            LeadPhase::Idle | LeadPhase::Preparing { .. } => {
+            LeadPhase::Idle | LeadPhase::Preparing { .. } | LeadPhase::Checking { .. } => {
                 let held = report.held?;
                 if self.is_settled {
                     // A hold of this life that came late.
@@ -319,7 +343,7 @@
                 let step = *step;
                 (*done, RankMessage::Arm { attempt, step })
             }
-            LeadPhase::Asking { answers } => {
+            LeadPhase::Asking { answers } | LeadPhase::Checking { answers, .. } => {
                 let mut done = MemberSet::default();
                 let answered = answers.iter().enumerate().filter(|(_, it)| it.is_some());
                 for (rank, _) in answered {
@@ -388,7 +412,7 @@
         self.next_map = None;
         self.resend_at = now;
         self.phase = LeadPhase::Asking {
-            answers: ArmedAnswers::from_elem(None, usize::from(self.size)),
+            answers: no_answers(self.size),
         };
         LeadEvent::FoundHeld(held)
     }
@@ -418,4 +442,15 @@
     }
 }
 
+fn no_answers(size: u8) -> ArmedAnswers {
+    ArmedAnswers::from_elem(None, usize::from(size))
+}
+
+fn take_answer(answers: &mut ArmedAnswers, from: MemberIndex, message: &RankMessage) {
+    let answer = answers.get_mut(usize::from(from.0));
+    if let (Some(answer), RankMessage::ArmedState { armed, .. }) = (answer, message) {
+        *answer = Some(*armed);
+    }
+}
+
 type ArmedList = SmallVec<[Option<ArmedSwitch>; 8]>;
--- a/crates/celerycrank-groups/src/rank/member.rs
+++ b/crates/celerycrank-groups/src/rank/member.rs
@@ -17,6 +17,8 @@
         attempt: AttemptName,
         map: Arc<ExpertMap>,
         is_accepted: bool,
+        /// Whether no order of the attempt was left without an answer.
+        is_prompt: bool,
     },
     /// The rank is to be armed.
     Arm {
@@ -111,6 +113,7 @@
                 MemberGoal::Prepare { is_accepted, .. } | MemberGoal::Arm { is_accepted, .. },
                 OrderAnswer::Accepted,
             ) => *is_accepted = true,
+            (MemberGoal::Prepare { is_prompt, .. }, OrderAnswer::Unanswered) => *is_prompt = false,
             (
                 MemberGoal::Prepare { attempt, .. } | MemberGoal::Arm { attempt, .. },
                 OrderAnswer::Refused,
@@ -152,9 +155,17 @@
     pub fn reply(&self, report: &RankReport) -> Option<RankMessage> {
         match &self.goal {
             MemberGoal::Idle => None,
-            MemberGoal::Prepare { attempt, map, .. } => {
+            MemberGoal::Prepare {
+                attempt,
+                map,
+                is_prompt,
+                ..
+            } => {
                 let is_done = report.prepared == Some(map.id().version);
-                is_done.then_some(RankMessage::Prepared { attempt: *attempt })
+                is_done.then_some(RankMessage::Prepared {
+                    attempt: *attempt,
+                    is_prompt: *is_prompt,
+                })
             }
             MemberGoal::Arm {
                 attempt, switch, ..
@@ -188,6 +199,7 @@
                 attempt,
                 map: Arc::clone(map),
                 is_accepted: false,
+                is_prompt: true,
             }
         };
     }
--- a/crates/celerycrank-groups/src/rank/message.rs
+++ b/crates/celerycrank-groups/src/rank/message.rs
@@ -56,6 +56,8 @@
     Prepared {
         /// The attempt.
         attempt: AttemptName,
+        /// Whether the rank answered the order at once; if not, others may come late too.
+        is_prompt: bool,
     },
     /// The lead has a rank armed; the group is held before the step.
     Arm {
@@ -126,7 +128,7 @@
     #[must_use]
     pub const fn answered_attempt(&self) -> Option<AttemptName> {
         match self {
-            Self::Prepared { attempt }
+            Self::Prepared { attempt, .. }
             | Self::Armed { attempt }
             | Self::Cleared { attempt }
             | Self::ArmedState { attempt, .. }
--- a/crates/celerycrank-groups/tests/rank_lead.rs
+++ b/crates/celerycrank-groups/tests/rank_lead.rs
@@ -50,15 +50,38 @@
         panic!("an attempt begins with the loading of its map");
     };
     for rank in 0..2 {
-        let done = RankMessage::Prepared { attempt };
+        let done = RankMessage::Prepared {
+            attempt,
+            is_prompt: true,
+        };
         lead.on_message(MemberIndex(rank), &done, at(2));
     }
+    check_all(&mut lead, at(2));
     let hold = lead.next_action(&report(10));
     let step = StepNumber(12);
     assert_eq!(hold, Some(RankAction::Hold { step }));
     lead
 }
 
+/// Answers for every rank that its agent is there.
+fn check_all(lead: &mut RankLead, now: TimePoint) {
+    let Some(RankMessage::AskArmed { attempt }) = request(lead, now) else {
+        panic!("every agent is asked once more");
+    };
+    for rank in 0..2 {
+        assert_eq!(
+            lead.next_action(&report(10)),
+            None,
+            "rank {rank} has not answered"
+        );
+        let answer = RankMessage::ArmedState {
+            attempt,
+            armed: None,
+        };
+        lead.on_message(MemberIndex(rank), &answer, now);
+    }
+}
+
 /// What the lead asks of the other ranks now.
 fn request(lead: &mut RankLead, now: TimePoint) -> Option<RankMessage> {
     let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(99));
@@ -191,9 +214,13 @@
         panic!("an attempt begins with the loading of its map");
     };
     for rank in 0..2 {
-        let done = RankMessage::Prepared { attempt };
+        let done = RankMessage::Prepared {
+            attempt,
+            is_prompt: true,
+        };
         lead.on_message(MemberIndex(rank), &done, at(5_001));
     }
+    check_all(&mut lead, at(5_001));
     // The group has made no step since.
     let step = StepNumber(13);
     assert_eq!(
@@ -201,3 +228,30 @@
         Some(RankAction::Hold { step })
     );
 }
+
+#[test]
+fn a_group_is_not_held_while_orders_come_late() {
+    let mut lead = lead();
+    let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(5));
+    let (message, _) = lead.begin(Arc::new(map), EPOCH, at(1));
+    let RankMessage::Prepare { attempt, .. } = message else {
+        panic!("an attempt begins with the loading of its map");
+    };
+    let late = RankMessage::Prepared {
+        attempt,
+        is_prompt: false,
+    };
+    let event = lead.on_message(MemberIndex(1), &late, at(2));
+    assert_eq!(event, Some(LeadEvent::TakenBack(attempt)));
+    assert_eq!(lead.next_action(&report(10)), None);
+    assert!(
+        !lead.is_free(at(3), &report(10)),
+        "it waits before it tries again"
+    );
+    let mut held = prepared_lead();
+    let event = held.on_answer(celerycrank_groups::OrderAnswer::Unanswered, at(3));
+    assert!(
+        matches!(event, Some(LeadEvent::TakenBack(_))),
+        "the hold itself came late"
+    );
+}
