One macro for numbers, one list of hop fields; split the rank agent's roster and knowledge

ModRevision, LeaseId, BlockHash and the groups' numbers are declared by number_type; entries share celerycrank-http's list of fields that stay on one hop.

--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -9,6 +9,7 @@
 };
 use bytes::Bytes;
 use celerycrank_config::RepeatRule;
+use celerycrank_http::is_hop_field;
 use celerycrank_types::{Incarnation, RefusalReason, TimePoint, TimeSpan};
 use celerycrank_wire::{HttpField, RequestHead, RunOrder};
 
@@ -28,18 +29,8 @@
 /// Longest idempotency key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 
-/// Headers that concern the caller's hop only, or that the entry sets itself.
-const HOP_HEADERS: [&str; 9] = [
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "x-request-id",
-];
+/// The header that names the request, which the entry sets itself.
+const NAME_HEADER: &str = "x-request-id";
 
 /// A whole request of a caller, not yet admitted.
 #[derive(Debug, Clone)]
@@ -200,7 +191,8 @@
         .iter()
         .filter(|(name, _)| {
             ![AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST].contains(name)
-                && !HOP_HEADERS.contains(&name.as_str())
+                && !is_hop_field(name.as_str().as_bytes())
+                && name.as_str() != NAME_HEADER
         })
         .map(|(name, value)| HttpField {
             name: name.as_str().into(),
--- a/crates/celerycrank-groups/src/lib.rs
+++ b/crates/celerycrank-groups/src/lib.rs
@@ -27,17 +27,17 @@
         EngineOrder, EngineReport, FormationMessage, MemberHello, SwitchMessage, SwitchRefusal,
     },
     number::{
-        AgentLife, AttemptId, AttemptNumber, MapId, MapVersion, MemberIndex, MemberSet, RecordCall,
-        StepNumber,
+        AgentLife, AttemptId, AttemptNumber, GroupEpoch, MapId, MapVersion, MemberIndex, MemberSet,
+        OrderSequence, RecordCall, StepNumber,
     },
     policy::{
         LoadEstimator, LoadTable, PlacementDecision, PlacementFault, PlacementPolicy,
         PlacementPreset, PlacementSettings, SpreadLimits, full_repack, spread_hot_experts,
     },
     rank::{
-        ArmedSwitch, AttemptName, CountWindow, GroupEpoch, LeadEvent, LoadWatch, MapProposal,
-        OrderAnswer, OrderSequence, RankAction, RankAgent, RankLead, RankLists, RankMember,
-        RankMessage, RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes,
+        ArmedSwitch, AttemptName, CountWindow, LeadEvent, LoadWatch, MapProposal, OrderAnswer,
+        RankAction, RankAgent, RankLead, RankLists, RankMember, RankMessage, RankOrder, RankOutput,
+        RankOutputs, RankPlace, RankReport, RankTimes,
     },
     switch::{
         BoardHistory, MemberOutput, MemberState, SwitchLead, SwitchMember, SwitchTimes,
--- a/crates/celerycrank-groups/src/number.rs
+++ b/crates/celerycrank-groups/src/number.rs
@@ -2,60 +2,25 @@
 
 use std::fmt;
 
-use celerycrank_types::Incarnation;
+use celerycrank_types::{Incarnation, number_type};
 use serde::{Deserialize, Serialize};
 
-macro_rules! count_number {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-        #[derive(Serialize, Deserialize)]
-        #[serde(transparent)]
-        pub struct $name(pub u64);
-
-        impl $name {
-            /// The number that follows this one.
-            #[must_use]
-            pub const fn next(self) -> Self {
-                Self(self.0 + 1)
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl std::str::FromStr for $name {
-            type Err = std::num::ParseIntError;
-
-            fn from_str(text: &str) -> Result<Self, Self::Err> {
-                text.parse().map(Self)
-            }
-        }
-    };
-}
-
-count_number! {
+number_type! {
     /// A lock-step step, counted from 0 in each incarnation of a group.
-    StepNumber
-}
-count_number! {
+    StepNumber;
     /// How many switches led to a map since the group was first formed.
-    MapVersion
-}
-count_number! {
+    MapVersion;
     /// Counts the attempts of one lead in one incarnation.
-    AttemptNumber
-}
-count_number! {
+    AttemptNumber;
     /// Counts the calls of one agent to the key-value service for its group's record.
-    RecordCall
-}
-count_number! {
+    RecordCall;
     /// One life of an agent process; a later one beside the same rank has a higher number.
-    AgentLife
+    AgentLife;
+    /// One forming of a group by the platform; the next one begins with the first map and
+    /// nothing under way.
+    GroupEpoch;
+    /// How many orders a rank has accepted since its start.
+    OrderSequence;
 }
 
 /// The place of one agent in its group; an agent drives one or more ranks.
--- a/crates/celerycrank-groups/src/rank.rs
+++ b/crates/celerycrank-groups/src/rank.rs
@@ -10,11 +10,13 @@
 //! Nothing here does I/O or reads a clock.
 
 mod agent;
+mod knowledge;
 mod lead;
 mod member;
 mod message;
 mod order;
 mod report;
+mod roster;
 mod watch;
 
 pub use crate::rank::{
@@ -23,6 +25,6 @@
     member::RankMember,
     message::{AttemptName, RankMessage},
     order::{OrderAnswer, RankAction, RankOrder},
-    report::{ArmedSwitch, GroupEpoch, OrderSequence, RankLists, RankPlace, RankReport},
+    report::{ArmedSwitch, RankLists, RankPlace, RankReport},
     watch::{CountWindow, LoadWatch, MapProposal},
 };
--- a/crates/celerycrank-groups/src/rank/agent.rs
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -9,6 +9,7 @@
     AgentLife, AttemptName, ExpertMap, GroupEpoch, LeadEvent, MapShape, MapVersion, MemberIndex,
     OrderAnswer, RankAction, RankLead, RankLists, RankMember, RankMessage, RankOrder, RankPlace,
     RankReport, SlotLoad,
+    rank::{knowledge::MapKnowledge, roster::GroupRoster},
 };
 
 /// Time before the same order is given again.
@@ -20,16 +21,9 @@
 /// Age up to which a report counts as fresh.
 const FRESH_AGE: TimeSpan = TimeSpan::from_millis(15);
 
-/// Time after which an agent that was not heard of counts as away.
-const AWAY_AFTER: TimeSpan = TimeSpan::from_millis(2_500);
-
 /// Interval at which the lead asks for lists that it misses.
 const ASK_INTERVAL: TimeSpan = TimeSpan::from_millis(300);
 
-/// Silence of a lead after which a life with a lower number is believed: its machine may
-/// count lives anew.
-const LEAD_SILENCE: TimeSpan = TimeSpan::from_millis(5_000);
-
 /// The times by which attempts are bounded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RankTimes {
@@ -96,18 +90,13 @@
     is_answered: bool,
     /// The reply that the lead was sent last.
     last_reply: Option<RankMessage>,
-    /// The present life of the lead, and when it was last heard of.
-    lead_life: Option<(AgentLife, TimePoint)>,
     /// The lead's question what the rank is armed for, until a report was read after it.
     asked: Option<AttemptName>,
     /// The last order, and when it was given.
     last_order: Option<(RankAction, TimePoint)>,
-    /// When the agent of each rank was last heard of.
-    heard: Vec<Option<TimePoint>>,
-    /// The map in use, where the lead knows it.
-    map: Option<Arc<ExpertMap>>,
-    /// The lists of the ranks, while the lead does not know the map in use.
-    lists: Vec<Option<RankLists>>,
+    roster: GroupRoster,
+    /// The map in use, for the lead.
+    knowledge: MapKnowledge,
     ask_at: TimePoint,
     highest: MapVersion,
 }
@@ -125,12 +114,10 @@
             pending: None,
             is_answered: false,
             last_reply: None,
-            lead_life: None,
             asked: None,
             last_order: None,
-            heard: Vec::new(),
-            map: None,
-            lists: Vec::new(),
+            roster: GroupRoster::default(),
+            knowledge: MapKnowledge::default(),
             ask_at: TimePoint(0),
             highest: MapVersion(0),
         }
@@ -157,7 +144,7 @@
     /// The map in use, where the lead knows it.
     #[must_use]
     pub const fn map(&self) -> Option<&Arc<ExpertMap>> {
-        self.map.as_ref()
+        self.knowledge.map()
     }
 
     /// Whether the agent waits for its rank, whose report it wants to see soon.
@@ -189,10 +176,8 @@
             return false;
         };
         let is_open = report.place.as_ref().is_some_and(|place| place.is_open);
-        let is_map_known = self
-            .map
-            .as_ref()
-            .is_some_and(|map| map.id().version == report.map);
+        let is_in_use = |map: &Arc<ExpertMap>| map.id().version == report.map;
+        let is_map_known = self.map().is_some_and(is_in_use);
         let is_idle = self.pending.is_none() && lead.is_free(now, report);
         is_open && is_map_known && is_idle && self.is_complete(now)
     }
@@ -200,7 +185,7 @@
     /// Begins an attempt to make these changes to the map in use.
     pub fn propose(&mut self, changes: &[SlotLoad], draw: u64, now: TimePoint) -> RankOutputs {
         let mut outputs = RankOutputs::new();
-        let (Some(map), Some(epoch)) = (&self.map, self.epoch()) else {
+        let (Some(map), Some(epoch)) = (self.map().cloned(), self.epoch()) else {
             return outputs;
         };
         if let Some(lead) = &mut self.lead {
@@ -266,12 +251,9 @@
         now: TimePoint,
     ) -> RankOutputs {
         let mut outputs = RankOutputs::new();
-        if from == MemberIndex(0) && !self.is_of_present_lead(message, now) {
+        if !self.roster.note(from, message, now) {
             return outputs;
         }
-        if let Some(heard) = self.heard.get_mut(usize::from(from.0)) {
-            *heard = Some(now);
-        }
         self.take_message(from, message, now, &mut outputs);
         self.advance(now, &mut outputs);
         outputs
@@ -294,45 +276,10 @@
 
     /// Builds the map in use from the lists of all ranks, once they are there.
     pub fn learn_map(&mut self, shape: MapShape) {
-        if self.map.is_some() || self.lead.is_none() {
-            return;
+        let version = self.report().map(|report| report.map);
+        if let (Some(version), true) = (version, self.is_lead()) {
+            self.knowledge.learn(version, shape);
         }
-        let Some(report) = self.report() else {
-            return;
-        };
-        let version = report.map;
-        if version == MapVersion(0) {
-            self.map = Some(Arc::new(ExpertMap::dealt(shape)));
-            return;
-        }
-        let ranks = self.lists.iter();
-        let ranks = ranks.map(|lists| lists.as_ref().filter(|it| it.version == version));
-        let Some(ranks) = ranks.collect::<Option<Vec<_>>>() else {
-            return;
-        };
-        let layers = 0..usize::from(shape.layers);
-        let lists = layers.map(|layer| {
-            let experts = ranks.iter().map(|rank| rank.experts.get(layer).cloned());
-            experts.collect::<Option<Vec<_>>>()
-        });
-        let lists = lists.collect::<Option<Vec<_>>>();
-        self.map = lists
-            .and_then(|lists| ExpertMap::from_lists(shape, version, &lists))
-            .map(Arc::new);
-    }
-
-    /// Whether a message of the first rank's agent was sent by its present life.
-    fn is_of_present_lead(&mut self, message: &RankMessage, now: TimePoint) -> bool {
-        let Some(life) = message.lead_life() else {
-            return true;
-        };
-        let is_present = self
-            .lead_life
-            .is_none_or(|(known, at)| life >= known || now.since(at) > LEAD_SILENCE);
-        if is_present {
-            self.lead_life = Some((life, now));
-        }
-        is_present
     }
 
     fn take_message(
@@ -358,9 +305,7 @@
             }
             RankMessage::AskLists => outputs.push(RankOutput::ReadLists),
             RankMessage::Lists(lists) => {
-                if let Some(known) = self.lists.get_mut(usize::from(from.0)) {
-                    *known = Some(lists.clone());
-                }
+                self.knowledge.take_lists(from, lists);
             }
             _ => {}
         }
@@ -387,7 +332,7 @@
             let event = lead.observe(report, now);
             outputs.extend(event.map(RankOutput::Event));
         }
-        let same_map = self.map.as_ref().map(|map| {
+        let same_map = self.map().map(|map| {
             let version = MapVersion(self.highest.0 + VOID_GAP);
             Arc::new(map.with_version(version))
         });
@@ -463,7 +408,7 @@
     }
 
     fn ask_lists(&mut self, now: TimePoint, outputs: &mut RankOutputs) {
-        let is_unknown = self.lead.is_some() && self.map.is_none();
+        let is_unknown = self.lead.is_some() && self.map().is_none();
         if !is_unknown || now < self.ask_at {
             return;
         }
@@ -503,10 +448,8 @@
     }
 
     fn is_complete(&self, now: TimePoint) -> bool {
-        let own = self.place().map(|place| usize::from(place.rank.0));
-        self.heard.iter().enumerate().all(|(rank, heard)| {
-            Some(rank) == own || heard.is_some_and(|at| now.since(at) < AWAY_AFTER)
-        })
+        let own = self.place().map(|place| place.rank);
+        own.is_some_and(|own| self.roster.is_complete(own, now))
     }
 
     fn is_new_forming(&self, report: &RankReport) -> bool {
@@ -526,11 +469,10 @@
         self.last_reply = None;
         self.asked = None;
         self.last_order = None;
-        self.map = None;
         let place = report.place.as_ref();
         let size = place.map_or(0, |place| usize::from(place.size));
-        self.heard.resize(size, None);
-        self.lists = vec![None; size];
+        self.roster.resize(size);
+        self.knowledge.reset(size);
         let leads = place.filter(|place| place.rank == MemberIndex(0));
         match (leads, &mut self.lead) {
             (None, _) => self.lead = None,
@@ -543,22 +485,10 @@
 
     /// Notes which map came into use.
     fn follow_map(&mut self) {
-        let Some(version) = self.report().map(|report| report.map) else {
-            return;
-        };
-        let is_known = self
-            .map
-            .as_ref()
-            .is_some_and(|map| map.id().version == version);
-        if is_known {
-            return;
-        }
+        let version = self.report().map(|report| report.map);
         let next = self.lead.as_ref().and_then(RankLead::next_map);
-        let next = next.filter(|map| map.id().version == version);
-        let was_known = self.map.is_some();
-        self.map = next.map(Arc::clone);
-        if was_known && self.map.is_none() {
-            self.lists.fill(None);
+        if let Some(version) = version {
+            self.knowledge.follow(version, next);
         }
     }
 }
--- /dev/null
+++ b/crates/celerycrank-groups/src/rank/knowledge.rs
@@ -0,0 +1,74 @@
+//! What the lead knows of the map in use.
+
+use std::sync::Arc;
+
+use crate::{ExpertMap, MapShape, MapVersion, MemberIndex, RankLists};
+
+/// The map in use, or what was learnt of it so far.
+///
+/// A lead that has just started knows the version only; the other agents tell it which
+/// experts their ranks hold.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct MapKnowledge {
+    map: Option<Arc<ExpertMap>>,
+    /// The lists of the ranks, while the map is not known.
+    lists: Vec<Option<RankLists>>,
+}
+
+impl MapKnowledge {
+    /// Forgets everything, for a group of this size.
+    pub(crate) fn reset(&mut self, size: usize) {
+        self.map = None;
+        self.lists = vec![None; size];
+    }
+
+    /// The map in use, if it is known.
+    pub(crate) const fn map(&self) -> Option<&Arc<ExpertMap>> {
+        self.map.as_ref()
+    }
+
+    /// Takes the lists of a rank.
+    pub(crate) fn take_lists(&mut self, from: MemberIndex, lists: &RankLists) {
+        if let Some(known) = self.lists.get_mut(usize::from(from.0)) {
+            *known = Some(lists.clone());
+        }
+    }
+
+    /// Notes which version is in use; `next` is the map that was to come into use.
+    pub(crate) fn follow(&mut self, version: MapVersion, next: Option<&Arc<ExpertMap>>) {
+        let is_in_use = |map: &&Arc<ExpertMap>| map.id().version == version;
+        if self.map.as_ref().is_some_and(|map| is_in_use(&map)) {
+            return;
+        }
+        let was_known = self.map.is_some();
+        self.map = next.filter(is_in_use).map(Arc::clone);
+        if was_known && self.map.is_none() {
+            self.lists.fill(None);
+        }
+    }
+
+    /// Builds the map in use from the lists of all ranks, once they are there.
+    pub(crate) fn learn(&mut self, version: MapVersion, shape: MapShape) {
+        if self.map.is_some() {
+            return;
+        }
+        if version == MapVersion(0) {
+            self.map = Some(Arc::new(ExpertMap::dealt(shape)));
+            return;
+        }
+        let ranks = self.lists.iter();
+        let ranks = ranks.map(|lists| lists.as_ref().filter(|it| it.version == version));
+        let Some(ranks) = ranks.collect::<Option<Vec<_>>>() else {
+            return;
+        };
+        let layers = 0..usize::from(shape.layers);
+        let lists = layers.map(|layer| {
+            let experts = ranks.iter().map(|rank| rank.experts.get(layer).cloned());
+            experts.collect::<Option<Vec<_>>>()
+        });
+        let lists = lists.collect::<Option<Vec<_>>>();
+        self.map = lists
+            .and_then(|lists| ExpertMap::from_lists(shape, version, &lists))
+            .map(Arc::new);
+    }
+}
--- a/crates/celerycrank-groups/src/rank/report.rs
+++ b/crates/celerycrank-groups/src/rank/report.rs
@@ -1,37 +1,9 @@
 //! What a rank says of itself.
 
-use std::fmt;
-
 use celerycrank_types::GroupId;
 use serde::{Deserialize, Serialize};
 
-use crate::{MapVersion, MemberIndex, StepNumber};
-
-/// One forming of a group; the next one begins with the first map and nothing under way.
-#[derive(
-    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct GroupEpoch(pub u64);
-
-impl fmt::Display for GroupEpoch {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-/// How many orders a rank has accepted since its start.
-#[derive(
-    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct OrderSequence(pub u64);
-
-impl fmt::Display for OrderSequence {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
+use crate::{GroupEpoch, MapVersion, MemberIndex, OrderSequence, StepNumber};
 
 /// The place of a rank in its group.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/celerycrank-routing/src/prefix.rs
+++ b/crates/celerycrank-routing/src/prefix.rs
@@ -1,5 +1,6 @@
 //! A prompt as the chain of its prefix blocks.
 
+use celerycrank_types::number_type;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -9,22 +10,10 @@
 /// Most blocks of one prompt that are told apart.
 const MAX_BLOCKS: usize = 64;
 
-/// The hash of a prompt's text up to the end of one block.
-#[derive(
-    Debug,
-    Default,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-#[serde(transparent)]
-pub struct BlockHash(pub u64);
+number_type! {
+    /// The hash of a prompt's text up to the end of one block.
+    BlockHash;
+}
 
 /// The prefix blocks of one prompt.
 ///
--- a/crates/celerycrank-types/src/id.rs
+++ b/crates/celerycrank-types/src/id.rs
@@ -121,8 +121,12 @@
     GroupId
 }
 
-macro_rules! number_id {
-    ($(#[$doc:meta])* $name:ident) => {
+/// Declares a number that names or counts something, as a type of its own.
+///
+/// The crate that uses it depends on `serde`.
+#[macro_export]
+macro_rules! number_type {
+    ($($(#[$doc:meta])* $name:ident;)+) => {$(
         $(#[$doc])*
         #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
         #[derive(serde::Serialize, serde::Deserialize)]
@@ -137,32 +141,30 @@
             }
         }
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                std::fmt::Display::fmt(&self.0, f)
             }
         }
 
-        impl FromStr for $name {
-            type Err = IdFault;
+        impl std::str::FromStr for $name {
+            type Err = $crate::IdFault;
 
             fn from_str(text: &str) -> Result<Self, Self::Err> {
                 match text.parse() {
                     Ok(number) => Ok(Self(number)),
-                    Err(_) => Err(IdFault::BadNumber(text.into())),
+                    Err(_) => Err($crate::IdFault::BadNumber(text.into())),
                 }
             }
         }
-    };
+    )+};
 }
 
-number_id! {
+number_type! {
     /// The version of the accepted configuration; larger is newer.
-    Revision
-}
-number_id! {
+    Revision;
     /// One life of a process or of a lock-step group; larger is newer.
-    Incarnation
+    Incarnation;
 }
 
 /// One request, named by the entry that accepted it.
--- a/crates/celerycrank-types/src/record.rs
+++ b/crates/celerycrank-types/src/record.rs
@@ -1,40 +1,18 @@
 //! Records of the key-value service and the revisions that order them.
 
-use std::{fmt, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 
-/// The service's revision at which a key was last modified; larger is newer.
-///
-/// Invariant: above zero for a key that exists.
-#[derive(
-    Debug,
-    Default,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
-)]
-#[serde(transparent)]
-pub struct ModRevision(pub u64);
+use crate::number_type;
 
-impl ModRevision {
-    /// The revision that follows this one, at which a watch goes on.
-    #[must_use]
-    pub const fn next(self) -> Self {
-        Self(self.0 + 1)
-    }
-}
-
-impl fmt::Display for ModRevision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
+number_type! {
+    /// The service's revision at which a key was last modified; larger is newer.
+    ///
+    /// Invariant: above zero for a key that exists.
+    ModRevision;
+    /// A lease, as named by the service.
+    LeaseId;
 }
 
 /// One key with its value, as the service holds it.
@@ -72,13 +50,3 @@
         }
     }
 }
-
-/// A lease, as named by the service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct LeaseId(pub u64);
-
-impl fmt::Display for LeaseId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
