--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -1,15 +1,17 @@
 //! Answers one request: admits it, sends it on and passes the answer back.
 
+use std::sync::Arc;
+
 use bytes::BytesMut;
 use celerycrank_http::{BodyFraming, ResponseHead};
-use celerycrank_platform::write_answer_head;
+use celerycrank_platform::{read_request, write_answer_head};
 use celerycrank_types::{RefusalReason, TimePoint, UnknownReason};
 use tokio::select;
 
 use super::{
     caller::{CallerConnection, ConnectionStep},
     dispatch::{DispatchFault, RequestDispatch},
-    refusal::{refuse, tell_unknown},
+    refusal::{bad_request, refuse, tell_unknown},
     request::{AdmittedRequest, RequestDraft, admit},
     state::EntryState,
     stream::stream_answer,
@@ -27,12 +29,15 @@
 ) -> ConnectionStep {
     let is_persistent = draft.head.is_persistent();
     let arrival = draft.arrival;
-    let request = match admit(state, draft) {
+    let facts = read_request(&draft.head).map_err(bad_request);
+    let attempt = facts.as_ref().ok().map(|facts| Arc::clone(&facts.attempt));
+    let request = match facts.and_then(|facts| admit(state, draft, facts)) {
         Ok(request) => request,
         Err(reason) => {
+            let attempt = attempt.as_deref();
             let is_last = !is_persistent || state.is_stopping.get();
-            tell_refusal(state, arrival, reason);
-            let answer = refuse(state, None, reason, is_last);
+            tell_refusal(state, attempt, arrival, reason);
+            let answer = refuse(state, attempt, reason, is_last);
             let is_sent = caller.send(&answer).await;
             return next_step(is_sent && !is_last);
         }
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -4,14 +4,11 @@
 
 use bytes::Bytes;
 use celerycrank_http::RequestHead;
-use celerycrank_platform::{RequestFacts, read_request};
+use celerycrank_platform::RequestFacts;
 use celerycrank_serving::RouteRule;
 use celerycrank_types::{AccountId, RefusalReason, Revision, ServiceId, TimePoint};
 
-use super::{
-    refusal::bad_request,
-    state::{ConfigurationInForce, EntryState},
-};
+use super::state::{ConfigurationInForce, EntryState};
 
 /// A whole request that a route allows.
 #[derive(Debug)]
@@ -45,8 +42,8 @@
 pub(crate) fn admit(
     state: &EntryState,
     draft: RequestDraft,
+    facts: RequestFacts,
 ) -> Result<AdmittedRequest, RefusalReason> {
-    let facts = read_request(&draft.head).map_err(bad_request)?;
     let in_force = state.in_force().ok_or(RefusalReason::NoConfiguration)?;
     let route = find_route(state, &in_force, &facts, &draft.head)?;
     let account = find_account(state, &in_force, &facts, &route)?;
--- a/crates/celerycrank-direct/src/entry/tell.rs
+++ b/crates/celerycrank-direct/src/entry/tell.rs
@@ -52,9 +52,15 @@
 }
 
 /// Logs a request that was not admitted.
-pub(crate) fn tell_refusal(state: &EntryState, arrival: TimePoint, reason: RefusalReason) {
+pub(crate) fn tell_refusal(
+    state: &EntryState,
+    attempt: Option<&str>,
+    arrival: TimePoint,
+    reason: RefusalReason,
+) {
     let revision = state.in_force().map(|it| it.revision);
     tracing::info!(
+        request = attempt,
         %reason,
         revision = revision.map(tracing::field::display),
         configuration_age = state.configuration_age().map(tracing::field::display),
