--- a/crates/celerycrank-cli/tests/failures.rs
+++ b/crates/celerycrank-cli/tests/failures.rs
@@ -9,6 +9,7 @@
 use support::{
     backend::{BackendEvent, FakeBackend},
     caller::{BodyEnd, Caller, KEY, call},
+    closed::ClosedPort,
     deployment::{Deployment, DeploymentFiles},
 };
 
@@ -109,10 +110,8 @@
 #[test]
 fn backend_that_is_down_is_told_as_not_run() {
     let files = DeploymentFiles::make();
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = closed.local_addr().expect("the listener is bound");
-    drop(closed);
-    let agent = files.start_agent("agent", "service", address, &json!({}));
+    let closed = ClosedPort::bind();
+    let agent = files.start_agent("agent", "service", closed.address, &json!({}));
     let entry = files.start_entry(&[agent.listen], &json!({}));
     entry.wait_ready();
     let answer = call(entry.listen, "GET", "/svc/x", Some(KEY), "");
@@ -216,11 +215,9 @@
 #[test]
 fn refused_attempt_is_retried_on_another_agent() {
     let files = DeploymentFiles::make();
-    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let down = closed.local_addr().expect("the listener is bound");
-    drop(closed);
+    let closed = ClosedPort::bind();
     let backend = FakeBackend::start();
-    let first = files.start_agent("agent-1", "service", down, &json!({}));
+    let first = files.start_agent("agent-1", "service", closed.address, &json!({}));
     let second = files.start_agent("agent-2", "service", backend.address, &json!({}));
     let entry = files.start_entry(&[first.listen, second.listen], &json!({}));
     entry.wait_ready();
--- a/crates/celerycrank-cli/tests/support/mod.rs
+++ b/crates/celerycrank-cli/tests/support/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod closed;
 pub mod deployment;
 pub mod platform;
 pub mod process;
--- a/crates/celerycrank-config/src/check/setting.rs
+++ b/crates/celerycrank-config/src/check/setting.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use celerycrank_types::{
-    BackendId, ByteSize, DomainId, EntryId, Fraction, ModelId, ServiceId, TimeSpan, VmId,
+    BackendId, ByteSize, DecimalSpan, DomainId, EntryId, Fraction, ModelId, ServiceId, TimeSpan,
+    VmId,
 };
 use serde::de::DeserializeOwned;
 
@@ -43,9 +44,9 @@
     required("admin", text::<SocketAddr>()),
     required("peer", text::<SocketAddr>()),
     required("store", STORE),
-    optional("revocation", SPAN),
+    optional("revocation", text::<DecimalSpan>()),
     required("retries", RETRIES),
-    required("grace", SPAN),
+    required("grace", text::<DecimalSpan>()),
 ]);
 
 const RANK_AGENT_SHAPE: Shape = Shape::Object(&[
@@ -64,7 +65,7 @@
 ]);
 
 const RETRIES: Shape = Shape::Object(&[
-    required("window", SPAN),
+    required("window", text::<DecimalSpan>()),
     required("ratio", text::<Fraction>()),
     required("slack", text::<Fraction>()),
 ]);
--- a/crates/celerycrank-config/src/direct.rs
+++ b/crates/celerycrank-config/src/direct.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use celerycrank_types::{DomainId, EntryId, Fraction, ServiceId, TimeSpan, VmId};
+use celerycrank_types::{DecimalSpan, DomainId, EntryId, Fraction, ServiceId, TimeSpan, VmId};
 use serde::{Deserialize, Serialize};
 
 /// Settings of an entry that sends requests straight to backend servers.
@@ -26,11 +26,11 @@
     /// Time within which a key that was taken away must be refused everywhere.
     ///
     /// Without it keys are accepted for as long as the store is away.
-    pub revocation: Option<TimeSpan>,
+    pub revocation: Option<DecimalSpan>,
     /// What all entries together may send a second time.
     pub retries: RetrySettings,
     /// Time between the signal to stop and the end of the process.
-    pub grace: TimeSpan,
+    pub grace: DecimalSpan,
 }
 
 /// Settings of an agent beside a backend server that entries reach by themselves.
@@ -68,7 +68,7 @@
 #[serde(deny_unknown_fields)]
 pub struct RetrySettings {
     /// Length of the window in which retries are counted.
-    pub window: TimeSpan,
+    pub window: DecimalSpan,
     /// Retries for each request.
     pub ratio: Fraction,
     /// Retries beyond the ratio.
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -167,7 +167,7 @@
 async fn leave(state: &EntryState, accepting: &JoinHandle<()>) {
     let begun = state.clock.now();
     state.is_stopping.set(true);
-    let grace = state.settings().grace.saturating_sub(END_RESERVE);
+    let grace = state.settings().grace.0.saturating_sub(END_RESERVE);
     sleep(BALANCER_DELAY.min(grace.as_duration())).await;
     accepting.abort();
     state.shutdown.raise();
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -14,7 +14,7 @@
     AccountTable, BackendTable, CallerBounds, FreshnessGuard, RetryAllowance, RetryWindow,
     RouteTable, ServingConfiguration,
 };
-use celerycrank_types::{Revision, ServiceId, TimeSpan};
+use celerycrank_types::{DecimalSpan, Revision, ServiceId, TimeSpan};
 use rand::{SeedableRng, rngs::StdRng};
 
 use super::{metrics::EntryMetrics, pool::ConnectionPool};
@@ -72,6 +72,7 @@
         let addresses = [Arc::clone(&settings.store.address)];
         let client =
             KeyValueClient::with_form(WireForm::Platform, &addresses, settings.store.timeout);
+        let guard = settings.revocation.map(|span| FreshnessGuard::new(span.0));
         Self {
             clock: ProcessClock::start(),
             shutdown: ShutdownFlag::default(),
@@ -80,7 +81,7 @@
             backends: RefCell::default(),
             pool: ConnectionPool::default(),
             random: RefCell::new(StdRng::from_os_rng()),
-            freshness: RefCell::new(settings.revocation.map(FreshnessGuard::new)),
+            freshness: RefCell::new(guard),
             knows_backends: Cell::new(false),
             is_stopping: Cell::new(false),
             callers: Cell::new(0),
@@ -114,7 +115,7 @@
         }
         if settings.revocation != known.revocation {
             let mut guard = self.freshness.borrow_mut();
-            *guard = settings.revocation.map(|span| {
+            *guard = settings.revocation.map(|DecimalSpan(span)| {
                 let known = guard.unwrap_or_else(|| FreshnessGuard::new(span));
                 known.with_revocation(span)
             });
@@ -176,7 +177,7 @@
         if !windows.contains_key(service) {
             let settings = self.settings().retries;
             let allowance = RetryAllowance {
-                window: settings.window,
+                window: settings.window.0,
                 ratio: settings.ratio.get(),
                 slack: settings.slack.get(),
             };
--- a/crates/celerycrank-direct/tests/support/mod.rs
+++ b/crates/celerycrank-direct/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use celerycrank_platform_standin::{
     StoreStandin, TestCaller, TestRequest, WorkerBehaviour, WorkerStandin,
 };
-use celerycrank_types::TimeSpan;
+use celerycrank_types::{DecimalSpan, TimeSpan};
 use serde_json::{Value, json};
 
 /// Interval at which a test looks for what it waits for.
@@ -142,13 +142,13 @@
             timeout: TimeSpan::from_millis(400),
         })
         // A second may pass unseen, and the rest is for the test.
-        .revocation(TimeSpan::from_millis(3_000))
+        .revocation(DecimalSpan(TimeSpan::from_secs(3)))
         .retries(RetrySettings {
-            window: TimeSpan::from_secs(10),
+            window: DecimalSpan(TimeSpan::from_secs(10)),
             ratio: "1".parse().expect("a number"),
             slack: "2400".parse().expect("a number"),
         })
-        .grace(TimeSpan::from_secs(4))
+        .grace(DecimalSpan(TimeSpan::from_secs(4)))
         .build()
 }
 
--- a/crates/celerycrank-types/src/lib.rs
+++ b/crates/celerycrank-types/src/lib.rs
@@ -18,6 +18,6 @@
     label::UnknownLabel,
     outcome::{RefusalReason, RequestOutcome, RetryReason, UnknownReason},
     record::{KeyValueRecord, LeaseId, ModRevision, WatchEvent},
-    time::{TimeFault, TimePoint, TimeSpan},
+    time::{DecimalSpan, TimeFault, TimePoint, TimeSpan},
     unit::{ByteSize, Fraction, ShareWeight, TokenCount, TokenRate, UnitFault},
 };
--- a/crates/celerycrank-types/src/time.rs
+++ b/crates/celerycrank-types/src/time.rs
@@ -77,7 +77,7 @@
     }
 }
 
-/// A span of time in microseconds, written `250ms`, `1.5s`, `10m`.
+/// A span of time in microseconds, written `250ms`, `5s`, `10m`.
 #[derive(
     Debug,
     Default,
@@ -167,28 +167,15 @@
         let fault = || TimeFault(text.into());
         let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
         let suffix = &text[digits.len()..];
+        let number = digits.parse::<u64>().ok().ok_or_else(fault)?;
         let (_, unit) = SPAN_UNITS
             .iter()
             .find(|(name, _)| *name == suffix)
             .ok_or_else(fault)?;
-        let (whole, fraction) = digits.split_once('.').unwrap_or((digits, "0"));
-        let number = whole.parse::<u64>().ok().ok_or_else(fault)?;
-        let micros = number.checked_mul(*unit).ok_or_else(fault)?;
-        let part = read_fraction(fraction, *unit).ok_or_else(fault)?;
-        micros.checked_add(part).map(Self).ok_or_else(fault)
+        number.checked_mul(*unit).map(Self).ok_or_else(fault)
     }
 }
 
-/// The part of a unit, in microseconds, that the digits behind a decimal point stand for.
-fn read_fraction(digits: &str, unit: u64) -> Option<u64> {
-    if digits.is_empty() || !digits.bytes().all(|digit| digit.is_ascii_digit()) {
-        return None;
-    }
-    let part = format!("0.{digits}").parse::<f64>().ok()?;
-    let micros = part * unit as f64;
-    Some(TimeSpan::from_secs_f64(micros / MICROS_PER_SECOND as f64).0)
-}
-
 impl TryFrom<Arc<str>> for TimeSpan {
     type Error = TimeFault;
 
@@ -202,3 +189,63 @@
         span.to_string().into()
     }
 }
+
+/// A span that a program may have written with a decimal point, `1.5s`.
+///
+/// Settings that are filled in from another system's numbers use it; people write whole
+/// numbers of a smaller unit.
+#[derive(
+    Debug,
+    Default,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(try_from = "Arc<str>", into = "Arc<str>")]
+pub struct DecimalSpan(pub TimeSpan);
+
+impl fmt::Display for DecimalSpan {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for DecimalSpan {
+    type Err = TimeFault;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+        let suffix = &text[digits.len()..];
+        let Some((whole, fraction)) = digits.split_once('.') else {
+            return text.parse().map(Self);
+        };
+        let fault = || TimeFault(text.into());
+        let span = format!("{whole}{suffix}").parse::<TimeSpan>()?;
+        let unit = format!("1{suffix}").parse::<TimeSpan>()?;
+        let is_number = !fraction.is_empty() && fraction.bytes().all(|it| it.is_ascii_digit());
+        let part = is_number.then(|| format!("0.{fraction}").parse::<f64>().ok());
+        let part = part.flatten().ok_or_else(fault)?;
+        let part = TimeSpan::from_secs_f64(unit.as_secs_f64() * part);
+        Ok(Self(span + part))
+    }
+}
+
+impl TryFrom<Arc<str>> for DecimalSpan {
+    type Error = TimeFault;
+
+    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<DecimalSpan> for Arc<str> {
+    fn from(span: DecimalSpan) -> Self {
+        span.to_string().into()
+    }
+}
--- a/crates/celerycrank-types/tests/text.rs
+++ b/crates/celerycrank-types/tests/text.rs
@@ -3,8 +3,8 @@
 use std::{fmt::Display, str::FromStr};
 
 use celerycrank_types::{
-    AccountId, ByteSize, RefusalReason, RequestId, RetryReason, ShareWeight, TimeSpan, TokenRate,
-    UnknownReason,
+    AccountId, ByteSize, DecimalSpan, RefusalReason, RequestId, RetryReason, ShareWeight, TimeSpan,
+    TokenRate, UnknownReason,
 };
 
 /// Runs of a property; a seed's low half is the size of its input.
@@ -61,3 +61,14 @@
     "0".parse::<ShareWeight>().unwrap_err();
     serde_json::from_str::<ShareWeight>("0").unwrap_err();
 }
+
+#[test]
+fn spans_with_decimals_are_a_type_of_their_own() {
+    let read = |text: &str| text.parse::<DecimalSpan>().map(|span| span.0);
+    assert_eq!(read("1.5s"), Ok(TimeSpan::from_millis(1_500)));
+    assert_eq!(read("8.0s"), Ok(TimeSpan::from_secs(8)));
+    assert_eq!(read("250ms"), Ok(TimeSpan::from_millis(250)));
+    for text in ["", "1.5", ".5s", "1.s", "1.x5s", "-1.5s", "1.5.5s", "ms"] {
+        read(text).expect_err(text);
+    }
+}
