Say in one record what was sent; keep the platform's names in its folder, tests included

The tests of a direct entry live beside the platform's stand-ins, whose sample configuration and probe they share with the process tests. A request's sendings are noted when it is sent, in place of a guard that settled them afterwards. The relay of a stream is one path.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -73,11 +73,8 @@
 
     async fn is_ready(&self) -> bool {
         let mut prober = TestCaller::connect(self.probe).await;
-        let question = TestRequest::new("GET", "/-/readyz", "probe");
-        prober
-            .ask(&question)
-            .await
-            .is_some_and(|it| it.status == 200)
+        let answer = prober.ask(&TestRequest::probe()).await;
+        answer.is_some_and(|it| it.status == 200)
     }
 
     async fn wait_ready(&self) {
@@ -150,23 +147,13 @@
     let store = StoreStandin::start().await;
     let worker = WorkerStandin::start("w0").await;
     store.put(&worker.entry_key(), &worker.entry("shop", "ready"));
-    let configuration = json!({
-        "version": 1,
-        "routes": [{
-            "name": "bid", "host": "shop.example", "prefix": "/bid/",
-            "route_type": "non_idempotent", "timeout_ms": 5000, "target_latency_ms": 150,
-            "service": "shop",
-        }],
-        "services": [{"name": "shop"}],
-        "tenants": [{"name": "acme", "api_keys": ["secret"]}],
-    });
-    store.put("op/config", configuration.to_string().as_bytes());
+    store.put_configuration(1, "secret");
     (store, worker)
 }
 
-fn bid(attempt: &str) -> TestRequest {
-    let request = TestRequest::new("POST", "/bid/1", attempt).body(b"one hundred");
-    request.field("Deadline-Ms", "5000")
+/// A call of a kind that waits for a slow backend server.
+fn lookup(attempt: &str) -> TestRequest {
+    TestRequest::new("GET", "/look/1", attempt).deadline(5_000)
 }
 
 #[actix_rt::test]
@@ -177,7 +164,7 @@
     process.wait_ready().await;
     worker.behave(WorkerBehaviour::Slow(400));
     let mut caller = TestCaller::connect(process.listen).await;
-    caller.begin(&bid("a1")).await;
+    caller.begin(&lookup("a1")).await;
     process.signal(libc::SIGHUP);
     process.wait_line("nothing has changed").await;
     let mut changed = settings(&store);
@@ -189,7 +176,7 @@
     process.signal(libc::SIGHUP);
     process.wait_line("settings not reloaded").await;
     assert_eq!(caller.read().await.expect("an answer").status, 200);
-    let answer = caller.ask(&bid("a2")).await;
+    let answer = caller.ask(&lookup("a2")).await;
     assert_eq!(answer.expect("an answer").status, 200);
 }
 
@@ -202,7 +189,7 @@
     worker.behave(WorkerBehaviour::Slow(1_000));
     let mut caller = TestCaller::connect(process.listen).await;
     let mut idle = TestCaller::connect(process.listen).await;
-    caller.begin(&bid("b1")).await;
+    caller.begin(&lookup("b1")).await;
     while worker.runs() == 0 {
         sleep(LOOK_INTERVAL).await;
     }
@@ -210,7 +197,7 @@
     process.wait_line("entry is leaving").await;
     assert!(!process.is_ready().await);
     // A caller that has not heard of it is served all the same.
-    let late = idle.ask(&bid("b2")).await.expect("an answer");
+    let late = idle.ask(&lookup("b2")).await.expect("an answer");
     assert_eq!(late.status, 200);
     let answer = caller.read().await.expect("an answer");
     assert_eq!((answer.status, answer.is_whole), (200, true));
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -158,7 +158,7 @@
 
 /// What is told of a request whose time is over.
 pub(crate) fn expired_fault(dispatch: &RequestDispatch<'_>) -> DispatchFault {
-    if dispatch.may_have_run.get() {
+    if dispatch.sent.may_have_run() {
         DispatchFault::Unknown(UnknownReason::BackendTimeout)
     } else {
         DispatchFault::Refused(RefusalReason::DeadlineUnreachable)
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -1,6 +1,6 @@
 //! One sending of a request to one backend server, up to the head of its answer.
 
-use std::{cell::Cell, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use actix_rt::time::timeout;
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use celerycrank_serving::BackendEntry;
 use celerycrank_types::{TimeSpan, UnknownReason};
 
-use super::{request::AdmittedRequest, state::EntryState};
+use super::{dispatch::SendRecord, request::AdmittedRequest, state::EntryState};
 
 /// Longest time in which a connection to a backend server is made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -100,13 +100,13 @@
 
 /// Sends a request to a backend server and reads the head of its answer.
 ///
-/// `is_sent` tells a caller that drops the future whether the request may run.
+/// `sent` says what was sent also to a caller that drops the future.
 pub(crate) async fn open_attempt(
     state: &EntryState,
     request: &AdmittedRequest,
     entry: &BackendEntry,
     last_event: Option<u64>,
-    is_sent: &Cell<bool>,
+    sent: &SendRecord,
 ) -> Result<OpenAnswer, AttemptFault> {
     let mut stream = connect(state, entry).await?;
     // A key must not be used later than it may have been taken away.
@@ -127,14 +127,10 @@
     };
     let mut message = write_forwarded(&request.head, &facts);
     message.extend_from_slice(&request.body);
-    is_sent.set(true);
-    let sent = stream.send(&message).await;
+    sent.note_sent();
+    let is_whole = stream.send(&message).await.is_ok();
     // An answer may have come before the request was taken whole.
-    let head = match read_head(&mut stream).await {
-        Ok(head) => head,
-        Err(fault) => return Err(fault),
-    };
-    let is_whole = sent.is_ok();
+    let head = read_head(&mut stream).await?;
     check_answer(request, stream, head, is_whole, entry)
 }
 
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -24,17 +24,40 @@
     Unknown(UnknownReason),
 }
 
+/// What was sent of one request.
+#[derive(Debug, Default)]
+pub(crate) struct SendRecord {
+    sendings: Cell<u32>,
+    may_have_run: Cell<bool>,
+}
+
+impl SendRecord {
+    /// Notes that the request is being sent to a backend server, which may run it.
+    pub(crate) fn note_sent(&self) {
+        self.sendings.set(self.sendings.get() + 1);
+        self.may_have_run.set(true);
+    }
+
+    /// Backend servers that the request was sent to.
+    pub(crate) fn sendings(&self) -> u32 {
+        self.sendings.get()
+    }
+
+    /// Whether a backend server may have run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.may_have_run.get()
+    }
+}
+
 /// The way of one request from backend server to backend server.
 pub(crate) struct RequestDispatch<'run> {
     pub(crate) state: &'run EntryState,
     pub(crate) request: &'run AdmittedRequest,
     /// Backend servers that were tried.
     tried: SmallVec<[BackendId; 4]>,
-    /// Backend servers that the request was sent to.
-    pub(crate) sendings: Cell<u32>,
+    /// What was sent so far; holds also where an attempt's future is dropped.
+    pub(crate) sent: SendRecord,
     unreached: u32,
-    /// Whether a backend server may have run the request.
-    pub(crate) may_have_run: Cell<bool>,
     /// Why the last attempt failed.
     last_fault: Option<AttemptFault>,
 }
@@ -75,9 +98,8 @@
             state,
             request,
             tried: SmallVec::new(),
-            sendings: Cell::new(0),
+            sent: SendRecord::default(),
             unreached: 0,
-            may_have_run: Cell::new(false),
             last_fault: None,
         }
     }
@@ -98,14 +120,12 @@
             };
             self.tried.push(entry.backend.clone());
             let source = InFlight::new(self.state, &entry.backend);
-            let is_sent = Cell::new(false);
-            let mark = SentMark {
-                is_sent: &is_sent,
-                sendings: &self.sendings,
-                may_have_run: &self.may_have_run,
-            };
-            let opened = open_attempt(self.state, self.request, &entry, last_event, &is_sent).await;
-            mark.settle(&opened);
+            let may_have_run = self.sent.may_have_run();
+            let opened = open_attempt(self.state, self.request, &entry, last_event, &self.sent);
+            let opened = opened.await;
+            if let Err(AttemptFault::NotRun | AttemptFault::Misdirected) = opened {
+                self.sent.may_have_run.set(may_have_run);
+            }
             match opened {
                 Ok(answer) => return Ok(ServedAnswer { answer, source }),
                 Err(fault) => {
@@ -125,7 +145,6 @@
         reason: UnknownReason,
     ) -> Result<(), DispatchFault> {
         let fault = AttemptFault::Broken(reason);
-        self.may_have_run.set(true);
         self.note_fault(backend, fault);
         self.check_retry(fault)
     }
@@ -136,7 +155,7 @@
         let Some(backend) = self.tried.last().cloned() else {
             return Ok(());
         };
-        if self.may_have_run.get() {
+        if self.sent.may_have_run() {
             return self.retry_broken(&backend, UnknownReason::BackendTimeout);
         }
         self.note_fault(&backend, AttemptFault::NotSent);
@@ -181,7 +200,7 @@
             request = %self.request.attempt,
             %backend,
             ?fault,
-            sendings = self.sendings.get(),
+            sendings = self.sent.sendings(),
             "attempt failed"
         );
     }
@@ -213,7 +232,7 @@
 
     /// The fault to tell, now that no further attempt is made.
     fn give_up(&self, reason: RefusalReason) -> DispatchFault {
-        if !self.may_have_run.get() {
+        if !self.sent.may_have_run() {
             return DispatchFault::Refused(reason);
         }
         match self.last_fault {
@@ -223,7 +242,7 @@
     }
 
     fn has_sendings_left(&self) -> bool {
-        self.sendings.get() < self.request.route.max_attempts
+        self.sent.sendings() < self.request.route.max_attempts
     }
 
     fn take_retry(&self, reason: RetryReason) -> bool {
@@ -237,35 +256,3 @@
         is_granted
     }
 }
-
-/// Notes a sending also where its future is dropped before it ends.
-struct SentMark<'mark> {
-    is_sent: &'mark Cell<bool>,
-    sendings: &'mark Cell<u32>,
-    may_have_run: &'mark Cell<bool>,
-}
-
-impl SentMark<'_> {
-    /// Takes what is known once the attempt has ended.
-    fn settle(self, opened: &Result<OpenAnswer, AttemptFault>) {
-        let is_not_run = matches!(
-            opened,
-            Err(AttemptFault::NotRun | AttemptFault::Misdirected)
-        );
-        let may_have_run = self.may_have_run.get();
-        if self.is_sent.get() {
-            self.sendings.set(self.sendings.get() + 1);
-            self.may_have_run.set(may_have_run || !is_not_run);
-        }
-        std::mem::forget(self);
-    }
-}
-
-impl Drop for SentMark<'_> {
-    fn drop(&mut self) {
-        if self.is_sent.get() {
-            self.sendings.set(self.sendings.get() + 1);
-            self.may_have_run.set(true);
-        }
-    }
-}
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -192,49 +192,40 @@
     let deadline = dispatch.request.deadline;
     loop {
         let next = timeout(EVENT_SILENCE, live.next());
-        let part = match watch(state, caller, deadline, next).await {
-            Watched::Done(Ok(part)) => part,
+        let next = match watch(state, caller, deadline, next).await {
             // A backend server that is silent may be gone.
-            Watched::Done(Err(_)) => Err(UnknownReason::BackendTimeout),
+            Watched::Done(next) => next.unwrap_or(Err(UnknownReason::BackendTimeout)),
             Watched::CallerLeft => return RelayEnd::CallerLeft,
             Watched::Expired => return RelayEnd::Broken(UnknownReason::BackendTimeout),
         };
-        let mut writer = MessageWriter::default();
-        match part {
-            Ok(StreamPart::Events(events)) => {
-                writer.chunk(&events);
-                if !caller.send(&writer.into_bytes()).await {
-                    return RelayEnd::CallerLeft;
-                }
-            }
-            Ok(StreamPart::End) => {
-                writer.end_chunks();
-                let is_sent = caller.send(&writer.into_bytes()).await;
-                release(dispatch, live);
-                return if is_sent {
-                    RelayEnd::Complete
-                } else {
-                    RelayEnd::CallerLeft
-                };
-            }
+        let part = match next {
+            Ok(part) => part,
             Err(reason) => {
                 let last_event = live.events.last_event();
                 let backend = live.source.backend.clone();
                 drop(live);
-                live = match resume(caller, dispatch, &backend, reason, last_event).await {
+                let resumed = resume(caller, dispatch, &backend, reason, last_event).await;
+                match resumed {
                     Ok((resumed, part)) => {
-                        if !pass_part(caller, &part).await {
-                            return RelayEnd::CallerLeft;
-                        }
-                        if matches!(part, StreamPart::End) {
-                            release(dispatch, resumed);
-                            return RelayEnd::Complete;
-                        }
-                        resumed
+                        live = resumed;
+                        part
                     }
                     Err(end) => return end,
-                };
+                }
             }
+        };
+        let is_end = matches!(part, StreamPart::End);
+        let is_sent = pass_part(caller, &part).await;
+        if is_end {
+            release(dispatch, live);
+            return if is_sent {
+                RelayEnd::Complete
+            } else {
+                RelayEnd::CallerLeft
+            };
+        }
+        if !is_sent {
+            return RelayEnd::CallerLeft;
         }
     }
 }
--- a/crates/celerycrank-direct/src/entry/tell.rs
+++ b/crates/celerycrank-direct/src/entry/tell.rs
@@ -44,7 +44,7 @@
         revision = %request.revision,
         configuration_age = state.configuration_age().map(tracing::field::display),
         backend = dispatch.last_tried().map(tracing::field::display),
-        sendings = dispatch.sendings.get(),
+        sendings = dispatch.sent.sendings(),
         took = %span,
         ?end,
         "request ended"
