--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -58,12 +58,10 @@
     random: &mut R,
 ) -> Option<&'table BackendState> {
     let states = states.collect::<SmallVec<[&BackendState; 32]>>();
+    let sample = states.choose_multiple(random, SAMPLE_SIZE).copied();
+    let sample = sample.collect::<SmallVec<[&BackendState; SAMPLE_SIZE]>>();
     let mut best: Option<(f64, &BackendState)> = None;
-    for state in states
-        .choose_multiple(random, SAMPLE_SIZE)
-        .copied()
-        .collect::<SmallVec<[&BackendState; SAMPLE_SIZE]>>()
-    {
+    for state in sample {
         // Entries that see the same loads must not all choose the same backend server.
         let cost = cost_of(state, query) + random.random_range(0.0..0.1);
         if best.is_none_or(|(least, _)| cost < least) {
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -250,3 +250,77 @@
     table.finish(&backend("x"));
     assert_eq!(table.find_mut(&backend("x")).expect("known").load.own(), 0);
 }
+
+/// Many entries that see the same loads, a little late.
+#[test]
+fn entries_that_see_old_loads_do_not_all_send_to_the_same_one() {
+    const ENTRIES: usize = 17;
+    const BACKENDS: usize = 64;
+    /// Requests that arrive between two reports.
+    const ARRIVALS: usize = 72;
+    /// Reports during which a request is worked on.
+    const ROUNDS_WORKED: usize = 6;
+    let names = (0..BACKENDS).map(|index| backend(&format!("w{index}")));
+    let names = names.collect::<Vec<_>>();
+    let entries = names.iter().map(|name| entry(name.as_str(), "a", 1));
+    let entries = entries.collect::<Vec<_>>();
+    let mut tables = Vec::new();
+    for _ in 0..ENTRIES {
+        let mut table = BackendTable::default();
+        table.replace(entries.clone(), at(0));
+        tables.push(table);
+    }
+    let mut random = StdRng::seed_from_u64(11);
+    let mut running = std::collections::VecDeque::new();
+    let mut loads = [0_u32; BACKENDS];
+    let mut most = 0;
+    for round in 0..60_u64 {
+        let now = at(round * 300);
+        for table in &mut tables {
+            for (name, load) in names.iter().zip(loads) {
+                let report = LoadReport {
+                    running: load,
+                    waiting: 0,
+                    pace: 1.0,
+                    group: None,
+                    is_open: true,
+                };
+                let state = table.find_mut(name).expect("known");
+                state.load.observe(report, now);
+            }
+        }
+        let mut begun = Vec::new();
+        for _ in 0..ARRIVALS {
+            let sender = random.random_range(0..ENTRIES);
+            let query = ChoiceQuery {
+                service: &service(),
+                domain: &domain("a"),
+                tried: &[],
+                now,
+            };
+            let chosen = choose_backend(&tables[sender], &query, &mut random);
+            let chosen = chosen.expect("all are usable").entry.backend.clone();
+            tables[sender].begin(&chosen);
+            let index = names
+                .iter()
+                .position(|name| *name == chosen)
+                .expect("known");
+            loads[index] += 1;
+            begun.push((sender, index));
+        }
+        most = most.max(loads.into_iter().max().unwrap_or_default());
+        running.push_back(begun);
+        if running.len() > ROUNDS_WORKED {
+            for (sender, index) in running.pop_front().expect("not empty") {
+                tables[sender].finish(&names[index]);
+                loads[index] -= 1;
+            }
+        }
+    }
+    // A mean load is 7.9; a model engine of the users works on ten requests at a time, and a
+    // few more may wait.
+    assert!(
+        most <= 13,
+        "{most} requests at one of {BACKENDS} backend servers"
+    );
+}
