Leave a silent backend server only where another one can take over

Cause, found by reading the diff: a stream was cut 1.2 s into a silence, or ended 1.4 s before its first event, also where no sending, no retry or no other backend server was left, though its caller would still have waited and the answer might have come.

--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one backend server after another until one answers.
 
-use std::cell::Cell;
+use std::{cell::Cell, time::Duration};
 
 use celerycrank_serving::{BackendEntry, ChoiceQuery, RunRule, choose_backend};
 use celerycrank_types::{BackendId, RefusalReason, RetryReason, UnknownReason};
@@ -15,6 +15,9 @@
 /// Most backend servers that are tried in vain without having been sent anything.
 const MAX_UNREACHED: u32 = 4;
 
+/// Longer than any request may take.
+const LONGEST_SILENCE: Duration = Duration::from_hours(1);
+
 /// Why no answer can be passed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum DispatchFault {
@@ -162,6 +165,34 @@
         self.check_retry(AttemptFault::NotSent)
     }
 
+    /// How long a backend server may be silent, behind `upcoming` further sendings.
+    ///
+    /// Its silence alone is no reason to end an answer: it is left only where another one can
+    /// take over, and else waited for until the request's time is over.
+    pub(crate) fn silence_limit(&self, limit: Duration, upcoming: u32) -> Duration {
+        let now = self.state.clock.now();
+        let has_room = || {
+            let service = &self.request.service;
+            self.state
+                .with_retries(service, |window| window.has_room(now))
+        };
+        let may_leave = self.request.route.run.may_repeat()
+            && self.sent.sendings() + upcoming < self.request.route.max_attempts
+            && self.untried() > upcoming
+            && has_room();
+        if may_leave { limit } else { LONGEST_SILENCE }
+    }
+
+    /// Backend servers that could be tried next.
+    fn untried(&self) -> u32 {
+        let now = self.state.clock.now();
+        let backends = self.state.backends.borrow();
+        let states = backends.of_service(&self.request.service).iter();
+        let untried =
+            states.filter(|it| it.is_usable(now) && !self.tried.contains(&it.entry.backend));
+        u32::try_from(untried.count()).unwrap_or(u32::MAX)
+    }
+
     /// Whether an answer that tells of a failure may be asked for at another backend server.
     pub(crate) fn may_repeat_failure(&mut self) -> bool {
         self.request.route.run == RunRule::Repeatable
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -118,9 +118,8 @@
     last_event: Option<u64>,
 ) -> Result<(LiveStream<'run>, StreamPart), DispatchFault> {
     loop {
-        let opening = timeout(FIRST_EVENT_SILENCE, open(dispatch, last_event));
-        let opened = opening.await;
-        match opened {
+        let silence = dispatch.silence_limit(FIRST_EVENT_SILENCE, 1);
+        match timeout(silence, open(dispatch, last_event)).await {
             Ok(Ok(Opened::Begun(begun))) => return Ok(*begun),
             Ok(Ok(Opened::Broken(backend, reason))) => dispatch.retry_broken(&backend, reason)?,
             Ok(Err(fault)) => return Err(fault),
@@ -191,7 +190,8 @@
     let state = dispatch.state;
     let deadline = dispatch.request.deadline;
     loop {
-        let next = timeout(EVENT_SILENCE, live.next());
+        let silence = dispatch.silence_limit(EVENT_SILENCE, 0);
+        let next = timeout(silence, live.next());
         let next = match watch(state, caller, deadline, next).await {
             // A backend server that is silent may be gone.
             Watched::Done(next) => next.unwrap_or(Err(UnknownReason::BackendTimeout)),
--- a/crates/celerycrank-serving/src/budget.rs
+++ b/crates/celerycrank-serving/src/budget.rs
@@ -56,13 +56,19 @@
         self.part(now).requests += 1;
     }
 
-    /// Takes one retry, if the window has room for it.
+    /// Whether the window has room for a retry.
     #[must_use]
-    pub fn take_retry(&mut self, now: TimePoint) -> bool {
+    pub fn has_room(&self, now: TimePoint) -> bool {
         let (requests, retries) = self.totals(now);
         let slack = self.allowance.slack / ENTRIES_ASSUMED;
         let most = f64::from(requests) * self.allowance.ratio * RATIO_MARGIN + slack;
-        let has_room = f64::from(retries) + 1.0 <= most;
+        f64::from(retries) + 1.0 <= most
+    }
+
+    /// Takes one retry, if the window has room for it.
+    #[must_use]
+    pub fn take_retry(&mut self, now: TimePoint) -> bool {
+        let has_room = self.has_room(now);
         if has_room {
             self.part(now).retries += 1;
         }
