--- a/crates/celerycrank-direct/src/agent/order.rs
+++ b/crates/celerycrank-direct/src/agent/order.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use celerycrank_groups::{
-    LeadEvent, MemberIndex, OrderAnswer, RankMessage, RankOrder, RankOutput, RankOutputs,
+    LeadEvent, MemberIndex, OrderAnswer, RankAction, RankMessage, RankOrder, RankOutput,
+    RankOutputs,
 };
 use celerycrank_platform::{LISTS_TARGET, ORDER_TARGET, read_lists, write_order};
 
@@ -82,9 +83,8 @@
 }
 
 fn name_of(order: &RankOrder) -> String {
-    use celerycrank_groups::RankAction;
     match &order.action {
-        RankAction::Prepare(map) => format!("prepare {}", map.id().version),
+        RankAction::Prepare(map) => format!("prepare {}", map.version()),
         RankAction::Arm { version, step } => format!("arm {version} at {step}"),
         RankAction::Disarm { version } => format!("disarm {version}"),
         RankAction::Hold { step } => format!("hold {step}"),
--- a/crates/celerycrank-direct/src/agent/process.rs
+++ b/crates/celerycrank-direct/src/agent/process.rs
@@ -4,7 +4,7 @@
 
 use celerycrank_config::RankAgentSettings;
 use celerycrank_process::{
-    HttpListener, ListenerLimits, ShutdownFlag, on_reload_signal, serve_admin, wait_for_stop_signal,
+    HttpListener, ListenerLimits, ShutdownFlag, serve_admin, wait_for_stop_signal,
 };
 use tokio::net::UdpSocket;
 
@@ -12,7 +12,7 @@
     admin::AgentPages, metrics::AgentMetrics, peer::follow_peers, poll::poll_engine,
     profile::learn_profile, state::AgentState,
 };
-use crate::DirectFault;
+use crate::{DirectFault, signal::follow_reloads};
 
 /// An agent that is bound to its addresses.
 pub struct RankAgentProcess {
@@ -61,11 +61,7 @@
         });
         let reload = || tracing::info!("changed settings are used from the next start on");
         let tasks = [
-            actix_rt::spawn(async move {
-                if let Err(fault) = on_reload_signal(reload).await {
-                    tracing::error!(%fault, "signal to reload cannot be caught");
-                }
-            }),
+            actix_rt::spawn(follow_reloads(reload)),
             actix_rt::spawn(poll_engine(Rc::clone(&state))),
             actix_rt::spawn(follow_peers(Rc::clone(&state))),
             actix_rt::spawn(learn_profile(Rc::clone(&state))),
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -67,20 +67,20 @@
     let request = dispatch.request;
     let watched = watch(state, caller, request.deadline, whole_answer(dispatch)).await;
     let is_last = !is_persistent || state.is_stopping.get();
-    let (end, message) = match watched {
-        Watched::Done(Ok(answer)) => {
+    let answered = match watched {
+        Watched::Done(answered) => answered,
+        Watched::Expired => Err(expired_fault(dispatch)),
+        Watched::CallerLeft => return (RequestEnd::CallerLeft, ConnectionStep::Close),
+    };
+    let (end, message) = match answered {
+        Ok(answer) => {
             let framing = BodyFraming::Length(answer.body.len() as u64);
             let mut writer = write_answer_head(&answer.head, framing, is_last);
             writer.put(&answer.body);
             let status = answer.head.status;
             (RequestEnd::Answered(status), writer.into_bytes())
         }
-        Watched::Done(Err(fault)) => tell_fault(state, request, fault, is_last),
-        Watched::Expired => {
-            let fault = expired_fault(dispatch);
-            tell_fault(state, request, fault, is_last)
-        }
-        Watched::CallerLeft => return (RequestEnd::CallerLeft, ConnectionStep::Close),
+        Err(fault) => tell_fault(state, request, fault, is_last),
     };
     let is_sent = caller.send(&message).await;
     (end, next_step(is_sent && !is_last))
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -5,7 +5,7 @@
 use actix_rt::{task::JoinHandle, time::sleep};
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{
-    HttpListener, ListenerLimits, ShutdownFlag, on_reload_signal, serve_admin, wait_for_stop_signal,
+    HttpListener, ListenerLimits, ShutdownFlag, serve_admin, wait_for_stop_signal,
 };
 use celerycrank_types::TimeSpan;
 use tokio::net::{TcpListener, UdpSocket};
@@ -19,7 +19,7 @@
     probe::answer_probes,
     state::EntryState,
 };
-use crate::DirectFault;
+use crate::{DirectFault, signal::follow_reloads};
 
 /// Time for which new connections are accepted after the signal to stop, until the balancer
 /// has noticed.
@@ -140,12 +140,6 @@
     }
 }
 
-async fn follow_reloads(reload: impl FnMut()) {
-    if let Err(fault) = on_reload_signal(reload).await {
-        tracing::error!(%fault, "signal to reload cannot be caught");
-    }
-}
-
 async fn accept_callers(state: Rc<EntryState>, listener: TcpListener) {
     loop {
         match listener.accept().await {
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -69,20 +69,18 @@
     let is_last = !is_persistent || state.is_stopping.get();
     let beginning = begin(dispatch, request.last_event);
     let begun = match watch(state, caller, request.deadline, beginning).await {
-        Watched::Done(Ok(begun)) => begun,
+        Watched::Done(begun) => begun,
+        Watched::Expired => Err(expired_fault(dispatch)),
         Watched::CallerLeft => return (RequestEnd::CallerLeft, ConnectionStep::Close),
-        Watched::Done(Err(fault)) => {
+    };
+    let (live, first) = match begun {
+        Ok(begun) => begun,
+        Err(fault) => {
             let (end, message) = tell_fault(state, request, fault, is_last);
             let is_sent = caller.send(&message).await;
             return (end, next_step(is_sent && !is_last));
         }
-        Watched::Expired => {
-            let (end, message) = tell_fault(state, request, expired_fault(dispatch), is_last);
-            let is_sent = caller.send(&message).await;
-            return (end, next_step(is_sent && !is_last));
-        }
     };
-    let (live, first) = begun;
     let first_event = state.clock.now().since(request.arrival);
     state.metrics.first_event.observe(first_event.as_secs_f64());
     let mut writer = write_answer_head(&live.head, BodyFraming::Chunked, is_last);
--- a/crates/celerycrank-direct/src/lib.rs
+++ b/crates/celerycrank-direct/src/lib.rs
@@ -8,5 +8,6 @@
 mod entry;
 mod fault;
 mod message;
+mod signal;
 
 pub use crate::{agent::RankAgentProcess, entry::DirectEntryProcess, fault::DirectFault};
--- a/crates/celerycrank-groups/src/map.rs
+++ b/crates/celerycrank-groups/src/map.rs
@@ -100,6 +100,12 @@
         self.shape
     }
 
+    /// The map's version, without the hash of its content.
+    #[must_use]
+    pub const fn version(&self) -> MapVersion {
+        self.version
+    }
+
     /// The map's name.
     #[must_use]
     pub fn id(&self) -> MapId {
--- a/crates/celerycrank-groups/src/rank/agent.rs
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -176,7 +176,7 @@
             return false;
         };
         let is_open = report.place.as_ref().is_some_and(|place| place.is_open);
-        let is_in_use = |map: &Arc<ExpertMap>| map.id().version == report.map;
+        let is_in_use = |map: &Arc<ExpertMap>| map.version() == report.map;
         let is_map_known = self.map().is_some_and(is_in_use);
         let is_idle = self.pending.is_none() && lead.is_free(now, report);
         is_open && is_map_known && is_idle && self.is_complete(now)
@@ -267,13 +267,6 @@
         outputs
     }
 
-    /// Does what is due.
-    pub fn on_tick(&mut self, now: TimePoint) -> RankOutputs {
-        let mut outputs = RankOutputs::new();
-        self.advance(now, &mut outputs);
-        outputs
-    }
-
     /// Builds the map in use from the lists of all ranks, once they are there.
     pub fn learn_map(&mut self, shape: MapShape) {
         let version = self.report().map(|report| report.map);
@@ -332,10 +325,9 @@
             let event = lead.observe(report, now);
             outputs.extend(event.map(RankOutput::Event));
         }
-        let same_map = self.map().map(|map| {
-            let version = MapVersion(self.highest.0 + VOID_GAP);
-            Arc::new(map.with_version(version))
-        });
+        let version = MapVersion(self.highest.0 + VOID_GAP);
+        let in_use = self.knowledge.map();
+        let same_map = || in_use.map(|map| Arc::new(map.with_version(version)));
         let lead = self.lead.as_mut();
         let resent = lead.and_then(|lead| lead.resend(epoch, same_map, now));
         if let Some((targets, message)) = resent {
@@ -377,7 +369,7 @@
         }
         self.last_order = Some((action.clone(), now));
         if let RankAction::Prepare(map) = &action {
-            self.highest = self.highest.max(map.id().version);
+            self.highest = self.highest.max(map.version());
         }
         let order = RankOrder {
             action,
--- a/crates/celerycrank-groups/src/rank/knowledge.rs
+++ b/crates/celerycrank-groups/src/rank/knowledge.rs
@@ -36,7 +36,7 @@
 
     /// Notes which version is in use; `next` is the map that was to come into use.
     pub(crate) fn follow(&mut self, version: MapVersion, next: Option<&Arc<ExpertMap>>) {
-        let is_in_use = |map: &&Arc<ExpertMap>| map.id().version == version;
+        let is_in_use = |map: &&Arc<ExpertMap>| map.version() == version;
         if self.map.as_ref().is_some_and(|map| is_in_use(&map)) {
             return;
         }
--- a/crates/celerycrank-groups/src/rank/lead.rs
+++ b/crates/celerycrank-groups/src/rank/lead.rs
@@ -318,11 +318,11 @@
 
     /// The message that goes again to the ranks that have not answered, if it is time.
     ///
-    /// `same_map` is the map in use under a version that no rank has had, where it is known.
+    /// `same_map` makes the map in use under a version that no rank has had, where it is known.
     pub fn resend(
         &mut self,
         epoch: GroupEpoch,
-        same_map: Option<Arc<ExpertMap>>,
+        same_map: impl FnOnce() -> Option<Arc<ExpertMap>>,
         now: TimePoint,
     ) -> Option<(MemberSet, RankMessage)> {
         if now < self.resend_at {
@@ -353,7 +353,7 @@
             }
             LeadPhase::Clearing { done, map } => {
                 if map.is_none() {
-                    *map = same_map;
+                    *map = same_map();
                 }
                 let map = Arc::clone(map.as_ref()?);
                 let message = RankMessage::Clear {
--- a/crates/celerycrank-groups/src/rank/member.rs
+++ b/crates/celerycrank-groups/src/rank/member.rs
@@ -161,7 +161,7 @@
                 is_prompt,
                 ..
             } => {
-                let is_done = report.prepared == Some(map.id().version);
+                let is_done = report.prepared == Some(map.version());
                 is_done.then_some(RankMessage::Prepared {
                     attempt: *attempt,
                     is_prompt: *is_prompt,
@@ -179,7 +179,7 @@
             }),
             MemberGoal::Clear { attempt, map } => {
                 // With a newer map loaded, no order for an older one can arm the rank.
-                let is_void = report.prepared >= Some(map.id().version);
+                let is_void = report.prepared >= Some(map.version());
                 let is_clear = report.armed.is_none() && is_void;
                 is_clear.then_some(RankMessage::Cleared { attempt: *attempt })
             }
@@ -190,7 +190,7 @@
         if self.is_known(attempt) {
             return;
         }
-        self.highest = self.highest.max(map.id().version);
+        self.highest = self.highest.max(map.version());
         // What the rank is armed for is settled first.
         self.goal = if report.armed.is_some() {
             MemberGoal::Failed { attempt }
@@ -213,7 +213,7 @@
             self.goal = MemberGoal::Arm {
                 attempt,
                 switch: ArmedSwitch {
-                    version: map.id().version,
+                    version: map.version(),
                     step,
                 },
                 is_accepted: false,
@@ -225,7 +225,7 @@
     }
 
     fn on_clear(&mut self, attempt: AttemptName, map: &Arc<ExpertMap>) {
-        self.highest = self.highest.max(map.id().version);
+        self.highest = self.highest.max(map.version());
         let is_known = matches!(&self.goal, MemberGoal::Clear { attempt: own, map: known }
             if *own == attempt && known.id() == map.id());
         if !is_known && !self.is_outdated(attempt) {
--- a/crates/celerycrank-groups/tests/lockstep/engine.rs
+++ b/crates/celerycrank-groups/tests/lockstep/engine.rs
@@ -109,8 +109,8 @@
             waiting: 0,
             pace: 1.0,
             step: self.step,
-            map: rank.map.id().version,
-            prepared: prepared.map(|(map, _)| map.id().version),
+            map: rank.map.version(),
+            prepared: prepared.map(|(map, _)| map.version()),
             armed: rank.armed,
             held: rank.held,
         }
@@ -120,7 +120,7 @@
         let map = &self.ranks[index].map;
         let layers = 0..usize::from(self.shape.layers);
         RankLists {
-            version: map.id().version,
+            version: map.version(),
             experts: layers
                 .map(|layer| map.experts_of(layer, index).collect())
                 .collect(),
@@ -142,7 +142,7 @@
         }
         let is_accepted = match &order.action {
             RankAction::Prepare(map) => {
-                let version = map.id().version;
+                let version = map.version();
                 let is_new = version > rank.highest && rank.armed.is_none();
                 if is_new {
                     rank.highest = version;
@@ -152,8 +152,8 @@
             }
             RankAction::Arm { version, step: at } => {
                 let prepared = rank.prepared.as_ref();
-                let is_ready = prepared
-                    .is_some_and(|(map, done)| map.id().version == *version && *done <= now);
+                let is_ready =
+                    prepared.is_some_and(|(map, done)| map.version() == *version && *done <= now);
                 let is_ahead = *at > step && rank.armed.is_none();
                 if is_ready && is_ahead {
                     rank.armed = Some(ArmedSwitch {
--- a/crates/celerycrank-groups/tests/rank_lead.rs
+++ b/crates/celerycrank-groups/tests/rank_lead.rs
@@ -85,7 +85,7 @@
 /// What the lead asks of the other ranks now.
 fn request(lead: &mut RankLead, now: TimePoint) -> Option<RankMessage> {
     let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(99));
-    let resent = lead.resend(EPOCH, Some(Arc::new(map)), now);
+    let resent = lead.resend(EPOCH, || Some(Arc::new(map)), now);
     resent.map(|(_, message)| message)
 }
 
--- a/crates/celerycrank-serving/src/account.rs
+++ b/crates/celerycrank-serving/src/account.rs
@@ -2,17 +2,16 @@
 
 use std::collections::HashMap;
 
+use celerycrank_config::KeyHash;
 use celerycrank_types::AccountId;
-use sha2::{Digest, Sha256};
 
 use crate::AccountRule;
 
-type KeyHash = [u8; 32];
-
 /// The keys in force, kept as hashes only.
 #[derive(Debug, Default, Clone)]
 pub struct AccountTable {
-    holders: HashMap<KeyHash, usize>,
+    /// By the bytes of a key's hash.
+    holders: HashMap<[u8; 32], usize>,
     accounts: Vec<(AccountId, Option<u8>)>,
 }
 
@@ -24,7 +23,8 @@
         for (index, rule) in rules.iter().enumerate() {
             table.accounts.push((rule.account.clone(), rule.priority));
             for key in &rule.keys {
-                table.holders.insert(hash(key.as_bytes()), index);
+                let hash = KeyHash::of_key(key);
+                table.holders.insert(*hash.as_bytes(), index);
             }
         }
         table
@@ -39,12 +39,9 @@
     /// The account that holds a key, and the priority of its requests if it has one.
     #[must_use]
     pub fn find(&self, key: &[u8]) -> Option<(&AccountId, Option<u8>)> {
-        let index = *self.holders.get(&hash(key))?;
+        let hash = KeyHash::of_key(str::from_utf8(key).ok()?);
+        let index = *self.holders.get(hash.as_bytes())?;
         let (account, priority) = &self.accounts[index];
         Some((account, *priority))
     }
 }
-
-fn hash(key: &[u8]) -> KeyHash {
-    Sha256::digest(key).into()
-}
--- a/crates/celerycrank-types/src/lib.rs
+++ b/crates/celerycrank-types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here performs I/O or reads a clock: time reaches the decision logic as a
 //! [`TimePoint`] argument.
 
+mod form;
 mod id;
 mod label;
 mod outcome;
--- a/crates/celerycrank-types/src/time.rs
+++ b/crates/celerycrank-types/src/time.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use crate::form::text_form;
+
 const MICROS_PER_MILLI: u64 = 1_000;
 const MICROS_PER_SECOND: u64 = 1_000_000;
 const MICROS_PER_MINUTE: u64 = 60 * MICROS_PER_SECOND;
@@ -176,20 +178,6 @@
     }
 }
 
-impl TryFrom<Arc<str>> for TimeSpan {
-    type Error = TimeFault;
-
-    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
-
-impl From<TimeSpan> for Arc<str> {
-    fn from(span: TimeSpan) -> Self {
-        span.to_string().into()
-    }
-}
-
 /// A span that a program may have written with a decimal point, `1.5s`.
 ///
 /// Settings that are filled in from another system's numbers use it; people write whole
@@ -236,16 +224,7 @@
     }
 }
 
-impl TryFrom<Arc<str>> for DecimalSpan {
-    type Error = TimeFault;
-
-    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
-
-impl From<DecimalSpan> for Arc<str> {
-    fn from(span: DecimalSpan) -> Self {
-        span.to_string().into()
-    }
+text_form! {
+    TimeSpan, TimeFault;
+    DecimalSpan, TimeFault;
 }
--- a/crates/celerycrank-types/src/unit.rs
+++ b/crates/celerycrank-types/src/unit.rs
@@ -7,6 +7,8 @@
     sync::Arc,
 };
 
+use crate::form::text_form;
+
 const BYTES_PER_KIB: u64 = 1 << 10;
 const BYTES_PER_MIB: u64 = 1 << 20;
 const BYTES_PER_GIB: u64 = 1 << 30;
@@ -78,20 +80,6 @@
     }
 }
 
-impl TryFrom<Arc<str>> for ByteSize {
-    type Error = UnitFault;
-
-    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
-
-impl From<ByteSize> for Arc<str> {
-    fn from(size: ByteSize) -> Self {
-        size.to_string().into()
-    }
-}
-
 /// A number of tokens, the unit in which work is accounted.
 #[derive(
     Debug,
@@ -173,20 +161,6 @@
     }
 }
 
-impl TryFrom<Arc<str>> for TokenRate {
-    type Error = UnitFault;
-
-    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
-
-impl From<TokenRate> for Arc<str> {
-    fn from(rate: TokenRate) -> Self {
-        rate.to_string().into()
-    }
-}
-
 /// A plan's part of contended capacity, relative to the other plans.
 ///
 /// Invariant: above zero.
@@ -278,16 +252,8 @@
     }
 }
 
-impl TryFrom<Arc<str>> for Fraction {
-    type Error = UnitFault;
-
-    fn try_from(text: Arc<str>) -> Result<Self, Self::Error> {
-        text.parse()
-    }
-}
-
-impl From<Fraction> for Arc<str> {
-    fn from(number: Fraction) -> Self {
-        number.to_string().into()
-    }
+text_form! {
+    ByteSize, UnitFault;
+    TokenRate, UnitFault;
+    Fraction, UnitFault;
 }
