Ask the store one question for the configuration and the backend servers, and pause after changes

Each entry asked two questions, and each of the 67 entries written at the start answered each of 17 entries at once; 64 agents read the configuration at full price. Change: one question covers every key and proves the configuration to be the newest; 250 ms pass after changes, so that those behind them come in one answer; agents read the configuration at any age. Ruled out: longer waits (a key would be served shorter while the store is away). Test: changes_that_come_together_share_calls (32 calls before, at most 12 now).

--- a/crates/celerycrank-direct/src/agent/profile.rs
+++ b/crates/celerycrank-direct/src/agent/profile.rs
@@ -57,8 +57,9 @@
 }
 
 async fn learn_group_profile(state: &AgentState) -> Result<(), KeyValueFault> {
-    let (record, _) = state.client.get_at(CONFIGURATION_KEY).await?;
-    let Some(record) = record else {
+    let snapshot = state.client.range_of_any_age(CONFIGURATION_KEY).await?;
+    let mut records = snapshot.records.iter();
+    let Some(record) = records.find(|record| &*record.key == CONFIGURATION_KEY) else {
         return Ok(());
     };
     match read_configuration(&record.value) {
--- a/crates/celerycrank-direct/src/entry/follow.rs
+++ b/crates/celerycrank-direct/src/entry/follow.rs
@@ -1,9 +1,9 @@
 //! Follows the configuration and the backend servers in the store.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use actix_rt::time::sleep;
-use celerycrank_client::{KeyValueFault, KeyValueRecord, ModRevision, WatchEvent};
+use celerycrank_client::{KeyValueFault, KeyValueRecord, WatchEvent};
 use celerycrank_platform::{
     CONFIGURATION_KEY, ENTRY_PREFIX, backend_of_key, read_configuration, read_entry,
 };
@@ -13,12 +13,15 @@
 
 use super::state::EntryState;
 
-/// How long a question for changes of the configuration waits; its answer proves that there
-/// were none, without which keys are soon refused.
-const CONFIGURATION_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
+/// How long a question for changes waits; its answer proves that the configuration is still the
+/// newest, without which keys are soon refused.
+const CHANGE_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
 
-/// How long a question for changes of the backend servers waits.
-const BACKEND_WAIT: TimeSpan = TimeSpan::from_millis(2_500);
+/// Pause after changes, so that those that follow at once come in one answer.
+const CHANGE_PAUSE: Duration = Duration::from_millis(250);
+
+/// The prefix of every key: one question covers the configuration and the backend servers.
+const EVERY_KEY: &str = "";
 
 /// Wait before the first repetition of a call that failed.
 const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(100);
@@ -26,20 +29,15 @@
 /// Longest such wait; also how late the store's return may be noticed.
 const LONGEST_PAUSE: TimeSpan = TimeSpan::from_millis(500);
 
-/// Wait before the record is looked for again while none was ever written.
-const ABSENT_PAUSE: TimeSpan = TimeSpan::from_millis(300);
-
 /// Waits between calls that fail one after the other.
 struct CallBackoff {
-    name: &'static str,
     pause: TimeSpan,
     is_lost: bool,
 }
 
 impl CallBackoff {
-    const fn new(name: &'static str) -> Self {
+    const fn new() -> Self {
         Self {
-            name,
             pause: FIRST_PAUSE,
             is_lost: false,
         }
@@ -47,7 +45,7 @@
 
     fn succeed(&mut self) {
         if self.is_lost {
-            tracing::info!(dependency = self.name, "store regained");
+            tracing::info!(dependency = "store", "store regained");
         }
         self.is_lost = false;
         self.pause = FIRST_PAUSE;
@@ -58,7 +56,7 @@
     async fn fail(&mut self, state: &EntryState, fault: &KeyValueFault) {
         state.metrics.store_faults.inc();
         if !self.is_lost {
-            tracing::warn!(dependency = self.name, %fault, "store lost");
+            tracing::warn!(dependency = "store", %fault, "store lost");
         }
         self.is_lost = true;
         let jitter = state.random.borrow_mut().random_range(0.5..1.0);
@@ -67,9 +65,9 @@
     }
 }
 
-/// Keeps the configuration in force the newest one.
-pub(crate) async fn follow_configuration(state: Rc<EntryState>) {
-    let mut backoff = CallBackoff::new("configuration");
+/// Keeps the configuration in force, and the table of backend servers, as the store has them.
+pub(crate) async fn follow_store(state: Rc<EntryState>) {
+    let mut backoff = CallBackoff::new();
     loop {
         if let Err(fault) = read_and_follow(&state, &mut backoff).await {
             backoff.fail(&state, &fault).await;
@@ -77,43 +75,60 @@
     }
 }
 
-/// Reads the record, then takes its changes until a call fails.
+/// Reads everything, then takes its changes until a call fails.
 async fn read_and_follow(
     state: &EntryState,
     backoff: &mut CallBackoff,
 ) -> Result<(), KeyValueFault> {
     let asked_at = state.clock.now();
     let (record, mut behind) = state.client.get_at(CONFIGURATION_KEY).await?;
-    backoff.succeed();
-    let Some(record) = record else {
-        sleep(ABSENT_PAUSE.as_duration()).await;
-        return Ok(());
-    };
-    if !adopt_record(state, &record) {
-        sleep(ABSENT_PAUSE.as_duration()).await;
-        return Ok(());
+    let mut is_newest = record.is_some_and(|record| adopt_record(state, &record));
+    if is_newest {
+        state.confirm(asked_at);
     }
-    state.confirm(asked_at);
+    read_backends(state).await?;
+    backoff.succeed();
     loop {
         let asked_at = state.clock.now();
-        let poll = state
-            .client
-            .poll_changes(CONFIGURATION_KEY, behind, CONFIGURATION_WAIT);
+        let poll = state.client.poll_changes(EVERY_KEY, behind, CHANGE_WAIT);
         let batch = poll.await?;
         backoff.succeed();
         behind = batch.revision;
-        if !batch.events.iter().all(|event| take_change(state, event)) {
-            return Ok(());
+        for event in &batch.events {
+            take_event(state, event, &mut is_newest);
+        }
+        state.backends.borrow_mut().forget_lapsed(state.clock.now());
+        if is_newest {
+            state.confirm(asked_at);
+        }
+        if !batch.events.is_empty() {
+            sleep(CHANGE_PAUSE).await;
         }
-        state.confirm(asked_at);
     }
 }
 
-/// Takes one change of the record; says whether the configuration in force is the newest.
-fn take_change(state: &EntryState, event: &WatchEvent) -> bool {
-    match event {
-        WatchEvent::Put(record) if *record.key == *CONFIGURATION_KEY => adopt_record(state, record),
-        WatchEvent::Put(_) | WatchEvent::Deleted { .. } => true,
+async fn read_backends(state: &EntryState) -> Result<(), KeyValueFault> {
+    let snapshot = state.client.range(ENTRY_PREFIX).await?;
+    let entries = snapshot.records.iter().filter_map(decode_entry).collect();
+    let now = state.clock.now();
+    state.backends.borrow_mut().replace(entries, now);
+    state.knows_backends.set(true);
+    Ok(())
+}
+
+/// Takes one change; keeps note of whether the configuration in force is the newest.
+fn take_event(state: &EntryState, event: &WatchEvent, is_newest: &mut bool) {
+    let key = event.key();
+    if key == CONFIGURATION_KEY {
+        if let WatchEvent::Put(record) = event {
+            *is_newest = adopt_record(state, record);
+        }
+    } else if key.starts_with(ENTRY_PREFIX)
+        && let Some(change) = read_change(event)
+    {
+        tell_change(&change);
+        let now = state.clock.now();
+        state.backends.borrow_mut().apply(change, now);
     }
 }
 
@@ -139,44 +154,6 @@
     true
 }
 
-/// Keeps the table of backend servers as the store has it.
-pub(crate) async fn follow_backends(state: Rc<EntryState>) {
-    let mut backoff = CallBackoff::new("backend servers");
-    loop {
-        if let Err(fault) = list_and_follow(&state, &mut backoff).await {
-            backoff.fail(&state, &fault).await;
-        }
-    }
-}
-
-async fn list_and_follow(
-    state: &EntryState,
-    backoff: &mut CallBackoff,
-) -> Result<(), KeyValueFault> {
-    let snapshot = state.client.range(ENTRY_PREFIX).await?;
-    backoff.succeed();
-    let entries = snapshot.records.iter().filter_map(decode_entry).collect();
-    let now = state.clock.now();
-    state.backends.borrow_mut().replace(entries, now);
-    state.knows_backends.set(true);
-    let mut behind: ModRevision = snapshot.revision;
-    loop {
-        let poll = state
-            .client
-            .poll_changes(ENTRY_PREFIX, behind, BACKEND_WAIT);
-        let batch = poll.await?;
-        backoff.succeed();
-        behind = batch.revision;
-        let now = state.clock.now();
-        let mut backends = state.backends.borrow_mut();
-        for change in batch.events.iter().filter_map(read_change) {
-            tell_change(&change);
-            backends.apply(change, now);
-        }
-        backends.forget_lapsed(now);
-    }
-}
-
 fn decode_entry(record: &KeyValueRecord) -> Option<BackendEntry> {
     match read_entry(&record.key, &record.value) {
         Ok(entry) => Some(entry),
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -11,13 +11,8 @@
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::{
-    admin::EntryPages,
-    caller::serve_caller,
-    follow::{follow_backends, follow_configuration},
-    load::follow_loads,
-    metrics::EntryMetrics,
-    probe::answer_probes,
-    state::EntryState,
+    admin::EntryPages, caller::serve_caller, follow::follow_store, load::follow_loads,
+    metrics::EntryMetrics, probe::answer_probes, state::EntryState,
 };
 use crate::{DirectFault, signal::follow_reloads};
 
@@ -121,8 +116,7 @@
         };
         let tasks = [
             actix_rt::spawn(follow_reloads(reload)),
-            actix_rt::spawn(follow_configuration(Rc::clone(&state))),
-            actix_rt::spawn(follow_backends(Rc::clone(&state))),
+            actix_rt::spawn(follow_store(Rc::clone(&state))),
             actix_rt::spawn(follow_loads(Rc::clone(&state), self.peers)),
             actix_rt::spawn(answer_probes(Rc::clone(&state), self.probes)),
             actix_rt::spawn(serve_admin(self.admin, pages)),
--- a/crates/celerycrank-types/src/record.rs
+++ b/crates/celerycrank-types/src/record.rs
@@ -41,6 +41,15 @@
 }
 
 impl WatchEvent {
+    /// The key that was changed.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(record) => &record.key,
+            Self::Deleted { key, .. } => key,
+        }
+    }
+
     /// The revision of the change.
     #[must_use]
     pub const fn revision(&self) -> ModRevision {
