Leave out a backend server whose address another one of its service has taken

Change: of two backend servers of one service at one address, the one listed last is used; one that another process answered for (421) stays away until it is written anew, in place of a pause of 250 ms. Ruled out: comparing the times of start (clocks of machines jump). Tests: a_backend_server_under_another_name_..., one_that_is_not_at_its_address_...; the first was red before, the second asks for a call that did not exist.

--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -220,9 +220,8 @@
         let now = self.state.clock.now();
         let mut backends = self.state.backends.borrow_mut();
         match fault {
-            AttemptFault::NotSent | AttemptFault::Misdirected => {
-                backends.note_unreachable(backend, now);
-            }
+            AttemptFault::NotSent => backends.note_unreachable(backend, now),
+            AttemptFault::Misdirected => backends.note_misdirected(backend),
             AttemptFault::Broken(_) => backends.note_answer(backend, true),
             AttemptFault::NotRun => backends.note_refused(backend, now),
             AttemptFault::Stale => {}
--- a/crates/celerycrank-direct/src/entry/follow.rs
+++ b/crates/celerycrank-direct/src/entry/follow.rs
@@ -109,7 +109,10 @@
 
 async fn read_backends(state: &EntryState) -> Result<(), KeyValueFault> {
     let snapshot = state.client.range(ENTRY_PREFIX).await?;
-    let entries = snapshot.records.iter().filter_map(decode_entry).collect();
+    let mut records = snapshot.records;
+    // Of two that name one address, the one written last is there.
+    records.sort_by_key(|record| record.revision);
+    let entries = records.iter().filter_map(decode_entry).collect();
     let now = state.clock.now();
     state.backends.borrow_mut().replace(entries, now);
     state.knows_backends.set(true);
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -69,6 +69,10 @@
     pub load: LoadEstimate,
     /// When its entry was removed.
     lapsed_at: Option<TimePoint>,
+    /// Whether another process answers at its address; it stays away until it is written anew.
+    is_gone: bool,
+    /// Whether a backend server of the service was written later with the same address.
+    is_superseded: bool,
     /// Until when it is left alone, and for how long.
     paused: Option<(TimePoint, TimeSpan)>,
     /// Recent part of its answers that were failures, from 0 to 1.
@@ -81,6 +85,8 @@
             entry,
             load: LoadEstimate::default(),
             lapsed_at: None,
+            is_gone: false,
+            is_superseded: false,
             paused: None,
             failures: 0.0,
         }
@@ -89,14 +95,16 @@
     /// Whether new work may go there while others can take it as well.
     #[must_use]
     pub fn is_usable(&self, now: TimePoint) -> bool {
-        self.is_listed() && self.paused.is_none_or(|(until, _)| now >= until)
+        let is_alone = !self.is_superseded;
+        is_alone && self.is_listed() && self.paused.is_none_or(|(until, _)| now >= until)
     }
 
     /// Whether new work may go there if nobody else can take it.
     #[must_use]
     pub fn is_last_resort(&self, now: TimePoint) -> bool {
         let lapsed = self.lapsed_at.map(|at| now.since(at));
-        self.entry.state == EntryState::Ready && lapsed.is_none_or(|span| span < LAPSE_SPAN)
+        let is_kept = lapsed.is_none_or(|span| span < LAPSE_SPAN);
+        self.entry.state == EntryState::Ready && !self.is_gone && is_kept
     }
 
     /// Recent part of its answers that were failures, from 0 to 1.
@@ -106,7 +114,7 @@
     }
 
     fn is_listed(&self) -> bool {
-        self.entry.state == EntryState::Ready && self.lapsed_at.is_none()
+        self.entry.state == EntryState::Ready && !self.is_gone && self.lapsed_at.is_none()
     }
 
     fn note_answer(&mut self, is_failure: bool) {
@@ -222,6 +230,19 @@
         }
     }
 
+    /// Notes that another process answered at the address of a backend server.
+    ///
+    /// It has ended, though the store may list it for some seconds more; it is used again only
+    /// if it is written anew.
+    pub fn note_misdirected(&mut self, backend: &BackendId) {
+        let Some(state) = self.find_mut(backend) else {
+            return;
+        };
+        state.is_gone = true;
+        let (service, address) = (state.entry.service.clone(), state.entry.address);
+        self.mark_superseded(&service, address);
+    }
+
     /// Notes that a backend server could not be reached or broke off.
     pub fn note_unreachable(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
@@ -239,19 +260,40 @@
         }
         self.owners
             .insert(entry.backend.clone(), entry.service.clone());
-        let states = self.services.entry(entry.service.clone()).or_default();
-        let known = states
-            .iter_mut()
-            .find(|state| state.entry.backend == entry.backend);
-        match known {
-            Some(state) if state.entry.start_mark == entry.start_mark => {
+        let (service, address) = (entry.service.clone(), entry.address);
+        let states = self.services.entry(service.clone()).or_default();
+        let known = states.iter();
+        let position = known
+            .map(|state| &state.entry.backend)
+            .position(|backend| *backend == entry.backend);
+        match position.map(|index| (index, &mut states[index])) {
+            Some((_, state)) if state.entry.start_mark == entry.start_mark => {
                 state.entry = entry;
                 state.lapsed_at = None;
             }
-            // Another start knows nothing of before.
-            Some(state) => *state = BackendState::new(entry),
+            Some((index, _)) => {
+                // Another start knows nothing of before, and is the last one listed.
+                states.remove(index);
+                states.push(BackendState::new(entry));
+            }
             None => states.push(BackendState::new(entry)),
         }
+        self.mark_superseded(&service, address);
+    }
+
+    /// Keeps the last one that was listed with an address, of those that are not gone, apart
+    /// from the others: a VM that restarts lists its backend server under another name, while
+    /// the entry of the one before has not lapsed yet.
+    fn mark_superseded(&mut self, service: &ServiceId, address: SocketAddr) {
+        let Some(states) = self.services.get_mut(service) else {
+            return;
+        };
+        let mut is_taken = false;
+        let same = states.iter_mut().rev();
+        for state in same.filter(|state| state.entry.address == address) {
+            state.is_superseded = is_taken;
+            is_taken |= state.is_listed();
+        }
     }
 
     fn lapse(&mut self, backend: &BackendId, now: TimePoint) {
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -1,5 +1,7 @@
 //! Decisions of a direct entry: routes, keys, freshness, retries and backend servers.
 
+use std::net::SocketAddr;
+
 use celerycrank_serving::{
     AccountRule, AccountTable, BackendEntry, BackendTable, ChoiceQuery, EntryChange, EntryState,
     FreshnessGuard, LoadReport, RetryAllowance, RetryWindow, RouteRule, RouteTable, RunRule,
@@ -45,11 +47,19 @@
     name.parse().expect("a plain name")
 }
 
+/// An address of its own for each name.
+fn address_of(name: &str) -> SocketAddr {
+    let port = name.bytes().fold(1_u16, |port, byte| {
+        port.wrapping_mul(31).wrapping_add(u16::from(byte))
+    });
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
 fn entry(name: &str, domain_name: &str, start_mark: u64) -> BackendEntry {
     BackendEntry {
         backend: backend(name),
         service: service(),
-        address: "127.0.0.1:1".parse().expect("an address"),
+        address: address_of(name),
         domain: domain(domain_name),
         slots: 4,
         state: EntryState::Ready,
@@ -252,6 +262,49 @@
 }
 
 /// Many entries that see the same loads, a little late.
+/// All VMs of a group restart at once and list their backend servers under other names, seconds
+/// before the entries of those before lapse.
+#[test]
+fn a_backend_server_under_another_name_takes_the_place_of_the_one_at_its_address() {
+    let mut table = BackendTable::default();
+    let before = entry("before", "a", 1);
+    let mut after = entry("after", "b", 2);
+    after.address = before.address;
+    table.apply(EntryChange::Written(before), at(0));
+    table.apply(EntryChange::Written(after.clone()), at(10));
+    assert_eq!(choose(&table, &[], at(20)), Some(backend("after")));
+    // The order of names does not matter, and another service's entry takes nobody's place.
+    let mut other = entry("other", "a", 3);
+    other.address = after.address;
+    other.service = "drafts".parse().expect("a plain name");
+    table.apply(EntryChange::Written(other), at(30));
+    assert_eq!(choose(&table, &[], at(40)), Some(backend("after")));
+    // It leaves; while the one before is still listed, it is asked.
+    table.apply(EntryChange::Removed(backend("after")), at(50));
+    assert_eq!(choose(&table, &[], at(10_000)), Some(backend("before")));
+}
+
+#[test]
+fn one_that_is_not_at_its_address_gets_nothing_until_it_is_written_anew() {
+    let mut table = BackendTable::default();
+    table.apply(EntryChange::Written(entry("a", "a", 1)), at(0));
+    table.note_misdirected(&backend("a"));
+    assert_eq!(
+        choose(&table, &[], at(10)),
+        None,
+        "not even as a last resort"
+    );
+    table.apply(EntryChange::Written(entry("a", "a", 2)), at(20));
+    assert_eq!(choose(&table, &[], at(30)), Some(backend("a")));
+    // One that only claims an address makes room again for the one that is there.
+    let mut claim = entry("claim", "a", 3);
+    claim.address = address_of("a");
+    table.apply(EntryChange::Written(claim), at(40));
+    assert_eq!(choose(&table, &[], at(50)), Some(backend("claim")));
+    table.note_misdirected(&backend("claim"));
+    assert_eq!(choose(&table, &[], at(60)), Some(backend("a")));
+}
+
 #[test]
 fn entries_that_see_old_loads_do_not_all_send_to_the_same_one() {
     const ENTRIES: usize = 17;
