--- a/crates/celerycrank-direct/src/entry/follow.rs
+++ b/crates/celerycrank-direct/src/entry/follow.rs
@@ -9,9 +9,8 @@
 };
 use celerycrank_serving::{BackendEntry, EntryChange};
 use celerycrank_types::TimeSpan;
-use rand::Rng;
 
-use super::state::EntryState;
+use super::{backoff::CallBackoff, state::EntryState};
 
 /// How long a question for changes waits; its answer proves that the configuration is still the
 /// newest, without which keys are soon refused.
@@ -23,48 +22,6 @@
 /// The prefix of every key: one question covers the configuration and the backend servers.
 const EVERY_KEY: &str = "";
 
-/// Wait before the first repetition of a call that failed.
-const FIRST_PAUSE: TimeSpan = TimeSpan::from_millis(100);
-
-/// Longest such wait; also how late the store's return may be noticed.
-const LONGEST_PAUSE: TimeSpan = TimeSpan::from_millis(500);
-
-/// Waits between calls that fail one after the other.
-struct CallBackoff {
-    pause: TimeSpan,
-    is_lost: bool,
-}
-
-impl CallBackoff {
-    const fn new() -> Self {
-        Self {
-            pause: FIRST_PAUSE,
-            is_lost: false,
-        }
-    }
-
-    fn succeed(&mut self) {
-        if self.is_lost {
-            tracing::info!(dependency = "store", "store regained");
-        }
-        self.is_lost = false;
-        self.pause = FIRST_PAUSE;
-    }
-
-    /// Waits before the next call, longer each time, so that a store that comes back is not
-    /// met by every process at once.
-    async fn fail(&mut self, state: &EntryState, fault: &KeyValueFault) {
-        state.metrics.store_faults.inc();
-        if !self.is_lost {
-            tracing::warn!(dependency = "store", %fault, "store lost");
-        }
-        self.is_lost = true;
-        let jitter = state.random.borrow_mut().random_range(0.5..1.0);
-        sleep(self.pause.as_duration().mul_f64(jitter)).await;
-        self.pause = TimeSpan((self.pause.0 * 2).min(LONGEST_PAUSE.0));
-    }
-}
-
 /// Keeps the configuration in force, and the table of backend servers, as the store has them.
 pub(crate) async fn follow_store(state: Rc<EntryState>) {
     let mut backoff = CallBackoff::new();
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod answer;
 mod attempt;
+mod backoff;
 mod body;
 mod caller;
 mod dispatch;
--- a/crates/celerycrank-groups/src/rank.rs
+++ b/crates/celerycrank-groups/src/rank.rs
@@ -15,17 +15,19 @@
 mod member;
 mod message;
 mod order;
+mod output;
 mod report;
 mod roster;
 mod version;
 mod watch;
 
 pub use crate::rank::{
-    agent::{RankAgent, RankOutput, RankOutputs, RankTimes},
+    agent::RankAgent,
     lead::{LeadEvent, RankLead},
     member::RankMember,
     message::{AttemptName, RankMessage},
     order::{OrderAnswer, RankAction, RankOrder},
+    output::{RankOutput, RankOutputs, RankTimes},
     report::{ArmedSwitch, RankLists, RankPlace, RankReport},
     watch::{CountWindow, LoadWatch, MapProposal},
 };
