Share the rank tests' report and the beginning of an attempt

The comment on MAX_FROZEN_GIVERS spoke of an agent that stands in for the lead, which was taken out again.

--- a/crates/celerycrank-groups/tests/lockstep/world.rs
+++ b/crates/celerycrank-groups/tests/lockstep/world.rs
@@ -17,8 +17,7 @@
 /// Time after which an order counts as unanswered, in microseconds.
 const ANSWER_TIMEOUT: u64 = 60 * MILLI;
 
-/// Most agents that stand still at once because they gave an order: the lead and one that stands
-/// in for it.
+/// Most agents that stand still at once because they gave an order.
 const MAX_FROZEN_GIVERS: usize = 2;
 
 /// How often things go wrong, each from 0 to 1.
--- a/crates/celerycrank-groups/tests/rank_lead.rs
+++ b/crates/celerycrank-groups/tests/rank_lead.rs
@@ -1,12 +1,15 @@
 //! The lead of a group, message by message.
 
+mod support;
+
 use std::sync::Arc;
 
 use celerycrank_groups::{
-    AgentLife, ArmedSwitch, ExpertMap, GroupEpoch, LeadEvent, MapShape, MapVersion, MemberIndex,
-    OrderSequence, RankAction, RankLead, RankMessage, RankReport, RankTimes, StepNumber,
+    AgentLife, ArmedSwitch, AttemptName, ExpertMap, GroupEpoch, LeadEvent, MapShape, MapVersion,
+    MemberIndex, RankAction, RankLead, RankMessage, RankTimes, StepNumber,
 };
 use celerycrank_types::TimePoint;
+use support::idle_report as report;
 
 const SHAPE: MapShape = MapShape {
     layers: 1,
@@ -17,22 +20,6 @@
 
 const EPOCH: GroupEpoch = GroupEpoch(1);
 
-fn report(step: u64) -> RankReport {
-    RankReport {
-        place: None,
-        start_mark: 1,
-        sequence: OrderSequence(0),
-        running: 0,
-        waiting: 0,
-        pace: 1.0,
-        step: StepNumber(step),
-        map: MapVersion(0),
-        prepared: None,
-        armed: None,
-        held: None,
-    }
-}
-
 fn at(millis: u64) -> TimePoint {
     TimePoint(millis * 1_000)
 }
@@ -41,22 +28,33 @@
     RankLead::new(AgentLife(1), 2, RankTimes::default(), at(0))
 }
 
-/// Brings a lead to the point where it wants the group held before step 12.
-fn prepared_lead() -> RankLead {
-    let mut lead = lead();
-    let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(5));
-    let (message, _) = lead.begin(Arc::new(map), EPOCH, at(1));
+/// Begins an attempt to bring the first map into use under another version.
+fn begin(lead: &mut RankLead, version: u64, now: TimePoint) -> AttemptName {
+    let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(version));
+    let (message, _) = lead.begin(Arc::new(map), EPOCH, now);
     let RankMessage::Prepare { attempt, .. } = message else {
         panic!("an attempt begins with the loading of its map");
     };
+    attempt
+}
+
+/// Begins an attempt, has both ranks load its map, and both agents answer once more.
+fn prepare_all(lead: &mut RankLead, version: u64, begun_at: TimePoint, done_at: TimePoint) {
+    let attempt = begin(lead, version, begun_at);
     for rank in 0..2 {
         let done = RankMessage::Prepared {
             attempt,
             is_prompt: true,
         };
-        lead.on_message(MemberIndex(rank), &done, at(2));
+        lead.on_message(MemberIndex(rank), &done, done_at);
     }
-    check_all(&mut lead, at(2));
+    check_all(lead, done_at);
+}
+
+/// Brings a lead to the point where it wants the group held before step 12.
+fn prepared_lead() -> RankLead {
+    let mut lead = lead();
+    prepare_all(&mut lead, 5, at(1), at(2));
     let hold = lead.next_action(&report(10));
     let step = StepNumber(12);
     assert_eq!(hold, Some(RankAction::Hold { step }));
@@ -208,19 +206,7 @@
 fn no_two_attempts_hold_the_group_before_the_same_step() {
     let mut lead = prepared_lead();
     lead.observe(&report(10), at(1_000));
-    let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(70));
-    let (message, _) = lead.begin(Arc::new(map), EPOCH, at(5_000));
-    let RankMessage::Prepare { attempt, .. } = message else {
-        panic!("an attempt begins with the loading of its map");
-    };
-    for rank in 0..2 {
-        let done = RankMessage::Prepared {
-            attempt,
-            is_prompt: true,
-        };
-        lead.on_message(MemberIndex(rank), &done, at(5_001));
-    }
-    check_all(&mut lead, at(5_001));
+    prepare_all(&mut lead, 70, at(5_000), at(5_001));
     // The group has made no step since.
     let step = StepNumber(13);
     assert_eq!(
@@ -232,11 +218,7 @@
 #[test]
 fn a_group_is_not_held_while_orders_come_late() {
     let mut lead = lead();
-    let map = ExpertMap::dealt(SHAPE).with_version(MapVersion(5));
-    let (message, _) = lead.begin(Arc::new(map), EPOCH, at(1));
-    let RankMessage::Prepare { attempt, .. } = message else {
-        panic!("an attempt begins with the loading of its map");
-    };
+    let attempt = begin(&mut lead, 5, at(1));
     let late = RankMessage::Prepared {
         attempt,
         is_prompt: false,
--- a/crates/celerycrank-groups/tests/rank_member.rs
+++ b/crates/celerycrank-groups/tests/rank_member.rs
@@ -1,13 +1,16 @@
 //! The member beside one rank, and the versions of the maps it is asked to load.
 
+mod support;
+
 use std::sync::Arc;
 
 use celerycrank_groups::{
     AgentLife, ArmedSwitch, AttemptName, AttemptNumber, ExpertMap, GroupEpoch, MapShape,
-    MapVersion, MemberIndex, OrderAnswer, OrderSequence, RankAction, RankAgent, RankMember,
-    RankMessage, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes, StepNumber,
+    MapVersion, MemberIndex, OrderAnswer, RankAction, RankAgent, RankMember, RankMessage,
+    RankOutput, RankOutputs, RankPlace, RankReport, RankTimes, StepNumber,
 };
 use celerycrank_types::TimePoint;
+use support::idle_report;
 
 const SHAPE: MapShape = MapShape {
     layers: 1,
@@ -27,16 +30,8 @@
             size: 1,
             is_open: true,
         }),
-        start_mark: 1,
-        sequence: OrderSequence(0),
         running: 1,
-        waiting: 0,
-        pace: 1.0,
-        step: StepNumber(10),
-        map: MapVersion(0),
-        prepared: None,
-        armed: None,
-        held: None,
+        ..idle_report(10)
     }
 }
 
--- /dev/null
+++ b/crates/celerycrank-groups/tests/support/mod.rs
@@ -0,0 +1,20 @@
+//! What tests of the ranks' logic share.
+
+use celerycrank_groups::{MapVersion, OrderSequence, RankReport, StepNumber};
+
+/// The report of a rank without a place that uses the first map and was ordered nothing.
+pub fn idle_report(step: u64) -> RankReport {
+    RankReport {
+        place: None,
+        start_mark: 1,
+        sequence: OrderSequence(0),
+        running: 0,
+        waiting: 0,
+        pace: 1.0,
+        step: StepNumber(step),
+        map: MapVersion(0),
+        prepared: None,
+        armed: None,
+        held: None,
+    }
+}
