--- a/crates/celerycrank-direct/src/agent/admin.rs
+++ b/crates/celerycrank-direct/src/agent/admin.rs
@@ -17,7 +17,7 @@
     vm: String,
     group: Option<String>,
     epoch: Option<u64>,
-    rank: Option<u8>,
+    rank: Option<u16>,
     is_open: bool,
     is_lead: bool,
     map: Option<u64>,
--- a/crates/celerycrank-direct/src/agent/discovery.rs
+++ b/crates/celerycrank-direct/src/agent/discovery.rs
@@ -23,7 +23,7 @@
 pub(crate) async fn discover_group(state: Rc<AgentState>) {
     let mut delay = INITIAL_QUERY_DELAY;
     loop {
-        if state.profile.get().is_some() && knows_all_peers(&state) {
+        if !needs_store(&state) {
             delay = INITIAL_QUERY_DELAY;
             sleep(CHECK_INTERVAL).await;
             continue;
@@ -36,11 +36,13 @@
     }
 }
 
-/// Whether the agent has received a message from every other rank of the group.
-fn knows_all_peers(state: &AgentState) -> bool {
+/// Whether the agent leads its group and lacks the group's profile or an agent of another rank.
+///
+/// The other agents need neither: the leader finds them, and its messages say the rest.
+fn needs_store(state: &AgentState) -> bool {
     let agent = state.agent.borrow();
-    let size = agent.place().map_or(0, |place| usize::from(place.size));
-    size > 0 && state.peers.borrow().len() + 1 >= size
+    let is_complete = state.profile.get().is_some() && agent.are_all_reachable(state.clock.now());
+    agent.is_lead() && !is_complete
 }
 
 async fn query_store(state: &AgentState) -> Result<(), KeyValueError> {
--- a/crates/celerycrank-direct/src/agent/load.rs
+++ b/crates/celerycrank-direct/src/agent/load.rs
@@ -44,9 +44,7 @@
     let mut subscribers = state.subscribers.borrow_mut();
     subscribers.retain(|_, until| *until > now);
     for entry in subscribers.keys() {
-        if let Err(error) = state.socket.try_send_to(&datagram, *entry) {
-            tracing::debug!(%entry, fault = %error, "cannot send a load report");
-        }
+        state.send_datagram(&datagram, *entry);
     }
     *last = Some((load, now));
 }
--- a/crates/celerycrank-direct/src/agent/metrics.rs
+++ b/crates/celerycrank-direct/src/agent/metrics.rs
@@ -16,6 +16,11 @@
     pub(crate) engine_errors: IntCounter,
     pub(crate) map_version: IntGauge,
     pub(crate) planning: Histogram,
+    pub(crate) waits: IntCounter,
+    pub(crate) datagrams_queued: IntCounter,
+    pub(crate) datagrams_dropped: IntCounter,
+    pub(crate) datagrams_failed: IntCounter,
+    pub(crate) datagrams_unreadable: IntCounter,
 }
 
 impl AgentMetrics {
@@ -59,6 +64,26 @@
                 "celerycrank_rank_planning_seconds",
                 "time to find what to load",
             )?,
+            waits: set.counter(
+                "celerycrank_rank_waits_total",
+                "switches for which the group had to wait until every rank was armed",
+            )?,
+            datagrams_queued: set.counter(
+                "celerycrank_rank_datagrams_queued_total",
+                "datagrams that had to wait for room in the socket",
+            )?,
+            datagrams_dropped: set.counter(
+                "celerycrank_rank_datagrams_dropped_total",
+                "datagrams that were not sent, since too many waited",
+            )?,
+            datagrams_failed: set.counter(
+                "celerycrank_rank_datagrams_failed_total",
+                "datagrams that the socket refused",
+            )?,
+            datagrams_unreadable: set.counter(
+                "celerycrank_rank_datagrams_unreadable_total",
+                "received datagrams that no agent or entry of this version has sent",
+            )?,
             set,
         })
     }
--- a/crates/celerycrank-direct/src/agent/mod.rs
+++ b/crates/celerycrank-direct/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod peer;
 mod poll;
 mod process;
+mod sender;
 mod state;
 
 pub use process::RankAgentProcess;
--- a/crates/celerycrank-direct/src/agent/output.rs
+++ b/crates/celerycrank-direct/src/agent/output.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use celerycrank_groups::{
-    LeaderEvent, MemberIndex, OrderAnswer, RankAction, RankMessage, RankOrder, RankOutput,
+    LeaderEvent, MemberSet, OrderAnswer, RankAction, RankMessage, RankOrder, RankOutput,
     RankOutputs,
 };
 use celerycrank_platform::{LISTS_TARGET, ORDER_TARGET, read_lists, write_order};
@@ -19,7 +19,7 @@
 pub(crate) fn apply_outputs(state: &Rc<AgentState>, outputs: RankOutputs) {
     for output in outputs {
         match output {
-            RankOutput::Send(target, message) => send(state, target, message),
+            RankOutput::Send(targets, message) => send(state, &targets, message),
             RankOutput::Order(order) => {
                 actix_rt::spawn(send_order(Rc::clone(state), order));
             }
@@ -32,10 +32,9 @@
     }
 }
 
-fn send(state: &AgentState, target: MemberIndex, message: RankMessage) {
-    let address = state.peers.borrow().get(&target).copied();
+fn send(state: &AgentState, targets: &MemberSet, message: RankMessage) {
     let agent = state.agent.borrow();
-    let (Some(address), Some(place)) = (address, agent.place()) else {
+    let Some(place) = agent.place() else {
         return;
     };
     let datagram = PeerMessage::Rank {
@@ -43,9 +42,14 @@
         from: place.rank,
         message,
     };
-    if let Err(error) = state.socket.try_send_to(&datagram.encode(), address) {
-        // Messages without an answer are sent again.
-        tracing::debug!(%target, %address, fault = %error, "cannot send a datagram");
+    let datagram = datagram.encode();
+    let peers = state.peers.borrow();
+    for target in targets.iter() {
+        // Messages without an answer are sent again, by then also to a rank whose agent is not
+        // known yet.
+        if let Some(address) = peers.get(&target) {
+            state.send_datagram(&datagram, *address);
+        }
     }
 }
 
@@ -115,7 +119,11 @@
         }
         LeaderEvent::Switched(attempt) => {
             state.metrics.switches.inc();
-            tracing::info!(%attempt, "every rank armed");
+            let has_waited = state.agent.borrow().is_group_waiting();
+            if has_waited {
+                state.metrics.waits.inc();
+            }
+            tracing::info!(%attempt, has_waited, "every rank armed");
         }
         LeaderEvent::AttemptFailed(attempt) => {
             state.metrics.taken_back.inc();
--- a/crates/celerycrank-direct/src/agent/peer.rs
+++ b/crates/celerycrank-direct/src/agent/peer.rs
@@ -1,24 +1,27 @@
 //! Datagrams from entries and from the agents of other ranks.
 
 use std::{
+    collections::HashSet,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
 
 use actix_rt::time::interval;
-use celerycrank_groups::{MemberIndex, RankMessage};
+use celerycrank_groups::{MemberIndex, RankAgent, RankMessage};
 use celerycrank_types::GroupId;
 use tokio::select;
 
 use super::{load::subscribe, output::apply_outputs, state::AgentState};
 use crate::message::{MAX_DATAGRAM, PeerMessage};
 
+/// The rank whose agent leads its group.
+const LEADER_RANK: MemberIndex = MemberIndex(0);
+
 /// Interval between hello messages to other agents.
 const HELLO_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Handles datagrams and sends periodic hello messages to the agents of other ranks until the
-/// future is dropped.
+/// Handles datagrams and sends periodic hello messages until the future is dropped.
 pub(crate) async fn serve_peers(state: Rc<AgentState>) {
     let mut ticks = interval(HELLO_INTERVAL);
     let mut buffer = vec![0; MAX_DATAGRAM];
@@ -34,15 +37,19 @@
                     Some(PeerMessage::Rank { group, from, message }) => {
                         handle_rank_message(&state, sender, &group, from, &message);
                     }
-                    Some(PeerMessage::Load(_)) | None => {}
+                    Some(PeerMessage::Load(_)) => {}
+                    None => state.metrics.datagrams_unreadable.inc(),
                 }
             }
         }
     }
 }
 
-/// Sends a hello message to each agent of the group or, while some of them are unknown, to each
-/// agent of the whole service.
+/// Sends a hello message: the leader to the agents of all ranks, and the other agents to the
+/// leader, so that the number of messages grows with the size of the group and not its square.
+///
+/// While the leader has not heard from some rank recently, it also sends to every VM at which that
+/// rank's agent may run. The others learn the leader's address from its message.
 fn send_hellos(state: &AgentState) {
     let agent = state.agent.borrow();
     let (Some(hello), Some(place)) = (agent.hello(), agent.place()) else {
@@ -54,23 +61,25 @@
         message: hello,
     };
     let datagram = datagram.encode();
+    for target in hello_targets(state, &agent) {
+        state.send_datagram(&datagram, target);
+    }
+}
+
+fn hello_targets(state: &AgentState, agent: &RankAgent) -> Vec<SocketAddr> {
     let peers = state.peers.borrow();
-    let is_complete = peers.len() + 1 >= usize::from(place.size);
-    let port = state.settings.peer.port();
-    let targets = if is_complete {
-        peers.values().copied().collect::<Vec<_>>()
-    } else {
-        let candidate_ips = state.candidate_ips.borrow();
-        let others = candidate_ips
-            .iter()
-            .filter(|ip| !is_own_address(state, **ip));
-        others.map(|ip| SocketAddr::new(*ip, port)).collect()
-    };
-    for target in targets {
-        if let Err(error) = state.socket.try_send_to(&datagram, target) {
-            tracing::debug!(%target, fault = %error, "cannot send a hello message");
-        }
+    if !agent.is_lead() {
+        return peers.get(&LEADER_RANK).copied().into_iter().collect();
+    }
+    if agent.are_all_reachable(state.clock.now()) {
+        return peers.values().copied().collect();
     }
+    let port = state.settings.peer.port();
+    let candidate_ips = state.candidate_ips.borrow();
+    let candidates = candidate_ips.iter().map(|ip| SocketAddr::new(*ip, port));
+    let targets = candidates.chain(peers.values().copied());
+    let targets = targets.filter(|target| !is_own_address(state, target.ip()));
+    targets.collect::<HashSet<_>>().into_iter().collect()
 }
 
 fn is_own_address(state: &AgentState, ip: IpAddr) -> bool {
@@ -91,7 +100,11 @@
     }
     let known = state.peers.borrow_mut().insert(from, sender);
     if known != Some(sender) {
-        tracing::info!(%group, rank = %from, address = %sender, "agent of another rank");
+        tracing::debug!(%group, rank = %from, address = %sender, "agent of another rank");
+        if from == LEADER_RANK {
+            tracing::info!(%group, address = %sender, "agent of the first rank found");
+            send_hellos(state);
+        }
     }
     let now = state.clock.now();
     let outputs = state.agent.borrow_mut().on_message(from, message, now);
--- a/crates/celerycrank-direct/src/agent/poll.rs
+++ b/crates/celerycrank-direct/src/agent/poll.rs
@@ -78,9 +78,7 @@
             tracing::info!(group = %place.group, epoch = %place.epoch, rank = %place.rank, is_open = place.is_open, "place in the group");
         }
         let group = |place: &Option<celerycrank_groups::RankPlace>| {
-            place
-                .as_ref()
-                .map(|place| (place.group.clone(), place.epoch))
+            place.as_ref().map(|place| place.group.clone())
         };
         if group(&before) != group(&after) {
             state.peers.borrow_mut().clear();
--- a/crates/celerycrank-direct/src/agent/process.rs
+++ b/crates/celerycrank-direct/src/agent/process.rs
@@ -10,7 +10,7 @@
 
 use super::{
     admin::AgentAdminHandler, discovery::discover_group, metrics::AgentMetrics, peer::serve_peers,
-    poll::poll_engine, state::AgentState,
+    poll::poll_engine, sender::send_queued, state::AgentState,
 };
 use crate::{DirectError, signal::handle_reload_signals};
 
@@ -64,6 +64,7 @@
             actix_rt::spawn(handle_reload_signals(reload)),
             actix_rt::spawn(poll_engine(Rc::clone(&state))),
             actix_rt::spawn(serve_peers(Rc::clone(&state))),
+            actix_rt::spawn(send_queued(Rc::clone(&state))),
             actix_rt::spawn(discover_group(Rc::clone(&state))),
             actix_rt::spawn(serve_admin(self.admin, handler)),
         ];
--- a/crates/celerycrank-direct/src/agent/state.rs
+++ b/crates/celerycrank-direct/src/agent/state.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
+    rc::Rc,
 };
 
 use celerycrank_client::{KeyValueClient, KeyValueProtocol};
@@ -20,6 +21,7 @@
 use super::{
     engine::{EngineClient, ORDER_TIMEOUT, READ_TIMEOUT},
     metrics::AgentMetrics,
+    sender::DatagramQueue,
 };
 
 /// State shared by the tasks of an agent, all of which run on one arbiter.
@@ -29,6 +31,8 @@
     pub(crate) metrics: AgentMetrics,
     pub(crate) store: KeyValueClient,
     pub(crate) socket: UdpSocket,
+    /// Datagrams for which the socket has no room yet.
+    pub(crate) datagrams: DatagramQueue,
     /// Client for reading the engine's report, counts and expert lists.
     pub(crate) read_client: EngineClient,
     /// Client for sending orders, which may stay unanswered for a long time.
@@ -64,6 +68,7 @@
             metrics,
             store: KeyValueClient::with_protocol(KeyValueProtocol::Platform, &addresses, timeout),
             socket,
+            datagrams: DatagramQueue::default(),
             read_client: EngineClient::new(settings.backend, READ_TIMEOUT),
             order_client: EngineClient::new(settings.backend, ORDER_TIMEOUT),
             agent: RefCell::new(RankAgent::new(
@@ -82,6 +87,12 @@
         }
     }
 
+    /// Sends a datagram, or queues it until the socket has room.
+    pub(crate) fn send_datagram(&self, datagram: &Rc<[u8]>, target: SocketAddr) {
+        self.datagrams
+            .send(&self.socket, &self.metrics, datagram, target);
+    }
+
     /// The shape of the group's maps; `None` until the profile and the agent's place are known.
     pub(crate) fn shape(&self) -> Option<MapShape> {
         let profile = self.profile.get()?;
@@ -90,7 +101,7 @@
         Some(MapShape {
             layers: profile.layer_sets,
             experts: profile.experts,
-            ranks: u16::from(place.size),
+            ranks: place.size,
             slots: profile.slots,
         })
     }
--- a/crates/celerycrank-direct/src/message.rs
+++ b/crates/celerycrank-direct/src/message.rs
@@ -1,12 +1,14 @@
 //! Datagrams exchanged between entries and agents.
 
+use std::rc::Rc;
+
 use celerycrank_groups::{MemberIndex, RankMessage};
 use celerycrank_serving::LoadReport;
 use celerycrank_types::GroupId;
 use serde::{Deserialize, Serialize};
 
 /// Maximum size of a datagram that is sent or received, in bytes.
-pub(crate) const MAX_DATAGRAM: usize = 16 << 10;
+pub(crate) const MAX_DATAGRAM: usize = 64 << 10;
 
 /// A datagram exchanged between entries and agents.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -25,8 +27,9 @@
 }
 
 impl PeerMessage {
-    pub(crate) fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain fields encode into memory")
+    pub(crate) fn encode(&self) -> Rc<[u8]> {
+        let bytes = postcard::to_stdvec(self).expect("plain fields encode into memory");
+        bytes.into()
     }
 
     /// Decodes a datagram; returns `None` if it comes from another program or version.
--- a/crates/celerycrank-groups/src/agent.rs
+++ b/crates/celerycrank-groups/src/agent.rs
@@ -67,8 +67,6 @@
     /// The agent's member index.
     pub index: MemberIndex,
     /// The number of agents that drive the group's ranks.
-    ///
-    /// Invariant: at most [`MemberSet::CAPACITY`].
     pub members: usize,
     /// The VM and incarnation of the agent.
     pub assignment: MemberAssignment,
@@ -307,7 +305,7 @@
         let times = self.settings.switch;
         let incarnation = record.incarnation;
         self.current = Some(IncarnationState {
-            member: SwitchMember::new(index, members, incarnation, record.map.id(), times),
+            member: SwitchMember::new(index, members.clone(), incarnation, record.map.id(), times),
             leader: SwitchLeader::new(index, members, incarnation, times),
             map: Arc::clone(&record.map),
         });
--- a/crates/celerycrank-groups/src/formation/member.rs
+++ b/crates/celerycrank-groups/src/formation/member.rs
@@ -158,7 +158,7 @@
             FormationMessage::Beat(known) => self.answer_heartbeat(from, *known),
             FormationMessage::Joined(incarnation) => {
                 if self.known_incarnation() == *incarnation {
-                    self.unconfirmed = self.unconfirmed.difference(MemberSet::only(from));
+                    self.unconfirmed = self.unconfirmed.difference(&MemberSet::only(from));
                 }
                 Vec::new()
             }
@@ -268,7 +268,7 @@
     /// Proceeds once every member has answered; a group of one proceeds immediately.
     fn finish_call_if_complete(&mut self, now: TimePoint) -> Vec<FormationOutput> {
         let is_calling = self.state == FormationState::Calling;
-        if !is_calling || self.hellos.len() < self.members.iter().count() {
+        if !is_calling || self.hellos.len() < self.members.len() {
             return Vec::new();
         }
         self.step(FormationEvent::AllHere, now)
@@ -386,7 +386,11 @@
                 {
                     self.unconfirmed = self.other_members();
                 }
-                send_all(self.unconfirmed, &FormationMessage::Formed(record), outputs);
+                send_all(
+                    &self.unconfirmed,
+                    &FormationMessage::Formed(record),
+                    outputs,
+                );
             }
             FormationAction::SendBeat => {
                 let to = self.next_heartbeat_target();
@@ -397,8 +401,8 @@
     }
 
     fn call_missing_members(&self, outputs: &mut Vec<FormationOutput>) {
-        let missing = self
-            .other_members()
+        let others = self.other_members();
+        let missing = others
             .iter()
             .filter(|member| !self.hellos.contains_key(member));
         outputs.extend(missing.map(|to| FormationOutput::Send {
@@ -457,7 +461,7 @@
     }
 
     fn other_members(&self) -> MemberSet {
-        self.members.difference(MemberSet::only(self.index))
+        self.members.difference(&MemberSet::only(self.index))
     }
 
     fn is_assigned(&self, record: &GroupRecord) -> bool {
@@ -465,7 +469,7 @@
     }
 }
 
-fn send_all(to: MemberSet, message: &FormationMessage, outputs: &mut Vec<FormationOutput>) {
+fn send_all(to: &MemberSet, message: &FormationMessage, outputs: &mut Vec<FormationOutput>) {
     outputs.extend(to.iter().map(|to| FormationOutput::Send {
         to,
         message: message.clone(),
--- a/crates/celerycrank-groups/src/lib.rs
+++ b/crates/celerycrank-groups/src/lib.rs
@@ -23,7 +23,7 @@
         FormationMember, FormationOutput, FormationState, FormationTimes, GroupRecord,
         MemberAssignment, RecordAnswer, StoredRecord,
     },
-    map::{ExpertIndex, ExpertMap, MapChange, MapShape, WeightCopy},
+    map::{ExpertIndex, ExpertMap, MapChange, MapShape, ShapeError, WeightCopy},
     message::{
         EngineOrder, EngineReport, FormationMessage, MemberHello, SwitchMessage, SwitchRefusal,
     },
@@ -36,9 +36,9 @@
         PlacementPreset, PlacementSettings, SpreadLimits, full_repack, spread_hot_experts,
     },
     rank::{
-        ArmedSwitch, CountWindow, LeaderEvent, LoadMonitor, MapProposal, OrderAnswer, RankAction,
-        RankAgent, RankAttemptId, RankExpertLists, RankLeader, RankMember, RankMessage, RankOrder,
-        RankOutput, RankOutputs, RankPlace, RankReport, RankTimes,
+        ArmedSwitch, CountWindow, LeaderEvent, LoadMonitor, MapDelta, MapProposal, OrderAnswer,
+        RankAction, RankAgent, RankAttemptId, RankExpertLists, RankLeader, RankMember, RankMessage,
+        RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes,
     },
     switch::{
         MemberState, SwitchLeader, SwitchMember, SwitchOutput, SwitchTimes, SwitchVerdict,
--- a/crates/celerycrank-groups/src/map.rs
+++ b/crates/celerycrank-groups/src/map.rs
@@ -6,6 +6,11 @@
 
 use crate::{MapId, MapVersion};
 
+/// The largest number of slots over all layers and ranks of a group's maps.
+///
+/// A change of every slot still fits into one datagram between agents.
+const MAX_SLOTS: usize = 14_000;
+
 /// Marks a slot that holds no expert.
 const EMPTY_SLOT: u16 = u16::MAX;
 
@@ -55,7 +60,53 @@
     pub slots: u16,
 }
 
+/// Why no map can have a shape.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum ShapeError {
+    /// a group has no layers, experts, ranks or slots
+    Empty,
+    /// {slots} slots for each layer are too few for {experts} experts
+    TooFewSlots {
+        /// The number of slots of a layer.
+        slots: usize,
+        /// The number of experts of a layer.
+        experts: u16,
+    },
+    /// {slots} slots exceed the limit of {limit}
+    TooLarge {
+        /// The number of slots over all layers and ranks.
+        slots: usize,
+        /// The largest supported number.
+        limit: usize,
+    },
+}
+
+impl std::error::Error for ShapeError {}
+
 impl MapShape {
+    /// Checks that maps can have this shape.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the experts do not fit into the slots, or if there are more slots than a map can
+    /// have.
+    pub fn check(self) -> Result<Self, ShapeError> {
+        let slots = self.layer_slots();
+        if slots == 0 || self.layers == 0 || self.experts == 0 {
+            return Err(ShapeError::Empty);
+        }
+        if slots < usize::from(self.experts) {
+            let experts = self.experts;
+            return Err(ShapeError::TooFewSlots { slots, experts });
+        }
+        let slots = slots * usize::from(self.layers);
+        if slots > MAX_SLOTS {
+            let limit = MAX_SLOTS;
+            return Err(ShapeError::TooLarge { slots, limit });
+        }
+        Ok(self)
+    }
+
     /// Slots of one layer over all ranks.
     #[must_use]
     pub const fn layer_slots(self) -> usize {
@@ -68,6 +119,7 @@
 /// Invariant: each layer holds every expert at least once, and no rank holds an expert of
 /// one layer twice.
 #[derive(Debug, Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "UncheckedMap")]
 pub struct ExpertMap {
     version: MapVersion,
     shape: MapShape,
@@ -75,6 +127,43 @@
     cells: Vec<u16>,
 }
 
+/// A map as received, before its cells are checked against its shape.
+#[derive(Deserialize)]
+struct UncheckedMap {
+    version: MapVersion,
+    shape: MapShape,
+    cells: Vec<u16>,
+}
+
+/// the map is not complete, or its cells do not fit its shape
+#[derive(Debug, displaydoc::Display)]
+struct MalformedMapError;
+
+impl TryFrom<UncheckedMap> for ExpertMap {
+    type Error = MalformedMapError;
+
+    fn try_from(map: UncheckedMap) -> Result<Self, MalformedMapError> {
+        let UncheckedMap {
+            version,
+            shape,
+            cells,
+        } = map;
+        let slots = shape.layer_slots() * usize::from(shape.layers);
+        let is_valid = |cell: &u16| *cell == EMPTY_SLOT || *cell < shape.experts;
+        let is_well_formed = cells.len() == slots && cells.iter().all(is_valid);
+        let map = Self {
+            version,
+            shape,
+            cells,
+        };
+        if is_well_formed && map.is_complete() {
+            Ok(map)
+        } else {
+            Err(MalformedMapError)
+        }
+    }
+}
+
 impl ExpertMap {
     /// Creates the initial map of a group: experts are assigned to ranks round robin, and
     /// spare slots stay empty.
@@ -207,6 +296,39 @@
         found.into_iter().all(|found| found)
     }
 
+    /// The weight copies that turn this map into `next`, or `None` if no weight copies do, since
+    /// the shapes differ or a slot becomes empty.
+    #[must_use]
+    pub fn weight_copies_to(&self, next: &Self) -> Option<Vec<WeightCopy>> {
+        if self.shape != next.shape {
+            return None;
+        }
+        let layer_slots = self.shape.layer_slots();
+        let cells = self.cells.iter().zip(&next.cells).enumerate();
+        let changed = cells.filter(|(_, (old, new))| old != new);
+        let copies = changed.map(|(index, (_, new))| {
+            (*new != EMPTY_SLOT).then_some(WeightCopy {
+                layer: u16::try_from(index / layer_slots).ok()?,
+                slot: u16::try_from(index % layer_slots).ok()?,
+                expert: ExpertIndex(*new),
+            })
+        });
+        copies.collect()
+    }
+
+    /// Returns the map that results from these weight copies, or `None` if one of them is out of
+    /// the shape's bounds.
+    #[must_use]
+    pub fn checked_successor(&self, copies: &[WeightCopy]) -> Option<Self> {
+        let shape = self.shape;
+        let is_valid = copies.iter().all(|copy| {
+            copy.layer < shape.layers
+                && usize::from(copy.slot) < shape.layer_slots()
+                && copy.expert.0 < shape.experts
+        });
+        is_valid.then(|| self.successor(copies))
+    }
+
     fn digest(&self) -> u64 {
         let cells = self.cells.iter().copied().map(u64::from);
         cells.fold(FNV_BASIS, |hash, cell| {
--- a/crates/celerycrank-groups/src/number.rs
+++ b/crates/celerycrank-groups/src/number.rs
@@ -4,6 +4,7 @@
 
 use celerycrank_types::{Incarnation, number_type};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 number_type! {
     /// A lock-step step, counted from 0 in each incarnation of a group.
@@ -28,13 +29,11 @@
 
 /// The index of a member of a group: an agent in the vote protocol, a rank in the arm-and-hold
 /// protocol.
-///
-/// Invariant: below [`MemberSet::CAPACITY`].
 #[derive(
     Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct MemberIndex(pub u8);
+pub struct MemberIndex(pub u16);
 
 impl fmt::Display for MemberIndex {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -42,81 +41,142 @@
     }
 }
 
-/// A set of members of one group.
-#[derive(
-    Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct MemberSet(u64);
+/// A set of members of one group, of any size.
+#[derive(Default, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "SmallVec<[u64; 2]>", into = "SmallVec<[u64; 2]>")]
+pub struct MemberSet {
+    /// One bit a member, the lowest bit of the first word first.
+    ///
+    /// Invariant: the last word is not 0, so that equal sets are equal word by word.
+    words: SmallVec<[u64; 2]>,
+}
 
-impl MemberSet {
-    /// The largest number of members in one group.
-    pub const CAPACITY: usize = u64::BITS as usize;
+impl fmt::Debug for MemberSet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_set().entries(self.iter().map(|it| it.0)).finish()
+    }
+}
+
+impl From<SmallVec<[u64; 2]>> for MemberSet {
+    fn from(words: SmallVec<[u64; 2]>) -> Self {
+        let mut set = Self { words };
+        set.trim();
+        set
+    }
+}
+
+impl From<MemberSet> for SmallVec<[u64; 2]> {
+    fn from(set: MemberSet) -> Self {
+        set.words
+    }
+}
 
+impl MemberSet {
     /// The set of the first `count` members.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the count exceeds [`Self::CAPACITY`].
     #[must_use]
-    pub const fn first_n(count: usize) -> Self {
-        assert!(count <= Self::CAPACITY, "a group has at most 64 members");
-        if count == Self::CAPACITY {
-            return Self(u64::MAX);
+    pub fn first_n(count: usize) -> Self {
+        let mut words = SmallVec::from_elem(u64::MAX, count / WORD_BITS);
+        let rest = count % WORD_BITS;
+        if rest > 0 {
+            words.push((1 << rest) - 1);
         }
-        Self((1 << count) - 1)
+        Self { words }
     }
 
     /// The set of one member.
     #[must_use]
-    pub const fn only(member: MemberIndex) -> Self {
-        Self(1 << member.0)
+    pub fn only(member: MemberIndex) -> Self {
+        let mut set = Self::default();
+        set.insert(member);
+        set
     }
 
     /// The members of either set.
     #[must_use]
-    pub const fn union(self, other: Self) -> Self {
-        Self(self.0 | other.0)
+    pub fn union(&self, other: &Self) -> Self {
+        let (long, short) = if self.words.len() >= other.words.len() {
+            (self, other)
+        } else {
+            (other, self)
+        };
+        let mut set = long.clone();
+        for (word, more) in set.words.iter_mut().zip(&short.words) {
+            *word |= more;
+        }
+        set
     }
 
     /// The members of both sets.
     #[must_use]
-    pub const fn intersection(self, other: Self) -> Self {
-        Self(self.0 & other.0)
+    pub fn intersection(&self, other: &Self) -> Self {
+        let pairs = self.words.iter().zip(&other.words);
+        pairs.map(|(a, b)| a & b).collect::<SmallVec<_>>().into()
     }
 
     /// The members of this set that are not in the other.
     #[must_use]
-    pub const fn difference(self, other: Self) -> Self {
-        Self(self.0 & !other.0)
+    pub fn difference(&self, other: &Self) -> Self {
+        let mut set = self.clone();
+        for (word, removed) in set.words.iter_mut().zip(&other.words) {
+            *word &= !removed;
+        }
+        set.trim();
+        set
     }
 
     /// Whether the set has no member.
     #[must_use]
-    pub const fn is_empty(self) -> bool {
-        self.0 == 0
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+
+    /// The number of members.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        let ones = self.words.iter().map(|word| word.count_ones() as usize);
+        ones.sum()
     }
 
     /// Whether the set has this member.
     #[must_use]
-    pub const fn contains(self, member: MemberIndex) -> bool {
-        self.0 & (1 << member.0) != 0
+    pub fn contains(&self, member: MemberIndex) -> bool {
+        let (index, bit) = position(member);
+        self.words.get(index).is_some_and(|word| word & bit != 0)
     }
 
     /// Adds a member.
-    pub const fn insert(&mut self, member: MemberIndex) {
-        self.0 |= 1 << member.0;
+    pub fn insert(&mut self, member: MemberIndex) {
+        let (index, bit) = position(member);
+        if index >= self.words.len() {
+            self.words.resize(index + 1, 0);
+        }
+        self.words[index] |= bit;
     }
 
     /// The members in order.
-    pub fn iter(self) -> impl Iterator<Item = MemberIndex> {
-        (0..=u8::MAX)
-            .take(Self::CAPACITY)
-            .map(MemberIndex)
-            .filter(move |member| self.contains(*member))
+    pub fn iter(&self) -> impl Iterator<Item = MemberIndex> {
+        let bits = u16::try_from(self.words.len() * WORD_BITS).unwrap_or(u16::MAX);
+        let members = (0..bits).map(MemberIndex);
+        members.filter(|member| self.contains(*member))
+    }
+
+    /// Restores the invariant of [`Self::words`].
+    fn trim(&mut self) {
+        while self.words.last() == Some(&0) {
+            self.words.pop();
+        }
     }
 }
 
+/// The number of members in one word of a [`MemberSet`].
+const WORD_BITS: usize = u64::BITS as usize;
+
+/// The word and the bit of a member in a [`MemberSet`].
+fn position(member: MemberIndex) -> (usize, u64) {
+    let index = usize::from(member.0);
+    (index / WORD_BITS, 1 << (index % WORD_BITS))
+}
+
 /// Identifies one expert map.
 ///
 /// Two leaders may assign the same version to different maps; the digest distinguishes them.
--- a/crates/celerycrank-groups/src/rank.rs
+++ b/crates/celerycrank-groups/src/rank.rs
@@ -10,19 +10,23 @@
 //! Nothing here performs I/O or reads a clock.
 
 mod agent;
+mod delta;
 mod leader;
 mod liveness;
+mod map_cache;
 mod map_tracker;
 mod member;
 mod message;
 mod monitor;
 mod order;
 mod output;
+mod pass_clock;
 mod report;
 mod version;
 
 pub use crate::rank::{
     agent::RankAgent,
+    delta::MapDelta,
     leader::{LeaderEvent, RankLeader},
     member::RankMember,
     message::{RankAttemptId, RankMessage},
--- a/crates/celerycrank-groups/src/rank/agent.rs
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -5,11 +5,12 @@
 use celerycrank_types::{TimePoint, TimeSpan};
 
 use crate::{
-    AgentIncarnation, ExpertMap, GroupEpoch, MapShape, MapVersion, MemberIndex, OrderAnswer,
-    RankAction, RankAttemptId, RankExpertLists, RankLeader, RankMember, RankMessage, RankOrder,
-    RankOutput, RankOutputs, RankPlace, RankReport, RankTimes, WeightCopy,
+    AgentIncarnation, ExpertMap, GroupEpoch, MapDelta, MapShape, MapVersion, MemberIndex,
+    MemberSet, OrderAnswer, RankAction, RankAttemptId, RankExpertLists, RankLeader, RankMember,
+    RankMessage, RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes, WeightCopy,
     rank::{
         liveness::PeerLiveness,
+        map_cache::MapCache,
         map_tracker::MapTracker,
         version::{MapPurpose, version_above},
     },
@@ -52,6 +53,10 @@
     liveness: PeerLiveness,
     /// The active map, for the leader.
     map_tracker: MapTracker,
+    /// The maps from which the leader's messages derive others.
+    maps: MapCache,
+    /// The leader's last message that carried a map, for a rank that cannot derive it.
+    last_map_message: Option<RankMessage>,
     lists_retry_at: TimePoint,
     highest: MapVersion,
 }
@@ -74,6 +79,8 @@
             last_order: None,
             liveness: PeerLiveness::default(),
             map_tracker: MapTracker::default(),
+            maps: MapCache::default(),
+            last_map_message: None,
             lists_retry_at: TimePoint(0),
             highest: MapVersion(0),
         }
@@ -111,6 +118,13 @@
         is_leading || report.is_some_and(|report| self.member.is_under_way(report))
     }
 
+    /// Whether the group has reached the step before which the own rank holds it.
+    #[must_use]
+    pub fn is_group_waiting(&self) -> bool {
+        let report = self.report();
+        report.is_some_and(|report| report.held.is_some_and(|held| held <= report.step.next()))
+    }
+
     /// The message that announces to the other agents the rank that this agent controls.
     #[must_use]
     pub fn hello(&self) -> Option<RankMessage> {
@@ -152,7 +166,7 @@
             self.highest = version;
             let (message, event) = leader.begin(next, epoch, now);
             outputs.push(RankOutput::Event(event));
-            self.send_all(&message, now, &mut outputs);
+            self.send_map(&self.all_ranks(), &message, now, &mut outputs);
         }
         self.advance(now, &mut outputs);
         outputs
@@ -177,7 +191,7 @@
             && let Some(attempt) = self.armed_query.take()
         {
             let state = RankMessage::ArmedState { attempt, armed };
-            self.send_leader(state, now, &mut outputs);
+            self.send_leader(&state, now, &mut outputs);
         }
         self.advance(now, &mut outputs);
         outputs
@@ -221,7 +235,7 @@
     pub fn on_lists(&mut self, lists: RankExpertLists, now: TimePoint) -> RankOutputs {
         let mut outputs = RankOutputs::new();
         let message = RankMessage::Lists(lists);
-        self.send_leader(message, now, &mut outputs);
+        self.send_leader(&message, now, &mut outputs);
         outputs
     }
 
@@ -244,11 +258,33 @@
             RankMessage::Hello { highest, .. } | RankMessage::Failed { highest, .. } => {
                 self.highest = self.highest.max(*highest);
             }
-            RankMessage::Prepare { epoch, .. } | RankMessage::Clear { epoch, .. }
+            RankMessage::Prepare { epoch, .. }
+            | RankMessage::Clear { epoch, .. }
+            | RankMessage::PrepareDelta { epoch, .. }
+            | RankMessage::ClearDelta { epoch, .. }
                 if Some(*epoch) != self.epoch() =>
             {
                 return;
             }
+            RankMessage::PrepareDelta { attempt, .. } if self.member.is_known(*attempt) => {}
+            RankMessage::PrepareDelta { attempt, delta, .. }
+            | RankMessage::ClearDelta { attempt, delta, .. } => {
+                let Some(map) = self.maps.derive(delta) else {
+                    let attempt = *attempt;
+                    self.send_leader(&RankMessage::UnknownBase { attempt }, now, outputs);
+                    return;
+                };
+                let message = message.clone().with_map(map);
+                self.handle_message(from, &message, now, outputs);
+                return;
+            }
+            RankMessage::Prepare { map, .. } | RankMessage::Clear { map, .. } => {
+                let active = self.report().map(|report| report.map);
+                self.maps.insert(map, active.unwrap_or_default());
+            }
+            RankMessage::UnknownBase { attempt } => {
+                self.send_from_initial(from, *attempt, outputs);
+            }
             RankMessage::AskArmed { attempt } => {
                 // Only a report that is read after the query shows the current state.
                 self.armed_query = Some(*attempt);
@@ -289,9 +325,7 @@
         let leader = self.leader.as_mut();
         let resent = leader.and_then(|leader| leader.resend(epoch, invalidating_map, now));
         if let Some((targets, message)) = resent {
-            for target in targets.iter() {
-                self.send(target, message.clone(), now, outputs);
-            }
+            self.send_map(&targets, &message, now, outputs);
             self.reply(now, outputs);
         }
         self.ask_lists(now, outputs);
@@ -359,7 +393,7 @@
         }
         self.last_reply.clone_from(&reply);
         if let Some(reply) = reply {
-            self.send_leader(reply, now, outputs);
+            self.send_leader(&reply, now, outputs);
         }
     }
 
@@ -369,33 +403,86 @@
             return;
         }
         self.lists_retry_at = now + LISTS_RETRY_INTERVAL;
-        self.send_all(&RankMessage::AskLists, now, outputs);
+        self.send(&self.all_ranks(), &RankMessage::AskLists, now, outputs);
     }
 
-    fn send_all(&mut self, message: &RankMessage, now: TimePoint, outputs: &mut RankOutputs) {
-        let size = self.place().map_or(0, |place| place.size);
-        for rank in (0..size).map(MemberIndex) {
-            self.send(rank, message.clone(), now, outputs);
-        }
+    fn all_ranks(&self) -> MemberSet {
+        let size = self.place().map_or(0, |place| usize::from(place.size));
+        MemberSet::first_n(size)
     }
 
-    fn send_leader(&mut self, message: RankMessage, now: TimePoint, outputs: &mut RankOutputs) {
-        self.send(MemberIndex(0), message, now, outputs);
+    fn send_leader(&mut self, message: &RankMessage, now: TimePoint, outputs: &mut RankOutputs) {
+        let leader = MemberSet::only(MemberIndex(0));
+        self.send(&leader, message, now, outputs);
+    }
+
+    /// Sends a message of the leader; a map that it carries goes to other ranks as its difference
+    /// from the active map.
+    fn send_map(
+        &mut self,
+        targets: &MemberSet,
+        message: &RankMessage,
+        now: TimePoint,
+        outputs: &mut RankOutputs,
+    ) {
+        let Some(map) = message.map() else {
+            self.send(targets, message, now, outputs);
+            return;
+        };
+        let active = self.map_tracker.map();
+        let delta = active.and_then(|active| MapDelta::between(active, map));
+        let delta = delta.or_else(|| MapDelta::from_initial(map));
+        let sent = message.clone().with_delta(delta);
+        self.send_others(targets, sent, outputs);
+        self.last_map_message = Some(message.clone());
+        self.send_own(targets, message, now, outputs);
+    }
+
+    /// Sends the last map to a rank that cannot derive it from the active one.
+    fn send_from_initial(
+        &self,
+        target: MemberIndex,
+        attempt: RankAttemptId,
+        outputs: &mut RankOutputs,
+    ) {
+        let last = self.last_map_message.as_ref();
+        let last = last.filter(|message| message.leader_attempt() == Some(attempt));
+        if let Some((message, map)) = last.and_then(|message| Some((message, message.map()?))) {
+            let sent = message.clone().with_delta(MapDelta::from_initial(map));
+            self.send_others(&MemberSet::only(target), sent, outputs);
+        }
     }
 
     /// Sends a message; one to the own rank is handled immediately.
     fn send(
         &mut self,
-        target: MemberIndex,
-        message: RankMessage,
+        targets: &MemberSet,
+        message: &RankMessage,
+        now: TimePoint,
+        outputs: &mut RankOutputs,
+    ) {
+        self.send_others(targets, message.clone(), outputs);
+        self.send_own(targets, message, now, outputs);
+    }
+
+    fn send_others(&self, targets: &MemberSet, message: RankMessage, outputs: &mut RankOutputs) {
+        let own = self.place().map(|place| MemberSet::only(place.rank));
+        let others = targets.difference(&own.unwrap_or_default());
+        if !others.is_empty() {
+            outputs.push(RankOutput::Send(others, message));
+        }
+    }
+
+    fn send_own(
+        &mut self,
+        targets: &MemberSet,
+        message: &RankMessage,
         now: TimePoint,
         outputs: &mut RankOutputs,
     ) {
         let own = self.place().map(|place| place.rank);
-        if own == Some(target) {
-            self.handle_message(target, &message, now, outputs);
-        } else {
-            outputs.push(RankOutput::Send(target, message));
+        if let Some(own) = own.filter(|own| targets.contains(*own)) {
+            self.handle_message(own, message, now, outputs);
         }
     }
 
@@ -403,7 +490,9 @@
         self.place().map(|place| place.epoch)
     }
 
-    fn are_all_reachable(&self, now: TimePoint) -> bool {
+    /// Whether the agents of all other ranks have sent a message recently.
+    #[must_use]
+    pub fn are_all_reachable(&self, now: TimePoint) -> bool {
         let own = self.place().map(|place| place.rank);
         own.is_some_and(|own| self.liveness.are_all_reachable(own, now))
     }
@@ -429,6 +518,8 @@
         let size = place.map_or(0, |place| usize::from(place.size));
         self.liveness.resize(size);
         self.map_tracker.reset(size);
+        self.maps.clear();
+        self.last_map_message = None;
         let leader_place = place.filter(|place| place.rank == MemberIndex(0));
         match (leader_place, &mut self.leader) {
             (None, _) => self.leader = None,
--- a/crates/celerycrank-groups/src/rank/leader.rs
+++ b/crates/celerycrank-groups/src/rank/leader.rs
@@ -9,11 +9,21 @@
     AgentIncarnation, ArmedSwitch, AttemptNumber, ExpertMap, GroupEpoch, MapVersion, MemberIndex,
     MemberSet, OrderAnswer, RankAction, RankAttemptId, RankMessage, RankReport, RankTimes,
     StepNumber,
-    rank::version::{MapPurpose, version_above},
+    rank::{
+        pass_clock::PassClock,
+        version::{MapPurpose, version_above},
+    },
 };
 
-/// The number of steps from the current one to the one before which the group is held.
-const STEPS_AHEAD: u64 = 2;
+/// The smallest number of steps from the current one to the one before which the group is held.
+const MIN_STEPS_AHEAD: u64 = 2;
+
+/// The largest number of steps from the current one to the one before which the group is held.
+const MAX_STEPS_AHEAD: u64 = 40;
+
+/// The number of ranks of which one may take its order to load a map late without ending the
+/// attempt: in a large group some rank is always slow.
+const RANKS_PER_LATE_ORDER: usize = 16;
 
 /// The number of versions from which the version of a new map is drawn at random.
 const VERSION_RANGE: u64 = 64;
@@ -33,6 +43,8 @@
     /// Ranks load the map of the attempt.
     Preparing {
         done: MemberSet,
+        /// The ranks whose order was not answered in time, although they have loaded the map.
+        late: MemberSet,
         deadline: TimePoint,
     },
     /// Every agent must answer a query once more, so that the group is not held for an unreachable
@@ -86,7 +98,7 @@
 /// armed and none can become armed. No two attempts hold the group before the same step.
 #[derive(Debug, Clone)]
 pub struct RankLeader {
-    size: u8,
+    size: u16,
     times: RankTimes,
     phase: LeaderPhase,
     attempt: RankAttemptId,
@@ -97,6 +109,7 @@
     resend_at: TimePoint,
     /// The highest step before which the group was held or was ordered to be held.
     last_held: StepNumber,
+    pass_clock: PassClock,
     /// Whether it is known that either every rank is armed for the same switch or none is armed.
     ///
     /// Invariant: false from the start of an incarnation, and while ranks are being armed.
@@ -106,10 +119,10 @@
 impl RankLeader {
     /// Creates a leader without knowledge of earlier attempts.
     #[must_use]
-    pub fn new(incarnation: AgentIncarnation, size: u8, times: RankTimes, now: TimePoint) -> Self {
+    pub fn new(incarnation: AgentIncarnation, size: u16, times: RankTimes, now: TimePoint) -> Self {
         Self {
             size,
-            times,
+            times: times.for_size(size),
             phase: LeaderPhase::Idle,
             attempt: RankAttemptId {
                 incarnation,
@@ -120,6 +133,7 @@
             failures: 0,
             resend_at: now,
             last_held: StepNumber(0),
+            pass_clock: PassClock::default(),
             is_consistent: false,
         }
     }
@@ -166,6 +180,7 @@
         self.next_map = Some(Arc::clone(&map));
         self.phase = LeaderPhase::Preparing {
             done: MemberSet::default(),
+            late: MemberSet::default(),
             deadline: now + self.times.prepare,
         };
         self.resend_at = now + self.times.resend;
@@ -188,16 +203,23 @@
             return None;
         }
         let all_ranks = MemberSet::first_n(usize::from(self.size));
-        let are_all_done = |done: MemberSet| all_ranks.difference(done).is_empty();
+        let are_all_done = |done: &MemberSet| all_ranks.difference(done).is_empty();
+        let max_late = usize::from(self.size) / RANKS_PER_LATE_ORDER;
         match (message, &mut self.phase) {
             (
-                RankMessage::Prepared {
-                    is_prompt: true, ..
-                },
-                LeaderPhase::Preparing { done, .. },
+                RankMessage::Prepared { is_prompt, .. },
+                LeaderPhase::Preparing { done, late, .. },
             ) => {
                 done.insert(from);
-                if are_all_done(*done) {
+                if !is_prompt {
+                    late.insert(from);
+                }
+                if late.len() > max_late {
+                    // Orders are delayed; give up before the group is held, since they would
+                    // prolong the hold.
+                    return Some(self.abandon(now));
+                }
+                if are_all_done(done) {
                     self.phase = LeaderPhase::ConfirmingReachable {
                         answers: no_answers(self.size),
                         deadline: now + self.times.check,
@@ -218,7 +240,7 @@
             }
             (RankMessage::Armed { .. }, LeaderPhase::Arming { done, .. }) => {
                 done.insert(from);
-                if !are_all_done(*done) {
+                if !are_all_done(done) {
                     return None;
                 }
                 self.phase = LeaderPhase::Releasing;
@@ -229,7 +251,7 @@
             }
             (RankMessage::Cleared { .. }, LeaderPhase::Clearing { done, .. }) => {
                 done.insert(from);
-                if are_all_done(*done) {
+                if are_all_done(done) {
                     self.phase = LeaderPhase::Releasing;
                     self.is_consistent = true;
                 }
@@ -239,12 +261,7 @@
                 record_answer(answers, from, message);
                 self.resolve_answers(now)
             }
-            // A late or failed prepare: give up before the group is held, since slow orders would
-            // prolong the hold.
-            (
-                RankMessage::Prepared { .. } | RankMessage::Failed { .. },
-                LeaderPhase::Preparing { .. },
-            ) => Some(self.abandon(now)),
+            (RankMessage::Failed { .. }, LeaderPhase::Preparing { .. }) => Some(self.abandon(now)),
             (RankMessage::Failed { .. }, LeaderPhase::Arming { .. }) => Some(self.roll_back(now)),
             _ => None,
         }
@@ -263,6 +280,7 @@
         if let Some(held) = report.held {
             self.last_held = self.last_held.max(held);
         }
+        self.pass_clock.observe(report.step, now);
         match &self.phase {
             LeaderPhase::Holding {
                 step: Some(step), ..
@@ -308,7 +326,9 @@
     pub fn next_action(&mut self, report: &RankReport) -> Option<RankAction> {
         match &mut self.phase {
             LeaderPhase::Holding { step, .. } => {
-                let ahead = StepNumber(report.step.0 + STEPS_AHEAD);
+                let steps = self.pass_clock.steps_in(self.times.lead);
+                let steps = steps.clamp(MIN_STEPS_AHEAD, MAX_STEPS_AHEAD);
+                let ahead = StepNumber(report.step.0 + steps);
                 let step = *step.get_or_insert(ahead.max(self.last_held.next()));
                 self.last_held = self.last_held.max(step);
                 Some(RankAction::Hold { step })
@@ -338,6 +358,7 @@
             return None;
         }
         let attempt = self.attempt;
+        let mut answered = MemberSet::default();
         let (done, message) = match &mut self.phase {
             LeaderPhase::Preparing { done, .. } => {
                 let map = Arc::clone(self.next_map.as_ref()?);
@@ -346,20 +367,20 @@
                     epoch,
                     map,
                 };
-                (*done, message)
+                (&*done, message)
             }
             LeaderPhase::Arming { done, step, .. } => {
                 let step = *step;
-                (*done, RankMessage::Arm { attempt, step })
+                (&*done, RankMessage::Arm { attempt, step })
             }
             LeaderPhase::QueryingArmed { answers }
             | LeaderPhase::ConfirmingReachable { answers, .. } => {
-                let mut done = MemberSet::default();
-                let answered = answers.iter().enumerate().filter(|(_, it)| it.is_some());
-                for (rank, _) in answered {
-                    done.insert(MemberIndex(u8::try_from(rank).unwrap_or(u8::MAX)));
+                for (rank, answer) in (0..self.size).zip(answers.iter()) {
+                    if answer.is_some() {
+                        answered.insert(MemberIndex(rank));
+                    }
                 }
-                (done, RankMessage::AskArmed { attempt })
+                (&answered, RankMessage::AskArmed { attempt })
             }
             LeaderPhase::Clearing { done, map } => {
                 if map.is_none() {
@@ -371,13 +392,14 @@
                     epoch,
                     map,
                 };
-                (*done, message)
+                (&*done, message)
             }
             _ => return None,
         };
-        self.resend_at = now + self.times.resend;
         let all_ranks = MemberSet::first_n(usize::from(self.size));
-        Some((all_ranks.difference(done), message))
+        let targets = all_ranks.difference(done);
+        self.resend_at = now + self.times.resend;
+        Some((targets, message))
     }
 
     /// Discards the current attempt, for a new epoch of the group.
@@ -453,7 +475,7 @@
     }
 }
 
-fn no_answers(size: u8) -> ArmedAnswers {
+fn no_answers(size: u16) -> ArmedAnswers {
     ArmedAnswers::from_elem(None, usize::from(size))
 }
 
--- a/crates/celerycrank-groups/src/rank/member.rs
+++ b/crates/celerycrank-groups/src/rank/member.rs
@@ -245,7 +245,7 @@
     }
 
     /// Whether a request to prepare was handled before, or belongs to an earlier attempt.
-    fn is_known(&self, attempt: RankAttemptId) -> bool {
+    pub(crate) fn is_known(&self, attempt: RankAttemptId) -> bool {
         self.task.attempt() == Some(attempt) || self.is_outdated(attempt)
     }
 
--- a/crates/celerycrank-groups/src/rank/message.rs
+++ b/crates/celerycrank-groups/src/rank/message.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AgentIncarnation, ArmedSwitch, AttemptNumber, ExpertMap, GroupEpoch, MapVersion, MemberIndex,
-    RankExpertLists, StepNumber,
+    AgentIncarnation, ArmedSwitch, AttemptNumber, ExpertMap, GroupEpoch, MapDelta, MapVersion,
+    MemberIndex, RankExpertLists, StepNumber,
 };
 
 /// Identifies one attempt to switch a group's map.
@@ -110,6 +110,29 @@
     AskLists,
     /// The experts that a rank holds.
     Lists(RankExpertLists),
+    /// [`Self::Prepare`] as it is sent between agents.
+    PrepareDelta {
+        /// The attempt.
+        attempt: RankAttemptId,
+        /// The group's epoch.
+        epoch: GroupEpoch,
+        /// The map.
+        delta: Arc<MapDelta>,
+    },
+    /// [`Self::Clear`] as it is sent between agents.
+    ClearDelta {
+        /// The attempt, or a later one that armed nothing.
+        attempt: RankAttemptId,
+        /// The group's epoch.
+        epoch: GroupEpoch,
+        /// The active map with a version that no rank has had.
+        delta: Arc<MapDelta>,
+    },
+    /// A rank does not hold the map from which the last one of the attempt was to be derived.
+    UnknownBase {
+        /// The attempt.
+        attempt: RankAttemptId,
+    },
 }
 
 impl RankMessage {
@@ -119,13 +142,68 @@
         match self {
             Self::Hello { incarnation, .. } => Some(*incarnation),
             Self::Prepare { attempt, .. }
+            | Self::PrepareDelta { attempt, .. }
             | Self::Arm { attempt, .. }
             | Self::AskArmed { attempt }
+            | Self::ClearDelta { attempt, .. }
             | Self::Clear { attempt, .. } => Some(attempt.incarnation),
             _ => None,
         }
     }
 
+    /// The map that the message carries, if it carries a whole one.
+    pub(crate) const fn map(&self) -> Option<&Arc<ExpertMap>> {
+        match self {
+            Self::Prepare { map, .. } | Self::Clear { map, .. } => Some(map),
+            _ => None,
+        }
+    }
+
+    /// The attempt of a leader's message with a whole map.
+    pub(crate) const fn leader_attempt(&self) -> Option<RankAttemptId> {
+        match self {
+            Self::Prepare { attempt, .. } | Self::Clear { attempt, .. } => Some(*attempt),
+            _ => None,
+        }
+    }
+
+    /// Replaces a whole map by its difference from another one; without a difference, the
+    /// message stays as it is.
+    #[must_use]
+    pub(crate) fn with_delta(self, delta: Option<MapDelta>) -> Self {
+        match (self, delta.map(Arc::new)) {
+            (Self::Prepare { attempt, epoch, .. }, Some(delta)) => Self::PrepareDelta {
+                attempt,
+                epoch,
+                delta,
+            },
+            (Self::Clear { attempt, epoch, .. }, Some(delta)) => Self::ClearDelta {
+                attempt,
+                epoch,
+                delta,
+            },
+            (message, _) => message,
+        }
+    }
+
+    /// Replaces a difference by the whole map that was derived from it.
+    #[must_use]
+    pub(crate) fn with_map(self, map: Arc<ExpertMap>) -> Self {
+        match self {
+            Self::PrepareDelta { attempt, epoch, .. } => Self::Prepare {
+                attempt,
+                epoch,
+                map,
+            },
+            Self::ClearDelta { attempt, epoch, .. } => Self::Clear {
+                attempt,
+                epoch,
+                map,
+            },
+            message => message,
+        }
+    }
+
     /// The attempt to which the message is an answer, if it is one.
     #[must_use]
     pub const fn answered_attempt(&self) -> Option<RankAttemptId> {
@@ -134,6 +212,7 @@
             | Self::Armed { attempt }
             | Self::Cleared { attempt }
             | Self::ArmedState { attempt, .. }
+            | Self::UnknownBase { attempt }
             | Self::Failed { attempt, .. } => Some(*attempt),
             _ => None,
         }
--- a/crates/celerycrank-groups/src/rank/output.rs
+++ b/crates/celerycrank-groups/src/rank/output.rs
@@ -3,7 +3,7 @@
 use celerycrank_types::TimeSpan;
 use smallvec::SmallVec;
 
-use crate::{LeaderEvent, MemberIndex, RankMessage, RankOrder};
+use crate::{LeaderEvent, MemberSet, RankMessage, RankOrder};
 
 /// The timeouts and intervals of attempts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +19,37 @@
     pub resend: TimeSpan,
     /// Minimum time between two attempts, doubled by consecutive failures.
     pub pause: TimeSpan,
+    /// The time that is left to arm all ranks before the group reaches the step of the switch.
+    pub lead: TimeSpan,
+}
+
+/// The number of ranks of the groups for which [`RankTimes::default`] is meant.
+const DEFAULT_SIZE: u16 = 8;
+
+/// The time by which each further rank extends a round of messages and answers.
+const ROUND_PER_RANK: TimeSpan = TimeSpan::from_millis(5);
+
+/// The time by which each further rank extends the interval after which messages are sent again.
+const RESEND_PER_RANK: TimeSpan = TimeSpan::from_millis(1);
+
+/// The time by which each further rank extends the time that is left to arm all ranks.
+const LEAD_PER_RANK: TimeSpan = TimeSpan(1_500);
+
+impl RankTimes {
+    /// The times for a group of this size: one agent sends to all ranks and handles all of their
+    /// answers, so a round takes longer with each rank.
+    #[must_use]
+    pub fn for_size(self, size: u16) -> Self {
+        let more = u64::from(size.saturating_sub(DEFAULT_SIZE));
+        let extend = |time: TimeSpan, by: TimeSpan| TimeSpan(time.0 + by.0 * more);
+        Self {
+            check: extend(self.check, ROUND_PER_RANK),
+            arm: extend(self.arm, ROUND_PER_RANK),
+            resend: extend(self.resend, RESEND_PER_RANK),
+            lead: extend(self.lead, LEAD_PER_RANK),
+            ..self
+        }
+    }
 }
 
 impl Default for RankTimes {
@@ -29,6 +60,7 @@
             arm: TimeSpan::from_millis(300),
             resend: TimeSpan::from_millis(80),
             pause: TimeSpan::from_millis(100),
+            lead: TimeSpan::from_millis(70),
         }
     }
 }
@@ -36,8 +68,8 @@
 /// An action for the agent's process to perform.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RankOutput {
-    /// Send a message to the agent of another rank.
-    Send(MemberIndex, RankMessage),
+    /// Send a message to the agents of other ranks.
+    Send(MemberSet, RankMessage),
     /// Send an order to the own rank, and read its report after the answer.
     Order(RankOrder),
     /// Read the own rank's report now.
--- a/crates/celerycrank-groups/src/rank/report.rs
+++ b/crates/celerycrank-groups/src/rank/report.rs
@@ -15,7 +15,7 @@
     /// The rank.
     pub rank: MemberIndex,
     /// The number of ranks in the group.
-    pub size: u8,
+    pub size: u16,
     /// Whether the group serves requests; it does not while a rank is missing.
     pub is_open: bool,
 }
--- a/crates/celerycrank-groups/src/simulation/run.rs
+++ b/crates/celerycrank-groups/src/simulation/run.rs
@@ -475,5 +475,5 @@
 }
 
 pub(super) fn member_index(index: usize) -> MemberIndex {
-    MemberIndex(u8::try_from(index).expect("a group has at most 64 members"))
+    MemberIndex(u16::try_from(index).expect("members are counted in 16 bits"))
 }
--- a/crates/celerycrank-groups/src/switch/leader.rs
+++ b/crates/celerycrank-groups/src/switch/leader.rs
@@ -186,7 +186,7 @@
                     attempt: self.attempt,
                     change: Arc::clone(&self.change),
                 };
-                send_all(self.members.difference(self.ready), &message, outputs);
+                send_all(&self.members.difference(&self.ready), &message, outputs);
             }
             SwitchLeaderAction::ChooseStep => {
                 self.first = Some(StepNumber(self.farthest_step.0 + self.times.margin_steps));
@@ -199,7 +199,7 @@
                     attempt: self.attempt,
                     first,
                 };
-                send_all(self.members, &message, outputs);
+                send_all(&self.members, &message, outputs);
             }
         }
     }
@@ -211,7 +211,7 @@
     }
 }
 
-fn send_all(members: MemberSet, message: &SwitchMessage, outputs: &mut Vec<SwitchOutput>) {
+fn send_all(members: &MemberSet, message: &SwitchMessage, outputs: &mut Vec<SwitchOutput>) {
     outputs.extend(members.iter().map(|to| SwitchOutput::Send {
         to,
         message: message.clone(),
--- a/crates/celerycrank-groups/src/switch/member.rs
+++ b/crates/celerycrank-groups/src/switch/member.rs
@@ -241,7 +241,7 @@
             return;
         };
         mine.merge(theirs);
-        let mine = *mine;
+        let mine = mine.clone();
         if self.is_current(attempt) {
             self.apply(&mine, now, outputs);
         }
@@ -250,7 +250,7 @@
 
     /// Acts on the votes of the current attempt.
     fn apply(&mut self, votes: &VoteSet, now: TimePoint, outputs: &mut Vec<SwitchOutput>) {
-        match votes.verdict(self.members) {
+        match votes.verdict(&self.members) {
             Some(SwitchVerdict::Commit) => {
                 self.step(MemberEvent::Commit, SwitchRefusal::Busy, now, outputs);
             }
@@ -270,7 +270,7 @@
             return;
         };
         if to != self.index && mine.has_votes_missing_from(theirs) {
-            let message = SwitchMessage::Votes(*mine);
+            let message = SwitchMessage::Votes(mine.clone());
             outputs.push(SwitchOutput::Send { to, message });
         }
     }
@@ -345,7 +345,10 @@
                 self.start_verdict_wait(now);
                 self.vote(id, SwitchVerdict::Commit);
                 self.send_votes(id, outputs);
-                let votes = *self.votes().expect("the current attempt has a vote set");
+                let votes = self
+                    .votes()
+                    .expect("the current attempt has a vote set")
+                    .clone();
                 self.apply(&votes, now, outputs);
             }
             MemberAction::VoteNo => {
@@ -390,14 +393,14 @@
     }
 
     fn send_votes(&mut self, attempt: AttemptId, outputs: &mut Vec<SwitchOutput>) {
-        let votes = *self
+        let votes = self
             .vote_history
             .get_mut(attempt)
             .expect("votes are sent only on a registered attempt");
-        let others = self.members.difference(MemberSet::only(self.index));
+        let others = self.members.difference(&MemberSet::only(self.index));
         outputs.extend(others.iter().map(|to| SwitchOutput::Send {
             to,
-            message: SwitchMessage::Votes(votes),
+            message: SwitchMessage::Votes(votes.clone()),
         }));
     }
 
--- a/crates/celerycrank-groups/src/switch/votes.rs
+++ b/crates/celerycrank-groups/src/switch/votes.rs
@@ -22,7 +22,7 @@
 /// decides it.
 ///
 /// Invariant: no member is in both sets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct VoteSet {
     /// The attempt.
     pub attempt: AttemptId,
@@ -38,12 +38,12 @@
 impl VoteSet {
     /// Creates an empty vote set.
     #[must_use]
-    pub const fn new(attempt: AttemptId, first: Option<StepNumber>) -> Self {
+    pub fn new(attempt: AttemptId, first: Option<StepNumber>) -> Self {
         Self {
             attempt,
             first,
-            yes: MemberSet::first_n(0),
-            no: MemberSet::first_n(0),
+            yes: MemberSet::default(),
+            no: MemberSet::default(),
         }
     }
 
@@ -75,28 +75,28 @@
             }
             (mine, theirs) => mine.or(theirs),
         };
-        self.yes = self.yes.union(other.yes);
-        self.no = self.no.union(other.no);
+        self.yes = self.yes.union(&other.yes);
+        self.no = self.no.union(&other.no);
         self.assert_disjoint();
     }
 
     /// The verdict in a group of these members, if the votes suffice for one.
     #[must_use]
-    pub fn verdict(&self, members: MemberSet) -> Option<SwitchVerdict> {
+    pub fn verdict(&self, members: &MemberSet) -> Option<SwitchVerdict> {
         if !self.no.is_empty() {
             return Some(SwitchVerdict::Abort);
         }
-        (self.yes == members).then_some(SwitchVerdict::Commit)
+        (self.yes == *members).then_some(SwitchVerdict::Commit)
     }
 
     /// Whether this vote set has a vote that the other lacks.
     #[must_use]
-    pub const fn has_votes_missing_from(&self, other: &Self) -> bool {
-        !self.yes.difference(other.yes).is_empty() || !self.no.difference(other.no).is_empty()
+    pub fn has_votes_missing_from(&self, other: &Self) -> bool {
+        !self.yes.difference(&other.yes).is_empty() || !self.no.difference(&other.no).is_empty()
     }
 
     fn assert_disjoint(&self) {
-        let both = self.yes.intersection(self.no);
+        let both = self.yes.intersection(&self.no);
         assert!(both.is_empty(), "a member voted both yes and no: {self:?}");
     }
 }
--- a/crates/celerycrank-groups/tests/exhaustive.rs
+++ b/crates/celerycrank-groups/tests/exhaustive.rs
@@ -74,16 +74,16 @@
 fn start(count: u8, leader_count: u8, failures_left: u8) -> ModelState {
     let members = MemberSet::first_n(usize::from(count));
     let map = Arc::new(first_map());
-    let agents = (0..count).map(MemberIndex).map(|index| {
+    let agents = (0..u16::from(count)).map(MemberIndex).map(|index| {
         let mut engine = SimulatedEngine::default();
         engine.execute(&EngineOrder::Form {
             incarnation: INCARNATION,
             map: Arc::clone(&map),
         });
-        let new_leader = || SwitchLeader::new(index, members, INCARNATION, times());
+        let new_leader = || SwitchLeader::new(index, members.clone(), INCARNATION, times());
         ModelAgent {
-            member: SwitchMember::new(index, members, INCARNATION, map.id(), times()),
-            leader: (index.0 < leader_count).then(new_leader),
+            member: SwitchMember::new(index, members.clone(), INCARNATION, map.id(), times()),
+            leader: (index.0 < u16::from(leader_count)).then(new_leader),
             engine,
             orders: VecDeque::new(),
             is_crashed: false,
@@ -111,7 +111,7 @@
 
 impl ModelState {
     fn apply_outputs(&mut self, index: usize, outputs: Vec<SwitchOutput>) {
-        let from = MemberIndex(u8::try_from(index).unwrap());
+        let from = MemberIndex(u16::try_from(index).unwrap());
         for output in outputs {
             match output {
                 SwitchOutput::Send { to, message } if to == from => {
@@ -294,15 +294,14 @@
         return vec![message];
     };
     let empty = VoteSet::new(votes.attempt, votes.first);
-    let split = |members: MemberSet, verdict| {
-        members.iter().map(move |member| {
-            let mut single = empty;
-            single.vote(member, verdict);
-            SwitchMessage::Votes(single)
-        })
+    let single = |member, verdict| {
+        let mut single = empty.clone();
+        single.vote(member, verdict);
+        SwitchMessage::Votes(single)
     };
-    let yes = split(votes.yes, SwitchVerdict::Commit);
-    yes.chain(split(votes.no, SwitchVerdict::Abort)).collect()
+    let yes = votes.yes.iter().map(|it| single(it, SwitchVerdict::Commit));
+    let no = votes.no.iter().map(|it| single(it, SwitchVerdict::Abort));
+    yes.chain(no).collect()
 }
 
 /// Visits states in breadth-first order, up to a limit. The audit panics if two ranks use
--- a/crates/celerycrank-groups/tests/lockstep/engine.rs
+++ b/crates/celerycrank-groups/tests/lockstep/engine.rs
@@ -100,7 +100,7 @@
                 group: "g0".parse().expect("a plain name"),
                 epoch: self.epoch,
                 rank: member(index),
-                size: u8::try_from(self.ranks.len()).expect("few ranks"),
+                size: u16::try_from(self.ranks.len()).expect("few ranks"),
                 is_open: true,
             }),
             incarnation: 1,
@@ -206,5 +206,5 @@
 }
 
 pub fn member(index: usize) -> MemberIndex {
-    MemberIndex(u8::try_from(index).expect("few ranks"))
+    MemberIndex(u16::try_from(index).expect("few ranks"))
 }
--- a/crates/celerycrank-groups/tests/lockstep/world.rs
+++ b/crates/celerycrank-groups/tests/lockstep/world.rs
@@ -329,7 +329,11 @@
     fn carry_out(&mut self, index: usize, outputs: RankOutputs) {
         for output in outputs {
             match output {
-                RankOutput::Send(target, message) => self.send(index, target, &message),
+                RankOutput::Send(targets, message) => {
+                    for target in targets.iter() {
+                        self.send(index, target, &message);
+                    }
+                }
                 RankOutput::Order(order) => self.order(index, order),
                 RankOutput::ReadReport => {
                     let report = self.group.report(index, TimePoint(self.now));
