Supervise tasks; plan by what a replica changes; tests of large groups

Cause: a task that panicked (the leader's, on groups above 64 ranks) was missing without notice.

Change: the tasks of direct entry and rank agent are started again when they end or panic, logged and counted; after five failures within a minute the process ends with an error. A task that drives the agent's logic starts over with it; a connection's task fails alone. Replicas are evaluated by the ranks that they change.

--- a/crates/celerycrank-agent/src/process.rs
+++ b/crates/celerycrank-agent/src/process.rs
@@ -116,7 +116,7 @@
         let handler = Rc::new(AgentAdminHandler {
             state: Rc::clone(&self.state),
         });
-        let admin_task = actix_rt::spawn(serve_admin(self.admin, handler));
+        let admin_task = actix_rt::spawn(serve_admin(Rc::new(self.admin), handler));
         let accepting = accept_entries(Rc::clone(&self.state), self.endpoint.clone());
         let accept_task = actix_rt::spawn(accepting);
         let service_task = match &self.source {
--- a/crates/celerycrank-direct/src/agent/output.rs
+++ b/crates/celerycrank-direct/src/agent/output.rs
@@ -21,17 +21,28 @@
         match output {
             RankOutput::Send(targets, message) => send(state, &targets, message),
             RankOutput::Order(order) => {
-                actix_rt::spawn(send_order(Rc::clone(state), order));
+                spawn_once(state, "order", send_order(Rc::clone(state), order));
             }
             RankOutput::ReadReport => state.wake.notify_one(),
             RankOutput::ReadLists => {
-                actix_rt::spawn(report_lists(Rc::clone(state)));
+                spawn_once(state, "lists", report_lists(Rc::clone(state)));
             }
             RankOutput::Event(event) => record_event(state, event),
         }
     }
 }
 
+/// Starts a task whose answer the logic waits for; if it panics, the logic starts over.
+fn spawn_once(
+    state: &Rc<AgentState>,
+    task: &'static str,
+    future: impl Future<Output = ()> + 'static,
+) {
+    let failed = Rc::clone(state);
+    let recover = move || failed.reset_agent();
+    state.tasks.spawn(task, future, recover);
+}
+
 fn send(state: &AgentState, targets: &MemberSet, message: RankMessage) {
     let agent = state.agent.borrow();
     let Some(place) = agent.place() else {
--- a/crates/celerycrank-direct/src/agent/process.rs
+++ b/crates/celerycrank-direct/src/agent/process.rs
@@ -4,9 +4,9 @@
 
 use celerycrank_config::RankAgentSettings;
 use celerycrank_process::{
-    HttpListener, ListenerLimits, ShutdownFlag, serve_admin, wait_for_stop_signal,
+    HttpListener, ListenerLimits, ShutdownFlag, TaskSupervisor, serve_admin, wait_for_stop_signal,
 };
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, select};
 
 use super::{
     admin::AgentAdminHandler, discovery::discover_group, metrics::AgentMetrics, peer::serve_peers,
@@ -18,6 +18,7 @@
 pub struct RankAgentProcess {
     state: Rc<AgentState>,
     admin: HttpListener,
+    tasks: TaskSupervisor,
 }
 
 impl fmt::Debug for RankAgentProcess {
@@ -41,8 +42,13 @@
             .await
             .map_err(DirectError::Admin)?;
         let metrics = AgentMetrics::register()?;
-        let state = Rc::new(AgentState::new(settings, metrics, socket));
-        Ok(Self { state, admin })
+        let tasks = TaskSupervisor::new(&metrics.set)?;
+        let state = AgentState::new(settings, metrics, socket, tasks.handle());
+        Ok(Self {
+            state: Rc::new(state),
+            admin,
+            tasks,
+        })
     }
 
     /// Runs until a stop signal is received.
@@ -59,22 +65,49 @@
         let handler = Rc::new(AgentAdminHandler {
             state: Rc::clone(&state),
         });
-        let reload = || tracing::info!("changed settings take effect at the next start");
-        let tasks = [
-            actix_rt::spawn(handle_reload_signals(reload)),
-            actix_rt::spawn(poll_engine(Rc::clone(&state))),
-            actix_rt::spawn(serve_peers(Rc::clone(&state))),
-            actix_rt::spawn(send_queued(Rc::clone(&state))),
-            actix_rt::spawn(discover_group(Rc::clone(&state))),
-            actix_rt::spawn(serve_admin(self.admin, handler)),
-        ];
+        let mut tasks = self.tasks;
+        tasks.spawn("reload", || {
+            handle_reload_signals(|| {
+                tracing::info!("changed settings take effect at the next start");
+            })
+        });
+        spawn_logic(&mut tasks, "engine", &state, poll_engine);
+        spawn_logic(&mut tasks, "peers", &state, serve_peers);
+        let sending = Rc::clone(&state);
+        tasks.spawn("datagrams", move || send_queued(Rc::clone(&sending)));
+        let discovering = Rc::clone(&state);
+        tasks.spawn("discovery", move || discover_group(Rc::clone(&discovering)));
+        let admin = Rc::new(self.admin);
+        tasks.spawn("admin", move || {
+            serve_admin(Rc::clone(&admin), Rc::clone(&handler))
+        });
         let settings = &state.settings;
         tracing::info!(vm = %settings.vm, backend = %settings.backend, "agent runs");
-        wait_for_stop_signal().await.map_err(DirectError::Signal)?;
-        for task in tasks {
-            task.abort();
+        select! {
+            stopped = wait_for_stop_signal() => stopped.map_err(DirectError::Signal)?,
+            error = tasks.failed() => return Err(DirectError::Task(error)),
         }
+        drop(tasks);
         tracing::info!("agent stopped");
         Ok(())
     }
 }
+
+/// Starts a task that drives the agent's logic; if it fails, the logic starts over with it.
+fn spawn_logic<F>(
+    tasks: &mut TaskSupervisor,
+    task: &'static str,
+    state: &Rc<AgentState>,
+    run: fn(Rc<AgentState>) -> F,
+) where
+    F: Future<Output = ()> + 'static,
+{
+    let state = Rc::clone(state);
+    let mut is_restart = false;
+    tasks.spawn(task, move || {
+        if std::mem::replace(&mut is_restart, true) {
+            state.reset_agent();
+        }
+        run(Rc::clone(&state))
+    });
+}
--- a/crates/celerycrank-direct/src/agent/state.rs
+++ b/crates/celerycrank-direct/src/agent/state.rs
@@ -12,7 +12,7 @@
 use celerycrank_groups::{
     AgentIncarnation, LoadMonitor, MapShape, MemberIndex, RankAgent, RankTimes,
 };
-use celerycrank_process::ProcessClock;
+use celerycrank_process::{ProcessClock, TaskHandle};
 use celerycrank_serving::{GroupProfile, LoadReport};
 use celerycrank_types::TimePoint;
 use rand::{SeedableRng, rngs::StdRng};
@@ -52,6 +52,8 @@
     pub(crate) last_published: RefCell<Option<(LoadReport, TimePoint)>>,
     /// Wakes the task that reads the engine's report.
     pub(crate) wake: Notify,
+    /// Starts the tasks that send an order or read once.
+    pub(crate) tasks: TaskHandle,
 }
 
 impl AgentState {
@@ -59,6 +61,7 @@
         settings: RankAgentSettings,
         metrics: AgentMetrics,
         socket: UdpSocket,
+        tasks: TaskHandle,
     ) -> Self {
         let addresses = [std::sync::Arc::clone(&settings.store.address)];
         let timeout = settings.store.timeout;
@@ -71,10 +74,7 @@
             datagrams: DatagramQueue::default(),
             read_client: EngineClient::new(settings.backend, READ_TIMEOUT),
             order_client: EngineClient::new(settings.backend, ORDER_TIMEOUT),
-            agent: RefCell::new(RankAgent::new(
-                AgentIncarnation(clock.micros_since_boot()),
-                RankTimes::default(),
-            )),
+            agent: RefCell::new(new_agent(clock)),
             load_monitor: RefCell::default(),
             random: RefCell::new(StdRng::from_os_rng()),
             profile: Cell::new(None),
@@ -83,10 +83,18 @@
             subscribers: RefCell::default(),
             last_published: RefCell::new(None),
             wake: Notify::new(),
+            tasks,
             settings,
         }
     }
 
+    /// Discards what the logic of the agent has in progress, as a restart of the process would.
+    ///
+    /// Needed after a task has panicked, since it may have left a change half made.
+    pub(crate) fn reset_agent(&self) {
+        *self.agent.borrow_mut() = new_agent(self.clock);
+    }
+
     /// Sends a datagram, or queues it until the socket has room.
     pub(crate) fn send_datagram(&self, datagram: &Rc<[u8]>, target: SocketAddr) {
         self.datagrams
@@ -106,3 +114,8 @@
         })
     }
 }
+
+fn new_agent(clock: ProcessClock) -> RankAgent {
+    let incarnation = AgentIncarnation(clock.micros_since_boot());
+    RankAgent::new(incarnation, RankTimes::default())
+}
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -20,7 +20,7 @@
 const SUBSCRIBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Receives load reports and keeps a subscription to every agent.
-pub(crate) async fn receive_loads(state: Rc<EntryState>, socket: UdpSocket) {
+pub(crate) async fn receive_loads(state: Rc<EntryState>, socket: Rc<UdpSocket>) {
     let mut ticks = interval(SUBSCRIBE_INTERVAL);
     let mut buffer = vec![0; MAX_DATAGRAM];
     let mut agents = HashMap::new();
--- a/crates/celerycrank-direct/src/entry/probe.rs
+++ b/crates/celerycrank-direct/src/entry/probe.rs
@@ -18,11 +18,12 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Answers probes until the future is dropped.
-pub(crate) async fn serve_probes(state: Rc<EntryState>, listener: TcpListener) {
+pub(crate) async fn serve_probes(state: Rc<EntryState>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                actix_rt::spawn(serve_probe_connection(Rc::clone(&state), socket));
+                let serving = serve_probe_connection(Rc::clone(&state), socket);
+                state.tasks.spawn("probe", serving, || {});
             }
             Err(error) => {
                 tracing::warn!(fault = %error, "cannot accept a probe connection");
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -5,10 +5,13 @@
 use actix_rt::{task::JoinHandle, time::sleep};
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{
-    HttpListener, ListenerLimits, ShutdownFlag, serve_admin, wait_for_stop_signal,
+    HttpListener, ListenerLimits, ShutdownFlag, TaskSupervisor, serve_admin, wait_for_stop_signal,
 };
 use celerycrank_types::TimeSpan;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    select,
+};
 
 use super::{
     admin::EntryAdminHandler, caller::serve_caller, load::receive_loads, metrics::EntryMetrics,
@@ -36,6 +39,7 @@
     probes: TcpListener,
     admin: HttpListener,
     peers: UdpSocket,
+    tasks: TaskSupervisor,
 }
 
 impl fmt::Debug for DirectEntryProcess {
@@ -65,12 +69,14 @@
             .await
             .map_err(DirectError::Admin)?;
         let metrics = EntryMetrics::register()?;
+        let tasks = TaskSupervisor::new(&metrics.set)?;
         Ok(Self {
-            state: Rc::new(EntryState::new(settings, metrics)),
+            state: Rc::new(EntryState::new(settings, metrics, tasks.handle())),
             callers,
             probes,
             admin,
             peers,
+            tasks,
         })
     }
 
@@ -106,44 +112,77 @@
         let listen = self.caller_address()?;
         let probe = self.probe_address()?;
         let state = self.state;
-        let handler = Rc::new(EntryAdminHandler {
-            state: Rc::clone(&state),
-        });
         let reloaded = Rc::clone(&state);
-        let reload = move || match read_settings() {
+        let reload = Rc::new(move || match read_settings() {
             Ok(settings) => reloaded.reload(settings),
             Err(error) => {
                 tracing::error!(fault = %error, "settings not reloaded; the previous settings stay in use");
             }
-        };
-        let tasks = [
-            actix_rt::spawn(handle_reload_signals(reload)),
-            actix_rt::spawn(watch_store(Rc::clone(&state))),
-            actix_rt::spawn(receive_loads(Rc::clone(&state), self.peers)),
-            actix_rt::spawn(serve_probes(Rc::clone(&state), self.probes)),
-            actix_rt::spawn(serve_admin(self.admin, handler)),
-        ];
+        });
+        let tasks = spawn_tasks(
+            self.tasks,
+            &state,
+            self.peers,
+            self.probes,
+            self.admin,
+            reload,
+        );
         let accept_task = actix_rt::spawn(accept_callers(Rc::clone(&state), self.callers));
         tracing::info!(entry = %state.settings().entry, %listen, %probe, "entry serves");
-        wait_for_stop_signal().await.map_err(DirectError::Signal)?;
+        select! {
+            stopped = wait_for_stop_signal() => stopped.map_err(DirectError::Signal)?,
+            error = tasks.failed() => return Err(DirectError::Task(error)),
+        }
         tracing::info!(
             requests = state.requests_in_flight.get(),
             "entry is leaving"
         );
         drain(&state, &accept_task).await;
-        for task in tasks {
-            task.abort();
-        }
+        drop(tasks);
         tracing::info!(requests = state.requests_in_flight.get(), "entry stopped");
         Ok(())
     }
 }
 
+/// Starts the tasks that run until the entry stops.
+fn spawn_tasks(
+    mut tasks: TaskSupervisor,
+    state: &Rc<EntryState>,
+    peers: UdpSocket,
+    probes: TcpListener,
+    admin: HttpListener,
+    reload: Rc<impl Fn() + 'static>,
+) -> TaskSupervisor {
+    tasks.spawn("reload", move || {
+        let reload = Rc::clone(&reload);
+        handle_reload_signals(move || reload())
+    });
+    let watching = Rc::clone(state);
+    tasks.spawn("store", move || watch_store(Rc::clone(&watching)));
+    let (receiving, peers) = (Rc::clone(state), Rc::new(peers));
+    tasks.spawn("loads", move || {
+        receive_loads(Rc::clone(&receiving), Rc::clone(&peers))
+    });
+    let (answering, probes) = (Rc::clone(state), Rc::new(probes));
+    tasks.spawn("probes", move || {
+        serve_probes(Rc::clone(&answering), Rc::clone(&probes))
+    });
+    let handler = Rc::new(EntryAdminHandler {
+        state: Rc::clone(state),
+    });
+    let admin = Rc::new(admin);
+    tasks.spawn("admin", move || {
+        serve_admin(Rc::clone(&admin), Rc::clone(&handler))
+    });
+    tasks
+}
+
 async fn accept_callers(state: Rc<EntryState>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                actix_rt::spawn(serve_caller(Rc::clone(&state), socket));
+                let serving = serve_caller(Rc::clone(&state), socket);
+                state.tasks.spawn("caller", serving, || {});
             }
             Err(error) => {
                 tracing::warn!(fault = %error, "cannot accept the connection of a caller");
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -9,7 +9,7 @@
 
 use celerycrank_client::{KeyValueClient, KeyValueProtocol};
 use celerycrank_config::DirectEntrySettings;
-use celerycrank_process::{ProcessClock, ShutdownFlag};
+use celerycrank_process::{ProcessClock, ShutdownFlag, TaskHandle};
 use celerycrank_serving::{
     AccountTable, BackendTable, CallerBounds, FreshnessGuard, RetryAllowance, RetryWindow,
     RouteTable, ServingConfiguration,
@@ -25,6 +25,8 @@
     pub(crate) clock: ProcessClock,
     pub(crate) shutdown: ShutdownFlag,
     pub(crate) metrics: EntryMetrics,
+    /// Starts the tasks that serve one connection each.
+    pub(crate) tasks: TaskHandle,
     pub(crate) store: KeyValueClient,
     pub(crate) backends: RefCell<BackendTable>,
     pub(crate) pool: ConnectionPool,
@@ -68,7 +70,11 @@
 }
 
 impl EntryState {
-    pub(crate) fn new(settings: DirectEntrySettings, metrics: EntryMetrics) -> Self {
+    pub(crate) fn new(
+        settings: DirectEntrySettings,
+        metrics: EntryMetrics,
+        tasks: TaskHandle,
+    ) -> Self {
         let addresses = [Arc::clone(&settings.store.address)];
         let store = KeyValueClient::with_protocol(
             KeyValueProtocol::Platform,
@@ -80,6 +86,7 @@
             clock: ProcessClock::start(),
             shutdown: ShutdownFlag::default(),
             metrics,
+            tasks,
             store,
             backends: RefCell::default(),
             pool: ConnectionPool::default(),
--- a/crates/celerycrank-direct/src/error.rs
+++ b/crates/celerycrank-direct/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use celerycrank_process::MetricError;
+use celerycrank_process::{MetricError, TaskError};
 
 /// An error that keeps a process from starting or running.
 #[derive(Debug, displaydoc::Display)]
@@ -19,6 +19,8 @@
     Signal(io::Error),
     /// {0}
     Metric(MetricError),
+    /// {0}
+    Task(TaskError),
 }
 
 impl std::error::Error for DirectError {}
--- a/crates/celerycrank-entry/src/process.rs
+++ b/crates/celerycrank-entry/src/process.rs
@@ -137,7 +137,7 @@
             state: Rc::clone(&state),
             connections: Rc::clone(&connections),
         });
-        let admin_task = actix_rt::spawn(serve_admin(self.admin, handler));
+        let admin_task = actix_rt::spawn(serve_admin(Rc::new(self.admin), handler));
         let discovery_task = actix_rt::spawn(discover_agents(Rc::clone(&state), self.agents));
         let background_tasks = spawn_background_tasks(&state, &self.source, self.endpoint.clone());
         let serve_task = actix_rt::spawn(serve_callers(Rc::clone(&state), self.callers));
--- a/crates/celerycrank-groups/src/policy/spread.rs
+++ b/crates/celerycrank-groups/src/policy/spread.rs
@@ -7,7 +7,7 @@
 
 use smallvec::SmallVec;
 
-use crate::{ExpertIndex, ExpertMap, LoadTable, MapShape, WeightCopy};
+use crate::{ExpertIndex, ExpertMap, LoadTable, WeightCopy};
 
 /// The number of experts of the most loaded rank, in descending order of load, that are considered
 /// for another replica.
@@ -44,11 +44,10 @@
     let mut changes = Vec::new();
     loop {
         let candidates = layers.iter_mut().filter(|layer| !layer.is_done);
-        let Some(layer) = candidates.max_by(|a, b| a.layer_skew().total_cmp(&b.layer_skew()))
-        else {
+        let Some(layer) = candidates.max_by(|a, b| a.skew.total_cmp(&b.skew)) else {
             return changes;
         };
-        if layer.layer_skew() <= limits.target_skew {
+        if layer.skew <= limits.target_skew {
             return changes;
         }
         match layer.best_replica(&budgets, limits.per_layer) {
@@ -71,18 +70,25 @@
 }
 
 /// One layer to which replicas are added.
+///
+/// Replicas are evaluated by what they change: the loads of the ranks that hold the expert, of the
+/// rank that receives it, and of the ranks that hold the expert it replaces.
 struct LayerSpread<'loads> {
     layer: u16,
-    shape: MapShape,
+    slots: usize,
     loads: &'loads [f64],
     mean: f64,
     /// Experts by rank and slot.
     experts_by_slot: Vec<Option<usize>>,
-    /// The number of replicas of each expert.
-    replicas: Vec<u16>,
+    /// The ranks that hold each expert.
+    holders: Vec<SmallVec<[usize; 4]>>,
     /// The number of weight copies of this layer that each rank is to receive.
     loaded: Vec<u16>,
     rank_loads: Vec<f64>,
+    /// The load of the most loaded rank, relative to the mean.
+    skew: f64,
+    /// The sum of the imbalances of all ranks.
+    imbalance: f64,
     is_done: bool,
 }
 
@@ -94,41 +100,44 @@
         if total <= 0.0 {
             return None;
         }
+        let slots = usize::from(shape.slots);
         let experts_by_slot = (0..shape.layer_slots())
             .map(|slot| map.expert_at(layer, slot).map(|it| usize::from(it.0)))
             .collect::<Vec<_>>();
-        let mut replicas = vec![0; loads.len()];
-        for expert in experts_by_slot.iter().flatten() {
-            replicas[*expert] += 1;
+        let mut holders = vec![SmallVec::new(); loads.len()];
+        for (slot, expert) in experts_by_slot.iter().enumerate() {
+            if let Some(expert) = expert {
+                holders[*expert].push(slot / slots);
+            }
         }
         let mut spread = Self {
             layer: u16::try_from(layer).ok()?,
-            shape,
+            slots,
             loads,
             mean: total / f64::from(shape.ranks),
             experts_by_slot,
-            replicas,
+            holders,
             loaded: vec![0; usize::from(shape.ranks)],
             rank_loads: Vec::new(),
+            skew: 0.0,
+            imbalance: 0.0,
             is_done: false,
         };
-        spread.rank_loads = spread.sum_ranks();
+        let ranks = 0..usize::from(shape.ranks);
+        spread.rank_loads = ranks.map(|rank| spread.sum_rank(rank)).collect();
+        spread.update_totals();
         Some(spread)
     }
 
-    /// The load of the most loaded rank, relative to the mean.
-    fn layer_skew(&self) -> f64 {
-        self.rank_loads.iter().copied().fold(0.0, f64::max) / self.mean
-    }
-
     /// The new replica that balances the ranks most, if any improves the balance.
     fn best_replica(&self, budgets: &[u16], per_layer: u16) -> Option<NewReplica> {
         let slowest = self.slowest_rank();
-        let mut best = (self.imbalance(&self.rank_loads), None);
+        let mut best = (self.imbalance, None);
         for expert in self.heaviest_experts(slowest) {
+            let relieved = self.imbalance_without(expert);
             for (rank, budget) in budgets.iter().enumerate() {
                 let is_full = *budget == 0 || self.loaded[rank] >= per_layer;
-                if is_full || self.holds(rank, expert) {
+                if is_full || self.holders[expert].contains(&rank) {
                     continue;
                 }
                 let Some(slot) = self.cheapest_slot(rank) else {
@@ -139,7 +148,7 @@
                     rank,
                     local_slot: slot,
                 };
-                let value = self.imbalance(&self.loads_after(&replica));
+                let value = relieved + self.imbalance_added(&replica);
                 if value < best.0 {
                     best = (value, Some(replica));
                 }
@@ -149,53 +158,84 @@
     }
 
     fn apply(&mut self, replica: &NewReplica) -> WeightCopy {
-        let index = self.index(replica.rank, replica.local_slot);
-        self.rank_loads = self.loads_after(replica);
-        if let Some(old) = self.experts_by_slot[index].replace(replica.expert) {
-            self.replicas[old] -= 1;
+        let NewReplica { expert, rank, .. } = *replica;
+        let index = rank * self.slots + replica.local_slot;
+        let mut changed = self.holders[expert].clone();
+        changed.push(rank);
+        if let Some(old) = self.experts_by_slot[index].replace(expert) {
+            self.holders[old].retain(|holder| *holder != rank);
+            changed.extend(self.holders[old].iter().copied());
+        }
+        self.holders[expert].push(rank);
+        self.loaded[rank] += 1;
+        for rank in changed {
+            self.rank_loads[rank] = self.sum_rank(rank);
         }
-        self.replicas[replica.expert] += 1;
-        self.loaded[replica.rank] += 1;
+        self.update_totals();
         WeightCopy {
             layer: self.layer,
             slot: u16::try_from(index).expect("slots are counted in 16 bits"),
-            expert: ExpertIndex(
-                u16::try_from(replica.expert).expect("experts are counted in 16 bits"),
-            ),
+            expert: ExpertIndex(u16::try_from(expert).expect("experts are counted in 16 bits")),
         }
     }
 
-    /// The loads of all ranks after a replica is added.
-    fn loads_after(&self, replica: &NewReplica) -> Vec<f64> {
-        let mut loads = self.rank_loads.clone();
-        let expert = replica.expert;
-        let count = f64::from(self.replicas[expert]);
-        let relief = self.loads[expert] * (1.0 / count - 1.0 / (count + 1.0));
-        let evicted = self.experts_by_slot[self.index(replica.rank, replica.local_slot)];
-        let added = evicted.map_or(0.0, |old| {
-            let count = f64::from(self.replicas[old]);
-            self.loads[old] * (1.0 / (count - 1.0) - 1.0 / count)
+    /// The imbalance after the holders of an expert have shared it with one more rank, without the
+    /// share of that rank.
+    fn imbalance_without(&self, expert: usize) -> f64 {
+        let relief = self.relief(expert);
+        let holders = self.holders[expert].iter();
+        let changes = holders.map(|rank| {
+            let load = self.rank_loads[*rank];
+            self.rank_imbalance(load - relief) - self.rank_imbalance(load)
         });
-        for (rank, load) in loads.iter_mut().enumerate() {
-            if self.holds(rank, expert) {
-                *load -= relief;
-            }
-            if evicted.is_some_and(|old| rank != replica.rank && self.holds(rank, old)) {
-                *load += added;
+        self.imbalance + changes.sum::<f64>()
+    }
+
+    /// What the rank that receives a replica, and the ranks that take over what it evicts, add to
+    /// [`Self::imbalance_without`].
+    fn imbalance_added(&self, replica: &NewReplica) -> f64 {
+        let NewReplica { expert, rank, .. } = *replica;
+        let count = self.holders[expert].len() as f64;
+        let load = self.rank_loads[rank];
+        let mut next = load + self.loads[expert] / (count + 1.0);
+        let mut added = 0.0;
+        if let Some(old) = self.experts_by_slot[rank * self.slots + replica.local_slot] {
+            let count = self.holders[old].len() as f64;
+            next -= self.loads[old] / count;
+            let more = self.loads[old] * (1.0 / (count - 1.0) - 1.0 / count);
+            for holder in self.holders[old].iter().filter(|it| **it != rank) {
+                let is_relieved = self.holders[expert].contains(holder);
+                let relief = if is_relieved {
+                    self.relief(expert)
+                } else {
+                    0.0
+                };
+                let load = self.rank_loads[*holder] - relief;
+                added += self.rank_imbalance(load + more) - self.rank_imbalance(load);
             }
         }
-        loads[replica.rank] += self.loads[expert] / (count + 1.0);
-        if let Some(old) = evicted {
-            loads[replica.rank] -= self.loads[old] / f64::from(self.replicas[old]);
-        }
-        loads
+        added + self.rank_imbalance(next) - self.rank_imbalance(load)
+    }
+
+    /// By how much each holder of an expert is relieved by one more replica.
+    fn relief(&self, expert: usize) -> f64 {
+        let count = self.holders[expert].len() as f64;
+        self.loads[expert] * (1.0 / count - 1.0 / (count + 1.0))
     }
 
-    /// The sum of the eighth powers of the relative rank loads.
+    /// The eighth power of a rank's load relative to the mean.
     ///
-    /// The most loaded ranks dominate it, and a replica still lowers it if several ranks tie.
-    fn imbalance(&self, loads: &[f64]) -> f64 {
-        loads.iter().map(|load| (load / self.mean).powi(8)).sum()
+    /// In the sum over all ranks, the most loaded ones dominate, and a replica still lowers it if
+    /// several ranks tie.
+    fn rank_imbalance(&self, load: f64) -> f64 {
+        (load / self.mean).powi(8)
+    }
+
+    fn update_totals(&mut self) {
+        let loads = self.rank_loads.iter();
+        let imbalance = loads.clone().map(|load| self.rank_imbalance(*load)).sum();
+        self.skew = loads.copied().fold(0.0, f64::max) / self.mean;
+        self.imbalance = imbalance;
     }
 
     fn slowest_rank(&self) -> usize {
@@ -206,43 +246,33 @@
 
     fn heaviest_experts(&self, rank: usize) -> SmallVec<[usize; CANDIDATE_EXPERTS]> {
         let mut experts = self.experts_of(rank).collect::<SmallVec<[usize; 16]>>();
-        let share = |expert: &usize| self.loads[*expert] / f64::from(self.replicas[*expert]);
-        experts.sort_by(|a, b| share(b).total_cmp(&share(a)));
+        experts.sort_by(|a, b| self.share(*b).total_cmp(&self.share(*a)));
         experts.into_iter().take(CANDIDATE_EXPERTS).collect()
     }
 
     /// An empty slot, or else the slot with the least loaded expert that has other replicas.
     fn cheapest_slot(&self, rank: usize) -> Option<usize> {
-        let slots = 0..usize::from(self.shape.slots);
-        let cost = |slot: usize| match self.experts_by_slot[self.index(rank, slot)] {
+        let cost = |slot: usize| match self.experts_by_slot[rank * self.slots + slot] {
             None => Some(0.0),
-            Some(expert) if self.replicas[expert] > 1 => Some(1.0 + self.loads[expert]),
+            Some(expert) if self.holders[expert].len() > 1 => Some(1.0 + self.loads[expert]),
             Some(_) => None,
         };
-        let costs = slots.filter_map(|slot| Some((slot, cost(slot)?)));
+        let costs = (0..self.slots).filter_map(|slot| Some((slot, cost(slot)?)));
         let cheapest = costs.min_by(|a, b| a.1.total_cmp(&b.1));
         cheapest.map(|(slot, _)| slot)
     }
 
-    fn holds(&self, rank: usize, expert: usize) -> bool {
-        self.experts_of(rank).any(|it| it == expert)
-    }
-
     fn experts_of(&self, rank: usize) -> impl Iterator<Item = usize> {
-        let slots = usize::from(self.shape.slots);
-        let experts_by_slot = self.experts_by_slot[rank * slots..(rank + 1) * slots].iter();
-        experts_by_slot.filter_map(|cell| *cell)
+        let slots = &self.experts_by_slot[rank * self.slots..(rank + 1) * self.slots];
+        slots.iter().filter_map(|cell| *cell)
     }
 
-    fn sum_ranks(&self) -> Vec<f64> {
-        let share = |expert: usize| self.loads[expert] / f64::from(self.replicas[expert]);
-        let ranks = 0..usize::from(self.shape.ranks);
-        ranks
-            .map(|rank| self.experts_of(rank).map(share).sum())
-            .collect()
+    /// The load that each holder of an expert takes.
+    fn share(&self, expert: usize) -> f64 {
+        self.loads[expert] / self.holders[expert].len() as f64
     }
 
-    fn index(&self, rank: usize, slot: usize) -> usize {
-        rank * usize::from(self.shape.slots) + slot
+    fn sum_rank(&self, rank: usize) -> f64 {
+        self.experts_of(rank).map(|expert| self.share(expert)).sum()
     }
 }
--- a/crates/celerycrank-groups/tests/lockstep/main.rs
+++ b/crates/celerycrank-groups/tests/lockstep/main.rs
@@ -7,7 +7,7 @@
 mod world;
 
 use celerycrank_groups::MapShape;
-use world::{Faults, Outcome, World};
+use world::{FAULT_FREE_SECONDS, Faults, Outcome, World};
 
 const SHAPE: MapShape = MapShape {
     layers: 1,
@@ -16,9 +16,20 @@
     slots: 4,
 };
 
-/// Seconds of one run; the last 25 are free of faults.
+/// Seconds of one run, with the last part that is free of faults.
 const RUN_SECONDS: u64 = 60;
 
+/// A group of more ranks than one machine word has bits.
+const LARGE_SHAPE: MapShape = MapShape {
+    layers: 2,
+    experts: 192,
+    ranks: 96,
+    slots: 3,
+};
+
+/// Seconds of a run of a large group before its last part, which is free of faults.
+const LARGE_RUN_SECONDS: u64 = 12;
+
 fn setting(name: &str, default: u64) -> u64 {
     let text = std::env::var(name).ok();
     text.and_then(|text| text.parse().ok()).unwrap_or(default)
@@ -104,6 +115,64 @@
         freezes: 0.05,
         idle: 0.2,
         frozen_senders: 0.1,
+        send_time: 0,
     };
     run_all(faults, check_recovery);
 }
+
+/// Runs a large group; returns the switches before the last part that is free of faults.
+fn run_large(seed: u64, faults: Faults) -> Outcome {
+    let seconds = LARGE_RUN_SECONDS + FAULT_FREE_SECONDS;
+    let outcome = World::new(seed, LARGE_SHAPE, seconds, faults).run();
+    println!("seed {seed}: {outcome:?}");
+    check_recovery(seed, &outcome);
+    outcome
+}
+
+/// All ranks are armed before the group reaches the step of the switch, although one agent has to
+/// send to 95 others one after the other.
+#[test]
+fn a_group_of_96_ranks_switches_with_almost_no_hold() {
+    let faults = Faults {
+        send_time: 1_000,
+        ..Faults::default()
+    };
+    let outcome = run_large(1, faults);
+    assert_eq!(outcome.rolled_back, 0, "{outcome:?}");
+    // As in small groups, at most a thousandth of the time.
+    let seconds = LARGE_RUN_SECONDS + FAULT_FREE_SECONDS;
+    assert!(outcome.held < seconds * 1_000, "{outcome:?}");
+}
+
+/// In a large group, some rank answers late in nearly every attempt.
+#[test]
+fn single_late_answers_do_not_end_every_attempt_of_a_group_of_96_ranks() {
+    let faults = Faults {
+        unanswered_orders: 0.02,
+        lost: 0.02,
+        duplicated: 0.02,
+        ..Faults::default()
+    };
+    let outcome = run_large(2, faults);
+    let before_recovery = outcome.switches - outcome.fault_free_switches;
+    assert!(before_recovery >= 3, "{outcome:?}");
+}
+
+#[test]
+fn faults_never_mix_maps_in_a_group_of_96_ranks() {
+    let faults = Faults {
+        late_orders: 0.05,
+        unanswered_orders: 0.05,
+        lost: 0.05,
+        duplicated: 0.05,
+        kills: 0.005,
+        reformations: 0.05,
+        freezes: 0.002,
+        idle: 0.1,
+        frozen_senders: 0.1,
+        send_time: 300,
+    };
+    for seed in 1..=3 {
+        run_large(seed, faults);
+    }
+}
--- a/crates/celerycrank-groups/tests/lockstep/world.rs
+++ b/crates/celerycrank-groups/tests/lockstep/world.rs
@@ -17,6 +17,12 @@
 /// Timeout after which an order counts as unanswered, in microseconds.
 const ANSWER_TIMEOUT: u64 = 60 * MILLI;
 
+/// The length of the last part of a run, which is free of faults, in seconds.
+pub const FAULT_FREE_SECONDS: u64 = 25;
+
+/// Interval between hello messages, in microseconds.
+const HELLO_INTERVAL: u64 = 700 * MILLI;
+
 /// The largest number of agents that are frozen at the same time after they sent an order.
 const MAX_FROZEN_SENDERS: usize = 2;
 
@@ -41,6 +47,8 @@
     pub idle: f64,
     /// Orders to hold or release after which the agent that sent them is frozen.
     pub frozen_senders: f64,
+    /// The time that an agent needs to send one datagram, in microseconds.
+    pub send_time: u64,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -84,6 +92,8 @@
     pub longest_hold: u64,
     /// Switches in the last five seconds, which are free of faults.
     pub final_switches: u32,
+    /// Switches in the whole part that is free of faults.
+    pub fault_free_switches: u32,
 }
 
 pub struct World {
@@ -100,6 +110,10 @@
     agents: Vec<Option<RankAgent>>,
     incarnations: Vec<u64>,
     frozen_until: Vec<u64>,
+    /// By agent, when it sends its next hello messages.
+    hello_at: Vec<u64>,
+    /// By agent, when it has sent all its datagrams.
+    sent_until: Vec<u64>,
     is_idle: bool,
     /// Time for which passes have been held, in microseconds.
     hold: u64,
@@ -114,7 +128,7 @@
             seed,
             now: 0,
             end: seconds * 1_000 * MILLI,
-            fault_free_from: seconds.saturating_sub(25) * 1_000 * MILLI,
+            fault_free_from: seconds.saturating_sub(FAULT_FREE_SECONDS) * 1_000 * MILLI,
             faults,
             random: ChaCha8Rng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
@@ -124,6 +138,8 @@
             agents: vec![None; size],
             incarnations: vec![0; size],
             frozen_until: vec![0; size],
+            hello_at: vec![0; size],
+            sent_until: vec![0; size],
             is_idle: false,
             hold: 0,
             outcome: Outcome::default(),
@@ -274,17 +290,29 @@
         self.push(interval * MILLI, Event::Poll(index, incarnation));
         let report = self.group.report(index, TimePoint(self.now));
         self.with_agent(index, |agent, now| agent.on_report(report, now));
-        let hello = self.agents[index].as_ref().and_then(RankAgent::hello);
-        if let Some(hello) = hello {
-            for other in 0..self.agents.len() {
-                if other != index {
-                    self.send(index, member(other), &hello);
-                }
-            }
-        }
+        self.send_hellos(index);
         self.propose(index);
     }
 
+    /// Sends a hello message from the leader to all others, or from another agent to the leader.
+    fn send_hellos(&mut self, index: usize) {
+        let Some(hello) = self.agents[index].as_ref().and_then(RankAgent::hello) else {
+            return;
+        };
+        if self.now < self.hello_at[index] {
+            return;
+        }
+        self.hello_at[index] = self.now + HELLO_INTERVAL;
+        let targets = if index == 0 {
+            1..self.agents.len()
+        } else {
+            0..1
+        };
+        for target in targets {
+            self.send(index, member(target), &hello);
+        }
+    }
+
     fn propose(&mut self, index: usize) {
         let shape = self.shape;
         let now = TimePoint(self.now);
@@ -353,6 +381,9 @@
         match event {
             LeaderEvent::Switched(_) => {
                 self.outcome.switches += 1;
+                if self.now >= self.fault_free_from {
+                    self.outcome.fault_free_switches += 1;
+                }
                 if self.now + 5_000 * MILLI > self.end {
                     self.outcome.final_switches += 1;
                 }
@@ -370,8 +401,10 @@
         } else {
             1
         };
+        let sent_at = self.sent_until[from].max(self.now) + self.faults.send_time;
+        self.sent_until[from] = sent_at;
         for _ in 0..copies {
-            let delay = self.random.random_range(300..3_000);
+            let delay = sent_at - self.now + self.random.random_range(300..3_000);
             let target = usize::from(target.0);
             self.push(delay, Event::Deliver(target, member(from), message.clone()));
         }
--- a/crates/celerycrank-process/src/admin.rs
+++ b/crates/celerycrank-process/src/admin.rs
@@ -31,7 +31,7 @@
 }
 
 /// Serves `/metrics`, `/healthz`, `/readyz` and `/status` until the future is dropped.
-pub async fn serve_admin<P: AdminHandler + 'static>(listener: HttpListener, admin: Rc<P>) {
+pub async fn serve_admin<P: AdminHandler + 'static>(listener: Rc<HttpListener>, admin: Rc<P>) {
     let handler = move |request: Request| {
         let response = answer_request(&request, admin.as_ref());
         async move { Ok::<_, Error>(response) }
--- a/crates/celerycrank-process/src/lib.rs
+++ b/crates/celerycrank-process/src/lib.rs
@@ -9,6 +9,7 @@
 mod metrics;
 mod shutdown;
 mod source;
+mod task;
 
 pub use crate::{
     admin::{AdminHandler, serve_admin},
@@ -18,4 +19,5 @@
     metrics::{LabelledCounter, MetricError, MetricSet},
     shutdown::{ShutdownFlag, on_reload_signal, wait_for_stop_signal},
     source::{DeploymentError, DeploymentSource, StaticDeployment},
+    task::{TaskError, TaskHandle, TaskSupervisor},
 };
--- a/crates/celerycrank-process/src/listener.rs
+++ b/crates/celerycrank-process/src/listener.rs
@@ -100,7 +100,7 @@
     /// # Panics
     ///
     /// Panics if the HTTP service cannot be created; a service made from a function never fails.
-    pub async fn serve<F, R>(self, handler: F, observe: impl Fn(ConnectionEvent) + 'static)
+    pub async fn serve<F, R>(&self, handler: F, observe: impl Fn(ConnectionEvent) + 'static)
     where
         F: Fn(Request) -> R + Clone + 'static,
         R: Future<Output = Result<Response<BoxBody>, Error>> + 'static,
