Pace datagrams to the link; serve all ranks without a base in one relayed message

No agent could derive the map, since all had restarted; the leader answered each of 95 ranks with 3.7 KB at once, and all but some 9 were lost in the queue before the link. Before that, the leader needed 2 s to find its group.

Ranks that cannot derive a map are collected for 30 ms and served by one relayed message. A starting agent checks each 50 ms whether it leads, greets all candidates as soon as it knows them, and asks only ranks whose lists it lacks.

--- a/crates/celerycrank-config/src/check/setting.rs
+++ b/crates/celerycrank-config/src/check/setting.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use celerycrank_types::{
-    BackendId, ByteSize, DecimalSpan, DomainId, EntryId, Fraction, ModelId, ServiceId, TimeSpan,
-    VmId,
+    BackendId, ByteSize, DecimalSpan, DomainId, EntryId, Fraction, LinkRate, ModelId, ServiceId,
+    TimeSpan, VmId,
 };
 use serde::de::DeserializeOwned;
 
@@ -57,6 +57,7 @@
     required("backend", text::<SocketAddr>()),
     required("service", text::<ServiceId>()),
     required("store", STORE),
+    optional("bandwidth", text::<LinkRate>()),
 ]);
 
 const STORE: Schema = Schema::Object(&[
--- a/crates/celerycrank-config/src/direct.rs
+++ b/crates/celerycrank-config/src/direct.rs
@@ -3,7 +3,9 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use celerycrank_types::{DecimalSpan, DomainId, EntryId, Fraction, ServiceId, TimeSpan, VmId};
+use celerycrank_types::{
+    DecimalSpan, DomainId, EntryId, Fraction, LinkRate, ServiceId, TimeSpan, VmId,
+};
 use serde::{Deserialize, Serialize};
 
 /// Settings of an entry that sends requests directly to backend servers.
@@ -53,6 +55,10 @@
     pub service: ServiceId,
     /// The platform's key-value service, which lists the other backend servers of the service.
     pub store: StoreSettings,
+    /// Bandwidth of the VM's link; datagrams to many agents are spread over the time that it needs.
+    ///
+    /// If absent, they are sent as fast as the socket takes them.
+    pub bandwidth: Option<LinkRate>,
 }
 
 /// Address and timeout of the platform's key-value service.
--- a/crates/celerycrank-direct/src/agent/discovery.rs
+++ b/crates/celerycrank-direct/src/agent/discovery.rs
@@ -8,7 +8,7 @@
     CONFIGURATION_KEY, REGISTRATION_PREFIX, read_configuration, read_registration,
 };
 
-use super::state::AgentState;
+use super::{peer::greet_candidates, state::AgentState};
 
 /// Initial delay before the key-value service is queried again for missing information.
 const INITIAL_QUERY_DELAY: Duration = Duration::from_millis(1_500);
@@ -19,13 +19,22 @@
 /// Interval at which the agent checks whether information is missing.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The same while the agent does not know its place in the group, after its start.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Queries the key-value service for information that the agent lacks, with exponential backoff.
 pub(crate) async fn discover_group(state: Rc<AgentState>) {
     let mut delay = INITIAL_QUERY_DELAY;
     loop {
         if !needs_store(&state) {
             delay = INITIAL_QUERY_DELAY;
-            sleep(CHECK_INTERVAL).await;
+            let is_placed = state.agent.borrow().place().is_some();
+            let interval = if is_placed {
+                CHECK_INTERVAL
+            } else {
+                START_CHECK_INTERVAL
+            };
+            sleep(interval).await;
             continue;
         }
         if let Err(error) = query_store(&state).await {
@@ -60,6 +69,7 @@
         .map(|registration| registration.address.ip())
         .collect();
     *state.candidate_ips.borrow_mut() = candidate_ips;
+    greet_candidates(state);
     Ok(())
 }
 
--- a/crates/celerycrank-direct/src/agent/peer.rs
+++ b/crates/celerycrank-direct/src/agent/peer.rs
@@ -100,6 +100,17 @@
     HELLO_INTERVAL / HELLO_PARTS
 }
 
+/// Sends a hello message to every VM at which an agent that the leader lacks may run.
+pub(super) fn greet_candidates(state: &AgentState) {
+    let agent = state.agent.borrow();
+    let datagram = encode_hello(&agent).filter(|_| agent.is_lead());
+    if let Some(datagram) = datagram {
+        for target in hello_targets(state, &agent) {
+            state.send_datagram(&datagram, target);
+        }
+    }
+}
+
 fn encode_hello(agent: &RankAgent) -> Option<Rc<[u8]>> {
     let (hello, place) = (agent.hello()?, agent.place()?);
     let datagram = PeerMessage::Rank {
--- a/crates/celerycrank-direct/src/agent/sender.rs
+++ b/crates/celerycrank-direct/src/agent/sender.rs
@@ -1,7 +1,10 @@
-//! Queue of datagrams that wait until the socket can take them.
+//! Queue of datagrams that wait until the link or the socket can take them.
 
-use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, collections::VecDeque, io, net::SocketAddr, rc::Rc};
 
+use actix_rt::time::sleep;
+use celerycrank_groups::LinkPacer;
+use celerycrank_types::{LinkRate, TimePoint, TimeSpan};
 use tokio::{net::UdpSocket, sync::Notify};
 
 use super::{metrics::AgentMetrics, state::AgentState};
@@ -13,14 +16,24 @@
 /// A datagram and its target.
 type QueuedDatagram = (Rc<[u8]>, SocketAddr);
 
-/// Sends datagrams in order and keeps those for which the socket's buffer has no room yet.
-#[derive(Debug, Default)]
+/// Sends datagrams in order, as fast as the link takes them.
+#[derive(Debug)]
 pub(crate) struct DatagramQueue {
     queued: RefCell<VecDeque<QueuedDatagram>>,
+    /// `None` if the bandwidth of the link is not known.
+    pacer: Option<RefCell<LinkPacer>>,
     wake: Notify,
 }
 
 impl DatagramQueue {
+    pub(crate) fn new(link: Option<LinkRate>, now: TimePoint) -> Self {
+        Self {
+            queued: RefCell::default(),
+            pacer: link.map(|link| RefCell::new(LinkPacer::new(link, now))),
+            wake: Notify::new(),
+        }
+    }
+
     /// Sends a datagram now, or appends it to the queue.
     pub(crate) fn send(
         &self,
@@ -28,12 +41,13 @@
         metrics: &AgentMetrics,
         datagram: &Rc<[u8]>,
         target: SocketAddr,
+        now: TimePoint,
     ) {
         let mut queued = self.queued.borrow_mut();
-        if queued.is_empty() {
+        if queued.is_empty() && self.take(datagram, now).is_ok() {
             match socket.try_send_to(datagram, target) {
                 Ok(_) => return,
-                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => {
                     record_failure(metrics, target, &error);
                     return;
@@ -41,16 +55,7 @@
             }
         }
         if queued.len() >= MAX_QUEUED {
-            metrics.datagrams_dropped.inc();
-            // Logged at its start only: it lasts until the link has caught up.
-            if metrics.datagrams_dropped.get().is_power_of_two() {
-                let dropped = metrics.datagrams_dropped.get();
-                tracing::warn!(
-                    dropped,
-                    limit = MAX_QUEUED,
-                    "too many datagrams wait; dropped"
-                );
-            }
+            record_drop(metrics);
             return;
         }
         metrics.datagrams_queued.inc();
@@ -58,6 +63,14 @@
         self.wake.notify_one();
     }
 
+    /// Takes the bytes of a datagram from the link, or returns how long to wait for them.
+    fn take(&self, datagram: &Rc<[u8]>, now: TimePoint) -> Result<(), TimeSpan> {
+        match &self.pacer {
+            Some(pacer) => pacer.borrow_mut().take(datagram.len(), now),
+            None => Ok(()),
+        }
+    }
+
     /// Removes the oldest datagram, after it was sent or could not be sent.
     fn pop(&self) {
         self.queued.borrow_mut().pop_front();
@@ -68,7 +81,7 @@
     }
 }
 
-/// Sends queued datagrams as the socket takes them, until the future is dropped.
+/// Sends queued datagrams as the link takes them, until the future is dropped.
 pub(crate) async fn send_queued(state: Rc<AgentState>) {
     let queue = &state.datagrams;
     loop {
@@ -76,6 +89,10 @@
             queue.wake.notified().await;
             continue;
         };
+        if let Err(wait) = queue.take(&datagram, state.clock.now()) {
+            sleep(wait.as_duration()).await;
+            continue;
+        }
         if let Err(error) = state.socket.send_to(&datagram, target).await {
             record_failure(&state.metrics, target, &error);
         }
@@ -83,7 +100,21 @@
     }
 }
 
-fn record_failure(metrics: &AgentMetrics, target: SocketAddr, error: &std::io::Error) {
+/// Counts a datagram for which the queue had no room.
+fn record_drop(metrics: &AgentMetrics) {
+    metrics.datagrams_dropped.inc();
+    let dropped = metrics.datagrams_dropped.get();
+    // Logged ever more rarely, since it goes on until the link has caught up.
+    if dropped.is_power_of_two() {
+        tracing::warn!(
+            dropped,
+            limit = MAX_QUEUED,
+            "too many datagrams wait; dropped"
+        );
+    }
+}
+
+fn record_failure(metrics: &AgentMetrics, target: SocketAddr, error: &io::Error) {
     metrics.datagrams_failed.inc();
     tracing::info!(%target, fault = %error, "cannot send a datagram");
 }
--- a/crates/celerycrank-direct/src/agent/state.rs
+++ b/crates/celerycrank-direct/src/agent/state.rs
@@ -74,7 +74,7 @@
             metrics,
             store: KeyValueClient::with_protocol(KeyValueProtocol::Platform, &addresses, timeout),
             socket,
-            datagrams: DatagramQueue::default(),
+            datagrams: DatagramQueue::new(settings.bandwidth, clock.now()),
             read_client: EngineClient::new(settings.backend, READ_TIMEOUT),
             order_client: EngineClient::new(settings.backend, ORDER_TIMEOUT),
             agent: RefCell::new(new_agent(clock)),
@@ -108,8 +108,9 @@
 
     /// Sends a datagram, or queues it until the socket has room.
     pub(crate) fn send_datagram(&self, datagram: &Rc<[u8]>, target: SocketAddr) {
+        let now = self.clock.now();
         self.datagrams
-            .send(&self.socket, &self.metrics, datagram, target);
+            .send(&self.socket, &self.metrics, datagram, target, now);
     }
 
     /// The shape of the group's maps; `None` until the profile and the agent's place are known.
--- a/crates/celerycrank-groups/src/lib.rs
+++ b/crates/celerycrank-groups/src/lib.rs
@@ -36,9 +36,9 @@
         PlacementPreset, PlacementSettings, SpreadLimits, full_repack, spread_hot_experts,
     },
     rank::{
-        ArmedSwitch, CountWindow, LeaderEvent, LoadMonitor, MapDelta, MapProposal, OrderAnswer,
-        RankAction, RankAgent, RankAttemptId, RankExpertLists, RankLeader, RankMember, RankMessage,
-        RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes,
+        ArmedSwitch, CountWindow, LeaderEvent, LinkPacer, LoadMonitor, MapDelta, MapProposal,
+        OrderAnswer, RankAction, RankAgent, RankAttemptId, RankExpertLists, RankLeader, RankMember,
+        RankMessage, RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes,
     },
     switch::{
         MemberState, SwitchLeader, SwitchMember, SwitchOutput, SwitchTimes, SwitchVerdict,
--- a/crates/celerycrank-groups/src/rank.rs
+++ b/crates/celerycrank-groups/src/rank.rs
@@ -20,6 +20,7 @@
 mod monitor;
 mod order;
 mod output;
+mod pacer;
 mod pass_clock;
 mod report;
 mod version;
@@ -33,5 +34,6 @@
     monitor::{CountWindow, LoadMonitor, MapProposal},
     order::{OrderAnswer, RankAction, RankOrder},
     output::{RankOutput, RankOutputs, RankTimes},
+    pacer::LinkPacer,
     report::{ArmedSwitch, RankExpertLists, RankPlace, RankReport},
 };
--- a/crates/celerycrank-groups/src/rank/agent.rs
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -10,7 +10,7 @@
     RankMessage, RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes, WeightCopy,
     rank::{
         liveness::PeerLiveness,
-        map_cache::MapCache,
+        map_cache::{MapCache, UnknownBaseRanks},
         map_tracker::MapTracker,
         version::{MapPurpose, version_above},
     },
@@ -55,8 +55,10 @@
     map_tracker: MapTracker,
     /// The maps from which the leader's messages derive others.
     maps: MapCache,
-    /// The leader's last message that carried a map, for a rank that cannot derive it.
+    /// The leader's last message that carried a map, for ranks that cannot derive it.
     last_map_message: Option<RankMessage>,
+    /// The ranks that could not derive that map.
+    unknown_base: UnknownBaseRanks,
     lists_retry_at: TimePoint,
     highest: MapVersion,
 }
@@ -81,6 +83,7 @@
             map_tracker: MapTracker::default(),
             maps: MapCache::default(),
             last_map_message: None,
+            unknown_base: UnknownBaseRanks::default(),
             lists_retry_at: TimePoint(0),
             highest: MapVersion(0),
         }
@@ -283,7 +286,7 @@
                 self.maps.insert(map, active.unwrap_or_default());
             }
             RankMessage::UnknownBase { attempt } => {
-                self.send_from_initial(from, *attempt, outputs);
+                self.unknown_base.insert(from, *attempt, now);
             }
             RankMessage::AskArmed { attempt } => {
                 // Only a report that is read after the query shows the current state.
@@ -328,6 +331,7 @@
             self.send_map(&targets, &message, now, outputs);
             self.reply(now, outputs);
         }
+        self.send_from_initial(now, outputs);
         self.ask_lists(now, outputs);
         self.send_order(epoch, now, outputs);
     }
@@ -403,7 +407,11 @@
             return;
         }
         self.lists_retry_at = now + LISTS_RETRY_INTERVAL;
-        self.send(&self.all_ranks(), &RankMessage::AskLists, now, outputs);
+        let active = self.report().map(|report| report.map);
+        let unknown = self
+            .map_tracker
+            .ranks_without_lists(active.unwrap_or_default());
+        self.send(&unknown, &RankMessage::AskLists, now, outputs);
     }
 
     fn all_ranks(&self) -> MemberSet {
@@ -438,18 +446,16 @@
         self.send_own(targets, message, now, outputs);
     }
 
-    /// Sends the last map to a rank that cannot derive it from the active one.
-    fn send_from_initial(
-        &self,
-        target: MemberIndex,
-        attempt: RankAttemptId,
-        outputs: &mut RankOutputs,
-    ) {
+    /// Sends the last map to the ranks that cannot derive it from the active one.
+    fn send_from_initial(&mut self, now: TimePoint, outputs: &mut RankOutputs) {
+        let Some((targets, attempt)) = self.unknown_base.take_due(now) else {
+            return;
+        };
         let last = self.last_map_message.as_ref();
         let last = last.filter(|message| message.leader_attempt() == Some(attempt));
         if let Some((message, map)) = last.and_then(|message| Some((message, message.map()?))) {
             let sent = message.clone().with_delta(MapDelta::from_initial(map));
-            self.send_others(&MemberSet::only(target), sent, outputs);
+            self.send_others(&targets, sent, outputs);
         }
     }
 
@@ -520,6 +526,7 @@
         self.map_tracker.reset(size);
         self.maps.clear();
         self.last_map_message = None;
+        self.unknown_base = UnknownBaseRanks::default();
         let leader_place = place.filter(|place| place.rank == MemberIndex(0));
         match (leader_place, &mut self.leader) {
             (None, _) => self.leader = None,
--- a/crates/celerycrank-groups/src/rank/map_cache.rs
+++ b/crates/celerycrank-groups/src/rank/map_cache.rs
@@ -2,9 +2,14 @@
 
 use std::sync::Arc;
 
+use celerycrank_types::{TimePoint, TimeSpan};
 use smallvec::SmallVec;
 
-use crate::{ExpertMap, MapDelta, MapVersion};
+use crate::{ExpertMap, MapDelta, MapVersion, MemberIndex, MemberSet, RankAttemptId};
+
+/// The time for which ranks that cannot derive a map are collected, so that one message that is
+/// relayed serves all of them: after a restart of all agents, no rank can.
+const COLLECT_TIME: TimeSpan = TimeSpan::from_millis(30);
 
 /// The number of maps that are kept: the active map, the one being prepared, and the one that
 /// invalidates it.
@@ -47,3 +52,32 @@
         delta.apply(base).map(Arc::new)
     }
 }
+
+/// The ranks that could not derive the map of the leader's current attempt.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct UnknownBaseRanks {
+    ranks: MemberSet,
+    attempt: RankAttemptId,
+    /// When the map is sent to them.
+    ///
+    /// Invariant: present if and only if there are ranks.
+    due_at: Option<TimePoint>,
+}
+
+impl UnknownBaseRanks {
+    /// Adds a rank; ranks of an earlier attempt are discarded.
+    pub(crate) fn insert(&mut self, rank: MemberIndex, attempt: RankAttemptId, now: TimePoint) {
+        if self.attempt != attempt {
+            *self = Self::default();
+            self.attempt = attempt;
+        }
+        self.ranks.insert(rank);
+        self.due_at.get_or_insert(now + COLLECT_TIME);
+    }
+
+    /// Removes and returns the ranks with their attempt, once they have been collected.
+    pub(crate) fn take_due(&mut self, now: TimePoint) -> Option<(MemberSet, RankAttemptId)> {
+        self.due_at.take_if(|due_at| now >= *due_at)?;
+        Some((std::mem::take(&mut self.ranks), self.attempt))
+    }
+}
--- a/crates/celerycrank-groups/src/rank/map_tracker.rs
+++ b/crates/celerycrank-groups/src/rank/map_tracker.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{ExpertMap, MapShape, MapVersion, MemberIndex, RankExpertLists};
+use crate::{ExpertMap, MapShape, MapVersion, MemberIndex, MemberSet, RankExpertLists};
 
 /// The active map, or the parts of it that are known so far.
 ///
@@ -27,6 +27,17 @@
         self.map.as_ref()
     }
 
+    /// The ranks whose lists for the active map are not known.
+    pub(crate) fn ranks_without_lists(&self, active: MapVersion) -> MemberSet {
+        let mut ranks = MemberSet::default();
+        for (rank, lists) in (0..).zip(&self.lists) {
+            if lists.as_ref().is_none_or(|lists| lists.version != active) {
+                ranks.insert(MemberIndex(rank));
+            }
+        }
+        ranks
+    }
+
     /// Records the lists of a rank.
     pub(crate) fn record_lists(&mut self, from: MemberIndex, lists: &RankExpertLists) {
         if let Some(known) = self.lists.get_mut(usize::from(from.0)) {
--- a/crates/celerycrank-groups/tests/lockstep/main.rs
+++ b/crates/celerycrank-groups/tests/lockstep/main.rs
@@ -115,7 +115,7 @@
         freezes: 0.05,
         idle: 0.2,
         frozen_senders: 0.1,
-        send_time: 0,
+        ..Faults::default()
     };
     run_all(faults, check_recovery);
 }
@@ -158,6 +158,25 @@
     assert!(before_recovery >= 3, "{outcome:?}");
 }
 
+/// All agents lose what they know while a map other than the initial one is active: no rank can
+/// derive the next map from it.
+#[test]
+fn a_group_of_96_ranks_switches_again_soon_after_all_its_agents_were_killed() {
+    const KILLED_AT_SECONDS: u64 = 5;
+    let faults = Faults {
+        all_killed_at: KILLED_AT_SECONDS * 1_000_000,
+        send_time: 300,
+        ..Faults::default()
+    };
+    // The run ends 5 s after the kill, and its last part counts from there.
+    let seconds = KILLED_AT_SECONDS + 5;
+    let outcome = World::new(4, LARGE_SHAPE, seconds, faults).run();
+    assert!(outcome.switches_before_kill > 0, "{outcome:?}");
+    let after = outcome.switches - outcome.switches_before_kill;
+    assert!(after > 0, "{outcome:?}");
+    assert_eq!(outcome.rolled_back, 0, "{outcome:?}");
+}
+
 #[test]
 fn faults_never_mix_maps_in_a_group_of_96_ranks() {
     let faults = Faults {
@@ -171,6 +190,7 @@
         idle: 0.1,
         frozen_senders: 0.1,
         send_time: 300,
+        ..Faults::default()
     };
     for seed in 1..=3 {
         run_large(seed, faults);
--- a/crates/celerycrank-groups/tests/lockstep/world.rs
+++ b/crates/celerycrank-groups/tests/lockstep/world.rs
@@ -50,6 +50,8 @@
     pub idle: f64,
     /// Orders to hold or release after which the agent that sent them is frozen.
     pub frozen_senders: f64,
+    /// The time at which all agents are killed at once, in microseconds; 0 for never.
+    pub all_killed_at: u64,
     /// The time that an agent needs to send one datagram, in microseconds.
     pub send_time: u64,
 }
@@ -88,6 +90,8 @@
 #[derive(Debug, Default, Clone)]
 pub struct Outcome {
     pub switches: u32,
+    /// Switches before all agents were killed at once.
+    pub switches_before_kill: u32,
     pub rolled_back: u32,
     /// Time for which passes were held, in microseconds.
     pub held: u64,
@@ -262,13 +266,17 @@
 
     fn second(&mut self) {
         self.push(1_000 * MILLI, Event::Second);
+        if self.now == self.faults.all_killed_at {
+            for index in 0..self.agents.len() {
+                self.kill(index, 700 * MILLI);
+            }
+            self.outcome.switches_before_kill = self.outcome.switches;
+        }
         self.is_idle = self.occurs(self.faults.idle);
         for index in 0..self.agents.len() {
             if self.occurs(self.faults.kills) && self.agents[index].is_some() {
-                self.agents[index] = None;
-                self.incarnations[index] += 1;
                 let delay = self.random.random_range(50..3_500) * MILLI;
-                self.push(delay, Event::Return(index));
+                self.kill(index, delay);
             }
             if self.occurs(self.faults.freezes) {
                 let span = self.random.random_range(100..4_000) * MILLI;
@@ -280,6 +288,13 @@
         }
     }
 
+    /// Kills an agent, which returns without any memory after the delay.
+    fn kill(&mut self, index: usize, delay: u64) {
+        self.agents[index] = None;
+        self.incarnations[index] += 1;
+        self.push(delay, Event::Return(index));
+    }
+
     fn poll(&mut self, index: usize, incarnation: u64) {
         if self.incarnations[index] != incarnation {
             return;
--- a/crates/celerycrank-types/src/lib.rs
+++ b/crates/celerycrank-types/src/lib.rs
@@ -20,5 +20,5 @@
     outcome::{RefusalReason, RequestOutcome, RetryReason, UnknownReason},
     record::{KeyValueRecord, LeaseId, ModRevision, WatchEvent},
     time::{DecimalSpan, TimePoint, TimeSpan, TimeSpanError},
-    unit::{ByteSize, Fraction, ShareWeight, TokenCount, TokenRate, UnitError},
+    unit::{ByteSize, Fraction, LinkRate, ShareWeight, TokenCount, TokenRate, UnitError},
 };
--- a/crates/celerycrank-types/src/unit.rs
+++ b/crates/celerycrank-types/src/unit.rs
@@ -161,6 +161,54 @@
     }
 }
 
+/// The bandwidth of a link in kilobits per second, with the text format `6Mbit/s` or `0.5Mbit/s`.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "Arc<str>", into = "Arc<str>")]
+pub struct LinkRate(pub u64);
+
+impl LinkRate {
+    /// The number of bytes that the link carries in a second.
+    #[must_use]
+    pub const fn bytes_per_second(self) -> u64 {
+        self.0.saturating_mul(1_000 / 8)
+    }
+}
+
+impl fmt::Display for LinkRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0 / 1_000)?;
+        let rest = self.0 % 1_000;
+        if rest > 0 {
+            let digits = format!("{rest:03}");
+            write!(f, ".{}", digits.trim_end_matches('0'))?;
+        }
+        f.write_str("Mbit/s")
+    }
+}
+
+impl FromStr for LinkRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || UnitError::Rate(text.into());
+        let digits = text.strip_suffix("Mbit/s").ok_or_else(error)?;
+        let (whole, part) = digits.split_once('.').unwrap_or((digits, "0"));
+        let is_number = |text: &str| text.bytes().all(|byte| byte.is_ascii_digit());
+        if whole.is_empty() || part.is_empty() || !is_number(whole) || !is_number(part) {
+            return Err(error());
+        }
+        let part = format!("{part:0<3.3}");
+        let rate = whole.parse::<u64>().ok().and_then(|whole| {
+            let part = part.parse::<u64>().ok()?;
+            whole.checked_mul(1_000)?.checked_add(part)
+        });
+        let rate = rate.filter(|rate| *rate > 0);
+        rate.map(Self).ok_or_else(error)
+    }
+}
+
 /// A plan's weight in the division of contended capacity, relative to other plans.
 ///
 /// Invariant: positive.
@@ -255,5 +303,6 @@
 impl_text_conversions! {
     ByteSize, UnitError;
     TokenRate, UnitError;
+    LinkRate, UnitError;
     Fraction, UnitError;
 }
--- a/crates/celerycrank-types/tests/text.rs
+++ b/crates/celerycrank-types/tests/text.rs
@@ -3,8 +3,8 @@
 use std::{fmt::Display, str::FromStr};
 
 use celerycrank_types::{
-    AccountId, ByteSize, DecimalSpan, RefusalReason, RequestId, RetryReason, ShareWeight, TimeSpan,
-    TokenRate, UnknownReason,
+    AccountId, ByteSize, DecimalSpan, LinkRate, RefusalReason, RequestId, RetryReason, ShareWeight,
+    TimeSpan, TokenRate, UnknownReason,
 };
 
 /// Number of runs of each property; the low half of a seed is the size of its input.
@@ -25,6 +25,7 @@
             assert_round_trip(&TimeSpan(u.arbitrary()?));
             assert_round_trip(&ByteSize(u.arbitrary()?));
             assert_round_trip(&TokenRate(u.arbitrary()?));
+            assert_round_trip(&LinkRate(u.arbitrary::<u64>()?.max(1)));
             assert_round_trip(&RequestId(u.arbitrary()?));
             Ok(())
         })
@@ -45,6 +46,9 @@
     assert_eq!(TimeSpan::from_secs(120).to_string(), "2m");
     assert_eq!(ByteSize(65_536).to_string(), "64KiB");
     assert_eq!(TokenRate(1_200).to_string(), "1200/s");
+    assert_eq!(LinkRate(6_000).to_string(), "6Mbit/s");
+    assert_eq!(LinkRate(1_050).to_string(), "1.05Mbit/s");
+    assert_eq!("6.0Mbit/s".parse(), Ok(LinkRate(6_000)));
 }
 
 #[test]
@@ -52,6 +56,17 @@
     for text in ["", "5", "ms", "-1s", "1.5s", "5 s", "99999999999999999h"] {
         assert!(text.parse::<TimeSpan>().is_err(), "{text}");
     }
+    for text in [
+        "",
+        "6",
+        "0Mbit/s",
+        "-1Mbit/s",
+        ".5Mbit/s",
+        "1.Mbit/s",
+        "1.x Mbit/s",
+    ] {
+        assert!(text.parse::<LinkRate>().is_err(), "{text}");
+    }
     for text in ["", "5", "KiB", "5kb", "99999999999999999GiB"] {
         assert!(text.parse::<ByteSize>().is_err(), "{text}");
     }
