Skip late copies of answers; bound interim answers and bodies of failed streams

Cause: a second copy of an answer that arrives when the connection is in use again was told from the own answer by its attempt, but ended the request: a bid got 502 although its answer followed. Of bytes without end, interim answers were read until the deadline, and the body of a failed stream was kept without limit (at 200 Mbit/s, 200 MB in 8 s on a VM of 160 MB).

Change: on a reused connection up to four complete answers that name another attempt are skipped. At most 16 interim answers and 4 MiB of a failure are read; then the connection is closed and the backend server judged.

--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -19,7 +19,7 @@
 };
 
 /// Maximum size of an answer that is buffered before any of it is passed on, in bytes.
-const MAX_BUFFERED_ANSWER: usize = 4 << 20;
+pub(crate) const MAX_BUFFERED_ANSWER: usize = 4 << 20;
 
 /// Answers one request of a caller.
 pub(crate) async fn answer_request(
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -19,6 +19,15 @@
 /// Maximum size of the head of an answer, in bytes.
 const MAX_ANSWER_HEAD: usize = 32 << 10;
 
+/// Maximum number of interim answers before the final one.
+const MAX_INTERIM_ANSWERS: u32 = 16;
+
+/// Maximum number of answers to earlier requests that are skipped on a reused connection.
+const MAX_SURPLUS_ANSWERS: u32 = 4;
+
+/// Maximum size of the body of a skipped answer, in bytes.
+const MAX_SURPLUS_BODY: usize = 1 << 20;
+
 /// Timeouts that detect a backend server that has stopped responding.
 const DEAD_PEER_TIMEOUTS: TcpTimeouts = TcpTimeouts {
     user_timeout: Duration::from_millis(1_500),
@@ -110,7 +119,7 @@
     last_event: Option<u64>,
     sent: &SendRecord,
 ) -> Result<OpenAnswer, AttemptError> {
-    let mut stream = connect(state, registration).await?;
+    let (mut stream, is_reused) = connect(state, registration).await?;
     // A key must not be used once it may have been revoked.
     if request.account.is_some() && !state.is_fresh() {
         return Err(AttemptError::Stale);
@@ -133,25 +142,25 @@
     let is_fully_sent = stream.send(&message).await.is_ok();
     // A write error is not fatal: the backend server may have answered before it read the complete
     // request.
-    let head = read_head(&mut stream).await?;
+    let head = read_own_head(&mut stream, request, is_reused).await?;
     check_answer(request, stream, head, is_fully_sent, registration)
 }
 
+/// Returns a connection and whether it has carried requests before.
 async fn connect(
     state: &EntryState,
     registration: &BackendRegistration,
-) -> Result<HttpStream, AttemptError> {
+) -> Result<(HttpStream, bool), AttemptError> {
     let now = state.clock.now();
     if let Some(stream) = state
         .pool
         .take(&registration.backend, registration.address, now)
     {
-        return Ok(stream);
+        return Ok((stream, true));
     }
     state.metrics.connections_made.inc();
-    open_connection(registration.address)
-        .await
-        .ok_or(AttemptError::NotSent)
+    let stream = open_connection(registration.address).await;
+    Ok((stream.ok_or(AttemptError::NotSent)?, false))
 }
 
 async fn open_connection(address: SocketAddr) -> Option<HttpStream> {
@@ -159,8 +168,61 @@
     timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()
 }
 
-/// Reads the head of the final answer, skipping interim answers.
+/// Reads the head of the answer to this request.
+///
+/// A backend server may send a second copy of an earlier answer late, when the connection is in
+/// use again. It names its attempt and is skipped; the answer to this request follows it.
+async fn read_own_head(
+    stream: &mut HttpStream,
+    request: &AdmittedRequest,
+    is_reused: bool,
+) -> Result<ResponseHead, AttemptError> {
+    let max_skipped = if is_reused { MAX_SURPLUS_ANSWERS } else { 0 };
+    for _ in 0..max_skipped {
+        let head = read_head(stream).await?;
+        let metadata = read_answer(&head);
+        let is_surplus = metadata.attempt.is_some() && !is_answer_to(&metadata, request);
+        if !is_surplus || !head.is_persistent() {
+            return Ok(head);
+        }
+        tracing::info!(request = %request.attempt, "answer to an earlier request skipped");
+        skip_body(stream, &head, request).await?;
+    }
+    read_head(stream).await
+}
+
+/// Reads the body of an answer to an earlier request.
+async fn skip_body(
+    stream: &mut HttpStream,
+    head: &ResponseHead,
+    request: &AdmittedRequest,
+) -> Result<(), AttemptError> {
+    let broken = |error| AttemptError::Broken(bad_answer(error));
+    let framing = BodyFraming::of_response(head, &request.head.method).map_err(broken)?;
+    let mut decoder = BodyDecoder::new(framing);
+    let mut skipped = 0;
+    loop {
+        match decoder.decode(&mut stream.buffer).map_err(broken)? {
+            BodyStep::Complete => return Ok(()),
+            BodyStep::Data(data) if skipped + data.len() > MAX_SURPLUS_BODY => {
+                return Err(AttemptError::Broken(UnknownReason::BadAnswer));
+            }
+            BodyStep::Data(data) => skipped += data.len(),
+            BodyStep::Incomplete => fill(stream).await?,
+        }
+    }
+}
+
+async fn fill(stream: &mut HttpStream) -> Result<(), AttemptError> {
+    match stream.fill().await {
+        Ok(0) | Err(_) => Err(AttemptError::Broken(UnknownReason::BackendBroke)),
+        Ok(_) => Ok(()),
+    }
+}
+
+/// Reads the head of the next final answer, skipping interim answers.
 async fn read_head(stream: &mut HttpStream) -> Result<ResponseHead, AttemptError> {
+    let mut interim = 0;
     loop {
         let parsed = parse_response(&mut stream.buffer, MAX_ANSWER_HEAD);
         match parsed.map_err(|error| AttemptError::Broken(bad_answer(error)))? {
@@ -168,11 +230,12 @@
                 return Err(AttemptError::Broken(UnknownReason::BadAnswer));
             }
             Some(head) if head.status >= 200 => return Ok(head),
-            Some(_) => {}
-            None => match stream.fill().await {
-                Ok(0) | Err(_) => return Err(AttemptError::Broken(UnknownReason::BackendBroke)),
-                Ok(_) => {}
-            },
+            Some(_) if interim == MAX_INTERIM_ANSWERS => {
+                let error = "too many interim answers";
+                return Err(AttemptError::Broken(bad_answer(error)));
+            }
+            Some(_) => interim += 1,
+            None => fill(stream).await?,
         }
     }
 }
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -10,7 +10,10 @@
 use celerycrank_types::{BackendId, UnknownReason};
 
 use super::{
-    answer::{WorkOutcome, deadline_error, error_answer, next_step, run_interruptible},
+    answer::{
+        MAX_BUFFERED_ANSWER, WorkOutcome, deadline_error, error_answer, next_step,
+        run_interruptible,
+    },
     attempt::{AnswerBody, bad_answer},
     caller::{CallerConnection, ConnectionStep},
     dispatch::{InFlightGuard, RequestDispatch, RequestError},
@@ -159,6 +162,10 @@
     let mut body = BytesMut::new();
     loop {
         match live.body.next().await {
+            Ok(Some(data)) if body.len() + data.len() > MAX_BUFFERED_ANSWER => {
+                let reason = bad_answer("the body of a failure is too large");
+                return Ok(OpenedStream::Broken(live.in_flight.backend.clone(), reason));
+            }
             Ok(Some(data)) => body.extend_from_slice(&data),
             Ok(None) => {
                 let part = if body.is_empty() {
