--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -10,6 +10,7 @@
 mod event;
 mod freshness;
 mod load;
+mod pace;
 mod route;
 
 pub use crate::{
@@ -26,5 +27,6 @@
     event::{EventError, EventReader},
     freshness::FreshnessGuard,
     load::{LoadEstimate, LoadReport},
+    pace::GroupPace,
     route::RouteTable,
 };
