--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -76,7 +76,7 @@
 
 /// Counts a request as in flight at a backend server until dropped.
 pub(crate) struct InFlightGuard<'run> {
-    pub(crate) state: &'run EntryState,
+    state: &'run EntryState,
     pub(crate) backend: BackendId,
 }
 
@@ -224,7 +224,6 @@
             service: &self.request.service,
             domain: &settings.domain,
             tried: &self.tried,
-            gap_target: self.request.route.gap_target,
             now: self.state.clock.now(),
         };
         let backends = self.state.backends.borrow();
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -7,7 +7,7 @@
 use celerycrank_http::{BodyFraming, MessageWriter, ResponseHead};
 use celerycrank_platform::write_answer_head;
 use celerycrank_serving::EventReader;
-use celerycrank_types::{BackendId, GroupId, TimePoint, UnknownReason};
+use celerycrank_types::{BackendId, UnknownReason};
 
 use super::{
     answer::{
@@ -18,7 +18,6 @@
     caller::{CallerConnection, ConnectionStep},
     dispatch::{InFlightGuard, RequestDispatch, RequestError},
     outcome::RequestEnd,
-    state::EntryState,
 };
 
 /// Silence after which a stream that has not started is requested from another backend server.
@@ -33,46 +32,6 @@
     body: AnswerBody,
     in_flight: InFlightGuard<'run>,
     events: EventReader,
-    /// Present once the first event has arrived.
-    pace: Option<PaceGuard<'run>>,
-}
-
-/// Records the events of one stream in the pace of its group until dropped.
-struct PaceGuard<'run> {
-    state: &'run EntryState,
-    /// `None` if the backend server is not in a group.
-    group: Option<GroupId>,
-    last_event: TimePoint,
-}
-
-impl<'run> PaceGuard<'run> {
-    /// Records the first event of a stream.
-    fn new(state: &'run EntryState, backend: &BackendId) -> Self {
-        let now = state.clock.now();
-        Self {
-            state,
-            group: state.backends.borrow_mut().begin_stream(backend, now),
-            last_event: now,
-        }
-    }
-
-    /// Records a further event.
-    fn note_event(&mut self) {
-        let now = self.state.clock.now();
-        let gap = now.since(self.last_event);
-        self.last_event = now;
-        if let Some(group) = &self.group {
-            self.state.backends.borrow_mut().note_event(group, gap, now);
-        }
-    }
-}
-
-impl Drop for PaceGuard<'_> {
-    fn drop(&mut self) {
-        if let Some(group) = &self.group {
-            self.state.backends.borrow_mut().finish_stream(group);
-        }
-    }
 }
 
 /// The next part of a stream.
@@ -84,15 +43,6 @@
 }
 
 impl LiveStream<'_> {
-    fn record_event(&mut self) {
-        if let Some(pace) = &mut self.pace {
-            pace.note_event();
-            return;
-        }
-        let guard = &self.in_flight;
-        self.pace = Some(PaceGuard::new(guard.state, &guard.backend));
-    }
-
     /// Returns the next complete events, or the end of the stream.
     async fn next(&mut self) -> Result<StreamPart, UnknownReason> {
         loop {
@@ -101,7 +51,6 @@
                     let events = self.events.push(&data);
                     let events = events.map_err(bad_answer)?;
                     if !events.is_empty() {
-                        self.record_event();
                         return Ok(StreamPart::Events(events));
                     }
                 }
@@ -198,7 +147,6 @@
         body: served.answer.body,
         in_flight: served.in_flight,
         events: EventReader::after(last_event),
-        pace: None,
     };
     if live.head.status != 200 {
         return read_failure(live).await;
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use celerycrank_types::{BackendId, DomainId, GroupId, ServiceId, TimePoint, TimeSpan};
+use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
 
-use crate::{GroupPace, LoadEstimate};
+use crate::LoadEstimate;
 
 /// Time for which a backend server may still be used as a last resort after its registration
 /// was removed.
@@ -148,8 +148,6 @@
     /// The backend servers of each service, in the order in which their incarnations registered.
     services: HashMap<ServiceId, Vec<BackendState>>,
     services_by_backend: HashMap<BackendId, ServiceId>,
-    /// The pace of each lock-step group of which this entry has received streams.
-    paces: HashMap<GroupId, GroupPace>,
 }
 
 impl BackendTable {
@@ -231,34 +229,6 @@
         }
     }
 
-    /// Records the first event of a stream; returns the lock-step group that it comes from, if any.
-    pub fn begin_stream(&mut self, backend: &BackendId, now: TimePoint) -> Option<GroupId> {
-        let group = self.find_mut(backend)?.load.group().cloned()?;
-        self.paces.entry(group.clone()).or_default().begin(now);
-        Some(group)
-    }
-
-    /// Records a further event of a stream of a group, and the gap before it.
-    pub fn note_event(&mut self, group: &GroupId, gap: TimeSpan, now: TimePoint) {
-        if let Some(pace) = self.paces.get_mut(group) {
-            pace.note_event(gap, now);
-        }
-    }
-
-    /// Records that a stream of a group has ended.
-    pub fn finish_stream(&mut self, group: &GroupId) {
-        if let Some(pace) = self.paces.get_mut(group) {
-            pace.finish();
-        }
-    }
-
-    /// The gap to expect between two events of a backend server's streams; `None` if nothing is
-    /// known.
-    #[must_use]
-    pub fn expected_gap(&self, state: &BackendState, now: TimePoint) -> Option<TimeSpan> {
-        self.paces.get(state.load.group()?)?.gap(now)
-    }
-
     /// Records an answer and whether it was a failure of the backend server.
     pub fn note_answer(&mut self, backend: &BackendId, is_failure: bool) {
         if let Some(state) = self.find_mut(backend) {
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -1,16 +1,13 @@
 //! Chooses the backend server for an attempt.
 //!
-//! The choice handles three load patterns:
+//! The choice handles two load patterns:
 //!
 //! - Many short streams over the ranks of lock-step groups. Every rank of a group is as slow as
 //!   its fullest one, so the cost grows with the load of the single rank.
 //! - Many entries that see the same slightly stale loads. Each entry chooses from a small random
 //!   sample, so that they do not all send to the backend server that was least loaded.
-//! - A lock-step group that is slower than the others, or stands still, because of a single rank.
-//!   Its other ranks look idle. The other groups take as many streams as they have places, and the
-//!   slow one the rest: streams that wait in a queue are late as well, and delay those behind them.
 
-use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
+use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint};
 use rand::{Rng, seq::IndexedRandom};
 use smallvec::SmallVec;
 
@@ -19,22 +16,14 @@
 /// Number of randomly drawn backend servers from which the least loaded one is chosen.
 const SAMPLE_SIZE: usize = 4;
 
-/// Number of further backend servers that are drawn if a stream would be late at all of the first
-/// ones.
-const SECOND_SAMPLE_SIZE: usize = 8;
-
 /// Cost of a failure rate of 1, in requests.
 const FAILURE_COST: f64 = 4.0;
 
 /// Cost of a backend server in another failure domain, in requests.
 const REMOTE_DOMAIN_COST: f64 = 0.3;
 
-/// Cost of a backend server at which a stream would be late, in requests; more than any load
-/// without it.
-const LATE_COST: f64 = 100.0;
-
 /// Cost of a lock-step group that is forming or broken, in requests.
-const CLOSED_GROUP_COST: f64 = 1_000.0;
+const CLOSED_GROUP_COST: f64 = 50.0;
 
 /// The input to a choice.
 #[derive(Debug, Clone, Copy)]
@@ -45,8 +34,6 @@
     pub domain: &'query DomainId,
     /// Backend servers that this request has already tried.
     pub tried: &'query [BackendId],
-    /// Target for the gap between two events of the answer; `None` if it is not a stream.
-    pub gap_target: Option<TimeSpan>,
     /// The current time.
     pub now: TimePoint,
 }
@@ -62,58 +49,39 @@
     let untried = |state: &&BackendState| !query.tried.contains(&state.registration.backend);
     let states = table.of_service(query.service);
     let usable = states.iter().filter(|state| state.is_usable(query.now));
-    let chosen = least_loaded(table, usable.filter(untried), query, random);
+    let chosen = least_loaded(usable.filter(untried), query, random);
     chosen.or_else(|| {
         let last_resorts = states.iter().filter(|it| it.is_last_resort(query.now));
-        least_loaded(table, last_resorts.filter(untried), query, random)
+        least_loaded(last_resorts.filter(untried), query, random)
     })
 }
 
 fn least_loaded<'table, R: Rng>(
-    table: &BackendTable,
     states: impl Iterator<Item = &'table BackendState>,
     query: &ChoiceQuery<'_>,
     random: &mut R,
 ) -> Option<&'table BackendState> {
     let states = states.collect::<SmallVec<[&BackendState; 32]>>();
+    let sample = states.choose_multiple(random, SAMPLE_SIZE).copied();
+    let sample = sample.collect::<SmallVec<[&BackendState; SAMPLE_SIZE]>>();
     let mut best: Option<(f64, &BackendState)> = None;
-    for sample_size in [SAMPLE_SIZE, SECOND_SAMPLE_SIZE] {
-        let sample = states.choose_multiple(random, sample_size).copied();
-        for state in sample.collect::<SmallVec<[&BackendState; SECOND_SAMPLE_SIZE]>>() {
-            let lateness = estimate_lateness(table, state, query);
-            // The random term keeps entries that see the same loads from all choosing the same
-            // backend server.
-            let cost = estimate_cost(state, lateness, query) + random.random_range(0.0..0.1);
-            if best.is_none_or(|(lowest, _)| cost < lowest) {
-                best = Some((cost, state));
-            }
-        }
-        if best.is_none_or(|(cost, _)| cost < LATE_COST) {
-            break;
+    for state in sample {
+        // The random term keeps entries that see the same loads from all choosing the same
+        // backend server.
+        let cost = estimate_cost(state, query) + random.random_range(0.0..0.1);
+        if best.is_none_or(|(lowest, _)| cost < lowest) {
+            best = Some((cost, state));
         }
     }
     best.map(|(_, state)| state)
 }
 
-/// The gap to expect between the events of a stream, relative to its target; at least 1.
-fn estimate_lateness(table: &BackendTable, state: &BackendState, query: &ChoiceQuery<'_>) -> f64 {
-    let gap = query.gap_target.zip(table.expected_gap(state, query.now));
-    gap.map_or(1.0, |(target, gap)| {
-        (gap.as_secs_f64() / target.as_secs_f64()).max(1.0)
-    })
-}
-
 /// Estimated cost of sending one more request to a backend server, in requests.
-fn estimate_cost(state: &BackendState, lateness: f64, query: &ChoiceQuery<'_>) -> f64 {
+fn estimate_cost(state: &BackendState, query: &ChoiceQuery<'_>) -> f64 {
     let report = state.load.report(query.now);
     let pace = report.map_or(1.0, |report| report.pace.max(1.0));
     let is_closed = report.is_some_and(|report| !report.is_open);
-    let total = state.load.total(query.now);
-    let mut cost = (f64::from(total) + 1.0) * pace.max(lateness);
-    let is_full = total >= state.registration.slots;
-    if query.gap_target.is_some() && (lateness > 1.0 || is_full) {
-        cost += LATE_COST;
-    }
+    let mut cost = (f64::from(state.load.total(query.now)) + 1.0) * pace;
     cost += state.failure_rate() * FAILURE_COST;
     if state.registration.domain != *query.domain {
         cost += REMOTE_DOMAIN_COST;
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -10,7 +10,6 @@
 mod event;
 mod freshness;
 mod load;
-mod pace;
 mod route;
 
 pub use crate::{
@@ -27,6 +26,5 @@
     event::{EventError, EventReader},
     freshness::FreshnessGuard,
     load::{LoadEstimate, LoadReport},
-    pace::GroupPace,
     route::RouteTable,
 };
--- a/crates/celerycrank-serving/src/load.rs
+++ b/crates/celerycrank-serving/src/load.rs
@@ -60,12 +60,6 @@
         self.own + self.report(now).map_or(0, |_| self.others)
     }
 
-    /// Returns the lock-step group that the last report named, whatever its age.
-    #[must_use]
-    pub fn group(&self) -> Option<&GroupId> {
-        self.report.as_ref()?.0.group.as_ref()
-    }
-
     /// Returns the last report, unless it is too old.
     #[must_use]
     pub fn report(&self, now: TimePoint) -> Option<&LoadReport> {
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -73,7 +73,6 @@
         service: &service(),
         domain: &domain("a"),
         tried,
-        gap_target: None,
         now,
     };
     let mut random = StdRng::seed_from_u64(1);
@@ -377,7 +376,6 @@
                 service: &service(),
                 domain: &domain("a"),
                 tried: &[],
-                gap_target: None,
                 now,
             };
             let chosen = choose_backend(&tables[sender], &query, &mut random);
