Divide the slack of retries by the number of entries

Change: agents tell in their load reports how many entries subscribe to them; an entry divides by the largest count of the last windows, and by 24 at least.

Test: retries of 17, 35 and 360 entries stay within the allowance (red without: 1,373 retries of 360 entries where 498 are allowed; 35 stay within, by the margin of the ratio).

--- a/crates/celerycrank-direct/src/agent/load.rs
+++ b/crates/celerycrank-direct/src/agent/load.rs
@@ -31,6 +31,7 @@
         pace: report.pace,
         group: place.map(|place| place.group.clone()),
         is_open: place.is_none_or(|place| place.is_open),
+        entries: count_subscribers(state, now),
     };
     let mut last = state.last_published.borrow_mut();
     let is_due = last.as_ref().is_none_or(|(known, at)| {
@@ -41,10 +42,15 @@
         return;
     }
     let datagram = PeerMessage::Load(load.clone()).encode();
-    let mut subscribers = state.subscribers.borrow_mut();
-    subscribers.retain(|_, until| *until > now);
-    for entry in subscribers.keys() {
+    for entry in state.subscribers.borrow().keys() {
         state.send_datagram(&datagram, *entry);
     }
     *last = Some((load, now));
 }
+
+/// Removes expired subscriptions and counts the others.
+fn count_subscribers(state: &AgentState, now: TimePoint) -> u32 {
+    let mut subscribers = state.subscribers.borrow_mut();
+    subscribers.retain(|_, until| *until > now);
+    u32::try_from(subscribers.len()).unwrap_or(u32::MAX)
+}
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -88,6 +88,8 @@
         return;
     };
     let now = state.clock.now();
+    let entries = report.entries;
+    state.entry_count.borrow_mut().observe(entries, now);
     if let Some(known) = state.backends.borrow_mut().find_mut(backend) {
         known.load.observe(report, now);
     }
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -11,8 +11,8 @@
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{ProcessClock, ShutdownFlag, TaskHandle};
 use celerycrank_serving::{
-    AccountTable, BackendTable, CallerBounds, FreshnessGuard, RetryAllowance, RetryWindow,
-    RouteTable, ServingConfiguration,
+    AccountTable, BackendTable, CallerBounds, EntryCount, FreshnessGuard, RetryAllowance,
+    RetryWindow, RouteTable, ServingConfiguration,
 };
 use celerycrank_types::{DecimalSpan, Revision, ServiceId, TimeSpan};
 use rand::{SeedableRng, rngs::StdRng};
@@ -42,6 +42,8 @@
     pub(crate) requests_in_flight: Cell<u32>,
     in_force: RefCell<Option<Rc<ConfigurationInForce>>>,
     retry_windows: RefCell<HashMap<ServiceId, RetryWindow>>,
+    /// The number of entries that share the allowance of retries.
+    pub(crate) entry_count: RefCell<EntryCount>,
 }
 
 /// The configuration in force, compiled for lookups.
@@ -98,6 +100,7 @@
             requests_in_flight: Cell::new(0),
             in_force: RefCell::default(),
             retry_windows: RefCell::default(),
+            entry_count: RefCell::default(),
             settings: RefCell::new(Rc::new(settings)),
         }
     }
@@ -193,11 +196,12 @@
             };
             windows.insert(service.clone(), RetryWindow::new(allowance));
         }
-        work(
-            windows
-                .get_mut(service)
-                .expect("the window was just inserted"),
-        )
+        let window = windows
+            .get_mut(service)
+            .expect("the window was just inserted");
+        let entries = self.entry_count.borrow_mut().get(self.clock.now());
+        window.set_entries(entries);
+        work(window)
     }
 }
 
--- a/crates/celerycrank-serving/src/budget.rs
+++ b/crates/celerycrank-serving/src/budget.rs
@@ -9,8 +9,13 @@
 /// buckets stay within the ratio as well.
 const RATIO_MARGIN: f64 = 0.75;
 
-/// Number of entries among which the slack is divided.
-const ASSUMED_ENTRIES: f64 = 24.0;
+/// The smallest number of entries among which the slack is divided: entries may be added before any
+/// agent has counted them.
+const MIN_ENTRIES: u32 = 24;
+
+/// Time over which the largest count of entries is kept, so that an agent which has just started
+/// and knows few of them does not lower it.
+const COUNT_WINDOW: TimeSpan = TimeSpan::from_secs(5);
 
 /// The retries allowed for a service, summed over all entries.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,6 +36,40 @@
     retries: u32,
 }
 
+/// The number of entries, as agents count those that subscribe to their reports.
+#[derive(Debug, Default, Clone)]
+pub struct EntryCount {
+    /// The window that `newest` belongs to, counted from the origin of the clock.
+    window: u64,
+    newest: u32,
+    previous: u32,
+}
+
+impl EntryCount {
+    /// Records the count of one agent.
+    pub fn observe(&mut self, entries: u32, now: TimePoint) {
+        self.advance(now);
+        self.newest = self.newest.max(entries);
+    }
+
+    /// The largest count of the last one or two windows.
+    #[must_use]
+    pub fn get(&mut self, now: TimePoint) -> u32 {
+        self.advance(now);
+        self.newest.max(self.previous)
+    }
+
+    fn advance(&mut self, now: TimePoint) {
+        let window = now.0 / COUNT_WINDOW.0;
+        // Without any count in between, the last one stays the best that is known.
+        if window > self.window && self.newest > 0 {
+            self.previous = self.newest;
+            self.newest = 0;
+        }
+        self.window = window;
+    }
+}
+
 /// One entry's requests and retries of a service in a sliding window.
 ///
 /// Each entry applies the ratio to its own requests and uses only its fraction of the slack, so
@@ -38,6 +77,8 @@
 #[derive(Debug, Clone)]
 pub struct RetryWindow {
     allowance: RetryAllowance,
+    /// The number of entries among which the slack is divided.
+    entries: u32,
     buckets: [WindowBucket; WINDOW_BUCKETS],
 }
 
@@ -47,10 +88,16 @@
     pub fn new(allowance: RetryAllowance) -> Self {
         Self {
             allowance,
+            entries: MIN_ENTRIES,
             buckets: [WindowBucket::default(); WINDOW_BUCKETS],
         }
     }
 
+    /// Sets the number of entries among which the slack is divided.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(MIN_ENTRIES);
+    }
+
     /// Records a request from a caller.
     pub fn note_request(&mut self, now: TimePoint) {
         self.bucket(now).requests += 1;
@@ -60,7 +107,7 @@
     #[must_use]
     pub fn has_room(&self, now: TimePoint) -> bool {
         let (requests, retries) = self.totals(now);
-        let slack = self.allowance.slack / ASSUMED_ENTRIES;
+        let slack = self.allowance.slack / f64::from(self.entries);
         let limit = f64::from(requests) * self.allowance.ratio * RATIO_MARGIN + slack;
         f64::from(retries) + 1.0 <= limit
     }
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -17,7 +17,7 @@
     backend::{
         BackendRegistration, BackendState, BackendTable, RegistrationChange, RegistrationState,
     },
-    budget::{RetryAllowance, RetryWindow},
+    budget::{EntryCount, RetryAllowance, RetryWindow},
     choice::{ChoiceQuery, choose_backend},
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, RequestSemantics, RouteRule,
--- a/crates/celerycrank-serving/src/load.rs
+++ b/crates/celerycrank-serving/src/load.rs
@@ -18,6 +18,8 @@
     pub group: Option<GroupId>,
     /// Whether its group accepts requests; true without a group.
     pub is_open: bool,
+    /// Number of entries that subscribe to the agent's reports.
+    pub entries: u32,
 }
 
 /// The load of a backend server, from an entry's own requests and from those of other entries.
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use celerycrank_serving::{
-    AccountRule, AccountTable, BackendRegistration, BackendTable, ChoiceQuery, FreshnessGuard,
-    LoadReport, RegistrationChange, RegistrationState, RequestSemantics, RetryAllowance,
-    RetryWindow, RouteRule, RouteTable, WeightedService, choose_backend,
+    AccountRule, AccountTable, BackendRegistration, BackendTable, ChoiceQuery, EntryCount,
+    FreshnessGuard, LoadReport, RegistrationChange, RegistrationState, RequestSemantics,
+    RetryAllowance, RetryWindow, RouteRule, RouteTable, WeightedService, choose_backend,
 };
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
-use rand::{Rng, SeedableRng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedMutRandom};
 use smallvec::smallvec;
 
 const MICROS_PER_MILLI: u64 = 1_000;
@@ -137,18 +137,30 @@
 
 #[test]
 fn retries_of_all_entries_together_stay_within_the_allowance() {
-    const ENTRIES: u64 = 17;
+    let counts = [17, 35, 360].map(|entries| (entries, fail_everywhere(entries)));
+    assert!(
+        counts[0].1 > 500,
+        "too few retries were allowed: {counts:?}"
+    );
+}
+
+/// Lets all requests of a service fail at this many entries; returns the number of retries.
+fn fail_everywhere(entries: u32) -> usize {
     let allowance = RetryAllowance {
         window: TimeSpan::from_secs(10),
         ratio: 0.2,
         slack: 90.0,
     };
     let mut random = StdRng::seed_from_u64(3);
-    let mut windows = vec![RetryWindow::new(allowance); usize::try_from(ENTRIES).expect("small")];
+    let mut count = EntryCount::default();
+    count.observe(entries, at(0));
+    let mut window = RetryWindow::new(allowance);
+    window.set_entries(count.get(at(0)));
+    let mut windows = vec![window; usize::try_from(entries).expect("small")];
     let mut requests = Vec::new();
     let mut retries = Vec::new();
     for milli in 0..60_000 {
-        let window = &mut windows[random.random_range(0..17)];
+        let window = windows.choose_mut(&mut random).expect("some entries");
         // Requests arrive in bursts, and all of them fail.
         if random.random_bool(if milli / 5_000 % 2 == 0 { 0.4 } else { 0.01 }) {
             window.note_request(at(milli));
@@ -170,14 +182,25 @@
         let observed = within(&retries, start);
         assert!(
             observed as f64 <= bound,
-            "{observed} retries from {start}, {bound} allowed"
+            "{observed} retries of {entries} entries from {start}, {bound} allowed"
         );
     }
-    assert!(
-        retries.len() > 500,
-        "too few retries were allowed: {}",
-        retries.len()
-    );
+    retries.len()
+}
+
+/// An agent that has just started has been asked by few entries.
+#[test]
+fn the_count_of_entries_follows_the_largest_recent_one() {
+    let mut count = EntryCount::default();
+    assert_eq!(count.get(at(0)), 0);
+    count.observe(35, at(1_000));
+    count.observe(2, at(1_100));
+    assert_eq!(count.get(at(1_200)), 35);
+    count.observe(30, at(6_000));
+    assert_eq!(count.get(at(6_100)), 35);
+    count.observe(30, at(11_000));
+    assert_eq!(count.get(at(11_100)), 30);
+    assert_eq!(count.get(at(60_000)), 30, "nothing newer is known");
 }
 
 #[test]
@@ -195,6 +218,7 @@
         pace: 1.0,
         group: None,
         is_open: true,
+        entries: 1,
     };
     table
         .find_mut(&backend("y"))
@@ -364,6 +388,7 @@
                     pace: 1.0,
                     group: None,
                     is_open: true,
+                    entries: 1,
                 };
                 let state = table.find_mut(name).expect("known");
                 state.load.observe(report, now);
