--- a/crates/celerycrank-direct/src/agent/metrics.rs
+++ b/crates/celerycrank-direct/src/agent/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) datagrams_dropped: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
     pub(crate) datagrams_unreadable: IntCounter,
+    pub(crate) shapes_rejected: IntCounter,
 }
 
 impl AgentMetrics {
@@ -68,6 +69,10 @@
                 "celerycrank_rank_waits_total",
                 "switches for which the group had to wait until every rank was armed",
             )?,
+            shapes_rejected: set.counter(
+                "celerycrank_rank_shapes_rejected_total",
+                "shapes of groups whose maps are not changed, since no map can have them",
+            )?,
             datagrams_queued: set.counter(
                 "celerycrank_rank_datagrams_queued_total",
                 "datagrams that had to wait for room in the socket",
--- a/crates/celerycrank-direct/src/agent/relay.rs
+++ b/crates/celerycrank-direct/src/agent/relay.rs
@@ -20,6 +20,9 @@
 /// much in a smaller one.
 const MIN_RELAYED_BYTES: usize = 200;
 
+/// Maximum number of agents to which one agent forwards a datagram.
+const MAX_FORWARDED: usize = 256;
+
 /// Sends a datagram to all of these agents.
 pub(crate) fn send_to_all(state: &AgentState, mut targets: Vec<SocketAddr>, datagram: &Rc<[u8]>) {
     if targets.len() < MIN_RELAYED_TARGETS || datagram.len() < MIN_RELAYED_BYTES {
@@ -29,7 +32,7 @@
         return;
     }
     targets.shuffle(&mut *state.random.borrow_mut());
-    let part_size = targets.len().isqrt();
+    let part_size = targets.len().isqrt().min(MAX_FORWARDED);
     for part in targets.chunks(part_size) {
         let relay = PeerMessage::Relay {
             targets: part[1..].to_vec(),
@@ -48,7 +51,7 @@
 ) {
     let relayed = PeerMessage::Relayed { origin, datagram };
     let relayed = relayed.encode();
-    for target in targets {
+    for target in targets.iter().take(MAX_FORWARDED) {
         state.send_datagram(&relayed, *target);
     }
 }
--- a/crates/celerycrank-direct/src/agent/state.rs
+++ b/crates/celerycrank-direct/src/agent/state.rs
@@ -10,7 +10,7 @@
 use celerycrank_client::{KeyValueClient, KeyValueProtocol};
 use celerycrank_config::RankAgentSettings;
 use celerycrank_groups::{
-    AgentIncarnation, LoadMonitor, MapShape, MemberIndex, RankAgent, RankTimes,
+    AgentIncarnation, LoadMonitor, MapShape, MemberIndex, RankAgent, RankTimes, ShapeError,
 };
 use celerycrank_process::{ProcessClock, TaskHandle};
 use celerycrank_serving::{GroupProfile, LoadReport};
@@ -47,6 +47,8 @@
     pub(crate) candidate_ips: RefCell<HashSet<IpAddr>>,
     /// Addresses of the agents of the group's other ranks.
     pub(crate) peers: RefCell<HashMap<MemberIndex, SocketAddr>>,
+    /// The last shape for which the group's maps are not changed.
+    rejected_shape: Cell<Option<MapShape>>,
     /// The part of the group's agents to which the next hello messages go.
     pub(crate) hello_part: Cell<u32>,
     /// Entries subscribed to load reports, with the end of each subscription.
@@ -83,6 +85,7 @@
             profile: Cell::new(None),
             candidate_ips: RefCell::default(),
             peers: RefCell::default(),
+            rejected_shape: Cell::new(None),
             hello_part: Cell::new(0),
             subscribers: RefCell::default(),
             last_published: RefCell::new(None),
@@ -113,17 +116,41 @@
             .send(&self.socket, &self.metrics, datagram, target, now);
     }
 
-    /// The shape of the group's maps; `None` until the profile and the agent's place are known.
+    /// The shape of the group's maps; `None` until the profile and the agent's place are known, and
+    /// for a group that is configured with a shape that no map can have.
     pub(crate) fn shape(&self) -> Option<MapShape> {
         let profile = self.profile.get()?;
         let agent = self.agent.borrow();
         let place = agent.place()?;
-        Some(MapShape {
+        let shape = MapShape {
             layers: profile.layer_sets,
             experts: profile.experts,
             ranks: place.size,
             slots: profile.slots,
-        })
+        };
+        match shape.check() {
+            Ok(shape) => Some(shape),
+            Err(error) => {
+                self.record_shape_error(shape, error);
+                None
+            }
+        }
+    }
+
+    /// Logs and counts a shape that no map can have, once until it changes.
+    fn record_shape_error(&self, shape: MapShape, error: ShapeError) {
+        if self.rejected_shape.replace(Some(shape)) == Some(shape) {
+            return;
+        }
+        self.metrics.shapes_rejected.inc();
+        tracing::error!(
+            layers = shape.layers,
+            experts = shape.experts,
+            ranks = shape.ranks,
+            slots = shape.slots,
+            fault = %error,
+            "the maps of this group are not changed"
+        );
     }
 }
 
