--- a/crates/celerycrank-bench/src/groups.rs
+++ b/crates/celerycrank-bench/src/groups.rs
@@ -4,6 +4,7 @@
 mod placement;
 mod plot;
 mod replay;
+mod spread;
 mod switch;
 mod trace;
 
@@ -22,6 +23,8 @@
     Placement(placement::PlacementArgs),
     /// Duration of one placement decision.
     Decision(decision::DecisionArgs),
+    /// Processor time of one plan that spreads hot experts over a large group.
+    Spread(spread::SpreadArgs),
     /// Long randomized runs of the switch protocol with injected faults.
     Switch(switch::SwitchArgs),
 }
@@ -31,6 +34,7 @@
     match &args.command {
         GroupsCommand::Placement(args) => placement::run(args),
         GroupsCommand::Decision(args) => decision::run(args),
+        GroupsCommand::Spread(args) => spread::run(args),
         GroupsCommand::Switch(args) => switch::run(args),
     }
 }
--- a/crates/celerycrank-bench/src/groups/decision.rs
+++ b/crates/celerycrank-bench/src/groups/decision.rs
@@ -81,7 +81,7 @@
 }
 
 /// Returns the processor time of this thread, from the first field of the kernel's `schedstat`.
-fn thread_cpu_time() -> Duration {
+pub(super) fn thread_cpu_time() -> Duration {
     let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
     let nanos = text.split(' ').next().and_then(|field| field.parse().ok());
     Duration::from_nanos(nanos.unwrap_or_default())
