Split the exchange of maps from the rank agent

Behaviour unchanged: MapExchange turns whole maps into differences and back, and serves the ranks that cannot derive one.

--- a/crates/celerycrank-groups/src/rank.rs
+++ b/crates/celerycrank-groups/src/rank.rs
@@ -13,7 +13,7 @@
 mod delta;
 mod leader;
 mod liveness;
-mod map_cache;
+mod map_exchange;
 mod map_tracker;
 mod member;
 mod message;
--- a/crates/celerycrank-groups/src/rank/agent.rs
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -5,12 +5,12 @@
 use celerycrank_types::{TimePoint, TimeSpan};
 
 use crate::{
-    AgentIncarnation, ExpertMap, GroupEpoch, MapDelta, MapShape, MapVersion, MemberIndex,
-    MemberSet, OrderAnswer, RankAction, RankAttemptId, RankExpertLists, RankLeader, RankMember,
-    RankMessage, RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes, WeightCopy,
+    AgentIncarnation, ExpertMap, GroupEpoch, MapShape, MapVersion, MemberIndex, MemberSet,
+    OrderAnswer, RankAction, RankAttemptId, RankExpertLists, RankLeader, RankMember, RankMessage,
+    RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes, WeightCopy,
     rank::{
         liveness::PeerLiveness,
-        map_cache::{MapCache, UnknownBaseRanks},
+        map_exchange::MapExchange,
         map_tracker::MapTracker,
         version::{MapPurpose, version_above},
     },
@@ -53,12 +53,7 @@
     liveness: PeerLiveness,
     /// The active map, for the leader.
     map_tracker: MapTracker,
-    /// The maps from which the leader's messages derive others.
-    maps: MapCache,
-    /// The leader's last message that carried a map, for ranks that cannot derive it.
-    last_map_message: Option<RankMessage>,
-    /// The ranks that could not derive that map.
-    unknown_base: UnknownBaseRanks,
+    map_exchange: MapExchange,
     lists_retry_at: TimePoint,
     highest: MapVersion,
 }
@@ -81,9 +76,7 @@
             last_order: None,
             liveness: PeerLiveness::default(),
             map_tracker: MapTracker::default(),
-            maps: MapCache::default(),
-            last_map_message: None,
-            unknown_base: UnknownBaseRanks::default(),
+            map_exchange: MapExchange::default(),
             lists_retry_at: TimePoint(0),
             highest: MapVersion(0),
         }
@@ -272,7 +265,7 @@
             RankMessage::PrepareDelta { attempt, .. } if self.member.is_known(*attempt) => {}
             RankMessage::PrepareDelta { attempt, delta, .. }
             | RankMessage::ClearDelta { attempt, delta, .. } => {
-                let Some(map) = self.maps.derive(delta) else {
+                let Some(map) = self.map_exchange.derive(delta) else {
                     let attempt = *attempt;
                     self.send_leader(&RankMessage::UnknownBase { attempt }, now, outputs);
                     return;
@@ -283,10 +276,10 @@
             }
             RankMessage::Prepare { map, .. } | RankMessage::Clear { map, .. } => {
                 let active = self.report().map(|report| report.map);
-                self.maps.insert(map, active.unwrap_or_default());
+                self.map_exchange.insert(map, active.unwrap_or_default());
             }
             RankMessage::UnknownBase { attempt } => {
-                self.unknown_base.insert(from, *attempt, now);
+                self.map_exchange.note_unknown_base(from, *attempt, now);
             }
             RankMessage::AskArmed { attempt } => {
                 // Only a report that is read after the query shows the current state.
@@ -331,7 +324,9 @@
             self.send_map(&targets, &message, now, outputs);
             self.reply(now, outputs);
         }
-        self.send_from_initial(now, outputs);
+        if let Some((ranks, message)) = self.map_exchange.take_due(now) {
+            self.send_others(&ranks, message, outputs);
+        }
         self.ask_lists(now, outputs);
         self.send_order(epoch, now, outputs);
     }
@@ -433,32 +428,12 @@
         now: TimePoint,
         outputs: &mut RankOutputs,
     ) {
-        let Some(map) = message.map() else {
-            self.send(targets, message, now, outputs);
-            return;
-        };
         let active = self.map_tracker.map();
-        let delta = active.and_then(|active| MapDelta::between(active, map));
-        let delta = delta.or_else(|| MapDelta::from_initial(map));
-        let sent = message.clone().with_delta(delta);
+        let sent = self.map_exchange.outgoing(message, active);
         self.send_others(targets, sent, outputs);
-        self.last_map_message = Some(message.clone());
         self.send_own(targets, message, now, outputs);
     }
 
-    /// Sends the last map to the ranks that cannot derive it from the active one.
-    fn send_from_initial(&mut self, now: TimePoint, outputs: &mut RankOutputs) {
-        let Some((targets, attempt)) = self.unknown_base.take_due(now) else {
-            return;
-        };
-        let last = self.last_map_message.as_ref();
-        let last = last.filter(|message| message.leader_attempt() == Some(attempt));
-        if let Some((message, map)) = last.and_then(|message| Some((message, message.map()?))) {
-            let sent = message.clone().with_delta(MapDelta::from_initial(map));
-            self.send_others(&targets, sent, outputs);
-        }
-    }
-
     /// Sends a message; one to the own rank is handled immediately.
     fn send(
         &mut self,
@@ -524,9 +499,7 @@
         let size = place.map_or(0, |place| usize::from(place.size));
         self.liveness.resize(size);
         self.map_tracker.reset(size);
-        self.maps.clear();
-        self.last_map_message = None;
-        self.unknown_base = UnknownBaseRanks::default();
+        self.map_exchange = MapExchange::default();
         let leader_place = place.filter(|place| place.rank == MemberIndex(0));
         match (leader_place, &mut self.leader) {
             (None, _) => self.leader = None,
