--- a/crates/celerycrank-direct/src/agent/metrics.rs
+++ b/crates/celerycrank-direct/src/agent/metrics.rs
@@ -83,7 +83,7 @@
             )?,
             datagrams_failed: set.counter(
                 "celerycrank_rank_datagrams_failed_total",
-                "datagrams that the socket refused",
+                "datagrams that the socket could not send or receive",
             )?,
             datagrams_unreadable: set.counter(
                 "celerycrank_rank_datagrams_unreadable_total",
--- a/crates/celerycrank-direct/src/agent/peer.rs
+++ b/crates/celerycrank-direct/src/agent/peer.rs
@@ -32,11 +32,12 @@
     loop {
         select! {
             () = sleep_until(next_hello) => next_hello = Instant::now() + send_hellos(&state),
-            received = state.socket.recv_from(&mut buffer) => {
-                let Ok((length, sender)) = received else {
-                    continue;
-                };
-                handle_datagram(&state, sender, &buffer[..length]);
+            received = state.socket.recv_from(&mut buffer) => match received {
+                Ok((length, sender)) => handle_datagram(&state, sender, &buffer[..length]),
+                Err(error) => {
+                    state.metrics.datagrams_failed.inc();
+                    tracing::info!(fault = %error, "cannot receive a datagram");
+                }
             }
         }
     }
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -32,8 +32,12 @@
                 state.pool.close_expired(state.clock.now());
             }
             received = socket.recv_from(&mut buffer) => {
-                let Ok((length, sender)) = received else {
-                    continue;
+                let (length, sender) = match received {
+                    Ok(received) => received,
+                    Err(error) => {
+                        tracing::info!(fault = %error, "cannot receive a load report");
+                        continue;
+                    }
                 };
                 if let Some(PeerMessage::Load(report)) = PeerMessage::decode(&buffer[..length]) {
                     handle_report(&state, &agents, sender, report);
