--- a/crates/celerycrank-groups/tests/lockstep/main.rs
+++ b/crates/celerycrank-groups/tests/lockstep/main.rs
@@ -1,7 +1,8 @@
 //! Switches of a group whose engines execute orders late, under every kind of fault.
 //!
 //! A run fails if a pass begins with two different maps. `LOCKSTEP_RUNS` and `LOCKSTEP_SEED`
-//! set the number of runs and the first seed; `LOCKSTEP_TRACE` prints the events.
+//! set the number of runs and the first seed, `LOCKSTEP_LARGE_RUNS` the number of runs of a large
+//! group; `LOCKSTEP_TRACE` prints the events.
 
 mod engine;
 mod world;
@@ -192,7 +193,8 @@
         send_time: 300,
         ..Faults::default()
     };
-    for seed in 1..=3 {
+    let first = setting("LOCKSTEP_SEED", 1);
+    for seed in first..first + setting("LOCKSTEP_LARGE_RUNS", 3) {
         run_large(seed, faults);
     }
 }
