--- a/crates/celerycrank-direct/src/agent/discovery.rs
+++ b/crates/celerycrank-direct/src/agent/discovery.rs
@@ -8,7 +8,7 @@
     CONFIGURATION_KEY, REGISTRATION_PREFIX, read_configuration, read_registration,
 };
 
-use super::{peer::greet_candidates, state::AgentState};
+use super::{peer::search_agents, state::AgentState};
 
 /// Initial delay before the key-value service is queried again for missing information.
 const INITIAL_QUERY_DELAY: Duration = Duration::from_millis(1_500);
@@ -19,7 +19,7 @@
 /// Interval at which the agent checks whether information is missing.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The same while the agent does not know its place in the group, after its start.
+/// The interval while the agent does not know its place in the group, after its start.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Queries the key-value service for information that the agent lacks, with exponential backoff.
@@ -47,7 +47,7 @@
 
 /// Whether the agent leads its group and lacks the group's profile or an agent of another rank.
 ///
-/// The other agents need neither: the leader finds them, and its messages say the rest.
+/// The other agents need neither: the leader finds them, and its messages contain the shape.
 fn needs_store(state: &AgentState) -> bool {
     let agent = state.agent.borrow();
     let is_complete = state.profile.get().is_some() && agent.are_all_reachable(state.clock.now());
@@ -69,7 +69,7 @@
         .map(|registration| registration.address.ip())
         .collect();
     *state.candidate_ips.borrow_mut() = candidate_ips;
-    greet_candidates(state);
+    search_agents(state);
     Ok(())
 }
 
--- a/crates/celerycrank-direct/src/agent/metrics.rs
+++ b/crates/celerycrank-direct/src/agent/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) datagrams_dropped: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
     pub(crate) datagrams_unreadable: IntCounter,
+    pub(crate) datagrams_unaddressed: IntCounter,
     pub(crate) shapes_rejected: IntCounter,
 }
 
@@ -75,7 +76,7 @@
             )?,
             datagrams_queued: set.counter(
                 "celerycrank_rank_datagrams_queued_total",
-                "datagrams that had to wait for room in the socket",
+                "datagrams that had to wait for the link or the socket",
             )?,
             datagrams_dropped: set.counter(
                 "celerycrank_rank_datagrams_dropped_total",
@@ -89,6 +90,10 @@
                 "celerycrank_rank_datagrams_unreadable_total",
                 "received datagrams that no agent or entry of this version has sent",
             )?,
+            datagrams_unaddressed: set.counter(
+                "celerycrank_rank_datagrams_unaddressed_total",
+                "messages to ranks whose agents were not known, and so were not sent",
+            )?,
             set,
         })
     }
--- a/crates/celerycrank-direct/src/agent/output.rs
+++ b/crates/celerycrank-direct/src/agent/output.rs
@@ -56,10 +56,16 @@
     };
     let datagram = datagram.encode();
     let peers = state.peers.borrow();
+    let addresses = targets.iter().filter_map(|target| peers.get(&target));
+    let addresses = addresses.copied().collect::<Vec<_>>();
     // Messages without an answer are sent again, by then also to a rank whose agent is not known
     // yet.
-    let addresses = targets.iter().filter_map(|target| peers.get(&target));
-    send_to_all(state, addresses.copied().collect(), &datagram);
+    let unaddressed = targets.len() - addresses.len();
+    state
+        .metrics
+        .datagrams_unaddressed
+        .inc_by(unaddressed as u64);
+    send_to_all(state, addresses, &datagram);
 }
 
 /// Sends an order to the engine and passes the outcome to the `RankAgent`.
--- a/crates/celerycrank-direct/src/agent/peer.rs
+++ b/crates/celerycrank-direct/src/agent/peer.rs
@@ -93,7 +93,14 @@
         return HELLO_INTERVAL;
     }
     let part = state.next_hello_part();
-    for target in hello_targets(state, &agent) {
+    if part == 0 {
+        begin_hello_round(state, &agent);
+    }
+    let mut targets = known_agents(state);
+    if state.is_searching.get() {
+        targets.extend(candidate_addresses(state));
+    }
+    for target in targets {
         if hello_part(target) == part {
             state.send_datagram(&datagram, target);
         }
@@ -101,12 +108,23 @@
     HELLO_INTERVAL / HELLO_PARTS
 }
 
-/// Sends a hello message to every VM at which an agent that the leader lacks may run.
-pub(super) fn greet_candidates(state: &AgentState) {
+/// Decides whether the leader searches for agents in the next round of hello messages.
+fn begin_hello_round(state: &AgentState, agent: &RankAgent) {
+    let unreachable = agent.unreachable_ranks(state.clock.now());
+    state.record_unreachable(&unreachable);
+    let mut backoff = state.search_backoff.borrow_mut();
+    let is_searching = backoff.begin_round(unreachable.is_empty());
+    state.is_searching.set(is_searching);
+}
+
+/// Sends a hello message of the leader to every VM at which an agent of its group may run.
+///
+/// The agents find the leader by its message.
+pub(super) fn search_agents(state: &AgentState) {
     let agent = state.agent.borrow();
     let datagram = encode_hello(&agent).filter(|_| agent.is_lead());
     if let Some(datagram) = datagram {
-        for target in hello_targets(state, &agent) {
+        for target in candidate_addresses(state) {
             state.send_datagram(&datagram, target);
         }
     }
@@ -122,26 +140,22 @@
     Some(datagram.encode())
 }
 
-/// The agents to which a leader sends hello messages: those of all ranks, and, while it has not
-/// heard from some rank recently, every VM at which that rank's agent may run.
-///
-/// The other agents find the leader by its message.
-fn hello_targets(state: &AgentState, agent: &RankAgent) -> HashSet<SocketAddr> {
-    let peers = state.peers.borrow();
-    let known = peers.values().copied();
-    if agent.are_all_reachable(state.clock.now()) {
-        return known.collect();
-    }
+/// The addresses of the group's other agents, as far as they are known.
+fn known_agents(state: &AgentState) -> HashSet<SocketAddr> {
+    state.peers.borrow().values().copied().collect()
+}
+
+/// The addresses at which agents of the service may run, except the own one.
+fn candidate_addresses(state: &AgentState) -> HashSet<SocketAddr> {
     let port = state.settings.peer.port();
     let candidate_ips = state.candidate_ips.borrow();
-    let candidates = candidate_ips.iter().map(|ip| SocketAddr::new(*ip, port));
-    let targets = candidates.chain(known);
-    targets
-        .filter(|target| !is_own_address(state, target.ip()))
-        .collect()
+    let others = candidate_ips
+        .iter()
+        .filter(|ip| !is_own_address(state, **ip));
+    others.map(|ip| SocketAddr::new(*ip, port)).collect()
 }
 
-/// The part of the hello messages in which an address has its turn.
+/// The part of the agents to which an address belongs.
 fn hello_part(target: SocketAddr) -> u32 {
     let number = match target.ip() {
         IpAddr::V4(ip) => u32::from(ip),
@@ -168,12 +182,11 @@
     }
     let known = state.peers.borrow_mut().insert(from, sender);
     if known != Some(sender) {
-        tracing::debug!(%group, rank = %from, address = %sender, "agent of another rank");
-        if from == LEADER_RANK {
-            tracing::info!(%group, address = %sender, "agent of the first rank found");
-            if let Some(datagram) = encode_hello(&state.agent.borrow()) {
-                state.send_datagram(&datagram, sender);
-            }
+        tracing::info!(%group, rank = %from, address = %sender, "agent of another rank");
+        if from == LEADER_RANK
+            && let Some(datagram) = encode_hello(&state.agent.borrow())
+        {
+            state.send_datagram(&datagram, sender);
         }
     }
     let now = state.clock.now();
--- a/crates/celerycrank-direct/src/agent/poll.rs
+++ b/crates/celerycrank-direct/src/agent/poll.rs
@@ -99,10 +99,12 @@
         }
     };
     let now = state.clock.now();
+    let count = counts.len();
     state.load_monitor.borrow_mut().observe(now, counts);
     let (Some(profile), Some(shape)) = (state.profile.get(), state.shape()) else {
         return;
     };
+    state.check_counts(count, shape);
     let mut agent = state.agent.borrow_mut();
     agent.assemble_map(shape);
     if !agent.can_propose(now) {
--- a/crates/celerycrank-direct/src/agent/relay.rs
+++ b/crates/celerycrank-direct/src/agent/relay.rs
@@ -49,9 +49,14 @@
     targets: &[SocketAddr],
     datagram: Bytes,
 ) {
+    // No agent of this version asks for more.
+    if targets.len() > MAX_FORWARDED {
+        state.metrics.datagrams_unreadable.inc();
+        return;
+    }
     let relayed = PeerMessage::Relayed { origin, datagram };
     let relayed = relayed.encode();
-    for target in targets.iter().take(MAX_FORWARDED) {
+    for target in targets {
         state.send_datagram(&relayed, *target);
     }
 }
--- a/crates/celerycrank-direct/src/agent/sender.rs
+++ b/crates/celerycrank-direct/src/agent/sender.rs
@@ -9,9 +9,9 @@
 
 use super::{metrics::AgentMetrics, state::AgentState};
 
-/// Maximum number of datagrams that wait; enough for one message to every rank of a large group
-/// besides load reports.
-const MAX_QUEUED: usize = 2_048;
+/// Maximum number of datagrams that wait; enough for a message to every VM of a service and a load
+/// report to every entry, at several times the size of the largest planned deployment.
+const MAX_QUEUED: usize = 8_192;
 
 /// A datagram and its target.
 type QueuedDatagram = (Rc<[u8]>, SocketAddr);
--- a/crates/celerycrank-direct/src/agent/state.rs
+++ b/crates/celerycrank-direct/src/agent/state.rs
@@ -10,7 +10,8 @@
 use celerycrank_client::{KeyValueClient, KeyValueProtocol};
 use celerycrank_config::RankAgentSettings;
 use celerycrank_groups::{
-    AgentIncarnation, LoadMonitor, MapShape, MemberIndex, RankAgent, RankTimes, ShapeError,
+    AgentIncarnation, LoadMonitor, MapShape, MemberIndex, MemberSet, RankAgent, RankTimes,
+    SearchBackoff, ShapeError,
 };
 use celerycrank_process::{ProcessClock, TaskHandle};
 use celerycrank_serving::{GroupProfile, LoadReport};
@@ -32,7 +33,7 @@
     pub(crate) metrics: AgentMetrics,
     pub(crate) store: KeyValueClient,
     pub(crate) socket: UdpSocket,
-    /// Datagrams for which the socket has no room yet.
+    /// Datagrams that wait for the link or the socket.
     pub(crate) datagrams: DatagramQueue,
     /// Client for reading the engine's report, counts and expert lists.
     pub(crate) read_client: EngineClient,
@@ -49,6 +50,14 @@
     pub(crate) peers: RefCell<HashMap<MemberIndex, SocketAddr>>,
     /// The last shape for which the group's maps are not changed.
     rejected_shape: Cell<Option<MapShape>>,
+    /// Whether the last expert counts of the engine did not fit the shape.
+    has_count_mismatch: Cell<bool>,
+    /// The number of ranks whose agents were unreachable when last checked, for the leader.
+    unreachable: Cell<usize>,
+    /// Whether hello messages of the current round also go to VMs at which an agent may run.
+    pub(crate) is_searching: Cell<bool>,
+    /// Spaces the rounds in which they do.
+    pub(crate) search_backoff: RefCell<SearchBackoff>,
     /// The part of the group's agents to which the next hello messages go.
     pub(crate) hello_part: Cell<u32>,
     /// Entries subscribed to load reports, with the end of each subscription.
@@ -86,6 +95,10 @@
             candidate_ips: RefCell::default(),
             peers: RefCell::default(),
             rejected_shape: Cell::new(None),
+            has_count_mismatch: Cell::new(false),
+            unreachable: Cell::new(0),
+            is_searching: Cell::new(false),
+            search_backoff: RefCell::default(),
             hello_part: Cell::new(0),
             subscribers: RefCell::default(),
             last_published: RefCell::new(None),
@@ -102,14 +115,47 @@
         *self.agent.borrow_mut() = new_agent(self.clock);
     }
 
-    /// Returns the part whose turn it is to be sent hello messages, and moves on to the next one.
+    /// Returns the part of the agents to which hello messages are sent now, and advances to the
+    /// next part.
     pub(crate) fn next_hello_part(&self) -> u32 {
         let part = self.hello_part.get();
         self.hello_part.set((part + 1) % HELLO_PARTS);
         part
     }
 
-    /// Sends a datagram, or queues it until the socket has room.
+    /// Logs a change in the number of ranks whose agents the leader cannot reach.
+    pub(crate) fn record_unreachable(&self, ranks: &MemberSet) {
+        if self.unreachable.replace(ranks.len()) == ranks.len() {
+            return;
+        }
+        if let Some(first) = ranks.iter().next() {
+            tracing::warn!(
+                ranks = ranks.len(),
+                %first,
+                "agents of other ranks are unreachable; the map is not changed"
+            );
+        } else {
+            tracing::info!("the agents of all ranks are reachable");
+        }
+    }
+
+    /// Logs and counts expert counts of the engine that do not fit the shape of the group's maps,
+    /// once until they fit.
+    pub(crate) fn check_counts(&self, counts: usize, shape: MapShape) {
+        let expected = usize::from(shape.layers) * usize::from(shape.experts);
+        let is_mismatch = counts != expected;
+        if self.has_count_mismatch.replace(is_mismatch) || !is_mismatch {
+            return;
+        }
+        self.metrics.shapes_rejected.inc();
+        tracing::error!(
+            counts,
+            expected,
+            "the engine counts other experts than are configured; the map is not changed"
+        );
+    }
+
+    /// Sends a datagram, or queues it until the link and the socket have room.
     pub(crate) fn send_datagram(&self, datagram: &Rc<[u8]>, target: SocketAddr) {
         let now = self.clock.now();
         self.datagrams
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -90,7 +90,7 @@
                     self.decoder.finish().map_err(incomplete_answer)?;
                 }
                 Ok(_) => {}
-                Err(_) => return Err(UnknownReason::BackendBroke),
+                Err(error) => return Err(connection_lost(error)),
             }
         }
     }
@@ -165,7 +165,16 @@
 
 async fn open_connection(address: SocketAddr) -> Option<HttpStream> {
     let connecting = HttpStream::connect(address, DEAD_PEER_TIMEOUTS);
-    timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()
+    match timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(stream)) => return Some(stream),
+        Ok(Err(error)) => {
+            tracing::info!(%address, fault = %error, "cannot connect to a backend server");
+        }
+        Err(_) => {
+            tracing::info!(%address, fault = "timeout", "cannot connect to a backend server");
+        }
+    }
+    None
 }
 
 /// Reads the head of the answer to this request.
@@ -205,7 +214,8 @@
         match decoder.decode(&mut stream.buffer).map_err(broken)? {
             BodyStep::Complete => return Ok(()),
             BodyStep::Data(data) if skipped + data.len() > MAX_SURPLUS_BODY => {
-                return Err(AttemptError::Broken(UnknownReason::BadAnswer));
+                let error = "an answer to an earlier request is too large to be skipped";
+                return Err(AttemptError::Broken(bad_answer(error)));
             }
             BodyStep::Data(data) => skipped += data.len(),
             BodyStep::Incomplete => fill(stream).await?,
@@ -215,8 +225,9 @@
 
 async fn fill(stream: &mut HttpStream) -> Result<(), AttemptError> {
     match stream.fill().await {
-        Ok(0) | Err(_) => Err(AttemptError::Broken(UnknownReason::BackendBroke)),
+        Ok(0) => Err(AttemptError::Broken(connection_lost("closed"))),
         Ok(_) => Ok(()),
+        Err(error) => Err(AttemptError::Broken(connection_lost(error))),
     }
 }
 
@@ -227,7 +238,8 @@
         let parsed = parse_response(&mut stream.buffer, MAX_ANSWER_HEAD);
         match parsed.map_err(|error| AttemptError::Broken(bad_answer(error)))? {
             Some(head) if head.status == 101 => {
-                return Err(AttemptError::Broken(UnknownReason::BadAnswer));
+                let error = "the backend server switches protocols";
+                return Err(AttemptError::Broken(bad_answer(error)));
             }
             Some(head) if head.status >= 200 => return Ok(head),
             Some(_) if interim == MAX_INTERIM_ANSWERS => {
@@ -287,6 +299,12 @@
     UnknownReason::BadAnswer
 }
 
+/// Logs why the connection to a backend server ended before its answer.
+fn connection_lost(error: impl std::fmt::Display) -> UnknownReason {
+    tracing::info!(fault = %error, "connection to a backend server lost");
+    UnknownReason::BackendBroke
+}
+
 /// Logs why the answer of a backend server is incomplete.
 fn incomplete_answer(error: impl std::fmt::Display) -> UnknownReason {
     tracing::info!(fault = %error, "answer of a backend server is incomplete");
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::HashMap,
-    io,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
@@ -35,12 +34,16 @@
                 let (length, sender) = match received {
                     Ok(received) => received,
                     Err(error) => {
+                        state.metrics.datagrams_failed.inc();
                         tracing::info!(fault = %error, "cannot receive a load report");
                         continue;
                     }
                 };
-                if let Some(PeerMessage::Load(report)) = PeerMessage::decode(&buffer[..length]) {
-                    handle_report(&state, &agents, sender, report);
+                match PeerMessage::decode(&buffer[..length]) {
+                    Some(PeerMessage::Load(report)) => {
+                        handle_report(&state, &agents, sender, report);
+                    }
+                    _ => state.metrics.datagrams_unreadable.inc(),
                 }
             }
         }
@@ -68,18 +71,22 @@
 async fn subscribe(state: &EntryState, socket: &UdpSocket, agents: &HashMap<IpAddr, BackendId>) {
     let message = PeerMessage::Subscribe.encode();
     let port = state.settings().peer.port();
+    let mut failures = 0_u32;
+    let mut last_error = None;
     for address in agents.keys() {
         let sent = socket
             .send_to(&message, SocketAddr::new(*address, port))
             .await;
         if let Err(error) = sent {
-            log_send_error(*address, &error);
+            state.metrics.datagrams_failed.inc();
+            failures += 1;
+            last_error = Some((address, error));
         }
     }
-}
-
-fn log_send_error(address: IpAddr, error: &io::Error) {
-    tracing::debug!(%address, fault = %error, "cannot subscribe to the load reports of an agent");
+    // One line for all agents, since a lost link fails for each of them.
+    if let Some((address, error)) = last_error {
+        tracing::info!(failures, %address, fault = %error, "cannot subscribe to load reports");
+    }
 }
 
 fn handle_report(
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -12,6 +12,8 @@
     pub(crate) callers_left: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) store_errors: IntCounter,
+    pub(crate) datagrams_failed: IntCounter,
+    pub(crate) datagrams_unreadable: IntCounter,
     pub(crate) refusals: LabelledCounter<RefusalReason>,
     pub(crate) retries: LabelledCounter<RetryReason>,
     pub(crate) unknowns: LabelledCounter<UnknownReason>,
@@ -40,6 +42,14 @@
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
             )?,
+            datagrams_failed: set.counter(
+                "celerycrank_direct_datagrams_failed_total",
+                "datagrams that the socket could not send or receive",
+            )?,
+            datagrams_unreadable: set.counter(
+                "celerycrank_direct_datagrams_unreadable_total",
+                "received datagrams that no agent of this version has sent",
+            )?,
             refusals: set.refusals("celerycrank_direct_refusals_total")?,
             retries: set.retries("celerycrank_direct_retries_total")?,
             unknowns: set.unknowns("celerycrank_direct_unknown_total")?,
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -2,10 +2,11 @@
 
 use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_rt::{task::JoinHandle, time::sleep};
+use actix_rt::time::sleep;
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{
-    HttpListener, ListenerLimits, ShutdownFlag, TaskSupervisor, serve_admin, wait_for_stop_signal,
+    HttpListener, ListenerLimits, RunningTask, ShutdownFlag, TaskSupervisor, serve_admin,
+    wait_for_stop_signal,
 };
 use celerycrank_types::TimeSpan;
 use tokio::{
@@ -127,7 +128,10 @@
             self.admin,
             reload,
         );
-        let accept_task = actix_rt::spawn(accept_callers(Rc::clone(&state), self.callers));
+        let (accepting, callers) = (Rc::clone(&state), Rc::new(self.callers));
+        let accept_task = state.tasks.keep_running("callers", move || {
+            accept_callers(Rc::clone(&accepting), Rc::clone(&callers))
+        });
         tracing::info!(entry = %state.settings().entry, %listen, %probe, "entry serves");
         select! {
             stopped = wait_for_stop_signal() => stopped.map_err(DirectError::Signal)?,
@@ -137,7 +141,7 @@
             requests = state.requests_in_flight.get(),
             "entry is leaving"
         );
-        drain(&state, &accept_task).await;
+        drain(&state, accept_task).await;
         drop(tasks);
         tracing::info!(requests = state.requests_in_flight.get(), "entry stopped");
         Ok(())
@@ -177,7 +181,7 @@
     tasks
 }
 
-async fn accept_callers(state: Rc<EntryState>, listener: TcpListener) {
+async fn accept_callers(state: Rc<EntryState>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
@@ -196,12 +200,12 @@
 ///
 /// Connections without a request are closed once the balancer has noticed the shutdown; until
 /// then a caller may be sending on any of them.
-async fn drain(state: &EntryState, accept_task: &JoinHandle<()>) {
+async fn drain(state: &EntryState, accept_task: RunningTask) {
     let started_at = state.clock.now();
     state.is_stopping.set(true);
     let grace = state.settings().grace.0.saturating_sub(EXIT_RESERVE);
     sleep(BALANCER_DELAY.min(grace.as_duration())).await;
-    accept_task.abort();
+    drop(accept_task);
     state.shutdown.raise();
     while state.caller_connections.get() > 0 && state.clock.now().since(started_at) < grace {
         sleep(DRAIN_INTERVAL).await;
--- a/crates/celerycrank-groups/src/lib.rs
+++ b/crates/celerycrank-groups/src/lib.rs
@@ -39,6 +39,7 @@
         ArmedSwitch, CountWindow, LeaderEvent, LinkPacer, LoadMonitor, MapDelta, MapProposal,
         OrderAnswer, RankAction, RankAgent, RankAttemptId, RankExpertLists, RankLeader, RankMember,
         RankMessage, RankOrder, RankOutput, RankOutputs, RankPlace, RankReport, RankTimes,
+        SearchBackoff,
     },
     switch::{
         MemberState, SwitchLeader, SwitchMember, SwitchOutput, SwitchTimes, SwitchVerdict,
--- a/crates/celerycrank-groups/src/map.rs
+++ b/crates/celerycrank-groups/src/map.rs
@@ -6,10 +6,9 @@
 
 use crate::{MapId, MapVersion};
 
-/// The largest number of slots over all layers and ranks of a group's maps.
-///
-/// A change of every slot still fits into one datagram between agents.
-const MAX_SLOTS: usize = 14_000;
+/// The largest number of slots over all layers and ranks of a group's maps: a change of every slot
+/// fits into one datagram between agents, with the addresses to which it is relayed.
+const MAX_SLOTS: usize = 20_000;
 
 /// Marks a slot that holds no expert.
 const EMPTY_SLOT: u16 = u16::MAX;
--- a/crates/celerycrank-groups/src/rank.rs
+++ b/crates/celerycrank-groups/src/rank.rs
@@ -21,8 +21,9 @@
 mod order;
 mod output;
 mod pacer;
-mod pass_clock;
 mod report;
+mod search;
+mod step_clock;
 mod version;
 
 pub use crate::rank::{
@@ -36,4 +37,5 @@
     output::{RankOutput, RankOutputs, RankTimes},
     pacer::LinkPacer,
     report::{ArmedSwitch, RankExpertLists, RankPlace, RankReport},
+    search::SearchBackoff,
 };
--- a/crates/celerycrank-groups/src/rank/agent.rs
+++ b/crates/celerycrank-groups/src/rank/agent.rs
@@ -471,6 +471,18 @@
         self.place().map(|place| place.epoch)
     }
 
+    /// The ranks whose agents have not sent a message recently; none before the own rank is known.
+    #[must_use]
+    pub fn unreachable_ranks(&self, now: TimePoint) -> MemberSet {
+        let mut ranks = MemberSet::default();
+        if let Some(place) = self.place() {
+            for rank in self.liveness.unreachable(place.rank, now) {
+                ranks.insert(rank);
+            }
+        }
+        ranks
+    }
+
     /// Whether the agents of all other ranks have sent a message recently.
     #[must_use]
     pub fn are_all_reachable(&self, now: TimePoint) -> bool {
--- a/crates/celerycrank-groups/src/rank/leader.rs
+++ b/crates/celerycrank-groups/src/rank/leader.rs
@@ -10,7 +10,7 @@
     MemberSet, OrderAnswer, RankAction, RankAttemptId, RankMessage, RankReport, RankTimes,
     StepNumber,
     rank::{
-        pass_clock::PassClock,
+        step_clock::StepClock,
         version::{MapPurpose, version_above},
     },
 };
@@ -109,7 +109,7 @@
     resend_at: TimePoint,
     /// The highest step before which the group was held or was ordered to be held.
     last_held: StepNumber,
-    pass_clock: PassClock,
+    step_clock: StepClock,
     /// Whether it is known that either every rank is armed for the same switch or none is armed.
     ///
     /// Invariant: false from the start of an incarnation, and while ranks are being armed.
@@ -133,7 +133,7 @@
             failures: 0,
             resend_at: now,
             last_held: StepNumber(0),
-            pass_clock: PassClock::default(),
+            step_clock: StepClock::default(),
             is_consistent: false,
         }
     }
@@ -280,7 +280,7 @@
         if let Some(held) = report.held {
             self.last_held = self.last_held.max(held);
         }
-        self.pass_clock.observe(report.step, now);
+        self.step_clock.observe(report.step, now);
         match &self.phase {
             LeaderPhase::Holding {
                 step: Some(step), ..
@@ -326,7 +326,7 @@
     pub fn next_action(&mut self, report: &RankReport) -> Option<RankAction> {
         match &mut self.phase {
             LeaderPhase::Holding { step, .. } => {
-                let steps = self.pass_clock.steps_in(self.times.lead);
+                let steps = self.step_clock.steps_in(self.times.arm_margin);
                 let steps = steps.clamp(MIN_STEPS_AHEAD, MAX_STEPS_AHEAD);
                 let ahead = StepNumber(report.step.0 + steps);
                 let step = *step.get_or_insert(ahead.max(self.last_held.next()));
--- a/crates/celerycrank-groups/src/rank/liveness.rs
+++ b/crates/celerycrank-groups/src/rank/liveness.rs
@@ -44,8 +44,19 @@
 
     /// Whether every agent except the own one has sent a message recently.
     pub(crate) fn are_all_reachable(&self, own: MemberIndex, now: TimePoint) -> bool {
-        self.last_heard.iter().enumerate().all(|(rank, heard)| {
-            rank == usize::from(own.0) || heard.is_some_and(|at| now.since(at) < PEER_TIMEOUT)
+        self.unreachable(own, now).next().is_none()
+    }
+
+    /// The ranks, except the own one, whose agents have not sent a message recently.
+    pub(crate) fn unreachable(
+        &self,
+        own: MemberIndex,
+        now: TimePoint,
+    ) -> impl Iterator<Item = MemberIndex> {
+        let ranks = (0..).map(MemberIndex).zip(&self.last_heard);
+        ranks.filter_map(move |(rank, heard)| {
+            let is_reachable = heard.is_some_and(|at| now.since(at) < PEER_TIMEOUT);
+            (rank != own && !is_reachable).then_some(rank)
         })
     }
 
--- a/crates/celerycrank-groups/src/rank/output.rs
+++ b/crates/celerycrank-groups/src/rank/output.rs
@@ -22,7 +22,7 @@
     /// Minimum time between two attempts, doubled by consecutive failures.
     pub pause: TimeSpan,
     /// The time that is left to arm all ranks before the group reaches the step of the switch.
-    pub lead: TimeSpan,
+    pub arm_margin: TimeSpan,
 }
 
 /// The number of ranks of the groups for which [`RankTimes::default`] is meant.
@@ -38,7 +38,7 @@
 const PREPARE_RESEND_PER_RANK: TimeSpan = TimeSpan::from_millis(3);
 
 /// The time by which each further rank extends the time that is left to arm all ranks.
-const LEAD_PER_RANK: TimeSpan = TimeSpan(1_500);
+const ARM_MARGIN_PER_RANK: TimeSpan = TimeSpan(1_500);
 
 impl RankTimes {
     /// The times for a group of this size: one agent sends to all ranks and handles all of their
@@ -52,7 +52,7 @@
             arm: extend(self.arm, ROUND_PER_RANK),
             resend: extend(self.resend, RESEND_PER_RANK),
             prepare_resend: extend(self.prepare_resend, PREPARE_RESEND_PER_RANK),
-            lead: extend(self.lead, LEAD_PER_RANK),
+            arm_margin: extend(self.arm_margin, ARM_MARGIN_PER_RANK),
             ..self
         }
     }
@@ -67,7 +67,7 @@
             resend: TimeSpan::from_millis(80),
             prepare_resend: TimeSpan::from_millis(80),
             pause: TimeSpan::from_millis(100),
-            lead: TimeSpan::from_millis(70),
+            arm_margin: TimeSpan::from_millis(70),
         }
     }
 }
--- a/crates/celerycrank-groups/src/rank/pass_clock.rs
+++ b/crates/celerycrank-groups/src/rank/step_clock.rs
@@ -15,14 +15,14 @@
 
 /// Averages the duration of a group's steps over the reports of one rank.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct PassClock {
+pub(crate) struct StepClock {
     /// The step and the time of the last measurement.
     last: Option<(StepNumber, TimePoint)>,
     /// The average duration of a step, if the group makes steps.
     average: Option<TimeSpan>,
 }
 
-impl PassClock {
+impl StepClock {
     /// Records that a report read at `now` shows this step as the current one.
     pub(crate) fn observe(&mut self, step: StepNumber, now: TimePoint) {
         let Some((last_step, last_at)) = self.last else {
--- a/crates/celerycrank-groups/tests/lockstep/main.rs
+++ b/crates/celerycrank-groups/tests/lockstep/main.rs
@@ -121,7 +121,7 @@
     run_all(faults, check_recovery);
 }
 
-/// Runs a large group; returns the switches before the last part that is free of faults.
+/// Runs a large group, and checks that it switches again once the faults have ended.
 fn run_large(seed: u64, faults: Faults) -> Outcome {
     let seconds = LARGE_RUN_SECONDS + FAULT_FREE_SECONDS;
     let outcome = World::new(seed, LARGE_SHAPE, seconds, faults).run();
@@ -169,7 +169,7 @@
         send_time: 300,
         ..Faults::default()
     };
-    // The run ends 5 s after the kill, and its last part counts from there.
+    // The group has 5 s to switch again.
     let seconds = KILLED_AT_SECONDS + 5;
     let outcome = World::new(4, LARGE_SHAPE, seconds, faults).run();
     assert!(outcome.switches_before_kill > 0, "{outcome:?}");
--- a/crates/celerycrank-process/src/lib.rs
+++ b/crates/celerycrank-process/src/lib.rs
@@ -19,5 +19,5 @@
     metrics::{LabelledCounter, MetricError, MetricSet},
     shutdown::{ShutdownFlag, on_reload_signal, wait_for_stop_signal},
     source::{DeploymentError, DeploymentSource, StaticDeployment},
-    task::{TaskError, TaskHandle, TaskSupervisor},
+    task::{RunningTask, TaskError, TaskHandle, TaskSupervisor},
 };
--- a/crates/celerycrank-process/src/task.rs
+++ b/crates/celerycrank-process/src/task.rs
@@ -80,15 +80,15 @@
 
 /// Starts tasks, and starts them again when they end or panic.
 ///
-/// A task that handles input of others must not end the process at the first malformed message,
-/// and must not be missing without notice either. Its failure is logged and counted, and it is
-/// started again; if tasks fail too often, the process has to end with an error.
+/// The first malformed message must not end the process, and a task that has ended must not go
+/// unnoticed. Its failure is logged and counted, and it is started again; if tasks fail too often,
+/// the process has to end with an error.
 ///
-/// Dropping the supervisor ends all tasks.
+/// Dropping the supervisor ends all tasks that it has started by itself.
 #[derive(Debug)]
 pub struct TaskSupervisor {
     record: Rc<FailureRecord>,
-    tasks: Vec<AbortOnDrop>,
+    tasks: Vec<RunningTask>,
 }
 
 impl TaskSupervisor {
@@ -116,24 +116,14 @@
     /// Starts a task that runs for as long as the process.
     ///
     /// `start` is called again each time the task has ended.
-    pub fn spawn<F>(&mut self, task: &'static str, mut start: impl FnMut() -> F + 'static)
+    pub fn spawn<F>(&mut self, task: &'static str, start: impl FnMut() -> F + 'static)
     where
         F: Future<Output = ()> + 'static,
     {
-        let record = Rc::clone(&self.record);
-        let supervised = async move {
-            loop {
-                let result = AssertUnwindSafe(start()).catch_unwind().await;
-                let reason =
-                    result.map_or_else(|panic| describe_panic(&*panic), |()| "ended".into());
-                record.record(task, reason);
-                sleep(RESTART_DELAY).await;
-            }
-        };
-        self.tasks.push(AbortOnDrop(actix_rt::spawn(supervised)));
+        self.tasks.push(self.handle().keep_running(task, start));
     }
 
-    /// Creates a handle with which short tasks are started.
+    /// Creates a handle with which further tasks are started.
     #[must_use]
     pub fn handle(&self) -> TaskHandle {
         TaskHandle(Rc::clone(&self.record))
@@ -151,14 +141,39 @@
     }
 }
 
-/// Starts tasks that end by themselves, such as the one that serves a connection.
-///
-/// Their failures do not end the process, since callers may be able to provoke them.
+/// Starts tasks whose failures count with those of a [`TaskSupervisor`].
 #[derive(Debug, Clone)]
 pub struct TaskHandle(Rc<FailureRecord>);
 
 impl TaskHandle {
-    /// Starts a task; a panic is logged and counted, and `recover` is called after it.
+    /// Starts a task that runs until the returned guard is dropped.
+    ///
+    /// `start` is called again each time the task has ended.
+    pub fn keep_running<F>(
+        &self,
+        task: &'static str,
+        mut start: impl FnMut() -> F + 'static,
+    ) -> RunningTask
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let record = Rc::clone(&self.0);
+        let supervised = async move {
+            loop {
+                let result = AssertUnwindSafe(start()).catch_unwind().await;
+                let reason =
+                    result.map_or_else(|panic| describe_panic(&*panic), |()| "ended".into());
+                record.record(task, reason);
+                sleep(RESTART_DELAY).await;
+            }
+        };
+        RunningTask(actix_rt::spawn(supervised))
+    }
+
+    /// Starts a task that ends by itself, such as the one that serves a connection; a panic is
+    /// logged and counted, and `recover` is called after it.
+    ///
+    /// Its failures do not end the process, since callers may be able to provoke them.
     pub fn spawn(
         &self,
         task: &'static str,
@@ -175,11 +190,12 @@
     }
 }
 
-/// Ends a task when dropped.
+/// A supervised task, which ends when this is dropped.
 #[derive(Debug)]
-struct AbortOnDrop(JoinHandle<()>);
+#[must_use = "the task ends when this is dropped"]
+pub struct RunningTask(JoinHandle<()>);
 
-impl Drop for AbortOnDrop {
+impl Drop for RunningTask {
     fn drop(&mut self) {
         self.0.abort();
     }
--- a/crates/celerycrank-process/tests/task.rs
+++ b/crates/celerycrank-process/tests/task.rs
@@ -74,6 +74,26 @@
     assert_eq!(failures(&metrics), "celerycrank_task_failures_total 1");
 }
 
+#[actix_rt::test]
+async fn a_task_of_its_own_is_started_again_until_its_guard_is_dropped() {
+    let metrics = MetricSet::default();
+    let supervisor = TaskSupervisor::new(&metrics).unwrap();
+    let starts = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&starts);
+    let task = supervisor.handle().keep_running("accept", move || {
+        counted.set(counted.get() + 1);
+        let is_first = counted.get() == 1;
+        async move {
+            assert!(!is_first, "the first run fails");
+            std::future::pending::<()>().await;
+        }
+    });
+    wait_until(|| starts.get() == 2).await;
+    assert_eq!(failures(&metrics), "celerycrank_task_failures_total 1");
+    drop(task);
+    wait_until(|| Rc::strong_count(&starts) == 1).await;
+}
+
 #[actix_rt::test]
 async fn dropping_the_supervisor_ends_its_tasks() {
     let metrics = MetricSet::default();
