Log prompt parts, progress and crashes of failed attempts

'attempt failed' names the shared parts of the prompt and whether the answer had begun. Where the connection to a backend server breaks before the answer to a prompt with shared parts begins, the entry connects once more: a refused connection means that the backend server has crashed, which is logged and counted.

--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -10,7 +10,7 @@
 
 use super::{
     caller::{CallerConnection, ConnectionStep},
-    dispatch::{RequestDispatch, RequestError},
+    dispatch::{AnswerProgress, RequestDispatch, RequestError},
     outcome::{RequestEnd, log_refusal, record_end},
     refusal::{bad_request, refusal_answer, unknown_answer},
     request::{AdmittedRequest, RequestDraft, admit},
@@ -49,7 +49,7 @@
     let (end, step) = if request.route.semantics.is_stream() {
         Box::pin(stream_answer(caller, &mut dispatch, is_persistent)).await
     } else {
-        answer_buffered(caller, &mut dispatch, is_persistent).await
+        Box::pin(answer_buffered(caller, &mut dispatch, is_persistent)).await
     };
     record_end(state, &request, &dispatch, end);
     step
@@ -124,7 +124,8 @@
         let backend = in_flight.backend.clone();
         drop(in_flight);
         if let Err(reason) = read {
-            if let Err(error) = dispatch.retry_broken(&backend, reason) {
+            let retried = dispatch.retry_broken(&backend, reason, AnswerProgress::NotBegun);
+            if let Err(error) = retried.await {
                 return failed.ok_or(error);
             }
             continue;
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -8,6 +8,7 @@
 
 use super::{
     attempt::{AttemptError, OpenAnswer, open_attempt},
+    crash::has_crashed,
     request::AdmittedRequest,
     state::EntryState,
 };
@@ -53,6 +54,25 @@
     }
 }
 
+/// How far the answer to a request had come when an attempt failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerProgress {
+    /// No part of the answer has been received.
+    NotBegun,
+    /// A backend server has sent a part of the answer.
+    Begun,
+}
+
+impl AnswerProgress {
+    /// The progress of an answer of which the caller has the events up to `last_event`.
+    pub(crate) const fn at(last_event: Option<u64>) -> Self {
+        match last_event {
+            Some(_) => Self::Begun,
+            None => Self::NotBegun,
+        }
+    }
+}
+
 /// State of one request that is sent to one backend server after another.
 pub(crate) struct RequestDispatch<'run> {
     pub(crate) state: &'run EntryState,
@@ -143,7 +163,9 @@
                 Ok(answer) => return Ok(ServedAnswer { answer, in_flight }),
                 Err(error) => {
                     drop(in_flight);
-                    self.record_attempt_error(&registration.backend, error);
+                    let progress = AnswerProgress::at(last_event);
+                    self.record_attempt_error(&registration.backend, error, progress)
+                        .await;
                     self.check_retry(error)?;
                 }
             }
@@ -152,27 +174,31 @@
 
     /// Records that an answer was cut off; returns an error unless the request may be sent to
     /// another backend server.
-    pub(crate) fn retry_broken(
+    pub(crate) async fn retry_broken(
         &mut self,
         backend: &BackendId,
         reason: UnknownReason,
+        progress: AnswerProgress,
     ) -> Result<(), RequestError> {
         let error = AttemptError::Broken(reason);
-        self.record_attempt_error(backend, error);
+        self.record_attempt_error(backend, error, progress).await;
         self.check_retry(error)
     }
 
     /// Records that the last backend server does not respond; returns an error unless the request
     /// may be sent to another one.
-    pub(crate) fn retry_unresponsive(&mut self) -> Result<(), RequestError> {
+    pub(crate) async fn retry_unresponsive(&mut self) -> Result<(), RequestError> {
         let Some(backend) = self.tried.last().cloned() else {
             return Ok(());
         };
-        if self.sent.may_have_run() {
-            return self.retry_broken(&backend, UnknownReason::BackendTimeout);
-        }
-        self.record_attempt_error(&backend, AttemptError::NotSent);
-        self.check_retry(AttemptError::NotSent)
+        let error = if self.sent.may_have_run() {
+            AttemptError::Broken(UnknownReason::BackendTimeout)
+        } else {
+            AttemptError::NotSent
+        };
+        self.record_attempt_error(&backend, error, AnswerProgress::NotBegun)
+            .await;
+        self.check_retry(error)
     }
 
     /// How long a backend server may be silent when `upcoming` further sends are about to be
@@ -232,8 +258,49 @@
         chosen.map(|state| state.registration.clone())
     }
 
-    fn record_attempt_error(&mut self, backend: &BackendId, error: AttemptError) {
+    async fn record_attempt_error(
+        &mut self,
+        backend: &BackendId,
+        error: AttemptError,
+        progress: AnswerProgress,
+    ) {
         self.last_error = Some(error);
+        self.note_attempt_error(backend, error);
+        tracing::info!(
+            request = %self.request.attempt,
+            %backend,
+            fault = ?error,
+            sendings = self.sent.sends(),
+            parts = self.request.parts_text(),
+            ?progress,
+            "attempt failed"
+        );
+        let is_suspect = error == AttemptError::Broken(UnknownReason::BackendBroke)
+            && progress == AnswerProgress::NotBegun
+            && !self.request.shared_parts.is_empty();
+        if is_suspect {
+            self.check_crash(backend).await;
+        }
+    }
+
+    /// Checks whether a backend server has crashed, before which it had this request.
+    async fn check_crash(&self, backend: &BackendId) {
+        let registration = self.state.backends.borrow().registration(backend).cloned();
+        let Some(registration) = registration else {
+            return;
+        };
+        if has_crashed(registration.address).await {
+            self.state.metrics.crashes.inc();
+            tracing::warn!(
+                request = %self.request.attempt,
+                %backend,
+                parts = self.request.parts_text(),
+                "backend server crashed before it answered"
+            );
+        }
+    }
+
+    fn note_attempt_error(&self, backend: &BackendId, error: AttemptError) {
         let now = self.state.clock.now();
         let mut backends = self.state.backends.borrow_mut();
         match error {
@@ -243,13 +310,6 @@
             AttemptError::NotRun => backends.note_refused(backend, now),
             AttemptError::Stale => {}
         }
-        tracing::info!(
-            request = %self.request.attempt,
-            %backend,
-            fault = ?error,
-            sendings = self.sent.sends(),
-            "attempt failed"
-        );
     }
 
     /// Returns an error unless another attempt follows the failed one.
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -11,6 +11,7 @@
     pub(crate) answered: IntCounter,
     pub(crate) callers_left: IntCounter,
     pub(crate) connections_made: IntCounter,
+    pub(crate) crashes: IntCounter,
     pub(crate) store_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
     pub(crate) datagrams_unreadable: IntCounter,
@@ -38,6 +39,10 @@
                 "celerycrank_direct_backend_connections_total",
                 "connections made to backend servers",
             )?,
+            crashes: set.counter(
+                "celerycrank_direct_backend_crashes_total",
+                "attempts that failed since their backend server crashed before its answer began",
+            )?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod backoff;
 mod body;
 mod caller;
+mod crash;
 mod dispatch;
 mod load;
 mod metrics;
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -6,7 +6,8 @@
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
 use celerycrank_serving::RouteRule;
-use celerycrank_types::{AccountId, RefusalReason, Revision, ServiceId, TimePoint};
+use celerycrank_types::{AccountId, PromptPartId, RefusalReason, Revision, ServiceId, TimePoint};
+use smallvec::SmallVec;
 
 use super::state::{ConfigurationInForce, EntryState};
 
@@ -28,6 +29,17 @@
     pub(crate) deadline: TimePoint,
     /// The last event that the caller has received of a stream that it resumes.
     pub(crate) last_event: Option<u64>,
+    /// The parts of the prompt that other prompts may share, in order.
+    pub(crate) shared_parts: SmallVec<[PromptPartId; 4]>,
+}
+
+impl AdmittedRequest {
+    /// The shared parts of the prompt, for log lines; `None` if there are none.
+    pub(crate) fn parts_text(&self) -> Option<String> {
+        let parts = self.shared_parts.iter().map(PromptPartId::to_string);
+        let parts = parts.collect::<Vec<_>>();
+        (!parts.is_empty()).then(|| parts.join(","))
+    }
 }
 
 /// A request that has been read but not yet admitted.
@@ -45,6 +57,9 @@
     metadata: RequestMetadata,
 ) -> Result<AdmittedRequest, RefusalReason> {
     let in_force = state.in_force().ok_or(RefusalReason::NoConfiguration)?;
+    if let Some(error) = &metadata.parts_error {
+        tracing::info!(request = %metadata.attempt, fault = %error, "prompt parts are ignored");
+    }
     let route = find_route(state, &in_force, &metadata, &draft.head)?;
     let account = find_account(state, &in_force, &metadata, &route)?;
     let drawn = route.draw_service(&mut *state.random.borrow_mut()).cloned();
@@ -58,6 +73,7 @@
         deadline: draft.arrival + wait,
         arrival: draft.arrival,
         last_event: metadata.last_event,
+        shared_parts: metadata.shared_parts,
         head: draft.head,
         body: draft.body,
         route,
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -16,7 +16,7 @@
     },
     attempt::{AnswerBody, bad_answer},
     caller::{CallerConnection, ConnectionStep},
-    dispatch::{InFlightGuard, RequestDispatch, RequestError},
+    dispatch::{AnswerProgress, InFlightGuard, RequestDispatch, RequestError},
     outcome::RequestEnd,
 };
 
@@ -123,10 +123,11 @@
         match timeout(silence, open(dispatch, last_event)).await {
             Ok(Ok(OpenedStream::Started(started))) => return Ok(*started),
             Ok(Ok(OpenedStream::Broken(backend, reason))) => {
-                dispatch.retry_broken(&backend, reason)?;
+                let progress = AnswerProgress::at(last_event);
+                dispatch.retry_broken(&backend, reason, progress).await?;
             }
             Ok(Err(error)) => return Err(error),
-            Err(_) => dispatch.retry_unresponsive()?,
+            Err(_) => dispatch.retry_unresponsive().await?,
         }
     }
 }
@@ -259,7 +260,8 @@
     let Some(last_event) = last_event else {
         return Err(RelayOutcome::Broken(reason));
     };
-    dispatch.retry_broken(backend, reason).map_err(broken)?;
+    let retried = dispatch.retry_broken(backend, reason, AnswerProgress::Begun);
+    retried.await.map_err(broken)?;
     let state = dispatch.state;
     let deadline = dispatch.request.deadline;
     let starting = start_stream(dispatch, Some(last_event));
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -205,6 +205,14 @@
         }
     }
 
+    /// Returns the registration of a backend server, unless it is unknown or was pruned.
+    #[must_use]
+    pub fn registration(&self, backend: &BackendId) -> Option<&BackendRegistration> {
+        let states = self.services.get(self.services_by_backend.get(backend)?)?;
+        let mut registrations = states.iter().map(|state| &state.registration);
+        registrations.find(|it| it.backend == *backend)
+    }
+
     /// Returns a backend server, unless it is unknown or was pruned.
     pub fn find_mut(&mut self, backend: &BackendId) -> Option<&mut BackendState> {
         let states = self
--- a/crates/celerycrank-types/src/id.rs
+++ b/crates/celerycrank-types/src/id.rs
@@ -2,6 +2,8 @@
 
 use std::{fmt, str::FromStr, sync::Arc};
 
+use crate::conversion::impl_text_conversions;
+
 /// Maximum length of a textual identifier, in bytes.
 const MAX_ID_BYTES: usize = 64;
 
@@ -168,6 +170,34 @@
     Incarnation;
 }
 
+/// A part of a prompt, which the prompts of several requests may have in common.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "Arc<str>", into = "Arc<str>")]
+pub struct PromptPartId(pub u128);
+
+impl fmt::Display for PromptPartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PromptPartId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match u128::from_str_radix(text, 16) {
+            Ok(number) => Ok(Self(number)),
+            Err(_) => Err(IdError::BadNumber(text.into())),
+        }
+    }
+}
+
+impl_text_conversions! {
+    PromptPartId, IdError;
+}
+
 /// The id of a request, assigned by the entry that accepted it.
 ///
 /// Invariant: 128 random bits, so that no two requests share an id.
--- a/crates/celerycrank-types/src/lib.rs
+++ b/crates/celerycrank-types/src/lib.rs
@@ -14,7 +14,7 @@
 pub use crate::{
     id::{
         AccountId, BackendId, DomainId, EntryId, GroupId, IdError, Incarnation, ModelId, PlanId,
-        RequestId, Revision, ServiceId, VmId,
+        PromptPartId, RequestId, Revision, ServiceId, VmId,
     },
     label::UnknownLabel,
     outcome::{RefusalReason, RequestOutcome, RetryReason, UnknownReason},
