A stream without a length that ends before its first event is broken off

Cause: the end of the connection was taken for the end of the stream wherever the reader stood between two events, and before the first event it does. Now a stream that only its connection ends needs at least one event; a framed one may be empty. Inside an event it was already broken off.

--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -67,6 +67,8 @@
 pub(crate) struct AnswerBody {
     pub(crate) stream: HttpStream,
     decoder: BodyDecoder,
+    /// Whether nothing but the end of the connection marks the end of the body.
+    pub(crate) ends_with_connection: bool,
     is_persistent: bool,
     idle_timeout: Option<TimeSpan>,
     registration: BackendRegistration,
@@ -269,6 +271,7 @@
     let body = AnswerBody {
         stream,
         decoder: BodyDecoder::new(framing),
+        ends_with_connection: framing == BodyFraming::UntilClose,
         is_persistent: head.is_persistent() && is_fully_sent,
         idle_timeout: head.keep_alive_timeout(),
         registration: registration.clone(),
@@ -306,7 +309,7 @@
 }
 
 /// Logs why the answer of a backend server is incomplete.
-fn incomplete_answer(error: impl std::fmt::Display) -> UnknownReason {
+pub(crate) fn incomplete_answer(error: impl std::fmt::Display) -> UnknownReason {
     tracing::info!(fault = %error, "answer of a backend server is incomplete");
     UnknownReason::BackendBroke
 }
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -14,7 +14,7 @@
         MAX_BUFFERED_ANSWER, WorkOutcome, deadline_error, error_answer, next_step,
         run_interruptible,
     },
-    attempt::{AnswerBody, bad_answer},
+    attempt::{AnswerBody, bad_answer, incomplete_answer},
     caller::{CallerConnection, ConnectionStep},
     dispatch::{AnswerProgress, InFlightGuard, RequestDispatch, RequestError},
     outcome::RequestEnd,
@@ -54,11 +54,20 @@
                         return Ok(StreamPart::Events(events));
                     }
                 }
-                None if self.events.is_between_events() => return Ok(StreamPart::End),
-                None => return Err(UnknownReason::BackendBroke),
+                None if self.is_complete() => return Ok(StreamPart::End),
+                None => return Err(incomplete_answer("the stream ended before its last event")),
             }
         }
     }
+
+    /// Whether a stream whose body has ended is complete.
+    ///
+    /// The connection of a backend server that crashes ends like that of one which has finished; a
+    /// stream without any event has not been answered.
+    fn is_complete(&self) -> bool {
+        let has_begun = self.events.has_events() || !self.body.ends_with_connection;
+        self.events.is_between_events() && has_begun
+    }
 }
 
 /// Answers a request with a stream.
--- a/crates/celerycrank-serving/src/event.rs
+++ b/crates/celerycrank-serving/src/event.rs
@@ -30,6 +30,8 @@
     partial: BytesMut,
     /// The number of the last event that was returned.
     last: Option<u64>,
+    /// Whether an event was returned.
+    has_events: bool,
 }
 
 impl EventReader {
@@ -38,15 +40,18 @@
     #[must_use]
     pub fn after(last: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last,
+            ..Self::default()
         }
     }
 
     /// Creates a reader for a stream that has ended.
     #[must_use]
     pub fn finished() -> Self {
-        Self::default()
+        Self {
+            has_events: true,
+            ..Self::default()
+        }
     }
 
     /// Returns the number of the last complete event.
@@ -55,6 +60,12 @@
         self.last
     }
 
+    /// Whether at least one event was returned.
+    #[must_use]
+    pub const fn has_events(&self) -> bool {
+        self.has_events
+    }
+
     /// Whether the received data ends at an event boundary.
     #[must_use]
     pub fn is_between_events(&self) -> bool {
@@ -72,6 +83,7 @@
         let mut start = 0;
         while let Some(end) = event_end(&self.partial, searched.max(start)) {
             self.check_event(start, end)?;
+            self.has_events = true;
             start = end;
             searched = end;
         }
