Refuse prompt parts that crash backend servers

Cause: poison requests. Every request was judged alone: entries remembered of a crash that the backend server had failed, never what the requests there had in common, so each new request with the part went to the next sound backend server, and a second attempt did the same within one request.

Why this works: a part stands out by what cannot be chance. It is present, before the answer begins, at each crash, and no answer to a prompt with it ever begins. An entry that sees a connection break before the answer connects once more; if that is refused, it reports the crash with the shared parts of the prompts there. The reports are records with a lease in the platform's store, one a crash and entry, so nobody has to agree on anything: each entry counts the crashes of all, takes the part with most (of equals the deepest, which fewest sound prompts share), refuses it after two, or after four if answers to it have begun before, and takes the crashes that this explains out of the evidence against other parts. Entries that start read the reports before they send. A refused request is answered 503 at once and told when the next trial is due: one request after 2 to 3 minutes, doubled after each failed trial up to an hour; an answer that begins clears a part. All state is bounded. Crashes of many backend servers at once count only for parts present at most of them.

--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -21,6 +21,15 @@
     callers: u32,
     requests: u32,
     backends: Vec<BackendStatus>,
+    quarantined_parts: Vec<PartStatus>,
+}
+
+#[derive(Serialize)]
+struct PartStatus {
+    service: String,
+    part: String,
+    failed_trials: u32,
+    remaining: String,
 }
 
 #[derive(Serialize)]
@@ -56,6 +65,13 @@
             requests: it.load.total(now),
             failures: it.failure_rate(),
         });
+        let parts = state.quarantine.borrow().status(now).into_iter();
+        let parts = parts.map(|it| PartStatus {
+            service: it.service.to_string(),
+            part: it.part.to_string(),
+            failed_trials: it.failed_trials,
+            remaining: it.remaining.to_string(),
+        });
         let status = EntryStatus {
             entry: state.settings().entry.to_string(),
             revision: state.in_force().map(|it| it.revision.to_string()),
@@ -64,6 +80,7 @@
             callers: state.caller_connections.get(),
             requests: state.requests_in_flight.get(),
             backends: backends.collect(),
+            quarantined_parts: parts.collect(),
         };
         serde_json::to_vec(&status).expect("plain fields encode into memory")
     }
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -130,6 +130,7 @@
             }
             continue;
         }
+        dispatch.note_begun();
         let is_failure = answer.head.status >= 500;
         let state = dispatch.state;
         state
@@ -176,7 +177,7 @@
     if dispatch.sent.may_have_run() {
         RequestError::Unknown(UnknownReason::BackendTimeout)
     } else {
-        RequestError::Refused(RefusalReason::DeadlineUnreachable)
+        RequestError::Refused(RefusalReason::DeadlineUnreachable.into())
     }
 }
 
@@ -189,9 +190,9 @@
 ) -> (RequestEnd, BytesMut) {
     let attempt = &*request.attempt;
     match error {
-        RequestError::Refused(reason) => (
-            RequestEnd::Refused(reason),
-            refusal_answer(state, Some(attempt), reason, is_last),
+        RequestError::Refused(refusal) => (
+            RequestEnd::Refused(refusal.reason),
+            refusal_answer(state, Some(attempt), refusal, is_last),
         ),
         RequestError::Unknown(reason) => (
             RequestEnd::Unknown(reason),
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -2,13 +2,16 @@
 
 use std::{cell::Cell, time::Duration};
 
-use celerycrank_serving::{BackendRegistration, ChoiceQuery, RequestSemantics, choose_backend};
+use celerycrank_serving::{
+    BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics, choose_backend,
+};
 use celerycrank_types::{BackendId, RefusalReason, RetryReason, UnknownReason};
 use smallvec::SmallVec;
 
 use super::{
     attempt::{AttemptError, OpenAnswer, open_attempt},
     crash::has_crashed,
+    refusal::Refusal,
     request::AdmittedRequest,
     state::EntryState,
 };
@@ -24,7 +27,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RequestError {
     /// The request has not run and will not run.
-    Refused(RefusalReason),
+    Refused(Refusal),
     /// The request may have run.
     Unknown(UnknownReason),
 }
@@ -141,6 +144,7 @@
         last_event: Option<u64>,
     ) -> Result<ServedAnswer<'run>, RequestError> {
         loop {
+            self.check_quarantine()?;
             let Some(registration) = self.choose() else {
                 return Err(self.final_error(RefusalReason::NoBackend));
             };
@@ -244,6 +248,24 @@
             && self.take_retry(RetryReason::Repeatable)
     }
 
+    /// Returns an error if a part of the prompt is known to crash backend servers.
+    fn check_quarantine(&self) -> Result<(), RequestError> {
+        let now = self.state.clock.now();
+        let mut quarantine = self.state.quarantine.borrow_mut();
+        let admitted = quarantine.admit(&self.request.prompt_query(), now);
+        admitted.map_err(|remaining| {
+            self.final_error(Refusal {
+                reason: RefusalReason::CrashingPrompt,
+                retry_after: Some(remaining),
+            })
+        })
+    }
+
+    /// Records that a backend server has begun to answer.
+    pub(crate) fn note_begun(&self) {
+        self.state.note_begun(&self.request.prompt_query());
+    }
+
     fn choose(&self) -> Option<BackendRegistration> {
         let settings = self.state.settings();
         let query = ChoiceQuery {
@@ -297,6 +319,12 @@
                 parts = self.request.parts_text(),
                 "backend server crashed before it answered"
             );
+            let crashed = CrashedBackend {
+                service: registration.service,
+                backend: registration.backend,
+                incarnation: registration.incarnation,
+            };
+            self.state.note_crash(&crashed, &self.request.shared_parts);
         }
     }
 
@@ -338,9 +366,9 @@
     }
 
     /// The error to report once no further attempt is made.
-    fn final_error(&self, reason: RefusalReason) -> RequestError {
+    fn final_error(&self, refusal: impl Into<Refusal>) -> RequestError {
         if !self.sent.may_have_run() {
-            return RequestError::Refused(reason);
+            return RequestError::Refused(refusal.into());
         }
         match self.last_error {
             Some(AttemptError::Broken(reason)) => RequestError::Unknown(reason),
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -2,7 +2,7 @@
 
 use celerycrank_process::{LabelledCounter, MetricError, MetricSet};
 use celerycrank_types::{RefusalReason, RetryReason, UnknownReason};
-use prometheus::{Histogram, IntCounter};
+use prometheus::{Histogram, IntCounter, IntGauge};
 
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
@@ -12,6 +12,7 @@
     pub(crate) callers_left: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
+    pub(crate) quarantined_parts: IntGauge,
     pub(crate) store_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
     pub(crate) datagrams_unreadable: IntCounter,
@@ -43,6 +44,10 @@
                 "celerycrank_direct_backend_crashes_total",
                 "attempts that failed since their backend server crashed before its answer began",
             )?,
+            quarantined_parts: set.gauge(
+                "celerycrank_direct_quarantined_parts",
+                "prompt parts that are refused since they crash backend servers",
+            )?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod probe;
 mod process;
+mod quarantine;
 mod refusal;
 mod request;
 mod state;
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -15,8 +15,14 @@
 };
 
 use super::{
-    admin::EntryAdminHandler, caller::serve_caller, load::receive_loads, metrics::EntryMetrics,
-    probe::serve_probes, state::EntryState, store::watch_store,
+    admin::EntryAdminHandler,
+    caller::serve_caller,
+    load::receive_loads,
+    metrics::EntryMetrics,
+    probe::serve_probes,
+    quarantine::{collect_crashes, write_reports},
+    state::EntryState,
+    store::watch_store,
 };
 use crate::{DirectError, signal::handle_reload_signals};
 
@@ -163,6 +169,10 @@
     });
     let watching = Rc::clone(state);
     tasks.spawn("store", move || watch_store(Rc::clone(&watching)));
+    let collecting = Rc::clone(state);
+    tasks.spawn("crashes", move || collect_crashes(Rc::clone(&collecting)));
+    let writing = Rc::clone(state);
+    tasks.spawn("crash reports", move || write_reports(Rc::clone(&writing)));
     let (receiving, peers) = (Rc::clone(state), Rc::new(peers));
     tasks.spawn("loads", move || {
         receive_loads(Rc::clone(&receiving), Rc::clone(&peers))
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/quarantine.rs
@@ -0,0 +1,209 @@
+//! Shares crashes of backend servers between entries, through the key-value service.
+//!
+//! Each report is a record of its own, so that entries need not agree on anything: each of them
+//! decides for itself from all reports. The records have leases and disappear by themselves;
+//! processes that start meanwhile read them before they send requests.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    rc::Rc,
+    time::Duration,
+};
+
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use celerycrank_client::{Expected, KeyValueError, KeyValueRecord, SwapOutcome};
+use celerycrank_serving::{CrashReport, CrashedBackend, PromptQuery};
+use celerycrank_types::{EntryId, PromptPartId, TimePoint, TimeSpan};
+use tokio::sync::Notify;
+
+use super::state::EntryState;
+
+/// The prefix of the keys of crash reports.
+pub(super) const CRASH_PREFIX: &str = "celerycrank/crashes/";
+
+/// How long a report stays for processes that start.
+const REPORT_TTL: TimeSpan = TimeSpan::from_secs(600);
+
+/// Delay before a report that could not be written is written again.
+const REPORT_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Maximum number of reports that wait to be written.
+const MAX_WAITING_REPORTS: usize = 64;
+
+impl EntryState {
+    /// Records that an answer to a prompt has begun.
+    pub(super) fn note_begun(&self, query: &PromptQuery<'_>) {
+        if query.parts.is_empty() {
+            return;
+        }
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.note_begun(query, self.clock.now()) {
+            self.count_quarantined(quarantine.len());
+            tracing::info!(
+                service = %query.service,
+                parts = ?query.parts,
+                "prompt part is no longer refused; an answer to it has begun"
+            );
+        }
+    }
+
+    /// Records that a backend server crashed while it held a prompt unanswered.
+    pub(super) fn note_crash(&self, crashed: &CrashedBackend, parts: &[PromptPartId]) {
+        let now = self.clock.now();
+        if self.crashes.borrow_mut().note(crashed, parts, now) {
+            self.crash_noted.notify_one();
+        }
+    }
+
+    /// Decides about the parts that a report names.
+    fn apply_report(&self, report: CrashReport) {
+        let service = report.crashed.service.clone();
+        let now = self.clock.now();
+        let mut quarantine = self.quarantine.borrow_mut();
+        let change = quarantine.note_crash(report, now, &mut *self.random.borrow_mut());
+        self.count_quarantined(quarantine.len());
+        for part in &change.added {
+            tracing::warn!(%service, %part, "prompt part is refused; it crashes backend servers");
+        }
+        for part in &change.evicted {
+            tracing::warn!(%part, "prompt part is no longer refused; too many are");
+        }
+    }
+
+    fn count_quarantined(&self, parts: usize) {
+        let parts = i64::try_from(parts).unwrap_or(i64::MAX);
+        self.metrics.quarantined_parts.set(parts);
+    }
+}
+
+/// Reads the reports of all entries.
+pub(super) async fn read_crash_reports(state: &EntryState) -> Result<(), KeyValueError> {
+    let snapshot = state.store.range(CRASH_PREFIX).await?;
+    for record in &snapshot.records {
+        apply_record(state, record);
+    }
+    Ok(())
+}
+
+/// Applies the report in a record.
+pub(super) fn apply_record(state: &EntryState, record: &KeyValueRecord) {
+    match CrashReport::decode(&record.value) {
+        Ok(report) => state.apply_report(report),
+        Err(error) => {
+            tracing::warn!(key = %record.key, fault = %error, "crash report is ignored");
+        }
+    }
+}
+
+/// A report that waits to be written.
+#[derive(Debug)]
+struct WaitingReport {
+    key: String,
+    report: CrashReport,
+    seen_at: TimePoint,
+}
+
+/// The reports of this entry that are not written yet, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct ReportQueue {
+    reports: RefCell<VecDeque<WaitingReport>>,
+    added: Notify,
+    /// Number of reports so far, which distinguishes their keys.
+    count: Cell<u64>,
+}
+
+impl ReportQueue {
+    fn push(&self, entry: &EntryId, report: CrashReport, seen_at: TimePoint) {
+        self.count.set(self.count.get() + 1);
+        let key = report_key(entry, &report.crashed, self.count.get());
+        let mut reports = self.reports.borrow_mut();
+        if reports.len() == MAX_WAITING_REPORTS {
+            reports.pop_front();
+            tracing::warn!("crash report dropped; too many wait to be written");
+        }
+        reports.push_back(WaitingReport {
+            key,
+            report,
+            seen_at,
+        });
+        self.added.notify_one();
+    }
+
+    /// Removes the first report that is of use, or waits for it.
+    async fn pop(&self, state: &EntryState) -> WaitingReport {
+        loop {
+            let first = self.reports.borrow_mut().pop_front();
+            match first {
+                Some(it) if state.clock.now().since(it.seen_at) < REPORT_TTL => return it,
+                Some(it) => tracing::warn!(key = %it.key, "crash report dropped; it is too old"),
+                None => self.added.notified().await,
+            }
+        }
+    }
+}
+
+/// Decides about crashes that this entry sees, and queues its reports.
+pub(super) async fn collect_crashes(state: Rc<EntryState>) {
+    loop {
+        let due_at = state.crashes.borrow().due_at();
+        let Some(due_at) = due_at else {
+            state.crash_noted.notified().await;
+            continue;
+        };
+        sleep(state.clock.until(due_at).as_duration()).await;
+        let reports = state.crashes.borrow_mut().take();
+        if reports.is_empty() {
+            tracing::info!("crashes are not reported; the prompts have no part in common");
+        }
+        let seen_at = state.clock.now();
+        let entry = &state.settings().entry;
+        for report in reports {
+            state.apply_report(report.clone());
+            state.crash_reports.push(entry, report, seen_at);
+        }
+    }
+}
+
+/// Writes the reports of this entry for the others.
+pub(super) async fn write_reports(state: Rc<EntryState>) {
+    loop {
+        let first = state.crash_reports.pop(&state).await;
+        while let Err(error) = write_report(&state, &first).await {
+            state.metrics.store_errors.inc();
+            tracing::warn!(key = %first.key, fault = %error, "crash report not written yet");
+            if state.clock.now().since(first.seen_at) >= REPORT_TTL {
+                tracing::warn!(key = %first.key, "crash report dropped; it is too old");
+                break;
+            }
+            sleep(REPORT_RETRY_DELAY).await;
+        }
+    }
+}
+
+fn report_key(entry: &EntryId, crashed: &CrashedBackend, number: u64) -> String {
+    let CrashedBackend {
+        backend,
+        incarnation,
+        ..
+    } = crashed;
+    format!("{CRASH_PREFIX}{backend}/{incarnation}/{entry}/{number}")
+}
+
+async fn write_report(state: &EntryState, waiting: &WaitingReport) -> Result<(), KeyValueError> {
+    let lease = state.store.grant_lease(REPORT_TTL).await?;
+    let value = Bytes::from(waiting.report.encode());
+    let written =
+        state
+            .store
+            .compare_and_swap_leased(&waiting.key, Expected::Absent, value, lease.id);
+    match written.await? {
+        SwapOutcome::Written(_) => {}
+        // An earlier call was carried out, although its answer was lost.
+        SwapOutcome::Conflict(_) => {
+            tracing::info!(key = %waiting.key, "crash report is there already");
+        }
+    }
+    Ok(())
+}
--- a/crates/celerycrank-direct/src/entry/refusal.rs
+++ b/crates/celerycrank-direct/src/entry/refusal.rs
@@ -14,13 +14,34 @@
 /// Retry delays sent to callers while the key-value service is unavailable, which lasts seconds.
 const STORE_RETRY_AFTER: RangeInclusive<u64> = retry_after_range(1_000, 2_500);
 
+/// A refusal of a request that has not run and will not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) reason: RefusalReason,
+    /// When the caller may come back; drawn at random if it is not known.
+    pub(crate) retry_after: Option<TimeSpan>,
+}
+
+impl From<RefusalReason> for Refusal {
+    fn from(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+}
+
 /// Counts a refusal and builds the answer for a request that has not run and will not run.
 pub(crate) fn refusal_answer(
     state: &EntryState,
     attempt: Option<&str>,
-    reason: RefusalReason,
+    refusal: impl Into<Refusal>,
     is_last: bool,
 ) -> bytes::BytesMut {
+    let Refusal {
+        reason,
+        retry_after,
+    } = refusal.into();
     state.metrics.refusals.count(reason);
     let status = reason.status();
     let should_retry = matches!(status, 429 | 503);
@@ -28,7 +49,8 @@
         status,
         attempt,
         reason: reason.label(),
-        retry_after: should_retry.then(|| random_retry_after(state, reason)),
+        retry_after: should_retry
+            .then(|| retry_after.unwrap_or_else(|| random_retry_after(state, reason))),
         closes_connection: is_last,
     })
 }
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
-use celerycrank_serving::RouteRule;
+use celerycrank_serving::{PromptQuery, RouteRule};
 use celerycrank_types::{AccountId, PromptPartId, RefusalReason, Revision, ServiceId, TimePoint};
 use smallvec::SmallVec;
 
@@ -34,6 +34,14 @@
 }
 
 impl AdmittedRequest {
+    /// The shared parts of the prompt at the requested service.
+    pub(crate) fn prompt_query(&self) -> PromptQuery<'_> {
+        PromptQuery {
+            service: &self.service,
+            parts: &self.shared_parts,
+        }
+    }
+
     /// The shared parts of the prompt, for log lines; `None` if there are none.
     pub(crate) fn parts_text(&self) -> Option<String> {
         let parts = self.shared_parts.iter().map(PromptPartId::to_string);
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -11,13 +11,14 @@
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{ProcessClock, ShutdownFlag, TaskHandle};
 use celerycrank_serving::{
-    AccountTable, BackendTable, CallerBounds, EntryCount, FreshnessGuard, RetryAllowance,
-    RetryWindow, RouteTable, ServingConfiguration,
+    AccountTable, BackendTable, CallerBounds, CrashCollector, EntryCount, FreshnessGuard,
+    PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
 };
 use celerycrank_types::{DecimalSpan, Revision, ServiceId, TimeSpan};
 use rand::{SeedableRng, rngs::StdRng};
+use tokio::sync::Notify;
 
-use super::{metrics::EntryMetrics, pool::ConnectionPool};
+use super::{metrics::EntryMetrics, pool::ConnectionPool, quarantine::ReportQueue};
 
 /// State shared by the tasks of an entry, all of which run on one arbiter.
 pub(crate) struct EntryState {
@@ -44,6 +45,14 @@
     retry_windows: RefCell<HashMap<ServiceId, RetryWindow>>,
     /// The number of entries that share the allowance of retries.
     pub(crate) entry_count: RefCell<EntryCount>,
+    /// The prompt parts that are refused since they crash backend servers.
+    pub(crate) quarantine: RefCell<PartQuarantine>,
+    /// Crashes that this entry has just seen.
+    pub(crate) crashes: RefCell<CrashCollector>,
+    /// Wakes the task that decides about crashes.
+    pub(crate) crash_noted: Notify,
+    /// Reports of crashes for the other entries.
+    pub(crate) crash_reports: ReportQueue,
 }
 
 /// The configuration in force, compiled for lookups.
@@ -101,6 +110,10 @@
             in_force: RefCell::default(),
             retry_windows: RefCell::default(),
             entry_count: RefCell::default(),
+            quarantine: RefCell::default(),
+            crashes: RefCell::default(),
+            crash_noted: Notify::new(),
+            crash_reports: ReportQueue::default(),
             settings: RefCell::new(Rc::new(settings)),
         }
     }
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -11,7 +11,11 @@
 use celerycrank_serving::{BackendRegistration, RegistrationChange};
 use celerycrank_types::TimeSpan;
 
-use super::{backoff::StoreBackoff, state::EntryState};
+use super::{
+    backoff::StoreBackoff,
+    quarantine::{CRASH_PREFIX, apply_record, read_crash_reports},
+    state::EntryState,
+};
 
 /// How long a poll for changes waits at the key-value service. Its answer proves that the
 /// configuration is still the newest; without this proof, requests with keys are soon refused.
@@ -45,6 +49,7 @@
     if is_newest {
         state.confirm(asked_at);
     }
+    read_crash_reports(state).await?;
     read_backends(state).await?;
     backoff.record_success();
     loop {
@@ -87,6 +92,11 @@
         if let WatchEvent::Put(record) = event {
             *is_newest = adopt_record(state, record);
         }
+    } else if key.starts_with(CRASH_PREFIX) {
+        // A report that is removed has only outlived its use for processes that start.
+        if let WatchEvent::Put(record) = event {
+            apply_record(state, record);
+        }
     } else if key.starts_with(REGISTRATION_PREFIX)
         && let Some(change) = decode_change(event)
     {
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -130,7 +130,10 @@
     loop {
         let silence = dispatch.silence_timeout(FIRST_EVENT_TIMEOUT, 1);
         match timeout(silence, open(dispatch, last_event)).await {
-            Ok(Ok(OpenedStream::Started(started))) => return Ok(*started),
+            Ok(Ok(OpenedStream::Started(started))) => {
+                dispatch.note_begun();
+                return Ok(*started);
+            }
             Ok(Ok(OpenedStream::Broken(backend, reason))) => {
                 let progress = AnswerProgress::at(last_event);
                 dispatch.retry_broken(&backend, reason, progress).await?;
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -7,9 +7,11 @@
 mod budget;
 mod choice;
 mod configuration;
+mod crash;
 mod event;
 mod freshness;
 mod load;
+mod quarantine;
 mod route;
 
 pub use crate::{
@@ -23,8 +25,10 @@
         AccountRule, CallerBounds, EngineProfile, GroupProfile, RequestSemantics, RouteRule,
         ServiceRule, ServingConfiguration, WeightedService,
     },
+    crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
     event::{EventError, EventReader},
     freshness::FreshnessGuard,
     load::{LoadEstimate, LoadReport},
+    quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     route::RouteTable,
 };
--- a/crates/celerycrank-types/src/outcome.rs
+++ b/crates/celerycrank-types/src/outcome.rs
@@ -72,6 +72,8 @@
         MalformedFrame = "malformed_frame",
         /// The process is shutting down (503).
         ShuttingDown = "shutting_down",
+        /// A part of the prompt has crashed backend servers (503).
+        CrashingPrompt = "crashing_prompt",
     }
 }
 
