--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -8,8 +8,8 @@
     BodyDecoder, BodyFraming, BodyStep, HttpStream, ResponseHead, TcpTimeouts, parse_response,
 };
 use celerycrank_platform::{AnswerMetadata, ForwardMetadata, read_answer, write_forwarded};
-use celerycrank_serving::BackendRegistration;
-use celerycrank_types::{TimeSpan, UnknownReason};
+use celerycrank_serving::{BackendRegistration, LimitNotice};
+use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
 use super::{dispatch::SendRecord, request::AdmittedRequest, state::EntryState};
 
@@ -145,7 +145,55 @@
     // A write error is not fatal: the backend server may have answered before it read the complete
     // request.
     let head = read_own_head(&mut stream, request, is_reused).await?;
-    check_answer(request, stream, head, is_fully_sent, registration)
+    let metadata = read_answer(&head);
+    note_limit(state, registration, &metadata, now);
+    let answer = ReceivedHead {
+        head,
+        metadata,
+        is_fully_sent,
+    };
+    check_answer(request, stream, answer, registration)
+}
+
+/// Records the limit that a backend server names in an answer, or that it names none.
+fn note_limit(
+    state: &EntryState,
+    registration: &BackendRegistration,
+    metadata: &AnswerMetadata,
+    sent_at: TimePoint,
+) {
+    if metadata.is_misdirected {
+        return;
+    }
+    let backend = &registration.backend;
+    let rate = match &metadata.request_limit {
+        Ok(rate) => *rate,
+        Err(error) => {
+            tracing::info!(%backend, fault = %error, "limit of a backend server is ignored");
+            return;
+        }
+    };
+    let notice = LimitNotice {
+        rate,
+        sent_at,
+        now: state.clock.now(),
+    };
+    if !state.backends.borrow_mut().note_limit(backend, notice) {
+        return;
+    }
+    if let Some(limit) = rate {
+        tracing::info!(%backend, %limit, "backend server names a limit");
+    } else {
+        tracing::info!(%backend, "backend server names no limit any more");
+    }
+}
+
+/// The head of an answer to a request.
+struct ReceivedHead {
+    head: ResponseHead,
+    metadata: AnswerMetadata,
+    /// Whether the request was sent completely.
+    is_fully_sent: bool,
 }
 
 /// Returns a connection and whether it has carried requests before.
@@ -258,11 +306,14 @@
 fn check_answer(
     request: &AdmittedRequest,
     stream: HttpStream,
-    head: ResponseHead,
-    is_fully_sent: bool,
+    answer: ReceivedHead,
     registration: &BackendRegistration,
 ) -> Result<OpenAnswer, AttemptError> {
-    let metadata = read_answer(&head);
+    let ReceivedHead {
+        head,
+        metadata,
+        is_fully_sent,
+    } = answer;
     if !is_answer_to(&metadata, request) {
         return Err(AttemptError::Broken(UnknownReason::BadAnswer));
     }
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
+use celerycrank_types::{BackendId, DomainId, RequestRate, ServiceId, TimePoint, TimeSpan};
 
 use crate::LoadEstimate;
 
@@ -79,6 +79,27 @@
     backoff: Option<(TimePoint, TimeSpan)>,
     /// Moving average of failed answers, from 0 to 1.
     failure_rate: f64,
+    /// The limit that it names in its answers.
+    limit: Option<NamedLimit>,
+}
+
+/// A limit that a backend server names, on the requests of all entries together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct NamedLimit {
+    rate: RequestRate,
+    /// When it was last named.
+    named_at: TimePoint,
+}
+
+/// What an answer says of the limit of its backend server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitNotice {
+    /// The limit; `None` if the answer names none.
+    pub rate: Option<RequestRate>,
+    /// When the request was sent.
+    pub sent_at: TimePoint,
+    /// When the answer arrived.
+    pub now: TimePoint,
 }
 
 impl BackendState {
@@ -91,9 +112,16 @@
             is_superseded: false,
             backoff: None,
             failure_rate: 0.0,
+            limit: None,
         }
     }
 
+    /// The limit that it names on the requests of all entries together, if any.
+    #[must_use]
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit.map(|limit| limit.rate)
+    }
+
     /// Whether it may receive new requests.
     #[must_use]
     pub fn is_usable(&self, now: TimePoint) -> bool {
@@ -131,6 +159,21 @@
         }
     }
 
+    /// Updates the limit; returns whether it has changed.
+    fn note_limit(&mut self, notice: LimitNotice) -> bool {
+        let known = self.limit();
+        match (notice.rate, self.limit) {
+            (Some(rate), _) => {
+                let named_at = notice.now;
+                self.limit = Some(NamedLimit { rate, named_at });
+            }
+            // An answer to an earlier request may have been made before the limit.
+            (None, Some(limit)) if notice.sent_at <= limit.named_at => {}
+            (None, _) => self.limit = None,
+        }
+        self.limit() != known
+    }
+
     fn note_unreachable(&mut self, now: TimePoint) {
         let span = match self.backoff {
             // Requests that fail at the same time extend the backoff only once.
@@ -244,6 +287,13 @@
         }
     }
 
+    /// Records what an answer says of the limit of its backend server; returns whether the limit
+    /// has changed.
+    pub fn note_limit(&mut self, backend: &BackendId, notice: LimitNotice) -> bool {
+        let state = self.find_mut(backend);
+        state.is_some_and(|state| state.note_limit(notice))
+    }
+
     /// Records that a backend server refused to run a request.
     ///
     /// It is full, or a rank of its group is missing, so other backend servers are preferred for
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -17,7 +17,8 @@
 pub use crate::{
     account::AccountTable,
     backend::{
-        BackendRegistration, BackendState, BackendTable, RegistrationChange, RegistrationState,
+        BackendRegistration, BackendState, BackendTable, LimitNotice, RegistrationChange,
+        RegistrationState,
     },
     budget::{EntryCount, RetryAllowance, RetryWindow},
     choice::{ChoiceQuery, choose_backend},
--- a/crates/celerycrank-types/src/lib.rs
+++ b/crates/celerycrank-types/src/lib.rs
@@ -20,5 +20,7 @@
     outcome::{RefusalReason, RequestOutcome, RetryReason, UnknownReason},
     record::{KeyValueRecord, LeaseId, ModRevision, WatchEvent},
     time::{DecimalSpan, TimePoint, TimeSpan, TimeSpanError},
-    unit::{ByteSize, Fraction, LinkRate, ShareWeight, TokenCount, TokenRate, UnitError},
+    unit::{
+        ByteSize, Fraction, LinkRate, RequestRate, ShareWeight, TokenCount, TokenRate, UnitError,
+    },
 };
--- a/crates/celerycrank-types/src/unit.rs
+++ b/crates/celerycrank-types/src/unit.rs
@@ -209,6 +209,44 @@
     }
 }
 
+/// A rate of requests, with the text format `2.5/s`.
+///
+/// Invariant: finite and not negative.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, serde::Serialize, serde::Deserialize)]
+#[serde(try_from = "Arc<str>", into = "Arc<str>")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Creates a rate of this many requests per second; `None` if it is negative or not finite.
+    #[must_use]
+    pub fn from_per_second(number: f64) -> Option<Self> {
+        (number.is_finite() && number >= 0.0).then_some(Self(number))
+    }
+
+    /// Returns the number of requests per second.
+    #[must_use]
+    pub const fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix("/s").and_then(|text| text.parse().ok());
+        number
+            .and_then(Self::from_per_second)
+            .ok_or_else(|| UnitError::Rate(text.into()))
+    }
+}
+
 /// A plan's weight in the division of contended capacity, relative to other plans.
 ///
 /// Invariant: positive.
@@ -304,5 +342,6 @@
     ByteSize, UnitError;
     TokenRate, UnitError;
     LinkRate, UnitError;
+    RequestRate, UnitError;
     Fraction, UnitError;
 }
