Keep the request limits that backend servers name

Cause: back pressure that is not listened to. Backend servers were chosen by load alone; no entry read the limit. Keeping it needs more than reading: the limit is for all entries together, none sees the requests of the others, and it may be smaller than the number of entries.

Why this works: each entry has a token bucket for each backend server that names a limit, filled with its share. The shares add up to the limit, and the bursts to three requests and a second's worth. Where entries outnumber that, only some have a share, others at other backend servers. The place of an entry among all comes from the agents, to which all of them subscribe, and which are asked only while there are limits. Entries tell one another of a limit that begins, goes on or ends, so that one without a share, or restarted, knows too; if nobody says so for 12 s, it finds out by itself, in turn. A request that no limit allows is refused at once (backend_limit) and told when the next one is allowed, spread. The limit ends with an answer, to a request sent after the limit was last named, that names none.

--- a/crates/celerycrank-direct/src/agent/load.rs
+++ b/crates/celerycrank-direct/src/agent/load.rs
@@ -48,6 +48,15 @@
     *last = Some((load, now));
 }
 
+/// Returns the entries that subscribe, in the order of their addresses.
+pub(crate) fn list_subscribers(state: &AgentState) -> Vec<std::net::SocketAddr> {
+    count_subscribers(state, state.clock.now());
+    let subscribers = state.subscribers.borrow();
+    let mut entries = subscribers.keys().copied().collect::<Vec<_>>();
+    entries.sort_unstable();
+    entries
+}
+
 /// Removes expired subscriptions and counts the others.
 fn count_subscribers(state: &AgentState, now: TimePoint) -> u32 {
     let mut subscribers = state.subscribers.borrow_mut();
--- a/crates/celerycrank-direct/src/agent/peer.rs
+++ b/crates/celerycrank-direct/src/agent/peer.rs
@@ -12,7 +12,12 @@
 use celerycrank_types::GroupId;
 use tokio::select;
 
-use super::{load::subscribe, output::apply_outputs, relay::forward, state::AgentState};
+use super::{
+    load::{list_subscribers, subscribe},
+    output::apply_outputs,
+    relay::forward,
+    state::AgentState,
+};
 use crate::message::{MAX_DATAGRAM, PeerMessage};
 
 /// The rank whose agent leads its group.
@@ -46,6 +51,11 @@
 fn handle_datagram(state: &Rc<AgentState>, sender: SocketAddr, bytes: &[u8]) {
     match PeerMessage::decode(bytes) {
         Some(PeerMessage::Subscribe) => subscribe(state, sender),
+        Some(PeerMessage::AskEntries) => {
+            subscribe(state, sender);
+            let answer = PeerMessage::Entries(list_subscribers(state));
+            state.send_datagram(&answer.encode(), sender);
+        }
         Some(PeerMessage::Relay { targets, datagram }) => {
             forward(state, sender, &targets, datagram.clone());
             handle_relayed(state, sender, &datagram);
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -11,7 +11,9 @@
 use celerycrank_serving::{BackendRegistration, LimitNotice};
 use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
-use super::{dispatch::SendRecord, request::AdmittedRequest, state::EntryState};
+use super::{
+    dispatch::SendRecord, limits::note_limit, request::AdmittedRequest, state::EntryState,
+};
 
 /// Timeout for connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -146,7 +148,7 @@
     // request.
     let head = read_own_head(&mut stream, request, is_reused).await?;
     let metadata = read_answer(&head);
-    note_limit(state, registration, &metadata, now);
+    read_limit(state, registration, &metadata, now);
     let answer = ReceivedHead {
         head,
         metadata,
@@ -156,7 +158,7 @@
 }
 
 /// Records the limit that a backend server names in an answer, or that it names none.
-fn note_limit(
+fn read_limit(
     state: &EntryState,
     registration: &BackendRegistration,
     metadata: &AnswerMetadata,
@@ -178,14 +180,7 @@
         sent_at,
         now: state.clock.now(),
     };
-    if !state.backends.borrow_mut().note_limit(backend, notice) {
-        return;
-    }
-    if let Some(limit) = rate {
-        tracing::info!(%backend, %limit, "backend server names a limit");
-    } else {
-        tracing::info!(%backend, "backend server names no limit any more");
-    }
+    note_limit(state, backend, notice);
 }
 
 /// The head of an answer to a request.
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -3,7 +3,8 @@
 use std::{cell::Cell, time::Duration};
 
 use celerycrank_serving::{
-    BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics, choose_backend,
+    BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics,
+    choose_backend,
 };
 use celerycrank_types::{BackendId, RefusalReason, RetryReason, UnknownReason};
 use smallvec::SmallVec;
@@ -11,7 +12,7 @@
 use super::{
     attempt::{AttemptError, OpenAnswer, open_attempt},
     crash::has_crashed,
-    refusal::Refusal,
+    refusal::{Refusal, random_spread},
     request::AdmittedRequest,
     state::EntryState,
 };
@@ -105,7 +106,8 @@
 
 impl<'run> InFlightGuard<'run> {
     fn new(state: &'run EntryState, backend: &BackendId) -> Self {
-        state.backends.borrow_mut().begin(backend);
+        let now = state.clock.now();
+        state.backends.borrow_mut().begin(backend, now);
         Self {
             state,
             backend: backend.clone(),
@@ -145,9 +147,7 @@
     ) -> Result<ServedAnswer<'run>, RequestError> {
         loop {
             self.check_quarantine()?;
-            let Some(registration) = self.choose() else {
-                return Err(self.final_error(RefusalReason::NoBackend));
-            };
+            let registration = self.choose().map_err(|it| self.final_error(it))?;
             self.tried.push(registration.backend.clone());
             let in_flight = InFlightGuard::new(self.state, &registration.backend);
             let may_have_run = self.sent.may_have_run();
@@ -233,8 +233,10 @@
         let now = self.state.clock.now();
         let backends = self.state.backends.borrow();
         let states = backends.of_service(&self.request.service).iter();
-        let untried =
-            states.filter(|it| it.is_usable(now) && !self.tried.contains(&it.registration.backend));
+        let untried = states.filter(|it| {
+            let is_usable = it.is_usable(now) && it.is_within_limit(now);
+            is_usable && !self.tried.contains(&it.registration.backend)
+        });
         u32::try_from(untried.count()).unwrap_or(u32::MAX)
     }
 
@@ -244,7 +246,7 @@
     pub(crate) fn may_repeat_failure(&mut self) -> bool {
         self.request.route.semantics == RequestSemantics::Idempotent
             && self.has_sends_left()
-            && self.choose().is_some()
+            && self.choose().is_ok()
             && self.take_retry(RetryReason::Repeatable)
     }
 
@@ -266,7 +268,8 @@
         self.state.note_begun(&self.request.prompt_query());
     }
 
-    fn choose(&self) -> Option<BackendRegistration> {
+    /// Chooses the next backend server, or returns why there is none.
+    fn choose(&self) -> Result<BackendRegistration, Refusal> {
         let settings = self.state.settings();
         let query = ChoiceQuery {
             service: &self.request.service,
@@ -276,8 +279,15 @@
         };
         let backends = self.state.backends.borrow();
         let mut random = self.state.random.borrow_mut();
-        let chosen = choose_backend(&backends, &query, &mut *random);
-        chosen.map(|state| state.registration.clone())
+        match choose_backend(&backends, &query, &mut *random) {
+            BackendChoice::Chosen(state) => Ok(state.registration.clone()),
+            BackendChoice::Limited { retry_after } => Err(Refusal {
+                reason: RefusalReason::BackendLimit,
+                // Those that are refused at the same time must not come back at the same time.
+                retry_after: retry_after.map(|span| span + random_spread(&mut random)),
+            }),
+            BackendChoice::Unavailable => Err(RefusalReason::NoBackend.into()),
+        }
     }
 
     async fn record_attempt_error(
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -12,7 +12,10 @@
 use celerycrank_types::BackendId;
 use tokio::{net::UdpSocket, select};
 
-use super::state::EntryState;
+use super::{
+    limits::{announce_limits, ask_entries, note_announced_limit, note_entries},
+    state::EntryState,
+};
 use crate::message::{MAX_DATAGRAM, PeerMessage};
 
 /// Interval at which subscriptions to the agents' reports are renewed.
@@ -28,8 +31,14 @@
             _ = ticks.tick() => {
                 agents = list_agents(&state);
                 subscribe(&state, &socket, &agents).await;
+                ask_entries(&state, &socket, &agents).await;
+                announce_limits(&state, &socket).await;
                 state.pool.close_expired(state.clock.now());
             }
+            () = state.limits.has_pending.notified() => {
+                ask_entries(&state, &socket, &agents).await;
+                announce_limits(&state, &socket).await;
+            }
             received = socket.recv_from(&mut buffer) => {
                 let (length, sender) = match received {
                     Ok(received) => received,
@@ -43,6 +52,13 @@
                     Some(PeerMessage::Load(report)) => {
                         handle_report(&state, &agents, sender, report);
                     }
+                    Some(PeerMessage::Entries(entries)) => {
+                        note_entries(&state, entries);
+                        announce_limits(&state, &socket).await;
+                    }
+                    Some(PeerMessage::Limit { backend, rate }) => {
+                        note_announced_limit(&state, &backend, rate);
+                    }
                     _ => state.metrics.datagrams_unreadable.inc(),
                 }
             }
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod crash;
 mod dispatch;
+mod limits;
 mod load;
 mod metrics;
 mod outcome;
--- a/crates/celerycrank-direct/src/entry/refusal.rs
+++ b/crates/celerycrank-direct/src/entry/refusal.rs
@@ -14,6 +14,9 @@
 /// Retry delays sent to callers while the key-value service is unavailable, which lasts seconds.
 const STORE_RETRY_AFTER: RangeInclusive<u64> = retry_after_range(1_000, 2_500);
 
+/// The longest time by which retries are put off, so that they do not come at the same time.
+const MAX_SPREAD: TimeSpan = TimeSpan::from_millis(750);
+
 /// A refusal of a request that has not run and will not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -76,6 +79,11 @@
     })
 }
 
+/// Draws the time by which the retry of one of many callers is put off.
+pub(crate) fn random_spread(random: &mut impl Rng) -> TimeSpan {
+    TimeSpan(random.random_range(0..=MAX_SPREAD.0))
+}
+
 /// Draws a retry delay at random, so that callers do not all retry at the same time.
 fn random_retry_after(state: &EntryState, reason: RefusalReason) -> TimeSpan {
     let delays = match reason {
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -14,11 +14,13 @@
     AccountTable, BackendTable, CallerBounds, CrashCollector, EntryCount, FreshnessGuard,
     PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
 };
-use celerycrank_types::{DecimalSpan, Revision, ServiceId, TimeSpan};
+use celerycrank_types::{BackendId, DecimalSpan, RequestRate, Revision, ServiceId, TimeSpan};
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::sync::Notify;
 
-use super::{metrics::EntryMetrics, pool::ConnectionPool, quarantine::ReportQueue};
+use super::{
+    limits::LimitSharing, metrics::EntryMetrics, pool::ConnectionPool, quarantine::ReportQueue,
+};
 
 /// State shared by the tasks of an entry, all of which run on one arbiter.
 pub(crate) struct EntryState {
@@ -51,6 +53,8 @@
     pub(crate) crashes: RefCell<CrashCollector>,
     /// Wakes the task that decides about crashes.
     pub(crate) crash_noted: Notify,
+    /// What is needed to share the limits of backend servers with the other entries.
+    pub(crate) limits: LimitSharing,
     /// Reports of crashes for the other entries.
     pub(crate) crash_reports: ReportQueue,
 }
@@ -113,6 +117,7 @@
             quarantine: RefCell::default(),
             crashes: RefCell::default(),
             crash_noted: Notify::new(),
+            limits: LimitSharing::default(),
             crash_reports: ReportQueue::default(),
             settings: RefCell::new(Rc::new(settings)),
         }
@@ -187,6 +192,12 @@
         guard.and_then(|guard| guard.age(self.clock.now()))
     }
 
+    /// The limit that a backend server names, if any.
+    pub(crate) fn limit_of(&self, backend: &BackendId) -> Option<RequestRate> {
+        let mut backends = self.backends.borrow_mut();
+        backends.find_mut(backend).and_then(|state| state.limit())
+    }
+
     /// Whether the balancer may send callers to this entry.
     pub(crate) fn is_ready(&self) -> bool {
         let is_initialized = self.in_force.borrow().is_some() && self.has_read_backends.get();
--- a/crates/celerycrank-direct/src/message.rs
+++ b/crates/celerycrank-direct/src/message.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerycrank_groups::{MemberIndex, RankMessage};
 use celerycrank_serving::LoadReport;
-use celerycrank_types::GroupId;
+use celerycrank_types::{BackendId, GroupId, RequestRate};
 use serde::{Deserialize, Serialize};
 
 /// Maximum size of a datagram that is sent or received, in bytes.
@@ -32,6 +32,15 @@
     },
     /// A datagram that another agent has forwarded.
     Relayed { origin: SocketAddr, datagram: Bytes },
+    /// An entry asks an agent for the addresses of all entries.
+    AskEntries,
+    /// An agent names the entries that subscribe to its reports, in the order of their addresses.
+    Entries(Vec<SocketAddr>),
+    /// An entry tells others that a backend server names a limit, or that it names none any more.
+    Limit {
+        backend: BackendId,
+        rate: Option<RequestRate>,
+    },
 }
 
 impl PeerMessage {
--- a/crates/celerycrank-requests/src/retry.rs
+++ b/crates/celerycrank-requests/src/retry.rs
@@ -124,6 +124,7 @@
         | RefusalReason::ShareExhausted
         | RefusalReason::NoBackend
         | RefusalReason::ClaimUnavailable
+        | RefusalReason::BackendLimit
         | RefusalReason::CrashingPrompt
         | RefusalReason::KeyExpired
         | RefusalReason::KeyReused
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -4,7 +4,7 @@
 
 use celerycrank_types::{BackendId, DomainId, RequestRate, ServiceId, TimePoint, TimeSpan};
 
-use crate::LoadEstimate;
+use crate::{EntryPlace, LoadEstimate, limit::RequestAllowance};
 
 /// Time for which a backend server may still be used as a last resort after its registration
 /// was removed.
@@ -22,6 +22,9 @@
 /// Weight of the newest answer in the moving average of the failure rate.
 const FAILURE_RATE_SMOOTHING: f64 = 0.2;
 
+/// Interval at which the other entries are told that a limit is still named.
+const ANNOUNCEMENT_INTERVAL: TimeSpan = TimeSpan::from_secs(3);
+
 /// The state that a backend server reports in its registration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RegistrationState {
@@ -79,16 +82,12 @@
     backoff: Option<(TimePoint, TimeSpan)>,
     /// Moving average of failed answers, from 0 to 1.
     failure_rate: f64,
-    /// The limit that it names in its answers.
-    limit: Option<NamedLimit>,
-}
-
-/// A limit that a backend server names, on the requests of all entries together.
-#[derive(Debug, Clone, Copy, PartialEq)]
-struct NamedLimit {
-    rate: RequestRate,
-    /// When it was last named.
-    named_at: TimePoint,
+    /// What this entry may send to it, while it names a limit in its answers.
+    allowance: Option<RequestAllowance>,
+    /// When an answer last named the limit.
+    limit_named_at: TimePoint,
+    /// When the other entries were last told that it is named.
+    limit_announced_at: TimePoint,
 }
 
 /// What an answer says of the limit of its backend server.
@@ -112,14 +111,30 @@
             is_superseded: false,
             backoff: None,
             failure_rate: 0.0,
-            limit: None,
+            allowance: None,
+            limit_named_at: TimePoint::default(),
+            limit_announced_at: TimePoint::default(),
         }
     }
 
     /// The limit that it names on the requests of all entries together, if any.
     #[must_use]
     pub fn limit(&self) -> Option<RequestRate> {
-        self.limit.map(|limit| limit.rate)
+        self.allowance.as_ref().map(RequestAllowance::limit)
+    }
+
+    /// Whether its limit, if it names one, allows this entry a request.
+    #[must_use]
+    pub fn is_within_limit(&self, now: TimePoint) -> bool {
+        let allowance = self.allowance.as_ref();
+        allowance.is_none_or(|allowance| allowance.has_room(now))
+    }
+
+    /// The time until its limit allows this entry a request; `None` if it never does.
+    #[must_use]
+    pub fn time_until_room(&self, now: TimePoint) -> Option<TimeSpan> {
+        let allowance = self.allowance.as_ref();
+        allowance.map_or(Some(TimeSpan::ZERO), |it| it.time_until_room(now))
     }
 
     /// Whether it may receive new requests.
@@ -159,19 +174,23 @@
         }
     }
 
-    /// Updates the limit; returns whether it has changed.
-    fn note_limit(&mut self, notice: LimitNotice) -> bool {
+    /// Sets the limit; returns whether it has changed.
+    fn set_limit(
+        &mut self,
+        rate: Option<RequestRate>,
+        place: Option<EntryPlace>,
+        now: TimePoint,
+    ) -> bool {
         let known = self.limit();
-        match (notice.rate, self.limit) {
-            (Some(rate), _) => {
-                let named_at = notice.now;
-                self.limit = Some(NamedLimit { rate, named_at });
+        let backend = &self.registration.backend;
+        match (rate, &mut self.allowance) {
+            (Some(rate), Some(allowance)) => allowance.confirm(rate, backend, now),
+            (Some(rate), None) => {
+                self.allowance = Some(RequestAllowance::new(rate, backend, place, now));
             }
-            // An answer to an earlier request may have been made before the limit.
-            (None, Some(limit)) if notice.sent_at <= limit.named_at => {}
-            (None, _) => self.limit = None,
+            (None, _) => self.allowance = None,
         }
-        self.limit() != known
+        known != rate
     }
 
     fn note_unreachable(&mut self, now: TimePoint) {
@@ -191,6 +210,8 @@
     /// The backend servers of each service, in the order in which their incarnations registered.
     services: HashMap<ServiceId, Vec<BackendState>>,
     services_by_backend: HashMap<BackendId, ServiceId>,
+    /// The place of this entry among all entries; `None` while it is unknown.
+    place: Option<EntryPlace>,
 }
 
 impl BackendTable {
@@ -266,10 +287,13 @@
             .find(|state| state.registration.backend == *backend)
     }
 
-    /// Records that a request was sent.
-    pub fn begin(&mut self, backend: &BackendId) {
+    /// Records that a request is sent.
+    pub fn begin(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
             state.load.begin();
+            if let Some(allowance) = &mut state.allowance {
+                allowance.take(now);
+            }
         }
     }
 
@@ -287,11 +311,54 @@
         }
     }
 
-    /// Records what an answer says of the limit of its backend server; returns whether the limit
-    /// has changed.
+    /// Records what an answer says of the limit of its backend server; returns whether the other
+    /// entries have to be told.
+    ///
+    /// They are told of a change, and from time to time that the limit is still named.
     pub fn note_limit(&mut self, backend: &BackendId, notice: LimitNotice) -> bool {
+        let place = self.place;
+        let Some(state) = self.find_mut(backend) else {
+            return false;
+        };
+        let LimitNotice { rate, sent_at, now } = notice;
+        // An answer to an earlier request may have been made before the limit.
+        if rate.is_none() && sent_at <= state.limit_named_at {
+            return false;
+        }
+        let has_changed = state.set_limit(rate, place, now);
+        if rate.is_some() {
+            state.limit_named_at = now;
+        }
+        let is_due = now.since(state.limit_announced_at) >= ANNOUNCEMENT_INTERVAL;
+        let is_announced = has_changed || (rate.is_some() && is_due);
+        if is_announced {
+            state.limit_announced_at = now;
+        }
+        is_announced
+    }
+
+    /// Records what another entry says of the limit of a backend server; returns whether the limit
+    /// has changed.
+    pub fn note_announced_limit(
+        &mut self,
+        backend: &BackendId,
+        rate: Option<RequestRate>,
+        now: TimePoint,
+    ) -> bool {
+        let place = self.place;
         let state = self.find_mut(backend);
-        state.is_some_and(|state| state.note_limit(notice))
+        state.is_some_and(|state| state.set_limit(rate, place, now))
+    }
+
+    /// Updates the place of this entry among all entries, which share the limits.
+    pub fn set_place(&mut self, place: Option<EntryPlace>, now: TimePoint) {
+        self.place = place;
+        for state in self.services.values_mut().flatten() {
+            let backend = &state.registration.backend;
+            if let Some(allowance) = &mut state.allowance {
+                allowance.set_place(place, backend, now);
+            }
+        }
     }
 
     /// Records that a backend server refused to run a request.
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -6,8 +6,10 @@
 //!   its fullest one, so the cost grows with the load of the single rank.
 //! - Many entries that see the same slightly stale loads. Each entry chooses from a small random
 //!   sample, so that they do not all send to the backend server that was least loaded.
+//!
+//! A backend server that names a limit is chosen only as far as this entry's share of it goes.
 
-use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint};
+use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
 use rand::{Rng, seq::IndexedRandom};
 use smallvec::SmallVec;
 
@@ -38,22 +40,63 @@
     pub now: TimePoint,
 }
 
-/// Returns the least loaded backend server of a random sample.
+/// The result of a choice.
+#[derive(Debug, Clone, Copy)]
+pub enum BackendChoice<'table> {
+    /// The backend server to which the request may be sent.
+    Chosen(&'table BackendState),
+    /// The limits of the backend servers that could be chosen do not allow a request.
+    Limited {
+        /// The time until one of them does, if this entry has a share of a limit.
+        retry_after: Option<TimeSpan>,
+    },
+    /// There is no backend server that could be chosen.
+    Unavailable,
+}
+
+impl<'table> BackendChoice<'table> {
+    /// The chosen backend server, if there is one.
+    #[must_use]
+    pub const fn chosen(self) -> Option<&'table BackendState> {
+        match self {
+            Self::Chosen(state) => Some(state),
+            Self::Limited { .. } | Self::Unavailable => None,
+        }
+    }
+}
+
+/// Chooses the least loaded backend server of a random sample.
 ///
 /// Only if no usable backend server is left is the sample drawn from those of last resort.
 pub fn choose_backend<'table, R: Rng>(
     table: &'table BackendTable,
     query: &ChoiceQuery<'_>,
     random: &mut R,
-) -> Option<&'table BackendState> {
-    let untried = |state: &&BackendState| !query.tried.contains(&state.registration.backend);
-    let states = table.of_service(query.service);
-    let usable = states.iter().filter(|state| state.is_usable(query.now));
-    let chosen = least_loaded(usable.filter(untried), query, random);
-    chosen.or_else(|| {
-        let last_resorts = states.iter().filter(|it| it.is_last_resort(query.now));
-        least_loaded(last_resorts.filter(untried), query, random)
-    })
+) -> BackendChoice<'table> {
+    let states = table.of_service(query.service).iter();
+    let untried = states.filter(|state| !query.tried.contains(&state.registration.backend));
+    let untried = untried.collect::<SmallVec<[&BackendState; 32]>>();
+    let usable = untried.iter().filter(|state| state.is_usable(query.now));
+    let usable = usable.copied().collect::<SmallVec<[&BackendState; 32]>>();
+    let candidates = if usable.is_empty() {
+        let last_resorts = untried.iter().filter(|it| it.is_last_resort(query.now));
+        last_resorts.copied().collect()
+    } else {
+        usable
+    };
+    if candidates.is_empty() {
+        return BackendChoice::Unavailable;
+    }
+    let within_limits = candidates.iter().copied();
+    let within_limits = within_limits.filter(|state| state.is_within_limit(query.now));
+    if let Some(state) = least_loaded(within_limits, query, random) {
+        return BackendChoice::Chosen(state);
+    }
+    let waits = candidates.iter();
+    let waits = waits.filter_map(|state| state.time_until_room(query.now));
+    BackendChoice::Limited {
+        retry_after: waits.min(),
+    }
 }
 
 fn least_loaded<'table, R: Rng>(
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -10,6 +10,7 @@
 mod crash;
 mod event;
 mod freshness;
+mod limit;
 mod load;
 mod quarantine;
 mod route;
@@ -21,7 +22,7 @@
         RegistrationState,
     },
     budget::{EntryCount, RetryAllowance, RetryWindow},
-    choice::{ChoiceQuery, choose_backend},
+    choice::{BackendChoice, ChoiceQuery, choose_backend},
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, RequestSemantics, RouteRule,
         ServiceRule, ServingConfiguration, WeightedService,
@@ -29,6 +30,7 @@
     crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
     event::{EventError, EventReader},
     freshness::FreshnessGuard,
+    limit::EntryPlace,
     load::{LoadEstimate, LoadReport},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     route::RouteTable,
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -76,7 +76,8 @@
         now,
     };
     let mut random = StdRng::seed_from_u64(1);
-    choose_backend(table, &query, &mut random).map(|state| state.registration.backend.clone())
+    let chosen = choose_backend(table, &query, &mut random).chosen();
+    chosen.map(|state| state.registration.backend.clone())
 }
 
 #[test]
@@ -210,7 +211,7 @@
         vec![registration("x", "a", 1), registration("y", "a", 1)],
         at(0),
     );
-    table.begin(&backend("x"));
+    table.begin(&backend("x"), at(0));
     assert_eq!(choose(&table, &[], at(0)), Some(backend("y")));
     let load = LoadReport {
         running: 4,
@@ -271,7 +272,7 @@
     );
     table.apply(RegistrationChange::Removed(backend("x")), at(100));
     for _ in 0..3 {
-        table.begin(&backend("y"));
+        table.begin(&backend("y"), at(100));
     }
     assert_eq!(choose(&table, &[], at(200)), Some(backend("y")));
     table.replace(Vec::new(), at(300));
@@ -289,7 +290,7 @@
     let mut table = BackendTable::default();
     table.replace(vec![registration("x", "a", 1)], at(0));
     for _ in 0..5 {
-        table.begin(&backend("x"));
+        table.begin(&backend("x"), at(0));
         table.note_answer(&backend("x"), true);
     }
     table.apply(
@@ -404,8 +405,13 @@
                 now,
             };
             let chosen = choose_backend(&tables[sender], &query, &mut random);
-            let chosen = chosen.expect("all are usable").registration.backend.clone();
-            tables[sender].begin(&chosen);
+            let chosen = chosen
+                .chosen()
+                .expect("all are usable")
+                .registration
+                .backend
+                .clone();
+            tables[sender].begin(&chosen, now);
             let index = names
                 .iter()
                 .position(|name| *name == chosen)
--- a/crates/celerycrank-types/src/outcome.rs
+++ b/crates/celerycrank-types/src/outcome.rs
@@ -74,6 +74,8 @@
         ShuttingDown = "shutting_down",
         /// A part of the prompt has crashed backend servers (503).
         CrashingPrompt = "crashing_prompt",
+        /// The limits that the backend servers name do not allow another request now (503).
+        BackendLimit = "backend_limit",
     }
 }
 
