--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -12,7 +12,7 @@
 use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
 use super::{
-    dispatch::SendRecord, limits::note_limit, request::AdmittedRequest, state::EntryState,
+    limits::note_limit, progress::SendRecord, request::AdmittedRequest, state::EntryState,
 };
 
 /// Timeout for connecting to a backend server.
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one backend server after another until one answers.
 
-use std::{cell::Cell, time::Duration};
+use std::time::Duration;
 
 use celerycrank_serving::{
     BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics,
@@ -12,7 +12,8 @@
 use super::{
     attempt::{AttemptError, OpenAnswer, open_attempt},
     crash::has_crashed,
-    refusal::{Refusal, random_spread},
+    progress::{AnswerProgress, RequestError, SendRecord},
+    refusal::{RequestRefusal, random_spread},
     request::AdmittedRequest,
     state::EntryState,
 };
@@ -24,59 +25,6 @@
 /// Effectively no timeout, since it is longer than any request may take.
 const NO_SILENCE_TIMEOUT: Duration = Duration::from_hours(1);
 
-/// Why a request gets no answer from a backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RequestError {
-    /// The request has not run and will not run.
-    Refused(Refusal),
-    /// The request may have run.
-    Unknown(UnknownReason),
-}
-
-/// Records the sends of one request and whether a backend server may have run it.
-#[derive(Debug, Default)]
-pub(crate) struct SendRecord {
-    sends: Cell<u32>,
-    may_have_run: Cell<bool>,
-}
-
-impl SendRecord {
-    /// Records that the request is being sent to a backend server, which may run it.
-    pub(crate) fn record_send(&self) {
-        self.sends.set(self.sends.get() + 1);
-        self.may_have_run.set(true);
-    }
-
-    /// Number of times the request was sent to a backend server.
-    pub(crate) fn sends(&self) -> u32 {
-        self.sends.get()
-    }
-
-    /// Whether a backend server may have run the request.
-    pub(crate) fn may_have_run(&self) -> bool {
-        self.may_have_run.get()
-    }
-}
-
-/// How far the answer to a request had come when an attempt failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum AnswerProgress {
-    /// No part of the answer has been received.
-    NotBegun,
-    /// A backend server has sent a part of the answer.
-    Begun,
-}
-
-impl AnswerProgress {
-    /// The progress of an answer of which the caller has the events up to `last_event`.
-    pub(crate) const fn at(last_event: Option<u64>) -> Self {
-        match last_event {
-            Some(_) => Self::Begun,
-            None => Self::NotBegun,
-        }
-    }
-}
-
 /// State of one request that is sent to one backend server after another.
 pub(crate) struct RequestDispatch<'run> {
     pub(crate) state: &'run EntryState,
@@ -161,7 +109,7 @@
             let opened = opened.await;
             // This attempt did not run the request; only earlier ones may have.
             if let Err(AttemptError::NotRun | AttemptError::Misdirected) = opened {
-                self.sent.may_have_run.set(may_have_run);
+                self.sent.withdraw_send(may_have_run);
             }
             match opened {
                 Ok(answer) => return Ok(ServedAnswer { answer, in_flight }),
@@ -256,7 +204,7 @@
         let mut quarantine = self.state.quarantine.borrow_mut();
         let admitted = quarantine.admit(&self.request.prompt_query(), now);
         admitted.map_err(|remaining| {
-            self.final_error(Refusal {
+            self.final_error(RequestRefusal {
                 reason: RefusalReason::CrashingPrompt,
                 retry_after: Some(remaining),
             })
@@ -269,7 +217,7 @@
     }
 
     /// Chooses the next backend server, or returns why there is none.
-    fn choose(&self) -> Result<BackendRegistration, Refusal> {
+    fn choose(&self) -> Result<BackendRegistration, RequestRefusal> {
         let settings = self.state.settings();
         let query = ChoiceQuery {
             service: &self.request.service,
@@ -281,7 +229,7 @@
         let mut random = self.state.random.borrow_mut();
         match choose_backend(&backends, &query, &mut *random) {
             BackendChoice::Chosen(state) => Ok(state.registration.clone()),
-            BackendChoice::Limited { retry_after } => Err(Refusal {
+            BackendChoice::Limited { retry_after } => Err(RequestRefusal {
                 reason: RefusalReason::BackendLimit,
                 // Those that are refused at the same time must not come back at the same time.
                 retry_after: retry_after.map(|span| span + random_spread(&mut random)),
@@ -376,7 +324,7 @@
     }
 
     /// The error to report once no further attempt is made.
-    fn final_error(&self, refusal: impl Into<Refusal>) -> RequestError {
+    fn final_error(&self, refusal: impl Into<RequestRefusal>) -> RequestError {
         if !self.sent.may_have_run() {
             return RequestError::Refused(refusal.into());
         }
--- a/crates/celerycrank-direct/src/entry/limits.rs
+++ b/crates/celerycrank-direct/src/entry/limits.rs
@@ -1,8 +1,8 @@
 //! Shares the limits that backend servers name between entries.
 //!
 //! An entry uses its share of a limit, which depends on its place among all entries. Agents know
-//! the entries, since these subscribe to their reports. Entries tell one another of limits that
-//! begin or end, so that one whose share is zero knows of the end too.
+//! the entries, since these subscribe to their reports. Entries notify one another when a limit
+//! begins or ends, so that one whose share is zero knows of the end too.
 
 use std::{
     cell::{Cell, RefCell},
@@ -31,7 +31,7 @@
 /// What an entry needs to share limits.
 #[derive(Debug, Default)]
 pub(crate) struct LimitSharing {
-    /// Limits of which the other entries have to be told; `None` for one that has ended.
+    /// Limits about which the other entries have to be notified; `None` for one that has ended.
     pending: RefCell<HashMap<BackendId, Option<RequestRate>>>,
     /// Wakes the task that sends datagrams.
     pub(super) has_pending: Notify,
@@ -54,7 +54,7 @@
     }
 }
 
-/// Records what another entry says of a limit.
+/// Records a notice of another entry about a limit.
 pub(super) fn note_announced_limit(
     state: &EntryState,
     backend: &BackendId,
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod probe;
 mod process;
+mod progress;
 mod quarantine;
 mod refusal;
 mod request;
--- a/crates/celerycrank-direct/src/entry/refusal.rs
+++ b/crates/celerycrank-direct/src/entry/refusal.rs
@@ -19,13 +19,13 @@
 
 /// A refusal of a request that has not run and will not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Refusal {
+pub(crate) struct RequestRefusal {
     pub(crate) reason: RefusalReason,
     /// When the caller may come back; drawn at random if it is not known.
     pub(crate) retry_after: Option<TimeSpan>,
 }
 
-impl From<RefusalReason> for Refusal {
+impl From<RefusalReason> for RequestRefusal {
     fn from(reason: RefusalReason) -> Self {
         Self {
             reason,
@@ -38,10 +38,10 @@
 pub(crate) fn refusal_answer(
     state: &EntryState,
     attempt: Option<&str>,
-    refusal: impl Into<Refusal>,
+    refusal: impl Into<RequestRefusal>,
     is_last: bool,
 ) -> bytes::BytesMut {
-    let Refusal {
+    let RequestRefusal {
         reason,
         retry_after,
     } = refusal.into();
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -16,8 +16,9 @@
     },
     attempt::{AnswerBody, bad_answer, incomplete_answer},
     caller::{CallerConnection, ConnectionStep},
-    dispatch::{AnswerProgress, InFlightGuard, RequestDispatch, RequestError},
+    dispatch::{InFlightGuard, RequestDispatch},
     outcome::RequestEnd,
+    progress::{AnswerProgress, RequestError},
 };
 
 /// Silence after which a stream that has not started is requested from another backend server.
--- a/crates/celerycrank-direct/src/message.rs
+++ b/crates/celerycrank-direct/src/message.rs
@@ -36,7 +36,7 @@
     AskEntries,
     /// An agent names the entries that subscribe to its reports, in the order of their addresses.
     Entries(Vec<SocketAddr>),
-    /// An entry tells others that a backend server names a limit, or that it names none any more.
+    /// An entry notifies others that a backend server names a limit, or that it names none any more.
     Limit {
         backend: BackendId,
         rate: Option<RequestRate>,
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -13,14 +13,13 @@
 mod limit;
 mod load;
 mod quarantine;
+mod registration;
 mod route;
+mod table;
 
 pub use crate::{
     account::AccountTable,
-    backend::{
-        BackendRegistration, BackendState, BackendTable, LimitNotice, RegistrationChange,
-        RegistrationState,
-    },
+    backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
     choice::{BackendChoice, ChoiceQuery, choose_backend},
     configuration::{
@@ -30,8 +29,10 @@
     crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
     event::{EventError, EventReader},
     freshness::FreshnessGuard,
-    limit::EntryPlace,
+    limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
+    registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::RouteTable,
+    table::BackendTable,
 };
--- a/crates/celerycrank-serving/src/limit.rs
+++ b/crates/celerycrank-serving/src/limit.rs
@@ -13,15 +13,26 @@
 /// Time in which a limit that is not used adds to the burst.
 const BURST_SPAN: TimeSpan = TimeSpan::from_secs(1);
 
-/// The smallest limit that is applied: without any request, nobody would see that a limit has ended.
+/// The smallest limit that is applied: without any request, no entry would see the end of a limit.
 const MIN_LIMIT_PER_SECOND: f64 = 0.1;
 
 /// The number of entries that is assumed while it is unknown.
 const DEFAULT_ENTRIES: u32 = 24;
 
-/// Time after which an entry no longer relies on others to say that a limit has ended.
+/// Time after which an entry no longer relies on others to notify it of the end of a limit.
 const NOTICE_LIFETIME: TimeSpan = TimeSpan::from_secs(12);
 
+/// The limit in an answer of a backend server, or its absence.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitNotice {
+    /// The limit; `None` if the answer names none.
+    pub rate: Option<RequestRate>,
+    /// When the request was sent.
+    pub sent_at: TimePoint,
+    /// When the answer arrived.
+    pub now: TimePoint,
+}
+
 /// The place of one entry among all entries.
 ///
 /// Invariant: `index` is less than `entries`.
@@ -108,7 +119,7 @@
 }
 
 impl RequestAllowance {
-    /// Creates the allowance of an entry that has just heard of the limit.
+    /// Creates the allowance of an entry that has just seen the limit or received a notice of it.
     pub(crate) fn new(
         limit: RequestRate,
         backend: &BackendId,
@@ -152,7 +163,7 @@
         let is_unconfirmed = now.since(self.confirmed_at) > NOTICE_LIFETIME;
         let share = LimitShare::of(self.limit, backend, place);
         match place {
-            // Nobody says that the limit has ended, so each entry has to find out, in turn.
+            // Without notices from others, each entry has to send a request itself, in turn.
             Some(place) if is_unconfirmed && share == LimitShare::NONE => {
                 let limit = self.limit.per_second().max(MIN_LIMIT_PER_SECOND);
                 let share = LimitShare::fair(limit, place.entries);
--- a/crates/celerycrank-serving/src/quarantine.rs
+++ b/crates/celerycrank-serving/src/quarantine.rs
@@ -125,7 +125,7 @@
     }
 }
 
-/// What speaks against a part.
+/// The evidence against a part; larger is stronger.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct PartEvidence {
     /// Number of crashes at which a prompt with the part was present.
@@ -158,7 +158,7 @@
     pub evicted: Vec<PromptPartId>,
 }
 
-/// The prompt parts that one entry refuses, and what it knows of crashes.
+/// The prompt parts that one entry refuses, and the crashes on which this is based.
 #[derive(Debug)]
 pub struct PartQuarantine {
     /// When an answer to a prompt with the part last began.
@@ -269,7 +269,7 @@
         }
     }
 
-    /// Adds a report to what is known; returns the index of its crash if it says something new.
+    /// Adds a report to the known crashes; returns the index of its crash if it has new prompts.
     fn merge(&mut self, report: CrashReport, now: TimePoint) -> Option<usize> {
         let is_same = |crashed: &CrashedBackend| *crashed == report.crashed;
         let known = self
@@ -313,7 +313,7 @@
         }
     }
 
-    /// The part against which most speaks, if that is enough for a quarantine.
+    /// The part with the strongest evidence, if it suffices for a quarantine.
     fn most_suspect(&self, service: &ServiceId) -> Option<PromptPartId> {
         let mut evidence = HashMap::<PromptPartId, PartEvidence>::new();
         let crashes = self.crashes.iter();
--- /dev/null
+++ b/crates/celerycrank-serving/src/registration.rs
@@ -0,0 +1,44 @@
+//! Registrations of backend servers in the key-value service.
+
+use std::net::SocketAddr;
+
+use celerycrank_types::{BackendId, DomainId, ServiceId, TimeSpan};
+
+/// The state that a backend server reports in its registration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RegistrationState {
+    /// Accepts new requests.
+    Ready,
+    /// Is shutting down and accepts no new requests.
+    Draining,
+}
+
+/// The registration of a backend server in the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendRegistration {
+    /// The name of the backend server; a later incarnation may reuse it.
+    pub backend: BackendId,
+    /// The service that it offers.
+    pub service: ServiceId,
+    /// The address on which it listens.
+    pub address: SocketAddr,
+    /// The failure domain in which it runs.
+    pub domain: DomainId,
+    /// Maximum number of requests processed at the same time.
+    pub slots: u32,
+    /// Whether it accepts new requests.
+    pub state: RegistrationState,
+    /// Identifies one incarnation; it changes whenever the backend server restarts.
+    pub incarnation: u64,
+    /// Remaining warm-up time, during which it is slower than usual.
+    pub warm_up_remaining: TimeSpan,
+}
+
+/// A change to the registrations in the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RegistrationChange {
+    /// A registration was written.
+    Written(BackendRegistration),
+    /// A registration was removed or can no longer be parsed.
+    Removed(BackendId),
+}
--- a/crates/celerycrank-serving/tests/limits.rs
+++ b/crates/celerycrank-serving/tests/limits.rs
@@ -105,7 +105,7 @@
     assert_eq!(send_all(&mut table, 10_300, 10_400), 10);
 }
 
-// Guards against callers that are told nothing of when a limit allows another request.
+// Guards against refusals without the time at which a limit allows another request.
 #[test]
 fn a_refusal_tells_when_the_limit_allows_a_request() {
     let mut table = table();
@@ -122,7 +122,7 @@
     assert!(choose(&table, then, &mut random).chosen().is_some());
 }
 
-// Guards against a limit of zero, or one whose end nobody sees since nothing is sent.
+// Guards against a limit of zero, or one whose end no entry sees since nothing is sent.
 #[test]
 fn a_backend_server_with_any_limit_gets_a_request_now_and_then() {
     for limit in [0.0, 0.01] {
