A failure of a backend server does not clear a prompt part

Found by reading. Any complete answer counted as begun, also a 504 that a backend server sends when its time is over before it has read the prompt, so that a part that crashes backend servers needed four crashes instead of two. Only answers of status 2xx count now. failures_of_backend_servers_do_not_clear_a_part failed before (backend_broke in place of crashing_prompt) and passes now.

--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -131,7 +131,7 @@
             }
             continue;
         }
-        dispatch.note_begun();
+        dispatch.note_begun(answer.head.status);
         let is_failure = answer.head.status >= 500;
         let state = dispatch.state;
         state
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -211,9 +211,13 @@
         })
     }
 
-    /// Records that a backend server has begun to answer.
-    pub(crate) fn note_begun(&self) {
-        self.state.note_begun(&self.request.prompt_query());
+    /// Records that an answer with this status has begun.
+    ///
+    /// A failure says nothing about the prompt, which the backend server may not have read.
+    pub(crate) fn note_begun(&self, status: u16) {
+        if (200..300).contains(&status) {
+            self.state.note_begun(&self.request.prompt_query());
+        }
     }
 
     /// Chooses the next backend server, or returns why there is none.
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -132,7 +132,7 @@
         let silence = dispatch.silence_timeout(FIRST_EVENT_TIMEOUT, 1);
         match timeout(silence, open(dispatch, last_event)).await {
             Ok(Ok(OpenedStream::Started(started))) => {
-                dispatch.note_begun();
+                dispatch.note_begun(started.0.head.status);
                 return Ok(*started);
             }
             Ok(Ok(OpenedStream::Broken(backend, reason))) => {
