--- a/crates/celerycrank-direct/src/entry/limits.rs
+++ b/crates/celerycrank-direct/src/entry/limits.rs
@@ -18,8 +18,9 @@
 use super::state::EntryState;
 use crate::message::PeerMessage;
 
-/// Number of agents that are asked for the entries at the same time, since datagrams may be lost.
-const ASKED_AGENTS: usize = 3;
+/// Number of agents that are asked for the entries at the same time while no recent list is known,
+/// since datagrams may be lost.
+const MAX_ASKED_AGENTS: usize = 3;
 
 /// Time for which a list of entries is preferred to a shorter one, whose agent may have started just
 /// now.
@@ -91,9 +92,15 @@
         return;
     }
     let port = state.settings().peer.port();
+    let list_age = state.clock.now().since(state.limits.listed_at.get());
+    let count = if list_age > LIST_LIFETIME {
+        MAX_ASKED_AGENTS
+    } else {
+        1
+    };
     let asked = {
         let mut random = state.random.borrow_mut();
-        agents.keys().choose_multiple(&mut *random, ASKED_AGENTS)
+        agents.keys().choose_multiple(&mut *random, count)
     };
     let datagram = PeerMessage::AskEntries.encode();
     for address in asked {
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -165,6 +165,19 @@
         is_announced
     }
 
+    /// Records a notice of another entry about the limit; returns whether it has changed.
+    ///
+    /// All entries receive the notice, so this one need not send it soon.
+    pub(crate) fn note_announced_limit(
+        &mut self,
+        rate: Option<RequestRate>,
+        place: Option<EntryPlace>,
+        now: TimePoint,
+    ) -> bool {
+        self.limit_announced_at = now;
+        self.set_limit(rate, place, now)
+    }
+
     /// Updates the place of this entry among all entries, which share the limit.
     pub(crate) fn set_place(&mut self, place: Option<EntryPlace>, now: TimePoint) {
         let backend = &self.registration.backend;
@@ -174,7 +187,7 @@
     }
 
     /// Sets the limit; returns whether it has changed.
-    pub(crate) fn set_limit(
+    fn set_limit(
         &mut self,
         rate: Option<RequestRate>,
         place: Option<EntryPlace>,
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -127,7 +127,7 @@
     ) -> bool {
         let place = self.place;
         let state = self.find_mut(backend);
-        state.is_some_and(|state| state.set_limit(rate, place, now))
+        state.is_some_and(|state| state.note_announced_limit(rate, place, now))
     }
 
     /// Updates the place of this entry among all entries, which share the limits.
