--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -125,7 +125,12 @@
         let backend = in_flight.backend.clone();
         drop(in_flight);
         if let Err(reason) = read {
-            let retried = dispatch.retry_broken(&backend, reason, AnswerProgress::NotBegun);
+            let progress = if body.is_empty() {
+                AnswerProgress::NotBegun
+            } else {
+                AnswerProgress::Begun
+            };
+            let retried = dispatch.retry_broken(&backend, reason, progress);
             if let Err(error) = retried.await {
                 return failed.ok_or(error);
             }
--- a/crates/celerycrank-direct/src/entry/crash.rs
+++ b/crates/celerycrank-direct/src/entry/crash.rs
@@ -11,11 +11,15 @@
 /// Whether no process listens any more at the address of a backend server whose connection has
 /// ended.
 ///
-/// A backend server that has only closed the connection accepts another one.
+/// A backend server that has only closed the connection accepts another one. Without any answer, the
+/// network may be at fault.
 pub(crate) async fn has_crashed(address: SocketAddr) -> bool {
-    match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        // Without any answer, the network may be at fault.
-        Ok(Ok(_)) | Err(_) => false,
-    }
+    let error = match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => return false,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return true,
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "timeout".to_owned(),
+    };
+    tracing::info!(%address, fault = %error, "cannot check whether a backend server has crashed");
+    false
 }
--- a/crates/celerycrank-direct/src/entry/limits.rs
+++ b/crates/celerycrank-direct/src/entry/limits.rs
@@ -122,7 +122,7 @@
     update_place(state);
 }
 
-/// Tells the other entries of limits that begin, go on or end.
+/// Notifies the other entries of limits that begin, go on or end.
 pub(super) async fn announce_limits(state: &EntryState, socket: &UdpSocket) {
     let own = state.settings().peer;
     let others = state.limits.entries.borrow().clone();
--- a/crates/celerycrank-serving/src/crash.rs
+++ b/crates/celerycrank-serving/src/crash.rs
@@ -1,6 +1,9 @@
 //! Reports of backend servers that crashed before they answered, as entries share them.
 
-use std::collections::{HashMap, HashSet};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use celerycrank_types::{BackendId, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use serde::{Deserialize, Serialize};
@@ -45,7 +48,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
 pub enum CrashReportError {
     /// the report cannot be parsed: {0}
-    Unreadable(std::sync::Arc<str>),
+    Unreadable(Arc<str>),
     /// the report names more prompts or parts than allowed
     TooLarge,
 }
