--- a/crates/celerycrank-serving/src/limit.rs
+++ b/crates/celerycrank-serving/src/limit.rs
@@ -66,11 +66,19 @@
 /// A share of a limit: a rate, and a number of requests that may be sent at once.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct LimitShare {
+    /// Requests per second.
     per_second: f64,
+    /// Requests that may be sent at once after a time without any.
     burst: f64,
 }
 
 impl LimitShare {
+    /// The share of an entry that sends nothing.
+    const NONE: Self = Self {
+        per_second: 0.0,
+        burst: 0.0,
+    };
+
     /// The share of an entry.
     ///
     /// The shares of all entries add up to the limit. Where there are more entries than requests in
@@ -91,11 +99,6 @@
         }
     }
 
-    const NONE: Self = Self {
-        per_second: 0.0,
-        burst: 0.0,
-    };
-
     /// The share of each entry if all of them have the same.
     fn fair(limit: f64, entries: u32) -> Self {
         Self {
--- a/crates/celerycrank-serving/src/quarantine.rs
+++ b/crates/celerycrank-serving/src/quarantine.rs
@@ -20,11 +20,12 @@
 
 use crate::{CrashReport, CrashedBackend};
 
-/// Number of crashes after which a part is quarantined with which no answer has ever begun.
-const MAX_CRASHES_OF_NEW_PART: u32 = 2;
+/// Number of crashes from which on a part is quarantined, if no answer to a prompt with it has begun
+/// before.
+const MIN_CRASHES_OF_NEW_PART: u32 = 2;
 
-/// Number of crashes after which any other part is quarantined.
-const MAX_CRASHES_OF_KNOWN_PART: u32 = 4;
+/// Number of crashes from which on any other part is quarantined.
+const MIN_CRASHES_OF_KNOWN_PART: u32 = 4;
 
 /// The shortest time for which a part is refused before one request with it is tried again.
 ///
@@ -73,6 +74,7 @@
     }
 }
 
+/// A part at one service; another service may be able to answer prompts with it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct PartKey {
     service: ServiceId,
@@ -103,6 +105,7 @@
     }
 }
 
+/// The quarantine of one part.
 #[derive(Debug, Clone, Copy)]
 struct QuarantinedPart {
     /// Number of trials that have ended with a crash.
@@ -114,6 +117,7 @@
 }
 
 impl QuarantinedPart {
+    /// Begins the quarantine again; it doubles with each failed trial.
     fn renew<R: Rng>(&mut self, now: TimePoint, random: &mut R) {
         let doubled = INITIAL_QUARANTINE
             .0
@@ -338,9 +342,9 @@
         let suspects = evidence.into_iter().filter(|(part, evidence)| {
             let is_known = self.begun_at.contains(&PartKey::new(service, *part));
             let limit = if is_known {
-                MAX_CRASHES_OF_KNOWN_PART
+                MIN_CRASHES_OF_KNOWN_PART
             } else {
-                MAX_CRASHES_OF_NEW_PART
+                MIN_CRASHES_OF_NEW_PART
             };
             evidence.crashes >= limit
         });
