Tests of explain have a log file each

Cause, read in the test: both tests of the file write the same file, and one truncates it while the program of the other reads it. What is checked stays the same.

--- a/crates/celerycrank-cli/tests/explain.rs
+++ b/crates/celerycrank-cli/tests/explain.rs
@@ -11,7 +11,9 @@
 "#;
 
 fn explain(request: &str) -> String {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("explain.log");
+    // Tests run at the same time, so each has a file of its own.
+    let file = format!("explain-{request}.log");
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
     fs::write(&path, LOG).expect("the test directory is writable");
     let output = Command::new(env!("CARGO_BIN_EXE_celerycrank"))
         .args(["explain", request])
