--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -150,8 +150,20 @@
     manifest_of(version, &[service_of(service)], &routes)
 }
 
+/// Encodes a manifest with one service, these routes and these tenants.
+pub fn manifest_with(version: u64, service: &str, routes: &[Route], tenants: Value) -> Vec<u8> {
+    let routes = routes.iter().map(|route| (service, *route)).collect::<Vec<_>>();
+    let mut manifest = manifest_value(version, &[service_of(service)], &routes);
+    manifest["tenants"] = tenants;
+    manifest.to_string().into_bytes()
+}
+
 /// Encodes a manifest with these services and routes; requests need no key.
 pub fn manifest_of(version: u64, services: &[Value], routes: &[(&str, Route)]) -> Vec<u8> {
+    manifest_value(version, services, routes).to_string().into_bytes()
+}
+
+fn manifest_value(version: u64, services: &[Value], routes: &[(&str, Route)]) -> Value {
     let routes = routes.iter().map(|(service, route)| {
         let Route { prefix, kind, max_attempts, timeout_ms } = route;
         json!({
@@ -160,11 +172,10 @@
             "max_attempts": max_attempts, "anonymous": false, "stream_resume": *kind == "streaming",
         })
     });
-    let manifest = json!({
+    json!({
         "version": version,
         "routes": routes.collect::<Vec<Value>>(),
         "services": services,
         "limits": {"max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
-    });
-    manifest.to_string().into_bytes()
+    })
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod late_bytes;
 mod recovery;
+mod revocation;
 mod worker;
 
 use std::{process::exit, time::Duration};
@@ -38,6 +39,7 @@
 async fn run(case: &str, has_trouble: bool, record: &str) -> i32 {
     match case {
         "late-bytes" => late_bytes::run(has_trouble, record).await,
+        "revocation" => revocation::run(has_trouble, record).await,
         "recovery" => recovery::run(has_trouble, record).await,
         _ => 2,
     }
