--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -23,14 +23,15 @@
 }
 
 impl Engine {
-    pub async fn start(name: &str, ledger: &Ledger) -> Self {
+    /// Starts a worker whose weights have this version.
+    pub async fn start(name: &str, version: u64, ledger: &Ledger) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("it is bound");
         let tasks = Rc::new(RefCell::new(Vec::new()));
         let (accepted, ledger, own) = (Rc::clone(&tasks), ledger.clone(), name.to_owned());
         let accepting = actix_rt::spawn(async move {
             while let Ok((socket, _)) = listener.accept().await {
-                let serving = actix_rt::spawn(serve(own.clone(), ledger.clone(), socket));
+                let serving = actix_rt::spawn(serve(own.clone(), version, ledger.clone(), socket));
                 accepted.borrow_mut().push(serving);
             }
         });
@@ -58,23 +59,30 @@
     }
 }
 
-async fn serve(name: String, ledger: Ledger, socket: TcpStream) {
+async fn serve(name: String, version: u64, ledger: Ledger, socket: TcpStream) {
     let mut stream = HttpStream::new(socket);
     while let Some((head, _)) = read_request(&mut stream).await {
-        if answer(&name, &ledger, &mut stream, &head).await.is_none() {
+        if answer(&name, version, &ledger, &mut stream, &head).await.is_none() {
             return;
         }
     }
 }
 
-async fn answer(name: &str, ledger: &Ledger, stream: &mut HttpStream, head: &RequestHead) -> Option<()> {
+async fn answer(
+    name: &str,
+    version: u64,
+    ledger: &Ledger,
+    stream: &mut HttpStream,
+    head: &RequestHead,
+) -> Option<()> {
     let field = |name: &str| {
         let value = head.fields.get(name);
         value.map(|it| String::from_utf8_lossy(it).into_owned()).unwrap_or_default()
     };
     let attempt = field("Attempt-Id");
-    if field("Expect-Instance") != name {
-        let refusal = format!("HTTP/1.1 421 Misdirected\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    let expected = field("Expect-Version");
+    if field("Expect-Instance") != name || !(expected.is_empty() || expected == version.to_string()) {
+        let refusal = format!("HTTP/1.1 421 Misdirected\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nAt-Server: {name}\r\nContent-Length: 0\r\n\r\n");
         return stream.send(refusal.as_bytes()).await.ok();
     }
     let first = field("Last-Event-Id").parse::<u64>().map_or(1, |last| last + 1);
@@ -82,7 +90,7 @@
     let at = ledger.start.elapsed();
     ledger.runs.borrow_mut().push(Run { attempt: attempt.clone(), worker: name.to_owned(), at });
     let start = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {name}.{attempt}\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {name}.{attempt}\r\nWeight-Versions: {version}\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     stream.send(start.as_bytes()).await.ok()?;
     for number in first..=EVENTS {
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -17,6 +17,8 @@
     signal::unix::{SignalKind, signal},
 };
 
+use crate::recovery::Besides;
+
 /// A case that lasts longer could not run.
 const MAX_LENGTH: Duration = Duration::from_secs(115);
 
@@ -40,7 +42,8 @@
     match case {
         "late-bytes" => late_bytes::run(has_trouble, record).await,
         "revocation" => revocation::run(has_trouble, record).await,
-        "recovery" => recovery::run(has_trouble, record).await,
+        "recovery" => recovery::run(Besides::Crashes, has_trouble, record).await,
+        "new-weights" => recovery::run(Besides::NewWeights, has_trouble, record).await,
         _ => 2,
     }
 }
--- a/review/standins/src/recovery.rs
+++ b/review/standins/src/recovery.rs
@@ -1,4 +1,5 @@
-//! A final fault after two crashes of workers, with a part of the prompt that all requests share.
+//! A final fault, after which the system has to recover: after two crashes of workers, with a part of
+//! the prompt that all requests share; or with workers that come back with other weights.
 
 use std::{cell::RefCell, fmt::Write, fs, rc::Rc, time::Duration};
 
@@ -38,19 +39,31 @@
 /// The part of the prompt that all requests share, such as the house's instructions to the model.
 const SHARED_PART: &str = "5c1e07a2:40";
 
+/// One in 19 requests names the version of the weights that its client began with.
+const ONE_IN_PINNED: u64 = 19;
+
+/// What happens besides the final fault.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Besides {
+    /// Two workers crash before it, one after the other; it kills all entries.
+    Crashes,
+    /// It takes the power of all machines, and the workers come back with weights of version 2.
+    NewWeights,
+}
+
 struct Sent {
     line: String,
     at: Duration,
     is_served: bool,
 }
 
-pub async fn run(has_trouble: bool, record: &str) -> i32 {
+pub async fn run(besides: Besides, has_trouble: bool, record: &str) -> i32 {
     let folder = Folder::new();
     let store = StoreStandin::start().await;
     let ledger = Ledger::new();
     let mut engines = Vec::new();
     for index in 0..ENGINES {
-        let engine = Engine::start(&format!("i-{index}"), &ledger).await;
+        let engine = Engine::start(&format!("i-{index}"), 1, &ledger).await;
         store.put(&engine.key(), &engine.registration(MODEL_SERVICE, 1_790_000_000_000));
         engines.push(engine);
     }
@@ -81,7 +94,7 @@
             let collected = Rc::clone(&collected);
             actix_rt::spawn(async move {
                 let at = clock.elapsed();
-                let (outcome, line) = ask(address, number).await;
+                let (outcome, line) = ask(address, number, besides).await;
                 let is_served = matches!(&outcome, Outcome::Answered { status: 200, seal: Some(_), .. });
                 let took = (clock.elapsed() - at).as_millis();
                 let line = format!("{:8.3} s {line}: {} after {took} ms", at.as_secs_f64(), describe(&outcome));
@@ -93,14 +106,15 @@
     });
     let mut notes = Vec::new();
     if has_trouble {
-        for (index, at) in CRASHES_AT.iter().enumerate() {
+        let crashes_at = if besides == Besides::Crashes { &CRASHES_AT[..] } else { &[] };
+        for (index, at) in crashes_at.iter().enumerate() {
             sleep(at.saturating_sub(start.elapsed())).await;
             engines[index].crash();
             notes.push(format!("{:8.3} s worker {} crashes", start.elapsed().as_secs_f64(), engines[index].name));
             sleep(SILENCE).await;
             store.remove(&engines[index].key());
             sleep(DOWN - SILENCE).await;
-            engines[index] = Engine::start(&format!("i-{}", ENGINES + index), &ledger).await;
+            engines[index] = Engine::start(&format!("i-{}", ENGINES + index), 1, &ledger).await;
             let registration = engines[index].registration(MODEL_SERVICE, 1_790_000_100_000);
             store.put(&engines[index].key(), &registration);
         }
@@ -108,8 +122,20 @@
         for entry in &entries {
             entry.signal("KILL");
         }
-        notes.push(format!("{:8.3} s all entries are killed", start.elapsed().as_secs_f64()));
+        notes.push(format!("{:8.3} s the final fault: all entries are gone", start.elapsed().as_secs_f64()));
+        if besides == Besides::NewWeights {
+            engines.iter().for_each(Engine::crash);
+        }
         sleep(RESTART_DELAY).await;
+        if besides == Besides::NewWeights {
+            for index in 0..ENGINES {
+                let engine = Engine::start(&format!("n-{index}"), 2, &ledger).await;
+                store.put(&engine.key(), &engine.registration(MODEL_SERVICE, 1_790_000_100_000));
+                store.remove(&engines[index].key());
+                engines[index] = engine;
+            }
+            notes.push(format!("{:8.3} s all workers are back, with weights of version 2", start.elapsed().as_secs_f64()));
+        }
         for entry in &mut entries {
             entry.start_again();
         }
@@ -126,17 +152,21 @@
     report(record, &sent.borrow(), &notes, back_at)
 }
 
-async fn ask(address: std::net::SocketAddr, number: u64) -> (Outcome, String) {
+async fn ask(address: std::net::SocketAddr, number: u64, besides: Besides) -> (Outcome, String) {
     let attempt = format!("a{number}");
     let is_plain = number % ONE_IN_PLAIN == ONE_IN_PLAIN - 1;
     let (method, path, limit, extra) = if is_plain {
         ("GET", "/catalogo-leitura/lote", 2_500, String::new())
     } else {
         let own = format!("{:x}", 0xe440_0000_u64 + number);
-        let extra = format!("Model: m\r\nToken-Count: 1000,156\r\nPrefix-Hash: {SHARED_PART},{own}:960\r\n");
+        let mut extra = format!("Model: m\r\nToken-Count: 1000,156\r\nPrefix-Hash: {SHARED_PART},{own}:960\r\n");
+        if besides == Besides::NewWeights && number % ONE_IN_PINNED == 0 {
+            extra.push_str("Expect-Version: 1\r\n");
+        }
         ("POST", "/veio-consulta/lote", 8_000, extra)
     };
-    let line = format!("{method} {path} {attempt}");
+    let pin = if extra.contains("Expect-Version") { " with Expect-Version: 1" } else { "" };
+    let line = format!("{method} {path} {attempt}{pin}");
     let Some(mut channel) = Channel::open(address).await else {
         return (Outcome::Ended(0), line);
     };
