--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -14,7 +14,12 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
     /// A complete answer, and whether the channel stays open.
-    Answered { status: u16, seal: Option<String>, is_kept: bool, retry_after: Option<f64> },
+    Answered {
+        status: u16,
+        seal: Option<String>,
+        is_kept: bool,
+        retry_after: Option<f64>,
+    },
     /// The channel ended, after this many bytes of the answer.
     Ended(usize),
     /// No answer within the time limit.
@@ -47,11 +52,20 @@
 impl Channel {
     pub async fn open(address: SocketAddr) -> Option<Self> {
         let socket = timeout(Duration::from_secs(1), TcpStream::connect(address)).await;
-        Some(Self { stream: HttpStream::new(socket.ok()?.ok()?) })
+        Some(Self {
+            stream: HttpStream::new(socket.ok()?.ok()?),
+        })
     }
 
     pub async fn ask(&mut self, request: &ClientRequest<'_>) -> Outcome {
-        let ClientRequest { method, path, attempt, limit, body, extra } = request;
+        let ClientRequest {
+            method,
+            path,
+            attempt,
+            limit,
+            body,
+            extra,
+        } = request;
         let limit_ms = limit.as_millis();
         let mut bytes = format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: {limit_ms}\r\n{extra}"
@@ -65,7 +79,9 @@
         if self.stream.send(&bytes).await.is_err() {
             return Outcome::Ended(0);
         }
-        timeout(*limit, self.read(method)).await.unwrap_or(Outcome::TimedOut)
+        timeout(*limit, self.read(method))
+            .await
+            .unwrap_or(Outcome::TimedOut)
     }
 
     async fn read(&mut self, method: &str) -> Outcome {
@@ -97,7 +113,11 @@
                 Err(_) => return Outcome::Ended(1 + body.len()),
             }
         }
-        let field = |name: &str| head.fields.get(name).map(|it| String::from_utf8_lossy(it).into_owned());
+        let field = |name: &str| {
+            head.fields
+                .get(name)
+                .map(|it| String::from_utf8_lossy(it).into_owned())
+        };
         Outcome::Answered {
             status: head.status,
             seal: field("Server-Seal"),
@@ -112,6 +132,13 @@
     let Some(mut channel) = Channel::open(address).await else {
         return false;
     };
-    let request = ClientRequest { method: "GET", path: "/-/readyz", attempt: "probe", limit: Duration::from_secs(1), body: b"", extra: "" };
+    let request = ClientRequest {
+        method: "GET",
+        path: "/-/readyz",
+        attempt: "probe",
+        limit: Duration::from_secs(1),
+        body: b"",
+        extra: "",
+    };
     channel.ask(&request).await.status() == 200
 }
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -3,9 +3,10 @@
 use std::{
     env, fs,
     fs::File,
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -85,7 +86,10 @@
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
-        let status = Command::new("kill").arg(format!("-{signal}")).arg(id).status();
+        let status = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(id)
+            .status();
         assert!(status.is_ok_and(|status| status.success()), "kill works");
     }
 
@@ -124,10 +128,25 @@
         .expect("the deploy file's build has run")
 }
 
-/// Returns loopback addresses that were free a moment ago.
-pub fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("it is bound"))
+/// The ports of entries lie below those that the system gives to clients' sockets, so that none of
+/// them takes the port of an entry that is down for a moment.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u32 = 10_000;
+
+/// Returns loopback addresses that were free a moment ago, others at each call.
+fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let own = std::process::id().wrapping_mul(37);
+    [(); N].map(|()| {
+        loop {
+            let number = own.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+            let port = FIRST_PORT + u16::try_from(number).expect("below ten thousand");
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+                return address;
+            }
+        }
+    })
 }
 
 /// A route of the manifest.
@@ -146,13 +165,19 @@
 
 /// Encodes a manifest with one service and these routes; requests need no key.
 pub fn manifest(version: u64, service: &str, routes: &[Route]) -> Vec<u8> {
-    let routes = routes.iter().map(|route| (service, *route)).collect::<Vec<_>>();
+    let routes = routes
+        .iter()
+        .map(|route| (service, *route))
+        .collect::<Vec<_>>();
     manifest_of(version, &[service_of(service)], &routes)
 }
 
 /// Encodes a manifest with one service, these routes and these tenants.
 pub fn manifest_with(version: u64, service: &str, routes: &[Route], tenants: Value) -> Vec<u8> {
-    let routes = routes.iter().map(|route| (service, *route)).collect::<Vec<_>>();
+    let routes = routes
+        .iter()
+        .map(|route| (service, *route))
+        .collect::<Vec<_>>();
     let mut manifest = manifest_value(version, &[service_of(service)], &routes);
     manifest["tenants"] = tenants;
     manifest.to_string().into_bytes()
@@ -160,12 +185,19 @@
 
 /// Encodes a manifest with these services and routes; requests need no key.
 pub fn manifest_of(version: u64, services: &[Value], routes: &[(&str, Route)]) -> Vec<u8> {
-    manifest_value(version, services, routes).to_string().into_bytes()
+    manifest_value(version, services, routes)
+        .to_string()
+        .into_bytes()
 }
 
 fn manifest_value(version: u64, services: &[Value], routes: &[(&str, Route)]) -> Value {
     let routes = routes.iter().map(|(service, route)| {
-        let Route { prefix, kind, max_attempts, timeout_ms } = route;
+        let Route {
+            prefix,
+            kind,
+            max_attempts,
+            timeout_ms,
+        } = route;
         json!({
             "name": prefix.trim_matches('/'), "host": HOST, "prefix": prefix, "route_type": kind,
             "timeout_ms": timeout_ms, "target_latency_ms": 200, "priority": 1, "service": service,
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -36,7 +36,11 @@
             }
         });
         tasks.borrow_mut().push(accepting);
-        Self { name: name.to_owned(), address, tasks }
+        Self {
+            name: name.to_owned(),
+            address,
+            tasks,
+        }
     }
 
     pub fn key(&self) -> String {
@@ -62,7 +66,10 @@
 async fn serve(name: String, version: u64, ledger: Ledger, socket: TcpStream) {
     let mut stream = HttpStream::new(socket);
     while let Some((head, _)) = read_request(&mut stream).await {
-        if answer(&name, version, &ledger, &mut stream, &head).await.is_none() {
+        if answer(&name, version, &ledger, &mut stream, &head)
+            .await
+            .is_none()
+        {
             return;
         }
     }
@@ -77,18 +84,29 @@
 ) -> Option<()> {
     let field = |name: &str| {
         let value = head.fields.get(name);
-        value.map(|it| String::from_utf8_lossy(it).into_owned()).unwrap_or_default()
+        value
+            .map(|it| String::from_utf8_lossy(it).into_owned())
+            .unwrap_or_default()
     };
     let attempt = field("Attempt-Id");
     let expected = field("Expect-Version");
-    if field("Expect-Instance") != name || !(expected.is_empty() || expected == version.to_string()) {
-        let refusal = format!("HTTP/1.1 421 Misdirected\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nAt-Server: {name}\r\nContent-Length: 0\r\n\r\n");
+    if field("Expect-Instance") != name || !(expected.is_empty() || expected == version.to_string())
+    {
+        let refusal = format!(
+            "HTTP/1.1 421 Misdirected\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nAt-Server: {name}\r\nContent-Length: 0\r\n\r\n"
+        );
         return stream.send(refusal.as_bytes()).await.ok();
     }
-    let first = field("Last-Event-Id").parse::<u64>().map_or(1, |last| last + 1);
+    let first = field("Last-Event-Id")
+        .parse::<u64>()
+        .map_or(1, |last| last + 1);
     sleep(PREFILL).await;
     let at = ledger.start.elapsed();
-    ledger.runs.borrow_mut().push(Run { attempt: attempt.clone(), worker: name.to_owned(), at });
+    ledger.runs.borrow_mut().push(Run {
+        attempt: attempt.clone(),
+        worker: name.to_owned(),
+        at,
+    });
     let start = format!(
         "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Seal: {name}.{attempt}\r\nWeight-Versions: {version}\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
--- a/review/standins/src/late_bytes.rs
+++ b/review/standins/src/late_bytes.rs
@@ -33,8 +33,18 @@
 const TIME_LIMIT: Duration = Duration::from_millis(2_500);
 
 const ROUTES: [Route; 2] = [
-    Route { prefix: "/lance-registo/", kind: "non_idempotent", max_attempts: 1, timeout_ms: 2_500 },
-    Route { prefix: "/lance-outro/", kind: "non_idempotent", max_attempts: 2, timeout_ms: 2_500 },
+    Route {
+        prefix: "/lance-registo/",
+        kind: "non_idempotent",
+        max_attempts: 1,
+        timeout_ms: 2_500,
+    },
+    Route {
+        prefix: "/lance-outro/",
+        kind: "non_idempotent",
+        max_attempts: 2,
+        timeout_ms: 2_500,
+    },
 ];
 
 /// One attempt of a client.
@@ -49,10 +59,24 @@
     let folder = Folder::new();
     let store = StoreStandin::start().await;
     let ledger = Ledger::new();
-    let late = LateBytes { one_in: ONE_IN, bytes: LATE_BYTES.into(), ..LateBytes::default() };
+    let late = LateBytes {
+        one_in: ONE_IN,
+        bytes: LATE_BYTES.into(),
+        ..LateBytes::default()
+    };
     for index in 0..WORKERS {
-        let late = if index == 0 && has_trouble { late.clone() } else { LateBytes::default() };
-        let worker = Worker::start(&format!("i-{index}"), &ledger, Duration::from_millis(30), late).await;
+        let late = if index == 0 && has_trouble {
+            late.clone()
+        } else {
+            LateBytes::default()
+        };
+        let worker = Worker::start(
+            &format!("i-{index}"),
+            &ledger,
+            Duration::from_millis(30),
+            late,
+        )
+        .await;
         store.put(&worker.key(), &worker.registration(SERVICE));
     }
     store.put("op/config", &manifest(5, SERVICE, &ROUTES));
@@ -81,17 +105,32 @@
                 if !matches!(outcome, Outcome::Answered { is_kept: true, .. }) {
                     channel = Channel::open(address).await;
                 }
-                if let Outcome::Answered { status: 503, retry_after: Some(wait), .. } = outcome {
+                if let Outcome::Answered {
+                    status: 503,
+                    retry_after: Some(wait),
+                    ..
+                } = outcome
+                {
                     // The promise that the bid has not run lets the client send it once more.
                     sleep(Duration::from_secs_f64(wait)).await;
                     let retry = format!("{attempt}r");
                     let at = ledger.start.elapsed();
                     if let Some(mut channel) = Channel::open(address).await {
                         let outcome = ask(&mut channel, route, &retry).await;
-                        sent.borrow_mut().push(Sent { attempt: retry, route, outcome, at });
+                        sent.borrow_mut().push(Sent {
+                            attempt: retry,
+                            route,
+                            outcome,
+                            at,
+                        });
                     }
                 }
-                sent.borrow_mut().push(Sent { attempt, route, outcome, at });
+                sent.borrow_mut().push(Sent {
+                    attempt,
+                    route,
+                    outcome,
+                    at,
+                });
                 number += 1;
                 sleep(INTERVAL).await;
             }
@@ -134,7 +173,13 @@
         runs.entry(run.attempt.clone()).or_default().push(line);
     }
     let (mut refused, mut twice, mut answered, mut again) = (0, 0, 0, 0);
-    for Sent { attempt, route, outcome, at } in sent {
+    for Sent {
+        attempt,
+        route,
+        outcome,
+        at,
+    } in sent
+    {
         let ran = runs.get(attempt).cloned().unwrap_or_default();
         let status = outcome.status();
         let is_promise = matches!(status, 408 | 421 | 429 | 503);
@@ -149,7 +194,12 @@
             mark = "  TWICE is broken";
         }
         answered += usize::from(status == 200);
-        let _ = writeln!(text, "{:8.3} s sent {attempt} {route} answered {status} run by [{}]{mark}", at.as_secs_f64(), ran.join(", "));
+        let _ = writeln!(
+            text,
+            "{:8.3} s sent {attempt} {route} answered {status} run by [{}]{mark}",
+            at.as_secs_f64(),
+            ran.join(", ")
+        );
     }
     let total = format!(
         "sent {}, answered 200: {answered}, additional bytes sent late: {late}; told 'not run' though run (REFUSED): {refused}, of these recorded again by the client's retry: {again}; run twice in one attempt (TWICE): {twice}",
--- a/review/standins/src/recovery.rs
+++ b/review/standins/src/recovery.rs
@@ -64,20 +64,46 @@
     let mut engines = Vec::new();
     for index in 0..ENGINES {
         let engine = Engine::start(&format!("i-{index}"), 1, &ledger).await;
-        store.put(&engine.key(), &engine.registration(MODEL_SERVICE, 1_790_000_000_000));
+        store.put(
+            &engine.key(),
+            &engine.registration(MODEL_SERVICE, 1_790_000_000_000),
+        );
         engines.push(engine);
     }
     for index in 0..3 {
-        let worker = Worker::start(&format!("p-{index}"), &ledger, Duration::from_millis(30), LateBytes::default()).await;
+        let worker = Worker::start(
+            &format!("p-{index}"),
+            &ledger,
+            Duration::from_millis(30),
+            LateBytes::default(),
+        )
+        .await;
         store.put(&worker.key(), &worker.registration(PLAIN_SERVICE));
     }
     let routes = [
-        (MODEL_SERVICE, Route { prefix: "/veio-consulta/", kind: "streaming", max_attempts: 2, timeout_ms: 8_000 }),
-        (PLAIN_SERVICE, Route { prefix: "/catalogo-leitura/", kind: "idempotent", max_attempts: 2, timeout_ms: 2_500 }),
+        (
+            MODEL_SERVICE,
+            Route {
+                prefix: "/veio-consulta/",
+                kind: "streaming",
+                max_attempts: 2,
+                timeout_ms: 8_000,
+            },
+        ),
+        (
+            PLAIN_SERVICE,
+            Route {
+                prefix: "/catalogo-leitura/",
+                kind: "idempotent",
+                max_attempts: 2,
+                timeout_ms: 2_500,
+            },
+        ),
     ];
     let services = [service_of(MODEL_SERVICE), service_of(PLAIN_SERVICE)];
     store.put("op/config", &manifest_of(5, &services, &routes));
-    let mut entries = ["edge-1", "edge-2"].map(|name| Entry::start(name, store.address(), &folder.0));
+    let mut entries =
+        ["edge-1", "edge-2"].map(|name| Entry::start(name, store.address(), &folder.0));
     for entry in &entries {
         if !entry.wait_ready().await {
             return 2;
@@ -95,10 +121,25 @@
             actix_rt::spawn(async move {
                 let at = clock.elapsed();
                 let (outcome, line) = ask(address, number, besides).await;
-                let is_served = matches!(&outcome, Outcome::Answered { status: 200, seal: Some(_), .. });
+                let is_served = matches!(
+                    &outcome,
+                    Outcome::Answered {
+                        status: 200,
+                        seal: Some(_),
+                        ..
+                    }
+                );
                 let took = (clock.elapsed() - at).as_millis();
-                let line = format!("{:8.3} s {line}: {} after {took} ms", at.as_secs_f64(), describe(&outcome));
-                collected.borrow_mut().push(Sent { line, at, is_served });
+                let line = format!(
+                    "{:8.3} s {line}: {} after {took} ms",
+                    at.as_secs_f64(),
+                    describe(&outcome)
+                );
+                collected.borrow_mut().push(Sent {
+                    line,
+                    at,
+                    is_served,
+                });
             });
             number += 1;
             sleep(INTERVAL).await;
@@ -106,11 +147,19 @@
     });
     let mut notes = Vec::new();
     if has_trouble {
-        let crashes_at = if besides == Besides::Crashes { &CRASHES_AT[..] } else { &[] };
+        let crashes_at = if besides == Besides::Crashes {
+            &CRASHES_AT[..]
+        } else {
+            &[]
+        };
         for (index, at) in crashes_at.iter().enumerate() {
             sleep(at.saturating_sub(start.elapsed())).await;
             engines[index].crash();
-            notes.push(format!("{:8.3} s worker {} crashes", start.elapsed().as_secs_f64(), engines[index].name));
+            notes.push(format!(
+                "{:8.3} s worker {} crashes",
+                start.elapsed().as_secs_f64(),
+                engines[index].name
+            ));
             sleep(SILENCE).await;
             store.remove(&engines[index].key());
             sleep(DOWN - SILENCE).await;
@@ -122,7 +171,10 @@
         for entry in &entries {
             entry.signal("KILL");
         }
-        notes.push(format!("{:8.3} s the final fault: all entries are gone", start.elapsed().as_secs_f64()));
+        notes.push(format!(
+            "{:8.3} s the final fault: all entries are gone",
+            start.elapsed().as_secs_f64()
+        ));
         if besides == Besides::NewWeights {
             engines.iter().for_each(Engine::crash);
         }
@@ -130,11 +182,17 @@
         if besides == Besides::NewWeights {
             for index in 0..ENGINES {
                 let engine = Engine::start(&format!("n-{index}"), 2, &ledger).await;
-                store.put(&engine.key(), &engine.registration(MODEL_SERVICE, 1_790_000_100_000));
+                store.put(
+                    &engine.key(),
+                    &engine.registration(MODEL_SERVICE, 1_790_000_100_000),
+                );
                 store.remove(&engines[index].key());
                 engines[index] = engine;
             }
-            notes.push(format!("{:8.3} s all workers are back, with weights of version 2", start.elapsed().as_secs_f64()));
+            notes.push(format!(
+                "{:8.3} s all workers are back, with weights of version 2",
+                start.elapsed().as_secs_f64()
+            ));
         }
         for entry in &mut entries {
             entry.start_again();
@@ -144,9 +202,16 @@
                 return 2;
             }
         }
-        notes.push(format!("{:8.3} s all entries are back and ready", start.elapsed().as_secs_f64()));
+        notes.push(format!(
+            "{:8.3} s all entries are back and ready",
+            start.elapsed().as_secs_f64()
+        ));
     }
-    let back_at = if has_trouble { start.elapsed() } else { FINAL_FAULT_AT };
+    let back_at = if has_trouble {
+        start.elapsed()
+    } else {
+        FINAL_FAULT_AT
+    };
     let _ = traffic.await;
     sleep(Duration::from_secs(9)).await;
     report(record, &sent.borrow(), &notes, back_at)
@@ -159,26 +224,43 @@
         ("GET", "/catalogo-leitura/lote", 2_500, String::new())
     } else {
         let own = format!("{:x}", 0xe440_0000_u64 + number);
-        let mut extra = format!("Model: m\r\nToken-Count: 1000,156\r\nPrefix-Hash: {SHARED_PART},{own}:960\r\n");
+        let mut extra = format!(
+            "Model: m\r\nToken-Count: 1000,156\r\nPrefix-Hash: {SHARED_PART},{own}:960\r\n"
+        );
         if besides == Besides::NewWeights && number % ONE_IN_PINNED == 0 {
             extra.push_str("Expect-Version: 1\r\n");
         }
         ("POST", "/veio-consulta/lote", 8_000, extra)
     };
-    let pin = if extra.contains("Expect-Version") { " with Expect-Version: 1" } else { "" };
+    let pin = if extra.contains("Expect-Version") {
+        " with Expect-Version: 1"
+    } else {
+        ""
+    };
     let line = format!("{method} {path} {attempt}{pin}");
     let Some(mut channel) = Channel::open(address).await else {
         return (Outcome::Ended(0), line);
     };
     let body: &[u8] = if is_plain { b"" } else { b"{\"question\":1}" };
     let limit = Duration::from_millis(limit);
-    let request = ClientRequest { method, path, attempt: &attempt, limit, body, extra: &extra };
+    let request = ClientRequest {
+        method,
+        path,
+        attempt: &attempt,
+        limit,
+        body,
+        extra: &extra,
+    };
     (channel.ask(&request).await, line)
 }
 
 fn describe(outcome: &Outcome) -> String {
     match outcome {
-        Outcome::Answered { status, retry_after: Some(span), .. } => format!("{status}, come back after {span} s"),
+        Outcome::Answered {
+            status,
+            retry_after: Some(span),
+            ..
+        } => format!("{status}, come back after {span} s"),
         Outcome::Answered { status, .. } => status.to_string(),
         Outcome::Ended(_) => "the channel ended".into(),
         Outcome::TimedOut => "no answer".into(),
@@ -188,12 +270,18 @@
 fn report(record: &str, sent: &[Sent], notes: &[String], back_at: Duration) -> i32 {
     let share = |from: Duration, until: Duration| {
         let within = sent.iter().filter(|it| it.at >= from && it.at < until);
-        let (served, all) = within.fold((0_u32, 0_u32), |(served, all), it| (served + u32::from(it.is_served), all + 1));
+        let (served, all) = within.fold((0_u32, 0_u32), |(served, all), it| {
+            (served + u32::from(it.is_served), all + 1)
+        });
         (served, all, f64::from(served) / f64::from(all.max(1)))
     };
     let before = share(Duration::ZERO, FINAL_FAULT_AT);
     let after = share(back_at + RECOVER, END);
-    let mut lines = sent.iter().map(|it| it.line.clone()).chain(notes.iter().cloned()).collect::<Vec<_>>();
+    let mut lines = sent
+        .iter()
+        .map(|it| it.line.clone())
+        .chain(notes.iter().cloned())
+        .collect::<Vec<_>>();
     lines.sort();
     let mut text = lines.join("\n");
     let total = format!(
--- a/review/standins/src/revocation.rs
+++ b/review/standins/src/revocation.rs
@@ -13,8 +13,12 @@
 };
 
 const SERVICE: &str = "sala-leilao";
-const ROUTES: [Route; 1] =
-    [Route { prefix: "/lance-registo/", kind: "non_idempotent", max_attempts: 1, timeout_ms: 2_500 }];
+const ROUTES: [Route; 1] = [Route {
+    prefix: "/lance-registo/",
+    kind: "non_idempotent",
+    max_attempts: 1,
+    timeout_ms: 2_500,
+}];
 
 /// The keys of the only tenant, and one that no manifest ever holds.
 const KEYS: [&str; 2] = ["n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"];
@@ -37,7 +41,13 @@
     let store = StoreStandin::start().await;
     let ledger = Ledger::new();
     for index in 0..3 {
-        let worker = Worker::start(&format!("i-{index}"), &ledger, Duration::from_millis(30), LateBytes::default()).await;
+        let worker = Worker::start(
+            &format!("i-{index}"),
+            &ledger,
+            Duration::from_millis(30),
+            LateBytes::default(),
+        )
+        .await;
         store.put(&worker.key(), &worker.registration(SERVICE));
     }
     let tenants = json!([{"name": "hule930", "api_keys": KEYS, "priority": 1}]);
@@ -68,7 +78,12 @@
                     if !matches!(outcome, Outcome::Answered { is_kept: true, .. }) {
                         channel = Channel::open(address).await;
                     }
-                    sent.borrow_mut().push(Sent { attempt, key, status: outcome.status(), at });
+                    sent.borrow_mut().push(Sent {
+                        attempt,
+                        key,
+                        status: outcome.status(),
+                        at,
+                    });
                     number += 1;
                     sleep(INTERVAL).await;
                 }
@@ -105,7 +120,13 @@
     let runs = ledger.runs.borrow();
     let mut text = String::new();
     let (mut served, mut revoked, mut unknown) = (0, 0, 0);
-    for Sent { attempt, key, status, at } in sent {
+    for Sent {
+        attempt,
+        key,
+        status,
+        at,
+    } in sent
+    {
         let has_run = runs.iter().any(|run| run.attempt == *attempt);
         let is_late = revoked_at.is_some_and(|ack| *at > ack + Duration::from_millis(REVOKE_MS));
         let mut mark = "";
@@ -118,10 +139,18 @@
         }
         served += usize::from(*status == 200 && *key != UNKNOWN_KEY && !is_late);
         let has_run = if has_run { "ran" } else { "did not run" };
-        let _ = writeln!(text, "{:8.3} s sent {attempt} with key {key} answered {status}, {has_run}{mark}", at.as_secs_f64());
+        let _ = writeln!(
+            text,
+            "{:8.3} s sent {attempt} with key {key} answered {status}, {has_run}{mark}",
+            at.as_secs_f64()
+        );
     }
     if let Some(at) = revoked_at {
-        let _ = writeln!(text, "{:8.3} s the manifest that takes all keys away is acknowledged", at.as_secs_f64());
+        let _ = writeln!(
+            text,
+            "{:8.3} s the manifest that takes all keys away is acknowledged",
+            at.as_secs_f64()
+        );
     }
     let total = format!(
         "sent {}; run with a key taken away more than {REVOKE_MS} ms before (CONFIG): {revoked}; run with a key that no manifest held (ROUTE): {unknown}",
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -8,7 +8,9 @@
 };
 
 use actix_rt::time::{Instant, sleep};
-use celerycrank_http::{BodyDecoder, BodyFraming, BodyStep, HttpStream, RequestHead, parse_request};
+use celerycrank_http::{
+    BodyDecoder, BodyFraming, BodyStep, HttpStream, RequestHead, parse_request,
+};
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -31,7 +33,10 @@
 
 impl Ledger {
     pub fn new() -> Self {
-        Self { start: Instant::now(), runs: Rc::default() }
+        Self {
+            start: Instant::now(),
+            runs: Rc::default(),
+        }
     }
 }
 
@@ -115,15 +120,23 @@
     async fn answer(&self, stream: &mut HttpStream, head: &RequestHead) -> bool {
         let field = |name: &str| {
             let value = head.fields.get(name);
-            value.map(|it| String::from_utf8_lossy(it).into_owned()).unwrap_or_default()
+            value
+                .map(|it| String::from_utf8_lossy(it).into_owned())
+                .unwrap_or_default()
         };
         let attempt = field("Attempt-Id");
         if field("Expect-Instance") != self.name {
-            let refusal = format!("HTTP/1.1 421 Misdirected\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            let refusal = format!(
+                "HTTP/1.1 421 Misdirected\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            );
             return stream.send(refusal.as_bytes()).await.is_ok();
         }
         let at = self.ledger.start.elapsed();
-        self.ledger.runs.borrow_mut().push(Run { attempt: attempt.clone(), worker: self.name.clone(), at });
+        self.ledger.runs.borrow_mut().push(Run {
+            attempt: attempt.clone(),
+            worker: self.name.clone(),
+            at,
+        });
         sleep(self.work).await;
         let body = format!("recorded {attempt}");
         let answer = format!(
