Log why a request is not sent again and a stream not resumed; count answers that end early

'request ended' now has the time that was left until the deadline, so that an end by the deadline differs from an end by the entry's own decision; 'request is not sent again' and 'stream not resumed' say which step of a takeover failed; the counter celerycrank_direct_ended_early_total counts what was sent and ended without a whole answer before its deadline.

--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -311,6 +311,7 @@
                 return if self.unsent_attempts <= MAX_UNSENT_ATTEMPTS {
                     Ok(())
                 } else {
+                    self.log_no_retry("no backend server could be reached");
                     Err(self.final_error(RefusalReason::BackendUnreachable))
                 };
             }
@@ -320,11 +321,24 @@
             AttemptError::Broken(_) => RetryReason::Repeatable,
             AttemptError::NotRun | AttemptError::Misdirected => RetryReason::Refused,
         };
-        if self.has_sends_left() && self.take_retry(reason) {
-            Ok(())
+        if !self.has_sends_left() {
+            self.log_no_retry("the route allows no further send");
+        } else if self.take_retry(reason) {
+            return Ok(());
         } else {
-            Err(self.final_error(RefusalReason::QueueFull))
+            self.log_no_retry("the retry window of the service is used up");
         }
+        Err(self.final_error(RefusalReason::QueueFull))
+    }
+
+    /// Logs why a failed attempt is the last one.
+    fn log_no_retry(&self, why: &str) {
+        tracing::info!(
+            request = %self.request.attempt,
+            sendings = self.sent.sends(),
+            why,
+            "request is not sent again"
+        );
     }
 
     /// The error to report once no further attempt is made.
--- a/crates/celerycrank-direct/src/entry/outcome.rs
+++ b/crates/celerycrank-direct/src/entry/outcome.rs
@@ -1,6 +1,6 @@
 //! Log lines and metrics of requests that have ended.
 
-use celerycrank_types::{RefusalReason, TimePoint, UnknownReason};
+use celerycrank_types::{RefusalReason, TimePoint, TimeSpan, UnknownReason};
 
 use super::{dispatch::RequestDispatch, request::AdmittedRequest, state::EntryState};
 
@@ -26,7 +26,9 @@
     dispatch: &RequestDispatch<'_>,
     end: RequestEnd,
 ) {
-    let span = state.clock.now().since(request.arrival);
+    let now = state.clock.now();
+    let span = now.since(request.arrival);
+    let time_left = request.deadline.since(now);
     match end {
         RequestEnd::Answered(_) => {
             state.metrics.answered.inc();
@@ -36,6 +38,10 @@
         RequestEnd::CutOff(reason) => state.metrics.unknowns.count(reason),
         RequestEnd::Refused(_) | RequestEnd::Unknown(_) => {}
     }
+    let is_unfinished = matches!(end, RequestEnd::CutOff(_) | RequestEnd::Unknown(_));
+    if is_unfinished && time_left > TimeSpan::ZERO {
+        state.metrics.ended_early.inc();
+    }
     tracing::info!(
         request = %request.attempt,
         route = %request.route.name,
@@ -46,6 +52,7 @@
         backend = dispatch.last_tried().map(tracing::field::display),
         sendings = dispatch.sent.sends(),
         took = %span,
+        %time_left,
         ?end,
         "request ended"
     );
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -280,14 +280,24 @@
     let starting = start_stream(dispatch, Some(last_event));
     match run_interruptible(state, caller, deadline, starting).await {
         WorkOutcome::Done(Ok((live, _))) if live.head.status != 200 => {
+            log_not_resumed(dispatch, format_args!("answered {}", live.head.status));
             Err(RelayOutcome::Broken(reason))
         }
         WorkOutcome::Done(Ok(started)) => Ok(started),
-        WorkOutcome::Done(Err(_)) | WorkOutcome::Expired => Err(RelayOutcome::Broken(reason)),
+        WorkOutcome::Done(Err(error)) => {
+            log_not_resumed(dispatch, format_args!("{error:?}"));
+            Err(RelayOutcome::Broken(reason))
+        }
+        WorkOutcome::Expired => Err(RelayOutcome::Broken(reason)),
         WorkOutcome::CallerLeft => Err(RelayOutcome::CallerLeft),
     }
 }
 
+/// Logs why a stream that had begun was not resumed at another backend server.
+fn log_not_resumed(dispatch: &RequestDispatch<'_>, why: std::fmt::Arguments<'_>) {
+    tracing::info!(request = %dispatch.request.attempt, %why, "stream not resumed");
+}
+
 /// Records the end of a complete stream and returns its connection to the pool.
 fn release(dispatch: &RequestDispatch<'_>, live: LiveStream<'_>) {
     let state = dispatch.state;
