Give up a silent stream only for a part of it from another backend server

Cause: an entry decided before a silence whether another backend server could take over, and dropped the stream when the silence had lasted 1.2 s (1.4 s before the first event). Only then it took a retry and asked another one. Streams of a group fall silent together: each had been told that a retry was left, the first few used them up, and the rest was cut. The same where the other backend server refused, was silent too, or an earlier refusal had used up the sends that had been counted on.

Change: the decision is made when the silence has lasted, in one step with taking the retry, and the silent stream is kept while the other backend server is asked. Whichever sends the next part first goes on; an error of one counts only if the other fails too. What cannot be taken over goes on waiting and is checked again. Two attempts of one request may run at once now, so sends are counted from the beginning of an attempt (max_attempts holds), and 'not run' is said only if every send is known not to have run. LiveStream and the takeover have modules of their own; retry_unresponsive and silence_timeout are gone.

--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -46,11 +46,11 @@
             return next_step(is_sent && !is_last);
         }
     };
-    let mut dispatch = RequestDispatch::new(state, &request);
+    let dispatch = RequestDispatch::new(state, &request);
     let (end, step) = if request.route.semantics.is_stream() {
-        Box::pin(stream_answer(caller, &mut dispatch, is_persistent)).await
+        Box::pin(stream_answer(caller, &dispatch, is_persistent)).await
     } else {
-        Box::pin(answer_buffered(caller, &mut dispatch, is_persistent)).await
+        Box::pin(answer_buffered(caller, &dispatch, is_persistent)).await
     };
     record_end(state, &request, &dispatch, end);
     step
@@ -64,7 +64,7 @@
 
 async fn answer_buffered(
     caller: &mut CallerConnection,
-    dispatch: &mut RequestDispatch<'_>,
+    dispatch: &RequestDispatch<'_>,
     is_persistent: bool,
 ) -> (RequestEnd, ConnectionStep) {
     let state = dispatch.state;
@@ -101,7 +101,7 @@
 /// An answer that breaks off or reports a failure is requested from another backend server, as
 /// far as the retry rules allow.
 async fn fetch_buffered_answer(
-    dispatch: &mut RequestDispatch<'_>,
+    dispatch: &RequestDispatch<'_>,
 ) -> Result<BufferedAnswer, RequestError> {
     let mut failed: Option<BufferedAnswer> = None;
     loop {
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -11,9 +11,7 @@
 use celerycrank_serving::{BackendRegistration, LimitNotice};
 use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
-use super::{
-    limits::note_limit, progress::SendRecord, request::AdmittedRequest, state::EntryState,
-};
+use super::{limits::note_limit, progress::SendGuard, request::AdmittedRequest, state::EntryState};
 
 /// Timeout for connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -115,13 +113,13 @@
 
 /// Sends a request to a backend server and reads the head of its answer.
 ///
-/// `sent` records the send as soon as it begins, so that it holds even if the future is dropped.
+/// `sending` records the send as soon as it begins, so that it holds even if the future is dropped.
 pub(crate) async fn open_attempt(
     state: &EntryState,
     request: &AdmittedRequest,
     registration: &BackendRegistration,
     last_event: Option<u64>,
-    sent: &SendRecord,
+    sending: &SendGuard<'_>,
 ) -> Result<OpenAnswer, AttemptError> {
     let (mut stream, is_reused) = connect(state, registration).await?;
     // A key must not be used once it may have been revoked.
@@ -142,7 +140,7 @@
     };
     let mut message = write_forwarded(&request.head, &metadata);
     message.extend_from_slice(&request.body);
-    sent.record_send();
+    sending.note_sent();
     let is_fully_sent = stream.send(&message).await.is_ok();
     // A write error is not fatal: the backend server may have answered before it read the complete
     // request.
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one backend server after another until one answers.
 
-use std::time::Duration;
+use std::cell::{Cell, RefCell};
 
 use celerycrank_serving::{
     BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics,
@@ -12,7 +12,7 @@
 use super::{
     attempt::{AttemptError, OpenAnswer, open_attempt},
     crash::has_crashed,
-    progress::{AnswerProgress, RequestError, SendRecord},
+    progress::{AnswerProgress, RequestError, RetryObstacle, SendRecord},
     refusal::{RequestRefusal, random_spread},
     request::AdmittedRequest,
     state::EntryState,
@@ -22,22 +22,23 @@
 /// failure ends the request.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
 
-/// Effectively no timeout, since it is longer than any request may take.
-const NO_SILENCE_TIMEOUT: Duration = Duration::from_hours(1);
-
 /// State of one request that is sent to one backend server after another.
+///
+/// While a backend server is silent, another one may be asked at the same time.
 pub(crate) struct RequestDispatch<'run> {
     pub(crate) state: &'run EntryState,
     pub(crate) request: &'run AdmittedRequest,
     /// Backend servers that have been tried.
-    tried: SmallVec<[BackendId; 4]>,
+    tried: RefCell<SmallVec<[BackendId; 4]>>,
     /// The sends so far; updated during an attempt, so that it holds even if the attempt's future
     /// is dropped.
     pub(crate) sent: SendRecord,
     /// Number of attempts that failed without anything having been sent.
-    unsent_attempts: u32,
+    unsent_attempts: Cell<u32>,
     /// Why the last attempt failed.
-    last_error: Option<AttemptError>,
+    last_error: Cell<Option<AttemptError>>,
+    /// The backend server whose answer won against that of another one.
+    answering: RefCell<Option<BackendId>>,
 }
 
 /// An answer that is being read, and the backend server it comes from.
@@ -76,122 +77,124 @@
         Self {
             state,
             request,
-            tried: SmallVec::new(),
+            tried: RefCell::default(),
             sent: SendRecord::default(),
-            unsent_attempts: 0,
-            last_error: None,
+            unsent_attempts: Cell::new(0),
+            last_error: Cell::new(None),
+            answering: RefCell::default(),
         }
     }
 
     /// The backend server that was tried last.
-    pub(crate) fn last_tried(&self) -> Option<&BackendId> {
-        self.tried.last()
+    pub(crate) fn last_tried(&self) -> Option<BackendId> {
+        self.tried.borrow().last().cloned()
+    }
+
+    /// The backend server whose answer is passed on, or the one that was tried last.
+    pub(crate) fn answering(&self) -> Option<BackendId> {
+        let answering = self.answering.borrow().clone();
+        answering.or_else(|| self.last_tried())
+    }
+
+    /// Records which of two backend servers that were asked at the same time answers.
+    pub(crate) fn note_answering(&self, backend: &BackendId) {
+        *self.answering.borrow_mut() = Some(backend.clone());
     }
 
     /// Sends the request until a backend server begins to answer it.
     pub(crate) async fn open(
-        &mut self,
+        &self,
         last_event: Option<u64>,
     ) -> Result<ServedAnswer<'run>, RequestError> {
         loop {
             self.check_quarantine()?;
             let registration = self.choose().map_err(|it| self.final_error(it))?;
-            self.tried.push(registration.backend.clone());
-            let in_flight = InFlightGuard::new(self.state, &registration.backend);
-            let may_have_run = self.sent.may_have_run();
+            let backend = &registration.backend;
+            self.tried.borrow_mut().push(backend.clone());
+            let in_flight = InFlightGuard::new(self.state, backend);
+            let sending = self.sent.begin();
             let opened = open_attempt(
                 self.state,
                 self.request,
                 &registration,
                 last_event,
-                &self.sent,
+                &sending,
             );
-            let opened = opened.await;
-            // This attempt did not run the request; only earlier ones may have.
-            if let Err(AttemptError::NotRun | AttemptError::Misdirected) = opened {
-                self.sent.withdraw_send(may_have_run);
-            }
-            match opened {
+            let error = match opened.await {
                 Ok(answer) => return Ok(ServedAnswer { answer, in_flight }),
-                Err(error) => {
-                    drop(in_flight);
-                    let progress = AnswerProgress::at(last_event);
-                    self.record_attempt_error(&registration.backend, error, progress)
-                        .await;
-                    self.check_retry(error)?;
-                }
+                Err(error) => error,
+            };
+            if let AttemptError::NotRun | AttemptError::Misdirected = error {
+                sending.note_not_run();
             }
+            drop((sending, in_flight));
+            let progress = AnswerProgress::at(last_event);
+            self.record_attempt_error(backend, error, progress).await;
+            self.check_retry(error)?;
         }
     }
 
     /// Records that an answer was cut off; returns an error unless the request may be sent to
     /// another backend server.
     pub(crate) async fn retry_broken(
-        &mut self,
+        &self,
         backend: &BackendId,
         reason: UnknownReason,
         progress: AnswerProgress,
     ) -> Result<(), RequestError> {
+        self.record_broken(backend, reason, progress).await;
+        self.check_retry(AttemptError::Broken(reason))
+    }
+
+    /// Records that an answer was cut off.
+    pub(crate) async fn record_broken(
+        &self,
+        backend: &BackendId,
+        reason: UnknownReason,
+        progress: AnswerProgress,
+    ) {
         let error = AttemptError::Broken(reason);
         self.record_attempt_error(backend, error, progress).await;
-        self.check_retry(error)
     }
 
-    /// Records that the last backend server does not respond; returns an error unless the request
-    /// may be sent to another one.
-    pub(crate) async fn retry_unresponsive(&mut self) -> Result<(), RequestError> {
-        let Some(backend) = self.tried.last().cloned() else {
-            return Ok(());
-        };
-        let error = if self.sent.may_have_run() {
-            AttemptError::Broken(UnknownReason::BackendTimeout)
-        } else {
-            AttemptError::NotSent
-        };
-        self.record_attempt_error(&backend, error, AnswerProgress::NotBegun)
-            .await;
-        self.check_retry(error)
+    /// Takes a retry for an attempt beside one whose backend server is silent, or returns why the
+    /// request is not sent to another one.
+    pub(crate) fn begin_takeover(&self) -> Result<(), RetryObstacle> {
+        if !self.has_sends_left() {
+            return Err(RetryObstacle::NoSendLeft);
+        }
+        if self.choose().is_err() {
+            return Err(RetryObstacle::NoBackend);
+        }
+        if !self.take_retry(RetryReason::Repeatable) {
+            return Err(RetryObstacle::NoRetryLeft);
+        }
+        Ok(())
     }
 
-    /// How long a backend server may be silent when `upcoming` further sends are about to be
-    /// counted.
-    ///
-    /// Silence alone is no reason to end an answer: the entry gives up on a silent backend server
-    /// only if another one can take over, and otherwise waits until the request's deadline.
-    pub(crate) fn silence_timeout(&self, limit: Duration, upcoming: u32) -> Duration {
-        let now = self.state.clock.now();
-        let has_retries_left = || {
-            let service = &self.request.service;
-            self.state
-                .with_retry_window(service, |window| window.has_room(now))
-        };
-        let may_fail_over = self.request.route.semantics.may_repeat()
-            && self.sent.sends() + upcoming < self.request.route.max_attempts
-            && self.untried() > upcoming
-            && has_retries_left();
-        if may_fail_over {
-            limit
-        } else {
-            NO_SILENCE_TIMEOUT
-        }
+    /// Records that a backend server is silent and another one is asked as well.
+    pub(crate) fn note_silent(&self, backend: &BackendId) {
+        self.state.metrics.takeovers_begun.inc();
+        self.state.backends.borrow_mut().note_answer(backend, true);
+        tracing::info!(
+            request = %self.request.attempt,
+            %backend,
+            sendings = self.sent.sends(),
+            "backend server is silent; another one is asked as well"
+        );
     }
 
-    /// Number of backend servers that could be tried next.
-    fn untried(&self) -> u32 {
-        let now = self.state.clock.now();
-        let backends = self.state.backends.borrow();
-        let states = backends.of_service(&self.request.service).iter();
-        let untried = states.filter(|it| {
-            let is_usable = it.is_usable(now) && it.is_within_limit(now);
-            is_usable && !self.tried.contains(&it.registration.backend)
-        });
-        u32::try_from(untried.count()).unwrap_or(u32::MAX)
+    /// Records that a backend server has taken over from a silent one.
+    pub(crate) fn note_taken_over(&self, backend: &BackendId) {
+        self.state.metrics.takeovers_won.inc();
+        self.note_answering(backend);
+        tracing::info!(request = %self.request.attempt, %backend, "stream taken over");
     }
 
     /// Whether an answer that reports a failure may be requested from another backend server.
     ///
     /// If so, this takes a retry from the budget.
-    pub(crate) fn may_repeat_failure(&mut self) -> bool {
+    pub(crate) fn may_repeat_failure(&self) -> bool {
         self.request.route.semantics == RequestSemantics::Idempotent
             && self.has_sends_left()
             && self.choose().is_ok()
@@ -223,10 +226,11 @@
     /// Chooses the next backend server, or returns why there is none.
     fn choose(&self) -> Result<BackendRegistration, RequestRefusal> {
         let settings = self.state.settings();
+        let tried = self.tried.borrow();
         let query = ChoiceQuery {
             service: &self.request.service,
             domain: &settings.domain,
-            tried: &self.tried,
+            tried: &tried,
             now: self.state.clock.now(),
         };
         let backends = self.state.backends.borrow();
@@ -243,12 +247,12 @@
     }
 
     async fn record_attempt_error(
-        &mut self,
+        &self,
         backend: &BackendId,
         error: AttemptError,
         progress: AnswerProgress,
     ) {
-        self.last_error = Some(error);
+        self.last_error.set(Some(error));
         self.note_attempt_error(backend, error);
         tracing::info!(
             request = %self.request.attempt,
@@ -303,42 +307,58 @@
     }
 
     /// Returns an error unless another attempt follows the failed one.
-    fn check_retry(&mut self, error: AttemptError) -> Result<(), RequestError> {
-        let reason = match error {
+    fn check_retry(&self, error: AttemptError) -> Result<(), RequestError> {
+        let (granted, refusal) = match error {
             AttemptError::Stale => return Err(self.final_error(RefusalReason::StaleConfiguration)),
-            AttemptError::NotSent => {
-                self.unsent_attempts += 1;
-                return if self.unsent_attempts <= MAX_UNSENT_ATTEMPTS {
-                    Ok(())
-                } else {
-                    self.log_no_retry("no backend server could be reached");
-                    Err(self.final_error(RefusalReason::BackendUnreachable))
-                };
-            }
+            AttemptError::NotSent => (
+                self.take_unsent_attempt(),
+                RefusalReason::BackendUnreachable,
+            ),
             AttemptError::Broken(reason) if !self.request.route.semantics.may_repeat() => {
                 return Err(RequestError::Unknown(reason));
             }
-            AttemptError::Broken(_) => RetryReason::Repeatable,
-            AttemptError::NotRun | AttemptError::Misdirected => RetryReason::Refused,
+            AttemptError::Broken(_) => (
+                self.take_send(RetryReason::Repeatable),
+                RefusalReason::QueueFull,
+            ),
+            AttemptError::NotRun | AttemptError::Misdirected => (
+                self.take_send(RetryReason::Refused),
+                RefusalReason::QueueFull,
+            ),
         };
-        if !self.has_sends_left() {
-            self.log_no_retry("the route allows no further send");
-        } else if self.take_retry(reason) {
-            return Ok(());
+        granted.map_err(|obstacle| {
+            tracing::info!(
+                request = %self.request.attempt,
+                sendings = self.sent.sends(),
+                why = %obstacle,
+                "request is not sent again"
+            );
+            self.final_error(refusal)
+        })
+    }
+
+    /// Takes one of the attempts that replace an attempt which has sent nothing.
+    fn take_unsent_attempt(&self) -> Result<(), RetryObstacle> {
+        let attempts = self.unsent_attempts.get() + 1;
+        self.unsent_attempts.set(attempts);
+        if attempts > MAX_UNSENT_ATTEMPTS {
+            Err(RetryObstacle::Unreachable)
+        } else if self.has_sends_left() {
+            Ok(())
         } else {
-            self.log_no_retry("the retry window of the service is used up");
+            Err(RetryObstacle::NoSendLeft)
         }
-        Err(self.final_error(RefusalReason::QueueFull))
     }
 
-    /// Logs why a failed attempt is the last one.
-    fn log_no_retry(&self, why: &str) {
-        tracing::info!(
-            request = %self.request.attempt,
-            sendings = self.sent.sends(),
-            why,
-            "request is not sent again"
-        );
+    /// Takes a further send from those of the route and from the retries of the service.
+    fn take_send(&self, reason: RetryReason) -> Result<(), RetryObstacle> {
+        if !self.has_sends_left() {
+            Err(RetryObstacle::NoSendLeft)
+        } else if !self.take_retry(reason) {
+            Err(RetryObstacle::NoRetryLeft)
+        } else {
+            Ok(())
+        }
     }
 
     /// The error to report once no further attempt is made.
@@ -346,14 +366,14 @@
         if !self.sent.may_have_run() {
             return RequestError::Refused(refusal.into());
         }
-        match self.last_error {
+        match self.last_error.get() {
             Some(AttemptError::Broken(reason)) => RequestError::Unknown(reason),
             _ => RequestError::Unknown(UnknownReason::BackendBroke),
         }
     }
 
     fn has_sends_left(&self) -> bool {
-        self.sent.sends() < self.request.route.max_attempts
+        self.sent.planned_sends() < self.request.route.max_attempts
     }
 
     fn take_retry(&self, reason: RetryReason) -> bool {
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -11,6 +11,8 @@
     pub(crate) answered: IntCounter,
     pub(crate) callers_left: IntCounter,
     pub(crate) ended_early: IntCounter,
+    pub(crate) takeovers_begun: IntCounter,
+    pub(crate) takeovers_won: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
@@ -41,6 +43,14 @@
                 "celerycrank_direct_ended_early_total",
                 "requests without a whole answer that had been sent and ended before their deadline",
             )?,
+            takeovers_begun: set.counter(
+                "celerycrank_direct_takeovers_begun_total",
+                "streams for which another backend server was asked while the first was silent",
+            )?,
+            takeovers_won: set.counter(
+                "celerycrank_direct_takeovers_won_total",
+                "silent streams that another backend server has taken over",
+            )?,
             connections_made: set.counter(
                 "celerycrank_direct_backend_connections_total",
                 "connections made to backend servers",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod dispatch;
 mod limits;
+mod live;
 mod load;
 mod metrics;
 mod outcome;
@@ -22,5 +23,6 @@
 mod state;
 mod store;
 mod stream;
+mod takeover;
 
 pub use process::DirectEntryProcess;
--- a/crates/celerycrank-direct/src/entry/outcome.rs
+++ b/crates/celerycrank-direct/src/entry/outcome.rs
@@ -49,7 +49,7 @@
         account = request.account.as_ref().map(tracing::field::display),
         revision = %request.revision,
         configuration_age = state.configuration_age().map(tracing::field::display),
-        backend = dispatch.last_tried().map(tracing::field::display),
+        backend = dispatch.answering().map(tracing::field::display),
         sendings = dispatch.sent.sends(),
         took = %span,
         %time_left,
--- a/crates/celerycrank-direct/src/entry/progress.rs
+++ b/crates/celerycrank-direct/src/entry/progress.rs
@@ -1,4 +1,4 @@
-//! What has been sent of a request, and how far its answer has come.
+//! What has been sent of a request, how far its answer has come, and why it is not sent again.
 
 use std::cell::Cell;
 
@@ -15,24 +15,25 @@
     Unknown(UnknownReason),
 }
 
-/// Records the sends of one request and whether a backend server may have run it.
+/// Counts the attempts of one request, of which two may run at the same time.
 #[derive(Debug, Default)]
 pub(crate) struct SendRecord {
+    /// Number of running attempts that have not sent anything yet.
+    unsent: Cell<u32>,
+    /// Number of attempts that have sent the request.
     sends: Cell<u32>,
-    may_have_run: Cell<bool>,
+    /// Number of sends for which the backend server has not stated that it did not run the request.
+    possible_runs: Cell<u32>,
 }
 
 impl SendRecord {
-    /// Records that the request is being sent to a backend server, which may run it.
-    pub(crate) fn record_send(&self) {
-        self.sends.set(self.sends.get() + 1);
-        self.may_have_run.set(true);
-    }
-
-    /// Records that the last backend server did not run the request; before it was sent there,
-    /// `may_have_run` held.
-    pub(crate) fn withdraw_send(&self, may_have_run: bool) {
-        self.may_have_run.set(may_have_run);
+    /// Records that an attempt begins.
+    pub(crate) fn begin(&self) -> SendGuard<'_> {
+        self.unsent.set(self.unsent.get() + 1);
+        SendGuard {
+            record: self,
+            is_sent: Cell::new(false),
+        }
     }
 
     /// Number of times the request was sent to a backend server.
@@ -40,9 +41,50 @@
         self.sends.get()
     }
 
+    /// Number of times the request was sent or is about to be sent.
+    pub(crate) fn planned_sends(&self) -> u32 {
+        self.sends.get() + self.unsent.get()
+    }
+
     /// Whether a backend server may have run the request.
     pub(crate) fn may_have_run(&self) -> bool {
-        self.may_have_run.get()
+        self.possible_runs.get() > 0
+    }
+}
+
+/// One attempt in a [`SendRecord`].
+///
+/// A send stays counted if the attempt's future is dropped.
+#[derive(Debug)]
+pub(crate) struct SendGuard<'record> {
+    record: &'record SendRecord,
+    is_sent: Cell<bool>,
+}
+
+impl SendGuard<'_> {
+    /// Records that the request is being sent to a backend server, which may run it.
+    pub(crate) fn note_sent(&self) {
+        let record = self.record;
+        self.is_sent.set(true);
+        record.unsent.set(record.unsent.get() - 1);
+        record.sends.set(record.sends.get() + 1);
+        record.possible_runs.set(record.possible_runs.get() + 1);
+    }
+
+    /// Records that the backend server did not run the request.
+    pub(crate) fn note_not_run(&self) {
+        let record = self.record;
+        if self.is_sent.get() {
+            record.possible_runs.set(record.possible_runs.get() - 1);
+        }
+    }
+}
+
+impl Drop for SendGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_sent.get() {
+            self.record.unsent.set(self.record.unsent.get() - 1);
+        }
     }
 }
 
@@ -64,3 +106,16 @@
         }
     }
 }
+
+/// Why a request is not sent to another backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub(crate) enum RetryObstacle {
+    /// the route allows no further send
+    NoSendLeft,
+    /// the retry window of the service is used up
+    NoRetryLeft,
+    /// there is no other backend server
+    NoBackend,
+    /// no backend server could be reached
+    Unreachable,
+}
