Checks of a silent stream take a retry only if the request may be sent

Callers would have seen broken streams that nobody resumed: while a part of a prompt is refused, or keys may have been revoked, each check of a silent stream with it took a retry every 250 ms and then sent nothing, until the retries of the service were used up. The quarantine, the freshness of keys and the choice are asked before a retry is taken now; PartQuarantine::time_refused asks without beginning a trial.

--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -160,16 +160,20 @@
     /// Takes a retry for an attempt beside one whose backend server is silent, or returns why the
     /// request is not sent to another one.
     pub(crate) fn begin_takeover(&self) -> Result<(), RetryObstacle> {
-        if !self.has_sends_left() {
-            return Err(RetryObstacle::NoSendLeft);
+        let state = self.state;
+        let quarantine = state.quarantine.borrow();
+        let is_refused = quarantine.time_refused(&self.request.prompt_query(), state.clock.now());
+        if is_refused.is_some() {
+            return Err(RetryObstacle::CrashingPrompt);
+        }
+        if self.request.account.is_some() && !state.is_fresh() {
+            return Err(RetryObstacle::StaleConfiguration);
         }
         if self.choose().is_err() {
             return Err(RetryObstacle::NoBackend);
         }
-        if !self.take_retry(RetryReason::Repeatable) {
-            return Err(RetryObstacle::NoRetryLeft);
-        }
-        Ok(())
+        // Checked last, since this uses a retry up.
+        self.take_send(RetryReason::Repeatable)
     }
 
     /// Records that a backend server is silent and another one is asked as well.
--- a/crates/celerycrank-direct/src/entry/progress.rs
+++ b/crates/celerycrank-direct/src/entry/progress.rs
@@ -116,6 +116,10 @@
     NoRetryLeft,
     /// there is no other backend server
     NoBackend,
+    /// a part of the prompt is refused
+    CrashingPrompt,
+    /// the configuration is too old to tell whether the caller's key is still valid
+    StaleConfiguration,
     /// no backend server could be reached
     Unreachable,
 }
--- a/crates/celerycrank-serving/src/quarantine.rs
+++ b/crates/celerycrank-serving/src/quarantine.rs
@@ -195,10 +195,8 @@
         if self.quarantined.is_empty() {
             return Ok(());
         }
-        let refused = query.keys().filter_map(|key| self.quarantined.peek(&key));
-        let latest = refused.map(|part| part.until).max();
-        if let Some(until) = latest.filter(|until| *until > now) {
-            return Err(until.since(now));
+        if let Some(remaining) = self.time_refused(query, now) {
+            return Err(remaining);
         }
         for key in query.keys() {
             if let Some(part) = self.quarantined.get_mut(&key) {
@@ -208,6 +206,15 @@
         Ok(())
     }
 
+    /// The time until the next trial of this prompt, unless it may be sent now.
+    #[must_use]
+    pub fn time_refused(&self, query: &PromptQuery<'_>, now: TimePoint) -> Option<TimeSpan> {
+        let refused = query.keys().filter_map(|key| self.quarantined.peek(&key));
+        let latest = refused.map(|part| part.until).max();
+        let until = latest.filter(|until| *until > now)?;
+        Some(until.since(now))
+    }
+
     /// Records that an answer to this prompt has begun, which clears its parts; returns whether one
     /// of them was quarantined.
     pub fn note_begun(&mut self, query: &PromptQuery<'_>, now: TimePoint) -> bool {
