--- a/crates/celerycrank-direct/src/entry/live.rs
+++ b/crates/celerycrank-direct/src/entry/live.rs
@@ -57,6 +57,11 @@
         self.head.status == STREAM_STATUS
     }
 
+    /// Whether the backend server reports a failure of its own.
+    pub(crate) fn is_backend_failure(&self) -> bool {
+        self.head.status >= 500
+    }
+
     /// Returns the first part: events, or the whole body of a failure, which is passed on unchanged.
     pub(crate) async fn first(&mut self) -> Result<StreamPart, UnknownReason> {
         if self.is_stream() {
@@ -109,11 +114,10 @@
 
     /// Records the end of a complete stream and returns its connection to the pool.
     pub(crate) fn release(self, state: &EntryState) {
-        let is_failure = self.head.status >= 500;
-        state
-            .backends
-            .borrow_mut()
-            .note_answer(self.backend(), is_failure);
+        let is_failure = self.is_backend_failure();
+        let mut backends = state.backends.borrow_mut();
+        backends.note_answer(self.backend(), is_failure);
+        drop(backends);
         self.body.release(state);
     }
 }
--- a/crates/celerycrank-direct/src/entry/takeover.rs
+++ b/crates/celerycrank-direct/src/entry/takeover.rs
@@ -176,7 +176,8 @@
 
     /// Returns what `first` or another backend server yields first.
     ///
-    /// An error of one of them is returned only if the other one fails as well.
+    /// An error or a failure of one of them is returned only if the other one yields no stream
+    /// either.
     async fn run(mut self, first: impl Future<Output = StreamResult<'run>>) -> StreamResult<'run> {
         let mut first = pin!(first);
         let mut second: Option<StreamOpening<'run>> = None;
@@ -194,9 +195,9 @@
                 }
                 read = &mut first => {
                     self.note_first(&read);
-                    return match (read, second) {
-                        (Err(_), Some(second)) => self.run_second(second).await,
-                        (read, _) => read,
+                    return match second {
+                        Some(second) if has_failed(&read) => self.run_second(second, read).await,
+                        _ => read,
                     };
                 }
                 () = sleep(wait), if second.is_none() => {
@@ -207,10 +208,26 @@
         }
     }
 
-    /// Continues with the other backend server alone.
-    async fn run_second(mut self, second: StreamOpening<'run>) -> StreamResult<'run> {
+    /// Continues with the other backend server alone, since the first one has failed.
+    async fn run_second(
+        mut self,
+        second: StreamOpening<'run>,
+        failed: StreamResult<'run>,
+    ) -> StreamResult<'run> {
         self.silent = None;
-        Box::pin(self.run(second)).await
+        let dispatch = self.dispatch;
+        match (Box::pin(self.run(second)).await, failed) {
+            (Ok(progress), failed) => {
+                dispatch.note_answering(progress.live.backend());
+                if let Ok(failed) = failed {
+                    failed.live.release(dispatch.state);
+                }
+                Ok(progress)
+            }
+            // A failure that a backend server reports is preferred to an error of the entry itself.
+            (Err(_), Ok(failed)) => Ok(failed),
+            (Err(error), Err(_)) => Err(error),
+        }
     }
 
     /// Asks another backend server if the route and the retries of the service allow it.
@@ -273,6 +290,12 @@
     }
 }
 
+/// Whether a backend server has yielded no stream that another one could not yield.
+fn has_failed(read: &StreamResult<'_>) -> bool {
+    read.as_ref()
+        .map_or(true, |progress| progress.live.is_backend_failure())
+}
+
 /// Waits for the opening of a stream; forever if there is none.
 async fn poll_opening<'run>(opening: &mut Option<StreamOpening<'run>>) -> StreamResult<'run> {
     match opening {
