--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -6,7 +6,9 @@
     BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics,
     choose_backend,
 };
-use celerycrank_types::{BackendId, RefusalReason, RetryReason, UnknownReason};
+use celerycrank_types::{
+    BackendId, RefusalReason, RetryReason, TimePoint, TimeSpan, UnknownReason,
+};
 use smallvec::SmallVec;
 
 use super::{
@@ -39,6 +41,8 @@
     last_error: Cell<Option<AttemptError>>,
     /// The backend server whose answer won against that of another one.
     answering: RefCell<Option<BackendId>>,
+    /// When an attempt last began.
+    attempt_began_at: Cell<TimePoint>,
 }
 
 /// An answer that is being read, and the backend server it comes from.
@@ -82,6 +86,7 @@
             unsent_attempts: Cell::new(0),
             last_error: Cell::new(None),
             answering: RefCell::default(),
+            attempt_began_at: Cell::new(now),
         }
     }
 
@@ -112,6 +117,7 @@
             let backend = &registration.backend;
             self.tried.borrow_mut().push(backend.clone());
             let in_flight = InFlightGuard::new(self.state, backend);
+            self.attempt_began_at.set(self.state.clock.now());
             let sending = self.sent.begin();
             let opened = open_attempt(
                 self.state,
@@ -176,6 +182,11 @@
         self.take_send(RetryReason::Repeatable)
     }
 
+    /// The time since an attempt last began.
+    pub(crate) fn attempt_age(&self) -> TimeSpan {
+        self.state.clock.now().since(self.attempt_began_at.get())
+    }
+
     /// Records that a backend server is silent and another one is asked as well.
     pub(crate) fn note_silent(&self, backend: &BackendId) {
         self.state.metrics.takeovers_begun.inc();
--- a/crates/celerycrank-direct/src/entry/takeover.rs
+++ b/crates/celerycrank-direct/src/entry/takeover.rs
@@ -201,8 +201,15 @@
                     };
                 }
                 () = sleep(wait), if second.is_none() => {
-                    wait = TAKEOVER_CHECK_INTERVAL;
-                    second = self.begin();
+                    let age = self.dispatch.attempt_age().as_duration();
+                    // An attempt that has replaced a failed one has its own time.
+                    wait = match self.silence_timeout.checked_sub(age) {
+                        Some(rest) if !rest.is_zero() => rest,
+                        _ => {
+                            second = self.begin();
+                            TAKEOVER_CHECK_INTERVAL
+                        }
+                    };
                 }
             }
         }
