A request without time left marks no backend server as unreachable

A request with under 5 ms left sent nothing and marked up to five sound backend servers as unreachable for 250 ms to 2 s, so that the requests of other callers went to those that were left; its caller was told backend_unreachable. Too little time is an error of its own now, says nothing of the backend server and ends the request at once as deadline_unreachable.

--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -42,8 +42,10 @@
 /// Why an attempt produced no answer to pass on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptError {
-    /// Nothing was sent: the backend server could not be reached, or too little time was left.
+    /// Nothing was sent: the backend server could not be reached.
     NotSent,
+    /// Nothing was sent: too little time was left until the request's deadline.
+    TooLate,
     /// The backend server reports that it did not run the request.
     NotRun,
     /// The address belongs to another backend server, which did not run the request.
@@ -129,7 +131,7 @@
     let now = state.clock.now();
     let time_left = request.deadline.since(now);
     if time_left < MIN_TIME_LEFT {
-        return Err(AttemptError::NotSent);
+        return Err(AttemptError::TooLate);
     }
     let metadata = ForwardMetadata {
         account: request.account.as_ref(),
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -317,7 +317,7 @@
             AttemptError::Misdirected => backends.note_misdirected(backend),
             AttemptError::Broken(_) => backends.note_answer(backend, true),
             AttemptError::NotRun => backends.note_refused(backend, now),
-            AttemptError::Stale => {}
+            AttemptError::Stale | AttemptError::TooLate => {}
         }
     }
 
@@ -325,6 +325,9 @@
     fn check_retry(&self, error: AttemptError) -> Result<(), RequestError> {
         let (granted, refusal) = match error {
             AttemptError::Stale => return Err(self.final_error(RefusalReason::StaleConfiguration)),
+            AttemptError::TooLate => {
+                return Err(self.final_error(RefusalReason::DeadlineUnreachable));
+            }
             AttemptError::NotSent => (
                 self.take_unsent_attempt(),
                 RefusalReason::BackendUnreachable,
