Direct entry: requests in flight at the end of the grace period get a final answer

Cause: the drain waited for the connections and then let the process exit, whatever was in flight.

A stream that has begun is cut, as before. The entry logs how many and counts them (celerycrank_direct_ended_by_stop_total). The times of a stop are in entry/stop.rs.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -207,6 +207,27 @@
     assert!(process.wait_end().await);
 }
 
+#[actix_rt::test]
+async fn requests_in_flight_at_the_end_of_the_grace_period_get_a_final_answer() {
+    let (store, backend) = start_platform().await;
+    let mut settings = settings(&store);
+    settings["grace"] = json!("4.0s");
+    let path = write_settings("final", &settings);
+    let mut process = DirectProcess::start(&path).await;
+    process.wait_ready().await;
+    backend.set_behaviour(BackendBehaviour::Unresponsive);
+    let mut caller = TestCaller::connect(process.listen).await;
+    // The route's timeout is longer than the grace period.
+    caller.begin(&lookup("c1")).await;
+    while backend.runs() == 0 {
+        sleep(POLL_INTERVAL).await;
+    }
+    process.signal(libc::SIGTERM);
+    let answer = caller.read().await.expect("an answer");
+    assert_eq!((answer.status, answer.is_complete), (504, true));
+    assert!(process.wait_end().await);
+}
+
 #[actix_rt::test]
 async fn invalid_settings_are_reported_and_prevent_the_start() {
     let (store, _) = start_platform().await;
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -162,7 +162,8 @@
     Expired,
 }
 
-/// Runs `work` until it completes, the caller disconnects or the deadline passes.
+/// Runs `work` until it completes, the caller disconnects, the deadline passes or the grace period
+/// of a stop ends.
 pub(crate) async fn run_interruptible<T>(
     state: &EntryState,
     caller: &mut CallerConnection,
@@ -175,6 +176,7 @@
         done = work => WorkOutcome::Done(done),
         () = caller.disconnected() => WorkOutcome::CallerLeft,
         () = actix_rt::time::sleep(time_left) => WorkOutcome::Expired,
+        () = state.ending.raised() => WorkOutcome::Expired,
     }
 }
 
--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -126,7 +126,10 @@
     state.metrics.requests.inc();
     let framing = BodyFraming::of_request(&head);
     let read = match framing {
-        Ok(framing) => read_body(caller, &head, framing, limits).await,
+        Ok(framing) => select! {
+            read = read_body(caller, &head, framing, limits) => read,
+            () = state.ending.raised() => Err(RefusalReason::ShuttingDown),
+        },
         Err(error) => Err(bad_request(error)),
     };
     let body = match read {
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -10,6 +10,7 @@
     pub(crate) requests: IntCounter,
     pub(crate) answered: IntCounter,
     pub(crate) callers_left: IntCounter,
+    pub(crate) ended_by_stop: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
@@ -36,6 +37,10 @@
                 "celerycrank_direct_callers_left_total",
                 "requests whose caller left before its answer was complete",
             )?,
+            ended_by_stop: set.counter(
+                "celerycrank_direct_ended_by_stop_total",
+                "requests that the entry ended since the grace period of its stop was over",
+            )?,
             connections_made: set.counter(
                 "celerycrank_direct_backend_connections_total",
                 "connections made to backend servers",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod refusal;
 mod request;
 mod state;
+mod stop;
 mod store;
 mod stream;
 
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -8,7 +8,7 @@
     HttpListener, ListenerLimits, RunningTask, ShutdownFlag, TaskSupervisor, serve_admin,
     wait_for_stop_signal,
 };
-use celerycrank_types::TimeSpan;
+use celerycrank_types::TimePoint;
 use tokio::{
     net::{TcpListener, UdpSocket},
     select,
@@ -22,17 +22,11 @@
     probe::serve_probes,
     quarantine::{collect_crashes, write_reports},
     state::EntryState,
+    stop::{BALANCER_DELAY, StopSchedule},
     store::watch_store,
 };
 use crate::{DirectError, signal::handle_reload_signals};
 
-/// How long new connections are accepted after the stop signal, until the balancer has noticed
-/// the shutdown.
-const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
-
-/// Part of the grace period that is reserved for the process to exit by itself.
-const EXIT_RESERVE: TimeSpan = TimeSpan::from_millis(400);
-
 /// Interval at which a stopping entry checks whether its last connection has closed.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -209,15 +203,36 @@
 /// Closes every connection after its answer and waits for the last one to close.
 ///
 /// Connections without a request are closed once the balancer has noticed the shutdown; until
-/// then a caller may be sending on any of them.
+/// then a caller may be sending on any of them. Requests that are in flight when the grace period
+/// ends get a final answer before the process exits.
 async fn drain(state: &EntryState, accept_task: RunningTask) {
-    let started_at = state.clock.now();
+    let grace = state.settings().grace.0;
+    let schedule = StopSchedule::new(state.clock.now(), grace);
     state.is_stopping.set(true);
-    let grace = state.settings().grace.0.saturating_sub(EXIT_RESERVE);
-    sleep(BALANCER_DELAY.min(grace.as_duration())).await;
+    state.stop.set(Some(schedule));
+    let until_final = state.clock.until(schedule.final_at).as_duration();
+    sleep(BALANCER_DELAY.min(until_final)).await;
     drop(accept_task);
     state.shutdown.raise();
-    while state.caller_connections.get() > 0 && state.clock.now().since(started_at) < grace {
+    if wait_for_callers(state, schedule.final_at).await {
+        return;
+    }
+    let requests = state.requests_in_flight.get();
+    if requests > 0 {
+        tracing::warn!(requests, "grace period ends; requests in flight are ended");
+        state.metrics.ended_by_stop.inc_by(requests.into());
+    }
+    state.ending.raise();
+    wait_for_callers(state, schedule.exit_at).await;
+}
+
+/// Waits until the last connection of a caller has closed; `false` if that takes beyond `end`.
+async fn wait_for_callers(state: &EntryState, end: TimePoint) -> bool {
+    while state.caller_connections.get() > 0 {
+        if state.clock.now() >= end {
+            return false;
+        }
         sleep(DRAIN_INTERVAL).await;
     }
+    true
 }
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -75,10 +75,11 @@
     let wait = metadata
         .caller_timeout
         .map_or(route.timeout, |span| span.min(route.timeout));
+    let deadline = draft.arrival + wait;
     Ok(AdmittedRequest {
         attempt: metadata.attempt,
         revision: in_force.revision,
-        deadline: draft.arrival + wait,
+        deadline,
         arrival: draft.arrival,
         last_event: metadata.last_event,
         shared_parts: metadata.shared_parts,
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -14,12 +14,15 @@
     AccountTable, BackendTable, CallerBounds, CrashCollector, EntryCount, FreshnessGuard,
     PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
 };
-use celerycrank_types::{BackendId, DecimalSpan, RequestRate, Revision, ServiceId, TimeSpan};
+use celerycrank_types::{
+    BackendId, DecimalSpan, RequestRate, Revision, ServiceId, TimePoint, TimeSpan,
+};
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::sync::Notify;
 
 use super::{
     limits::LimitSharing, metrics::EntryMetrics, pool::ConnectionPool, quarantine::ReportQueue,
+    stop::StopSchedule,
 };
 
 /// State shared by the tasks of an entry, all of which run on one arbiter.
@@ -39,6 +42,10 @@
     pub(crate) has_read_backends: Cell<bool>,
     /// Whether a stop signal has been received.
     pub(crate) is_stopping: Cell<bool>,
+    /// When a stopping entry does what; `None` before the stop signal.
+    pub(crate) stop: Cell<Option<StopSchedule>>,
+    /// Raised when the grace period ends, upon which requests in flight get their final answers.
+    pub(crate) ending: ShutdownFlag,
     /// Number of open connections of callers.
     pub(crate) caller_connections: Cell<u32>,
     /// Number of requests whose answer is not complete.
@@ -109,6 +116,8 @@
             freshness: RefCell::new(guard),
             has_read_backends: Cell::new(false),
             is_stopping: Cell::new(false),
+            stop: Cell::new(None),
+            ending: ShutdownFlag::default(),
             caller_connections: Cell::new(0),
             requests_in_flight: Cell::new(0),
             in_force: RefCell::default(),
@@ -174,7 +183,7 @@
     }
 
     /// Records that the key-value service still held the configuration in force at `asked_at`.
-    pub(crate) fn confirm(&self, asked_at: celerycrank_types::TimePoint) {
+    pub(crate) fn confirm(&self, asked_at: TimePoint) {
         if let Some(guard) = self.freshness.borrow_mut().as_mut() {
             guard.confirm(asked_at);
         }
