Direct entry: a request that is complete too late in a stop is refused as not run

A request whose last byte arrived late in a stop (a slow upload) was sent to a backend server although it could outlast the grace period.

Cause: admission did not look at the stop.

Now a request that is complete 3 s after the stop signal or later, and whose deadline lies behind the end of the grace period, gets 503 and has not run; its caller asks another entry. One that is complete when the final answers are due is refused as well. Earlier requests are sent on as before.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -228,6 +228,29 @@
     assert!(process.wait_end().await);
 }
 
+#[actix_rt::test]
+async fn a_request_that_is_complete_too_late_in_a_stop_is_refused() {
+    let (store, backend) = start_platform().await;
+    let path = write_settings("late", &settings(&store));
+    let mut process = DirectProcess::start(&path).await;
+    process.wait_ready().await;
+    backend.set_behaviour(BackendBehaviour::Unresponsive);
+    let mut caller = TestCaller::connect(process.listen).await;
+    // The route's timeout is longer than the grace period.
+    let head = b"POST /large/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: d1\r\n\
+        Credential: secret\r\nContent-Length: 4\r\n\r\nab";
+    caller.send(head).await;
+    process.signal(libc::SIGTERM);
+    process.wait_line("entry is leaving").await;
+    sleep(Duration::from_millis(3_600)).await;
+    caller.send(b"cd").await;
+    let answer = caller.read().await.expect("an answer");
+    assert_eq!((answer.status, answer.is_complete), (503, true));
+    assert_eq!(answer.reason.as_deref(), Some("shutting_down"));
+    assert_eq!(backend.received_requests(), []);
+    assert!(process.wait_end().await);
+}
+
 #[actix_rt::test]
 async fn invalid_settings_are_reported_and_prevent_the_start() {
     let (store, _) = start_platform().await;
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -76,6 +76,9 @@
         .caller_timeout
         .map_or(route.timeout, |span| span.min(route.timeout));
     let deadline = draft.arrival + wait;
+    if !state.admits_until(deadline) {
+        return Err(RefusalReason::ShuttingDown);
+    }
     Ok(AdmittedRequest {
         attempt: metadata.attempt,
         revision: in_force.revision,
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -201,6 +201,13 @@
         guard.and_then(|guard| guard.age(self.clock.now()))
     }
 
+    /// Whether a request with this deadline that has just been read may be sent to a backend
+    /// server.
+    pub(crate) fn admits_until(&self, deadline: TimePoint) -> bool {
+        let stop = self.stop.get();
+        stop.is_none_or(|schedule| schedule.admits(deadline, self.clock.now()))
+    }
+
     /// The limit that a backend server names, if any.
     pub(crate) fn limit_of(&self, backend: &BackendId) -> Option<RequestRate> {
         let mut backends = self.backends.borrow_mut();
