Direct entry: a backend server that reads a long request late keeps its connection

Seen with a receive buffer of 4 kB at the backend server.

Cause: TCP_USER_TIMEOUT of 1.5 s. The kernel applies it to a closed receive window, too, although the peer answers its window probes, so it cannot tell a process that does not read from an unreachable peer.

Now a message of more than 32 KiB, which a peer's kernel may not buffer, gets the time left to its deadline as the timeout, and its connection carries no further request, which would wait behind the unread one. Shorter messages and idle connections keep 1.5 s and the keepalive probes. The price: an unreachable peer is noticed at the deadline while it has a long message (streams notice it by their own timeouts).

--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -38,6 +38,13 @@
     probes: 2,
 };
 
+/// Maximum length of a message that a backend server's kernel buffers even if its process does not
+/// read, in bytes.
+///
+/// Of a longer message, bytes may stay unacknowledged because the process reads them late; the
+/// kernel's timeout cannot tell that from an unreachable peer.
+const MAX_BUFFERED_MESSAGE: usize = 32 << 10;
+
 /// Minimum time left to forward a request; with less, a backend server would drop it immediately.
 const MIN_TIME_LEFT: TimeSpan = TimeSpan::from_millis(5);
 
@@ -142,6 +149,10 @@
     };
     let mut message = write_forwarded(&request.head, &metadata);
     message.extend_from_slice(&request.body);
+    let is_long = message.len() > MAX_BUFFERED_MESSAGE;
+    if is_long {
+        await_late_reads(&stream, time_left);
+    }
     sent.record_send();
     let is_fully_sent = stream.send(&message).await.is_ok();
     // A write error is not fatal: the backend server may have answered before it read the complete
@@ -152,11 +163,19 @@
     let answer = ReceivedHead {
         head,
         metadata,
-        is_fully_sent,
+        is_reusable: is_fully_sent && !is_long,
     };
     check_answer(request, stream, answer, registration)
 }
 
+/// Lets a connection wait until the deadline for a backend server that reads a long message late.
+fn await_late_reads(stream: &HttpStream, time_left: TimeSpan) {
+    let wait = DEAD_PEER_TIMEOUTS.user_timeout.max(time_left.as_duration());
+    if let Err(error) = stream.set_user_timeout(wait) {
+        tracing::info!(fault = %error, "cannot set the timeout of a long message");
+    }
+}
+
 /// Records the limit that a backend server names in an answer, or that it names none.
 fn read_limit(
     state: &EntryState,
@@ -187,8 +206,9 @@
 struct ReceivedHead {
     head: ResponseHead,
     metadata: AnswerMetadata,
-    /// Whether the request was sent completely.
-    is_fully_sent: bool,
+    /// Whether the connection can carry another request: this one was sent completely and does not
+    /// wait to be read, with a timeout of its own.
+    is_reusable: bool,
 }
 
 /// Returns a connection and whether it has carried requests before.
@@ -307,7 +327,7 @@
     let ReceivedHead {
         head,
         metadata,
-        is_fully_sent,
+        is_reusable,
     } = answer;
     if !is_answer_to(&metadata, request) {
         return Err(AttemptError::Broken(UnknownReason::BadAnswer));
@@ -318,7 +338,7 @@
         stream,
         decoder: BodyDecoder::new(framing),
         ends_with_connection: framing == BodyFraming::UntilClose,
-        is_persistent: head.is_persistent() && is_fully_sent,
+        is_persistent: head.is_persistent() && is_reusable,
         idle_timeout: head.keep_alive_timeout(),
         registration: registration.clone(),
     };
--- a/crates/celerycrank-http/src/stream.rs
+++ b/crates/celerycrank-http/src/stream.rs
@@ -73,6 +73,15 @@
         socket.set_tcp_keepalive(&keepalive)
     }
 
+    /// Sets the maximum time for which sent bytes may stay unacknowledged.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is closed.
+    pub fn set_user_timeout(&self, timeout: Duration) -> io::Result<()> {
+        SockRef::from(&self.socket).set_tcp_user_timeout(Some(timeout))
+    }
+
     /// Reads more bytes into the buffer and returns their number; zero if the peer closed the
     /// connection.
     ///
