Direct entry: a caller that reads slowly receives its complete answer

Cause: the 5 s held for the whole message, not for its progress.

Now a write ends when the caller has read nothing for 5 s, or when 5 s have passed and the request's deadline, too. An answer that is not written is logged with the reason.

--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -46,6 +46,8 @@
             return next_step(is_sent && !is_last);
         }
     };
+    let time_left = state.clock.until(request.deadline).as_duration();
+    caller.deadline = Some(actix_rt::time::Instant::now() + time_left);
     let mut dispatch = RequestDispatch::new(state, &request);
     let (end, step) = if request.route.semantics.is_stream() {
         Box::pin(stream_answer(caller, &mut dispatch, is_persistent)).await
--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -6,7 +6,11 @@
 use celerycrank_http::{BodyFraming, HeadError, HttpStream, RequestHead, parse_request};
 use celerycrank_serving::CallerBounds;
 use celerycrank_types::{RefusalReason, TimePoint};
-use tokio::{net::TcpStream, select};
+use tokio::{
+    net::TcpStream,
+    select,
+    time::{Instant, timeout_at},
+};
 
 use super::{
     answer::answer_request,
@@ -20,9 +24,15 @@
 /// being answered.
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
 
-/// Maximum time for which a caller may leave an answer unread.
+/// Maximum time for which a caller may read nothing of an answer that is being written.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum number of bytes of an answer that the kernel holds before it sends them.
+///
+/// Without it, the kernel reports no progress until megabytes of its buffer are free, although a slow
+/// caller reads all the time.
+const MAX_UNSENT_BYTES: u32 = 128 << 10;
+
 /// How long the rest of a refused request is read, so that its answer is not lost.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -39,9 +49,22 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     pub(crate) stream: HttpStream,
+    /// The deadline of the current request, until which a slow caller may read its answer.
+    pub(crate) deadline: Option<Instant>,
 }
 
 impl CallerConnection {
+    fn new(socket: TcpStream) -> Self {
+        let stream = HttpStream::new(socket);
+        if let Err(error) = stream.limit_unsent(MAX_UNSENT_BYTES) {
+            tracing::info!(fault = %error, "cannot limit the unsent bytes of a connection");
+        }
+        Self {
+            stream,
+            deadline: None,
+        }
+    }
+
     /// Waits until the caller has closed its connection.
     ///
     /// Data that arrives meanwhile stays in the buffer for later requests.
@@ -57,12 +80,30 @@
         }
     }
 
-    /// Writes to the caller; returns whether the write succeeded before the timeout.
+    /// Writes to the caller; returns whether everything was written.
+    ///
+    /// A caller that reads slowly has time until its deadline; one that reads nothing is given up
+    /// sooner.
     pub(crate) async fn send(&mut self, bytes: &[u8]) -> bool {
-        matches!(
-            timeout(WRITE_TIMEOUT, self.stream.send(bytes)).await,
-            Ok(Ok(()))
-        )
+        let started_at = Instant::now();
+        let last_end = (started_at + WRITE_TIMEOUT).max(self.deadline.unwrap_or(started_at));
+        let mut unsent = bytes;
+        while !unsent.is_empty() {
+            let end = last_end.min(Instant::now() + WRITE_TIMEOUT);
+            let error = match timeout_at(end, self.stream.send_some(unsent)).await {
+                Ok(Ok(count)) if count > 0 => {
+                    unsent = &unsent[count..];
+                    continue;
+                }
+                Ok(Ok(_)) => "the connection takes no bytes".to_owned(),
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => "the caller does not read".to_owned(),
+            };
+            let unsent = unsent.len();
+            tracing::info!(fault = error, unsent, "answer not written to its caller");
+            return false;
+        }
+        true
     }
 
     /// Closes the connection in such a way that the caller can read everything that was written.
@@ -89,9 +130,7 @@
 /// Serves one connection until either side closes it.
 pub(crate) async fn serve_caller(state: Rc<EntryState>, socket: TcpStream) {
     let _guard = CountGuard::new(&state.caller_connections);
-    let mut caller = CallerConnection {
-        stream: HttpStream::new(socket),
-    };
+    let mut caller = CallerConnection::new(socket);
     loop {
         let limits = state
             .in_force()
--- a/crates/celerycrank-http/src/stream.rs
+++ b/crates/celerycrank-http/src/stream.rs
@@ -82,6 +82,16 @@
         SockRef::from(&self.socket).set_tcp_user_timeout(Some(timeout))
     }
 
+    /// Limits the bytes that the kernel accepts before it sends them, so that writes follow what the
+    /// peer reads.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is closed.
+    pub fn limit_unsent(&self, bytes: u32) -> io::Result<()> {
+        SockRef::from(&self.socket).set_tcp_notsent_lowat(bytes)
+    }
+
     /// Reads more bytes into the buffer and returns their number; zero if the peer closed the
     /// connection.
     ///
@@ -104,6 +114,17 @@
         self.socket.write_all(bytes).await
     }
 
+    /// Writes as many of these bytes as the socket takes and returns their number.
+    ///
+    /// Cancel safe: nothing is written if the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection was reset.
+    pub async fn send_some(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.socket.write(bytes).await
+    }
+
     /// Whether an idle connection can be reused: it is open and has received no data.
     #[must_use]
     pub fn is_reusable(&mut self) -> bool {
