Event reader: events of a rejected read do not count as returned

Cause: the reader counted each event as it was checked, and returned none of the read if a later one was rejected.

Now the count changes only with what is returned. The same holds for a read whose last event is too large.

--- a/crates/celerycrank-serving/src/event.rs
+++ b/crates/celerycrank-serving/src/event.rs
@@ -76,34 +76,35 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an event is missing, duplicated or too large.
+    /// Returns an error if an event is missing, duplicated or too large. No event of `data` counts as
+    /// returned then.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         let mut searched = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(data);
-        let mut start = 0;
+        let (mut start, mut last) = (0, self.last);
         while let Some(end) = event_end(&self.partial, searched.max(start)) {
-            self.check_event(start, end)?;
-            self.has_events = true;
+            last = check_event(&self.partial[start..end], last)?;
             start = end;
             searched = end;
         }
         if self.partial.len() - start > MAX_EVENT_BYTES {
             return Err(EventError::TooLarge);
         }
+        self.last = last;
+        self.has_events |= start > 0;
         Ok(self.partial.split_to(start).freeze())
     }
+}
 
-    fn check_event(&mut self, start: usize, end: usize) -> Result<(), EventError> {
-        let Some(found) = event_number(&self.partial[start..end]) else {
-            return Ok(());
-        };
-        if let Some(last) = self.last
-            && found != last + 1
-        {
-            return Err(EventError::OutOfOrder { last, found });
+/// Checks that an event follows the one with the number `last`; returns the number of the last
+/// event now.
+fn check_event(event: &[u8], last: Option<u64>) -> Result<Option<u64>, EventError> {
+    match (last, event_number(event)) {
+        (Some(last), Some(found)) if found != last + 1 => {
+            Err(EventError::OutOfOrder { last, found })
         }
-        self.last = Some(found);
-        Ok(())
+        (_, Some(found)) => Ok(Some(found)),
+        (last, None) => Ok(last),
     }
 }
 
--- a/crates/celerycrank-serving/tests/events.rs
+++ b/crates/celerycrank-serving/tests/events.rs
@@ -57,6 +57,21 @@
     assert_eq!(gap.push(&stream(6..8)), error);
 }
 
+#[test]
+fn events_of_a_rejected_read_do_not_count_as_returned() {
+    let mut reader = EventReader::after(Some(4));
+    reader.push(&stream(5..6)).expect("in order");
+    let bytes = [stream(6..8), stream(9..10)].concat();
+    let error = Err(EventError::OutOfOrder { last: 7, found: 9 });
+    assert_eq!(reader.push(&bytes), error);
+    assert_eq!(reader.last_event(), Some(5), "a resumed stream follows it");
+    let mut fresh = EventReader::after(None);
+    let bytes = [stream(1..3), stream(1..2)].concat();
+    let error = Err(EventError::OutOfOrder { last: 2, found: 1 });
+    assert_eq!(fresh.push(&bytes), error);
+    assert_eq!((fresh.last_event(), fresh.has_events()), (None, false));
+}
+
 #[test]
 fn lines_may_end_with_crlf() {
     let mut reader = EventReader::after(None);
