Direct entry: a request on an idle connection is handled under the limits in force

Cause: the limits were read before the wait for the request, which lasts up to the idle timeout.

Now the limits for a head and a body are read when it arrives; the idle timeout is the one at the start of the wait.

--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -132,10 +132,7 @@
     let _guard = CountGuard::new(&state.caller_connections);
     let mut caller = CallerConnection::new(socket);
     loop {
-        let limits = state
-            .in_force()
-            .map_or_else(CallerBounds::default, |it| it.limits);
-        let (head, arrival) = match read_head(&state, &mut caller, &limits).await {
+        let (head, arrival) = match read_head(&state, &mut caller).await {
             Ok(read) => read,
             Err(HeadReadError::Closed) => break,
             Err(HeadReadError::Refused(reason)) => {
@@ -144,7 +141,7 @@
                 break;
             }
         };
-        let serving = serve_request(&state, &mut caller, head, arrival, &limits);
+        let serving = serve_request(&state, &mut caller, head, arrival);
         // Boxed so that an idle connection does not hold the memory of a request.
         let step = Box::pin(serving).await;
         if step == ConnectionStep::Close {
@@ -159,14 +156,14 @@
     caller: &mut CallerConnection,
     head: RequestHead,
     arrival: TimePoint,
-    limits: &CallerBounds,
 ) -> ConnectionStep {
     let _guard = CountGuard::new(&state.requests_in_flight);
+    let limits = limits_in_force(state);
     state.metrics.requests.inc();
     let framing = BodyFraming::of_request(&head);
     let read = match framing {
         Ok(framing) => select! {
-            read = read_body(caller, &head, framing, limits) => read,
+            read = read_body(caller, &head, framing, &limits) => read,
             () = state.ending.raised() => Err(RefusalReason::ShuttingDown),
         },
         Err(error) => Err(bad_request(error)),
@@ -188,14 +185,20 @@
     Box::pin(answer_request(state, caller, draft)).await
 }
 
+/// The limits of callers under the configuration in force.
+fn limits_in_force(state: &EntryState) -> CallerBounds {
+    let in_force = state.in_force();
+    in_force.map_or_else(CallerBounds::default, |it| it.limits)
+}
+
 /// Reads the head of the next request; also returns when it began to arrive.
 async fn read_head(
     state: &EntryState,
     caller: &mut CallerConnection,
-    limits: &CallerBounds,
 ) -> Result<(RequestHead, TimePoint), HeadReadError> {
     if caller.stream.buffer.is_empty() {
-        let idle = timeout(limits.idle_timeout.as_duration(), caller.stream.fill());
+        let idle_timeout = limits_in_force(state).idle_timeout;
+        let idle = timeout(idle_timeout.as_duration(), caller.stream.fill());
         select! {
             read = idle => match read {
                 Ok(Ok(count)) if count > 0 => {}
@@ -205,6 +208,8 @@
         }
     }
     let arrival = state.clock.now();
+    // A newer configuration may have been put in force while the connection was idle.
+    let limits = limits_in_force(state);
     let limit = usize::try_from(limits.head.0).unwrap_or(usize::MAX);
     let reading = async {
         loop {
