--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -46,6 +46,8 @@
             return next_step(is_sent && !is_last);
         }
     };
+    let time_left = state.clock.until(request.deadline).as_duration();
+    caller.deadline = Some(actix_rt::time::Instant::now() + time_left);
     let dispatch = RequestDispatch::new(state, &request);
     let (end, step) = if request.route.semantics.is_stream() {
         Box::pin(stream_answer(caller, &dispatch, is_persistent)).await
@@ -162,7 +164,8 @@
     Expired,
 }
 
-/// Runs `work` until it completes, the caller disconnects or the deadline passes.
+/// Runs `work` until it completes, the caller disconnects, the deadline passes or the grace period
+/// of a stop ends.
 pub(crate) async fn run_interruptible<T>(
     state: &EntryState,
     caller: &mut CallerConnection,
@@ -175,6 +178,7 @@
         done = work => WorkOutcome::Done(done),
         () = caller.disconnected() => WorkOutcome::CallerLeft,
         () = actix_rt::time::sleep(time_left) => WorkOutcome::Expired,
+        () = state.ending.raised() => WorkOutcome::Expired,
     }
 }
 
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -13,6 +13,7 @@
     pub(crate) ended_early: IntCounter,
     pub(crate) takeovers_begun: IntCounter,
     pub(crate) takeovers_won: IntCounter,
+    pub(crate) ended_by_stop: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
@@ -51,6 +52,10 @@
                 "celerycrank_direct_takeovers_won_total",
                 "silent streams that another backend server has taken over",
             )?,
+            ended_by_stop: set.counter(
+                "celerycrank_direct_ended_by_stop_total",
+                "requests that the entry ended since the grace period of its stop was over",
+            )?,
             connections_made: set.counter(
                 "celerycrank_direct_backend_connections_total",
                 "connections made to backend servers",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod refusal;
 mod request;
 mod state;
+mod stop;
 mod store;
 mod stream;
 mod takeover;
