--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -10,7 +10,7 @@
 
 use super::{
     caller::{CallerConnection, ConnectionStep},
-    dispatch::RequestDispatch,
+    dispatch::{AttemptTrack, RequestDispatch},
     outcome::{RequestEnd, log_refusal, record_end},
     progress::{AnswerProgress, RequestError},
     refusal::{bad_request, refusal_answer, unknown_answer},
@@ -106,8 +106,9 @@
     dispatch: &RequestDispatch<'_>,
 ) -> Result<BufferedAnswer, RequestError> {
     let mut failed: Option<BufferedAnswer> = None;
+    let track = AttemptTrack::default();
     loop {
-        let served = match dispatch.open(None).await {
+        let served = match dispatch.open(None, &track).await {
             Ok(served) => served,
             // Prefer a failure reported by a backend server to an error of the entry itself.
             Err(error) => return failed.ok_or(error),
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -39,10 +39,32 @@
     unsent_attempts: Cell<u32>,
     /// Why the last attempt failed.
     last_error: Cell<Option<AttemptError>>,
-    /// The backend server whose answer won against that of another one.
+    /// The backend server whose answer is passed on.
     answering: RefCell<Option<BackendId>>,
-    /// When an attempt last began.
-    attempt_began_at: Cell<TimePoint>,
+}
+
+/// Where one of the attempts that run at the same time stands.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptTrack {
+    /// The backend server that was asked last.
+    backend: RefCell<Option<BackendId>>,
+    /// When it was asked; `None` if that was before this track began.
+    asked_at: Cell<Option<TimePoint>>,
+}
+
+impl AttemptTrack {
+    /// The track of an attempt that this backend server is answering.
+    pub(crate) fn of(backend: &BackendId) -> Self {
+        Self {
+            backend: RefCell::new(Some(backend.clone())),
+            asked_at: Cell::new(None),
+        }
+    }
+
+    fn note_asked(&self, backend: &BackendId, now: TimePoint) {
+        *self.backend.borrow_mut() = Some(backend.clone());
+        self.asked_at.set(Some(now));
+    }
 }
 
 /// An answer that is being read, and the backend server it comes from.
@@ -86,7 +108,6 @@
             unsent_attempts: Cell::new(0),
             last_error: Cell::new(None),
             answering: RefCell::default(),
-            attempt_began_at: Cell::new(now),
         }
     }
 
@@ -101,15 +122,19 @@
         answering.or_else(|| self.last_tried())
     }
 
-    /// Records which of two backend servers that were asked at the same time answers.
+    /// Records whose answer is passed on.
     pub(crate) fn note_answering(&self, backend: &BackendId) {
-        *self.answering.borrow_mut() = Some(backend.clone());
+        let mut answering = self.answering.borrow_mut();
+        if answering.as_ref() != Some(backend) {
+            *answering = Some(backend.clone());
+        }
     }
 
     /// Sends the request until a backend server begins to answer it.
     pub(crate) async fn open(
         &self,
         last_event: Option<u64>,
+        track: &AttemptTrack,
     ) -> Result<ServedAnswer<'run>, RequestError> {
         loop {
             self.check_quarantine()?;
@@ -117,7 +142,7 @@
             let backend = &registration.backend;
             self.tried.borrow_mut().push(backend.clone());
             let in_flight = InFlightGuard::new(self.state, backend);
-            self.attempt_began_at.set(self.state.clock.now());
+            track.note_asked(backend, self.state.clock.now());
             let sending = self.sent.begin();
             let opened = open_attempt(
                 self.state,
@@ -182,18 +207,22 @@
         self.take_send(RetryReason::Repeatable)
     }
 
-    /// The time since an attempt last began.
-    pub(crate) fn attempt_age(&self) -> TimeSpan {
-        self.state.clock.now().since(self.attempt_began_at.get())
+    /// The time since an attempt asked its backend server; `None` if that was before its track began.
+    pub(crate) fn age_of(&self, track: &AttemptTrack) -> Option<TimeSpan> {
+        let asked_at = track.asked_at.get()?;
+        Some(self.state.clock.now().since(asked_at))
     }
 
-    /// Records that a backend server is silent and another one is asked as well.
-    pub(crate) fn note_silent(&self, backend: &BackendId) {
+    /// Records that the backend server of an attempt is silent and another one is asked as well.
+    pub(crate) fn note_silent(&self, track: &AttemptTrack) {
         self.state.metrics.takeovers_begun.inc();
-        self.state.backends.borrow_mut().note_answer(backend, true);
+        let backend = track.backend.borrow();
+        if let Some(backend) = &*backend {
+            self.state.backends.borrow_mut().note_answer(backend, true);
+        }
         tracing::info!(
             request = %self.request.attempt,
-            %backend,
+            backend = backend.as_ref().map(tracing::field::display),
             sendings = self.sent.sends(),
             "backend server is silent; another one is asked as well"
         );
@@ -201,8 +230,7 @@
 
     /// Records that a backend server has taken over from a silent one.
     pub(crate) fn note_taken_over(&self, backend: &BackendId) {
-        self.state.metrics.takeovers_won.inc();
-        self.note_answering(backend);
+        self.state.metrics.takeovers_completed.inc();
         tracing::info!(request = %self.request.attempt, %backend, "stream taken over");
     }
 
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -12,7 +12,7 @@
     pub(crate) callers_left: IntCounter,
     pub(crate) ended_early: IntCounter,
     pub(crate) takeovers_begun: IntCounter,
-    pub(crate) takeovers_won: IntCounter,
+    pub(crate) takeovers_completed: IntCounter,
     pub(crate) ended_by_stop: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
@@ -48,8 +48,8 @@
                 "celerycrank_direct_takeovers_begun_total",
                 "streams for which another backend server was asked while the first was silent",
             )?,
-            takeovers_won: set.counter(
-                "celerycrank_direct_takeovers_won_total",
+            takeovers_completed: set.counter(
+                "celerycrank_direct_takeovers_completed_total",
                 "silent streams that another backend server has taken over",
             )?,
             ended_by_stop: set.counter(
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod quarantine;
 mod refusal;
 mod request;
+mod resume;
 mod state;
 mod stop;
 mod store;
--- /dev/null
+++ b/crates/celerycrank-direct/src/entry/resume.rs
@@ -0,0 +1,99 @@
+//! Opens a stream at a backend server and reads it further; resumes it at another one if it breaks
+//! off.
+
+use celerycrank_types::UnknownReason;
+
+use super::{
+    attempt::bad_answer,
+    dispatch::{AttemptTrack, RequestDispatch},
+    live::{LiveStream, StreamPart},
+    progress::{AnswerProgress, RequestError},
+};
+
+/// A stream and the part of it that was read last.
+pub(crate) struct StreamReading<'run> {
+    /// Boxed, since it is large and moves with each part.
+    pub(crate) live: Box<LiveStream<'run>>,
+    pub(crate) part: StreamPart,
+}
+
+pub(crate) type StreamResult<'run> = Result<StreamReading<'run>, RequestError>;
+
+/// Where a stream is opened.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StreamPosition {
+    /// The event that it continues after.
+    pub(crate) last_event: Option<u64>,
+    /// Whether a part of the answer was passed on, so that nothing but events may follow.
+    pub(crate) has_begun: bool,
+}
+
+/// Opens a stream at one backend server after another.
+pub(crate) async fn open_stream<'run>(
+    dispatch: &'run RequestDispatch<'run>,
+    track: &AttemptTrack,
+    position: StreamPosition,
+) -> StreamResult<'run> {
+    loop {
+        let served = dispatch.open(position.last_event, track).await?;
+        let mut live = Box::new(LiveStream::new(served, position.last_event));
+        let reason = match read_first(&mut live, position).await {
+            Ok(part) => {
+                dispatch.note_begun(live.head.status);
+                return Ok(StreamReading { live, part });
+            }
+            Err(reason) => reason,
+        };
+        let backend = live.backend().clone();
+        drop(live);
+        let progress = AnswerProgress::at(position.last_event);
+        dispatch.retry_broken(&backend, reason, progress).await?;
+    }
+}
+
+async fn read_first(
+    live: &mut LiveStream<'_>,
+    position: StreamPosition,
+) -> Result<StreamPart, UnknownReason> {
+    if position.has_begun && !live.is_stream() {
+        let (status, backend) = (live.head.status, live.backend());
+        let error = format_args!("{backend} resumes a stream with status {status}");
+        return Err(bad_answer(error));
+    }
+    live.first().await
+}
+
+/// Reads the next part of a stream, which is resumed at another backend server if it breaks off.
+pub(crate) async fn read_next<'run>(
+    dispatch: &'run RequestDispatch<'run>,
+    track: &AttemptTrack,
+    mut live: Box<LiveStream<'run>>,
+) -> StreamResult<'run> {
+    match live.next().await {
+        Ok(part) => Ok(StreamReading { live, part }),
+        // Boxed, so that reading alone needs little memory.
+        Err(reason) => Box::pin(resume(dispatch, track, live, reason)).await,
+    }
+}
+
+async fn resume<'run>(
+    dispatch: &'run RequestDispatch<'run>,
+    track: &AttemptTrack,
+    live: Box<LiveStream<'run>>,
+    reason: UnknownReason,
+) -> StreamResult<'run> {
+    let (backend, last_event) = (live.backend().clone(), live.last_event());
+    drop(live);
+    let progress = AnswerProgress::Begun;
+    // A stream whose events are not numbered cannot be resumed.
+    if last_event.is_none() {
+        dispatch.record_broken(&backend, reason, progress).await;
+        return Err(RequestError::Unknown(reason));
+    }
+    dispatch.retry_broken(&backend, reason, progress).await?;
+    let position = StreamPosition {
+        last_event,
+        has_begun: true,
+    };
+    open_stream(dispatch, track, position).await
+}
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -10,7 +10,9 @@
     dispatch::RequestDispatch,
     live::{LiveStream, StreamPart},
     outcome::RequestEnd,
-    takeover::{StreamProgress, continue_stream, cut_off_reason, start_stream},
+    progress::RequestError,
+    resume::StreamReading,
+    takeover::{continue_stream, start_stream},
 };
 
 /// Answers a request with a stream.
@@ -28,7 +30,7 @@
         WorkOutcome::Expired => Err(deadline_error(dispatch)),
         WorkOutcome::CallerLeft => return (RequestEnd::CallerLeft, ConnectionStep::Close),
     };
-    let StreamProgress { live, part } = match started {
+    let StreamReading { live, part } = match started {
         Ok(started) => started,
         Err(error) => {
             let (end, message) = error_answer(state, request, error, is_last);
@@ -36,6 +38,7 @@
             return (end, next_step(is_sent && !is_last));
         }
     };
+    dispatch.note_answering(live.backend());
     let first_event = state.clock.now().since(request.arrival);
     state.metrics.first_event.observe(first_event.as_secs_f64());
     let mut writer = write_answer_head(&live.head, BodyFraming::Chunked, is_last);
@@ -73,17 +76,21 @@
     let deadline = dispatch.request.deadline;
     loop {
         let reading = continue_stream(dispatch, live);
-        let progress = match run_interruptible(state, caller, deadline, reading).await {
-            WorkOutcome::Done(Ok(progress)) => progress,
-            WorkOutcome::Done(Err(error)) => return RelayOutcome::Broken(cut_off_reason(error)),
+        let reading = match run_interruptible(state, caller, deadline, reading).await {
+            WorkOutcome::Done(Ok(reading)) => reading,
+            WorkOutcome::Done(Err(error)) => {
+                tracing::info!(request = %dispatch.request.attempt, fault = ?error, "stream not resumed");
+                return RelayOutcome::Broken(cut_off_reason(error));
+            }
             WorkOutcome::CallerLeft => return RelayOutcome::CallerLeft,
             WorkOutcome::Expired => return RelayOutcome::Broken(UnknownReason::BackendTimeout),
         };
         let mut writer = MessageWriter::default();
-        write_part(&mut writer, &progress.part);
+        write_part(&mut writer, &reading.part);
         let is_sent = caller.send(&writer.into_bytes()).await;
-        live = progress.live;
-        if matches!(progress.part, StreamPart::End) {
+        live = reading.live;
+        dispatch.note_answering(live.backend());
+        if matches!(reading.part, StreamPart::End) {
             live.release(state);
             return if is_sent {
                 RelayOutcome::Complete
@@ -103,3 +110,11 @@
         StreamPart::End => writer.end_chunks(),
     }
 }
+
+/// Why a stream is cut off that no backend server goes on with.
+const fn cut_off_reason(error: RequestError) -> UnknownReason {
+    match error {
+        RequestError::Unknown(reason) => reason,
+        RequestError::Refused(_) => UnknownReason::BackendBroke,
+    }
+}
--- a/crates/celerycrank-direct/src/entry/takeover.rs
+++ b/crates/celerycrank-direct/src/entry/takeover.rs
@@ -1,53 +1,32 @@
-//! Opens a stream and reads it further, if need be at another backend server.
+//! Asks another backend server for a stream while the first one is silent.
 //!
-//! A backend server that is silent may be down, or it may go on in a moment. The entry cannot tell,
-//! so it asks another one as well and gives up the silent one only for a part from the other.
+//! A silent backend server may be down, or it may go on in a moment. The entry cannot tell, so it
+//! gives up the silent one only for a part of the stream from the other one.
 
 use std::{
     pin::{Pin, pin},
+    rc::Rc,
     time::Duration,
 };
 
 use actix_rt::time::sleep;
-use celerycrank_types::{BackendId, UnknownReason};
 use tokio::select;
 
 use super::{
-    attempt::bad_answer,
-    dispatch::RequestDispatch,
-    live::{LiveStream, StreamPart},
-    progress::{AnswerProgress, RequestError, RetryObstacle},
+    dispatch::{AttemptTrack, RequestDispatch},
+    live::LiveStream,
+    progress::RetryObstacle,
+    resume::{StreamPosition, StreamReading, StreamResult, open_stream, read_next},
 };
 
-/// Silence after which a stream that has not started is requested from another backend server too.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Silence before the first event after which another backend server is asked as well.
+const FIRST_EVENT_DELAY: Duration = Duration::from_millis(1_400);
 
-/// Silence after which a stream that has started is requested from another backend server too.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Silence between two events after which another backend server is asked as well.
+const EVENT_DELAY: Duration = Duration::from_millis(1_200);
 
-/// Interval at which it is checked again whether a silent stream can be taken over.
-const TAKEOVER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-
-/// A stream and the part of it that was read last.
-pub(crate) struct StreamProgress<'run> {
-    /// Boxed, since it is large and moves with each part.
-    pub(crate) live: Box<LiveStream<'run>>,
-    pub(crate) part: StreamPart,
-}
-
-type StreamResult<'run> = Result<StreamProgress<'run>, RequestError>;
-
-/// The opening of a stream at a further backend server.
-type StreamOpening<'run> = Pin<Box<dyn Future<Output = StreamResult<'run>> + 'run>>;
-
-/// Where a stream is opened.
-#[derive(Debug, Clone, Copy)]
-struct StreamPosition {
-    /// The event that it continues after.
-    last_event: Option<u64>,
-    /// Whether a part of the answer was passed on, so that nothing but events may follow.
-    has_begun: bool,
-}
+/// Interval at which it is checked again whether another backend server may be asked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Opens a stream that continues after the event `last_event`, if there is one.
 pub(crate) async fn start_stream<'run>(
@@ -58,203 +37,150 @@
         last_event,
         has_begun: false,
     };
-    // Boxed, as everything that seldom runs, so that a stream needs little memory.
-    let opening = Box::pin(open_stream(dispatch, position));
+    let track = Rc::new(AttemptTrack::default());
+    let opening = Box::pin(open_stream(dispatch, &track, position));
     if dispatch.request.route.semantics.may_repeat() {
-        let takeover = StreamTakeover::new(dispatch, position, FIRST_EVENT_TIMEOUT);
-        takeover.run(opening).await
+        let takeover = StreamTakeover::new(dispatch, position, FIRST_EVENT_DELAY);
+        takeover.run(opening, &track).await
     } else {
         opening.await
     }
 }
 
-/// Reads the next part of a stream; resumes it at another backend server if it breaks off.
+/// Reads the next part of a stream, if need be from another backend server.
 pub(crate) async fn continue_stream<'run>(
     dispatch: &'run RequestDispatch<'run>,
     live: Box<LiveStream<'run>>,
 ) -> StreamResult<'run> {
     let last_event = live.last_event();
-    let reading = read_next(dispatch, live);
+    let track = Rc::new(AttemptTrack::of(live.backend()));
+    let reading = read_next(dispatch, &track, live);
     // A stream whose events are not numbered cannot be resumed.
     if dispatch.request.route.semantics.may_repeat() && last_event.is_some() {
         let position = StreamPosition {
             last_event,
             has_begun: true,
         };
-        let takeover = StreamTakeover::new(dispatch, position, EVENT_TIMEOUT);
-        takeover.run(reading).await
+        let takeover = StreamTakeover::new(dispatch, position, EVENT_DELAY);
+        takeover.run(reading, &track).await
     } else {
         reading.await
     }
 }
 
-/// Opens a stream at one backend server after another.
-async fn open_stream<'run>(
+/// Two attempts to get the next part of a stream, of which the second begins if the first is silent.
+struct StreamTakeover<'run> {
     dispatch: &'run RequestDispatch<'run>,
+    /// Where the second attempt continues.
     position: StreamPosition,
-) -> StreamResult<'run> {
-    loop {
-        let served = dispatch.open(position.last_event).await?;
-        let mut live = Box::new(LiveStream::new(served, position.last_event));
-        let first = if position.has_begun && !live.is_stream() {
-            Err(bad_answer("a stream is resumed with a failure"))
-        } else {
-            live.first().await
-        };
-        let reason = match first {
-            Ok(part) => {
-                dispatch.note_begun(live.head.status);
-                return Ok(StreamProgress { live, part });
-            }
-            Err(reason) => reason,
-        };
-        let backend = live.backend().clone();
-        drop(live);
-        let progress = AnswerProgress::at(position.last_event);
-        dispatch.retry_broken(&backend, reason, progress).await?;
-    }
-}
-
-async fn read_next<'run>(
-    dispatch: &'run RequestDispatch<'run>,
-    mut live: Box<LiveStream<'run>>,
-) -> StreamResult<'run> {
-    match live.next().await {
-        Ok(part) => Ok(StreamProgress { live, part }),
-        Err(reason) => Box::pin(resume(dispatch, live, reason)).await,
-    }
-}
-
-/// Resumes a stream that has broken off at another backend server.
-async fn resume<'run>(
-    dispatch: &'run RequestDispatch<'run>,
-    live: Box<LiveStream<'run>>,
-    reason: UnknownReason,
-) -> StreamResult<'run> {
-    let (backend, last_event) = (live.backend().clone(), live.last_event());
-    drop(live);
-    let progress = AnswerProgress::Begun;
-    if last_event.is_none() {
-        dispatch.record_broken(&backend, reason, progress).await;
-        return Err(RequestError::Unknown(reason));
-    }
-    dispatch.retry_broken(&backend, reason, progress).await?;
-    let position = StreamPosition {
-        last_event,
-        has_begun: true,
-    };
-    open_stream(dispatch, position).await
+    /// Silence of the first attempt after which the second one begins.
+    delay: Duration,
+    /// Whether it was logged why the second attempt does not begin.
+    is_obstacle_logged: bool,
+    /// The failure that a backend server has reported, for want of a stream.
+    failure: Option<StreamReading<'run>>,
 }
 
-/// Asks another backend server for a stream while the first one is silent.
-struct StreamTakeover<'run> {
-    dispatch: &'run RequestDispatch<'run>,
-    /// Where the other backend server continues.
-    position: StreamPosition,
-    /// Silence after which another backend server is asked.
-    silence_timeout: Duration,
-    /// The backend server that was silent when another one was asked.
-    silent: Option<BackendId>,
-    /// Why no other backend server was asked at the last check.
-    obstacle: Option<RetryObstacle>,
+/// The second attempt.
+struct SecondAttempt<'run> {
+    opening: Pin<Box<dyn Future<Output = StreamResult<'run>> + 'run>>,
+    track: Rc<AttemptTrack>,
 }
 
 impl<'run> StreamTakeover<'run> {
     fn new(
         dispatch: &'run RequestDispatch<'run>,
         position: StreamPosition,
-        silence_timeout: Duration,
+        delay: Duration,
     ) -> Self {
         Self {
             dispatch,
             position,
-            silence_timeout,
-            silent: None,
-            obstacle: None,
+            delay,
+            is_obstacle_logged: false,
+            failure: None,
         }
     }
 
-    /// Returns what `first` or another backend server yields first.
+    /// Returns what one of both attempts yields first.
     ///
-    /// An error or a failure of one of them is returned only if the other one yields no stream
-    /// either.
-    async fn run(mut self, first: impl Future<Output = StreamResult<'run>>) -> StreamResult<'run> {
+    /// A failure that a backend server reports, or an error of the entry, is returned only if
+    /// neither attempt yields a stream.
+    async fn run(
+        mut self,
+        first: impl Future<Output = StreamResult<'run>>,
+        track: &AttemptTrack,
+    ) -> StreamResult<'run> {
         let mut first = pin!(first);
-        let mut second: Option<StreamOpening<'run>> = None;
-        let mut wait = self.silence_timeout;
+        let mut second: Option<SecondAttempt<'run>> = None;
+        let mut wait = self.delay;
         loop {
             select! {
                 biased;
-                // Polled first, so that its send is counted before a retry of the first one.
-                opened = poll_opening(&mut second) => {
+                // Polled first, so that its send is counted before a retry of the first attempt.
+                opened = finish_second(&mut second) => {
                     second = None;
-                    wait = TAKEOVER_CHECK_INTERVAL;
-                    if let Some(progress) = self.check_opened(opened) {
-                        return Ok(progress);
+                    wait = CHECK_INTERVAL;
+                    if let Some(reading) = self.check_second(opened) {
+                        return Ok(reading);
                     }
                 }
                 read = &mut first => {
-                    self.note_first(&read);
-                    return match second {
+                    let read = match second {
                         Some(second) if has_failed(&read) => self.run_second(second, read).await,
-                        _ => read,
+                        _ => self.prefer_failure(read),
                     };
+                    return read;
                 }
                 () = sleep(wait), if second.is_none() => {
-                    let age = self.dispatch.attempt_age().as_duration();
-                    // An attempt that has replaced a failed one has its own time.
-                    wait = match self.silence_timeout.checked_sub(age) {
-                        Some(rest) if !rest.is_zero() => rest,
-                        _ => {
-                            second = self.begin();
-                            TAKEOVER_CHECK_INTERVAL
-                        }
-                    };
+                    wait = CHECK_INTERVAL;
+                    match self.time_to_silence(track) {
+                        Some(rest) => wait = rest,
+                        None => second = self.begin_second(track),
+                    }
                 }
             }
         }
     }
 
-    /// Continues with the other backend server alone, since the first one has failed.
+    /// The time until the first attempt counts as silent, if it has asked another backend server
+    /// meanwhile.
+    fn time_to_silence(&self, track: &AttemptTrack) -> Option<Duration> {
+        let age = self.dispatch.age_of(track)?.as_duration();
+        let rest = self.delay.checked_sub(age)?;
+        (!rest.is_zero()).then_some(rest)
+    }
+
+    /// Continues with the second attempt alone, since the first one has failed.
+    ///
+    /// How often this repeats is bounded by the attempts that the route allows.
     async fn run_second(
         mut self,
-        second: StreamOpening<'run>,
+        second: SecondAttempt<'run>,
         failed: StreamResult<'run>,
     ) -> StreamResult<'run> {
-        self.silent = None;
-        let dispatch = self.dispatch;
-        match (Box::pin(self.run(second)).await, failed) {
-            (Ok(progress), failed) => {
-                dispatch.note_answering(progress.live.backend());
-                if let Ok(failed) = failed {
-                    failed.live.release(dispatch.state);
-                }
-                Ok(progress)
-            }
-            // A failure that a backend server reports is preferred to an error of the entry itself.
-            (Err(_), Ok(failed)) => Ok(failed),
-            (Err(error), Err(_)) => Err(error),
-        }
+        self.failure = failed.ok().or(self.failure);
+        Box::pin(self.run(second.opening, &second.track)).await
     }
 
-    /// Asks another backend server if the route and the retries of the service allow it.
-    fn begin(&mut self) -> Option<StreamOpening<'run>> {
+    /// Begins the second attempt if the route and the retries of the service allow it.
+    fn begin_second(&mut self, silent: &AttemptTrack) -> Option<SecondAttempt<'run>> {
         let dispatch = self.dispatch;
-        let silent = self.silent.take().or_else(|| dispatch.answering());
         if let Err(obstacle) = dispatch.begin_takeover() {
             self.log_obstacle(obstacle);
             return None;
         }
-        if let Some(backend) = &silent {
-            dispatch.note_silent(backend);
-        }
-        self.silent = silent;
-        Some(Box::pin(open_stream(dispatch, self.position)))
+        dispatch.note_silent(silent);
+        let track = Rc::new(AttemptTrack::default());
+        let (own_track, position) = (Rc::clone(&track), self.position);
+        let opening = Box::pin(async move { open_stream(dispatch, &own_track, position).await });
+        Some(SecondAttempt { opening, track })
     }
 
-    /// Logs why a silent stream is not taken over, once for each reason.
+    /// Logs once why no other backend server is asked.
     fn log_obstacle(&mut self, obstacle: RetryObstacle) {
-        if self.obstacle.replace(obstacle) != Some(obstacle) {
+        if !self.is_obstacle_logged {
+            self.is_obstacle_logged = true;
             tracing::info!(
                 request = %self.dispatch.request.attempt,
                 why = %obstacle,
@@ -263,58 +189,41 @@
         }
     }
 
-    /// Returns the stream of the other backend server if it is one.
-    fn check_opened(&self, opened: StreamResult<'run>) -> Option<StreamProgress<'run>> {
+    /// Returns what the second attempt has yielded if it is a stream.
+    fn check_second(&mut self, opened: StreamResult<'run>) -> Option<StreamReading<'run>> {
         let request = &self.dispatch.request.attempt;
         match opened {
-            Ok(progress) if progress.live.is_stream() => {
-                self.dispatch.note_taken_over(progress.live.backend());
-                Some(progress)
+            Ok(reading) if reading.live.is_stream() => {
+                self.dispatch.note_taken_over(reading.live.backend());
+                return Some(reading);
             }
-            Ok(progress) => {
-                let (status, backend) = (progress.live.head.status, progress.live.backend());
+            Ok(reading) => {
+                let (status, backend) = (reading.live.head.status, reading.live.backend());
                 tracing::info!(%request, %backend, status, "stream not taken over");
-                None
             }
             Err(error) => {
                 tracing::info!(%request, fault = ?error, "stream not taken over");
-                None
             }
         }
+        None
     }
 
-    /// Records that the silent backend server has gone on or failed.
-    fn note_first(&self, read: &StreamResult<'run>) {
-        let (Some(_), Ok(progress)) = (&self.silent, read) else {
-            return;
-        };
-        self.dispatch.note_answering(progress.live.backend());
-        tracing::info!(
-            request = %self.dispatch.request.attempt,
-            backend = %progress.live.backend(),
-            "silent backend server goes on"
-        );
+    /// Replaces an error of the entry by the failure that a backend server has reported, if any.
+    fn prefer_failure(self, read: StreamResult<'run>) -> StreamResult<'run> {
+        read.or_else(|error| self.failure.ok_or(error))
     }
 }
 
-/// Whether a backend server has yielded no stream that another one could not yield.
-fn has_failed(read: &StreamResult<'_>) -> bool {
-    read.as_ref()
-        .map_or(true, |progress| progress.live.is_backend_failure())
-}
-
-/// Waits for the opening of a stream; forever if there is none.
-async fn poll_opening<'run>(opening: &mut Option<StreamOpening<'run>>) -> StreamResult<'run> {
-    match opening {
-        Some(opening) => opening.await,
+/// Waits for the end of the second attempt; forever if there is none.
+async fn finish_second<'run>(second: &mut Option<SecondAttempt<'run>>) -> StreamResult<'run> {
+    match second {
+        Some(second) => second.opening.as_mut().await,
         None => std::future::pending().await,
     }
 }
 
-/// Why a stream is cut off that no backend server goes on with.
-pub(crate) fn cut_off_reason(error: RequestError) -> UnknownReason {
-    match error {
-        RequestError::Unknown(reason) => reason,
-        RequestError::Refused(_) => UnknownReason::BackendBroke,
-    }
+/// Whether an attempt has yielded nothing that is better than what another one may yield.
+fn has_failed(read: &StreamResult<'_>) -> bool {
+    read.as_ref()
+        .map_or(true, |reading| reading.live.is_backend_failure())
 }
