--- a/crates/celerycrank-direct/src/entry/takeover.rs
+++ b/crates/celerycrank-direct/src/entry/takeover.rs
@@ -200,6 +200,7 @@
             Ok(reading) => {
                 let (status, backend) = (reading.live.head.status, reading.live.backend());
                 tracing::info!(%request, %backend, status, "stream not taken over");
+                self.failure = Some(reading);
             }
             Err(error) => {
                 tracing::info!(%request, fault = ?error, "stream not taken over");
