--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -200,7 +200,7 @@
         if self.request.account.is_some() && !state.is_fresh() {
             return Err(RetryObstacle::StaleConfiguration);
         }
-        if self.choose().is_err() {
+        if !self.has_usable_backend() {
             return Err(RetryObstacle::NoBackend);
         }
         // Checked last, since this uses a retry up.
@@ -266,6 +266,17 @@
         }
     }
 
+    /// Whether another backend server may be asked that has not just refused or been unreachable.
+    fn has_usable_backend(&self) -> bool {
+        let now = self.state.clock.now();
+        let (tried, backends) = (self.tried.borrow(), self.state.backends.borrow());
+        let mut states = backends.of_service(&self.request.service).iter();
+        states.any(|state| {
+            let is_usable = state.is_usable(now) && state.is_within_limit(now);
+            is_usable && !tried.contains(&state.registration.backend)
+        })
+    }
+
     /// Chooses the next backend server, or returns why there is none.
     fn choose(&self) -> Result<BackendRegistration, RequestRefusal> {
         let settings = self.state.settings();
