Direct entry: a request that has arrived is answered before a stop closes its idle connection

Cause: the wait for a request and the close were selected at random when both were ready.

Now the connection is read first.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -251,6 +251,45 @@
     assert!(process.wait_end().await);
 }
 
+/// Returns the answers to requests that arrive while a stopping entry is frozen, until it is past the
+/// time at which it closes its listener and idle connections.
+async fn ask_while_frozen(name: &str) -> Vec<Option<u16>> {
+    let (store, _backend) = start_platform().await;
+    let path = write_settings(name, &settings(&store));
+    let mut process = DirectProcess::start(&path).await;
+    process.wait_ready().await;
+    let mut callers = connect_callers(&process).await;
+    process.signal(libc::SIGTERM);
+    process.wait_line("entry is leaving").await;
+    process.signal(libc::SIGSTOP);
+    for (index, caller) in callers.iter_mut().enumerate() {
+        let request = lookup(&format!("e{index}")).deadline(2_000);
+        caller.begin(&request).await;
+    }
+    sleep(Duration::from_secs(3)).await;
+    process.signal(libc::SIGCONT);
+    let mut statuses = Vec::new();
+    for caller in &mut callers {
+        statuses.push(caller.read().await.map(|answer| answer.status));
+    }
+    assert!(process.wait_end().await);
+    statuses
+}
+
+async fn connect_callers(process: &DirectProcess) -> Vec<TestCaller> {
+    let mut callers = Vec::new();
+    for _ in 0..8 {
+        callers.push(TestCaller::connect(process.listen).await);
+    }
+    callers
+}
+
+#[actix_rt::test]
+async fn requests_on_idle_connections_are_answered_before_a_stop_closes_them() {
+    let statuses = ask_while_frozen("idle").await;
+    assert_eq!(statuses, [Some(200); 8]);
+}
+
 #[actix_rt::test]
 async fn invalid_settings_are_reported_and_prevent_the_start() {
     let (store, _) = start_platform().await;
--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -200,6 +200,8 @@
         let idle_timeout = limits_in_force(state).idle_timeout;
         let idle = timeout(idle_timeout.as_duration(), caller.stream.fill());
         select! {
+            // A request that has arrived is answered before the connection is closed.
+            biased;
             read = idle => match read {
                 Ok(Ok(count)) if count > 0 => {}
                 _ => return Err(HeadReadError::Closed),
