Direct entry: connections that wait to be accepted are served before a stop closes the listener

A stopping entry that had been frozen for a moment reset connections that callers had established and sent a request on: 8 of 8.

Cause: the task that accepts was dropped, and the listener with it, while connections were queued in the kernel.

Now the queued connections, up to the size of the queue, are accepted first, and idle connections are closed 20 ms later, after what has arrived on the ones accepted last has been read.

Test connections_that_wait_to_be_accepted_are_served_before_a_stop_closes_the_listener (real program, frozen past the close): red before, passed in 4 of 4 runs.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -251,17 +251,30 @@
     assert!(process.wait_end().await);
 }
 
+/// When a caller connects to an entry that is stopping.
+#[derive(Clone, Copy, PartialEq)]
+enum Connects {
+    BeforeTheStop,
+    WhileFrozen,
+}
+
 /// Returns the answers to requests that arrive while a stopping entry is frozen, until it is past the
 /// time at which it closes its listener and idle connections.
-async fn ask_while_frozen(name: &str) -> Vec<Option<u16>> {
+async fn ask_while_frozen(name: &str, connects: Connects) -> Vec<Option<u16>> {
     let (store, _backend) = start_platform().await;
     let path = write_settings(name, &settings(&store));
     let mut process = DirectProcess::start(&path).await;
     process.wait_ready().await;
-    let mut callers = connect_callers(&process).await;
+    let mut callers = Vec::new();
+    if connects == Connects::BeforeTheStop {
+        callers = connect_callers(&process).await;
+    }
     process.signal(libc::SIGTERM);
     process.wait_line("entry is leaving").await;
     process.signal(libc::SIGSTOP);
+    if connects == Connects::WhileFrozen {
+        callers = connect_callers(&process).await;
+    }
     for (index, caller) in callers.iter_mut().enumerate() {
         let request = lookup(&format!("e{index}")).deadline(2_000);
         caller.begin(&request).await;
@@ -286,7 +299,13 @@
 
 #[actix_rt::test]
 async fn requests_on_idle_connections_are_answered_before_a_stop_closes_them() {
-    let statuses = ask_while_frozen("idle").await;
+    let statuses = ask_while_frozen("idle", Connects::BeforeTheStop).await;
+    assert_eq!(statuses, [Some(200); 8]);
+}
+
+#[actix_rt::test]
+async fn connections_that_wait_to_be_accepted_are_served_before_a_stop_closes_the_listener() {
+    let statuses = ask_while_frozen("backlog", Connects::WhileFrozen).await;
     assert_eq!(statuses, [Some(200); 8]);
 }
 
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -9,9 +9,11 @@
     wait_for_stop_signal,
 };
 use celerycrank_types::TimePoint;
+use futures_util::FutureExt;
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::{TcpListener, TcpStream, UdpSocket},
     select,
+    task::{unconstrained, yield_now},
 };
 
 use super::{
@@ -30,6 +32,9 @@
 /// Interval at which a stopping entry checks whether its last connection has closed.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Maximum number of established connections that are accepted at the end of accepting.
+const MAX_QUEUED_CONNECTIONS: u32 = 1_024;
+
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -128,10 +133,7 @@
             self.admin,
             reload,
         );
-        let (accepting, callers) = (Rc::clone(&state), Rc::new(self.callers));
-        let accept_task = state.tasks.keep_running("callers", move || {
-            accept_callers(Rc::clone(&accepting), Rc::clone(&callers))
-        });
+        let accepting = CallerAccept::start(&state, self.callers);
         tracing::info!(entry = %state.settings().entry, %listen, %probe, "entry serves");
         select! {
             stopped = wait_for_stop_signal() => stopped.map_err(DirectError::Signal)?,
@@ -141,7 +143,7 @@
             requests = state.requests_in_flight.get(),
             "entry is leaving"
         );
-        drain(&state, accept_task).await;
+        drain(&state, accepting).await;
         drop(tasks);
         tracing::info!(requests = state.requests_in_flight.get(), "entry stopped");
         Ok(())
@@ -185,13 +187,52 @@
     tasks
 }
 
+/// The listener for callers, and the task that accepts their connections.
+struct CallerAccept {
+    listener: Rc<TcpListener>,
+    task: RunningTask,
+}
+
+impl CallerAccept {
+    fn start(state: &Rc<EntryState>, listener: TcpListener) -> Self {
+        let (accepting, listener) = (Rc::clone(state), Rc::new(listener));
+        let accepted = Rc::clone(&listener);
+        let task = state.tasks.keep_running("callers", move || {
+            accept_callers(Rc::clone(&accepting), Rc::clone(&accepted))
+        });
+        Self { listener, task }
+    }
+
+    /// Accepts the connections that have been established, and no more.
+    ///
+    /// Closing the listener resets those that have not been accepted.
+    async fn stop(self, state: &Rc<EntryState>) {
+        let Self { listener, task } = self;
+        drop(task);
+        // The task ends, and releases the listener, when it is scheduled again.
+        yield_now().await;
+        for _ in 0..MAX_QUEUED_CONNECTIONS {
+            match unconstrained(listener.accept()).now_or_never() {
+                Some(Ok((socket, _))) => spawn_caller(state, socket),
+                Some(Err(error)) => {
+                    tracing::warn!(fault = %error, "cannot accept the connection of a caller");
+                    return;
+                }
+                None => return,
+            }
+        }
+    }
+}
+
+fn spawn_caller(state: &Rc<EntryState>, socket: TcpStream) {
+    let serving = serve_caller(Rc::clone(state), socket);
+    state.tasks.spawn("caller", serving, || {});
+}
+
 async fn accept_callers(state: Rc<EntryState>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
-            Ok((socket, _)) => {
-                let serving = serve_caller(Rc::clone(&state), socket);
-                state.tasks.spawn("caller", serving, || {});
-            }
+            Ok((socket, _)) => spawn_caller(&state, socket),
             Err(error) => {
                 tracing::warn!(fault = %error, "cannot accept the connection of a caller");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -205,14 +246,16 @@
 /// Connections without a request are closed once the balancer has noticed the shutdown; until
 /// then a caller may be sending on any of them. Requests that are in flight when the grace period
 /// ends get a final answer before the process exits.
-async fn drain(state: &EntryState, accept_task: RunningTask) {
+async fn drain(state: &Rc<EntryState>, accepting: CallerAccept) {
     let grace = state.settings().grace.0;
     let schedule = StopSchedule::new(state.clock.now(), grace);
     state.is_stopping.set(true);
     state.stop.set(Some(schedule));
     let until_final = state.clock.until(schedule.final_at).as_duration();
     sleep(BALANCER_DELAY.min(until_final)).await;
-    drop(accept_task);
+    accepting.stop(state).await;
+    // What has arrived on the connections accepted last is read before idle ones are closed.
+    sleep(DRAIN_INTERVAL).await;
     state.shutdown.raise();
     if wait_for_callers(state, schedule.final_at).await {
         return;
