HTTP: leading zeros of a chunk's size are ignored

A body with a chunk size of more than eight digits, such as 000000000a, was rejected: an answer became 502, a request 400, though RFC 9112 allows any number of digits.

Cause: the limit on digits counted leading zeros.

--- a/crates/celerycrank-http/src/body.rs
+++ b/crates/celerycrank-http/src/body.rs
@@ -10,7 +10,7 @@
 /// Maximum total size of the trailer fields in bytes.
 const MAX_TRAILER_BYTES: usize = 4 << 10;
 
-/// Maximum number of hexadecimal digits of a chunk's size.
+/// Maximum number of hexadecimal digits of a chunk's size behind leading zeros.
 const MAX_SIZE_DIGITS: usize = 8;
 
 /// Why the framing of a body is invalid.
@@ -253,10 +253,13 @@
 fn read_size(line: &[u8]) -> Result<u64, FramingError> {
     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
     let digits = digits.trim_ascii_end();
-    if digits.is_empty() || digits.len() > MAX_SIZE_DIGITS {
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_hexdigit) {
         return Err(FramingError::InvalidChunk);
     }
-    if !digits.iter().all(u8::is_ascii_hexdigit) {
+    let zeros = digits.iter().take_while(|digit| **digit == b'0').count();
+    // The last digit stays, so that a size of zero has one.
+    let digits = &digits[zeros.min(digits.len() - 1)..];
+    if digits.len() > MAX_SIZE_DIGITS {
         return Err(FramingError::InvalidChunk);
     }
     let text = str::from_utf8(digits)
--- a/crates/celerycrank-http/tests/framing.rs
+++ b/crates/celerycrank-http/tests/framing.rs
@@ -116,6 +116,13 @@
     }
 }
 
+#[test]
+fn leading_zeros_of_a_chunk_size_are_ignored() {
+    let body = b"0000000000003\r\nabc\r\n000000000\r\n\r\nrest";
+    let expected = Ok((b"abc".to_vec(), b"rest".to_vec()));
+    assert_eq!(read(BodyFraming::Chunked, &[body]), expected);
+}
+
 #[test]
 fn truncated_body_is_an_error() {
     let truncated = Err(FramingError::Truncated);
