HTTP: a trailer field may be as long as all trailers

A chunked body with a trailer line of more than 256 bytes was rejected, though trailers of 4 KiB in all are allowed.

Cause: the limit for the line with a chunk's size held for trailer lines, too.

--- a/crates/celerycrank-http/src/body.rs
+++ b/crates/celerycrank-http/src/body.rs
@@ -13,6 +13,9 @@
 /// Maximum number of hexadecimal digits of a chunk's size behind leading zeros.
 const MAX_SIZE_DIGITS: usize = 8;
 
+/// The end of a line.
+const LINE_END: &[u8] = b"\r\n";
+
 /// Why the framing of a body is invalid.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub enum FramingError {
@@ -122,6 +125,17 @@
     Trailer(usize),
 }
 
+impl ChunkState {
+    /// Maximum length of the next line, in bytes.
+    const fn max_line_bytes(self) -> usize {
+        match self {
+            // A longer line exceeds the limit of all trailer fields.
+            Self::Trailer(_) => MAX_TRAILER_BYTES + LINE_END.len(),
+            Self::Size | Self::Data(_) | Self::DataEnd => MAX_CHUNK_LINE_BYTES,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum DecoderState {
     Length(u64),
@@ -185,7 +199,7 @@
                     return Ok(BodyStep::Data(data));
                 }
                 DecoderState::Chunk(chunk) => {
-                    let Some(line) = take_line(buffer)? else {
+                    let Some(line) = take_line(buffer, chunk.max_line_bytes())? else {
                         return Ok(BodyStep::Incomplete);
                     };
                     self.state = next_chunk(chunk, &line)?;
@@ -216,16 +230,16 @@
     (data, left - size as u64)
 }
 
-/// Removes a line from the buffer and returns it without its CR LF.
-fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>, FramingError> {
+/// Removes a line of at most `limit` bytes from the buffer and returns it without its CR LF.
+fn take_line(buffer: &mut BytesMut, limit: usize) -> Result<Option<Bytes>, FramingError> {
     let Some(end) = buffer.iter().position(|byte| *byte == b'\n') else {
-        return if buffer.len() > MAX_CHUNK_LINE_BYTES {
+        return if buffer.len() > limit {
             Err(FramingError::InvalidChunk)
         } else {
             Ok(None)
         };
     };
-    if end == 0 || end > MAX_CHUNK_LINE_BYTES || buffer[end - 1] != b'\r' {
+    if end == 0 || end > limit || buffer[end - 1] != b'\r' {
         return Err(FramingError::InvalidChunk);
     }
     let line = buffer.split_to(end - 1).freeze();
--- a/crates/celerycrank-http/tests/framing.rs
+++ b/crates/celerycrank-http/tests/framing.rs
@@ -123,6 +123,18 @@
     assert_eq!(read(BodyFraming::Chunked, &[body]), expected);
 }
 
+#[test]
+fn a_trailer_field_may_be_as_long_as_all_trailers() {
+    let field = "x".repeat(4_000);
+    let body = format!("3\r\nabc\r\n0\r\nA: {field}\r\n\r\nrest");
+    let expected = Ok((b"abc".to_vec(), b"rest".to_vec()));
+    assert_eq!(read(BodyFraming::Chunked, &[body.as_bytes()]), expected);
+    let field = "x".repeat(5_000);
+    let body = format!("3\r\nabc\r\n0\r\nA: {field}\r\n\r\nrest");
+    let read = read(BodyFraming::Chunked, &[body.as_bytes()]);
+    assert_eq!(read, Err(FramingError::InvalidChunk));
+}
+
 #[test]
 fn truncated_body_is_an_error() {
     let truncated = Err(FramingError::Truncated);
