Event reader: empty lines after an event belong to the stream

A stream that ended with a further empty line, which the format of event streams allows, was cut instead of completed.

Cause: the reader held the line back as the beginning of an event.

Now empty lines behind an event are passed on at once. Before the first event they are held back, as before.

--- a/crates/celerycrank-serving/src/event.rs
+++ b/crates/celerycrank-serving/src/event.rs
@@ -92,6 +92,9 @@
         }
         self.last = last;
         self.has_events |= start > 0;
+        if self.has_events {
+            start += empty_lines(&self.partial[start..]);
+        }
         Ok(self.partial.split_to(start).freeze())
     }
 }
@@ -108,6 +111,18 @@
     }
 }
 
+/// Returns the length of the empty lines at the start.
+fn empty_lines(bytes: &[u8]) -> usize {
+    let mut rest = bytes;
+    while let Some(after) = rest
+        .strip_prefix(b"\n")
+        .or_else(|| rest.strip_prefix(b"\r\n"))
+    {
+        rest = after;
+    }
+    bytes.len() - rest.len()
+}
+
 /// Returns the end of the first event at or after `from`, which is behind its empty line.
 fn event_end(bytes: &[u8], from: usize) -> Option<usize> {
     let rest = bytes.get(from..)?;
--- a/crates/celerycrank-serving/tests/events.rs
+++ b/crates/celerycrank-serving/tests/events.rs
@@ -72,6 +72,21 @@
     assert_eq!((fresh.last_event(), fresh.has_events()), (None, false));
 }
 
+#[test]
+fn empty_lines_after_an_event_are_returned() {
+    let mut reader = EventReader::after(None);
+    let pieces: [&[u8]; 4] = [b"id: 1\ndata: a\n\n\n", b"\r\n", b"\r", b"\n"];
+    let mut returned = Vec::new();
+    for piece in pieces {
+        returned.extend_from_slice(&reader.push(piece).expect("in order"));
+    }
+    assert_eq!(returned, pieces.concat());
+    assert!(reader.is_between_events(), "the stream may end here");
+    let mut unused = EventReader::after(None);
+    assert_eq!(&*unused.push(b"\n").expect("in order"), b"");
+    assert!(!unused.has_events());
+}
+
 #[test]
 fn lines_may_end_with_crlf() {
     let mut reader = EventReader::after(None);
