--- a/crates/celerycrank-http/tests/framing.rs
+++ b/crates/celerycrank-http/tests/framing.rs
@@ -116,6 +116,25 @@
     }
 }
 
+#[test]
+fn leading_zeros_of_a_chunk_size_are_ignored() {
+    let body = b"0000000000003\r\nabc\r\n000000000\r\n\r\nrest";
+    let expected = Ok((b"abc".to_vec(), b"rest".to_vec()));
+    assert_eq!(read(BodyFraming::Chunked, &[body]), expected);
+}
+
+#[test]
+fn a_trailer_field_may_be_as_long_as_all_trailers() {
+    let field = "x".repeat(4_000);
+    let body = format!("3\r\nabc\r\n0\r\nA: {field}\r\n\r\nrest");
+    let expected = Ok((b"abc".to_vec(), b"rest".to_vec()));
+    assert_eq!(read(BodyFraming::Chunked, &[body.as_bytes()]), expected);
+    let field = "x".repeat(5_000);
+    let body = format!("3\r\nabc\r\n0\r\nA: {field}\r\n\r\nrest");
+    let read = read(BodyFraming::Chunked, &[body.as_bytes()]);
+    assert_eq!(read, Err(FramingError::InvalidChunk));
+}
+
 #[test]
 fn truncated_body_is_an_error() {
     let truncated = Err(FramingError::Truncated);
