An end by a stop is told apart from a deadline

From the review of the incident: requests that a stopping entry ends at the end of its grace period were logged and counted as if their deadline had passed (BackendTimeout, DeadlineUnreachable). They are EntryStopped now, or ShuttingDown where nothing was sent; the status stays 504 or 503. The test of the final answer asks for the reason.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -225,6 +225,7 @@
     process.signal(libc::SIGTERM);
     let answer = caller.read().await.expect("an answer");
     assert_eq!((answer.status, answer.is_complete), (504, true));
+    assert_eq!(answer.reason.as_deref(), Some("entry_stopped"));
     assert!(process.wait_end().await);
 }
 
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -82,6 +82,7 @@
     let answered = match outcome {
         WorkOutcome::Done(answered) => answered,
         WorkOutcome::Expired => Err(deadline_error(dispatch)),
+        WorkOutcome::Stopped => Err(stop_error(dispatch)),
         WorkOutcome::CallerLeft => return (RequestEnd::CallerLeft, ConnectionStep::Close),
     };
     let (end, message) = match answered {
@@ -163,6 +164,8 @@
     Done(T),
     CallerLeft,
     Expired,
+    /// The grace period of a stop ends.
+    Stopped,
 }
 
 /// Runs `work` until it completes, the caller disconnects, the deadline passes or the grace period
@@ -179,7 +182,7 @@
         done = work => WorkOutcome::Done(done),
         () = caller.disconnected() => WorkOutcome::CallerLeft,
         () = actix_rt::time::sleep(time_left) => WorkOutcome::Expired,
-        () = state.ending.raised() => WorkOutcome::Expired,
+        () = state.ending.raised() => WorkOutcome::Stopped,
     }
 }
 
@@ -192,6 +195,15 @@
     }
 }
 
+/// The error for a request that the grace period of a stop leaves no more time.
+pub(crate) fn stop_error(dispatch: &RequestDispatch<'_>) -> RequestError {
+    if dispatch.sent.may_have_run() {
+        RequestError::Unknown(UnknownReason::EntryStopped)
+    } else {
+        RequestError::Refused(RefusalReason::ShuttingDown.into())
+    }
+}
+
 /// Returns the end and the answer of a request that no backend server answered.
 pub(crate) fn error_answer(
     state: &EntryState,
--- a/crates/celerycrank-direct/src/entry/refusal.rs
+++ b/crates/celerycrank-direct/src/entry/refusal.rs
@@ -67,7 +67,7 @@
 ) -> bytes::BytesMut {
     state.metrics.unknowns.count(reason);
     let status = match reason {
-        UnknownReason::BackendTimeout => 504,
+        UnknownReason::BackendTimeout | UnknownReason::EntryStopped => 504,
         _ => 502,
     };
     write_local_answer(&LocalAnswer {
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -5,7 +5,7 @@
 use celerycrank_types::UnknownReason;
 
 use super::{
-    answer::{WorkOutcome, deadline_error, error_answer, next_step, run_interruptible},
+    answer::{WorkOutcome, deadline_error, error_answer, next_step, run_interruptible, stop_error},
     caller::{CallerConnection, ConnectionStep},
     dispatch::RequestDispatch,
     live::{LiveStream, StreamPart},
@@ -28,6 +28,7 @@
     let started = match run_interruptible(state, caller, request.deadline, starting).await {
         WorkOutcome::Done(started) => started,
         WorkOutcome::Expired => Err(deadline_error(dispatch)),
+        WorkOutcome::Stopped => Err(stop_error(dispatch)),
         WorkOutcome::CallerLeft => return (RequestEnd::CallerLeft, ConnectionStep::Close),
     };
     let StreamReading { live, part } = match started {
@@ -84,6 +85,7 @@
             }
             WorkOutcome::CallerLeft => return RelayOutcome::CallerLeft,
             WorkOutcome::Expired => return RelayOutcome::Broken(UnknownReason::BackendTimeout),
+            WorkOutcome::Stopped => return RelayOutcome::Broken(UnknownReason::EntryStopped),
         };
         let mut writer = MessageWriter::default();
         write_part(&mut writer, &reading.part);
--- a/crates/celerycrank-types/src/outcome.rs
+++ b/crates/celerycrank-types/src/outcome.rs
@@ -111,6 +111,8 @@
         ClaimedElsewhere = "claimed_elsewhere",
         /// The backend server's answer has a different request id or is malformed.
         BadAnswer = "bad_answer",
+        /// The grace period of the entry's stop ended before the backend server had answered.
+        EntryStopped = "entry_stopped",
     }
 }
 
