Direct entry: count answers that their callers do not read; an unwritten answer is not logged as answered

A buffered answer that could not be written to its caller was logged and counted as answered, and nothing counted answers that the entry gave up because their callers did not read.

Now the request ends as CallerLeft, and celerycrank_direct_answers_unread_total counts the latter; the log line of the write has the reason. The test of final answers checks the log line of the end of the grace period.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -225,6 +225,8 @@
     process.signal(libc::SIGTERM);
     let answer = caller.read().await.expect("an answer");
     assert_eq!((answer.status, answer.is_complete), (504, true));
+    let line = process.wait_line("requests in flight are ended").await;
+    assert!(line.contains("\"requests\":1"), "{line}");
     assert!(process.wait_end().await);
 }
 
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -94,8 +94,10 @@
         }
         Err(error) => error_answer(state, request, error, is_last),
     };
-    let is_sent = caller.send(&message).await;
-    (end, next_step(is_sent && !is_last))
+    if !caller.send(&message).await {
+        return (RequestEnd::CallerLeft, ConnectionStep::Close);
+    }
+    (end, next_step(!is_last))
 }
 
 /// Reads an answer to its end.
--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -6,6 +6,7 @@
 use celerycrank_http::{BodyFraming, HeadError, HttpStream, RequestHead, parse_request};
 use celerycrank_serving::CallerBounds;
 use celerycrank_types::{RefusalReason, TimePoint};
+use prometheus::IntCounter;
 use tokio::{
     net::TcpStream,
     select,
@@ -51,10 +52,12 @@
     pub(crate) stream: HttpStream,
     /// The deadline of the current request, until which a slow caller may read its answer.
     pub(crate) deadline: Option<Instant>,
+    /// Counts the answers that were given up since the caller did not read them.
+    answers_unread: IntCounter,
 }
 
 impl CallerConnection {
-    fn new(socket: TcpStream) -> Self {
+    fn new(state: &EntryState, socket: TcpStream) -> Self {
         let stream = HttpStream::new(socket);
         if let Err(error) = stream.limit_unsent(MAX_UNSENT_BYTES) {
             tracing::info!(fault = %error, "cannot limit the unsent bytes of a connection");
@@ -62,6 +65,7 @@
         Self {
             stream,
             deadline: None,
+            answers_unread: state.metrics.answers_unread.clone(),
         }
     }
 
@@ -97,7 +101,10 @@
                 }
                 Ok(Ok(_)) => "the connection takes no bytes".to_owned(),
                 Ok(Err(error)) => error.to_string(),
-                Err(_) => "the caller does not read".to_owned(),
+                Err(_) => {
+                    self.answers_unread.inc();
+                    "the caller does not read".to_owned()
+                }
             };
             let unsent = unsent.len();
             tracing::info!(fault = error, unsent, "answer not written to its caller");
@@ -130,7 +137,7 @@
 /// Serves one connection until either side closes it.
 pub(crate) async fn serve_caller(state: Rc<EntryState>, socket: TcpStream) {
     let _guard = CountGuard::new(&state.caller_connections);
-    let mut caller = CallerConnection::new(socket);
+    let mut caller = CallerConnection::new(&state, socket);
     loop {
         let (head, arrival) = match read_head(&state, &mut caller).await {
             Ok(read) => read,
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -10,6 +10,7 @@
     pub(crate) requests: IntCounter,
     pub(crate) answered: IntCounter,
     pub(crate) callers_left: IntCounter,
+    pub(crate) answers_unread: IntCounter,
     pub(crate) ended_by_stop: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
@@ -37,6 +38,10 @@
                 "celerycrank_direct_callers_left_total",
                 "requests whose caller left before its answer was complete",
             )?,
+            answers_unread: set.counter(
+                "celerycrank_direct_answers_unread_total",
+                "answers that the entry ended since their caller did not read them",
+            )?,
             ended_by_stop: set.counter(
                 "celerycrank_direct_ended_by_stop_total",
                 "requests that the entry ended since the grace period of its stop was over",
