Direct entry: an answer is read while its request is still being sent

A backend server that answered a request of 12 MB before it read it, and read nothing until the caller's deadline: the caller got 504 although the answer had arrived (with bodies that fit into the send buffer, 60 kB here, the answer was passed on).

Cause: the entry wrote the whole request before it read the head of the answer.

Now it reads whenever it cannot write, and writes the rest while it reads the answer. A connection on which an answer ends before the request is written carries no further request.

--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -12,7 +12,8 @@
 use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
 use super::{
-    limits::note_limit, progress::SendRecord, request::AdmittedRequest, state::EntryState,
+    limits::note_limit, progress::SendRecord, request::AdmittedRequest, sending::SendingStream,
+    state::EntryState,
 };
 
 /// Timeout for connecting to a backend server.
@@ -74,7 +75,7 @@
 /// The unread body of an answer, together with its connection.
 #[derive(Debug)]
 pub(crate) struct AnswerBody {
-    pub(crate) stream: HttpStream,
+    pub(crate) stream: SendingStream,
     decoder: BodyDecoder,
     /// Whether nothing but the end of the connection marks the end of the body.
     pub(crate) ends_with_connection: bool,
@@ -89,7 +90,7 @@
     /// Cancel-safe: no data is lost if the future is dropped.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, UnknownReason> {
         loop {
-            let step = self.decoder.decode(&mut self.stream.buffer);
+            let step = self.decoder.decode(&mut self.stream.stream.buffer);
             match step.map_err(bad_answer)? {
                 BodyStep::Data(data) => return Ok(Some(data)),
                 BodyStep::Complete => return Ok(None),
@@ -108,14 +109,16 @@
 
     /// Returns the connection to the pool if the answer was read to its end.
     pub(crate) fn release(mut self, state: &EntryState) {
-        let is_clean =
-            self.decoder.is_complete() && self.is_persistent && self.stream.is_reusable();
+        let is_clean = self.decoder.is_complete()
+            && self.is_persistent
+            && self.stream.is_fully_sent()
+            && self.stream.stream.is_reusable();
         if is_clean {
             let (backend, address) = (&self.registration.backend, self.registration.address);
             let now = state.clock.now();
             state
                 .pool
-                .put(backend, address, self.stream, self.idle_timeout, now);
+                .put(backend, address, self.stream.stream, self.idle_timeout, now);
         }
     }
 }
@@ -130,7 +133,7 @@
     last_event: Option<u64>,
     sent: &SendRecord,
 ) -> Result<OpenAnswer, AttemptError> {
-    let (mut stream, is_reused) = connect(state, registration).await?;
+    let (stream, is_reused) = connect(state, registration).await?;
     // A key must not be used once it may have been revoked.
     if request.account.is_some() && !state.is_fresh() {
         return Err(AttemptError::Stale);
@@ -154,16 +157,14 @@
         await_late_reads(&stream, time_left);
     }
     sent.record_send();
-    let is_fully_sent = stream.send(&message).await.is_ok();
-    // A write error is not fatal: the backend server may have answered before it read the complete
-    // request.
+    let mut stream = SendingStream::new(stream, message.freeze());
     let head = read_own_head(&mut stream, request, is_reused).await?;
     let metadata = read_answer(&head);
     read_limit(state, registration, &metadata, now);
     let answer = ReceivedHead {
         head,
         metadata,
-        is_reusable: is_fully_sent && !is_long,
+        is_reusable: !is_long,
     };
     check_answer(request, stream, answer, registration)
 }
@@ -206,8 +207,8 @@
 struct ReceivedHead {
     head: ResponseHead,
     metadata: AnswerMetadata,
-    /// Whether the connection can carry another request: this one was sent completely and does not
-    /// wait to be read, with a timeout of its own.
+    /// Whether the connection can carry another request: this one is not so long that the next would
+    /// wait until it is read.
     is_reusable: bool,
 }
 
@@ -247,7 +248,7 @@
 /// A backend server may send a second copy of an earlier answer late, when the connection is in
 /// use again. It names its attempt and is skipped; the answer to this request follows it.
 async fn read_own_head(
-    stream: &mut HttpStream,
+    stream: &mut SendingStream,
     request: &AdmittedRequest,
     is_reused: bool,
 ) -> Result<ResponseHead, AttemptError> {
@@ -267,7 +268,7 @@
 
 /// Reads the body of an answer to an earlier request.
 async fn skip_body(
-    stream: &mut HttpStream,
+    stream: &mut SendingStream,
     head: &ResponseHead,
     request: &AdmittedRequest,
 ) -> Result<(), AttemptError> {
@@ -276,7 +277,7 @@
     let mut decoder = BodyDecoder::new(framing);
     let mut skipped = 0;
     loop {
-        match decoder.decode(&mut stream.buffer).map_err(broken)? {
+        match decoder.decode(&mut stream.stream.buffer).map_err(broken)? {
             BodyStep::Complete => return Ok(()),
             BodyStep::Data(data) if skipped + data.len() > MAX_SURPLUS_BODY => {
                 let error = "an answer to an earlier request is too large to be skipped";
@@ -288,7 +289,7 @@
     }
 }
 
-async fn fill(stream: &mut HttpStream) -> Result<(), AttemptError> {
+async fn fill(stream: &mut SendingStream) -> Result<(), AttemptError> {
     match stream.fill().await {
         Ok(0) => Err(AttemptError::Broken(connection_lost("closed"))),
         Ok(_) => Ok(()),
@@ -297,10 +298,10 @@
 }
 
 /// Reads the head of the next final answer, skipping interim answers.
-async fn read_head(stream: &mut HttpStream) -> Result<ResponseHead, AttemptError> {
+async fn read_head(stream: &mut SendingStream) -> Result<ResponseHead, AttemptError> {
     let mut interim = 0;
     loop {
-        let parsed = parse_response(&mut stream.buffer, MAX_ANSWER_HEAD);
+        let parsed = parse_response(&mut stream.stream.buffer, MAX_ANSWER_HEAD);
         match parsed.map_err(|error| AttemptError::Broken(bad_answer(error)))? {
             Some(head) if head.status == 101 => {
                 let error = "the backend server switches protocols";
@@ -320,7 +321,7 @@
 /// Checks that what arrived on the connection is an answer to this request.
 fn check_answer(
     request: &AdmittedRequest,
-    stream: HttpStream,
+    stream: SendingStream,
     answer: ReceivedHead,
     registration: &BackendRegistration,
 ) -> Result<OpenAnswer, AttemptError> {
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod quarantine;
 mod refusal;
 mod request;
+mod sending;
 mod state;
 mod stop;
 mod store;
--- a/crates/celerycrank-http/src/lib.rs
+++ b/crates/celerycrank-http/src/lib.rs
@@ -16,6 +16,6 @@
     body::{BodyDecoder, BodyFraming, BodyStep, FramingError},
     field::{FieldList, HeaderField, is_hop_by_hop},
     head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response},
-    stream::{HttpStream, TcpTimeouts},
+    stream::{HttpStream, StreamStep, TcpTimeouts},
     write::{MessageWriter, reason_phrase},
 };
--- a/crates/celerycrank-http/src/stream.rs
+++ b/crates/celerycrank-http/src/stream.rs
@@ -7,6 +7,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    select,
 };
 
 /// Space reserved in the buffer for each read, in bytes.
@@ -25,6 +26,15 @@
     pub probes: u32,
 }
 
+/// What [`HttpStream::send_or_fill`] has done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamStep {
+    /// This many bytes were written.
+    Sent(usize),
+    /// This many bytes were read into the buffer; zero if the peer closed the connection.
+    Received(usize),
+}
+
 /// A TCP connection with a read buffer.
 #[derive(Debug)]
 pub struct HttpStream {
@@ -125,6 +135,23 @@
         self.socket.write(bytes).await
     }
 
+    /// Writes some of these bytes, or reads more bytes into the buffer if none can be written now.
+    ///
+    /// Cancel safe: no data is lost if the future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection was reset.
+    pub async fn send_or_fill(&mut self, bytes: &[u8]) -> io::Result<StreamStep> {
+        self.buffer.reserve(READ_SIZE);
+        let (mut reader, mut writer) = self.socket.split();
+        select! {
+            biased;
+            sent = writer.write(bytes) => sent.map(StreamStep::Sent),
+            received = reader.read_buf(&mut self.buffer) => received.map(StreamStep::Received),
+        }
+    }
+
     /// Whether an idle connection can be reused: it is open and has received no data.
     #[must_use]
     pub fn is_reusable(&mut self) -> bool {
