--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -13,6 +13,7 @@
     pub(crate) ended_early: IntCounter,
     pub(crate) takeovers_begun: IntCounter,
     pub(crate) takeovers_completed: IntCounter,
+    pub(crate) answers_unread: IntCounter,
     pub(crate) ended_by_stop: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
@@ -52,6 +53,10 @@
                 "celerycrank_direct_takeovers_completed_total",
                 "silent streams that another backend server has taken over",
             )?,
+            answers_unread: set.counter(
+                "celerycrank_direct_answers_unread_total",
+                "answers that the entry ended since their caller did not read them",
+            )?,
             ended_by_stop: set.counter(
                 "celerycrank_direct_ended_by_stop_total",
                 "requests that the entry ended since the grace period of its stop was over",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod refusal;
 mod request;
 mod resume;
+mod sending;
 mod state;
 mod stop;
 mod store;
