--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -260,8 +260,8 @@
     WhileFrozen,
 }
 
-/// Returns the answers to requests that arrive while a stopping entry is frozen, until it is past the
-/// time at which it closes its listener and idle connections.
+/// Returns the answers to requests that arrive while a stopping entry is frozen until it is past
+/// the time at which it closes its listener and idle connections.
 async fn ask_while_frozen(name: &str, connects: Connects) -> Vec<Option<u16>> {
     let (store, _backend) = start_platform().await;
     let path = write_settings(name, &settings(&store));
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -207,8 +207,8 @@
 struct ReceivedHead {
     head: ResponseHead,
     metadata: AnswerMetadata,
-    /// Whether the connection can carry another request: this one is not so long that the next would
-    /// wait until it is read.
+    /// Whether the connection can carry another request: this one is not so long that the next
+    /// would wait until it is read.
     is_reusable: bool,
 }
 
--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -30,8 +30,8 @@
 
 /// Maximum number of bytes of an answer that the kernel holds before it sends them.
 ///
-/// Without it, the kernel reports no progress until megabytes of its buffer are free, although a slow
-/// caller reads all the time.
+/// Without it, the kernel reports no progress until a large part of its buffer is free, although a
+/// slow caller reads all the time.
 const MAX_UNSENT_BYTES: u32 = 128 << 10;
 
 /// How long the rest of a refused request is read, so that its answer is not lost.
--- a/crates/celerycrank-direct/src/entry/sending.rs
+++ b/crates/celerycrank-direct/src/entry/sending.rs
@@ -7,8 +7,8 @@
 
 /// A connection on which a request is being sent.
 ///
-/// A backend server may answer before it has read the request, so what it sends is read first and the rest of
-/// the request is sent while the answer is read.
+/// A backend server may answer before it has read the request, so what it sends is read whenever
+/// nothing can be written, and the rest of the request is sent while the answer is read.
 #[derive(Debug)]
 pub(crate) struct SendingStream {
     pub(crate) stream: HttpStream,
--- a/crates/celerycrank-http/src/stream.rs
+++ b/crates/celerycrank-http/src/stream.rs
@@ -92,8 +92,8 @@
         SockRef::from(&self.socket).set_tcp_user_timeout(Some(timeout))
     }
 
-    /// Limits the bytes that the kernel accepts before it sends them, so that writes follow what the
-    /// peer reads.
+    /// Limits the bytes that the kernel accepts before it sends them, so that writes follow what
+    /// the peer reads.
     ///
     /// # Errors
     ///
--- a/crates/celerycrank-serving/src/event.rs
+++ b/crates/celerycrank-serving/src/event.rs
@@ -76,8 +76,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an event is missing, duplicated or too large. No event of `data` counts as
-    /// returned then.
+    /// Returns an error if an event is missing, duplicated or too large. No event of `data` counts
+    /// as returned then.
     pub fn push(&mut self, data: &[u8]) -> Result<Bytes, EventError> {
         let mut searched = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(data);
