link: a caller that reads nothing for a while keeps its answer

Seen by callers: an answer was cut, after 1.4 of 12 MiB in the test, when its caller read nothing for 14 s and then went on; the limit that callers are given is write_timeout, 30 s by default. The backend server's work was cancelled with it.

Cause: once the window of the stream is full, the agent is blocked in a send and sends no heartbeat; without any packet the QUIC connection ends after 10 s on both sides. Other requests on the same connection hide this (read in the code).

Change: the process that opened a connection has QUIC send a packet each 3 s. So that unused connections still close after 10 s, the pool closes those that no request holds; the entry holds the link until the end of the answer. A peer that is gone is noticed as before, after 10 s without a packet from it.

Bytes and processor time of the keep-alive packets were not measured.

--- a/crates/celerycrank-cli/tests/early_ends.rs
+++ b/crates/celerycrank-cli/tests/early_ends.rs
@@ -2,11 +2,29 @@
 
 mod support;
 
+use std::{io::Read, thread, time::Duration};
+
+use serde_json::json;
+use socket2::SockRef;
+
 use support::{
+    backend::HEAVY_ANSWER,
     caller::{BodyEnd, Caller, KEY, call},
     deployment::Deployment,
 };
 
+/// Size in bytes of the receive buffer of a slow caller.
+const SLOW_CALLER_BUFFER: usize = 64 << 10;
+
+/// Number of bytes that a slow caller reads at once.
+const SLOW_READ_SIZE: usize = 32 << 10;
+
+/// Pause of a slow caller before each read.
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time for which a caller reads nothing, longer than a link without messages stays open.
+const CALLER_PAUSE: Duration = Duration::from_secs(14);
+
 #[test]
 fn answer_that_ends_with_its_connection_arrives_whole() {
     let deployment = Deployment::start();
@@ -47,3 +65,39 @@
     );
     assert_eq!((answer.status, answer.body.as_str()), (200, "hinted"));
 }
+
+/// Reads the body of the heavy answer slowly and returns the number of bytes that arrived.
+fn read_slowly(caller: &mut Caller) -> usize {
+    let head = caller.read_head();
+    assert_eq!(head.status, 200);
+    let mut buffer = vec![0; SLOW_READ_SIZE];
+    let mut total = caller.take_buffered();
+    while total < HEAVY_ANSWER {
+        thread::sleep(SLOW_READ_PAUSE);
+        match caller.stream.read(&mut buffer) {
+            Ok(0) | Err(_) => break,
+            Ok(read) => total += read,
+        }
+    }
+    total
+}
+
+fn slow_caller(deployment: &Deployment) -> Caller {
+    let mut caller = Caller::connect(deployment.entry.listen);
+    SockRef::from(&caller.stream)
+        .set_recv_buffer_size(SLOW_CALLER_BUFFER)
+        .expect("the size is allowed");
+    caller.send_request("GET", "/svc/heavy", Some(KEY), "");
+    caller
+}
+
+#[test]
+fn caller_that_pauses_for_longer_than_an_idle_link_lasts_gets_its_whole_answer() {
+    let deployment = Deployment::start_with(&json!({}), &json!({}));
+    let mut caller = slow_caller(&deployment);
+    deployment
+        .agent
+        .wait_metric("celerycrank_agent_started_total", 1);
+    thread::sleep(CALLER_PAUSE);
+    assert_eq!(read_slowly(&mut caller), HEAVY_ANSWER);
+}
--- a/crates/celerycrank-entry/src/dispatch.rs
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -345,6 +345,7 @@
             receiver: attempt.receiver,
             record,
             _guard: attempt.guard,
+            _link: attempt.link,
         };
         relay_answer(self.state, answer, self.request.arrival).await
     }
--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -33,6 +33,8 @@
     pub(crate) record: Rc<AgentRecord>,
     /// Kept until the end of the answer.
     pub(crate) _guard: InFlightGuard,
+    /// Kept until the end of the answer, so that the pool does not close the connection.
+    pub(crate) _link: Rc<PeerLink>,
 }
 
 /// An attempt that was sent, and the stream on which its answer is received.
@@ -44,7 +46,7 @@
     pub(crate) guard: InFlightGuard,
     /// Kept open until the end of the attempt.
     _sender: MessageSender,
-    link: Rc<PeerLink>,
+    pub(crate) link: Rc<PeerLink>,
     record: Rc<AgentRecord>,
     id: RequestId,
 }
--- a/crates/celerycrank-link/src/endpoint.rs
+++ b/crates/celerycrank-link/src/endpoint.rs
@@ -14,9 +14,15 @@
 /// The server name in the certificate of every process.
 pub(crate) const SERVER_NAME: &str = "celerycrank";
 
-/// Idle time after which a connection is closed; no keep-alive packets are sent.
+/// Time without a packet from the peer after which a connection is lost.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Interval between the keep-alive packets of the process that opened a connection.
+///
+/// An agent sends nothing on an answer that its caller does not read for a while. The pool closes
+/// connections that are not in use.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Timeout of connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -57,15 +63,16 @@
         max_message_size: ByteSize,
     ) -> Result<Self, LinkError> {
         let protocol = protocol_name(version);
-        let transport = Arc::new(transport_config());
         let server = QuicServerConfig::try_from(credentials.server_config(&protocol)?)
             .map_err(|error| LinkError::Credentials(error.to_string().into()))?;
         let mut server = ServerConfig::with_crypto(Arc::new(server));
-        server.transport_config(Arc::clone(&transport));
+        server.transport_config(Arc::new(transport_config()));
         let client = QuicClientConfig::try_from(credentials.client_config(&protocol)?)
             .map_err(|error| LinkError::Credentials(error.to_string().into()))?;
         let mut client = ClientConfig::new(Arc::new(client));
-        client.transport_config(transport);
+        let mut transport = transport_config();
+        transport.keep_alive_interval(Some(KEEP_ALIVE_INTERVAL));
+        client.transport_config(Arc::new(transport));
         let mut endpoint = Endpoint::new(
             EndpointConfig::new(Arc::new(credentials.reset_key())),
             Some(server),
--- a/crates/celerycrank-link/src/pool.rs
+++ b/crates/celerycrank-link/src/pool.rs
@@ -5,7 +5,7 @@
     cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
@@ -21,6 +21,12 @@
 /// Timeout of the hello exchange on a new connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time without use after which a pooled connection is closed.
+const UNUSED_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Interval at which the use of a pooled connection is checked.
+const USE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A connection to a peer that has completed the hello exchange.
 #[derive(Debug)]
 pub struct PeerLink {
@@ -30,6 +36,8 @@
     pub welcome: WelcomeReply,
     /// When `welcome` was received.
     welcomed_at: Instant,
+    /// When the latest order was sent.
+    used_at: Cell<Instant>,
 }
 
 impl PeerLink {
@@ -42,6 +50,7 @@
         &self,
         order: &PeerOrder<'_>,
     ) -> Result<(MessageSender, MessageReceiver), StreamError> {
+        self.used_at.set(Instant::now());
         let (mut sender, receiver) = self.endpoint.open_stream(&self.connection).await?;
         sender.send(order).await?;
         sender.finish();
@@ -140,6 +149,8 @@
             Ok(link) => {
                 let link = Rc::new(link);
                 state.link = Some(Rc::clone(&link));
+                let unused = close_when_unused(Rc::downgrade(&pooled), Rc::downgrade(&link));
+                actix_rt::spawn(unused);
                 Ok(link)
             }
             Err(error) => {
@@ -172,11 +183,13 @@
             Ok(result) => result.map_err(LinkError::Hello)?,
             Err(_) => return Err(LinkError::Timeout),
         };
+        let now = Instant::now();
         Ok(PeerLink {
             endpoint: self.endpoint.clone(),
             connection,
             welcome,
-            welcomed_at: Instant::now(),
+            welcomed_at: now,
+            used_at: Cell::new(now),
         })
     }
 
@@ -197,6 +210,31 @@
     }
 }
 
+/// Closes a pooled connection that was not in use for [`UNUSED_TIMEOUT`].
+///
+/// A connection is in use while another task holds its link.
+async fn close_when_unused(pooled: Weak<PooledLink>, link: Weak<PeerLink>) {
+    loop {
+        tokio::time::sleep(USE_CHECK_INTERVAL).await;
+        let (Some(pooled), Some(link)) = (pooled.upgrade(), link.upgrade()) else {
+            return;
+        };
+        let Ok(mut state) = pooled.try_lock() else {
+            continue;
+        };
+        if !state.link.as_ref().is_some_and(|it| Rc::ptr_eq(it, &link)) {
+            return;
+        }
+        // One reference is the pool's and one is held here.
+        if Rc::strong_count(&link) > 2 {
+            link.used_at.set(Instant::now());
+        } else if link.used_at.get().elapsed() >= UNUSED_TIMEOUT {
+            state.link = None;
+            return;
+        }
+    }
+}
+
 async fn exchange_hello(
     endpoint: &LinkEndpoint,
     connection: &Connection,
--- a/crates/celerycrank-link/tests/pool.rs
+++ b/crates/celerycrank-link/tests/pool.rs
@@ -1,20 +1,29 @@
-//! The pool makes one connection attempt at a time per peer and shares its failure.
+//! The pool makes one connection attempt at a time per peer, shares its failure, and closes
+//! connections that are not in use.
 
 use std::{
     net::{SocketAddr, UdpSocket},
     path::Path,
     rc::Rc,
     sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
 };
 
-use celerycrank_link::{DeploymentAuthority, LinkCredentials, LinkEndpoint, LinkPool};
-use celerycrank_types::{ByteSize, Revision};
+use celerycrank_link::{
+    DeploymentAuthority, LinkCredentials, LinkEndpoint, LinkPool, MessageReceiver, MessageSender,
+    serve_streams,
+};
+use celerycrank_types::{ByteSize, Incarnation, Revision, TimePoint};
+use celerycrank_wire::{BackendOffer, LoadReport, OfferKind, PeerOrder, PeerReply, WelcomeReply};
 use tokio::sync::oneshot;
 
 const VERSION: u8 = 1;
 
 const LIMIT: ByteSize = ByteSize(1 << 20);
 
+/// Interval at which a test checks whether a connection is closed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Concurrent requests for a connection to the unresponsive peer.
 const WAITERS: usize = 40;
 
@@ -70,3 +79,44 @@
     }
     assert_eq!(pool.connection_attempts(), 1);
 }
+
+/// An answer may bring no message for longer than a connection without packets lasts.
+#[actix_rt::test]
+async fn connection_is_closed_only_when_it_is_not_in_use() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let credentials = make_credentials();
+    let bind = || LinkEndpoint::bind(any, &credentials, VERSION, LIMIT).expect("a port is free");
+    let peer = bind();
+    let address = peer.local_address().expect("the endpoint is bound");
+    actix_rt::spawn(serve_streams(peer, || {}, welcome));
+    let new_pool = || LinkPool::new(bind(), "entry-1".parse().expect("a valid id"));
+    let (used_pool, unused_pool) = (new_pool(), new_pool());
+    let connect = async |pool: &LinkPool| pool.connect(address, Revision(1)).await;
+    let used = connect(&used_pool).await.expect("the peer answers");
+    // The temporary link is dropped, so that only the pool holds it.
+    let unused = Rc::downgrade(&connect(&unused_pool).await.expect("the peer answers"));
+    while unused.strong_count() > 0 {
+        actix_rt::time::sleep(CHECK_INTERVAL).await;
+    }
+    assert!(used.is_open(), "the link is in use");
+}
+
+async fn welcome(mut sender: MessageSender, mut receiver: MessageReceiver) {
+    let order = receiver.receive::<PeerOrder<'_>>().await;
+    assert!(matches!(order, Ok(Some(PeerOrder::Hello(_)))), "{order:?}");
+    let welcome = WelcomeReply {
+        incarnation: Incarnation(1),
+        clock: TimePoint(0),
+        revision: Revision(1),
+        offer: BackendOffer {
+            backend: "agent".parse().expect("a valid id"),
+            vm: "vm-agent".parse().expect("a valid id"),
+            domain: "borba".parse().expect("a valid id"),
+            kind: OfferKind::Entry,
+        },
+        load: LoadReport::default(),
+    };
+    let sent = sender.send(&PeerReply::Welcome(welcome)).await;
+    assert!(sent.is_ok(), "{sent:?}");
+    sender.finish();
+}
