process: a caller that reads slowly and steadily keeps its answer

Seen by callers: a caller that read without a break, 32 KiB each 50 ms, was disconnected by the write timeout (2 s in the test, 30 s by default) after 4 of 12 MiB.

Cause: the kernel takes more of an answer only once a third of the send buffer is free, and that buffer grows to megabytes; until then a write makes no progress, however steadily the caller reads.

Change: at most 128 KiB of an answer wait unsent in the kernel (TCP_NOTSENT_LOWAT), so that a write goes on each time the caller has read some of it. The timeout itself stays. Also, a failure to configure a connection is logged and no longer dropped.

Throughput was not measured.

--- a/crates/celerycrank-cli/tests/early_ends.rs
+++ b/crates/celerycrank-cli/tests/early_ends.rs
@@ -91,6 +91,13 @@
     caller
 }
 
+#[test]
+fn caller_that_reads_slowly_gets_its_whole_answer() {
+    let deployment = Deployment::start_with(&json!({ "write_timeout": "2s" }), &json!({}));
+    let mut caller = slow_caller(&deployment);
+    assert_eq!(read_slowly(&mut caller), HEAVY_ANSWER);
+}
+
 #[test]
 fn caller_that_pauses_for_longer_than_an_idle_link_lasts_gets_its_whole_answer() {
     let deployment = Deployment::start_with(&json!({}), &json!({}));
--- a/crates/celerycrank-process/src/listener.rs
+++ b/crates/celerycrank-process/src/listener.rs
@@ -9,6 +9,7 @@
 };
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
+use socket2::SockRef;
 
 use crate::{
     ShutdownFlag,
@@ -24,6 +25,12 @@
 /// Pause after a failed `accept`, for example when the process has no file descriptors left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Number of unsent bytes up to which the kernel takes more of an answer.
+///
+/// Without it, the kernel takes more only once a third of the send buffer is free, which holds
+/// megabytes: a caller that reads slowly would make no visible progress for a long time.
+const MAX_UNSENT_BYTES: u32 = 128 << 10;
+
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenerLimits {
@@ -138,8 +145,9 @@
                 refuse_connection(&stream);
                 continue;
             }
-            // Nagle's algorithm would hold back small answers until earlier ones are acknowledged.
-            let _ = stream.set_nodelay(true);
+            if let Err(error) = configure_connection(&stream) {
+                tracing::debug!(%address, fault = %error, "cannot configure a connection");
+            }
             let guard = ConnectionGuard::new(&self.open);
             let state = ConnectionState::default();
             let stream = CallerStream::new(stream, self.limits.write_timeout, state.clone());
@@ -164,6 +172,12 @@
     }
 }
 
+fn configure_connection(stream: &TcpStream) -> io::Result<()> {
+    // Nagle's algorithm would hold back small answers until earlier ones are acknowledged.
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+}
+
 /// Refuses a connection above the limit without reading its request.
 fn refuse_connection(stream: &TcpStream) {
     const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
