entry: an entry that was frozen keeps the answers that it relays

Seen by callers: when the entry's process was frozen for 4 s, each answer that it relayed was cut, though agents and backend servers were sound and their messages lay in the entry's socket.

Cause: the entry judged an agent by a timer of 3 s. A frozen process finds it elapsed before the link's tasks have read the socket.

Change: silence is counted in three intervals of a second. The time of a freeze counts as one, and the messages are read in the next one. An agent that is silent in fact is noticed as before.

--- a/crates/celerycrank-cli/tests/early_ends.rs
+++ b/crates/celerycrank-cli/tests/early_ends.rs
@@ -11,8 +11,15 @@
     backend::HEAVY_ANSWER,
     caller::{BodyEnd, Caller, KEY, call},
     deployment::Deployment,
+    process::RunningProcess,
 };
 
+/// Time for which a process is frozen, longer than an entry waits for a message from an agent.
+const LONG_FREEZE: Duration = Duration::from_secs(4);
+
+/// Number of streams during a freeze.
+const STREAMS: usize = 8;
+
 /// Size in bytes of the receive buffer of a slow caller.
 const SLOW_CALLER_BUFFER: usize = 64 << 10;
 
@@ -25,6 +32,36 @@
 /// Time for which a caller reads nothing, longer than a link without messages stays open.
 const CALLER_PAUSE: Duration = Duration::from_secs(14);
 
+fn patient() -> serde_json::Value {
+    json!({ "idle_timeout": "1h" })
+}
+
+fn freeze(process: &RunningProcess, time: Duration) {
+    process.signal(libc::SIGSTOP);
+    thread::sleep(time);
+    process.signal(libc::SIGCONT);
+}
+
+/// Opens streams and reads their heads.
+fn open_streams(deployment: &Deployment, path: &str) -> Vec<Caller> {
+    let callers = (0..STREAMS).map(|_| {
+        let mut caller = Caller::connect(deployment.entry.listen);
+        caller.send_request("GET", path, Some(KEY), "");
+        caller
+    });
+    callers.collect()
+}
+
+/// Counts the streams that end as complete.
+fn complete_streams(callers: &mut [Caller]) -> usize {
+    let answers = callers.iter_mut().map(Caller::read_answer);
+    answers
+        .filter(|answer| {
+            answer.end == BodyEnd::Complete && answer.body.ends_with("data: [DONE]\n\n")
+        })
+        .count()
+}
+
 #[test]
 fn answer_that_ends_with_its_connection_arrives_whole() {
     let deployment = Deployment::start();
@@ -66,6 +103,17 @@
     assert_eq!((answer.status, answer.body.as_str()), (200, "hinted"));
 }
 
+#[test]
+fn frozen_entry_keeps_its_streams() {
+    let deployment = Deployment::start_with(&json!({}), &patient());
+    let mut callers = open_streams(&deployment, "/svc/completions");
+    deployment
+        .agent
+        .wait_metric("celerycrank_agent_started_total", STREAMS as u64);
+    freeze(&deployment.entry, LONG_FREEZE);
+    assert_eq!(complete_streams(&mut callers), STREAMS);
+}
+
 /// Reads the body of the heavy answer slowly and returns the number of bytes that arrived.
 fn read_slowly(caller: &mut Caller) -> usize {
     let head = caller.read_head();
--- a/crates/celerycrank-entry/src/answer.rs
+++ b/crates/celerycrank-entry/src/answer.rs
@@ -7,7 +7,6 @@
     body::{BodyStream, BoxBody, MessageBody, SizedStream},
     header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue},
 };
-use actix_rt::time::timeout;
 use bytes::Bytes;
 use celerycrank_link::StreamError;
 use celerycrank_types::{TimePoint, UnknownReason};
@@ -15,7 +14,7 @@
 use futures_util::{Stream, stream};
 
 use crate::{
-    forward::{AGENT_SILENCE_TIMEOUT, AttemptAnswer},
+    forward::{AttemptAnswer, receive_reply},
     probe::report_failure,
     refusal::{error_event, unknown_response},
     state::EntryState,
@@ -175,14 +174,13 @@
     /// Receives the next chunk of the body, or `None` once it is complete.
     async fn receive(&mut self) -> Result<Option<Bytes>, UnknownReason> {
         loop {
-            let receiving = self.answer.receiver.receive();
-            let reply = match timeout(AGENT_SILENCE_TIMEOUT, receiving).await {
-                Ok(Ok(Some(reply))) => reply,
-                Ok(Err(StreamError::Wire(_))) => {
+            let reply = match receive_reply(&mut self.answer.receiver).await {
+                Some(Ok(Some(reply))) => reply,
+                Some(Err(StreamError::Wire(_))) => {
                     self.state.metrics.wire_faults.inc();
                     return Err(UnknownReason::BadAnswer);
                 }
-                Ok(Ok(None) | Err(_)) | Err(_) => {
+                Some(Ok(None) | Err(_)) | None => {
                     report_failure(&self.state, &self.answer.record);
                     return Err(UnknownReason::LinkLost);
                 }
--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -17,11 +17,13 @@
     state::EntryState,
 };
 
-/// Time without a message from an agent after which its connection counts as lost.
-///
-/// This is three times the interval at which an agent sends a heartbeat for a request that
-/// waits or runs.
-pub(crate) const AGENT_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which a message from an agent is awaited at once: the interval at which an agent
+/// sends a heartbeat for a request that waits or runs.
+const AGENT_SILENCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of consecutive intervals without a message from an agent after which its connection
+/// counts as lost.
+const MAX_SILENT_INTERVALS: u32 = 3;
 
 /// Timeout of a revocation.
 const REVOKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -91,13 +93,13 @@
     /// Receives the next reply that is not a heartbeat.
     pub(crate) async fn receive(&mut self, state: &EntryState) -> StreamEvent {
         loop {
-            let reply = match timeout(AGENT_SILENCE_TIMEOUT, self.receiver.receive()).await {
-                Ok(Ok(Some(reply))) => reply,
-                Ok(Err(StreamError::Wire(_))) => {
+            let reply = match receive_reply(&mut self.receiver).await {
+                Some(Ok(Some(reply))) => reply,
+                Some(Err(StreamError::Wire(_))) => {
                     state.metrics.wire_faults.inc();
                     return StreamEvent::InvalidReply;
                 }
-                Ok(Ok(None) | Err(_)) | Err(_) => return self.lost(state),
+                Some(Ok(None) | Err(_)) | None => return self.lost(state),
             };
             match reply {
                 PeerReply::Waiting(load) => self.record.update_load(load, state.clock.now()),
@@ -137,6 +139,21 @@
     }
 }
 
+/// Receives the next message; `None` if the agent was silent for too long.
+///
+/// The silence is counted in intervals, since this process may have been frozen while the
+/// messages arrived: that counts as one interval, and the messages are read in the next one.
+pub(crate) async fn receive_reply(
+    receiver: &mut MessageReceiver,
+) -> Option<Result<Option<PeerReply>, StreamError>> {
+    for _ in 0..MAX_SILENT_INTERVALS {
+        if let Ok(received) = timeout(AGENT_SILENCE_INTERVAL, receiver.receive()).await {
+            return Some(received);
+        }
+    }
+    None
+}
+
 /// A pending request to an agent to revoke an attempt, sent on a new connection.
 pub(crate) struct Revocation {
     attempt: AttemptId,
