agent: an agent that was frozen keeps the answers that it relays

Seen by callers: when an agent's process was frozen for 1.5 s with an idle timeout of 1 s, most of its streams were cut with backend_timeout, though the backend server had sent all along. The same race met answers whose entry did not read for longer than the idle timeout (read in the code, not tried).

Cause: a chunk and the elapsed timeout were due at once, and `select!` picks one at random. Besides, a process that wakes up may see its timers before its sockets.

Change: the chunk goes first, and the idle timeout consists of four intervals; the time of a freeze counts as one, and what was sent meanwhile is read in the next one. The heartbeat has a timer of its own.

Issue: 32, 23

--- a/crates/celerycrank-agent/src/forward.rs
+++ b/crates/celerycrank-agent/src/forward.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     backend::{BackendAnswer, BackendError},
+    idle::IdleTimer,
     reply::answer_head,
     run::{AttemptOutcome, HEARTBEAT_INTERVAL},
     state::AgentState,
@@ -81,15 +82,20 @@
         let state = self.state;
         let mut send = pin!(state.backend.send(self.order));
         let mut closed = pin!(self.sender.closed());
-        let mut idle = pin!(sleep(self.idle_timeout));
+        let mut idle = IdleTimer::new(self.idle_timeout);
+        let mut heartbeat = pin!(sleep(HEARTBEAT_INTERVAL));
         loop {
             tokio::select! {
+                // After this process was frozen, an answer and a timeout may be due at once.
+                biased;
                 result = &mut send => return result.map_err(AttemptOutcome::from),
                 () = &mut closed, if self.entry_reads => self.handle_closed()?,
-                () = &mut idle => {
+                () = idle.wait() => {
                     return Err(AttemptOutcome::Unknown(UnknownReason::BackendTimeout));
                 }
-                () = sleep(HEARTBEAT_INTERVAL) => {
+                () = &mut heartbeat => {
+                    let next = Instant::now() + HEARTBEAT_INTERVAL;
+                    heartbeat.as_mut().reset(next);
                     self.send(&PeerReply::Waiting(state.load())).await?;
                 }
             }
@@ -112,19 +118,22 @@
     ) -> Result<(), AttemptOutcome> {
         self.send(&head).await?;
         let mut closed = pin!(self.sender.closed());
-        let mut idle = pin!(sleep(self.idle_timeout));
+        let mut idle = IdleTimer::new(self.idle_timeout);
         loop {
-            idle.as_mut().reset(Instant::now() + self.idle_timeout);
+            idle.restart();
             let mut heartbeat = pin!(sleep_until(Instant::now() + HEARTBEAT_INTERVAL));
             let message = loop {
                 tokio::select! {
+                    // After this process was frozen or the entry did not read, a chunk and a
+                    // timeout may be due at once.
+                    biased;
                     result = answer.next_chunk() => match result {
                         Ok(Some(chunk)) => break self.count_chunk(chunk),
                         Ok(None) => return Ok(()),
                         Err(error) => return Err(error.into()),
                     },
                     () = &mut closed, if self.entry_reads => self.handle_closed()?,
-                    () = &mut idle => {
+                    () = idle.wait() => {
                         return Err(AttemptOutcome::Unknown(UnknownReason::BackendTimeout));
                     }
                     () = &mut heartbeat => {
--- a/crates/celerycrank-agent/src/lib.rs
+++ b/crates/celerycrank-agent/src/lib.rs
@@ -8,6 +8,7 @@
 mod claims;
 mod error;
 mod forward;
+mod idle;
 mod metrics;
 mod order;
 mod pool;
--- a/crates/celerycrank-cli/tests/early_ends.rs
+++ b/crates/celerycrank-cli/tests/early_ends.rs
@@ -17,6 +17,9 @@
 /// Time for which a process is frozen, longer than an entry waits for a message from an agent.
 const LONG_FREEZE: Duration = Duration::from_secs(4);
 
+/// Time for which an agent is frozen, longer than the idle timeout of its backend server.
+const SHORT_FREEZE: Duration = Duration::from_millis(1_500);
+
 /// Number of streams during a freeze.
 const STREAMS: usize = 8;
 
@@ -114,6 +117,17 @@
     assert_eq!(complete_streams(&mut callers), STREAMS);
 }
 
+#[test]
+fn agent_frozen_for_longer_than_the_idle_timeout_keeps_its_streams() {
+    let deployment = Deployment::start();
+    let mut callers = open_streams(&deployment, "/svc/completions");
+    deployment
+        .agent
+        .wait_metric("celerycrank_agent_started_total", STREAMS as u64);
+    freeze(&deployment.agent, SHORT_FREEZE);
+    assert_eq!(complete_streams(&mut callers), STREAMS);
+}
+
 /// Reads the body of the heavy answer slowly and returns the number of bytes that arrived.
 fn read_slowly(caller: &mut Caller) -> usize {
     let head = caller.read_head();
