entry: silence of an agent ends no answer while its link is open

Seen by callers: when an agent was frozen for 4 s, each answer that it relayed was cut at 3 s of silence, and each request without a head was told 502 link_lost, though the backend server went on and the agent was back a second later.

Cause: three seconds of silence counted as a lost link. The entry dropped the stream before it had anything better: no other agent can give the rest of an answer, and the agent itself, asked over another connection, says that the attempt runs.

Change: after three seconds the agent gets no further work, as before. An attempt without a head is asked about over another connection while its stream is kept (new event link_silent); if it runs, the request waits on, up to its deadline. An answer that has begun is given up after nine seconds, before after three. The price: when an agent dies in the middle of an answer, its caller is told six seconds later than before.

Issue: 32, 23

--- a/crates/celerycrank-cli/tests/early_ends.rs
+++ b/crates/celerycrank-cli/tests/early_ends.rs
@@ -128,6 +128,28 @@
     assert_eq!(complete_streams(&mut callers), STREAMS);
 }
 
+#[test]
+fn agent_frozen_for_longer_than_the_link_timeout_keeps_its_streams() {
+    let deployment = Deployment::start_with(&json!({}), &patient());
+    let mut callers = open_streams(&deployment, "/svc/completions");
+    deployment
+        .agent
+        .wait_metric("celerycrank_agent_started_total", STREAMS as u64);
+    freeze(&deployment.agent, LONG_FREEZE);
+    assert_eq!(complete_streams(&mut callers), STREAMS);
+}
+
+#[test]
+fn agent_frozen_before_the_head_keeps_its_answers() {
+    let deployment = Deployment::start_with(&json!({}), &patient());
+    let listen = deployment.entry.listen;
+    let late = thread::spawn(move || call(listen, "GET", "/svc/late-head", Some(KEY), ""));
+    deployment.backend.wait_received("/svc/late-head");
+    freeze(&deployment.agent, LONG_FREEZE);
+    let late = late.join().expect("the caller does not panic");
+    assert_eq!((late.status, late.body.as_str()), (200, "late"));
+}
+
 /// Reads the body of the heavy answer slowly and returns the number of bytes that arrived.
 fn read_slowly(caller: &mut Caller) -> usize {
     let head = caller.read_head();
--- a/crates/celerycrank-entry/src/answer.rs
+++ b/crates/celerycrank-entry/src/answer.rs
@@ -22,6 +22,11 @@
 
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
+/// Number of waits in a row in which an agent may be silent before its answer is given up.
+///
+/// The rest of an answer can come from no other agent, so one wait is not enough.
+const MAX_SILENCES: u32 = 3;
+
 /// incomplete answer: {0}
 #[derive(Debug, displaydoc::Display)]
 struct IncompleteAnswer(UnknownReason);
@@ -58,6 +63,7 @@
         is_event_stream,
         last_chunk_at: arrival,
         has_chunk: false,
+        silences: 0,
         phase: ReaderPhase::Reading,
         first_chunk: None,
     };
@@ -108,6 +114,8 @@
     /// When the latest chunk arrived; before the first, when the request arrived.
     last_chunk_at: TimePoint,
     has_chunk: bool,
+    /// Number of waits for a message in a row in which the agent was silent.
+    silences: u32,
     phase: ReaderPhase,
     /// The chunk that was received before the response was built.
     first_chunk: Option<Bytes>,
@@ -174,13 +182,22 @@
     /// Receives the next chunk of the body, or `None` once it is complete.
     async fn receive(&mut self) -> Result<Option<Bytes>, UnknownReason> {
         loop {
-            let reply = match receive_reply(&mut self.answer.receiver).await {
-                Some(Ok(Some(reply))) => reply,
-                Some(Err(StreamError::Wire(_))) => {
+            let Some(received) = receive_reply(&mut self.answer.receiver).await else {
+                report_failure(&self.state, &self.answer.record);
+                self.silences += 1;
+                if self.silences < MAX_SILENCES {
+                    continue;
+                }
+                return Err(UnknownReason::LinkLost);
+            };
+            self.silences = 0;
+            let reply = match received {
+                Ok(Some(reply)) => reply,
+                Err(StreamError::Wire(_)) => {
                     self.state.metrics.wire_faults.inc();
                     return Err(UnknownReason::BadAnswer);
                 }
-                Some(Ok(None) | Err(_)) | None => {
+                Ok(None) | Err(_) => {
                     report_failure(&self.state, &self.answer.record);
                     return Err(UnknownReason::LinkLost);
                 }
--- a/crates/celerycrank-entry/src/dispatch.rs
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -297,6 +297,7 @@
                 self.refusal = Some(RefusalReason::BackendLeaving);
                 RequestEvent::Refused(attempt, RefusalReason::BackendLeaving)
             }
+            StreamEvent::Silent(link_number) => RequestEvent::LinkSilent(link_number),
             StreamEvent::Lost(link_number) => {
                 self.attempt = None;
                 RequestEvent::LinkLost(link_number)
--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -21,8 +21,8 @@
 /// sends a heartbeat for a request that waits or runs.
 const AGENT_SILENCE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of consecutive intervals without a message from an agent after which its connection
-/// counts as lost.
+/// Number of consecutive intervals without a message from an agent after which it gets no further
+/// work until it answers again.
 const MAX_SILENT_INTERVALS: u32 = 3;
 
 /// Timeout of a revocation.
@@ -61,8 +61,10 @@
     InvalidReply,
     /// The agent shut down gracefully without a reply.
     Stopped,
-    /// The connection was lost, or the agent is unresponsive.
+    /// The connection was lost.
     Lost(LinkNumber),
+    /// The agent is silent, but its connection is still open.
+    Silent(LinkNumber),
 }
 
 impl AttemptStream {
@@ -99,7 +101,8 @@
                     state.metrics.wire_faults.inc();
                     return StreamEvent::InvalidReply;
                 }
-                Some(Ok(None) | Err(_)) | None => return self.lost(state),
+                Some(Ok(None) | Err(_)) => return self.lost(state),
+                None => return self.silent(state),
             };
             match reply {
                 PeerReply::Waiting(load) => self.record.update_load(load, state.clock.now()),
@@ -128,6 +131,13 @@
         self.link.welcome.incarnation
     }
 
+    /// Gives the agent no further work, but keeps the stream: the agent may go on.
+    fn silent(&self, state: &EntryState) -> StreamEvent {
+        state.pool.discard(self.record.address);
+        report_failure(state, &self.record);
+        StreamEvent::Silent(self.link_number)
+    }
+
     fn lost(&self, state: &EntryState) -> StreamEvent {
         state.pool.discard(self.record.address);
         report_failure(state, &self.record);
--- a/crates/celerycrank-requests/src/request/classify.rs
+++ b/crates/celerycrank-requests/src/request/classify.rs
@@ -50,6 +50,10 @@
                 self.check_link(*link)?;
                 Some(self.handle_link_lost(context))
             }
+            RequestEvent::LinkSilent(link) => {
+                self.check_link(*link)?;
+                Some(EventKind::LinkSilent)
+            }
             RequestEvent::Refused(attempt, reason) => {
                 self.check_attempt(*attempt)?;
                 self.handle_not_started(*reason, RetryReason::Refused, context)
@@ -267,7 +271,9 @@
             RevokeAnswer::NeverStarted => {
                 self.handle_not_started(RefusalReason::Revoked, RetryReason::Revoked, context)
             }
-            RevokeAnswer::Started | RevokeAnswer::Finished => Some(self.handle_started()),
+            RevokeAnswer::Started | RevokeAnswer::Finished => {
+                Some(self.handle_started(context.now))
+            }
             RevokeAnswer::Unproved(reason) => Some(self.handle_unproved(reason, context)),
             RevokeAnswer::Forgotten => Some(self.handle_unproved(UnknownReason::LinkLost, context)),
             RevokeAnswer::OtherIncarnation => {
@@ -276,8 +282,12 @@
         }
     }
 
-    fn handle_started(&mut self) -> EventKind {
+    fn handle_started(&mut self, now: TimePoint) -> EventKind {
         self.progress = AttemptProgress::Started;
+        if self.link_state == LinkState::Up && now < self.deadline {
+            self.settle_deadline = None;
+            return EventKind::StillRunning;
+        }
         if self.link_state == LinkState::Up {
             self.wait_until = self.settle_deadline.unwrap_or(self.wait_until);
             return EventKind::Running;
--- a/crates/celerycrank-requests/src/request/event.rs
+++ b/crates/celerycrank-requests/src/request/event.rs
@@ -31,6 +31,8 @@
     ConnectFailed(LinkNumber),
     /// The link broke, or could not be established for a resumption.
     LinkLost(LinkNumber),
+    /// The agent sent nothing for some time, but the link is still open.
+    LinkSilent(LinkNumber),
     /// The agent refused the attempt and will never start it.
     Refused(AttemptId, RefusalReason),
     /// The agent cannot prove whether the attempt's call ran.
@@ -200,14 +202,17 @@
     Unproved,
     /// The attempt started, but its link is lost: its answer must be resumed.
     Started,
-    /// The attempt started, and its link is up: the answer is still to come.
+    /// The attempt started, its link is up and its deadline has passed: the answer may still come.
     Running,
+    /// The attempt started, its link is up and its deadline has not passed.
+    StillRunning,
     /// The agent has not answered within the query interval and is asked again.
     AskAgain,
     Head,
     Chunk,
     End,
     LinkLost,
+    LinkSilent,
     /// The backoff before the next attempt has ended.
     WaitOver,
     /// The head of the answer did not arrive in time.
