agent: a backend server that reads a long body slowly is not idle

Seen by callers: a request with a body of 16 MiB, which its backend server read in 3.2 s without a break, was told 502 backend_timeout; the idle timeout of the test is 1 s.

Cause: the idle timeout ran from the start of the request to the head of the answer, whatever the backend server read meanwhile.

Change: each part of 64 KiB that the backend server takes starts it anew. At most 128 KiB wait unsent in the kernel, so that this follows the backend server; what fits into its receive buffer still counts as taken at once.

--- a/crates/celerycrank-agent/src/backend.rs
+++ b/crates/celerycrank-agent/src/backend.rs
@@ -1,6 +1,6 @@
 //! The HTTP client of the backend server.
 
-use std::{fmt::Display, net::SocketAddr, rc::Rc, time::Duration};
+use std::{fmt::Display, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{
     Method, Uri,
@@ -15,6 +15,7 @@
 use celerycrank_process::ProcessClock;
 use celerycrank_types::{RefusalReason, RequestId, UnknownReason};
 use celerycrank_wire::{HttpField, RunOrder};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 use crate::pool::ConnectionPool;
@@ -28,6 +29,13 @@
 /// Maximum number of interim answers before a final one.
 const MAX_INTERIM_ANSWERS: u32 = 8;
 
+/// Size of the parts in which a request is sent, in bytes.
+const SEND_SIZE: usize = 64 << 10;
+
+/// Number of unsent bytes up to which the kernel takes more of a request, so that the progress of
+/// a backend server that reads slowly is visible.
+const MAX_UNSENT_BYTES: u32 = 128 << 10;
+
 /// Space reserved for each read of an answer, in bytes.
 const READ_SIZE: usize = 32 << 10;
 
@@ -79,11 +87,16 @@
 
     /// Sends a request to the backend server and waits for the head of its answer.
     ///
-    /// Dropping the future or the answer closes the connection, which cancels the request.
-    pub(crate) async fn send(&self, order: &RunOrder) -> Result<BackendAnswer, BackendError> {
+    /// `on_progress` is called for each part of the request that is sent. Dropping the future or
+    /// the answer closes the connection, which cancels the request.
+    pub(crate) async fn send(
+        &self,
+        order: &RunOrder,
+        on_progress: impl Fn(),
+    ) -> Result<BackendAnswer, BackendError> {
         let message = self.write_request(order)?;
         let mut stream = self.connect().await?;
-        let sent = stream.send(&message).await;
+        let sent = send_parts(&mut stream, &message, on_progress).await;
         // A write error is not fatal: the backend server may have answered before it read the
         // complete request.
         if let Err(error) = &sent {
@@ -123,7 +136,7 @@
             return Ok(stream);
         }
         let error = match timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await {
-            Ok(Ok(socket)) => return Ok(HttpStream::new(socket)),
+            Ok(Ok(socket)) => return Ok(open_stream(socket)),
             Ok(Err(error)) => error.to_string(),
             Err(error) => error.to_string(),
         };
@@ -199,6 +212,25 @@
     }
 }
 
+fn open_stream(socket: TcpStream) -> HttpStream {
+    if let Err(error) = SockRef::from(&socket).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        tracing::debug!(fault = %error, "cannot configure a connection to the backend server");
+    }
+    HttpStream::new(socket)
+}
+
+async fn send_parts(
+    stream: &mut HttpStream,
+    message: &[u8],
+    on_progress: impl Fn(),
+) -> io::Result<()> {
+    for part in message.chunks(SEND_SIZE) {
+        stream.send(part).await?;
+        on_progress();
+    }
+    Ok(())
+}
+
 /// Whether the client sets this field itself, or it applies to one connection only.
 fn is_own_field(name: &HeaderName) -> bool {
     *name == HOST
--- a/crates/celerycrank-agent/src/forward.rs
+++ b/crates/celerycrank-agent/src/forward.rs
@@ -1,6 +1,6 @@
 //! Sends a request to the backend server and relays its answer to the entry.
 
-use std::{pin::pin, time::Duration};
+use std::{cell::Cell, pin::pin, time::Duration};
 
 use actix_rt::time::{Instant, sleep, sleep_until};
 use bytes::Bytes;
@@ -80,7 +80,9 @@
 impl AnswerRelay<'_> {
     async fn await_head(&mut self) -> Result<BackendAnswer, AttemptOutcome> {
         let state = self.state;
-        let mut send = pin!(state.backend.send(self.order));
+        let last_progress = Cell::new(Instant::now());
+        let on_progress = || last_progress.set(Instant::now());
+        let mut send = pin!(state.backend.send(self.order, on_progress));
         let mut closed = pin!(self.sender.closed());
         let mut idle = IdleTimer::new(self.idle_timeout);
         let mut heartbeat = pin!(sleep(HEARTBEAT_INTERVAL));
@@ -91,7 +93,10 @@
                 result = &mut send => return result.map_err(AttemptOutcome::from),
                 () = &mut closed, if self.entry_reads => self.handle_closed()?,
                 () = idle.wait() => {
-                    return Err(AttemptOutcome::Unknown(UnknownReason::BackendTimeout));
+                    if last_progress.get().elapsed() >= self.idle_timeout {
+                        return Err(AttemptOutcome::Unknown(UnknownReason::BackendTimeout));
+                    }
+                    idle.restart();
                 }
                 () = &mut heartbeat => {
                     let next = Instant::now() + HEARTBEAT_INTERVAL;
--- a/crates/celerycrank-cli/tests/early_ends.rs
+++ b/crates/celerycrank-cli/tests/early_ends.rs
@@ -192,3 +192,19 @@
     thread::sleep(CALLER_PAUSE);
     assert_eq!(read_slowly(&mut caller), HEAVY_ANSWER);
 }
+
+#[test]
+fn backend_server_that_reads_slowly_gives_its_answer() {
+    const BODY_BYTES: usize = 16 << 20;
+    let deployment = Deployment::start_with(&json!({ "body": "32MiB" }), &json!({}));
+    let body = "b".repeat(BODY_BYTES);
+    let answer = call(
+        deployment.entry.listen,
+        "POST",
+        "/svc/slow-reader",
+        Some(KEY),
+        &body,
+    );
+    assert_eq!((answer.status, answer.end), (200, BodyEnd::Complete));
+    assert_eq!(answer.body.len(), "ok:".len() + BODY_BYTES);
+}
