tests: silences, slow callers and stops of entry and agent that end no answer

These properties held before; no test stated them. Real processes: a head that comes after 4 s and a stream that is silent for 4 s; 12 MiB to a slow caller, a silent stream, a slow upload and the queue of an agent while entry or agent are stopped by SIGTERM.

Issue: 32, 23

--- a/crates/celerycrank-cli/tests/early_ends.rs
+++ b/crates/celerycrank-cli/tests/early_ends.rs
@@ -35,6 +35,9 @@
 /// Time for which a caller reads nothing, longer than a link without messages stays open.
 const CALLER_PAUSE: Duration = Duration::from_secs(14);
 
+/// Pause of a slow caller between the parts of its body.
+const UPLOAD_PAUSE: Duration = Duration::from_millis(100);
+
 fn patient() -> serde_json::Value {
     json!({ "idle_timeout": "1h" })
 }
@@ -106,6 +109,17 @@
     assert_eq!((answer.status, answer.body.as_str()), (200, "hinted"));
 }
 
+#[test]
+fn silence_before_and_within_an_answer_ends_nothing() {
+    let deployment = Deployment::start_with(&json!({}), &patient());
+    let listen = deployment.entry.listen;
+    let late = thread::spawn(move || call(listen, "GET", "/svc/late-head", Some(KEY), ""));
+    let pausing = call(listen, "GET", "/svc/pausing", Some(KEY), "");
+    assert_eq!((pausing.status, pausing.end), (200, BodyEnd::Complete));
+    let late = late.join().expect("the caller does not panic");
+    assert_eq!((late.status, late.body.as_str()), (200, "late"));
+}
+
 #[test]
 fn frozen_entry_keeps_its_streams() {
     let deployment = Deployment::start_with(&json!({}), &patient());
@@ -193,6 +207,78 @@
     assert_eq!(read_slowly(&mut caller), HEAVY_ANSWER);
 }
 
+#[test]
+fn stops_of_entry_and_agent_leave_the_answer_of_a_slow_caller_whole() {
+    let mut deployment = Deployment::start_with(&json!({}), &json!({}));
+    let mut caller = slow_caller(&deployment);
+    deployment
+        .agent
+        .wait_metric("celerycrank_agent_started_total", 1);
+    deployment.agent.signal(libc::SIGTERM);
+    deployment.entry.signal(libc::SIGTERM);
+    assert_eq!(read_slowly(&mut caller), HEAVY_ANSWER);
+    assert!(deployment.agent.wait_end() && deployment.entry.wait_end());
+}
+
+#[test]
+fn stops_of_entry_and_agent_leave_a_silent_stream_whole() {
+    let mut deployment = Deployment::start_with(&json!({}), &patient());
+    let mut caller = Caller::connect(deployment.entry.listen);
+    caller.send_request("GET", "/svc/pausing", Some(KEY), "");
+    let mut answer = caller.read_head();
+    deployment.agent.signal(libc::SIGTERM);
+    deployment.entry.signal(libc::SIGTERM);
+    caller.read_body(&mut answer);
+    assert_eq!((answer.status, answer.end), (200, BodyEnd::Complete));
+    assert!(answer.body.ends_with("data: [DONE]\n\n"));
+    assert!(deployment.agent.wait_end() && deployment.entry.wait_end());
+}
+
+#[test]
+fn stop_of_the_entry_leaves_a_slow_upload_whole() {
+    let mut deployment = Deployment::start();
+    let mut caller = Caller::connect(deployment.entry.listen);
+    let body = "0123456789";
+    let head = format!(
+        "POST /svc/x HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    assert!(caller.send(head.as_bytes()));
+    deployment
+        .entry
+        .wait_metric("celerycrank_entry_requests_total", 1);
+    deployment.entry.signal(libc::SIGTERM);
+    deployment.entry.wait_line("entry is leaving");
+    for byte in body.as_bytes() {
+        thread::sleep(UPLOAD_PAUSE);
+        assert!(caller.send(&[*byte]));
+    }
+    let answer = caller.read_answer();
+    assert_eq!((answer.status, answer.body), (200, format!("ok:{body}")));
+    assert!(deployment.entry.wait_end());
+}
+
+#[test]
+fn stop_of_the_agent_leaves_its_queue_whole() {
+    let change = json!({ "concurrency": 1, "queue": 8, "idle_timeout": "1h" });
+    let mut deployment = Deployment::start_with(&json!({}), &change);
+    let listen = deployment.entry.listen;
+    let waiting = (0..STREAMS)
+        .map(|_| thread::spawn(move || call(listen, "GET", "/svc/slow", Some(KEY), "")));
+    let waiting = waiting.collect::<Vec<_>>();
+    support::wait_until("the requests wait", || {
+        let status = call(deployment.agent.admin, "GET", "/status", None, "").body;
+        let status = serde_json::from_str::<serde_json::Value>(&status).expect("a status");
+        status["queued"] == json!(STREAMS - 1)
+    });
+    deployment.agent.signal(libc::SIGTERM);
+    for answer in waiting {
+        let answer = answer.join().expect("the caller does not panic");
+        assert_eq!((answer.status, answer.body.as_str()), (200, "slow"));
+    }
+    assert!(deployment.agent.wait_end());
+}
+
 #[test]
 fn backend_server_that_reads_slowly_gives_its_answer() {
     const BODY_BYTES: usize = 16 << 20;
