--- a/crates/celerycrank-entry/src/dispatch.rs
+++ b/crates/celerycrank-entry/src/dispatch.rs
@@ -297,6 +297,7 @@
                 self.refusal = Some(RefusalReason::BackendLeaving);
                 RequestEvent::Refused(attempt, RefusalReason::BackendLeaving)
             }
+            StreamEvent::Silent(link_number) => RequestEvent::LinkSilent(link_number),
             StreamEvent::Lost(link_number) => {
                 self.attempt = None;
                 RequestEvent::LinkLost(link_number)
@@ -345,6 +346,7 @@
             receiver: attempt.receiver,
             record,
             _guard: attempt.guard,
+            _link: attempt.link,
         };
         relay_answer(self.state, answer, self.request.arrival).await
     }
--- a/crates/celerycrank-entry/src/forward.rs
+++ b/crates/celerycrank-entry/src/forward.rs
@@ -17,11 +17,13 @@
     state::EntryState,
 };
 
-/// Time without a message from an agent after which its connection counts as lost.
-///
-/// This is three times the interval at which an agent sends a heartbeat for a request that
-/// waits or runs.
-pub(crate) const AGENT_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which a message from an agent is awaited at once: the interval at which an agent
+/// sends a heartbeat for a request that waits or runs.
+const AGENT_SILENCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of consecutive intervals without a message from an agent after which it gets no further
+/// work until it answers again.
+const MAX_SILENT_INTERVALS: u32 = 3;
 
 /// Timeout of a revocation.
 const REVOKE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -33,6 +35,8 @@
     pub(crate) record: Rc<AgentRecord>,
     /// Kept until the end of the answer.
     pub(crate) _guard: InFlightGuard,
+    /// Kept until the end of the answer, so that the pool does not close the connection.
+    pub(crate) _link: Rc<PeerLink>,
 }
 
 /// An attempt that was sent, and the stream on which its answer is received.
@@ -44,7 +48,7 @@
     pub(crate) guard: InFlightGuard,
     /// Kept open until the end of the attempt.
     _sender: MessageSender,
-    link: Rc<PeerLink>,
+    pub(crate) link: Rc<PeerLink>,
     record: Rc<AgentRecord>,
     id: RequestId,
 }
@@ -57,8 +61,10 @@
     InvalidReply,
     /// The agent shut down gracefully without a reply.
     Stopped,
-    /// The connection was lost, or the agent is unresponsive.
+    /// The connection was lost.
     Lost(LinkNumber),
+    /// The agent is silent, but its connection is still open.
+    Silent(LinkNumber),
 }
 
 impl AttemptStream {
@@ -89,13 +95,14 @@
     /// Receives the next reply that is not a heartbeat.
     pub(crate) async fn receive(&mut self, state: &EntryState) -> StreamEvent {
         loop {
-            let reply = match timeout(AGENT_SILENCE_TIMEOUT, self.receiver.receive()).await {
-                Ok(Ok(Some(reply))) => reply,
-                Ok(Err(StreamError::Wire(_))) => {
+            let reply = match receive_reply(&mut self.receiver).await {
+                Some(Ok(Some(reply))) => reply,
+                Some(Err(StreamError::Wire(_))) => {
                     state.metrics.wire_faults.inc();
                     return StreamEvent::InvalidReply;
                 }
-                Ok(Ok(None) | Err(_)) | Err(_) => return self.lost(state),
+                Some(Ok(None) | Err(_)) => return self.lost(state),
+                None => return self.silent(state),
             };
             match reply {
                 PeerReply::Waiting(load) => self.record.update_load(load, state.clock.now()),
@@ -124,6 +131,13 @@
         self.link.welcome.incarnation
     }
 
+    /// Gives the agent no further work, but keeps the stream: the agent may go on.
+    fn silent(&self, state: &EntryState) -> StreamEvent {
+        state.pool.discard(self.record.address);
+        report_failure(state, &self.record);
+        StreamEvent::Silent(self.link_number)
+    }
+
     fn lost(&self, state: &EntryState) -> StreamEvent {
         state.pool.discard(self.record.address);
         report_failure(state, &self.record);
@@ -135,6 +149,21 @@
     }
 }
 
+/// Receives the next message; `None` if the agent was silent for too long.
+///
+/// The silence is counted in intervals, since this process may have been frozen while the
+/// messages arrived: that counts as one interval, and the messages are read in the next one.
+pub(crate) async fn receive_reply(
+    receiver: &mut MessageReceiver,
+) -> Option<Result<Option<PeerReply>, StreamError>> {
+    for _ in 0..MAX_SILENT_INTERVALS {
+        if let Ok(received) = timeout(AGENT_SILENCE_INTERVAL, receiver.receive()).await {
+            return Some(received);
+        }
+    }
+    None
+}
+
 /// A pending request to an agent to revoke an attempt, sent on a new connection.
 pub(crate) struct Revocation {
     attempt: AttemptId,
