The kernel holds the rest of an answer when its entry stops

When a stop closes idle connections, the limit is lifted, so that the kernel takes what it can and delivers it also after the process has ended.

The test (1 MB, a caller that reads nothing until the process has ended) is red without the change.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -231,6 +231,31 @@
     assert!(process.wait_end().await);
 }
 
+// The rest of an answer that its caller read slowly was lost at the end of a stop, since the process
+// and not the kernel held it.
+#[actix_rt::test]
+async fn the_kernel_delivers_the_rest_of_an_answer_after_a_stop() {
+    const LENGTH: usize = 1_000_000;
+    let (store, backend) = start_platform().await;
+    let mut settings = settings(&store);
+    settings["grace"] = json!("4.0s");
+    let path = write_settings("rest", &settings);
+    let mut process = DirectProcess::start(&path).await;
+    process.wait_ready().await;
+    backend.set_behaviour(BackendBehaviour::LongAnswer(LENGTH));
+    let mut caller = TestCaller::connect(process.listen).await;
+    let request = TestRequest::new("POST", "/large/1", "f1").deadline(25_000);
+    caller.begin(&request).await;
+    while backend.runs() == 0 {
+        sleep(POLL_INTERVAL).await;
+    }
+    process.signal(libc::SIGTERM);
+    assert!(process.wait_end().await);
+    let answer = caller.read().await.expect("an answer");
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(answer.body.len(), LENGTH);
+}
+
 #[actix_rt::test]
 async fn a_request_that_is_complete_too_late_in_a_stop_is_refused() {
     let (store, backend) = start_platform().await;
--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -4,6 +4,7 @@
 
 use actix_rt::time::timeout;
 use celerycrank_http::{BodyFraming, HeadError, HttpStream, RequestHead, parse_request};
+use celerycrank_process::ShutdownFlag;
 use celerycrank_serving::CallerBounds;
 use celerycrank_types::{RefusalReason, TimePoint};
 use prometheus::IntCounter;
@@ -54,6 +55,10 @@
     pub(crate) deadline: Option<Instant>,
     /// Counts the answers that were given up since the caller did not read them.
     answers_unread: IntCounter,
+    /// Raised when the entry stops.
+    shutdown: ShutdownFlag,
+    /// Whether the kernel holds as much of an answer as it can.
+    is_unlimited: bool,
 }
 
 impl CallerConnection {
@@ -66,6 +71,18 @@
             stream,
             deadline: None,
             answers_unread: state.metrics.answers_unread.clone(),
+            shutdown: state.shutdown.clone(),
+            is_unlimited: false,
+        }
+    }
+
+    /// Lets the kernel hold as much of an answer as it can.
+    ///
+    /// It delivers what it holds also after the process has ended.
+    fn lift_limit(&mut self) {
+        self.is_unlimited = true;
+        if let Err(error) = self.stream.limit_unsent(u32::MAX) {
+            tracing::info!(fault = %error, "cannot lift the limit of unsent bytes");
         }
     }
 
@@ -94,7 +111,15 @@
         let mut unsent = bytes;
         while !unsent.is_empty() {
             let end = last_end.min(Instant::now() + WRITE_TIMEOUT);
-            let error = match timeout_at(end, self.stream.send_some(unsent)).await {
+            let written = select! {
+                biased;
+                written = timeout_at(end, self.stream.send_some(unsent)) => written,
+                () = self.shutdown.raised(), if !self.is_unlimited => {
+                    self.lift_limit();
+                    continue;
+                }
+            };
+            let error = match written {
                 Ok(Ok(count)) if count > 0 => {
                     unsent = &unsent[count..];
                     continue;
