An empty or unreadable part of the configuration opens nothing

What callers saw: after a configuration whose list of accounts was empty, or in which no account could be read, requests ran with keys that had been taken away, with keys that no configuration held, and without a key. Requests of a route that could not be read went to another route with a shorter prefix, if there was one.

Cause: `AccountTable::is_empty` decided whether requests need a key, and an absent, an empty and an unreadable list were all an empty table. Routes that could not be read were left out of the route table.

Change: `KeyRequirement` distinguishes a configuration without a list of accounts, which asks for no key, from one with a list, under which only the keys that can be read are valid; null, a value that is no list, and accounts with an empty key close. A route whose host and prefix can be read but not the rest is closed: 503 `route_closed`, not run. If the host or the prefix cannot be read, it is unknown which requests another route would take over, so the configuration is refused whole. Each refusal has a log line and counts in `celerycrank_direct_configuration_faults_total`.

Not tested: the deleted configuration.

--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -19,6 +19,7 @@
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
     pub(crate) store_errors: IntCounter,
+    pub(crate) configuration_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
     pub(crate) datagrams_unreadable: IntCounter,
     pub(crate) refusals: LabelledCounter<RefusalReason>,
@@ -77,6 +78,10 @@
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
             )?,
+            configuration_errors: set.counter(
+                "celerycrank_direct_configuration_faults_total",
+                "configurations, or parts of them, that cannot be read",
+            )?,
             datagrams_failed: set.counter(
                 "celerycrank_direct_datagrams_failed_total",
                 "datagrams that the socket could not send or receive",
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
-use celerycrank_serving::{PromptQuery, RouteRule};
+use celerycrank_serving::{PromptQuery, RouteMatch, RouteRule};
 use celerycrank_types::{AccountId, PromptPartId, RefusalReason, Revision, ServiceId, TimePoint};
 use smallvec::SmallVec;
 
@@ -103,9 +103,11 @@
     let path = str::from_utf8(head.path()).ok();
     let path = path.ok_or(RefusalReason::BadRequest)?;
     let found = in_force.routes.find(&metadata.host, path);
-    found
-        .map(Rc::clone)
-        .ok_or_else(|| unless_stale(state, RefusalReason::NoRoute))
+    match found {
+        Some(RouteMatch::Open(route)) => Ok(Rc::clone(route)),
+        Some(RouteMatch::Closed) => Err(RefusalReason::RouteClosed),
+        None => Err(unless_stale(state, RefusalReason::NoRoute)),
+    }
 }
 
 fn find_account(
@@ -114,7 +116,7 @@
     metadata: &RequestMetadata,
     route: &RouteRule,
 ) -> Result<Option<AccountId>, RefusalReason> {
-    if route.is_anonymous || in_force.accounts.is_empty() {
+    if route.is_anonymous || !in_force.accounts.requires_key() {
         return Ok(None);
     }
     let key = metadata.key.as_ref().ok_or(RefusalReason::UnknownKey)?;
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -83,8 +83,8 @@
         let engines = engines.filter(|service| service.engine.is_some());
         Self {
             revision: configuration.revision,
-            routes: RouteTable::new(&configuration.routes),
-            accounts: AccountTable::new(&configuration.accounts),
+            routes: RouteTable::new(&configuration.routes, &configuration.closed_routes),
+            accounts: AccountTable::new(&configuration.keys),
             limits: configuration.limits,
             engine_services: engines.map(|it| it.service.clone()).collect(),
         }
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -8,7 +8,7 @@
     CONFIGURATION_KEY, REGISTRATION_PREFIX, parse_registration_key, read_configuration,
     read_registration,
 };
-use celerycrank_serving::{BackendRegistration, RegistrationChange};
+use celerycrank_serving::{BackendRegistration, KeyRequirement, RegistrationChange};
 use celerycrank_types::TimeSpan;
 
 use super::{
@@ -89,9 +89,13 @@
 fn apply_event(state: &EntryState, event: &WatchEvent, is_newest: &mut bool) {
     let key = event.key();
     if key == CONFIGURATION_KEY {
-        if let WatchEvent::Put(record) = event {
-            *is_newest = adopt_record(state, record);
-        }
+        *is_newest = match event {
+            WatchEvent::Put(record) => adopt_record(state, record),
+            WatchEvent::Deleted { .. } => {
+                tracing::error!("configuration deleted; the previous one cannot be confirmed");
+                false
+            }
+        };
     } else if key.starts_with(CRASH_PREFIX) {
         // A report that is removed has only outlived its use for processes that start.
         if let WatchEvent::Put(record) = event {
@@ -112,6 +116,7 @@
     let (configuration, errors) = match read_configuration(&record.value) {
         Ok(read) => read,
         Err(error) => {
+            state.metrics.configuration_errors.inc();
             tracing::error!(fault = %error, revision = %record.revision, "configuration rejected");
             return false;
         }
@@ -121,11 +126,13 @@
         return true;
     }
     for error in &errors {
-        tracing::warn!(fault = %error, %revision, "skipped part of the configuration");
+        state.metrics.configuration_errors.inc();
+        tracing::warn!(fault = %error, %revision, "part of the configuration cannot be read");
     }
     let routes = configuration.routes.len();
-    let accounts = configuration.accounts.len();
-    tracing::info!(%revision, routes, accounts, store_revision = %record.revision, "configuration in force");
+    let accounts = configuration.keys.accounts().len();
+    let requires_key = configuration.keys != KeyRequirement::NotRequired;
+    tracing::info!(%revision, routes, accounts, requires_key, store_revision = %record.revision, "configuration in force");
     true
 }
 
--- a/crates/celerycrank-requests/src/retry.rs
+++ b/crates/celerycrank-requests/src/retry.rs
@@ -115,6 +115,7 @@
         | RefusalReason::ShuttingDown => true,
         RefusalReason::UnknownKey
         | RefusalReason::NoRoute
+        | RefusalReason::RouteClosed
         | RefusalReason::OutsidePlan
         | RefusalReason::BadRequest
         | RefusalReason::HeaderTooLarge
--- a/crates/celerycrank-serving/src/account.rs
+++ b/crates/celerycrank-serving/src/account.rs
@@ -5,11 +5,13 @@
 use celerycrank_config::KeyHash;
 use celerycrank_types::AccountId;
 
-use crate::AccountRule;
+use crate::{AccountRule, KeyRequirement};
 
 /// The valid API keys; only their hashes are stored.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Clone)]
 pub struct AccountTable {
+    /// Whether requests need an API key.
+    requires_key: bool,
     /// Indices into `accounts`, by key hash.
     account_by_hash: HashMap<[u8; 32], usize>,
     /// Each account with the priority of its requests, if it has one.
@@ -17,11 +19,15 @@
 }
 
 impl AccountTable {
-    /// Creates a table of the given accounts.
+    /// Creates a table of the accounts whose API keys are valid.
     #[must_use]
-    pub fn new(rules: &[AccountRule]) -> Self {
-        let mut table = Self::default();
-        for (index, rule) in rules.iter().enumerate() {
+    pub fn new(requirement: &KeyRequirement) -> Self {
+        let mut table = Self {
+            requires_key: *requirement != KeyRequirement::NotRequired,
+            account_by_hash: HashMap::new(),
+            accounts: Vec::new(),
+        };
+        for (index, rule) in requirement.accounts().iter().enumerate() {
             table.accounts.push((rule.account.clone(), rule.priority));
             for key in &rule.keys {
                 let hash = KeyHash::of_key(key);
@@ -31,10 +37,10 @@
         table
     }
 
-    /// Whether there are no accounts, so that requests need no API key.
+    /// Whether requests need an API key; without accounts, no key is valid then.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
+    pub const fn requires_key(&self) -> bool {
+        self.requires_key
     }
 
     /// Returns the account that owns `key` and the priority of its requests, if it has one.
@@ -46,3 +52,14 @@
         Some((account, *priority))
     }
 }
+
+impl KeyRequirement {
+    /// The accounts whose API keys are valid.
+    #[must_use]
+    pub fn accounts(&self) -> &[AccountRule] {
+        match self {
+            Self::NotRequired => &[],
+            Self::Required(accounts) => accounts,
+        }
+    }
+}
--- a/crates/celerycrank-serving/src/configuration.rs
+++ b/crates/celerycrank-serving/src/configuration.rs
@@ -6,16 +6,18 @@
 use smallvec::SmallVec;
 
 /// One revision of the operators' configuration.
-#[derive(Debug, Default, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServingConfiguration {
     /// The revision; a larger one is newer.
     pub revision: Revision,
     /// The routes, which map requests to services.
     pub routes: Vec<RouteRule>,
+    /// The routes that cannot be used; requests on them are refused.
+    pub closed_routes: Vec<RouteLocation>,
     /// The services that the routes refer to.
     pub services: Vec<ServiceRule>,
-    /// The client accounts; empty if requests need no API key.
-    pub accounts: Vec<AccountRule>,
+    /// Whether requests need an API key, and which keys are valid.
+    pub keys: KeyRequirement,
     /// Limits on callers.
     pub limits: CallerBounds,
 }
@@ -134,6 +136,24 @@
     pub max_moves_per_change: u16,
 }
 
+/// The requests that belong to a route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouteLocation {
+    /// The host of the requests.
+    pub host: Arc<str>,
+    /// The prefix of the request paths; begins and ends with a slash.
+    pub prefix: Arc<str>,
+}
+
+/// Whether requests need an API key, except on anonymous routes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyRequirement {
+    /// The configuration has no list of accounts, and requests need no API key.
+    NotRequired,
+    /// Only the API keys of these accounts are valid; without accounts, no key is.
+    Required(Vec<AccountRule>),
+}
+
 /// A client account and its API keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AccountRule {
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -23,8 +23,8 @@
     budget::{EntryCount, RetryAllowance, RetryWindow},
     choice::{BackendChoice, ChoiceQuery, choose_backend},
     configuration::{
-        AccountRule, CallerBounds, EngineProfile, GroupProfile, RequestSemantics, RouteRule,
-        ServiceRule, ServingConfiguration, WeightedService,
+        AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
+        RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
     },
     crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
     event::{EventError, EventReader},
@@ -33,6 +33,6 @@
     load::{LoadEstimate, LoadReport},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
-    route::RouteTable,
+    route::{RouteMatch, RouteTable},
     table::BackendTable,
 };
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -4,8 +4,9 @@
 
 use celerycrank_serving::{
     AccountRule, AccountTable, BackendRegistration, BackendTable, ChoiceQuery, EntryCount,
-    FreshnessGuard, LoadReport, RegistrationChange, RegistrationState, RequestSemantics,
-    RetryAllowance, RetryWindow, RouteRule, RouteTable, WeightedService, choose_backend,
+    FreshnessGuard, KeyRequirement, LoadReport, RegistrationChange, RegistrationState,
+    RequestSemantics, RetryAllowance, RetryWindow, RouteLocation, RouteMatch, RouteRule,
+    RouteTable, WeightedService, choose_backend,
 };
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedMutRandom};
@@ -82,14 +83,27 @@
 
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
-    let table = RouteTable::new(&[
+    let routes = [
         route("short", "shop.example", "/a/"),
         route("long", "shop.example", "/a/b/"),
         route("other", "else.example", "/a/b/c/"),
-    ]);
-    let found = |host: &str, path: &str| table.find(host, path).map(|it| it.name.to_string());
+    ];
+    let closed = RouteLocation {
+        host: "Shop.example".into(),
+        prefix: "/a/closed/".into(),
+    };
+    let table = RouteTable::new(&routes, &[closed]);
+    let found = |host: &str, path: &str| match table.find(host, path)? {
+        RouteMatch::Open(route) => Some(route.name.to_string()),
+        RouteMatch::Closed => Some("closed".into()),
+    };
     assert_eq!(found("shop.example", "/a/b/c/d"), Some("long".into()));
     assert_eq!(found("SHOP.example:8080", "/a/bc"), Some("short".into()));
+    assert_eq!(
+        found("shop.example", "/a/closed/1"),
+        Some("closed".into()),
+        "no shorter prefix takes the requests of a closed route"
+    );
     assert_eq!(found("shop.example", "/a"), None);
     assert_eq!(found("none.example", "/a/"), None);
 }
@@ -110,11 +124,12 @@
 
 #[test]
 fn only_a_valid_key_identifies_an_account() {
-    let table = AccountTable::new(&[AccountRule {
+    let table = AccountTable::new(&KeyRequirement::Required(vec![AccountRule {
         account: "acme".parse().expect("a valid name"),
         keys: vec!["secret-1".into(), "secret-2".into()],
         priority: Some(0),
-    }]);
+    }]));
+    assert!(table.requires_key());
     let found = table.find(b"secret-2").map(|(account, _)| account.as_str());
     assert_eq!(found, Some("acme"));
     assert!(table.find(b"secret-3").is_none());
@@ -124,6 +139,13 @@
     );
 }
 
+#[test]
+fn no_accounts_and_no_list_of_accounts_differ() {
+    let table = AccountTable::new(&KeyRequirement::Required(Vec::new()));
+    assert!(table.requires_key() && table.find(b"secret-1").is_none());
+    assert!(!AccountTable::new(&KeyRequirement::NotRequired).requires_key());
+}
+
 #[test]
 fn keys_are_refused_before_the_revocation_time_is_over() {
     let revocation = TimeSpan::from_millis(5_000);
