Answers that name no attempt decide nothing on a reused connection

Cause: `is_answer_to` took every refusal without an id for the answer to the request, also on a connection that had carried other requests. A limit in such bytes was recorded, too.

Change: an answer belongs to a request if it names its attempt. One without an id is believed only as a refusal and as the first answer on a connection. Others on reused connections are skipped, up to four, with a log line and a counter; the own answer follows, and the connection is closed after an answer without an id. If none follows, the request ends as unknown. The reading of heads moves into a module of its own.

Looked for in the agent of the own path: there "not run" is told only if no connection was made, so that bytes of a backend server cannot cause it. An answer without an id is still passed on there on a reused connection; backend servers of that path need not echo the id.

--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -4,33 +4,23 @@
 
 use actix_rt::time::timeout;
 use bytes::Bytes;
-use celerycrank_http::{
-    BodyDecoder, BodyFraming, BodyStep, HttpStream, ResponseHead, TcpTimeouts, parse_response,
-};
-use celerycrank_platform::{AnswerMetadata, ForwardMetadata, read_answer, write_forwarded};
+use celerycrank_http::{BodyDecoder, BodyFraming, BodyStep, HttpStream, ResponseHead, TcpTimeouts};
+use celerycrank_platform::{AnswerMetadata, ForwardMetadata, write_forwarded};
 use celerycrank_serving::{BackendRegistration, LimitNotice};
 use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
 use super::{
-    limits::note_limit, progress::SendGuard, request::AdmittedRequest, sending::SendingStream,
+    limits::note_limit,
+    own_head::{OwnHead, read_own_head},
+    progress::SendGuard,
+    request::AdmittedRequest,
+    sending::SendingStream,
     state::EntryState,
 };
 
 /// Timeout for connecting to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Maximum size of the head of an answer, in bytes.
-const MAX_ANSWER_HEAD: usize = 32 << 10;
-
-/// Maximum number of interim answers before the final one.
-const MAX_INTERIM_ANSWERS: u32 = 16;
-
-/// Maximum number of answers to earlier requests that are skipped on a reused connection.
-const MAX_SURPLUS_ANSWERS: u32 = 4;
-
-/// Maximum size of the body of a skipped answer, in bytes.
-const MAX_SURPLUS_BODY: usize = 1 << 20;
-
 /// Timeouts that detect a backend server that has stopped responding.
 const DEAD_PEER_TIMEOUTS: TcpTimeouts = TcpTimeouts {
     user_timeout: Duration::from_millis(1_500),
@@ -160,14 +150,10 @@
     }
     sending.note_sent();
     let mut stream = SendingStream::new(stream, message.freeze());
-    let head = read_own_head(&mut stream, request, is_reused).await?;
-    let metadata = read_answer(&head);
-    read_limit(state, registration, &metadata, now);
-    let answer = ReceivedHead {
-        head,
-        metadata,
-        is_reusable: !is_long,
-    };
+    let mut answer = read_own_head(state, &mut stream, request, is_reused).await?;
+    // The next request would wait until this one is read.
+    answer.is_reusable &= !is_long;
+    read_limit(state, registration, &answer.metadata, now);
     check_answer(request, stream, answer, registration)
 }
 
@@ -205,15 +191,6 @@
     note_limit(state, backend, notice);
 }
 
-/// The head of an answer to a request.
-struct ReceivedHead {
-    head: ResponseHead,
-    metadata: AnswerMetadata,
-    /// Whether the connection can carry another request: this one is not so long that the next
-    /// would wait until it is read.
-    is_reusable: bool,
-}
-
 /// Returns a connection and whether it has carried requests before.
 async fn connect(
     state: &EntryState,
@@ -245,96 +222,18 @@
     None
 }
 
-/// Reads the head of the answer to this request.
-///
-/// A backend server may send a second copy of an earlier answer late, when the connection is in
-/// use again. It names its attempt and is skipped; the answer to this request follows it.
-async fn read_own_head(
-    stream: &mut SendingStream,
-    request: &AdmittedRequest,
-    is_reused: bool,
-) -> Result<ResponseHead, AttemptError> {
-    let max_skipped = if is_reused { MAX_SURPLUS_ANSWERS } else { 0 };
-    for _ in 0..max_skipped {
-        let head = read_head(stream).await?;
-        let metadata = read_answer(&head);
-        let is_surplus = metadata.attempt.is_some() && !is_answer_to(&metadata, request);
-        if !is_surplus || !head.is_persistent() {
-            return Ok(head);
-        }
-        tracing::info!(request = %request.attempt, "answer to an earlier request skipped");
-        skip_body(stream, &head, request).await?;
-    }
-    read_head(stream).await
-}
-
-/// Reads the body of an answer to an earlier request.
-async fn skip_body(
-    stream: &mut SendingStream,
-    head: &ResponseHead,
-    request: &AdmittedRequest,
-) -> Result<(), AttemptError> {
-    let broken = |error| AttemptError::Broken(bad_answer(error));
-    let framing = BodyFraming::of_response(head, &request.head.method).map_err(broken)?;
-    let mut decoder = BodyDecoder::new(framing);
-    let mut skipped = 0;
-    loop {
-        match decoder.decode(&mut stream.stream.buffer).map_err(broken)? {
-            BodyStep::Complete => return Ok(()),
-            BodyStep::Data(data) if skipped + data.len() > MAX_SURPLUS_BODY => {
-                let error = "an answer to an earlier request is too large to be skipped";
-                return Err(AttemptError::Broken(bad_answer(error)));
-            }
-            BodyStep::Data(data) => skipped += data.len(),
-            BodyStep::Incomplete => fill(stream).await?,
-        }
-    }
-}
-
-async fn fill(stream: &mut SendingStream) -> Result<(), AttemptError> {
-    match stream.fill().await {
-        Ok(0) => Err(AttemptError::Broken(connection_lost("closed"))),
-        Ok(_) => Ok(()),
-        Err(error) => Err(AttemptError::Broken(connection_lost(error))),
-    }
-}
-
-/// Reads the head of the next final answer, skipping interim answers.
-async fn read_head(stream: &mut SendingStream) -> Result<ResponseHead, AttemptError> {
-    let mut interim = 0;
-    loop {
-        let parsed = parse_response(&mut stream.stream.buffer, MAX_ANSWER_HEAD);
-        match parsed.map_err(|error| AttemptError::Broken(bad_answer(error)))? {
-            Some(head) if head.status == 101 => {
-                let error = "the backend server switches protocols";
-                return Err(AttemptError::Broken(bad_answer(error)));
-            }
-            Some(head) if head.status >= 200 => return Ok(head),
-            Some(_) if interim == MAX_INTERIM_ANSWERS => {
-                let error = "too many interim answers";
-                return Err(AttemptError::Broken(bad_answer(error)));
-            }
-            Some(_) => interim += 1,
-            None => fill(stream).await?,
-        }
-    }
-}
-
-/// Checks that what arrived on the connection is an answer to this request.
+/// Checks that the answer can be passed on.
 fn check_answer(
     request: &AdmittedRequest,
     stream: SendingStream,
-    answer: ReceivedHead,
+    answer: OwnHead,
     registration: &BackendRegistration,
 ) -> Result<OpenAnswer, AttemptError> {
-    let ReceivedHead {
+    let OwnHead {
         head,
         metadata,
         is_reusable,
     } = answer;
-    if !is_answer_to(&metadata, request) {
-        return Err(AttemptError::Broken(UnknownReason::BadAnswer));
-    }
     let framing = BodyFraming::of_response(&head, &request.head.method);
     let framing = framing.map_err(|error| AttemptError::Broken(bad_answer(error)))?;
     let body = AnswerBody {
@@ -357,14 +256,6 @@
     Ok(OpenAnswer { head, body })
 }
 
-fn is_answer_to(metadata: &AnswerMetadata, request: &AdmittedRequest) -> bool {
-    match &metadata.attempt {
-        Some(attempt) => *attempt == request.attempt.as_bytes(),
-        // A refusal may omit the attempt; it carries nothing that could belong to another request.
-        None => metadata.proves_not_run,
-    }
-}
-
 /// Logs why the answer of a backend server cannot be passed on.
 pub(crate) fn bad_answer(error: impl std::fmt::Display) -> UnknownReason {
     tracing::info!(fault = %error, "answer of a backend server cannot be used");
@@ -372,7 +263,7 @@
 }
 
 /// Logs why the connection to a backend server ended before its answer.
-fn connection_lost(error: impl std::fmt::Display) -> UnknownReason {
+pub(crate) fn connection_lost(error: impl std::fmt::Display) -> UnknownReason {
     tracing::info!(fault = %error, "connection to a backend server lost");
     UnknownReason::BackendBroke
 }
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -14,6 +14,7 @@
     pub(crate) takeovers_begun: IntCounter,
     pub(crate) takeovers_completed: IntCounter,
     pub(crate) answers_unread: IntCounter,
+    pub(crate) answers_skipped: IntCounter,
     pub(crate) ended_by_stop: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
@@ -57,6 +58,10 @@
                 "celerycrank_direct_answers_unread_total",
                 "answers that the entry ended since their caller did not read them",
             )?,
+            answers_skipped: set.counter(
+                "celerycrank_direct_answers_skipped_total",
+                "answers on connections in use again that belong to no or another request",
+            )?,
             ended_by_stop: set.counter(
                 "celerycrank_direct_ended_by_stop_total",
                 "requests that the entry ended since the grace period of its stop was over",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod load;
 mod metrics;
 mod outcome;
+mod own_head;
 mod pool;
 mod probe;
 mod process;
