A rejected version of the weights marks no backend server as gone

Cause: each 421 counted as proof that another process answers at the address.

Change: a 421 is that proof only if it names another backend server, or names none and the request carries no Expect-Version (`AnswerMetadata::proves_other_backend`). Otherwise the request may be sent to another backend server, and nothing is remembered of the one that rejected it, no backoff either.

Looked for in the own path: its entry and agent read no such status, nothing to change.

--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -50,6 +50,8 @@
     NotRun,
     /// The address belongs to another backend server, which did not run the request.
     Misdirected,
+    /// The backend server does not have what the request asks for and did not run it.
+    Unsuitable,
     /// The request may have run.
     Broken(UnknownReason),
     /// Nothing was sent: the configuration is too old to tell whether the caller's key is still
@@ -57,6 +59,13 @@
     Stale,
 }
 
+impl AttemptError {
+    /// Whether a backend server reported that it did not run the request.
+    pub(crate) const fn proves_not_run(self) -> bool {
+        matches!(self, Self::NotRun | Self::Misdirected | Self::Unsuitable)
+    }
+}
+
 /// An answer whose head has arrived.
 #[derive(Debug)]
 pub(crate) struct OpenAnswer {
@@ -245,7 +254,12 @@
         registration: registration.clone(),
     };
     if metadata.is_misdirected {
-        return Err(AttemptError::Misdirected);
+        let is_other = metadata.proves_other_backend(&registration.backend, &request.head);
+        return Err(if is_other {
+            AttemptError::Misdirected
+        } else {
+            AttemptError::Unsuitable
+        });
     }
     if metadata.proves_not_run {
         return Err(AttemptError::NotRun);
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -155,7 +155,7 @@
                 Ok(answer) => return Ok(ServedAnswer { answer, in_flight }),
                 Err(error) => error,
             };
-            if let AttemptError::NotRun | AttemptError::Misdirected = error {
+            if error.proves_not_run() {
                 sending.note_not_run();
             }
             drop((sending, in_flight));
@@ -356,7 +356,8 @@
             AttemptError::Misdirected => backends.note_misdirected(backend),
             AttemptError::Broken(_) => backends.note_answer(backend, true),
             AttemptError::NotRun => backends.note_refused(backend, now),
-            AttemptError::Stale | AttemptError::TooLate => {}
+            // What one request asks for says nothing about others.
+            AttemptError::Unsuitable | AttemptError::Stale | AttemptError::TooLate => {}
         }
     }
 
@@ -378,7 +379,7 @@
                 self.take_send(RetryReason::Repeatable),
                 RefusalReason::QueueFull,
             ),
-            AttemptError::NotRun | AttemptError::Misdirected => (
+            AttemptError::NotRun | AttemptError::Misdirected | AttemptError::Unsuitable => (
                 self.take_send(RetryReason::Refused),
                 RefusalReason::QueueFull,
             ),
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -150,6 +150,7 @@
 
     /// Records that another process answered at the address of a backend server.
     ///
+    /// The answer must prove that: a rejection of what one request asks for does not.
     /// The backend server has stopped, although the key-value service may list it for some more
     /// seconds. It is used again only after a new incarnation of it has registered.
     pub fn note_misdirected(&mut self, backend: &BackendId) {
