--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -10,9 +10,9 @@
 
 use super::{
     caller::{CallerConnection, ConnectionStep},
-    dispatch::{AttemptTrack, RequestDispatch},
+    dispatch::RequestDispatch,
     outcome::{RequestEnd, log_refusal, record_end},
-    progress::{AnswerProgress, RequestError},
+    progress::{AnswerProgress, AttemptTrack, RequestError},
     refusal::{bad_request, refusal_answer, unknown_answer},
     request::{AdmittedRequest, RequestDraft, admit},
     state::EntryState,
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -6,24 +6,18 @@
     BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics,
     choose_backend,
 };
-use celerycrank_types::{
-    BackendId, RefusalReason, RetryReason, TimePoint, TimeSpan, UnknownReason,
-};
+use celerycrank_types::{BackendId, RefusalReason, RetryReason, TimeSpan, UnknownReason};
 use smallvec::SmallVec;
 
 use super::{
     attempt::{AttemptError, OpenAnswer, open_attempt},
     crash::has_crashed,
-    progress::{AnswerProgress, RequestError, RetryObstacle, SendRecord},
+    progress::{AnswerProgress, AttemptTrack, RequestError, RetryObstacle, SendRecord},
     refusal::{RequestRefusal, random_spread},
     request::AdmittedRequest,
     state::EntryState,
 };
 
-/// Number of attempts per request that may fail without anything having been sent; the next such
-/// failure ends the request.
-const MAX_UNSENT_ATTEMPTS: u32 = 4;
-
 /// State of one request that is sent to one backend server after another.
 ///
 /// While a backend server is silent, another one may be asked at the same time.
@@ -36,37 +30,13 @@
     /// is dropped.
     pub(crate) sent: SendRecord,
     /// Number of attempts that failed without anything having been sent.
-    unsent_attempts: Cell<u32>,
+    pub(super) unsent_attempts: Cell<u32>,
     /// Why the last attempt failed.
-    last_error: Cell<Option<AttemptError>>,
+    pub(super) last_error: Cell<Option<AttemptError>>,
     /// The backend server whose answer is passed on.
     answering: RefCell<Option<BackendId>>,
 }
 
-/// Where one of the attempts that run at the same time stands.
-#[derive(Debug, Default)]
-pub(crate) struct AttemptTrack {
-    /// The backend server that was asked last.
-    backend: RefCell<Option<BackendId>>,
-    /// When it was asked; `None` if that was before this track began.
-    asked_at: Cell<Option<TimePoint>>,
-}
-
-impl AttemptTrack {
-    /// The track of an attempt that this backend server is answering.
-    pub(crate) fn of(backend: &BackendId) -> Self {
-        Self {
-            backend: RefCell::new(Some(backend.clone())),
-            asked_at: Cell::new(None),
-        }
-    }
-
-    fn note_asked(&self, backend: &BackendId, now: TimePoint) {
-        *self.backend.borrow_mut() = Some(backend.clone());
-        self.asked_at.set(Some(now));
-    }
-}
-
 /// An answer that is being read, and the backend server it comes from.
 pub(crate) struct ServedAnswer<'run> {
     pub(crate) answer: OpenAnswer,
@@ -209,20 +179,19 @@
 
     /// The time since an attempt asked its backend server; `None` if that was before its track began.
     pub(crate) fn age_of(&self, track: &AttemptTrack) -> Option<TimeSpan> {
-        let asked_at = track.asked_at.get()?;
-        Some(self.state.clock.now().since(asked_at))
+        Some(self.state.clock.now().since(track.asked_at()?))
     }
 
     /// Records that the backend server of an attempt is silent and another one is asked as well.
     pub(crate) fn note_silent(&self, track: &AttemptTrack) {
         self.state.metrics.takeovers_begun.inc();
-        let backend = track.backend.borrow();
-        if let Some(backend) = &*backend {
+        let backend = track.backend();
+        if let Some(backend) = &backend {
             self.state.backends.borrow_mut().note_answer(backend, true);
         }
         tracing::info!(
             request = %self.request.attempt,
-            backend = backend.as_ref().map(tracing::field::display),
+            backend = backend.map(tracing::field::display),
             sendings = self.sent.sends(),
             "backend server is silent; another one is asked as well"
         );
@@ -360,88 +329,4 @@
             AttemptError::Unsuitable | AttemptError::Stale | AttemptError::TooLate => {}
         }
     }
-
-    /// Returns an error unless another attempt follows the failed one.
-    fn check_retry(&self, error: AttemptError) -> Result<(), RequestError> {
-        let (granted, refusal) = match error {
-            AttemptError::Stale => return Err(self.final_error(RefusalReason::StaleConfiguration)),
-            AttemptError::TooLate => {
-                return Err(self.final_error(RefusalReason::DeadlineUnreachable));
-            }
-            AttemptError::NotSent => (
-                self.take_unsent_attempt(),
-                RefusalReason::BackendUnreachable,
-            ),
-            AttemptError::Broken(reason) if !self.request.route.semantics.may_repeat() => {
-                return Err(RequestError::Unknown(reason));
-            }
-            AttemptError::Broken(_) => (
-                self.take_send(RetryReason::Repeatable),
-                RefusalReason::QueueFull,
-            ),
-            AttemptError::NotRun | AttemptError::Misdirected | AttemptError::Unsuitable => (
-                self.take_send(RetryReason::Refused),
-                RefusalReason::QueueFull,
-            ),
-        };
-        granted.map_err(|obstacle| {
-            tracing::info!(
-                request = %self.request.attempt,
-                sendings = self.sent.sends(),
-                why = %obstacle,
-                "request is not sent again"
-            );
-            self.final_error(refusal)
-        })
-    }
-
-    /// Takes one of the attempts that replace an attempt which has sent nothing.
-    fn take_unsent_attempt(&self) -> Result<(), RetryObstacle> {
-        let attempts = self.unsent_attempts.get() + 1;
-        self.unsent_attempts.set(attempts);
-        if attempts > MAX_UNSENT_ATTEMPTS {
-            Err(RetryObstacle::Unreachable)
-        } else if self.has_sends_left() {
-            Ok(())
-        } else {
-            Err(RetryObstacle::NoSendLeft)
-        }
-    }
-
-    /// Takes a further send from those of the route and from the retries of the service.
-    fn take_send(&self, reason: RetryReason) -> Result<(), RetryObstacle> {
-        if !self.has_sends_left() {
-            Err(RetryObstacle::NoSendLeft)
-        } else if !self.take_retry(reason) {
-            Err(RetryObstacle::NoRetryLeft)
-        } else {
-            Ok(())
-        }
-    }
-
-    /// The error to report once no further attempt is made.
-    fn final_error(&self, refusal: impl Into<RequestRefusal>) -> RequestError {
-        if !self.sent.may_have_run() {
-            return RequestError::Refused(refusal.into());
-        }
-        match self.last_error.get() {
-            Some(AttemptError::Broken(reason)) => RequestError::Unknown(reason),
-            _ => RequestError::Unknown(UnknownReason::BackendBroke),
-        }
-    }
-
-    fn has_sends_left(&self) -> bool {
-        self.sent.planned_sends() < self.request.route.max_attempts
-    }
-
-    fn take_retry(&self, reason: RetryReason) -> bool {
-        let now = self.state.clock.now();
-        let is_granted = self
-            .state
-            .with_retry_window(&self.request.service, |window| window.take_retry(now));
-        if is_granted {
-            self.state.metrics.retries.count(reason);
-        }
-        is_granted
-    }
 }
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod refusal;
 mod request;
 mod resume;
+mod retry;
 mod sending;
 mod state;
 mod stop;
--- a/crates/celerycrank-direct/src/entry/progress.rs
+++ b/crates/celerycrank-direct/src/entry/progress.rs
@@ -1,8 +1,8 @@
 //! What has been sent of a request, how far its answer has come, and why it is not sent again.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 
-use celerycrank_types::UnknownReason;
+use celerycrank_types::{BackendId, TimePoint, UnknownReason};
 
 use super::refusal::RequestRefusal;
 
@@ -88,6 +88,41 @@
     }
 }
 
+/// Where one of the attempts that run at the same time stands.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptTrack {
+    /// The backend server that was asked last.
+    backend: RefCell<Option<BackendId>>,
+    /// When it was asked; `None` if that was before this track began.
+    asked_at: Cell<Option<TimePoint>>,
+}
+
+impl AttemptTrack {
+    /// The track of an attempt that this backend server is answering.
+    pub(crate) fn of(backend: &BackendId) -> Self {
+        Self {
+            backend: RefCell::new(Some(backend.clone())),
+            asked_at: Cell::new(None),
+        }
+    }
+
+    /// Records that this backend server is asked.
+    pub(crate) fn note_asked(&self, backend: &BackendId, now: TimePoint) {
+        *self.backend.borrow_mut() = Some(backend.clone());
+        self.asked_at.set(Some(now));
+    }
+
+    /// The backend server that was asked last.
+    pub(crate) fn backend(&self) -> Option<BackendId> {
+        self.backend.borrow().clone()
+    }
+
+    /// When it was asked; `None` if that was before this track began.
+    pub(crate) fn asked_at(&self) -> Option<TimePoint> {
+        self.asked_at.get()
+    }
+}
+
 /// How far the answer to a request had come when an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AnswerProgress {
--- a/crates/celerycrank-direct/src/entry/resume.rs
+++ b/crates/celerycrank-direct/src/entry/resume.rs
@@ -5,9 +5,9 @@
 
 use super::{
     attempt::bad_answer,
-    dispatch::{AttemptTrack, RequestDispatch},
+    dispatch::RequestDispatch,
     live::{LiveStream, StreamPart},
-    progress::{AnswerProgress, RequestError},
+    progress::{AnswerProgress, AttemptTrack, RequestError},
 };
 
 /// A stream and the part of it that was read last.
--- a/crates/celerycrank-direct/src/entry/takeover.rs
+++ b/crates/celerycrank-direct/src/entry/takeover.rs
@@ -13,9 +13,9 @@
 use tokio::select;
 
 use super::{
-    dispatch::{AttemptTrack, RequestDispatch},
+    dispatch::RequestDispatch,
     live::LiveStream,
-    progress::RetryObstacle,
+    progress::{AttemptTrack, RetryObstacle},
     resume::{StreamPosition, StreamReading, StreamResult, open_stream, read_next},
 };
 
