--- a/crates/celerycrank-direct/src/entry/retry.rs
+++ b/crates/celerycrank-direct/src/entry/retry.rs
@@ -83,10 +83,12 @@
         }
     }
 
+    /// Whether the route allows another send beside those made and those about to be made.
     pub(super) fn has_sends_left(&self) -> bool {
         self.sent.planned_sends() < self.request.route.max_attempts
     }
 
+    /// Takes a retry from the window of the service; returns whether there was one.
     pub(super) fn take_retry(&self, reason: RetryReason) -> bool {
         let now = self.state.clock.now();
         let is_granted = self
