--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -10,9 +10,9 @@
 
 use super::{
     caller::{CallerConnection, ConnectionStep},
-    dispatch::{AttemptTrack, RequestDispatch},
+    dispatch::RequestDispatch,
     outcome::{RequestEnd, log_refusal, record_end},
-    progress::{AnswerProgress, RequestError},
+    progress::{AnswerProgress, AttemptTrack, RequestError},
     refusal::{bad_request, refusal_answer, unknown_answer},
     request::{AdmittedRequest, RequestDraft, admit},
     state::EntryState,
@@ -95,8 +95,10 @@
         }
         Err(error) => error_answer(state, request, error, is_last),
     };
-    let is_sent = caller.send(&message).await;
-    (end, next_step(is_sent && !is_last))
+    if !caller.send(&message).await {
+        return (RequestEnd::CallerLeft, ConnectionStep::Close);
+    }
+    (end, next_step(!is_last))
 }
 
 /// Reads an answer to its end.
--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -4,8 +4,10 @@
 
 use actix_rt::time::timeout;
 use celerycrank_http::{BodyFraming, HeadError, HttpStream, RequestHead, parse_request};
+use celerycrank_process::ShutdownFlag;
 use celerycrank_serving::CallerBounds;
 use celerycrank_types::{RefusalReason, TimePoint};
+use prometheus::IntCounter;
 use tokio::{
     net::TcpStream,
     select,
@@ -29,8 +31,8 @@
 
 /// Maximum number of bytes of an answer that the kernel holds before it sends them.
 ///
-/// Without it, the kernel reports no progress until megabytes of its buffer are free, although a slow
-/// caller reads all the time.
+/// Without it, the kernel reports no progress until a large part of its buffer is free, although a
+/// slow caller reads all the time.
 const MAX_UNSENT_BYTES: u32 = 128 << 10;
 
 /// How long the rest of a refused request is read, so that its answer is not lost.
@@ -51,10 +53,16 @@
     pub(crate) stream: HttpStream,
     /// The deadline of the current request, until which a slow caller may read its answer.
     pub(crate) deadline: Option<Instant>,
+    /// Counts the answers that were given up since the caller did not read them.
+    answers_unread: IntCounter,
+    /// Raised when the entry stops.
+    shutdown: ShutdownFlag,
+    /// Whether the kernel holds as much of an answer as it can.
+    is_unlimited: bool,
 }
 
 impl CallerConnection {
-    fn new(socket: TcpStream) -> Self {
+    fn new(state: &EntryState, socket: TcpStream) -> Self {
         let stream = HttpStream::new(socket);
         if let Err(error) = stream.limit_unsent(MAX_UNSENT_BYTES) {
             tracing::info!(fault = %error, "cannot limit the unsent bytes of a connection");
@@ -62,6 +70,19 @@
         Self {
             stream,
             deadline: None,
+            answers_unread: state.metrics.answers_unread.clone(),
+            shutdown: state.shutdown.clone(),
+            is_unlimited: false,
+        }
+    }
+
+    /// Lets the kernel hold as much of an answer as it can.
+    ///
+    /// It delivers what it holds also after the process has ended.
+    fn lift_limit(&mut self) {
+        self.is_unlimited = true;
+        if let Err(error) = self.stream.limit_unsent(u32::MAX) {
+            tracing::info!(fault = %error, "cannot lift the limit of unsent bytes");
         }
     }
 
@@ -90,14 +111,25 @@
         let mut unsent = bytes;
         while !unsent.is_empty() {
             let end = last_end.min(Instant::now() + WRITE_TIMEOUT);
-            let error = match timeout_at(end, self.stream.send_some(unsent)).await {
+            let written = select! {
+                biased;
+                written = timeout_at(end, self.stream.send_some(unsent)) => written,
+                () = self.shutdown.raised(), if !self.is_unlimited => {
+                    self.lift_limit();
+                    continue;
+                }
+            };
+            let error = match written {
                 Ok(Ok(count)) if count > 0 => {
                     unsent = &unsent[count..];
                     continue;
                 }
                 Ok(Ok(_)) => "the connection takes no bytes".to_owned(),
                 Ok(Err(error)) => error.to_string(),
-                Err(_) => "the caller does not read".to_owned(),
+                Err(_) => {
+                    self.answers_unread.inc();
+                    "the caller does not read".to_owned()
+                }
             };
             let unsent = unsent.len();
             tracing::info!(fault = error, unsent, "answer not written to its caller");
@@ -130,7 +162,7 @@
 /// Serves one connection until either side closes it.
 pub(crate) async fn serve_caller(state: Rc<EntryState>, socket: TcpStream) {
     let _guard = CountGuard::new(&state.caller_connections);
-    let mut caller = CallerConnection::new(socket);
+    let mut caller = CallerConnection::new(&state, socket);
     loop {
         let (head, arrival) = match read_head(&state, &mut caller).await {
             Ok(read) => read,
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -13,11 +13,14 @@
     pub(crate) ended_early: IntCounter,
     pub(crate) takeovers_begun: IntCounter,
     pub(crate) takeovers_completed: IntCounter,
+    pub(crate) answers_unread: IntCounter,
+    pub(crate) answers_skipped: IntCounter,
     pub(crate) ended_by_stop: IntCounter,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
     pub(crate) store_errors: IntCounter,
+    pub(crate) configuration_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
     pub(crate) datagrams_unreadable: IntCounter,
     pub(crate) refusals: LabelledCounter<RefusalReason>,
@@ -52,6 +55,14 @@
                 "celerycrank_direct_takeovers_completed_total",
                 "silent streams that another backend server has taken over",
             )?,
+            answers_unread: set.counter(
+                "celerycrank_direct_answers_unread_total",
+                "answers that the entry ended since their caller did not read them",
+            )?,
+            answers_skipped: set.counter(
+                "celerycrank_direct_answers_skipped_total",
+                "answers on connections in use again that belong to no or another request",
+            )?,
             ended_by_stop: set.counter(
                 "celerycrank_direct_ended_by_stop_total",
                 "requests that the entry ended since the grace period of its stop was over",
@@ -72,6 +83,10 @@
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
             )?,
+            configuration_errors: set.counter(
+                "celerycrank_direct_configuration_faults_total",
+                "configurations, or parts of them, that cannot be read",
+            )?,
             datagrams_failed: set.counter(
                 "celerycrank_direct_datagrams_failed_total",
                 "datagrams that the socket could not send or receive",
