Log which crash reports an entry reads and what speaks for a quarantine

After a restart every prompt is refused as crashing_prompt, and the line 'prompt part is refused' names the part only. Three hypotheses cannot be told apart by it: the entry counts reports of crashes that were over before it started; it sees new crashes when the traffic returns; a part that is really suspect was refused before the restart as well.

Each report that is read now has a line with its key, its revision in the store and how it was read (with all others at a start, or as a change), and the refusal names the crashes that count and whether an answer to the part is known. No decision changes.

--- a/crates/celerycrank-direct/src/entry/quarantine.rs
+++ b/crates/celerycrank-direct/src/entry/quarantine.rs
@@ -14,7 +14,7 @@
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use celerycrank_client::{Expected, KeyValueError, KeyValueRecord, SwapOutcome};
-use celerycrank_serving::{CrashReport, CrashedBackend, PromptQuery};
+use celerycrank_serving::{CrashReport, CrashedBackend, PromptQuery, RefusedPart};
 use celerycrank_types::{EntryId, PromptPartId, TimePoint, TimeSpan};
 use tokio::sync::Notify;
 
@@ -64,8 +64,13 @@
         let mut quarantine = self.quarantine.borrow_mut();
         let change = quarantine.note_crash(report, now, &mut *self.random.borrow_mut());
         self.count_quarantined(quarantine.len());
-        for part in &change.added {
-            tracing::warn!(%service, %part, "prompt part is refused; it crashes backend servers");
+        for refused in &change.added {
+            let RefusedPart {
+                part,
+                crashes,
+                is_known,
+            } = refused;
+            tracing::warn!(%service, %part, crashes, is_known, "prompt part is refused; it crashes backend servers");
         }
         for part in &change.evicted {
             tracing::warn!(%part, "prompt part is no longer refused; too many are");
@@ -82,15 +87,33 @@
 pub(super) async fn read_crash_reports(state: &EntryState) -> Result<(), KeyValueError> {
     let snapshot = state.store.range(CRASH_PREFIX).await?;
     for record in &snapshot.records {
-        apply_record(state, record);
+        apply_record(state, record, ReportSource::Range);
     }
     Ok(())
 }
 
+/// How an entry gets a report from the key-value service.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum ReportSource {
+    /// With all others, at the start of the process or after an outage of the key-value service.
+    Range,
+    /// As a change.
+    Change,
+}
+
 /// Applies the report in a record.
-pub(super) fn apply_record(state: &EntryState, record: &KeyValueRecord) {
+pub(super) fn apply_record(state: &EntryState, record: &KeyValueRecord, source: ReportSource) {
     match CrashReport::decode(&record.value) {
-        Ok(report) => state.apply_report(report),
+        Ok(report) => {
+            tracing::info!(
+                key = %record.key,
+                store_revision = %record.revision,
+                ?source,
+                prompts = report.prompts().count(),
+                "crash report read"
+            );
+            state.apply_report(report);
+        }
         Err(error) => {
             tracing::warn!(key = %record.key, fault = %error, "crash report is ignored");
         }
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -13,7 +13,7 @@
 
 use super::{
     backoff::StoreBackoff,
-    quarantine::{CRASH_PREFIX, apply_record, read_crash_reports},
+    quarantine::{CRASH_PREFIX, ReportSource, apply_record, read_crash_reports},
     state::EntryState,
 };
 
@@ -99,7 +99,7 @@
     } else if key.starts_with(CRASH_PREFIX) {
         // A report that is removed has only outlived its use for processes that start.
         if let WatchEvent::Put(record) = event {
-            apply_record(state, record);
+            apply_record(state, record, ReportSource::Change);
         }
     } else if key.starts_with(REGISTRATION_PREFIX)
         && let Some(change) = decode_change(event)
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -31,7 +31,7 @@
     freshness::FreshnessGuard,
     limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport},
-    quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
+    quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus, RefusedPart},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
     table::BackendTable,
--- a/crates/celerycrank-serving/src/quarantine.rs
+++ b/crates/celerycrank-serving/src/quarantine.rs
@@ -153,11 +153,22 @@
     pub remaining: TimeSpan,
 }
 
+/// A part that is refused from now on, and why.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RefusedPart {
+    /// The part.
+    pub part: PromptPartId,
+    /// Number of crashes that count against it.
+    pub crashes: u32,
+    /// Whether an answer to a prompt with it is known to have begun before.
+    pub is_known: bool,
+}
+
 /// What a crash report changes.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct QuarantineChange {
     /// Parts that are refused from now on.
-    pub added: Vec<PromptPartId>,
+    pub added: Vec<RefusedPart>,
     /// Parts that are no longer refused, since too many are.
     pub evicted: Vec<PromptPartId>,
 }
@@ -240,9 +251,9 @@
             return change;
         };
         self.explain(index, now, random);
-        while let Some(part) = self.most_suspect(&service) {
-            let evicted = self.quarantine(&service, part, now, random);
-            change.added.push(part);
+        while let Some(refused) = self.most_suspect(&service) {
+            let evicted = self.quarantine(&service, refused.part, now, random);
+            change.added.push(refused);
             change.evicted.extend(evicted);
         }
         change
@@ -325,7 +336,7 @@
     }
 
     /// The part with the strongest evidence, if it suffices for a quarantine.
-    fn most_suspect(&self, service: &ServiceId) -> Option<PromptPartId> {
+    fn most_suspect(&self, service: &ServiceId) -> Option<RefusedPart> {
         let mut evidence = HashMap::<PromptPartId, PartEvidence>::new();
         let crashes = self.crashes.iter();
         let crashes =
@@ -356,8 +367,12 @@
             evidence.crashes >= limit
         });
         // The part decides last, so that all entries choose the same one.
-        let most = suspects.max_by_key(|(part, evidence)| (*evidence, *part));
-        most.map(|(part, _)| part)
+        let (part, evidence) = suspects.max_by_key(|(part, evidence)| (*evidence, *part))?;
+        Some(RefusedPart {
+            part,
+            crashes: evidence.crashes,
+            is_known: self.begun_at.contains(&PartKey::new(service, part)),
+        })
     }
 
     fn quarantine<R: Rng>(
--- a/crates/celerycrank-serving/tests/quarantine.rs
+++ b/crates/celerycrank-serving/tests/quarantine.rs
@@ -71,6 +71,10 @@
     }
 }
 
+fn refused(change: &QuarantineChange) -> Vec<PromptPartId> {
+    change.added.iter().map(|refused| refused.part).collect()
+}
+
 fn report(backend: u64, prompts: &[&[u128]]) -> CrashReport {
     let mut report = CrashReport::new(crashed(backend));
     for prompt in prompts {
@@ -87,7 +91,7 @@
     assert_eq!(first, QuarantineChange::default());
     assert_eq!(entry.admit(&[COMMON, DEADLY], at(1)), Ok(()));
     let second = entry.crash(2, &[&[8], &[COMMON, DEADLY], &[COMMON]], at(300));
-    assert_eq!(second.added, ids(&[DEADLY]));
+    assert_eq!(refused(&second), ids(&[DEADLY]));
     entry
         .admit(&[COMMON, DEADLY], at(301))
         .expect_err("it crashes");
@@ -109,7 +113,7 @@
     entry.crash(4, &[&[COMMON]], at(50));
     let fifth = entry.crash(5, &[&[COMMON]], at(60));
     assert_eq!(
-        fifth.added,
+        refused(&fifth),
         ids(&[COMMON]),
         "a part that has begun before may crash backend servers later"
     );
@@ -133,7 +137,11 @@
     });
     restarted.add(&ids(&[DEADLY]));
     let change = entry.crash_report(restarted, at(2));
-    assert_eq!(change.added, ids(&[DEADLY]), "the next incarnation crashed");
+    assert_eq!(
+        refused(&change),
+        ids(&[DEADLY]),
+        "the next incarnation crashed"
+    );
 }
 
 // Guards against a part that is refused for ever, and against one that is tried by everybody again.
