A restarted entry knows the answers that followed crashes

Cause: of the evidence about a prompt part only the crashes outlive the process. An entry that starts reads the reports of the last ten minutes, knows neither that answers to the part had begun before (four crashes are needed then, not two) nor that answers began after the crashes (upon which they count no more), and refuses the part before the first request is sent; so no answer can begin that would end it. Ruled out: new crashes as the traffic returns; a part that was suspect before.

Change: a report names the parts that its entry had seen answered before, and an entry that sees an answer begin records up to which report, by the store's revision, that answer counts. Starting entries read these clearances first. Revisions, not clocks, order crashes and answers. A clearance counts at running entries too, so that a successful trial at one of them ends the refusals at all.

--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod backoff;
 mod body;
 mod caller;
+mod clearance;
 mod crash;
 mod dispatch;
 mod limits;
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -19,6 +19,7 @@
 use super::{
     admin::EntryAdminHandler,
     caller::serve_caller,
+    clearance::write_clearances,
     load::receive_loads,
     metrics::EntryMetrics,
     probe::serve_probes,
@@ -169,6 +170,8 @@
     tasks.spawn("crashes", move || collect_crashes(Rc::clone(&collecting)));
     let writing = Rc::clone(state);
     tasks.spawn("crash reports", move || write_reports(Rc::clone(&writing)));
+    let clearing = Rc::clone(state);
+    tasks.spawn("clearances", move || write_clearances(Rc::clone(&clearing)));
     let (receiving, peers) = (Rc::clone(state), Rc::new(peers));
     tasks.spawn("loads", move || {
         receive_loads(Rc::clone(&receiving), Rc::clone(&peers))
--- a/crates/celerycrank-direct/src/entry/quarantine.rs
+++ b/crates/celerycrank-direct/src/entry/quarantine.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use celerycrank_client::{Expected, KeyValueError, KeyValueRecord, SwapOutcome};
 use celerycrank_serving::{CrashReport, CrashedBackend, PromptQuery, RefusedPart};
-use celerycrank_types::{EntryId, PromptPartId, TimePoint, TimeSpan};
+use celerycrank_types::{EntryId, ModRevision, PromptPartId, TimePoint, TimeSpan};
 use tokio::sync::Notify;
 
 use super::state::EntryState;
@@ -23,8 +23,8 @@
 /// The prefix of the keys of crash reports.
 pub(super) const CRASH_PREFIX: &str = "celerycrank/crashes/";
 
-/// How long a report stays for processes that start.
-const REPORT_TTL: TimeSpan = TimeSpan::from_secs(600);
+/// How long a record stays for processes that start.
+const RECORD_TTL: TimeSpan = TimeSpan::from_secs(600);
 
 /// Delay before a report that could not be written is written again.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -39,7 +39,11 @@
             return;
         }
         let mut quarantine = self.quarantine.borrow_mut();
-        if quarantine.note_begun(query, self.clock.now()) {
+        let is_released = quarantine.note_begun(query, self.clock.now());
+        if quarantine.has_pending() {
+            self.clearance_noted.notify_one();
+        }
+        if is_released {
             self.count_quarantined(quarantine.len());
             tracing::info!(
                 service = %query.service,
@@ -57,12 +61,13 @@
         }
     }
 
-    /// Decides about the parts that a report names.
-    fn apply_report(&self, report: CrashReport) {
+    /// Decides about the parts that a report names; `recorded` is the revision of its record, if it was
+    /// read from one.
+    fn apply_report(&self, report: CrashReport, recorded: Option<ModRevision>) {
         let service = report.crashed.service.clone();
         let now = self.clock.now();
         let mut quarantine = self.quarantine.borrow_mut();
-        let change = quarantine.note_crash(report, now, &mut *self.random.borrow_mut());
+        let change = quarantine.note_crash(report, recorded, now, &mut *self.random.borrow_mut());
         self.count_quarantined(quarantine.len());
         for refused in &change.added {
             let RefusedPart {
@@ -77,7 +82,7 @@
         }
     }
 
-    fn count_quarantined(&self, parts: usize) {
+    pub(super) fn count_quarantined(&self, parts: usize) {
         let parts = i64::try_from(parts).unwrap_or(i64::MAX);
         self.metrics.quarantined_parts.set(parts);
     }
@@ -85,8 +90,9 @@
 
 /// Reads the reports of all entries.
 pub(super) async fn read_crash_reports(state: &EntryState) -> Result<(), KeyValueError> {
-    let snapshot = state.store.range(CRASH_PREFIX).await?;
-    for record in &snapshot.records {
+    let mut records = state.store.range(CRASH_PREFIX).await?.records;
+    records.sort_by_key(|record| record.revision);
+    for record in &records {
         apply_record(state, record, ReportSource::Range);
     }
     Ok(())
@@ -112,7 +118,7 @@
                 prompts = report.prompts().count(),
                 "crash report read"
             );
-            state.apply_report(report);
+            state.apply_report(report, Some(record.revision));
         }
         Err(error) => {
             tracing::warn!(key = %record.key, fault = %error, "crash report is ignored");
@@ -159,7 +165,7 @@
         loop {
             let first = self.reports.borrow_mut().pop_front();
             match first {
-                Some(it) if state.clock.now().since(it.seen_at) < REPORT_TTL => return it,
+                Some(it) if state.clock.now().since(it.seen_at) < RECORD_TTL => return it,
                 Some(it) => tracing::warn!(key = %it.key, "crash report dropped; it is too old"),
                 None => self.added.notified().await,
             }
@@ -182,8 +188,9 @@
         }
         let seen_at = state.clock.now();
         let entry = &state.settings().entry;
-        for report in reports {
-            state.apply_report(report.clone());
+        for mut report in reports {
+            state.quarantine.borrow().describe_parts(&mut report);
+            state.apply_report(report.clone(), None);
             state.crash_reports.push(entry, report, seen_at);
         }
     }
@@ -196,7 +203,7 @@
         while let Err(error) = write_report(&state, &first).await {
             state.metrics.store_errors.inc();
             tracing::warn!(key = %first.key, fault = %error, "crash report not written yet");
-            if state.clock.now().since(first.seen_at) >= REPORT_TTL {
+            if state.clock.now().since(first.seen_at) >= RECORD_TTL {
                 tracing::warn!(key = %first.key, "crash report dropped; it is too old");
                 break;
             }
@@ -215,18 +222,24 @@
 }
 
 async fn write_report(state: &EntryState, waiting: &WaitingReport) -> Result<(), KeyValueError> {
-    let lease = state.store.grant_lease(REPORT_TTL).await?;
     let value = Bytes::from(waiting.report.encode());
-    let written =
-        state
-            .store
-            .compare_and_swap_leased(&waiting.key, Expected::Absent, value, lease.id);
+    write_leased(state, &waiting.key, value).await
+}
+
+/// Writes a record that stays for processes that start in the next minutes.
+pub(super) async fn write_leased(
+    state: &EntryState,
+    key: &str,
+    value: Bytes,
+) -> Result<(), KeyValueError> {
+    let lease = state.store.grant_lease(RECORD_TTL).await?;
+    let written = state
+        .store
+        .compare_and_swap_leased(key, Expected::Absent, value, lease.id);
     match written.await? {
         SwapOutcome::Written(_) => {}
         // An earlier call was carried out, although its answer was lost.
-        SwapOutcome::Conflict(_) => {
-            tracing::info!(key = %waiting.key, "crash report is there already");
-        }
+        SwapOutcome::Conflict(_) => tracing::info!(%key, "record is there already"),
     }
     Ok(())
 }
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -60,6 +60,8 @@
     pub(crate) crashes: RefCell<CrashCollector>,
     /// Wakes the task that decides about crashes.
     pub(crate) crash_noted: Notify,
+    /// Wakes the task that writes clearances.
+    pub(crate) clearance_noted: Notify,
     /// What is needed to share the limits of backend servers with the other entries.
     pub(crate) limits: LimitSharing,
     /// Reports of crashes for the other entries.
@@ -126,6 +128,7 @@
             quarantine: RefCell::default(),
             crashes: RefCell::default(),
             crash_noted: Notify::new(),
+            clearance_noted: Notify::new(),
             limits: LimitSharing::default(),
             crash_reports: ReportQueue::default(),
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -13,6 +13,7 @@
 
 use super::{
     backoff::StoreBackoff,
+    clearance::{CLEARANCE_PREFIX, apply_clearances, read_clearances},
     quarantine::{CRASH_PREFIX, ReportSource, apply_record, read_crash_reports},
     state::EntryState,
 };
@@ -49,6 +50,8 @@
     if is_newest {
         state.confirm(asked_at);
     }
+    // Read first, so that crashes that answers have followed never count as evidence.
+    read_clearances(state).await?;
     read_crash_reports(state).await?;
     read_backends(state).await?;
     backoff.record_success();
@@ -101,6 +104,10 @@
         if let WatchEvent::Put(record) = event {
             apply_record(state, record, ReportSource::Change);
         }
+    } else if key.starts_with(CLEARANCE_PREFIX) {
+        if let WatchEvent::Put(record) = event {
+            apply_clearances(state, record);
+        }
     } else if key.starts_with(REGISTRATION_PREFIX)
         && let Some(change) = decode_change(event)
     {
--- a/crates/celerycrank-serving/src/crash.rs
+++ b/crates/celerycrank-serving/src/crash.rs
@@ -6,7 +6,7 @@
 };
 
 use celerycrank_types::{BackendId, PromptPartId, ServiceId, TimePoint, TimeSpan};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Time over which an entry collects what it sees of crashes, since all connections of a backend
 /// server break at the same time.
@@ -42,14 +42,17 @@
     ///
     /// Invariant: bounded in both dimensions, without duplicates.
     prompts: Vec<Vec<PromptPartId>>,
+    /// The parts among them to which the reporting entry knew answers before the crash.
+    #[serde(default)]
+    answered: Vec<PromptPartId>,
 }
 
-/// Why a report cannot be used.
+/// Why a record of crashes or clearances cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
 pub enum CrashReportError {
-    /// the report cannot be parsed: {0}
+    /// the record cannot be parsed: {0}
     Unreadable(Arc<str>),
-    /// the report names more prompts or parts than allowed
+    /// the record names more prompts or parts than allowed
     TooLarge,
 }
 
@@ -62,6 +65,7 @@
         Self {
             crashed,
             prompts: Vec::new(),
+            answered: Vec::new(),
         }
     }
 
@@ -82,6 +86,21 @@
         is_added
     }
 
+    /// The parts to which the reporting entry knew answers before the crash.
+    #[must_use]
+    pub fn answered(&self) -> &[PromptPartId] {
+        &self.answered
+    }
+
+    /// Sets the parts to which answers are known.
+    pub(crate) fn set_answered(&mut self, is_known: impl Fn(PromptPartId) -> bool) {
+        let parts = self.prompts.iter().flatten().copied();
+        let mut answered = parts.filter(|part| is_known(*part)).collect::<Vec<_>>();
+        answered.sort_unstable();
+        answered.dedup();
+        self.answered = answered;
+    }
+
     /// Encodes the report for the key-value service.
     ///
     /// # Panics
@@ -98,10 +117,10 @@
     ///
     /// Fails if the bytes are no report, or one of a size that no entry writes.
     pub fn decode(bytes: &[u8]) -> Result<Self, CrashReportError> {
-        let report = serde_json::from_slice::<Self>(bytes)
-            .map_err(|e| CrashReportError::Unreadable(e.to_string().into()))?;
+        let report = decode_record::<Self>(bytes)?;
         let is_too_large = report.prompts.len() > MAX_PROMPTS
-            || report.prompts().any(|prompt| prompt.len() > MAX_PARTS);
+            || report.prompts().any(|prompt| prompt.len() > MAX_PARTS)
+            || report.answered.len() > MAX_PROMPTS * MAX_PARTS;
         if is_too_large {
             return Err(CrashReportError::TooLarge);
         }
@@ -109,6 +128,11 @@
     }
 }
 
+/// Decodes a record of the key-value service.
+pub(crate) fn decode_record<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CrashReportError> {
+    serde_json::from_slice(bytes).map_err(|e| CrashReportError::Unreadable(e.to_string().into()))
+}
+
 /// Collects what one entry sees of crashes that happen at the same time.
 #[derive(Debug, Default)]
 pub struct CrashCollector {
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -6,9 +6,11 @@
 mod backend;
 mod budget;
 mod choice;
+mod clearance;
 mod configuration;
 mod crash;
 mod event;
+mod evidence;
 mod freshness;
 mod limit;
 mod load;
@@ -22,16 +24,18 @@
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
     choice::{BackendChoice, ChoiceQuery, choose_backend},
+    clearance::{ClearanceRecord, PartClearance},
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
     },
     crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
     event::{EventError, EventReader},
+    evidence::RefusedPart,
     freshness::FreshnessGuard,
     limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport},
-    quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus, RefusedPart},
+    quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
     table::BackendTable,
--- a/crates/celerycrank-serving/src/quarantine.rs
+++ b/crates/celerycrank-serving/src/quarantine.rs
@@ -7,25 +7,20 @@
 //!
 //! A part is quarantined after a few crashes at which a prompt with it was present unanswered, if
 //! no answer to a prompt with it has begun since. Crashes that a quarantined part explains count
-//! against no other part.
+//! against no other part. Entries record both crashes and the answers that follow them, so that a
+//! process that starts does not take answered crashes for evidence.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    num::NonZeroUsize,
-};
+use std::num::NonZeroUsize;
 
-use celerycrank_types::{PromptPartId, ServiceId, TimePoint, TimeSpan};
+use celerycrank_types::{ModRevision, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use lru::LruCache;
 use rand::Rng;
 
-use crate::{CrashReport, CrashedBackend};
-
-/// Number of crashes from which on a part is quarantined, if no answer to a prompt with it has begun
-/// before.
-const MIN_CRASHES_OF_NEW_PART: u32 = 2;
-
-/// Number of crashes from which on any other part is quarantined.
-const MIN_CRASHES_OF_KNOWN_PART: u32 = 4;
+use crate::{
+    CrashReport, PartClearance, RefusedPart,
+    clearance::MAX_CLEARANCES,
+    evidence::{CrashEvidence, MAX_KNOWN_PARTS, PartKey},
+};
 
 /// The shortest time for which a part is refused before one request with it is tried again.
 ///
@@ -46,15 +41,6 @@
 /// backend servers. A later crash is that of a trial.
 const SETTLING_SPAN: TimeSpan = TimeSpan::from_secs(30);
 
-/// Time for which a crash counts as evidence.
-const EVIDENCE_LIFETIME: TimeSpan = TimeSpan::from_secs(600);
-
-/// Maximum number of crashes that are remembered.
-const MAX_CRASHES: usize = 128;
-
-/// Maximum number of parts of which the last begun answer is remembered.
-const MAX_KNOWN_PARTS: NonZeroUsize = NonZeroUsize::new(8_192).expect("not zero");
-
 /// Maximum number of parts that are refused.
 const MAX_QUARANTINED_PARTS: NonZeroUsize = NonZeroUsize::new(256).expect("not zero");
 
@@ -74,37 +60,6 @@
     }
 }
 
-/// A part at one service; another service may be able to answer prompts with it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct PartKey {
-    service: ServiceId,
-    part: PromptPartId,
-}
-
-impl PartKey {
-    fn new(service: &ServiceId, part: PromptPartId) -> Self {
-        Self {
-            service: service.clone(),
-            part,
-        }
-    }
-}
-
-/// A crash, and the prompts that all entries together saw at the backend server.
-#[derive(Debug)]
-struct ObservedCrash {
-    report: CrashReport,
-    at: TimePoint,
-    /// Whether a quarantined part explains it.
-    is_explained: bool,
-}
-
-impl ObservedCrash {
-    fn holds(&self, part: PromptPartId) -> bool {
-        self.report.prompts().any(|prompt| prompt.contains(&part))
-    }
-}
-
 /// The quarantine of one part.
 #[derive(Debug, Clone, Copy)]
 struct QuarantinedPart {
@@ -129,17 +84,6 @@
     }
 }
 
-/// The evidence against a part; larger is stronger.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct PartEvidence {
-    /// Number of crashes at which a prompt with the part was present.
-    crashes: u32,
-    /// The largest position of the part in these prompts. Fewer sound prompts share a later part.
-    position: usize,
-    /// Number of these prompts.
-    prompts: u32,
-}
-
 /// A part that is refused, for the operators.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantineStatus {
@@ -153,17 +97,6 @@
     pub remaining: TimeSpan,
 }
 
-/// A part that is refused from now on, and why.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RefusedPart {
-    /// The part.
-    pub part: PromptPartId,
-    /// Number of crashes that count against it.
-    pub crashes: u32,
-    /// Whether an answer to a prompt with it is known to have begun before.
-    pub is_known: bool,
-}
-
 /// What a crash report changes.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct QuarantineChange {
@@ -173,22 +106,21 @@
     pub evicted: Vec<PromptPartId>,
 }
 
-/// The prompt parts that one entry refuses, and the crashes on which this is based.
+/// The prompt parts that one entry refuses, and the evidence on which this is based.
 #[derive(Debug)]
 pub struct PartQuarantine {
-    /// When an answer to a prompt with the part last began.
-    begun_at: LruCache<PartKey, TimePoint>,
-    /// Recent crashes, oldest first.
-    crashes: VecDeque<ObservedCrash>,
+    evidence: CrashEvidence,
     quarantined: LruCache<PartKey, QuarantinedPart>,
+    /// Clearances that this entry has to record.
+    pending: LruCache<PartKey, ModRevision>,
 }
 
 impl Default for PartQuarantine {
     fn default() -> Self {
         Self {
-            begun_at: LruCache::new(MAX_KNOWN_PARTS),
-            crashes: VecDeque::new(),
+            evidence: CrashEvidence::default(),
             quarantined: LruCache::new(MAX_QUARANTINED_PARTS),
+            pending: LruCache::new(MAX_KNOWN_PARTS),
         }
     }
 }
@@ -232,27 +164,78 @@
         let mut is_released = false;
         for key in query.keys() {
             is_released |= self.quarantined.pop(&key).is_some();
-            self.begun_at.put(key, now);
+            if let Some(up_to) = self.evidence.note_begun(&key, now) {
+                self.pending.put(key, up_to);
+            }
         }
         is_released
     }
 
+    /// Whether clearances have to be recorded for other entries.
+    #[must_use]
+    pub fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Takes clearances that have to be recorded, as many as a record may hold.
+    pub fn take_pending(&mut self) -> Vec<PartClearance> {
+        let pending = std::iter::from_fn(|| self.pending.pop_lru());
+        let clearances = pending.map(|(PartKey { service, part }, up_to)| PartClearance {
+            service,
+            part,
+            up_to,
+        });
+        clearances.take(MAX_CLEARANCES).collect()
+    }
+
+    /// Returns clearances that could not be recorded.
+    pub fn restore_pending(&mut self, clearances: Vec<PartClearance>) {
+        for clearance in clearances {
+            let key = PartKey::new(&clearance.service, clearance.part);
+            let up_to = self.pending.get_or_insert_mut(key, ModRevision::default);
+            *up_to = clearance.up_to.max(*up_to);
+        }
+    }
+
+    /// Records a clearance of this or another entry; returns whether the part was quarantined.
+    ///
+    /// A later crash keeps the part quarantined.
+    pub fn note_clearance(&mut self, clearance: &PartClearance) -> bool {
+        let key = PartKey::new(&clearance.service, clearance.part);
+        self.evidence.note_cleared(&key, clearance.up_to);
+        let pending = self.pending.peek(&key);
+        if pending.is_some_and(|up_to| *up_to <= clearance.up_to) {
+            self.pending.pop(&key);
+        }
+        self.evidence.is_cleared(&key) && self.quarantined.pop(&key).is_some()
+    }
+
+    /// Adds to a report of this entry the parts to which it knows answers.
+    pub fn describe_parts(&self, report: &mut CrashReport) {
+        let service = report.crashed.service.clone();
+        report.set_answered(|part| self.evidence.is_known(&PartKey::new(&service, part)));
+    }
+
     /// Records a crash, as this or another entry saw it.
+    ///
+    /// `recorded` is the revision of the report's record, if it was read from one.
     pub fn note_crash<R: Rng>(
         &mut self,
         report: CrashReport,
+        recorded: Option<ModRevision>,
         now: TimePoint,
         random: &mut R,
     ) -> QuarantineChange {
         let mut change = QuarantineChange::default();
         let service = report.crashed.service.clone();
-        self.drop_old_crashes(now);
-        let Some(index) = self.merge(report, now) else {
+        self.evidence.drop_old_crashes(now);
+        let Some(index) = self.evidence.merge(report, recorded, now) else {
             return change;
         };
         self.explain(index, now, random);
-        while let Some(refused) = self.most_suspect(&service) {
-            let evicted = self.quarantine(&service, refused.part, now, random);
+        while let Some(refused) = self.evidence.most_suspect(&service) {
+            let key = PartKey::new(&service, refused.part);
+            let evicted = self.quarantine(key, now, random);
             change.added.push(refused);
             change.evicted.extend(evicted);
         }
@@ -284,50 +267,13 @@
         self.quarantined.is_empty()
     }
 
-    fn drop_old_crashes(&mut self, now: TimePoint) {
-        let is_old = |crash: &ObservedCrash| now.since(crash.at) > EVIDENCE_LIFETIME;
-        while self.crashes.front().is_some_and(is_old) {
-            self.crashes.pop_front();
-        }
-    }
-
-    /// Adds a report to the known crashes; returns the index of its crash if it has new prompts.
-    fn merge(&mut self, report: CrashReport, now: TimePoint) -> Option<usize> {
-        let is_same = |crashed: &CrashedBackend| *crashed == report.crashed;
-        let known = self
-            .crashes
-            .iter()
-            .position(|crash| is_same(&crash.report.crashed));
-        if let Some(index) = known {
-            let known = &mut self.crashes[index].report;
-            let added = report.prompts().filter(|prompt| known.add(prompt)).count();
-            return (added > 0).then_some(index);
-        }
-        if self.crashes.len() == MAX_CRASHES {
-            self.crashes.pop_front();
-        }
-        self.crashes.push_back(ObservedCrash {
-            report,
-            at: now,
-            is_explained: false,
-        });
-        Some(self.crashes.len() - 1)
-    }
-
     /// Checks whether quarantined parts explain a crash; if so, renews their quarantine.
     fn explain<R: Rng>(&mut self, index: usize, now: TimePoint, random: &mut R) {
-        let crash = &mut self.crashes[index];
-        if crash.is_explained {
-            return;
-        }
-        let service = crash.report.crashed.service.clone();
-        let parts = crash.report.prompts().flatten().copied();
-        for part in parts.collect::<Vec<_>>() {
-            let key = PartKey::new(&service, part);
+        for key in self.evidence.unexplained_parts(index) {
             let Some(quarantined) = self.quarantined.get_mut(&key) else {
                 continue;
             };
-            crash.is_explained = true;
+            self.evidence.explain(index);
             if now.since(quarantined.since) > SETTLING_SPAN {
                 quarantined.failed_trials = quarantined.failed_trials.saturating_add(1);
             }
@@ -335,50 +281,9 @@
         }
     }
 
-    /// The part with the strongest evidence, if it suffices for a quarantine.
-    fn most_suspect(&self, service: &ServiceId) -> Option<RefusedPart> {
-        let mut evidence = HashMap::<PromptPartId, PartEvidence>::new();
-        let crashes = self.crashes.iter();
-        let crashes =
-            crashes.filter(|it| !it.is_explained && it.report.crashed.service == *service);
-        for crash in crashes {
-            let mut counted = Vec::new();
-            for (position, part) in crash.report.prompts().flat_map(|it| it.iter().enumerate()) {
-                let begun_at = self.begun_at.peek(&PartKey::new(service, *part));
-                if begun_at.is_some_and(|at| *at >= crash.at) {
-                    continue;
-                }
-                let entry = evidence.entry(*part).or_default();
-                entry.prompts += 1;
-                entry.position = entry.position.max(position);
-                if !counted.contains(part) {
-                    entry.crashes += 1;
-                    counted.push(*part);
-                }
-            }
-        }
-        let suspects = evidence.into_iter().filter(|(part, evidence)| {
-            let is_known = self.begun_at.contains(&PartKey::new(service, *part));
-            let limit = if is_known {
-                MIN_CRASHES_OF_KNOWN_PART
-            } else {
-                MIN_CRASHES_OF_NEW_PART
-            };
-            evidence.crashes >= limit
-        });
-        // The part decides last, so that all entries choose the same one.
-        let (part, evidence) = suspects.max_by_key(|(part, evidence)| (*evidence, *part))?;
-        Some(RefusedPart {
-            part,
-            crashes: evidence.crashes,
-            is_known: self.begun_at.contains(&PartKey::new(service, part)),
-        })
-    }
-
     fn quarantine<R: Rng>(
         &mut self,
-        service: &ServiceId,
-        part: PromptPartId,
+        key: PartKey,
         now: TimePoint,
         random: &mut R,
     ) -> Option<PromptPartId> {
@@ -388,13 +293,8 @@
             until: now,
         };
         quarantined.renew(now, random);
-        let key = PartKey::new(service, part);
+        self.evidence.explain_all(&key);
         let evicted = self.quarantined.push(key, quarantined);
-        let crashes = self.crashes.iter_mut();
-        let crashes = crashes.filter(|it| it.report.crashed.service == *service);
-        for crash in crashes.filter(|crash| crash.holds(part)) {
-            crash.is_explained = true;
-        }
         evicted.map(|(key, _)| key.part)
     }
 }
