One failure of many backend servers is one occasion of a crash

Callers: if all backend servers of a service crash at the same moment, every prompt gets 503 crashing_prompt for two to three minutes after they are back, from entries that ran all the time.

Cause: the limit of four crashes for a part that was answered before counts backend servers. One failure of four or more fulfils it for whatever all prompts share, and with nothing in flight no answer can begin that would end the refusals. Ruled out: that the filter for simultaneous crashes lets rare parts through.

Change: for such a part, more than two crashes within a second are one occasion. Parts that were never answered are refused after two crashes as before.

Tests, red before: one_failure_of_all_backend_servers_refuses_no_sound_prompt (entry: 503, Retry-After 133 s), one_failure_of_many_backend_servers_refuses_no_part_that_was_ served_before (refused for 171 s). New bound the other way: a part that was served before and crashes servers all the time is refused within four seconds or crashes.

answers_that_begin_clear_a_part had four crashes within 40 ms, which is such a failure; they are 10 s apart now, with the same assertions.

--- a/crates/celerycrank-serving/src/crash.rs
+++ b/crates/celerycrank-serving/src/crash.rs
@@ -14,7 +14,7 @@
 
 /// The largest number of backend servers that crash at the same time by chance. More of them have a
 /// cause in common: a part that is present at most of them, or another one, such as a power failure.
-const MAX_SIMULTANEOUS_CRASHES: usize = 2;
+pub(crate) const MAX_SIMULTANEOUS_CRASHES: u32 = 2;
 
 /// Maximum number of prompts in a report.
 const MAX_PROMPTS: usize = 32;
@@ -173,7 +173,7 @@
     /// Takes the collected reports, without what cannot be the cause of the crashes.
     pub fn take(&mut self) -> Vec<CrashReport> {
         let mut reports = std::mem::take(&mut self.reports);
-        if reports.len() > MAX_SIMULTANEOUS_CRASHES {
+        if reports.len() > MAX_SIMULTANEOUS_CRASHES as usize {
             keep_common_parts(&mut reports);
         }
         reports
--- a/crates/celerycrank-serving/src/evidence.rs
+++ b/crates/celerycrank-serving/src/evidence.rs
@@ -8,14 +8,21 @@
 use celerycrank_types::{ModRevision, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use lru::LruCache;
 
-use crate::CrashReport;
+use crate::{CrashReport, crash::MAX_SIMULTANEOUS_CRASHES};
 
 /// Number of crashes from which on a part is suspect, if no answer to a prompt with it has begun
 /// before.
 const MIN_CRASHES_OF_NEW_PART: u32 = 2;
 
-/// Number of crashes from which on any other part is suspect.
-const MIN_CRASHES_OF_KNOWN_PART: u32 = 4;
+/// Number of occasions of crashes from which on any other part is suspect.
+const MIN_OCCASIONS_OF_KNOWN_PART: u32 = 4;
+
+/// Time within which the crashes of more backend servers than crash at the same time by chance are
+/// one occasion.
+///
+/// Connections to backend servers that fail together break within this time, and the reports of
+/// other entries arrive.
+const OCCASION_SPAN: TimeSpan = TimeSpan::from_secs(1);
 
 /// Time for which a crash counts as evidence.
 const EVIDENCE_LIFETIME: TimeSpan = TimeSpan::from_secs(600);
@@ -96,6 +103,37 @@
     prompts: u32,
 }
 
+/// Counts the occasions on which backend servers crashed.
+///
+/// A failure of many at once has a cause in common. It may be outside the prompts, and says no more
+/// about a part that has been answered before than one crash does.
+#[derive(Debug, Default, Clone, Copy)]
+struct OccasionCount {
+    /// Number of occasions in earlier windows.
+    earlier: u32,
+    /// When the current window began.
+    since: TimePoint,
+    /// Number of crashes in the current window.
+    crashes: u32,
+}
+
+impl OccasionCount {
+    /// Counts a crash, which is not earlier than those before.
+    fn add(&mut self, at: TimePoint) {
+        if self.crashes == 0 || at.since(self.since) > OCCASION_SPAN {
+            self.earlier = self.total();
+            self.since = at;
+            self.crashes = 0;
+        }
+        self.crashes += 1;
+    }
+
+    const fn total(&self) -> u32 {
+        let is_joint = self.crashes > MAX_SIMULTANEOUS_CRASHES;
+        self.earlier + if is_joint { 1 } else { self.crashes }
+    }
+}
+
 /// A part that is refused from now on, and why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RefusedPart {
@@ -107,6 +145,9 @@
     pub is_known: bool,
 }
 
+/// The evidence against each part.
+type EvidenceMap = HashMap<PromptPartId, (PartEvidence, OccasionCount)>;
+
 /// The crashes and answers that one entry knows of.
 #[derive(Debug)]
 pub(crate) struct CrashEvidence {
@@ -251,38 +292,36 @@
 
     /// The part with the strongest evidence, if it suffices for a quarantine.
     pub(crate) fn most_suspect(&self, service: &ServiceId) -> Option<RefusedPart> {
-        let mut evidence = HashMap::<PromptPartId, PartEvidence>::new();
+        let mut evidence = EvidenceMap::new();
         let crashes = self.crashes.iter();
         let crashes =
             crashes.filter(|it| !it.is_explained && it.report.crashed.service == *service);
         for crash in crashes {
             self.add_evidence(crash, &mut evidence);
         }
-        let suspects = evidence.into_iter().filter_map(|(part, evidence)| {
-            let is_known = self.is_known(&PartKey::new(service, part));
-            let limit = if is_known {
-                MIN_CRASHES_OF_KNOWN_PART
-            } else {
-                MIN_CRASHES_OF_NEW_PART
-            };
-            let refused = RefusedPart {
-                part,
-                crashes: evidence.crashes,
-                is_known,
-            };
-            (evidence.crashes >= limit).then_some((evidence, refused))
-        });
+        let suspects = evidence
+            .into_iter()
+            .filter_map(|(part, (evidence, occasions))| {
+                let is_known = self.is_known(&PartKey::new(service, part));
+                let is_suspect = if is_known {
+                    occasions.total() >= MIN_OCCASIONS_OF_KNOWN_PART
+                } else {
+                    evidence.crashes >= MIN_CRASHES_OF_NEW_PART
+                };
+                let refused = RefusedPart {
+                    part,
+                    crashes: evidence.crashes,
+                    is_known,
+                };
+                is_suspect.then_some((evidence, refused))
+            });
         // The part decides last, so that all entries choose the same one.
         let most = suspects.max_by_key(|(evidence, refused)| (*evidence, refused.part));
         most.map(|(_, refused)| refused)
     }
 
     /// Adds a crash to the evidence against the parts that no answer has followed.
-    fn add_evidence(
-        &self,
-        crash: &ObservedCrash,
-        evidence: &mut HashMap<PromptPartId, PartEvidence>,
-    ) {
+    fn add_evidence(&self, crash: &ObservedCrash, evidence: &mut EvidenceMap) {
         let service = &crash.report.crashed.service;
         let mut counted = Vec::new();
         for (position, part) in crash.report.prompts().flat_map(|it| it.iter().enumerate()) {
@@ -290,11 +329,12 @@
             if answers.is_some_and(|answers| answers.has_followed(crash)) {
                 continue;
             }
-            let entry = evidence.entry(*part).or_default();
+            let (entry, occasions) = evidence.entry(*part).or_default();
             entry.prompts += 1;
             entry.position = entry.position.max(position);
             if !counted.contains(part) {
                 entry.crashes += 1;
+                occasions.add(crash.at);
                 counted.push(*part);
             }
         }
