--- a/crates/celerycrank-serving/src/crash.rs
+++ b/crates/celerycrank-serving/src/crash.rs
@@ -42,9 +42,10 @@
     ///
     /// Invariant: bounded in both dimensions, without duplicates.
     prompts: Vec<Vec<PromptPartId>>,
-    /// The parts among them to which the reporting entry knew answers before the crash.
+    /// The parts among them to which the reporting entry knew answers before the crash; `None` in
+    /// reports of versions that did not write it.
     #[serde(default)]
-    answered: Vec<PromptPartId>,
+    answered: Option<Vec<PromptPartId>>,
 }
 
 /// Why a record of crashes or clearances cannot be used.
@@ -65,7 +66,7 @@
         Self {
             crashed,
             prompts: Vec::new(),
-            answered: Vec::new(),
+            answered: Some(Vec::new()),
         }
     }
 
@@ -86,10 +87,15 @@
         is_added
     }
 
-    /// The parts to which the reporting entry knew answers before the crash.
-    #[must_use]
-    pub fn answered(&self) -> &[PromptPartId] {
-        &self.answered
+    /// The parts to which answers may have begun before the crash.
+    ///
+    /// Those of a report that does not say so are all such parts, since a part that was served
+    /// before must not be refused on too little evidence.
+    pub fn answered(&self) -> impl Iterator<Item = PromptPartId> {
+        let named = self.answered.iter().flatten();
+        let all = self.prompts.iter().flatten();
+        let all = all.filter(|_| self.answered.is_none());
+        named.chain(all).copied()
     }
 
     /// Sets the parts to which answers are known.
@@ -98,7 +104,7 @@
         let mut answered = parts.filter(|part| is_known(*part)).collect::<Vec<_>>();
         answered.sort_unstable();
         answered.dedup();
-        self.answered = answered;
+        self.answered = Some(answered);
     }
 
     /// Encodes the report for the key-value service.
@@ -120,7 +126,7 @@
         let report = decode_record::<Self>(bytes)?;
         let is_too_large = report.prompts.len() > MAX_PROMPTS
             || report.prompts().any(|prompt| prompt.len() > MAX_PARTS)
-            || report.answered.len() > MAX_PROMPTS * MAX_PARTS;
+            || report.answered.iter().flatten().count() > MAX_PROMPTS * MAX_PARTS;
         if is_too_large {
             return Err(CrashReportError::TooLarge);
         }
--- a/crates/celerycrank-serving/src/evidence.rs
+++ b/crates/celerycrank-serving/src/evidence.rs
@@ -229,7 +229,7 @@
     ) -> Option<usize> {
         let service = report.crashed.service.clone();
         for part in report.answered() {
-            self.note_known(PartKey::new(&service, *part));
+            self.note_known(PartKey::new(&service, part));
         }
         if let Some(revision) = recorded {
             self.note_unanswered(&report, revision);
