--- a/crates/celerycrank-cli/tests/configuration.rs
+++ b/crates/celerycrank-cli/tests/configuration.rs
@@ -20,6 +20,26 @@
     }
 }
 
+// Guards against a customer list that becomes empty and lets everybody in, on connections that are open.
+#[test]
+fn a_customer_list_that_becomes_empty_lets_no_key_pass() {
+    let deployment = PlatformDeployment::start();
+    let entry = &deployment.entries[0];
+    let mut kept = Caller::connect(entry.listen);
+    kept.send_request("GET", "/first/hello", Some(KEY), "");
+    assert_eq!(kept.read_answer().status, 200);
+    deployment.platform.accept_without_accounts(2, "/first");
+    for process in deployment.entries.iter().chain(&deployment.agents) {
+        process.wait_revision(2);
+    }
+    let before = deployment.backend.received("/first/hello");
+    for key in [Some(KEY), Some("never-held"), None] {
+        kept.send_request("GET", "/first/hello", key, "");
+        assert_eq!(kept.read_answer().status, 401, "{key:?}");
+    }
+    assert_eq!(deployment.backend.received("/first/hello"), before);
+}
+
 #[test]
 fn requests_continue_during_an_outage_and_a_new_entry_syncs_from_its_peers() {
     let deployment = PlatformDeployment::start();
--- a/crates/celerycrank-cli/tests/support/platform.rs
+++ b/crates/celerycrank-cli/tests/support/platform.rs
@@ -123,6 +123,14 @@
         self.write(&ConfigurationRecord::key(PREFIX), record);
     }
 
+    /// Writes a configuration whose customer list is empty.
+    pub fn accept_without_accounts(&self, revision: u64, prefix: &str) {
+        let record = record(revision, prefix, "never", &json!({}));
+        let mut record = serde_json::from_str::<Value>(&record).expect("it was just encoded");
+        record["customers"]["accounts"] = json!([]);
+        self.write(&ConfigurationRecord::key(PREFIX), record.to_string());
+    }
+
     fn write(&self, key: &str, value: String) {
         let urls = [Arc::<str>::from(self.key_value_url())];
         let key = key.to_owned();
