--- a/crates/celerycrank-serving/tests/quarantine.rs
+++ b/crates/celerycrank-serving/tests/quarantine.rs
@@ -282,6 +282,26 @@
     }
 }
 
+// Guards against reports that are read again after an outage of the store, when their crashes are
+// forgotten, and count as crashes of that moment.
+#[test]
+fn reports_that_are_read_again_are_no_new_crashes() {
+    let mut entry = TestEntry::new(1);
+    let reports = [10, 11, 12, 13].map(|revision| (revision, report(revision, &[&[COMMON]])));
+    for (revision, report) in &reports {
+        entry.read_report(report, *revision, at(revision * 2_000));
+    }
+    entry.begin(&[COMMON], at(30_000));
+    for clearance in entry.quarantine.take_pending() {
+        entry.quarantine.note_clearance(&clearance);
+    }
+    for (revision, report) in &reports {
+        let now = at(700_000 + revision * 2_000);
+        let change = entry.read_report(report, *revision, now);
+        assert_eq!(change, QuarantineChange::default(), "{revision}");
+    }
+}
+
 // Guards against clearances that excuse a part from the crashes that come after them.
 #[test]
 fn crashes_after_a_clearance_count() {
