Crash evidence: one line for all reports after an outage of the store, occasions in a module of their own

A store that goes and comes would have cost a line for each report each time. Reports are logged one by one at the start of the process and as they are written; after an outage one line has their number. No decision changes.

--- a/crates/celerycrank-direct/src/entry/clearance.rs
+++ b/crates/celerycrank-direct/src/entry/clearance.rs
@@ -32,25 +32,31 @@
 
 /// Reads the clearances of all entries.
 pub(super) async fn read_clearances(state: &EntryState) -> Result<(), KeyValueError> {
-    let snapshot = state.store.range(CLEARANCE_PREFIX).await?;
-    for record in &snapshot.records {
-        apply_clearances(state, record);
-    }
+    let records = state.store.range(CLEARANCE_PREFIX).await?.records;
+    let parts = records.iter().map(|record| apply_record(state, record));
+    let parts = parts.sum::<usize>();
+    tracing::info!(records = records.len(), parts, "clearances read");
     Ok(())
 }
 
-/// Applies the clearances in a record.
-pub(super) fn apply_clearances(state: &EntryState, record: &KeyValueRecord) {
+/// Applies clearances that were written just now.
+pub(super) fn apply_new_clearances(state: &EntryState, record: &KeyValueRecord) {
+    let parts = apply_record(state, record);
+    tracing::info!(key = %record.key, parts, "clearances read");
+}
+
+/// Applies the clearances in a record; returns their number.
+fn apply_record(state: &EntryState, record: &KeyValueRecord) -> usize {
     match ClearanceRecord::decode(&record.value) {
         Ok(cleared) => {
-            let parts = cleared.clearances().len();
-            tracing::info!(key = %record.key, parts, "clearances read");
             for clearance in cleared.clearances() {
                 state.apply_clearance(clearance);
             }
+            cleared.clearances().len()
         }
         Err(error) => {
             tracing::warn!(key = %record.key, fault = %error, "clearances are ignored");
+            0
         }
     }
 }
--- a/crates/celerycrank-direct/src/entry/quarantine.rs
+++ b/crates/celerycrank-direct/src/entry/quarantine.rs
@@ -88,38 +88,45 @@
     }
 }
 
-/// Reads the reports of all entries.
+/// Reads the reports of all entries, after their clearances.
 pub(super) async fn read_crash_reports(state: &EntryState) -> Result<(), KeyValueError> {
     let mut records = state.store.range(CRASH_PREFIX).await?.records;
     records.sort_by_key(|record| record.revision);
+    // After an outage of the key-value service, most of the reports are known.
+    let is_start = !state.has_read_backends.get();
     for record in &records {
-        apply_record(state, record, ReportSource::Range);
+        if is_start {
+            log_report(record, ReportSource::Start);
+        }
+        apply_report_record(state, record);
     }
+    tracing::info!(reports = records.len(), is_start, "crash reports read");
     Ok(())
 }
 
+/// Applies a report that was written just now.
+pub(super) fn apply_new_report(state: &EntryState, record: &KeyValueRecord) {
+    log_report(record, ReportSource::Change);
+    apply_report_record(state, record);
+}
+
 /// How an entry gets a report from the key-value service.
 #[derive(Debug, Clone, Copy)]
-pub(super) enum ReportSource {
-    /// With all others, at the start of the process or after an outage of the key-value service.
-    Range,
+enum ReportSource {
+    /// With all others, at the start of the process.
+    Start,
     /// As a change.
     Change,
 }
 
-/// Applies the report in a record.
-pub(super) fn apply_record(state: &EntryState, record: &KeyValueRecord, source: ReportSource) {
+fn log_report(record: &KeyValueRecord, source: ReportSource) {
+    let KeyValueRecord { key, revision, .. } = record;
+    tracing::info!(%key, store_revision = %revision, ?source, "crash report read");
+}
+
+fn apply_report_record(state: &EntryState, record: &KeyValueRecord) {
     match CrashReport::decode(&record.value) {
-        Ok(report) => {
-            tracing::info!(
-                key = %record.key,
-                store_revision = %record.revision,
-                ?source,
-                prompts = report.prompts().count(),
-                "crash report read"
-            );
-            state.apply_report(report, Some(record.revision));
-        }
+        Ok(report) => state.apply_report(report, Some(record.revision)),
         Err(error) => {
             tracing::warn!(key = %record.key, fault = %error, "crash report is ignored");
         }
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -13,8 +13,8 @@
 
 use super::{
     backoff::StoreBackoff,
-    clearance::{CLEARANCE_PREFIX, apply_clearances, read_clearances},
-    quarantine::{CRASH_PREFIX, ReportSource, apply_record, read_crash_reports},
+    clearance::{CLEARANCE_PREFIX, apply_new_clearances, read_clearances},
+    quarantine::{CRASH_PREFIX, apply_new_report, read_crash_reports},
     state::EntryState,
 };
 
@@ -102,11 +102,11 @@
     } else if key.starts_with(CRASH_PREFIX) {
         // A report that is removed has only outlived its use for processes that start.
         if let WatchEvent::Put(record) = event {
-            apply_record(state, record, ReportSource::Change);
+            apply_new_report(state, record);
         }
     } else if key.starts_with(CLEARANCE_PREFIX) {
         if let WatchEvent::Put(record) = event {
-            apply_clearances(state, record);
+            apply_new_clearances(state, record);
         }
     } else if key.starts_with(REGISTRATION_PREFIX)
         && let Some(change) = decode_change(event)
--- a/crates/celerycrank-serving/src/evidence.rs
+++ b/crates/celerycrank-serving/src/evidence.rs
@@ -8,7 +8,7 @@
 use celerycrank_types::{ModRevision, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use lru::LruCache;
 
-use crate::{CrashReport, crash::MAX_SIMULTANEOUS_CRASHES};
+use crate::{CrashReport, occasion::OccasionCount};
 
 /// Number of crashes from which on a part is suspect, if no answer to a prompt with it has begun
 /// before.
@@ -17,13 +17,6 @@
 /// Number of occasions of crashes from which on any other part is suspect.
 const MIN_OCCASIONS_OF_KNOWN_PART: u32 = 4;
 
-/// Time within which the crashes of more backend servers than crash at the same time by chance are
-/// one occasion.
-///
-/// Connections to backend servers that fail together break within this time, and the reports of
-/// other entries arrive.
-const OCCASION_SPAN: TimeSpan = TimeSpan::from_secs(1);
-
 /// Time for which a crash counts as evidence.
 const EVIDENCE_LIFETIME: TimeSpan = TimeSpan::from_secs(600);
 
@@ -103,37 +96,6 @@
     prompts: u32,
 }
 
-/// Counts the occasions on which backend servers crashed.
-///
-/// A failure of many at once has a cause in common. It may be outside the prompts, and says no more
-/// about a part that has been answered before than one crash does.
-#[derive(Debug, Default, Clone, Copy)]
-struct OccasionCount {
-    /// Number of occasions in earlier windows.
-    earlier: u32,
-    /// When the current window began.
-    since: TimePoint,
-    /// Number of crashes in the current window.
-    crashes: u32,
-}
-
-impl OccasionCount {
-    /// Counts a crash, which is not earlier than those before.
-    fn add(&mut self, at: TimePoint) {
-        if self.crashes == 0 || at.since(self.since) > OCCASION_SPAN {
-            self.earlier = self.total();
-            self.since = at;
-            self.crashes = 0;
-        }
-        self.crashes += 1;
-    }
-
-    const fn total(&self) -> u32 {
-        let is_joint = self.crashes > MAX_SIMULTANEOUS_CRASHES;
-        self.earlier + if is_joint { 1 } else { self.crashes }
-    }
-}
-
 /// A part that is refused from now on, and why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RefusedPart {
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod limit;
 mod load;
+mod occasion;
 mod quarantine;
 mod registration;
 mod route;
