--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -337,6 +337,85 @@
     assert_eq!(statuses, [Some(200); 8]);
 }
 
+/// A sound prompt, whose first part all prompts share.
+fn prompt(attempt: &str) -> TestRequest {
+    let request = TestRequest::new("POST", "/stream/7", attempt).body(b"a prompt");
+    request.field("Prefix-Hash", &format!("c0ffee:40,{attempt}:9"))
+}
+
+async fn assert_prompts_are_answered(process: &DirectProcess) {
+    for number in 0..4 {
+        let mut caller = TestCaller::connect(process.listen).await;
+        let answer = caller.ask(&prompt(&format!("50{number}"))).await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+/// Crashes the backend server that holds a prompt, before it answers.
+async fn crash_beside_a_prompt(
+    process: &DirectProcess,
+    store: &StoreStandin,
+    backends: &[BackendStandin],
+    attempt: &str,
+) {
+    let set_all = |behaviour| backends.iter().for_each(|it| it.set_behaviour(behaviour));
+    set_all(BackendBehaviour::Slow(60_000));
+    let mut caller = TestCaller::connect(process.listen).await;
+    caller.begin(&prompt(attempt)).await;
+    let backend = wait_holder(backends, attempt).await;
+    backend.crash();
+    set_all(BackendBehaviour::Healthy);
+    let incarnation = backend.registration("shop", "ready");
+    // Until the entry has noticed the crash, and the backend server is back.
+    sleep(Duration::from_millis(800)).await;
+    store.put(&backend.registration_key(), &incarnation);
+}
+
+/// Waits until a backend server has received this attempt.
+async fn wait_holder<'a>(backends: &'a [BackendStandin], attempt: &str) -> &'a BackendStandin {
+    let holds_it = |backend: &&BackendStandin| {
+        let received = backend.received_requests();
+        received.iter().any(|request| request.attempt == attempt)
+    };
+    for _ in 0..MAX_POLLS {
+        if let Some(backend) = backends.iter().find(holds_it) {
+            return backend;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    panic!("no backend server has received {attempt}");
+}
+
+// Guards against entries that are killed and started again after crashes of sound backend servers, and
+// refuse all prompts for minutes, since the answers that followed the crashes are forgotten.
+#[actix_rt::test]
+async fn an_entry_that_is_killed_serves_the_prompts_that_it_served_before() {
+    let (store, first) = start_platform().await;
+    let second = BackendStandin::start("w1").await;
+    store.put(
+        &second.registration_key(),
+        &second.registration("shop", "ready"),
+    );
+    let backends = [first, second];
+    let path = write_settings("killed", &settings(&store));
+    let mut process = DirectProcess::start(&path).await;
+    process.wait_ready().await;
+    let reports = || store.keys("celerycrank/crashes/").len();
+    let mut crashes = 0;
+    while reports() < 5 {
+        crashes += 1;
+        assert!(crashes <= 20, "crashes are not noticed");
+        crash_beside_a_prompt(&process, &store, &backends, &format!("a{crashes}")).await;
+        assert_prompts_are_answered(&process).await;
+    }
+    process.signal(libc::SIGKILL);
+    assert!(!process.wait_end().await, "it is killed");
+    let process = DirectProcess::start(&path).await;
+    process.wait_ready().await;
+    assert_prompts_are_answered(&process).await;
+}
+
 #[actix_rt::test]
 async fn invalid_settings_are_reported_and_prevent_the_start() {
     let (store, _) = start_platform().await;
