Requests with a key are refused under a configuration without accounts

What callers saw: with a configuration that leaves out the list of accounts, after one that held two keys, requests with both revoked keys and with a key that no configuration ever held were served.

Cause: without a list of accounts the entry did not look at the key of a request, so that a caller with a revoked key counted as a caller without one.

Change: a key that is sent has to be valid, whether or not one is required. No key is valid without a list, so such requests get 401, or 503 while the configuration may be outdated. Callers without a key are served as before; anonymous routes neither check nor forward a key.

--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -116,10 +116,17 @@
     metadata: &RequestMetadata,
     route: &RouteRule,
 ) -> Result<Option<AccountId>, RefusalReason> {
-    if route.is_anonymous || !in_force.accounts.requires_key() {
+    if route.is_anonymous {
         return Ok(None);
     }
-    let key = metadata.key.as_ref().ok_or(RefusalReason::UnknownKey)?;
+    let Some(key) = &metadata.key else {
+        return if in_force.accounts.requires_key() {
+            Err(RefusalReason::UnknownKey)
+        } else {
+            Ok(None)
+        };
+    };
+    // Also if no key is required: a key that was revoked must not pass like the absence of one.
     let Some((account, _)) = in_force.accounts.find(key) else {
         return Err(unless_stale(state, RefusalReason::UnknownKey));
     };
--- a/crates/celerycrank-serving/src/configuration.rs
+++ b/crates/celerycrank-serving/src/configuration.rs
@@ -148,7 +148,7 @@
 /// Whether requests need an API key, except on anonymous routes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum KeyRequirement {
-    /// The configuration has no list of accounts, and requests need no API key.
+    /// The configuration has no list of accounts: requests need no API key, and no key is valid.
     NotRequired,
     /// Only the API keys of these accounts are valid; without accounts, no key is.
     Required(Vec<AccountRule>),
