--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -3,7 +3,7 @@
 use celerycrank_types::{RequestRate, TimePoint, TimeSpan};
 
 use crate::{
-    BackendRegistration, EntryPlace, LimitNotice, LoadEstimate, RegistrationState,
+    BackendRegistration, EntryPlace, LimitNotice, LoadEstimate, RegistrationState, SendObstacle,
     limit::RequestAllowance,
 };
 
@@ -88,21 +88,37 @@
         allowance.map_or(Some(TimeSpan::ZERO), |it| it.time_until_room(now))
     }
 
+    /// Why it is not sent requests; `None` if it may be sent some.
+    #[must_use]
+    pub fn obstacle(&self, now: TimePoint) -> Option<SendObstacle> {
+        if self.registration.state == RegistrationState::Draining {
+            Some(SendObstacle::Draining)
+        } else if self.is_misdirected {
+            Some(SendObstacle::Misdirected)
+        } else if self.is_grace_over(now) {
+            Some(SendObstacle::Removed)
+        } else if self.removed_at.is_some() {
+            Some(SendObstacle::RemovedRecently)
+        } else if self.is_superseded {
+            Some(SendObstacle::Superseded)
+        } else if self.backoff.is_some_and(|(until, _)| now < until) {
+            Some(SendObstacle::BackingOff)
+        } else {
+            None
+        }
+    }
+
     /// Whether it may receive new requests.
     #[must_use]
     pub fn is_usable(&self, now: TimePoint) -> bool {
-        let is_current = !self.is_superseded;
-        is_current && self.is_available() && self.backoff.is_none_or(|(until, _)| now >= until)
+        self.obstacle(now).is_none()
     }
 
     /// Whether it may receive new requests if no usable backend server is left.
     #[must_use]
     pub fn is_last_resort(&self, now: TimePoint) -> bool {
-        let since_removal = self.removed_at.map(|at| now.since(at));
-        let is_within_grace = since_removal.is_none_or(|span| span < REMOVAL_GRACE);
-        self.registration.state == RegistrationState::Ready
-            && !self.is_misdirected
-            && is_within_grace
+        self.obstacle(now)
+            .is_none_or(SendObstacle::allows_last_resort)
     }
 
     /// Moving average of failed answers, from 0 to 1.
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -10,8 +10,7 @@
 //! A backend server that names a limit is chosen only as far as this entry's share of it goes.
 
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
-use rand::{Rng, seq::IndexedRandom};
-use smallvec::SmallVec;
+use rand::{Rng, seq::index::sample as sample_indices};
 
 use crate::{BackendState, BackendTable};
 
@@ -75,40 +74,33 @@
 ) -> BackendChoice<'table> {
     let states = table.of_service(query.service).iter();
     let untried = states.filter(|state| !query.tried.contains(&state.registration.backend));
-    let untried = untried.collect::<SmallVec<[&BackendState; 32]>>();
-    let usable = untried.iter().filter(|state| state.is_usable(query.now));
-    let usable = usable.copied().collect::<SmallVec<[&BackendState; 32]>>();
-    let candidates = if usable.is_empty() {
-        let last_resorts = untried.iter().filter(|it| it.is_last_resort(query.now));
-        last_resorts.copied().collect()
-    } else {
-        usable
-    };
-    if candidates.is_empty() {
-        return BackendChoice::Unavailable;
-    }
-    let within_limits = candidates.iter().copied();
+    let has_usable = untried.clone().any(|state| state.is_usable(query.now));
+    let candidates = untried.filter(|state| match state.obstacle(query.now) {
+        None => true,
+        Some(obstacle) => !has_usable && obstacle.allows_last_resort(),
+    });
+    let within_limits = candidates.clone();
     let within_limits = within_limits.filter(|state| state.is_within_limit(query.now));
     if let Some(state) = least_loaded(within_limits, query, random) {
         return BackendChoice::Chosen(state);
     }
-    let waits = candidates.iter();
-    let waits = waits.filter_map(|state| state.time_until_room(query.now));
+    let mut candidates = candidates.peekable();
+    if candidates.peek().is_none() {
+        return BackendChoice::Unavailable;
+    }
+    let waits = candidates.filter_map(|state| state.time_until_room(query.now));
     BackendChoice::Limited {
         retry_after: waits.min(),
     }
 }
 
 fn least_loaded<'table, R: Rng>(
-    states: impl Iterator<Item = &'table BackendState>,
+    states: impl Iterator<Item = &'table BackendState> + Clone,
     query: &ChoiceQuery<'_>,
     random: &mut R,
 ) -> Option<&'table BackendState> {
-    let states = states.collect::<SmallVec<[&BackendState; 32]>>();
-    let sample = states.choose_multiple(random, SAMPLE_SIZE).copied();
-    let sample = sample.collect::<SmallVec<[&BackendState; SAMPLE_SIZE]>>();
     let mut best: Option<(f64, &BackendState)> = None;
-    for state in sample {
+    for state in sample_states(states, random).into_iter().flatten() {
         // The random term keeps entries that see the same loads from all choosing the same
         // backend server.
         let cost = estimate_cost(state, query) + random.random_range(0.0..0.1);
@@ -119,6 +111,22 @@
     best.map(|(_, state)| state)
 }
 
+/// Draws a random sample without a list of all states, of which there may be many.
+fn sample_states<'table, R: Rng>(
+    states: impl Iterator<Item = &'table BackendState> + Clone,
+    random: &mut R,
+) -> [Option<&'table BackendState>; SAMPLE_SIZE] {
+    let mut sample = [None; SAMPLE_SIZE];
+    let count = states.clone().count();
+    let drawn = sample_indices(random, count, SAMPLE_SIZE.min(count));
+    for (index, state) in states.enumerate() {
+        if let Some(position) = drawn.iter().position(|it| it == index) {
+            sample[position] = Some(state);
+        }
+    }
+    sample
+}
+
 /// Estimated cost of sending one more request to a backend server, in requests.
 fn estimate_cost(state: &BackendState, query: &ChoiceQuery<'_>) -> f64 {
     let report = state.load.report(query.now);
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod limit;
 mod load;
+mod obstacle;
 mod occasion;
 mod quarantine;
 mod registration;
@@ -36,6 +37,7 @@
     freshness::FreshnessGuard,
     limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport},
+    obstacle::SendObstacle,
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
--- /dev/null
+++ b/crates/celerycrank-serving/src/obstacle.rs
@@ -0,0 +1,31 @@
+//! Decides whether a backend server may be sent requests, and why not.
+
+/// Why a backend server is not sent requests.
+///
+/// The obstacles that no request overcomes come first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, displaydoc::Display)]
+pub enum SendObstacle {
+    /// it is shutting down
+    Draining,
+    /// another process answers at its address
+    Misdirected,
+    /// its registration was removed
+    Removed,
+    /// its registration was removed a moment ago
+    RemovedRecently,
+    /// another backend server registered later with its address
+    Superseded,
+    /// it was unreachable or refused a request a moment ago
+    BackingOff,
+}
+
+impl SendObstacle {
+    /// Whether it may still be sent requests if no backend server without an obstacle is left.
+    #[must_use]
+    pub const fn allows_last_resort(self) -> bool {
+        match self {
+            Self::Draining | Self::Misdirected | Self::Removed => false,
+            Self::RemovedRecently | Self::Superseded | Self::BackingOff => true,
+        }
+    }
+}
