Admission under contention: load limits by urgency, a queue at the entry, Priority-Class

Change: for a service of engines whose routes differ in priority, an entry sends a request only to an engine with a free slot, and leaves free as many places of the service as more urgent requests will probably need until the next reports. Others wait in a bounded queue by urgency, account share and time, and are refused when a quarter of their time is over. Reports are older than what the other entries have sent since, so each entry counts its own unreported requests for all entries and draws the engine by its free places. Engines get the request's priority class. Other services are served as before.

--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -149,6 +149,7 @@
         time_left: Some(time_left),
         backend: &registration.backend,
         last_event,
+        priority: request.admission.as_ref().map(|_| request.priority),
         length: request.body.len(),
     };
     let mut message = write_forwarded(&request.head, &metadata);
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -3,13 +3,16 @@
 use std::cell::{Cell, RefCell};
 
 use celerycrank_serving::{
-    BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics,
+    BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, LoadLimit, RequestSemantics,
     choose_backend,
 };
-use celerycrank_types::{BackendId, RefusalReason, RetryReason, TimeSpan, UnknownReason};
+use celerycrank_types::{
+    BackendId, RefusalReason, RetryReason, ServiceId, TimePoint, TimeSpan, UnknownReason,
+};
 use smallvec::SmallVec;
 
 use super::{
+    admission::{AccountGuard, wake_waiting},
     attempt::{AttemptError, OpenAnswer, open_attempt},
     crash::has_crashed,
     progress::{AnswerProgress, AttemptTrack, RequestError, RetryObstacle, SendRecord},
@@ -35,6 +38,9 @@
     pub(super) last_error: Cell<Option<AttemptError>>,
     /// The backend server whose answer is passed on.
     answering: RefCell<Option<BackendId>>,
+    /// When the first attempt chose its backend server.
+    chosen_at: Cell<Option<TimePoint>>,
+    _account: Option<AccountGuard<'run>>,
 }
 
 /// An answer that is being read, and the backend server it comes from.
@@ -47,15 +53,18 @@
 pub(crate) struct InFlightGuard<'run> {
     state: &'run EntryState,
     pub(crate) backend: BackendId,
+    service: ServiceId,
 }
 
 impl<'run> InFlightGuard<'run> {
-    fn new(state: &'run EntryState, backend: &BackendId) -> Self {
+    fn new(state: &'run EntryState, service: &ServiceId, backend: &BackendId) -> Self {
         let now = state.clock.now();
         state.backends.borrow_mut().begin(backend, now);
+        wake_waiting(state, service);
         Self {
             state,
             backend: backend.clone(),
+            service: service.clone(),
         }
     }
 }
@@ -63,6 +72,7 @@
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
         self.state.backends.borrow_mut().finish(&self.backend);
+        wake_waiting(self.state, &self.service);
     }
 }
 
@@ -78,6 +88,8 @@
             unsent_attempts: Cell::new(0),
             last_error: Cell::new(None),
             answering: RefCell::default(),
+            chosen_at: Cell::new(None),
+            _account: AccountGuard::begin(state, request),
         }
     }
 
@@ -108,10 +120,10 @@
     ) -> Result<ServedAnswer<'run>, RequestError> {
         loop {
             self.check_quarantine()?;
-            let registration = self.choose().map_err(|it| self.final_error(it))?;
+            let registration = self.choose_admitted(last_event).await?;
             let backend = &registration.backend;
             self.tried.borrow_mut().push(backend.clone());
-            let in_flight = InFlightGuard::new(self.state, backend);
+            let in_flight = InFlightGuard::new(self.state, &self.request.service, backend);
             track.note_asked(backend, self.state.clock.now());
             let sending = self.sent.begin();
             let opened = open_attempt(
@@ -232,6 +244,7 @@
     pub(crate) fn note_begun(&self, status: u16) {
         if (200..300).contains(&status) {
             self.state.note_begun(&self.request.prompt_query());
+            self.note_first_event();
         }
     }
 
@@ -246,20 +259,68 @@
         })
     }
 
-    /// Chooses the next backend server, or returns why there is none.
+    /// Records how long a stream took to begin that was sent once.
+    fn note_first_event(&self) {
+        let is_single = self.tried.borrow().len() == 1;
+        if let (true, Some(chosen_at)) = (is_single, self.chosen_at.take()) {
+            let span = self.state.clock.now().since(chosen_at);
+            let admission = &self.state.admission;
+            admission.note_first_event(&self.request.service, span);
+        }
+    }
+
+    /// Chooses the backend server of an attempt.
+    ///
+    /// The first attempt waits for a place if the requests of the service differ in urgency; a stream
+    /// that has begun and a request that was sent before do not wait again.
+    async fn choose_admitted(
+        &self,
+        last_event: Option<u64>,
+    ) -> Result<BackendRegistration, RequestError> {
+        let is_first = self.tried.borrow().is_empty() && last_event.is_none();
+        let chosen = match &self.request.admission {
+            Some(policy) if is_first => self.wait_for_place(policy).await?,
+            _ => self.choose().map_err(|it| self.final_error(it))?,
+        };
+        if is_first && self.request.admission.is_some() {
+            self.chosen_at.set(Some(self.state.clock.now()));
+        }
+        Ok(chosen)
+    }
+
+    /// Chooses a backend server without a load limit, or returns why there is none.
     fn choose(&self) -> Result<BackendRegistration, RequestRefusal> {
+        let chosen = self.choose_state(None)?;
+        Ok(chosen.expect("only a load limit makes all of them full"))
+    }
+
+    /// Chooses a backend server that holds fewer requests than the limit; `None` if all are full.
+    pub(super) fn choose_within(
+        &self,
+        load_limit: Option<LoadLimit>,
+    ) -> Result<Option<BackendRegistration>, RequestError> {
+        self.choose_state(load_limit)
+            .map_err(|it| self.final_error(it))
+    }
+
+    fn choose_state(
+        &self,
+        load_limit: Option<LoadLimit>,
+    ) -> Result<Option<BackendRegistration>, RequestRefusal> {
         let settings = self.state.settings();
         let tried = self.tried.borrow();
         let query = ChoiceQuery {
             service: &self.request.service,
             domain: &settings.domain,
             tried: &tried,
+            load_limit,
             now: self.state.clock.now(),
         };
         let backends = self.state.backends.borrow();
         let mut random = self.state.random.borrow_mut();
         match choose_backend(&backends, &query, &mut *random) {
-            BackendChoice::Chosen(state) => Ok(state.registration.clone()),
+            BackendChoice::Chosen(state) => Ok(Some(state.registration.clone())),
+            BackendChoice::Full => Ok(None),
             BackendChoice::Limited { retry_after } => Err(RequestRefusal {
                 reason: RefusalReason::BackendLimit,
                 // Those that are refused at the same time must not come back at the same time.
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -13,6 +13,7 @@
 use tokio::{net::UdpSocket, select};
 
 use super::{
+    admission::{log_end_of_contention, wake_waiting},
     limits::{announce_limits, ask_entries, note_announced_limit, note_entries},
     state::EntryState,
 };
@@ -33,6 +34,7 @@
                 subscribe(&state, &socket, &agents).await;
                 ask_entries(&state, &socket, &agents).await;
                 announce_limits(&state, &socket).await;
+                log_end_of_contention(&state);
                 state.pool.close_expired(state.clock.now());
             }
             () = state.limits.has_pending.notified() => {
@@ -117,7 +119,13 @@
     let now = state.clock.now();
     let entries = report.entries;
     state.entry_count.borrow_mut().observe(entries, now);
-    if let Some(known) = state.backends.borrow_mut().find_mut(backend) {
+    let service = {
+        let mut backends = state.backends.borrow_mut();
+        let Some(known) = backends.find_mut(backend) else {
+            return;
+        };
         known.load.observe(report, now);
-    }
+        known.registration.service.clone()
+    };
+    wake_waiting(state, &service);
 }
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -26,6 +26,9 @@
     pub(crate) refusals: LabelledCounter<RefusalReason>,
     pub(crate) retries: LabelledCounter<RetryReason>,
     pub(crate) unknowns: LabelledCounter<UnknownReason>,
+    pub(crate) waiting: IntGauge,
+    pub(crate) admitted_late: IntCounter,
+    pub(crate) wait_time: Histogram,
     pub(crate) first_event: Histogram,
     pub(crate) answer_time: Histogram,
 }
@@ -98,6 +101,18 @@
             refusals: set.refusals("celerycrank_direct_refusals_total")?,
             retries: set.retries("celerycrank_direct_retries_total")?,
             unknowns: set.unknowns("celerycrank_direct_unknown_total")?,
+            waiting: set.gauge(
+                "celerycrank_direct_waiting_requests",
+                "requests that wait for a place at the engines of their service",
+            )?,
+            admitted_late: set.counter(
+                "celerycrank_direct_admitted_after_wait_total",
+                "requests that were sent after they had waited for a place",
+            )?,
+            wait_time: set.latency(
+                "celerycrank_direct_wait_seconds",
+                "time for which requests that were sent had waited for a place",
+            )?,
             first_event: set.latency(
                 "celerycrank_direct_first_event_seconds",
                 "time from a request to the first event of its stream",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry that sends requests directly to backend servers.
 
 mod admin;
+mod admission;
 mod answer;
 mod attempt;
 mod backoff;
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
-use celerycrank_serving::{PromptQuery, RouteMatch, RouteRule};
+use celerycrank_serving::{AdmissionPolicy, PromptQuery, RouteMatch, RouteRule};
 use celerycrank_types::{AccountId, PromptPartId, RefusalReason, Revision, ServiceId, TimePoint};
 use smallvec::SmallVec;
 
@@ -24,6 +24,10 @@
     /// The account that owns the caller's key; `None` on routes that require no key.
     pub(crate) account: Option<AccountId>,
     pub(crate) service: ServiceId,
+    /// The priority of the account or else of the route; 0 is the most urgent.
+    pub(crate) priority: u8,
+    /// The admission policy, if the requests of the service differ in urgency.
+    pub(crate) admission: Option<Rc<AdmissionPolicy>>,
     pub(crate) arrival: TimePoint,
     /// The caller's deadline or the end of the route's timeout, whichever comes first.
     pub(crate) deadline: TimePoint,
@@ -69,7 +73,7 @@
         tracing::info!(request = %metadata.attempt, fault = %error, "prompt parts are ignored");
     }
     let route = find_route(state, &in_force, &metadata, &draft.head)?;
-    let account = find_account(state, &in_force, &metadata, &route)?;
+    let (account, priority) = find_account(state, &in_force, &metadata, &route)?;
     let drawn = route.draw_service(&mut *state.random.borrow_mut()).cloned();
     let service = drawn.ok_or(RefusalReason::NoBackend)?;
     let wait = metadata
@@ -82,6 +86,8 @@
     Ok(AdmittedRequest {
         attempt: metadata.attempt,
         revision: in_force.revision,
+        priority,
+        admission: in_force.admissions.get(&service).map(Rc::clone),
         deadline,
         arrival: draft.arrival,
         last_event: metadata.last_event,
@@ -110,28 +116,31 @@
     }
 }
 
+/// Returns the account that owns the caller's key, if a key is needed, and the request's priority.
 fn find_account(
     state: &EntryState,
     in_force: &ConfigurationInForce,
     metadata: &RequestMetadata,
     route: &RouteRule,
-) -> Result<Option<AccountId>, RefusalReason> {
+) -> Result<(Option<AccountId>, u8), RefusalReason> {
+    let keyless = (None, route.priority);
     if route.is_anonymous {
-        return Ok(None);
+        return Ok(keyless);
     }
     let Some(key) = &metadata.key else {
         return if in_force.accounts.requires_key() {
             Err(RefusalReason::UnknownKey)
         } else {
-            Ok(None)
+            Ok(keyless)
         };
     };
     // Also if no key is required: a key that was revoked must not pass like the absence of one.
-    let Some((account, _)) = in_force.accounts.find(key) else {
+    let Some((account, priority)) = in_force.accounts.find(key) else {
         return Err(unless_stale(state, RefusalReason::UnknownKey));
     };
     if state.is_fresh() {
-        Ok(Some(account.clone()))
+        let priority = priority.unwrap_or(route.priority);
+        Ok((Some(account.clone()), priority))
     } else {
         Err(RefusalReason::StaleConfiguration)
     }
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -11,8 +11,8 @@
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{ProcessClock, ShutdownFlag, TaskHandle};
 use celerycrank_serving::{
-    AccountTable, BackendTable, CallerBounds, CrashCollector, EntryCount, FreshnessGuard,
-    PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
+    AccountTable, AdmissionPolicy, BackendTable, CallerBounds, CrashCollector, EntryCount,
+    FreshnessGuard, PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
 };
 use celerycrank_types::{
     BackendId, DecimalSpan, RequestRate, Revision, ServiceId, TimePoint, TimeSpan,
@@ -21,7 +21,11 @@
 use tokio::sync::Notify;
 
 use super::{
-    limits::LimitSharing, metrics::EntryMetrics, pool::ConnectionPool, quarantine::ReportQueue,
+    admission::{AdmissionState, compile_policies},
+    limits::LimitSharing,
+    metrics::EntryMetrics,
+    pool::ConnectionPool,
+    quarantine::ReportQueue,
     stop::StopSchedule,
 };
 
@@ -62,6 +66,8 @@
     pub(crate) crash_noted: Notify,
     /// Wakes the task that writes clearances.
     pub(crate) clearance_noted: Notify,
+    /// The requests that wait for a place at the engines of their service.
+    pub(crate) admission: AdmissionState,
     /// What is needed to share the limits of backend servers with the other entries.
     pub(crate) limits: LimitSharing,
     /// Reports of crashes for the other entries.
@@ -75,6 +81,8 @@
     pub(crate) routes: RouteTable,
     pub(crate) accounts: AccountTable,
     pub(crate) limits: CallerBounds,
+    /// Admission to the services whose requests differ in urgency.
+    pub(crate) admissions: HashMap<ServiceId, Rc<AdmissionPolicy>>,
     /// Services with model engines, whose agents report their load.
     pub(crate) engine_services: Vec<ServiceId>,
 }
@@ -88,6 +96,7 @@
             routes: RouteTable::new(&configuration.routes, &configuration.closed_routes),
             accounts: AccountTable::new(&configuration.keys),
             limits: configuration.limits,
+            admissions: compile_policies(configuration),
             engine_services: engines.map(|it| it.service.clone()).collect(),
         }
     }
@@ -129,6 +138,7 @@
             crashes: RefCell::default(),
             crash_noted: Notify::new(),
             clearance_noted: Notify::new(),
+            admission: AdmissionState::default(),
             limits: LimitSharing::default(),
             crash_reports: ReportQueue::default(),
             settings: RefCell::new(Rc::new(settings)),
@@ -180,7 +190,9 @@
             .as_ref()
             .is_none_or(|known| configuration.revision > known.revision);
         if is_newer {
-            *in_force = Some(Rc::new(ConfigurationInForce::compile(configuration)));
+            let compiled = Rc::new(ConfigurationInForce::compile(configuration));
+            self.admission.retain_services(&compiled);
+            *in_force = Some(compiled);
         }
         is_newer
     }
@@ -211,6 +223,12 @@
         stop.is_none_or(|schedule| schedule.admits(deadline, self.clock.now()))
     }
 
+    /// The admission policy of a service, if its requests differ in urgency.
+    pub(crate) fn admission_policy(&self, service: &ServiceId) -> Option<Rc<AdmissionPolicy>> {
+        let in_force = self.in_force()?;
+        in_force.admissions.get(service).map(Rc::clone)
+    }
+
     /// The limit that a backend server names, if any.
     pub(crate) fn limit_of(&self, backend: &BackendId) -> Option<RequestRate> {
         let mut backends = self.backends.borrow_mut();
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -12,6 +12,7 @@
 use celerycrank_types::TimeSpan;
 
 use super::{
+    admission::wake_all_waiting,
     backoff::StoreBackoff,
     clearance::{CLEARANCE_PREFIX, apply_new_clearances, read_clearances},
     quarantine::{CRASH_PREFIX, apply_new_report, read_crash_reports},
@@ -67,6 +68,7 @@
             apply_event(state, event, &mut is_newest);
         }
         state.backends.borrow_mut().prune_removed(state.clock.now());
+        wake_all_waiting(state);
         if is_newest {
             state.confirm(asked_at);
         }
@@ -139,7 +141,8 @@
     let routes = configuration.routes.len();
     let accounts = configuration.keys.accounts().len();
     let requires_key = configuration.keys != KeyRequirement::NotRequired;
-    tracing::info!(%revision, routes, accounts, requires_key, store_revision = %record.revision, "configuration in force");
+    let contended_services = state.in_force().map_or(0, |it| it.admissions.len());
+    tracing::info!(%revision, routes, accounts, requires_key, contended_services, store_revision = %record.revision, "configuration in force");
     true
 }
 
--- /dev/null
+++ b/crates/celerycrank-serving/src/admission.rs
@@ -0,0 +1,185 @@
+//! Decides how many requests a model engine may hold when a request of a certain urgency is sent to
+//! it.
+//!
+//! The load pattern: kinds of streams with different priorities share lock-step groups, and for some
+//! seconds about twice what fits arrives, mostly of the least urgent kind. What is sent beyond the
+//! slots of an engine waits there, and the first events of all kinds are late. With load limits by
+//! urgency, requests that are less urgent leave places free for more urgent ones and wait at the
+//! entry instead.
+
+use celerycrank_types::{ServiceId, TimePoint, TimeSpan};
+use smallvec::SmallVec;
+
+use crate::{EngineProfile, LoadLimit, RouteRule, ServiceRule};
+
+/// Time for whose expected arrivals of more urgent requests places are left free.
+///
+/// An engine frees a place each fifth of a second, and an entry sees what the others have sent only
+/// with the next reports; places for a few such intervals keep urgent requests from waiting.
+const RESERVE_SPAN: TimeSpan = TimeSpan::from_millis(1_500);
+
+/// Time constant of the moving average of arrivals.
+const ARRIVAL_SPAN: TimeSpan = TimeSpan::from_secs(3);
+
+/// Passes of a full engine until the first event of a request that has a slot: the one that is
+/// running when it arrives and its own.
+const FIRST_EVENT_PASSES: u32 = 2;
+
+/// Weight of the newest sample in the moving average of first event times.
+const FIRST_EVENT_SMOOTHING: f64 = 0.1;
+
+/// Part of the time that a request has left for which it may wait, as a divisor.
+///
+/// A caller that is refused needs the rest to come back.
+const WAIT_DIVISOR: u64 = 4;
+
+/// How urgent a request is among those of its service; 0 is the most urgent.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UrgencyLevel(pub u32);
+
+/// Admission to a service whose requests differ in urgency.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AdmissionPolicy {
+    /// The priorities of the routes, the most urgent first.
+    ///
+    /// Invariant: without repetition, at least two.
+    priorities: SmallVec<[u8; 4]>,
+    engine: EngineProfile,
+}
+
+/// Until when a request may wait for a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitBounds {
+    /// The time until which its answer can still begin within the latency target.
+    pub in_time_until: TimePoint,
+    /// The time at which it is refused.
+    pub end: TimePoint,
+}
+
+impl AdmissionPolicy {
+    /// The policy for a service, if its backend servers are engines and the priorities of its routes
+    /// differ.
+    #[must_use]
+    pub fn of_service(service: &ServiceRule, routes: &[RouteRule]) -> Option<Self> {
+        let engine = service.engine?;
+        let routes = routes
+            .iter()
+            .filter(|route| is_route_to(route, &service.service));
+        let mut priorities = routes
+            .map(|route| route.priority)
+            .collect::<SmallVec<[u8; 4]>>();
+        priorities.sort_unstable();
+        priorities.dedup();
+        (priorities.len() > 1).then_some(Self { priorities, engine })
+    }
+
+    /// The level of a request with this priority.
+    #[must_use]
+    pub fn level(&self, priority: u8) -> UrgencyLevel {
+        // A priority that no route has, such as that of an account, does not add a level.
+        let less_urgent = self.priorities.iter().skip(1);
+        let reached = less_urgent.filter(|it| **it <= priority);
+        UrgencyLevel(reached.fold(0, |level, _| level + 1))
+    }
+
+    /// The least urgent level.
+    #[must_use]
+    pub fn last_level(&self) -> UrgencyLevel {
+        self.level(u8::MAX)
+    }
+
+    /// The limit on what an engine may hold for requests that leave `reserve` places of the service
+    /// free, of which `entries` entries use some each.
+    #[must_use]
+    pub const fn load_limit(&self, reserve: f64, entries: u32) -> LoadLimit {
+        LoadLimit {
+            requests: self.engine.slots,
+            entries: if entries > 1 { entries } else { 1 },
+            reserve,
+        }
+    }
+
+    /// The expected time from sending a request to its first event, for want of samples.
+    #[must_use]
+    pub fn nominal_first_event(&self) -> TimeSpan {
+        let engine = &self.engine;
+        let step = engine.step.0 + engine.step_per_request.0 * u64::from(engine.slots);
+        TimeSpan(step * u64::from(engine.steps_per_pass * FIRST_EVENT_PASSES))
+    }
+}
+
+fn is_route_to(route: &RouteRule, service: &ServiceId) -> bool {
+    route.services.iter().any(|it| it.service == *service)
+}
+
+impl WaitBounds {
+    /// The bounds for a request that has just arrived.
+    #[must_use]
+    pub fn new(
+        arrival: TimePoint,
+        target: TimeSpan,
+        deadline: TimePoint,
+        first_event: TimeSpan,
+    ) -> Self {
+        let latest = arrival + TimeSpan(deadline.since(arrival).0 / WAIT_DIVISOR);
+        let in_time = arrival + target.saturating_sub(first_event);
+        Self {
+            in_time_until: in_time.min(latest),
+            end: latest,
+        }
+    }
+}
+
+/// The requests that arrive at one entry, by level.
+#[derive(Debug, Default, Clone)]
+pub struct ArrivalMeter {
+    /// Moving average in requests per second, and when it was last updated.
+    levels: SmallVec<[(f64, TimePoint); 4]>,
+}
+
+impl ArrivalMeter {
+    /// Records the arrival of a request.
+    pub fn record(&mut self, level: UrgencyLevel, now: TimePoint) {
+        let index = level.0 as usize;
+        while self.levels.len() <= index {
+            self.levels.push((0.0, now));
+        }
+        let rate = decayed(self.levels[index], now) + 1.0 / ARRIVAL_SPAN.as_secs_f64();
+        self.levels[index] = (rate, now);
+    }
+
+    /// The places of a service that a request of this level leaves free for more urgent ones, if as
+    /// many arrive at each of `entries` entries.
+    #[must_use]
+    pub fn reserve(&self, level: UrgencyLevel, entries: u32, now: TimePoint) -> f64 {
+        let more_urgent = self.levels.iter().take(level.0 as usize);
+        let rate = more_urgent.map(|it| decayed(*it, now)).sum::<f64>();
+        rate * RESERVE_SPAN.as_secs_f64() * f64::from(entries)
+    }
+}
+
+fn decayed((rate, at): (f64, TimePoint), now: TimePoint) -> f64 {
+    let age = now.since(at).as_secs_f64() / ARRIVAL_SPAN.as_secs_f64();
+    rate * (-age).exp()
+}
+
+/// Moving average of the time from sending a request to its first event.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct FirstEventEstimate {
+    seconds: Option<f64>,
+}
+
+impl FirstEventEstimate {
+    /// Records the time of one stream.
+    pub fn observe(&mut self, span: TimeSpan) {
+        let sample = span.as_secs_f64();
+        let known = self.seconds.get_or_insert(sample);
+        *known += (sample - *known) * FIRST_EVENT_SMOOTHING;
+    }
+
+    /// The average; `None` before the first sample.
+    #[must_use]
+    pub fn get(&self) -> Option<TimeSpan> {
+        self.seconds.map(TimeSpan::from_secs_f64)
+    }
+}
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -12,11 +12,17 @@
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
 use rand::{Rng, seq::index::sample as sample_indices};
 
-use crate::{BackendState, BackendTable};
+use crate::{BackendState, BackendTable, RequestFlow};
 
 /// Number of randomly drawn backend servers from which the least loaded one is chosen.
 const SAMPLE_SIZE: usize = 4;
 
+/// Number of backend servers that are drawn by their free places.
+const ROOM_DRAWS: u32 = 2;
+
+/// The smallest factor by which failures reduce the weight of a backend server.
+const MIN_RELIABILITY: f64 = 0.05;
+
 /// Cost of a failure rate of 1, in requests.
 const FAILURE_COST: f64 = 4.0;
 
@@ -35,10 +41,25 @@
     pub domain: &'query DomainId,
     /// Backend servers that this request has already tried.
     pub tried: &'query [BackendId],
+    /// The limit on what a backend server may hold, if there is one.
+    pub load_limit: Option<LoadLimit>,
     /// The current time.
     pub now: TimePoint,
 }
 
+/// A limit on the requests that a backend server may hold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadLimit {
+    /// The number of requests with the one to be sent.
+    pub requests: u32,
+    /// The number of entries that send requests to the backend servers.
+    ///
+    /// Invariant: at least one.
+    pub entries: u32,
+    /// The places of the service that stay free for more urgent requests.
+    pub reserve: f64,
+}
+
 /// The result of a choice.
 #[derive(Debug, Clone, Copy)]
 pub enum BackendChoice<'table> {
@@ -49,6 +70,8 @@
         /// The time until one of them does, if this entry has a share of a limit.
         retry_after: Option<TimeSpan>,
     },
+    /// The backend servers that could be chosen hold as many requests as the load limit allows.
+    Full,
     /// There is no backend server that could be chosen.
     Unavailable,
 }
@@ -59,7 +82,7 @@
     pub const fn chosen(self) -> Option<&'table BackendState> {
         match self {
             Self::Chosen(state) => Some(state),
-            Self::Limited { .. } | Self::Unavailable => None,
+            Self::Limited { .. } | Self::Full | Self::Unavailable => None,
         }
     }
 }
@@ -80,10 +103,17 @@
         Some(obstacle) => !has_usable && obstacle.allows_last_resort(),
     });
     let within_limits = candidates.clone();
-    let within_limits = within_limits.filter(|state| state.is_within_limit(query.now));
-    if let Some(state) = least_loaded(within_limits, query, random) {
+    let mut within_limits = within_limits.filter(|state| state.is_within_limit(query.now));
+    let chosen = match query.load_limit {
+        None => least_loaded(within_limits.clone(), query, random),
+        Some(limit) => draw_by_room(&within_limits, limit, query, random),
+    };
+    if let Some(state) = chosen {
         return BackendChoice::Chosen(state);
     }
+    if within_limits.next().is_some() {
+        return BackendChoice::Full;
+    }
     let mut candidates = candidates.peekable();
     if candidates.peek().is_none() {
         return BackendChoice::Unavailable;
@@ -94,6 +124,14 @@
     }
 }
 
+/// Whether a load limit leaves a place at some usable backend server.
+#[must_use]
+pub fn has_place(table: &BackendTable, query: &ChoiceQuery<'_>, limit: LoadLimit) -> bool {
+    let states = table.of_service(query.service).iter();
+    let usable = states.filter(|it| it.is_usable(query.now) && it.is_within_limit(query.now));
+    ServiceRoom::measure(usable, limit, query.now).is_some()
+}
+
 fn least_loaded<'table, R: Rng>(
     states: impl Iterator<Item = &'table BackendState> + Clone,
     query: &ChoiceQuery<'_>,
@@ -127,6 +165,99 @@
     sample
 }
 
+/// Draws two backend servers at random, by the places that are free at each, and returns the less
+/// loaded one.
+///
+/// Reports are older than the requests that other entries have sent since. If all entries chose the
+/// least loaded backend server, they would overload it before the next report; drawn by free places, the
+/// requests of all entries together fill the places evenly.
+fn draw_by_room<'table, R: Rng>(
+    states: &(impl Iterator<Item = &'table BackendState> + Clone),
+    limit: LoadLimit,
+    query: &ChoiceQuery<'_>,
+    random: &mut R,
+) -> Option<&'table BackendState> {
+    let room = ServiceRoom::measure(states.clone(), limit, query.now)?;
+    let mut best: Option<(f64, &BackendState)> = None;
+    for _ in 0..ROOM_DRAWS {
+        let mut drawn = random.random_range(0.0..room.weight);
+        let state = states.clone().find(|state| {
+            drawn -= room_weight(state, limit, query.now);
+            drawn < 0.0
+        });
+        let Some(state) = state else { continue };
+        let cost = estimate_cost(state, query);
+        if best.is_none_or(|(lowest, _)| cost < lowest) {
+            best = Some((cost, state));
+        }
+    }
+    best.map(|(_, state)| state)
+}
+
+/// The free places of a service.
+#[derive(Debug, Default, Clone, Copy)]
+struct ServiceRoom {
+    /// Places that are free by the reports.
+    places: u32,
+    /// This entry's requests that the reports may not include.
+    flow: RequestFlow,
+    /// Sum of the weights by which a backend server is drawn.
+    weight: f64,
+}
+
+impl ServiceRoom {
+    /// The free places; `None` if none is left.
+    ///
+    /// Every entry sees the same places and may send to them before the next report. Each counts
+    /// its own requests since the reports for every other entry too, so that all of them together send
+    /// about as many as there are places.
+    fn measure<'table>(
+        states: impl Iterator<Item = &'table BackendState>,
+        limit: LoadLimit,
+        now: TimePoint,
+    ) -> Option<Self> {
+        let mut room = Self::default();
+        for state in states {
+            let flow = state.load.unreported();
+            room.flow.sent += flow.sent;
+            if let Some(places) = reported_places(state, limit, now) {
+                room.places += places;
+                room.flow.ended += flow.ended;
+            }
+            room.weight += room_weight(state, limit, now);
+        }
+        let gained = room.places + limit.entries * room.flow.ended;
+        let used = limit.entries * room.flow.sent;
+        let free = f64::from(gained) - f64::from(used) - limit.reserve;
+        (free > 0.0 && room.weight > 0.0).then_some(room)
+    }
+}
+
+/// The places of a backend server that are free by its report; `None` if it holds more requests than
+/// the limit allows, or if it is in a lock-step group that processes none.
+fn reported_places(state: &BackendState, limit: LoadLimit, now: TimePoint) -> Option<u32> {
+    let report = state.load.report(now);
+    if report.is_some_and(|report| !report.is_open) {
+        return None;
+    }
+    limit.requests.checked_sub(state.load.reported(now))
+}
+
+/// The weight by which a backend server is drawn: its free places, less those that all entries
+/// have probably used, reduced if it fails requests.
+///
+/// One that fails requests quickly always has free places; what remains of its weight shows when it
+/// has recovered.
+fn room_weight(state: &BackendState, limit: LoadLimit, now: TimePoint) -> f64 {
+    let Some(places) = reported_places(state, limit, now) else {
+        return 0.0;
+    };
+    let flow = state.load.unreported();
+    let places = (places + flow.ended).saturating_sub(limit.entries * flow.sent);
+    let reliability = 1.0 - state.failure_rate();
+    f64::from(places) * (reliability * reliability).max(MIN_RELIABILITY)
+}
+
 /// Estimated cost of sending one more request to a backend server, in requests.
 fn estimate_cost(state: &BackendState, query: &ChoiceQuery<'_>) -> f64 {
     let report = state.load.report(query.now);
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -3,6 +3,8 @@
 //! This crate performs no I/O; time and randomness are passed as arguments.
 
 mod account;
+mod admission;
+mod admission_queue;
 mod backend;
 mod budget;
 mod choice;
@@ -23,9 +25,11 @@
 
 pub use crate::{
     account::AccountTable,
+    admission::{AdmissionPolicy, ArrivalMeter, FirstEventEstimate, UrgencyLevel, WaitBounds},
+    admission_queue::{AccountLoads, AccountShare, AdmissionQueue, WaitBand, WaitRank, WaitTicket},
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
-    choice::{BackendChoice, ChoiceQuery, choose_backend},
+    choice::{BackendChoice, ChoiceQuery, LoadLimit, choose_backend, has_place},
     clearance::{ClearanceRecord, PartClearance},
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
@@ -36,7 +40,7 @@
     evidence::RefusedPart,
     freshness::FreshnessGuard,
     limit::{EntryPlace, LimitNotice},
-    load::{LoadEstimate, LoadReport},
+    load::{LoadEstimate, LoadReport, RequestFlow},
     obstacle::SendObstacle,
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
--- a/crates/celerycrank-serving/src/load.rs
+++ b/crates/celerycrank-serving/src/load.rs
@@ -22,6 +22,15 @@
     pub entries: u32,
 }
 
+/// Requests that were sent and that have ended in some time.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct RequestFlow {
+    /// Number of requests sent.
+    pub sent: u32,
+    /// Number of requests that have ended.
+    pub ended: u32,
+}
+
 /// The load of a backend server, from an entry's own requests and from those of other entries.
 #[derive(Debug, Default, Clone)]
 pub struct LoadEstimate {
@@ -31,17 +40,23 @@
     report: Option<(LoadReport, TimePoint)>,
     /// Requests of other entries at the time of the report.
     others: u32,
+    /// This entry's requests between the previous report and the last one, which it may not include.
+    before_report: RequestFlow,
+    /// This entry's requests since the last report.
+    since_report: RequestFlow,
 }
 
 impl LoadEstimate {
     /// Records that this entry sent a request.
     pub fn begin(&mut self) {
         self.own += 1;
+        self.since_report.sent += 1;
     }
 
     /// Records that a request of this entry has ended.
     pub fn finish(&mut self) {
         self.own = self.own.saturating_sub(1);
+        self.since_report.ended += 1;
     }
 
     /// Returns the number of requests of this entry that are in flight.
@@ -53,6 +68,7 @@
     /// Updates the estimate with an agent's report.
     pub fn observe(&mut self, report: LoadReport, now: TimePoint) {
         self.others = (report.running + report.waiting).saturating_sub(self.own);
+        self.before_report = std::mem::take(&mut self.since_report);
         self.report = Some((report, now));
     }
 
@@ -62,6 +78,24 @@
         self.own + self.report(now).map_or(0, |_| self.others)
     }
 
+    /// Returns the number of requests by the last report, or of this entry's requests without one.
+    #[must_use]
+    pub fn reported(&self, now: TimePoint) -> u32 {
+        self.report(now)
+            .map_or(self.own, |report| report.running + report.waiting)
+    }
+
+    /// Returns this entry's requests that the last report may not include.
+    ///
+    /// A report is about as old when it arrives as the time between two reports.
+    #[must_use]
+    pub const fn unreported(&self) -> RequestFlow {
+        RequestFlow {
+            sent: self.before_report.sent + self.since_report.sent,
+            ended: self.before_report.ended + self.since_report.ended,
+        }
+    }
+
     /// Returns the last report, unless it is too old.
     #[must_use]
     pub fn report(&self, now: TimePoint) -> Option<&LoadReport> {
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -74,6 +74,7 @@
         service: &service(),
         domain: &domain("a"),
         tried,
+        load_limit: None,
         now,
     };
     let mut random = StdRng::seed_from_u64(1);
@@ -424,6 +425,7 @@
                 service: &service(),
                 domain: &domain("a"),
                 tried: &[],
+                load_limit: None,
                 now,
             };
             let chosen = choose_backend(&tables[sender], &query, &mut random);
--- a/crates/celerycrank-serving/tests/limits.rs
+++ b/crates/celerycrank-serving/tests/limits.rs
@@ -59,6 +59,7 @@
         service: &service(),
         domain: &domain,
         tried: &[],
+        load_limit: None,
         now,
     };
     choose_backend(table, &query, random)
