Lock-step groups that close repeatedly are used last

Need: one rank of one of two groups restarts every 1.4 s. Each time the whole group drops and refuses what it holds and opens again 0.6 s later. While it was open, it got half of the requests, and the next restart cut them off, although the other group had room for all of them.

Change: stability.rs records the closures of each group from load reports and from failed attempts of this entry at two ranks. A group that closes within 8 s of its previous closure is unstable until it has stayed open for 1.5 s, doubling up to 6 s. Its ranks cost as many requests more as they have slots, and a sample with fewer than two stable ranks with a free slot is drawn again among these. With one group only the cost does not change. A pace in a report that is no number or infinite no longer makes a cost so. Metric celerycrank_direct_unstable_groups; one log line when a group becomes unstable and one when it is used as before.

--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -323,6 +323,7 @@
         match error {
             AttemptError::NotSent => backends.note_unreachable(backend, now),
             AttemptError::Misdirected => backends.note_misdirected(backend),
+            AttemptError::Broken(UnknownReason::BackendBroke) => backends.note_broken(backend, now),
             AttemptError::Broken(_) => backends.note_answer(backend, true),
             AttemptError::NotRun => backends.note_refused(backend, now),
             // What one request asks for says nothing about others.
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -8,7 +8,7 @@
 };
 
 use actix_rt::time::interval;
-use celerycrank_serving::LoadReport;
+use celerycrank_serving::{LoadReport, StabilityChange};
 use celerycrank_types::BackendId;
 use tokio::{net::UdpSocket, select};
 
@@ -33,6 +33,7 @@
                 subscribe(&state, &socket, &agents).await;
                 ask_entries(&state, &socket, &agents).await;
                 announce_limits(&state, &socket).await;
+                update_stability(&state);
                 state.pool.close_expired(state.clock.now());
             }
             () = state.limits.has_pending.notified() => {
@@ -117,7 +118,31 @@
     let now = state.clock.now();
     let entries = report.entries;
     state.entry_count.borrow_mut().observe(entries, now);
-    if let Some(known) = state.backends.borrow_mut().find_mut(backend) {
-        known.load.observe(report, now);
+    state
+        .backends
+        .borrow_mut()
+        .observe_load(backend, report, now);
+    update_stability(state);
+}
+
+/// Logs the lock-step groups that have become unstable or stable.
+fn update_stability(state: &EntryState) {
+    let now = state.clock.now();
+    let mut backends = state.backends.borrow_mut();
+    let changes = backends.take_stability_changes(now);
+    let unstable = i64::try_from(backends.unstable_groups(now)).unwrap_or(i64::MAX);
+    state.metrics.unstable_groups.set(unstable);
+    for change in changes {
+        let StabilityChange {
+            service,
+            group,
+            closures,
+            ..
+        } = &change;
+        if change.is_unstable {
+            tracing::warn!(%service, %group, closures, "group closes repeatedly; requests go to other groups first");
+        } else {
+            tracing::info!(%service, %group, closures, "group has stayed open and is used as before");
+        }
     }
 }
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -19,6 +19,7 @@
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
+    pub(crate) unstable_groups: IntGauge,
     pub(crate) store_errors: IntCounter,
     pub(crate) configuration_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
@@ -79,6 +80,10 @@
                 "celerycrank_direct_quarantined_parts",
                 "prompt parts that are refused since they crash backend servers",
             )?,
+            unstable_groups: set.gauge(
+                "celerycrank_direct_unstable_groups",
+                "lock-step groups that close repeatedly and are used last",
+            )?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -44,6 +44,8 @@
     backoff: Option<(TimePoint, TimeSpan)>,
     /// Moving average of failed answers, from 0 to 1.
     failure_rate: f64,
+    /// When its lock-step group, which is unstable, will be stable if it stays open.
+    pub(crate) unstable_until: Option<TimePoint>,
     /// What this entry may send to it, while it names a limit in its answers.
     allowance: Option<RequestAllowance>,
     /// When an answer last named the limit.
@@ -62,6 +64,7 @@
             is_superseded: false,
             backoff: None,
             failure_rate: 0.0,
+            unstable_until: None,
             allowance: None,
             limit_named_at: TimePoint::default(),
             limit_announced_at: TimePoint::default(),
@@ -127,6 +130,12 @@
         self.failure_rate
     }
 
+    /// Whether its lock-step group has closed repeatedly and another group may be preferred.
+    #[must_use]
+    pub fn is_in_unstable_group(&self, now: TimePoint) -> bool {
+        self.unstable_until.is_some_and(|until| now < until)
+    }
+
     pub(crate) fn is_available(&self) -> bool {
         self.registration.state == RegistrationState::Ready
             && !self.is_misdirected
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -6,6 +6,8 @@
 //!   its fullest one, so the cost grows with the load of the single rank.
 //! - Many entries that see the same slightly stale loads. Each entry chooses from a small random
 //!   sample, so that they do not all send to the backend server that was least loaded.
+//! - A lock-step group that closes again and again (`stability.rs`). Its ranks receive only requests
+//!   for which the other groups have no free slot.
 //!
 //! A backend server that names a limit is chosen only as far as this entry's share of it goes.
 
@@ -17,6 +19,10 @@
 /// Number of randomly drawn backend servers from which the least loaded one is chosen.
 const SAMPLE_SIZE: usize = 4;
 
+/// Number of ranks of stable groups with a free slot in a sample that also holds ranks of unstable
+/// groups; with fewer, more are drawn.
+const MIN_STABLE_SAMPLE: usize = 2;
+
 /// Cost of a failure rate of 1, in requests.
 const FAILURE_COST: f64 = 4.0;
 
@@ -26,6 +32,11 @@
 /// Cost of a lock-step group that is forming or broken, in requests.
 const CLOSED_GROUP_COST: f64 = 50.0;
 
+/// Maximum slowdown factor in a cost.
+///
+/// A report is a datagram that may hold any number.
+const MAX_PACE: f64 = 1_000.0;
+
 /// The input to a choice.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceQuery<'query> {
@@ -99,8 +110,33 @@
     query: &ChoiceQuery<'_>,
     random: &mut R,
 ) -> Option<&'table BackendState> {
+    let sample = sample_states(states.clone(), random);
+    let best = cheapest(sample, query, random);
+    let mut sampled = sample.iter().flatten();
+    let has_unstable = sampled.any(|state| state.is_in_unstable_group(query.now));
+    let has_room = |state: &&BackendState| {
+        let has_free_slot = state.load.total(query.now) < state.registration.slots;
+        has_free_slot && !state.is_in_unstable_group(query.now)
+    };
+    let with_room = sample.into_iter().flatten().filter(has_room).count();
+    if !has_unstable || with_room >= MIN_STABLE_SAMPLE {
+        return best.map(|(_, state)| state);
+    }
+    let sample = sample_states(states.filter(has_room), random);
+    let stable = cheapest(sample, query, random);
+    let both = best.into_iter().chain(stable);
+    let best = both.min_by(|(cost, _), (other, _)| cost.total_cmp(other));
+    best.map(|(_, state)| state)
+}
+
+/// Returns the backend server of least cost, and its cost.
+fn cheapest<'table, R: Rng>(
+    sample: [Option<&'table BackendState>; SAMPLE_SIZE],
+    query: &ChoiceQuery<'_>,
+    random: &mut R,
+) -> Option<(f64, &'table BackendState)> {
     let mut best: Option<(f64, &BackendState)> = None;
-    for state in sample_states(states, random).into_iter().flatten() {
+    for state in sample.into_iter().flatten() {
         // The random term keeps entries that see the same loads from all choosing the same
         // backend server.
         let cost = estimate_cost(state, query) + random.random_range(0.0..0.1);
@@ -108,7 +144,7 @@
             best = Some((cost, state));
         }
     }
-    best.map(|(_, state)| state)
+    best
 }
 
 /// Draws a random sample without a list of all states, of which there may be many.
@@ -128,9 +164,10 @@
 }
 
 /// Estimated cost of sending one more request to a backend server, in requests.
-fn estimate_cost(state: &BackendState, query: &ChoiceQuery<'_>) -> f64 {
+#[must_use]
+pub fn estimate_cost(state: &BackendState, query: &ChoiceQuery<'_>) -> f64 {
     let report = state.load.report(query.now);
-    let pace = report.map_or(1.0, |report| report.pace.max(1.0));
+    let pace = report.map_or(1.0, |report| bounded_pace(report.pace));
     let is_closed = report.is_some_and(|report| !report.is_open);
     let mut cost = (f64::from(state.load.total(query.now)) + 1.0) * pace;
     cost += state.failure_rate() * FAILURE_COST;
@@ -140,5 +177,15 @@
     if is_closed {
         cost += CLOSED_GROUP_COST;
     }
+    if state.is_in_unstable_group(query.now) {
+        // As much as a rank of a stable group costs whose slots are all in use.
+        cost += f64::from(state.registration.slots) * pace;
+    }
     cost
 }
+
+/// Returns a slowdown factor that is finite and at least 1.
+fn bounded_pace(pace: f64) -> f64 {
+    // The comparison is false for a value that is no number.
+    if pace > 1.0 { pace.min(MAX_PACE) } else { 1.0 }
+}
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -19,13 +19,14 @@
 mod quarantine;
 mod registration;
 mod route;
+mod stability;
 mod table;
 
 pub use crate::{
     account::AccountTable,
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
-    choice::{BackendChoice, ChoiceQuery, choose_backend},
+    choice::{BackendChoice, ChoiceQuery, choose_backend, estimate_cost},
     clearance::{ClearanceRecord, PartClearance},
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
@@ -41,5 +42,6 @@
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
+    stability::StabilityChange,
     table::BackendTable,
 };
--- a/crates/celerycrank-serving/src/load.rs
+++ b/crates/celerycrank-serving/src/load.rs
@@ -31,6 +31,8 @@
     report: Option<(LoadReport, TimePoint)>,
     /// Requests of other entries at the time of the report.
     others: u32,
+    /// When a report last said that the group, which had been open, was closed.
+    closed_at: Option<TimePoint>,
 }
 
 impl LoadEstimate {
@@ -52,14 +54,35 @@
 
     /// Updates the estimate with an agent's report.
     pub fn observe(&mut self, report: LoadReport, now: TimePoint) {
-        self.others = (report.running + report.waiting).saturating_sub(self.own);
+        self.others = (report.running.saturating_add(report.waiting)).saturating_sub(self.own);
+        if self.was_open() && !report.is_open {
+            self.closed_at = Some(now);
+        }
         self.report = Some((report, now));
     }
 
     /// Returns the estimated number of requests of all entries.
     #[must_use]
     pub fn total(&self, now: TimePoint) -> u32 {
-        self.own + self.report(now).map_or(0, |_| self.others)
+        let others = self.report(now).map_or(0, |_| self.others);
+        self.own.saturating_add(others)
+    }
+
+    /// Returns the lock-step group by the last report, however old.
+    #[must_use]
+    pub fn group(&self) -> Option<&GroupId> {
+        self.report.as_ref()?.0.group.as_ref()
+    }
+
+    /// Whether the group accepted requests by the last report, however old.
+    pub(crate) fn was_open(&self) -> bool {
+        let report = self.report.as_ref();
+        report.is_some_and(|(report, _)| report.is_open)
+    }
+
+    /// When a report last said that the group, which had been open, was closed.
+    pub(crate) const fn closed_at(&self) -> Option<TimePoint> {
+        self.closed_at
     }
 
     /// Returns the last report, unless it is too old.
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -2,9 +2,13 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use celerycrank_types::{BackendId, RequestRate, ServiceId, TimePoint};
+use celerycrank_types::{BackendId, GroupId, RequestRate, ServiceId, TimePoint};
 
-use crate::{BackendRegistration, BackendState, EntryPlace, LimitNotice, RegistrationChange};
+use crate::{
+    BackendRegistration, BackendState, EntryPlace, LimitNotice, LoadReport, RegistrationChange,
+    StabilityChange,
+    stability::{GroupStability, RankNotice},
+};
 
 /// The backend servers known to an entry, by service.
 #[derive(Debug, Default)]
@@ -14,6 +18,8 @@
     services_by_backend: HashMap<BackendId, ServiceId>,
     /// The place of this entry among all entries; `None` while it is unknown.
     place: Option<EntryPlace>,
+    /// The closures of lock-step groups.
+    groups: GroupStability,
 }
 
 impl BackendTable {
@@ -107,6 +113,59 @@
         }
     }
 
+    /// Records an agent's report about its backend server.
+    pub fn observe_load(&mut self, backend: &BackendId, report: LoadReport, now: TimePoint) {
+        let Some(service) = self.services_by_backend.get(backend).cloned() else {
+            return;
+        };
+        let Some(state) = self.find_mut(backend) else {
+            return;
+        };
+        let group = report.group.clone();
+        let notice = RankNotice {
+            is_open: report.is_open,
+            was_open: state.load.was_open() && state.load.group() == group.as_ref(),
+            closed_before: state.load.closed_at(),
+        };
+        state.load.observe(report, now);
+        let Some(group) = group else {
+            state.unstable_until = None;
+            return;
+        };
+        if self.groups.note_report(&service, &group, notice, now) {
+            self.update_group(&service, &group);
+            return;
+        }
+        let until = self.groups.unstable_until(&service, &group);
+        if let Some(state) = self.find_mut(backend) {
+            state.unstable_until = until;
+        }
+    }
+
+    /// Returns the lock-step groups that have become unstable or stable since the last call.
+    pub fn take_stability_changes(&mut self, now: TimePoint) -> Vec<StabilityChange> {
+        self.groups.prune(now);
+        self.groups.take_changes(now)
+    }
+
+    /// Returns the number of unstable lock-step groups.
+    #[must_use]
+    pub fn unstable_groups(&self, now: TimePoint) -> usize {
+        self.groups.count_unstable(now)
+    }
+
+    /// Returns the number of lock-step groups whose closures are tracked.
+    #[must_use]
+    pub fn tracked_groups(&self) -> usize {
+        self.groups.len()
+    }
+
+    /// Records that a backend server broke off its answer to a request.
+    pub fn note_broken(&mut self, backend: &BackendId, now: TimePoint) {
+        self.note_answer(backend, true);
+        self.note_group_failure(backend, now);
+    }
+
     /// Records the limit in an answer, or its absence; returns whether the other entries have to be
     /// notified.
     ///
@@ -143,8 +202,13 @@
     /// It is full, or a rank of its group is missing, so other backend servers are preferred for
     /// a short time.
     pub fn note_refused(&mut self, backend: &BackendId, now: TimePoint) {
-        if let Some(state) = self.find_mut(backend) {
-            state.note_refused(now);
+        let Some(state) = self.find_mut(backend) else {
+            return;
+        };
+        state.note_refused(now);
+        // One that is full refuses requests although its group is open.
+        if state.load.total(now) < state.registration.slots {
+            self.note_group_failure(backend, now);
         }
     }
 
@@ -170,6 +234,32 @@
         if let Some(state) = self.find_mut(backend) {
             state.note_unreachable(now);
         }
+        self.note_group_failure(backend, now);
+    }
+
+    /// Records that a request failed as it does when the lock-step group of its backend server closes.
+    fn note_group_failure(&mut self, backend: &BackendId, now: TimePoint) {
+        let Some(service) = self.services_by_backend.get(backend).cloned() else {
+            return;
+        };
+        let group = self
+            .find_mut(backend)
+            .and_then(|it| it.load.group().cloned());
+        let Some(group) = group else {
+            return;
+        };
+        if self.groups.note_failure(&service, &group, backend, now) {
+            self.update_group(&service, &group);
+        }
+    }
+
+    /// Updates the backend servers of a lock-step group after a closure.
+    fn update_group(&mut self, service: &ServiceId, group: &GroupId) {
+        let until = self.groups.unstable_until(service, group);
+        let states = self.services.get_mut(service).into_iter().flatten();
+        for state in states.filter(|state| state.load.group() == Some(group)) {
+            state.unstable_until = until;
+        }
     }
 
     fn write(&mut self, registration: BackendRegistration) {
