--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -8,7 +8,7 @@
 };
 
 use actix_rt::time::interval;
-use celerycrank_serving::LoadReport;
+use celerycrank_serving::{LoadReport, StabilityChange};
 use celerycrank_types::BackendId;
 use tokio::{net::UdpSocket, select};
 
@@ -35,6 +35,7 @@
                 ask_entries(&state, &socket, &agents).await;
                 announce_limits(&state, &socket).await;
                 log_end_of_contention(&state);
+                update_stability(&state);
                 state.pool.close_expired(state.clock.now());
             }
             () = state.limits.has_pending.notified() => {
@@ -121,11 +122,34 @@
     state.entry_count.borrow_mut().observe(entries, now);
     let service = {
         let mut backends = state.backends.borrow_mut();
-        let Some(known) = backends.find_mut(backend) else {
-            return;
-        };
-        known.load.observe(report, now);
-        known.registration.service.clone()
+        backends.observe_load(backend, report, now);
+        let registration = backends.registration(backend);
+        registration.map(|it| it.service.clone())
     };
-    wake_waiting(state, &service);
+    update_stability(state);
+    if let Some(service) = service {
+        wake_waiting(state, &service);
+    }
+}
+
+/// Logs the lock-step groups that have become unstable or stable.
+fn update_stability(state: &EntryState) {
+    let now = state.clock.now();
+    let mut backends = state.backends.borrow_mut();
+    let changes = backends.take_stability_changes(now);
+    let unstable = i64::try_from(backends.unstable_groups(now)).unwrap_or(i64::MAX);
+    state.metrics.unstable_groups.set(unstable);
+    for change in changes {
+        let StabilityChange {
+            service,
+            group,
+            closures,
+            ..
+        } = &change;
+        if change.is_unstable {
+            tracing::warn!(%service, %group, closures, "group closes repeatedly; requests go to other groups first");
+        } else {
+            tracing::info!(%service, %group, closures, "group has stayed open and is used as before");
+        }
+    }
 }
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -21,6 +21,7 @@
 mod quarantine;
 mod registration;
 mod route;
+mod stability;
 mod table;
 
 pub use crate::{
@@ -29,7 +30,7 @@
     admission_queue::{AccountLoads, AccountShare, AdmissionQueue, WaitBand, WaitRank, WaitTicket},
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
-    choice::{BackendChoice, ChoiceQuery, LoadLimit, choose_backend, has_place},
+    choice::{BackendChoice, ChoiceQuery, LoadLimit, choose_backend, estimate_cost, has_place},
     clearance::{ClearanceRecord, PartClearance},
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
@@ -45,5 +46,6 @@
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
+    stability::StabilityChange,
     table::BackendTable,
 };
--- a/crates/celerycrank-serving/src/load.rs
+++ b/crates/celerycrank-serving/src/load.rs
@@ -44,6 +44,8 @@
     before_report: RequestFlow,
     /// This entry's requests since the last report.
     since_report: RequestFlow,
+    /// When a report last said that the group, which had been open, was closed.
+    closed_at: Option<TimePoint>,
 }
 
 impl LoadEstimate {
@@ -67,7 +69,10 @@
 
     /// Updates the estimate with an agent's report.
     pub fn observe(&mut self, report: LoadReport, now: TimePoint) {
-        self.others = (report.running + report.waiting).saturating_sub(self.own);
+        self.others = (report.running.saturating_add(report.waiting)).saturating_sub(self.own);
+        if self.was_open() && !report.is_open {
+            self.closed_at = Some(now);
+        }
         self.before_report = std::mem::take(&mut self.since_report);
         self.report = Some((report, now));
     }
@@ -75,14 +80,32 @@
     /// Returns the estimated number of requests of all entries.
     #[must_use]
     pub fn total(&self, now: TimePoint) -> u32 {
-        self.own + self.report(now).map_or(0, |_| self.others)
+        let others = self.report(now).map_or(0, |_| self.others);
+        self.own.saturating_add(others)
+    }
+
+    /// Returns the lock-step group by the last report, however old.
+    #[must_use]
+    pub fn group(&self) -> Option<&GroupId> {
+        self.report.as_ref()?.0.group.as_ref()
+    }
+
+    /// Whether the group accepted requests by the last report, however old.
+    pub(crate) fn was_open(&self) -> bool {
+        let report = self.report.as_ref();
+        report.is_some_and(|(report, _)| report.is_open)
+    }
+
+    /// When a report last said that the group, which had been open, was closed.
+    pub(crate) const fn closed_at(&self) -> Option<TimePoint> {
+        self.closed_at
     }
 
     /// Returns the number of requests by the last report, or of this entry's requests without one.
     #[must_use]
     pub fn reported(&self, now: TimePoint) -> u32 {
         self.report(now)
-            .map_or(self.own, |report| report.running + report.waiting)
+            .map_or(self.own, |it| it.running.saturating_add(it.waiting))
     }
 
     /// Returns this entry's requests that the last report may not include.
