Evacuation of failure domains

Operators need to empty a failure domain: no new request may reach its backend servers, from any entry that can reach the store, while requests in flight finish. So far nothing but the backend servers themselves could stop requests to them.

Entries read the keys under op/evacuate/ before the backend servers and apply changes of them. BackendState::obstacle gives SendObstacle::Evacuated, which no last resort overcomes; all choices (first sends, retries, resumed streams, takeovers) follow it. BackendTable::check_send stops an attempt that was connecting when the evacuation began, right before its bytes and without a send of the route. If nothing else can be chosen, the caller gets 503 `evacuated` at once. The status page, two log lines and three metrics show it.

No test with real sockets reaches the second check: connections on the loopback take no time that could be controlled.

--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -21,6 +21,7 @@
     callers: u32,
     requests: u32,
     backends: Vec<BackendStatus>,
+    evacuated_domains: Vec<String>,
     quarantined_parts: Vec<PartStatus>,
 }
 
@@ -37,7 +38,9 @@
     backend: String,
     service: String,
     address: String,
+    domain: String,
     is_usable: bool,
+    obstacle: Option<String>,
     own_requests: u32,
     requests: u32,
     failures: f64,
@@ -57,11 +60,15 @@
         let state = &self.state;
         let now = state.clock.now();
         let backends = state.backends.borrow();
+        let evacuated = backends.evacuated_domains().map(ToString::to_string);
+        let evacuated_domains = evacuated.collect();
         let backends = backends.iter().map(|it| BackendStatus {
             backend: it.registration.backend.to_string(),
             service: it.registration.service.to_string(),
             address: it.registration.address.to_string(),
+            domain: it.registration.domain.to_string(),
             is_usable: it.is_usable(now),
+            obstacle: it.obstacle(now).map(|obstacle| obstacle.to_string()),
             own_requests: it.load.own(),
             requests: it.load.total(now),
             failures: it.failure_rate(),
@@ -82,6 +89,7 @@
             callers: state.caller_connections.get(),
             requests: state.requests_in_flight.get(),
             backends: backends.collect(),
+            evacuated_domains,
             quarantined_parts: parts.collect(),
         };
         serde_json::to_vec(&status).expect("plain fields encode into memory")
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use celerycrank_http::{BodyDecoder, BodyFraming, BodyStep, HttpStream, ResponseHead, TcpTimeouts};
 use celerycrank_platform::{AnswerMetadata, ForwardMetadata, write_forwarded};
-use celerycrank_serving::{BackendRegistration, LimitNotice};
+use celerycrank_serving::{BackendRegistration, LimitNotice, SendObstacle};
 use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
 use super::{
@@ -57,6 +57,8 @@
     /// Nothing was sent: the configuration is too old to tell whether the caller's key is still
     /// valid.
     Stale,
+    /// Nothing was sent: since the choice of the backend server, an obstacle has arisen.
+    Withheld(SendObstacle),
 }
 
 impl AttemptError {
@@ -139,6 +141,8 @@
     if request.account.is_some() && !state.is_fresh() {
         return Err(AttemptError::Stale);
     }
+    let checked = state.backends.borrow().check_send(registration);
+    checked.map_err(AttemptError::Withheld)?;
     let now = state.clock.now();
     let time_left = request.deadline.since(now);
     if time_left < MIN_TIME_LEFT {
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -3,10 +3,12 @@
 use std::cell::{Cell, RefCell};
 
 use celerycrank_serving::{
-    BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics,
-    choose_backend,
+    BackendChoice, BackendRegistration, BackendTable, ChoiceQuery, CrashedBackend,
+    RequestSemantics, ServiceObstacle, choose_backend,
+};
+use celerycrank_types::{
+    BackendId, RefusalReason, RetryReason, TimePoint, TimeSpan, UnknownReason,
 };
-use celerycrank_types::{BackendId, RefusalReason, RetryReason, TimeSpan, UnknownReason};
 use smallvec::SmallVec;
 
 use super::{
@@ -265,7 +267,15 @@
                 // Those that are refused at the same time must not come back at the same time.
                 retry_after: retry_after.map(|span| span + random_spread(&mut random)),
             }),
-            BackendChoice::Unavailable => Err(RefusalReason::NoBackend.into()),
+            BackendChoice::Unavailable => Err(self.service_refusal(&backends, query.now)),
+        }
+    }
+
+    /// The refusal of a request for which no backend server can be chosen.
+    fn service_refusal(&self, backends: &BackendTable, now: TimePoint) -> RequestRefusal {
+        match backends.service_obstacle(&self.request.service, now) {
+            ServiceObstacle::Evacuated => RefusalReason::Evacuated.into(),
+            ServiceObstacle::NoBackend => RefusalReason::NoBackend.into(),
         }
     }
 
@@ -327,6 +337,11 @@
             AttemptError::NotRun => backends.note_refused(backend, now),
             // What one request asks for says nothing about others.
             AttemptError::Unsuitable | AttemptError::Stale | AttemptError::TooLate => {}
+            AttemptError::Withheld(_) => {
+                self.state.metrics.withheld.inc();
+                // It was not tried: the request may be sent to it when the obstacle is gone.
+                self.tried.borrow_mut().retain(|tried| tried != backend);
+            }
         }
     }
 }
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -19,6 +19,9 @@
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
+    pub(crate) evacuated_domains: IntGauge,
+    pub(crate) evacuation_errors: IntCounter,
+    pub(crate) withheld: IntCounter,
     pub(crate) store_errors: IntCounter,
     pub(crate) configuration_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
@@ -79,6 +82,18 @@
                 "celerycrank_direct_quarantined_parts",
                 "prompt parts that are refused since they crash backend servers",
             )?,
+            evacuated_domains: set.gauge(
+                "celerycrank_direct_evacuated_domains",
+                "failure domains that are evacuated",
+            )?,
+            evacuation_errors: set.counter(
+                "celerycrank_direct_evacuation_faults_total",
+                "evacuations that are ignored or concern no backend server",
+            )?,
+            withheld: set.counter(
+                "celerycrank_direct_withheld_total",
+                "attempts that ended before their send since the backend server may get no request",
+            )?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod clearance;
 mod crash;
 mod dispatch;
+mod evacuation;
 mod limits;
 mod live;
 mod load;
--- a/crates/celerycrank-direct/src/entry/refusal.rs
+++ b/crates/celerycrank-direct/src/entry/refusal.rs
@@ -14,6 +14,10 @@
 /// Retry delays sent to callers while the key-value service is unavailable, which lasts seconds.
 const STORE_RETRY_AFTER: RangeInclusive<u64> = retry_after_range(1_000, 2_500);
 
+/// Retry delays sent to callers while failure domains are evacuated, which lasts until operators
+/// have ended it.
+const EVACUATION_RETRY_AFTER: RangeInclusive<u64> = retry_after_range(1_000, 3_000);
+
 /// The longest time by which retries are put off, so that they do not come at the same time.
 const MAX_SPREAD: TimeSpan = TimeSpan::from_millis(750);
 
@@ -88,6 +92,7 @@
 fn random_retry_after(state: &EntryState, reason: RefusalReason) -> TimeSpan {
     let delays = match reason {
         RefusalReason::StaleConfiguration | RefusalReason::NoConfiguration => STORE_RETRY_AFTER,
+        RefusalReason::Evacuated => EVACUATION_RETRY_AFTER,
         _ => CAPACITY_RETRY_AFTER,
     };
     TimeSpan(state.random.borrow_mut().random_range(delays))
--- a/crates/celerycrank-direct/src/entry/retry.rs
+++ b/crates/celerycrank-direct/src/entry/retry.rs
@@ -1,5 +1,6 @@
 //! Decides whether a request is sent again, and what its caller is told otherwise.
 
+use celerycrank_serving::SendObstacle;
 use celerycrank_types::{RefusalReason, RetryReason, UnknownReason};
 
 use super::{
@@ -21,6 +22,10 @@
             AttemptError::TooLate => {
                 return Err(self.final_error(RefusalReason::DeadlineUnreachable));
             }
+            // The choice that follows avoids the backend server as long as the obstacle lasts.
+            AttemptError::Withheld(obstacle) => {
+                (self.take_unsent_attempt(), refusal_reason(obstacle))
+            }
             AttemptError::NotSent => (
                 self.take_unsent_attempt(),
                 RefusalReason::BackendUnreachable,
@@ -100,3 +105,11 @@
         is_granted
     }
 }
+
+/// Why a request is refused whose last attempt ended at this obstacle.
+const fn refusal_reason(obstacle: SendObstacle) -> RefusalReason {
+    match obstacle {
+        SendObstacle::Evacuated => RefusalReason::Evacuated,
+        _ => RefusalReason::NoBackend,
+    }
+}
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -5,8 +5,8 @@
 use actix_rt::time::sleep;
 use celerycrank_client::{KeyValueError, KeyValueRecord, WatchEvent};
 use celerycrank_platform::{
-    CONFIGURATION_KEY, REGISTRATION_PREFIX, parse_registration_key, read_configuration,
-    read_registration,
+    CONFIGURATION_KEY, EVACUATION_PREFIX, REGISTRATION_PREFIX, parse_registration_key,
+    read_configuration, read_registration,
 };
 use celerycrank_serving::{BackendRegistration, KeyRequirement, RegistrationChange};
 use celerycrank_types::TimeSpan;
@@ -14,6 +14,7 @@
 use super::{
     backoff::StoreBackoff,
     clearance::{CLEARANCE_PREFIX, apply_new_clearances, read_clearances},
+    evacuation::{apply_evacuation, log_unknown_domains, read_evacuations},
     quarantine::{CRASH_PREFIX, apply_new_report, read_crash_reports},
     state::EntryState,
 };
@@ -53,6 +54,8 @@
     // Read first, so that crashes that answers have followed never count as evidence.
     read_clearances(state).await?;
     read_crash_reports(state).await?;
+    // Read first, so that no backend server is used before it is known whether it may be.
+    read_evacuations(state).await?;
     read_backends(state).await?;
     backoff.record_success();
     loop {
@@ -85,6 +88,8 @@
     let now = state.clock.now();
     state.backends.borrow_mut().replace(registrations, now);
     state.has_read_backends.set(true);
+    let backends = state.backends.borrow();
+    log_unknown_domains(state, backends.evacuated_domains());
     Ok(())
 }
 
@@ -99,6 +104,8 @@
                 false
             }
         };
+    } else if key.starts_with(EVACUATION_PREFIX) {
+        apply_evacuation(state, event);
     } else if key.starts_with(CRASH_PREFIX) {
         // A report that is removed has only outlived its use for processes that start.
         if let WatchEvent::Put(record) = event {
--- a/crates/celerycrank-requests/src/retry.rs
+++ b/crates/celerycrank-requests/src/retry.rs
@@ -116,6 +116,7 @@
         RefusalReason::UnknownKey
         | RefusalReason::NoRoute
         | RefusalReason::RouteClosed
+        | RefusalReason::Evacuated
         | RefusalReason::OutsidePlan
         | RefusalReason::BadRequest
         | RefusalReason::HeaderTooLarge
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -40,6 +40,8 @@
     pub(crate) is_misdirected: bool,
     /// Whether a backend server of the same service registered later with the same address.
     pub(crate) is_superseded: bool,
+    /// Whether its failure domain is evacuated.
+    pub(crate) is_evacuated: bool,
     /// End and length of the latest backoff.
     backoff: Option<(TimePoint, TimeSpan)>,
     /// Moving average of failed answers, from 0 to 1.
@@ -60,6 +62,7 @@
             removed_at: None,
             is_misdirected: false,
             is_superseded: false,
+            is_evacuated: false,
             backoff: None,
             failure_rate: 0.0,
             allowance: None,
@@ -97,6 +100,8 @@
             Some(SendObstacle::Misdirected)
         } else if self.is_grace_over(now) {
             Some(SendObstacle::Removed)
+        } else if self.is_evacuated {
+            Some(SendObstacle::Evacuated)
         } else if self.removed_at.is_some() {
             Some(SendObstacle::RemovedRecently)
         } else if self.is_superseded {
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -9,6 +9,7 @@
 mod clearance;
 mod configuration;
 mod crash;
+mod evacuation;
 mod event;
 mod evidence;
 mod freshness;
@@ -32,12 +33,13 @@
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
     },
     crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
+    evacuation::EvacuationChange,
     event::{EventError, EventReader},
     evidence::RefusedPart,
     freshness::FreshnessGuard,
     limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport},
-    obstacle::SendObstacle,
+    obstacle::{SendObstacle, ServiceObstacle},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
--- a/crates/celerycrank-serving/src/obstacle.rs
+++ b/crates/celerycrank-serving/src/obstacle.rs
@@ -11,6 +11,8 @@
     Misdirected,
     /// its registration was removed
     Removed,
+    /// its failure domain is evacuated
+    Evacuated,
     /// its registration was removed a moment ago
     RemovedRecently,
     /// another backend server registered later with its address
@@ -24,8 +26,17 @@
     #[must_use]
     pub const fn allows_last_resort(self) -> bool {
         match self {
-            Self::Draining | Self::Misdirected | Self::Removed => false,
+            Self::Draining | Self::Misdirected | Self::Removed | Self::Evacuated => false,
             Self::RemovedRecently | Self::Superseded | Self::BackingOff => true,
         }
     }
 }
+
+/// Why no backend server of a service can be chosen for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServiceObstacle {
+    /// Every backend server that could be chosen is in an evacuated failure domain.
+    Evacuated,
+    /// There is no backend server that could be chosen.
+    NoBackend,
+}
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -1,10 +1,16 @@
 //! The table of the backend servers known to an entry.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+};
 
-use celerycrank_types::{BackendId, RequestRate, ServiceId, TimePoint};
+use celerycrank_types::{BackendId, DomainId, RequestRate, ServiceId, TimePoint};
 
-use crate::{BackendRegistration, BackendState, EntryPlace, LimitNotice, RegistrationChange};
+use crate::{
+    BackendRegistration, BackendState, EntryPlace, EvacuationChange, LimitNotice,
+    RegistrationChange, SendObstacle, ServiceObstacle, evacuation::EvacuationSet,
+};
 
 /// The backend servers known to an entry, by service.
 #[derive(Debug, Default)]
@@ -14,6 +20,7 @@
     services_by_backend: HashMap<BackendId, ServiceId>,
     /// The place of this entry among all entries; `None` while it is unknown.
     place: Option<EntryPlace>,
+    evacuated: EvacuationSet,
 }
 
 impl BackendTable {
@@ -86,6 +93,63 @@
             .find(|state| state.registration.backend == *backend)
     }
 
+    /// Returns the evacuated failure domains.
+    pub fn evacuated_domains(&self) -> impl Iterator<Item = &DomainId> {
+        self.evacuated.iter()
+    }
+
+    /// Applies the complete list of evacuated failure domains.
+    pub fn replace_evacuated(&mut self, domains: BTreeSet<DomainId>) -> EvacuationChange {
+        let change = self.evacuated.replace(domains);
+        self.apply_evacuation(&change);
+        change
+    }
+
+    /// Records that the evacuation of a failure domain begins.
+    pub fn begin_evacuation(&mut self, domain: DomainId) -> EvacuationChange {
+        let change = self.evacuated.begin(domain);
+        self.apply_evacuation(&change);
+        change
+    }
+
+    /// Records that the evacuation of a failure domain ends.
+    pub fn end_evacuation(&mut self, domain: &DomainId) -> EvacuationChange {
+        let change = self.evacuated.end(domain);
+        self.apply_evacuation(&change);
+        change
+    }
+
+    /// Checks right before a request is sent that the obstacles which no request overcomes and that
+    /// may have arisen since the choice have not.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the obstacle for which nothing may be sent.
+    pub fn check_send(&self, chosen: &BackendRegistration) -> Result<(), SendObstacle> {
+        // The backend server may have registered in another failure domain since it was chosen.
+        let current = self.registration(&chosen.backend).unwrap_or(chosen);
+        let mut domains = [&chosen.domain, &current.domain].into_iter();
+        if domains.any(|domain| self.evacuated.contains(domain)) {
+            return Err(SendObstacle::Evacuated);
+        }
+        Ok(())
+    }
+
+    /// Returns why no backend server of a service can be chosen for a request.
+    #[must_use]
+    pub fn service_obstacle(&self, service: &ServiceId, now: TimePoint) -> ServiceObstacle {
+        let states = self.of_service(service).iter();
+        let obstacles = states.map(|state| state.obstacle(now));
+        let is_evacuated = |it| it == Some(SendObstacle::Evacuated);
+        let mut open = obstacles.clone();
+        let has_open = open.any(|it| it.is_none_or(SendObstacle::allows_last_resort));
+        if !has_open && obstacles.into_iter().any(is_evacuated) {
+            ServiceObstacle::Evacuated
+        } else {
+            ServiceObstacle::NoBackend
+        }
+    }
+
     /// Records that a request is sent.
     pub fn begin(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
@@ -190,15 +254,16 @@
             .position(|backend| *backend == registration.backend);
         match position.map(|index| (index, &mut states[index])) {
             Some((_, state)) if state.registration.incarnation == registration.incarnation => {
+                state.is_evacuated = self.evacuated.contains(&registration.domain);
                 state.registration = registration;
                 state.removed_at = None;
             }
             Some((index, _)) => {
                 // A new incarnation has no history and counts as the latest registration.
                 states.remove(index);
-                states.push(BackendState::new(registration));
+                states.push(new_state(&self.evacuated, registration));
             }
-            None => states.push(BackendState::new(registration)),
+            None => states.push(new_state(&self.evacuated, registration)),
         }
         self.mark_superseded(&service, address);
     }
@@ -219,6 +284,17 @@
         }
     }
 
+    fn apply_evacuation(&mut self, change: &EvacuationChange) {
+        for state in self.services.values_mut().flatten() {
+            let domain = &state.registration.domain;
+            if change.begun.contains(domain) {
+                state.is_evacuated = true;
+            } else if change.ended.contains(domain) {
+                state.is_evacuated = false;
+            }
+        }
+    }
+
     fn mark_removed(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
             state.removed_at.get_or_insert(now);
@@ -234,3 +310,11 @@
         }
     }
 }
+
+/// Creates the state of a backend server that was not known, or whose process is new.
+fn new_state(evacuated: &EvacuationSet, registration: BackendRegistration) -> BackendState {
+    let is_evacuated = evacuated.contains(&registration.domain);
+    let mut state = BackendState::new(registration);
+    state.is_evacuated = is_evacuated;
+    state
+}
--- a/crates/celerycrank-types/src/outcome.rs
+++ b/crates/celerycrank-types/src/outcome.rs
@@ -78,6 +78,8 @@
         BackendLimit = "backend_limit",
         /// The request's route cannot be used, since the configuration of it cannot be read (503).
         RouteClosed = "route_closed",
+        /// Every backend server that could run the request is in an evacuated failure domain (503).
+        Evacuated = "evacuated",
     }
 }
 
