--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod clearance;
 mod crash;
 mod dispatch;
+mod evacuation;
 mod limits;
 mod live;
 mod load;
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -11,6 +11,7 @@
 mod clearance;
 mod configuration;
 mod crash;
+mod evacuation;
 mod event;
 mod evidence;
 mod freshness;
@@ -37,12 +38,13 @@
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
     },
     crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
+    evacuation::EvacuationChange,
     event::{EventError, EventReader},
     evidence::RefusedPart,
     freshness::FreshnessGuard,
     limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport, RequestFlow},
-    obstacle::SendObstacle,
+    obstacle::{SendObstacle, ServiceObstacle},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
