Admission: urgency before lateness, streams that broke off wait for a place, too

A group that breaks cuts hundreds of streams off at once. Resumed at once, they overfilled the other group; now they wait for up to a second in the same queue.

--- a/crates/celerycrank-direct/src/entry/admission.rs
+++ b/crates/celerycrank-direct/src/entry/admission.rs
@@ -157,12 +157,20 @@
 
 impl RequestDispatch<'_> {
     /// Waits until a backend server has a place for the request, and chooses it.
+    ///
+    /// A request that has been sent before, such as a stream that broke off, gets none that is free
+    /// only if it waits too long.
     pub(super) async fn wait_for_place(
         &self,
         policy: &AdmissionPolicy,
+        is_first: bool,
     ) -> Result<BackendRegistration, RequestError> {
         let (state, request) = (self.state, self.request);
-        let bounds = self.wait_bounds(policy);
+        let bounds = if is_first {
+            self.wait_bounds(policy)
+        } else {
+            WaitBounds::for_resumption(state.clock.now(), request.deadline)
+        };
         let arrived_at = Instant::now();
         let mut has_waited = false;
         loop {
@@ -181,6 +189,9 @@
             match self.wait(rank).await {
                 WaitEnd::Woken => {}
                 WaitEnd::Expired if rank.band == WaitBand::InTime => {}
+                WaitEnd::Expired | WaitEnd::Crowded if !is_first => {
+                    return self.choose().map_err(|it| self.final_error(it));
+                }
                 WaitEnd::Expired => return Err(self.no_place(RefusalReason::DeadlineUnreachable)),
                 WaitEnd::Crowded => return Err(self.no_place(RefusalReason::QueueFull)),
             }
@@ -265,21 +276,16 @@
 /// The shortest wait, so that a request whose time is just over does not wake itself at once.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
-/// The load limit of a request of this rank; one that is late leaves as many places free as the least
-/// urgent ones.
+/// The load limit of a request of this rank.
 fn load_limit(
     state: &EntryState,
     policy: &AdmissionPolicy,
     meter: &ArrivalMeter,
     rank: WaitRank,
 ) -> LoadLimit {
-    let level = match rank.band {
-        WaitBand::InTime => rank.level,
-        WaitBand::Late => policy.last_level(),
-    };
     let now = state.clock.now();
     let entries = state.entry_count.borrow_mut().get(now);
-    policy.load_limit(meter.reserve(level, entries, now), entries)
+    policy.load_limit(meter.reserve(rank.level, entries, now), entries)
 }
 
 /// Whether a waiting request ranks before a new one.
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -271,16 +271,15 @@
 
     /// Chooses the backend server of an attempt.
     ///
-    /// The first attempt waits for a place if the requests of the service differ in urgency; a stream
-    /// that has begun and a request that was sent before do not wait again.
+    /// It waits for a place if the requests of the service differ in urgency.
     async fn choose_admitted(
         &self,
         last_event: Option<u64>,
     ) -> Result<BackendRegistration, RequestError> {
         let is_first = self.tried.borrow().is_empty() && last_event.is_none();
         let chosen = match &self.request.admission {
-            Some(policy) if is_first => self.wait_for_place(policy).await?,
-            _ => self.choose().map_err(|it| self.final_error(it))?,
+            Some(policy) => self.wait_for_place(policy, is_first).await?,
+            None => self.choose().map_err(|it| self.final_error(it))?,
         };
         if is_first && self.request.admission.is_some() {
             self.chosen_at.set(Some(self.state.clock.now()));
@@ -289,7 +288,7 @@
     }
 
     /// Chooses a backend server without a load limit, or returns why there is none.
-    fn choose(&self) -> Result<BackendRegistration, RequestRefusal> {
+    pub(super) fn choose(&self) -> Result<BackendRegistration, RequestRefusal> {
         let chosen = self.choose_state(None)?;
         Ok(chosen.expect("only a load limit makes all of them full"))
     }
--- a/crates/celerycrank-serving/src/admission.rs
+++ b/crates/celerycrank-serving/src/admission.rs
@@ -28,6 +28,11 @@
 /// Weight of the newest sample in the moving average of first event times.
 const FIRST_EVENT_SMOOTHING: f64 = 0.1;
 
+/// Maximum time for which a stream that broke off waits for a place.
+///
+/// Callers leave after a gap of two seconds, within which the next event has to arrive.
+const RESUMPTION_WAIT: TimeSpan = TimeSpan::from_secs(1);
+
 /// Part of the time that a request has left for which it may wait, as a divisor.
 ///
 /// A caller that is refused needs the rest to come back.
@@ -82,12 +87,6 @@
         UrgencyLevel(reached.fold(0, |level, _| level + 1))
     }
 
-    /// The least urgent level.
-    #[must_use]
-    pub fn last_level(&self) -> UrgencyLevel {
-        self.level(u8::MAX)
-    }
-
     /// The limit on what an engine may hold for requests that leave `reserve` places of the service
     /// free, of which `entries` entries use some each.
     #[must_use]
@@ -113,6 +112,17 @@
 }
 
 impl WaitBounds {
+    /// The bounds for a stream that broke off at `now` and is resumed.
+    ///
+    /// Its caller waits for the next event, which is late already.
+    #[must_use]
+    pub fn for_resumption(now: TimePoint, deadline: TimePoint) -> Self {
+        Self {
+            in_time_until: now,
+            end: (now + RESUMPTION_WAIT).min(deadline),
+        }
+    }
+
     /// The bounds for a request that has just arrived.
     #[must_use]
     pub fn new(
--- a/crates/celerycrank-serving/src/admission_queue.rs
+++ b/crates/celerycrank-serving/src/admission_queue.rs
@@ -11,7 +11,7 @@
 pub enum WaitBand {
     /// It can.
     InTime,
-    /// It cannot; it gets a place only if no request that can be in time wants it.
+    /// It cannot; it gets a place after the requests of its level that can be in time.
     Late,
 }
 
@@ -27,10 +27,10 @@
 /// The order in which waiting requests get places.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitRank {
-    /// Whether it can still be in time.
-    pub band: WaitBand,
     /// Its urgency.
     pub level: UrgencyLevel,
+    /// Whether it can still be in time.
+    pub band: WaitBand,
     /// Whether its account is within its share.
     pub share: AccountShare,
     /// The time until which it can be in time, or at which it is refused.
