--- a/crates/celerycrank-direct/src/entry/admission.rs
+++ b/crates/celerycrank-direct/src/entry/admission.rs
@@ -133,7 +133,7 @@
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
-        self.state.metrics.waiting.dec();
+        self.state.metrics.admission.waiting.dec();
         let mut services = self.state.admission.services.borrow_mut();
         let admission = services.get_mut(self.service);
         let was_waiting = admission.is_some_and(|it| it.queue.remove(&self.ticket));
@@ -179,9 +179,9 @@
                 && let Some(chosen) = self.choose_within(Some(self.load_limit(policy, rank)))?
             {
                 if has_waited {
-                    state.metrics.admitted_late.inc();
+                    state.metrics.admission.admitted_late.inc();
                     let waited = arrived_at.elapsed().as_secs_f64();
-                    state.metrics.wait_time.observe(waited);
+                    state.metrics.admission.wait_time.observe(waited);
                 }
                 return Ok(chosen);
             }
@@ -213,7 +213,7 @@
         let Ok((ticket, _evicted)) = pushed else {
             return WaitEnd::Crowded;
         };
-        state.metrics.waiting.inc();
+        state.metrics.admission.waiting.inc();
         let _guard = WaitGuard {
             state,
             service,
--- a/crates/celerycrank-direct/src/entry/evacuation.rs
+++ b/crates/celerycrank-direct/src/entry/evacuation.rs
@@ -42,7 +42,7 @@
     let backends = state.backends.borrow();
     for domain in domains {
         if !backends.iter().any(|it| it.registration.domain == *domain) {
-            state.metrics.evacuation_errors.inc();
+            state.metrics.evacuation.evacuation_errors.inc();
             tracing::warn!(%domain, "no backend server is in the evacuated failure domain");
         }
     }
@@ -52,7 +52,7 @@
     match parse_evacuation_key(key) {
         Ok(domain) => Some(domain),
         Err(error) => {
-            state.metrics.evacuation_errors.inc();
+            state.metrics.evacuation.evacuation_errors.inc();
             tracing::warn!(fault = %error, "evacuation is ignored");
             None
         }
@@ -67,10 +67,10 @@
         tracing::info!(%domain, "failure domain no longer evacuated");
     }
     for domain in &change.ignored {
-        state.metrics.evacuation_errors.inc();
+        state.metrics.evacuation.evacuation_errors.inc();
         tracing::error!(%domain, "evacuation is ignored; too many failure domains are evacuated");
     }
     let count = state.backends.borrow().evacuated_domains().count();
     let count = i64::try_from(count).unwrap_or(i64::MAX);
-    state.metrics.evacuated_domains.set(count);
+    state.metrics.evacuation.evacuated_domains.set(count);
 }
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -20,9 +20,7 @@
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
     pub(crate) unstable_groups: IntGauge,
-    pub(crate) evacuated_domains: IntGauge,
-    pub(crate) evacuation_errors: IntCounter,
-    pub(crate) withheld: IntCounter,
+    pub(crate) evacuation: EvacuationMetrics,
     pub(crate) store_errors: IntCounter,
     pub(crate) configuration_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
@@ -30,9 +28,7 @@
     pub(crate) refusals: LabelledCounter<RefusalReason>,
     pub(crate) retries: LabelledCounter<RetryReason>,
     pub(crate) unknowns: LabelledCounter<UnknownReason>,
-    pub(crate) waiting: IntGauge,
-    pub(crate) admitted_late: IntCounter,
-    pub(crate) wait_time: Histogram,
+    pub(crate) admission: AdmissionMetrics,
     pub(crate) first_event: Histogram,
     pub(crate) answer_time: Histogram,
 }
@@ -90,18 +86,7 @@
                 "celerycrank_direct_unstable_groups",
                 "lock-step groups that close repeatedly and are used last",
             )?,
-            evacuated_domains: set.gauge(
-                "celerycrank_direct_evacuated_domains",
-                "failure domains that are evacuated",
-            )?,
-            evacuation_errors: set.counter(
-                "celerycrank_direct_evacuation_faults_total",
-                "evacuations that are ignored or concern no backend server",
-            )?,
-            withheld: set.counter(
-                "celerycrank_direct_withheld_total",
-                "attempts that ended before their send since the backend server may get no request",
-            )?,
+            evacuation: EvacuationMetrics::register(&set)?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
@@ -121,6 +106,31 @@
             refusals: set.refusals("celerycrank_direct_refusals_total")?,
             retries: set.retries("celerycrank_direct_retries_total")?,
             unknowns: set.unknowns("celerycrank_direct_unknown_total")?,
+            admission: AdmissionMetrics::register(&set)?,
+            first_event: set.latency(
+                "celerycrank_direct_first_event_seconds",
+                "time from a request to the first event of its stream",
+            )?,
+            answer_time: set.latency(
+                "celerycrank_direct_answer_seconds",
+                "time from a request to the end of its answer",
+            )?,
+            set,
+        })
+    }
+}
+
+/// Metrics of requests that wait for a place at the engines of their service.
+#[derive(Debug)]
+pub(crate) struct AdmissionMetrics {
+    pub(crate) waiting: IntGauge,
+    pub(crate) admitted_late: IntCounter,
+    pub(crate) wait_time: Histogram,
+}
+
+impl AdmissionMetrics {
+    fn register(set: &MetricSet) -> Result<Self, MetricError> {
+        Ok(Self {
             waiting: set.gauge(
                 "celerycrank_direct_waiting_requests",
                 "requests that wait for a place at the engines of their service",
@@ -133,15 +143,33 @@
                 "celerycrank_direct_wait_seconds",
                 "time for which requests that were sent had waited for a place",
             )?,
-            first_event: set.latency(
-                "celerycrank_direct_first_event_seconds",
-                "time from a request to the first event of its stream",
+        })
+    }
+}
+
+/// Metrics of evacuated failure domains.
+#[derive(Debug)]
+pub(crate) struct EvacuationMetrics {
+    pub(crate) evacuated_domains: IntGauge,
+    pub(crate) evacuation_errors: IntCounter,
+    pub(crate) withheld: IntCounter,
+}
+
+impl EvacuationMetrics {
+    fn register(set: &MetricSet) -> Result<Self, MetricError> {
+        Ok(Self {
+            evacuated_domains: set.gauge(
+                "celerycrank_direct_evacuated_domains",
+                "failure domains that are evacuated",
             )?,
-            answer_time: set.latency(
-                "celerycrank_direct_answer_seconds",
-                "time from a request to the end of its answer",
+            evacuation_errors: set.counter(
+                "celerycrank_direct_evacuation_faults_total",
+                "evacuations that are ignored or concern no backend server",
+            )?,
+            withheld: set.counter(
+                "celerycrank_direct_withheld_total",
+                "attempts that ended before their send since the backend server may get no request",
             )?,
-            set,
         })
     }
 }
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -5,6 +5,7 @@
 mod account;
 mod admission;
 mod admission_queue;
+mod answer_pace;
 mod backend;
 mod budget;
 mod choice;
