--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -16,7 +16,7 @@
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
 use rand::{Rng, seq::index::sample as sample_indices};
 
-use crate::{BackendState, BackendTable, RequestFlow};
+use crate::{BackendState, BackendTable};
 
 /// Number of randomly drawn backend servers from which the least loaded one is chosen.
 const SAMPLE_SIZE: usize = 4;
@@ -24,6 +24,11 @@
 /// Number of backend servers that are drawn by their free places.
 const ROOM_DRAWS: u32 = 2;
 
+/// Maximum number of requests of all entries that one of this entry counts for, for each entry.
+///
+/// An entry whose callers have just come has few requests, and could send next to none otherwise.
+const MAX_SCALE: f64 = 2.0;
+
 /// The smallest factor by which failures reduce the weight of a backend server.
 const MIN_RELIABILITY: f64 = 0.05;
 
@@ -225,7 +230,7 @@
     for _ in 0..ROOM_DRAWS {
         let mut drawn = random.random_range(0.0..room.weight);
         let state = states.clone().find(|state| {
-            drawn -= room_weight(state, limit, query.now);
+            drawn -= room_weight(state, limit, room.scale, query.now);
             drawn < 0.0
         });
         let Some(state) = state else { continue };
@@ -238,12 +243,10 @@
 }
 
 /// The free places of a service.
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Clone, Copy)]
 struct ServiceRoom {
-    /// Places that are free by the reports.
-    places: u32,
-    /// This entry's requests that the reports may not include.
-    flow: RequestFlow,
+    /// Requests of all entries for each one of this entry.
+    scale: f64,
     /// Sum of the weights by which a backend server is drawn.
     weight: f64,
 }
@@ -252,28 +255,31 @@
     /// The free places; `None` if none is left.
     ///
     /// Every entry sees the same places and may send to them before the next report. Each counts
-    /// its own requests since the reports for every other entry too, so that all of them together send
-    /// about as many as there are places.
+    /// its own requests since the reports for the other entries too, in proportion to their part of the
+    /// load, so that all of them together send about as many as there are places.
     fn measure<'table>(
-        states: impl Iterator<Item = &'table BackendState>,
+        states: impl Iterator<Item = &'table BackendState> + Clone,
         limit: LoadLimit,
         now: TimePoint,
     ) -> Option<Self> {
-        let mut room = Self::default();
-        for state in states {
-            let flow = state.load.unreported();
-            room.flow.sent = room.flow.sent.saturating_add(flow.sent);
-            if let Some(places) = reported_places(state, limit, now) {
-                room.places += places;
-                room.flow.ended += flow.ended;
+        let (mut places, mut sent, mut ended) = (0.0, 0.0, 0.0);
+        let (mut reported, mut own) = (0.0, 0.0);
+        for state in states.clone() {
+            reported += f64::from(state.load.reported(now));
+            own += f64::from(state.load.own());
+            if let Some(free) = reported_places(state, limit, now) {
+                let flow = state.load.unreported(now);
+                places += f64::from(free);
+                sent += f64::from(flow.sent);
+                ended += f64::from(flow.ended);
             }
-            room.weight += room_weight(state, limit, now);
         }
-        let entries = f64::from(limit.entries);
-        let gained = f64::from(room.places) + entries * f64::from(room.flow.ended);
-        let used = entries * f64::from(room.flow.sent) + limit.reserve;
-        let free = gained - used;
-        (free > 0.0 && room.weight > 0.0).then_some(room)
+        let most = MAX_SCALE * f64::from(limit.entries);
+        let scale = ((reported + 1.0) / (own + 1.0)).clamp(1.0, most.max(1.0));
+        let free = places + scale * (ended - sent) - limit.reserve;
+        let weights = states.map(|state| room_weight(state, limit, scale, now));
+        let weight = weights.sum::<f64>();
+        (free > 0.0 && weight > 0.0).then_some(Self { scale, weight })
     }
 }
 
@@ -292,15 +298,14 @@
 ///
 /// One that fails requests quickly always has free places; what remains of its weight shows when it
 /// has recovered.
-fn room_weight(state: &BackendState, limit: LoadLimit, now: TimePoint) -> f64 {
+fn room_weight(state: &BackendState, limit: LoadLimit, scale: f64, now: TimePoint) -> f64 {
     let Some(places) = reported_places(state, limit, now) else {
         return 0.0;
     };
-    let flow = state.load.unreported();
-    let sent = limit.entries.saturating_mul(flow.sent);
-    let places = places.saturating_add(flow.ended).saturating_sub(sent);
+    let flow = state.load.unreported(now);
+    let places = f64::from(places) + f64::from(flow.ended) - scale * f64::from(flow.sent);
     let reliability = 1.0 - state.failure_rate();
-    f64::from(places) * (reliability * reliability).max(MIN_RELIABILITY)
+    places.max(0.0) * (reliability * reliability).max(MIN_RELIABILITY)
 }
 
 /// Estimated cost of sending one more request to a backend server, in requests.
--- a/crates/celerycrank-serving/src/load.rs
+++ b/crates/celerycrank-serving/src/load.rs
@@ -115,9 +115,13 @@
 
     /// Returns this entry's requests that the last report may not include.
     ///
-    /// A report is about as old when it arrives as the time between two reports.
+    /// A report is about as old when it arrives as the time between two reports. Without a report, the
+    /// entry knows its own requests only, and none is unreported.
     #[must_use]
-    pub const fn unreported(&self) -> RequestFlow {
+    pub fn unreported(&self, now: TimePoint) -> RequestFlow {
+        if self.report(now).is_none() {
+            return RequestFlow::default();
+        }
         RequestFlow {
             sent: self.before_report.sent + self.since_report.sent,
             ended: self.before_report.ended + self.since_report.ended,
--- a/crates/celerycrank-serving/tests/admission.rs
+++ b/crates/celerycrank-serving/tests/admission.rs
@@ -380,7 +380,14 @@
                 kind,
                 arrival: self.now,
             };
-            let entry = self.random.random_range(0..ENTRIES);
+            // Callers are not spread evenly: the second half of the entries gets three quarters.
+            let half = ENTRIES / 2;
+            let first = if self.random.random_bool(0.75) {
+                half
+            } else {
+                0
+            };
+            let entry = first + self.random.random_range(0..half);
             match self.rule {
                 SentRule::AtOnce => {
                     let is_sent = self.send(entry, request, None);
