Admission: the priority of accounts before that of routes; a ceiling by first events and gaps

Of two requests of accounts with the same priority, the route's decides. Requests that wait at engines count against the places that are free elsewhere, and less urgent requests use only the part of the places with which first events and gaps stay within the targets.

--- a/crates/celerycrank-direct/src/entry/admission.rs
+++ b/crates/celerycrank-direct/src/entry/admission.rs
@@ -12,7 +12,8 @@
 use actix_rt::time::timeout;
 use celerycrank_serving::{
     AccountLoads, AdmissionPolicy, AdmissionQueue, ArrivalMeter, BackendRegistration, ChoiceQuery,
-    FirstEventEstimate, LoadLimit, WaitBand, WaitBounds, WaitRank, WaitTicket, has_place,
+    FirstEventEstimate, LoadCeiling, LoadLimit, WaitBand, WaitBounds, WaitRank, WaitTicket,
+    has_place,
 };
 use celerycrank_types::{AccountId, RefusalReason, ServiceId, TimePoint, TimeSpan};
 use rand::Rng;
@@ -48,6 +49,7 @@
     loads: AccountLoads,
     arrivals: ArrivalMeter,
     first_event: FirstEventEstimate,
+    ceiling: LoadCeiling,
     /// When a request last had to wait; `None` while the service is not contended.
     contended_at: Option<TimePoint>,
 }
@@ -59,6 +61,7 @@
             loads: AccountLoads::default(),
             arrivals: ArrivalMeter::default(),
             first_event: FirstEventEstimate::default(),
+            ceiling: LoadCeiling::default(),
             contended_at: None,
         }
     }
@@ -84,9 +87,32 @@
         services.retain(|service, _| in_force.admissions.contains_key(service));
     }
 
+    /// Records the gap between two events of a stream.
+    pub(crate) fn note_gap(
+        &self,
+        service: &ServiceId,
+        policy: &AdmissionPolicy,
+        gap: TimeSpan,
+        now: TimePoint,
+    ) {
+        if let Some(target) = policy.gap_target() {
+            self.with(service, |it| it.ceiling.observe_gap(gap, target, now));
+        }
+    }
+
     /// Records the time from sending a request to its first event.
-    pub(crate) fn note_first_event(&self, service: &ServiceId, span: TimeSpan) {
-        self.with(service, |admission| admission.first_event.observe(span));
+    pub(crate) fn note_first_event(
+        &self,
+        service: &ServiceId,
+        policy: &AdmissionPolicy,
+        span: TimeSpan,
+        now: TimePoint,
+    ) {
+        let target = policy.first_event_target();
+        self.with(service, |admission| {
+            admission.first_event.observe(span);
+            admission.ceiling.observe_first_event(span, target, now);
+        });
     }
 }
 
@@ -260,7 +286,7 @@
         let service = &self.request.service;
         state
             .admission
-            .with(service, |it| load_limit(state, policy, &it.arrivals, rank))
+            .with(service, |it| load_limit(state, policy, it, rank))
     }
 
     fn no_place(&self, reason: RefusalReason) -> RequestError {
@@ -280,12 +306,13 @@
 fn load_limit(
     state: &EntryState,
     policy: &AdmissionPolicy,
-    meter: &ArrivalMeter,
+    admission: &ServiceAdmission,
     rank: WaitRank,
 ) -> LoadLimit {
     let now = state.clock.now();
     let entries = state.entry_count.borrow_mut().get(now);
-    policy.load_limit(meter.reserve(rank.level, entries, now), entries)
+    let reserve = admission.arrivals.reserve(rank.level, now);
+    policy.load_limit(rank.level, &admission.ceiling, reserve, entries)
 }
 
 /// Whether a waiting request ranks before a new one.
@@ -314,7 +341,7 @@
             load_limit: None,
             now: state.clock.now(),
         };
-        let limit = load_limit(state, &policy, &admission.arrivals, rank);
+        let limit = load_limit(state, &policy, admission, rank);
         if !has_place(&state.backends.borrow(), &query, limit) {
             return;
         }
@@ -353,8 +380,9 @@
     configuration: &celerycrank_serving::ServingConfiguration,
 ) -> HashMap<ServiceId, Rc<AdmissionPolicy>> {
     let services = configuration.services.iter();
+    let accounts = configuration.keys.accounts();
     let policies = services.filter_map(|service| {
-        let policy = AdmissionPolicy::of_service(service, &configuration.routes)?;
+        let policy = AdmissionPolicy::of_service(service, &configuration.routes, accounts)?;
         Some((service.service.clone(), Rc::new(policy)))
     });
     policies.collect()
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -153,7 +153,7 @@
         time_left: Some(time_left),
         backend: &registration.backend,
         last_event,
-        priority: request.admission.as_ref().map(|_| request.priority),
+        priority: request.urgency(),
         length: request.body.len(),
     };
     let mut message = write_forwarded(&request.head, &metadata);
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -277,13 +277,25 @@
         })
     }
 
+    /// Records the gap between two events of a stream.
+    pub(crate) fn note_gap(&self, gap: TimeSpan) {
+        let (state, request) = (self.state, self.request);
+        if let Some(policy) = &request.admission {
+            let now = state.clock.now();
+            state.admission.note_gap(&request.service, policy, gap, now);
+        }
+    }
+
     /// Records how long a stream took to begin that was sent once.
     fn note_first_event(&self) {
+        let (state, request) = (self.state, self.request);
         let is_single = self.tried.borrow().len() == 1;
-        if let (true, Some(chosen_at)) = (is_single, self.chosen_at.take()) {
-            let span = self.state.clock.now().since(chosen_at);
-            let admission = &self.state.admission;
-            admission.note_first_event(&self.request.service, span);
+        let chosen_at = self.chosen_at.take().filter(|_| is_single);
+        if let (Some(policy), Some(chosen_at)) = (&request.admission, chosen_at) {
+            let now = state.clock.now();
+            let span = now.since(chosen_at);
+            let admission = &state.admission;
+            admission.note_first_event(&request.service, policy, span, now);
         }
     }
 
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
-use celerycrank_serving::{AdmissionPolicy, PromptQuery, RouteMatch, RouteRule};
+use celerycrank_serving::{
+    AdmissionPolicy, PromptQuery, RequestPriority, RouteMatch, RouteRule, UrgencyLevel,
+};
 use celerycrank_types::{AccountId, PromptPartId, RefusalReason, Revision, ServiceId, TimePoint};
 use smallvec::SmallVec;
 
@@ -24,8 +26,7 @@
     /// The account that owns the caller's key; `None` on routes that require no key.
     pub(crate) account: Option<AccountId>,
     pub(crate) service: ServiceId,
-    /// The priority of the account or else of the route; 0 is the most urgent.
-    pub(crate) priority: u8,
+    pub(crate) priority: RequestPriority,
     /// The admission policy, if the requests of the service differ in urgency.
     pub(crate) admission: Option<Rc<AdmissionPolicy>>,
     pub(crate) arrival: TimePoint,
@@ -38,6 +39,12 @@
 }
 
 impl AdmittedRequest {
+    /// The urgency among the requests of the service, if they differ in urgency.
+    pub(crate) fn urgency(&self) -> Option<UrgencyLevel> {
+        let policy = self.admission.as_ref()?;
+        Some(policy.level(self.priority))
+    }
+
     /// The shared parts of the prompt at the requested service.
     pub(crate) fn prompt_query(&self) -> PromptQuery<'_> {
         PromptQuery {
@@ -122,8 +129,8 @@
     in_force: &ConfigurationInForce,
     metadata: &RequestMetadata,
     route: &RouteRule,
-) -> Result<(Option<AccountId>, u8), RefusalReason> {
-    let keyless = (None, route.priority);
+) -> Result<(Option<AccountId>, RequestPriority), RefusalReason> {
+    let keyless = (None, RequestPriority::new(route.priority, None));
     if route.is_anonymous {
         return Ok(keyless);
     }
@@ -139,7 +146,7 @@
         return Err(unless_stale(state, RefusalReason::UnknownKey));
     };
     if state.is_fresh() {
-        let priority = priority.unwrap_or(route.priority);
+        let priority = RequestPriority::new(route.priority, priority);
         Ok((Some(account.clone()), priority))
     } else {
         Err(RefusalReason::StaleConfiguration)
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -75,7 +75,9 @@
 ) -> RelayOutcome {
     let state = dispatch.state;
     let deadline = dispatch.request.deadline;
+    let mut last_part_at = state.clock.now();
     loop {
+        let backend = live.backend().clone();
         let reading = continue_stream(dispatch, live);
         let reading = match run_interruptible(state, caller, deadline, reading).await {
             WorkOutcome::Done(Ok(reading)) => reading,
@@ -87,6 +89,11 @@
             WorkOutcome::Expired => return RelayOutcome::Broken(UnknownReason::BackendTimeout),
             WorkOutcome::Stopped => return RelayOutcome::Broken(UnknownReason::EntryStopped),
         };
+        let now = state.clock.now();
+        if *reading.live.backend() == backend {
+            dispatch.note_gap(now.since(last_part_at));
+        }
+        last_part_at = now;
         let mut writer = MessageWriter::default();
         write_part(&mut writer, &reading.part);
         let is_sent = caller.send(&writer.into_bytes()).await;
--- a/crates/celerycrank-serving/src/admission.rs
+++ b/crates/celerycrank-serving/src/admission.rs
@@ -7,10 +7,12 @@
 //! urgency, requests that are less urgent leave places free for more urgent ones and wait at the
 //! entry instead.
 
+use std::collections::BTreeSet;
+
 use celerycrank_types::{ServiceId, TimePoint, TimeSpan};
 use smallvec::SmallVec;
 
-use crate::{EngineProfile, LoadLimit, RouteRule, ServiceRule};
+use crate::{AccountRule, EngineProfile, LoadCeiling, LoadLimit, RouteRule, ServiceRule};
 
 /// Time for whose expected arrivals of more urgent requests places are left free.
 ///
@@ -42,14 +44,41 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UrgencyLevel(pub u32);
 
+/// The priority of a request; the smallest is the most urgent.
+///
+/// The priority of a client account takes precedence over that of the route, which decides between
+/// requests of accounts with the same one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestPriority {
+    /// The priority of the account, or that of the route if the account has none.
+    account: u8,
+    /// The priority of the route.
+    route: u8,
+}
+
+impl RequestPriority {
+    /// The priority of a request on a route of an account, if the request has one.
+    #[must_use]
+    pub fn new(route: u8, account: Option<u8>) -> Self {
+        Self {
+            account: account.unwrap_or(route),
+            route,
+        }
+    }
+}
+
 /// Admission to a service whose requests differ in urgency.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AdmissionPolicy {
-    /// The priorities of the routes, the most urgent first.
+    /// The priorities that requests can have, the most urgent first.
     ///
     /// Invariant: without repetition, at least two.
-    priorities: SmallVec<[u8; 4]>,
+    priorities: SmallVec<[RequestPriority; 8]>,
     engine: EngineProfile,
+    /// The shortest target of the routes for first events.
+    first_event_target: TimeSpan,
+    /// The shortest gap target of the routes; `None` if no route has one.
+    gap_target: Option<TimeSpan>,
 }
 
 /// Until when a request may wait for a place.
@@ -65,34 +94,75 @@
     /// The policy for a service, if its backend servers are engines and the priorities of its routes
     /// differ.
     #[must_use]
-    pub fn of_service(service: &ServiceRule, routes: &[RouteRule]) -> Option<Self> {
+    pub fn of_service(
+        service: &ServiceRule,
+        routes: &[RouteRule],
+        accounts: &[AccountRule],
+    ) -> Option<Self> {
         let engine = service.engine?;
-        let routes = routes
-            .iter()
-            .filter(|route| is_route_to(route, &service.service));
-        let mut priorities = routes
-            .map(|route| route.priority)
-            .collect::<SmallVec<[u8; 4]>>();
+        let routes = routes.iter();
+        let routes = routes.filter(|route| is_route_to(route, &service.service));
+        let first_event_target = routes.clone().map(|route| route.target).min()?;
+        let gap_target = routes.clone().filter_map(|route| route.gap_target).min();
+        let routes = routes.map(|it| it.priority).collect::<BTreeSet<_>>();
+        if routes.len() < 2 {
+            return None;
+        }
+        let accounts = accounts.iter().map(|it| it.priority);
+        // A request without a key has the priority of its route.
+        let accounts = accounts.chain([None]).collect::<BTreeSet<_>>();
+        let pairs = accounts.iter().flat_map(|account| {
+            let routes = routes.iter();
+            routes.map(|route| RequestPriority::new(*route, *account))
+        });
+        let mut priorities = pairs.collect::<SmallVec<[RequestPriority; 8]>>();
         priorities.sort_unstable();
         priorities.dedup();
-        (priorities.len() > 1).then_some(Self { priorities, engine })
+        Some(Self {
+            priorities,
+            engine,
+            first_event_target,
+            gap_target,
+        })
     }
 
     /// The level of a request with this priority.
     #[must_use]
-    pub fn level(&self, priority: u8) -> UrgencyLevel {
-        // A priority that no route has, such as that of an account, does not add a level.
+    pub fn level(&self, priority: RequestPriority) -> UrgencyLevel {
+        // A priority that was not possible when the policy was made does not add a level.
         let less_urgent = self.priorities.iter().skip(1);
         let reached = less_urgent.filter(|it| **it <= priority);
         UrgencyLevel(reached.fold(0, |level, _| level + 1))
     }
 
-    /// The limit on what an engine may hold for requests that leave `reserve` places of the service
-    /// free, of which `entries` entries use some each.
+    /// The shortest target for first events.
+    #[must_use]
+    pub const fn first_event_target(&self) -> TimeSpan {
+        self.first_event_target
+    }
+
+    /// The shortest target for gaps between events; `None` if no route has one.
+    #[must_use]
+    pub const fn gap_target(&self) -> Option<TimeSpan> {
+        self.gap_target
+    }
+
+    /// The limit on what an engine may hold for a request of this level.
+    ///
+    /// It leaves `reserve` places of the service free for each entry, and uses the part of the places
+    /// that the ceiling allows unless it is of the most urgent level.
     #[must_use]
-    pub const fn load_limit(&self, reserve: f64, entries: u32) -> LoadLimit {
+    pub fn load_limit(
+        &self,
+        level: UrgencyLevel,
+        ceiling: &LoadCeiling,
+        reserve: f64,
+        entries: u32,
+    ) -> LoadLimit {
+        let is_most_urgent = level == UrgencyLevel::default();
         LoadLimit {
             requests: self.engine.slots,
+            part: if is_most_urgent { 1.0 } else { ceiling.part() },
             entries: if entries > 1 { entries } else { 1 },
             reserve,
         }
@@ -158,13 +228,12 @@
         self.levels[index] = (rate, now);
     }
 
-    /// The places of a service that a request of this level leaves free for more urgent ones, if as
-    /// many arrive at each of `entries` entries.
+    /// The places that a request of this level leaves free for more urgent ones at the same entry.
     #[must_use]
-    pub fn reserve(&self, level: UrgencyLevel, entries: u32, now: TimePoint) -> f64 {
+    pub fn reserve(&self, level: UrgencyLevel, now: TimePoint) -> f64 {
         let more_urgent = self.levels.iter().take(level.0 as usize);
         let rate = more_urgent.map(|it| decayed(*it, now)).sum::<f64>();
-        rate * RESERVE_SPAN.as_secs_f64() * f64::from(entries)
+        rate * RESERVE_SPAN.as_secs_f64()
     }
 }
 
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -29,6 +29,11 @@
 /// An entry whose callers have just come has few requests, and could send next to none otherwise.
 const MAX_SCALE: f64 = 2.0;
 
+/// Maximum part of the places that stays free for more urgent requests.
+///
+/// More would leave less urgent requests unserved while engines are idle.
+const MAX_RESERVE: f64 = 0.2;
+
 /// The smallest factor by which failures reduce the weight of a backend server.
 const MIN_RELIABILITY: f64 = 0.05;
 
@@ -74,7 +79,11 @@
     ///
     /// Invariant: at least one.
     pub entries: u32,
-    /// The places of the service that stay free for more urgent requests.
+    /// The part of all places of the service that may be in use, from 0 to 1.
+    pub part: f64,
+    /// The places that stay free for more urgent requests of this entry.
+    ///
+    /// Others leave places in proportion to their part of the load.
     pub reserve: f64,
 }
 
@@ -263,34 +272,36 @@
         now: TimePoint,
     ) -> Option<Self> {
         let (mut places, mut sent, mut ended) = (0.0, 0.0, 0.0);
+        let mut capacity = 0.0;
         let (mut reported, mut own) = (0.0, 0.0);
         for state in states.clone() {
             reported += f64::from(state.load.reported(now));
             own += f64::from(state.load.own());
-            if let Some(free) = reported_places(state, limit, now) {
+            if is_open(state, now) {
                 let flow = state.load.unreported(now);
-                places += f64::from(free);
+                capacity += f64::from(limit.requests);
+                // Requests that wait at an engine count against the places that are free elsewhere:
+                // while there are any, reports are too old to fill every place.
+                places += f64::from(limit.requests) - f64::from(state.load.reported(now));
                 sent += f64::from(flow.sent);
                 ended += f64::from(flow.ended);
             }
         }
         let most = MAX_SCALE * f64::from(limit.entries);
         let scale = ((reported + 1.0) / (own + 1.0)).clamp(1.0, most.max(1.0));
-        let free = places + scale * (ended - sent) - limit.reserve;
+        let reserve = (scale * limit.reserve).min(capacity * MAX_RESERVE);
+        let kept_free = reserve.max(capacity * (1.0 - limit.part));
+        let free = places + scale * (ended - sent) - kept_free;
         let weights = states.map(|state| room_weight(state, limit, scale, now));
         let weight = weights.sum::<f64>();
         (free > 0.0 && weight > 0.0).then_some(Self { scale, weight })
     }
 }
 
-/// The places of a backend server that are free by its report; `None` if it holds more requests than
-/// the limit allows, or if it is in a lock-step group that processes none.
-fn reported_places(state: &BackendState, limit: LoadLimit, now: TimePoint) -> Option<u32> {
+/// Whether a backend server processes requests: its lock-step group is not forming or broken.
+fn is_open(state: &BackendState, now: TimePoint) -> bool {
     let report = state.load.report(now);
-    if report.is_some_and(|report| !report.is_open) {
-        return None;
-    }
-    limit.requests.checked_sub(state.load.reported(now))
+    report.is_none_or(|report| report.is_open)
 }
 
 /// The weight by which a backend server is drawn: its free places, less those that all entries
@@ -299,11 +310,12 @@
 /// One that fails requests quickly always has free places; what remains of its weight shows when it
 /// has recovered.
 fn room_weight(state: &BackendState, limit: LoadLimit, scale: f64, now: TimePoint) -> f64 {
-    let Some(places) = reported_places(state, limit, now) else {
+    if !is_open(state, now) {
         return 0.0;
-    };
+    }
     let flow = state.load.unreported(now);
-    let places = f64::from(places) + f64::from(flow.ended) - scale * f64::from(flow.sent);
+    let places = f64::from(limit.requests) - f64::from(state.load.reported(now));
+    let places = places + f64::from(flow.ended) - scale * f64::from(flow.sent);
     let reliability = 1.0 - state.failure_rate();
     places.max(0.0) * (reliability * reliability).max(MIN_RELIABILITY)
 }
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -18,6 +18,7 @@
 mod freshness;
 mod limit;
 mod load;
+mod load_ceiling;
 mod obstacle;
 mod occasion;
 mod quarantine;
@@ -28,7 +29,10 @@
 
 pub use crate::{
     account::AccountTable,
-    admission::{AdmissionPolicy, ArrivalMeter, FirstEventEstimate, UrgencyLevel, WaitBounds},
+    admission::{
+        AdmissionPolicy, ArrivalMeter, FirstEventEstimate, RequestPriority, UrgencyLevel,
+        WaitBounds,
+    },
     admission_queue::{AccountLoads, AccountShare, AdmissionQueue, WaitBand, WaitRank, WaitTicket},
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
@@ -45,6 +49,7 @@
     freshness::FreshnessGuard,
     limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport, RequestFlow},
+    load_ceiling::LoadCeiling,
     obstacle::{SendObstacle, ServiceObstacle},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
