Cold starts: all entries together keep the rate of a cold backend server

A backend server that has just started takes few requests a second and crashes well above that. It is the least loaded one at that time, so that every entry sent to it, and none sees what the others send.

Entries read how long it is cold from its registration and from the header Cold-Remaining, and count it as cold for cold_start_s after an evacuation. Each entry has a share of cold_per_s by its place among all entries, with a burst of one request, so that the sum keeps cold_per_s x overshoot + tolerance in any second, also if the counts of entries are wrong by one, entries restart, or up to 24 do not know their place. A cold time or rate that cannot be read is counted, logged and ignored. The token is taken right before the bytes (BackendTable::admit_send). Without room anywhere, the caller gets 503 `backend_cold` at once with the time until there is room. The place is also asked for while a limited backend server is cold. The settings take the bounds from an optional object `cold`.

--- a/crates/celerycrank-config/src/direct.rs
+++ b/crates/celerycrank-config/src/direct.rs
@@ -33,6 +33,10 @@
     pub revocation: Option<DecimalSpan>,
     /// Retry budget of all entries together.
     pub retries: RetrySettings,
+    /// Bounds on the requests to cold backend servers.
+    ///
+    /// If absent, the entries share the rate that the configuration gives, without a burst.
+    pub cold: Option<ColdSettings>,
     /// Time between the stop signal and the end of the process.
     pub grace: DecimalSpan,
 }
@@ -82,3 +86,13 @@
     /// Retries allowed in addition to the ratio.
     pub slack: Fraction,
 }
+
+/// What all entries together may send to a cold backend server in any second.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdSettings {
+    /// Factor of the rate that the configuration gives.
+    pub overshoot: Fraction,
+    /// Requests in addition.
+    pub tolerance: Fraction,
+}
--- a/crates/celerycrank-config/src/lib.rs
+++ b/crates/celerycrank-config/src/lib.rs
@@ -21,7 +21,7 @@
     },
     configuration::Configuration,
     diff::{ListChange, diff_lists},
-    direct::{DirectEntrySettings, RankAgentSettings, RetrySettings, StoreSettings},
+    direct::{ColdSettings, DirectEntrySettings, RankAgentSettings, RetrySettings, StoreSettings},
     key::{KeyHash, KeyHashError},
     list::{
         ClientAccount, CustomerList, ModelUse, PermittedUse, PlanDefinition, PlanList,
--- a/crates/celerycrank-direct/src/agent/discovery.rs
+++ b/crates/celerycrank-direct/src/agent/discovery.rs
@@ -62,8 +62,8 @@
     let snapshot = state.store.range_serializable(REGISTRATION_PREFIX).await?;
     let registrations = snapshot.records.iter();
     // Records that cannot be read name no backend server; the entry processes log them.
-    let registrations =
-        registrations.filter_map(|record| read_registration(&record.key, &record.value).ok());
+    let registrations = registrations
+        .filter_map(|record| Some(read_registration(&record.key, &record.value).ok()?.0));
     let same_service = registrations.filter(|registration| registration.service == *service);
     let candidate_ips = same_service
         .map(|registration| registration.address.ip())
--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -45,6 +45,7 @@
     requests: u32,
     failures: f64,
     limit: Option<String>,
+    cold_remaining: Option<String>,
 }
 
 impl AdminHandler for EntryAdminHandler {
@@ -73,6 +74,7 @@
             requests: it.load.total(now),
             failures: it.failure_rate(),
             limit: it.limit().map(|limit| limit.to_string()),
+            cold_remaining: it.cold_remaining(now).map(|span| span.to_string()),
         });
         let parts = state.quarantine.borrow().status(now).into_iter();
         let parts = parts.map(|it| PartStatus {
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -141,13 +141,14 @@
     if request.account.is_some() && !state.is_fresh() {
         return Err(AttemptError::Stale);
     }
-    let checked = state.backends.borrow().check_send(registration);
-    checked.map_err(AttemptError::Withheld)?;
     let now = state.clock.now();
     let time_left = request.deadline.since(now);
     if time_left < MIN_TIME_LEFT {
         return Err(AttemptError::TooLate);
     }
+    // Checked last, since this records a send.
+    let admitted = state.backends.borrow_mut().admit_send(registration, now);
+    admitted.map_err(AttemptError::Withheld)?;
     let metadata = ForwardMetadata {
         account: request.account.as_ref(),
         time_left: Some(time_left),
@@ -167,6 +168,7 @@
     // The next request would wait until this one is read.
     answer.is_reusable &= !is_long;
     read_limit(state, registration, &answer.metadata, now);
+    read_cold_remaining(state, registration, &answer.metadata);
     check_answer(request, stream, answer, registration)
 }
 
@@ -204,6 +206,33 @@
     note_limit(state, backend, notice);
 }
 
+/// Records how much longer a backend server is cold, if it states that in an answer.
+fn read_cold_remaining(
+    state: &EntryState,
+    registration: &BackendRegistration,
+    metadata: &AnswerMetadata,
+) {
+    if metadata.is_misdirected {
+        return;
+    }
+    let backend = &registration.backend;
+    match &metadata.cold_remaining {
+        Ok(Some(remaining)) => {
+            let now = state.clock.now();
+            let mut backends = state.backends.borrow_mut();
+            if backends.note_cold(backend, *remaining, now) {
+                state.limits.ask_soon();
+                tracing::info!(%backend, %remaining, "backend server is cold");
+            }
+        }
+        Ok(None) => {}
+        Err(error) => {
+            state.metrics.cold_errors.inc();
+            tracing::info!(%backend, fault = %error, "cold time of a backend server is ignored");
+        }
+    }
+}
+
 /// Returns a connection and whether it has carried requests before.
 async fn connect(
     state: &EntryState,
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -9,6 +9,7 @@
 use celerycrank_types::{
     BackendId, RefusalReason, RetryReason, TimePoint, TimeSpan, UnknownReason,
 };
+use rand::Rng;
 use smallvec::SmallVec;
 
 use super::{
@@ -267,13 +268,24 @@
                 // Those that are refused at the same time must not come back at the same time.
                 retry_after: retry_after.map(|span| span + random_spread(&mut random)),
             }),
-            BackendChoice::Unavailable => Err(self.service_refusal(&backends, query.now)),
+            BackendChoice::Unavailable => {
+                Err(self.service_refusal(&backends, query.now, &mut *random))
+            }
         }
     }
 
     /// The refusal of a request for which no backend server can be chosen.
-    fn service_refusal(&self, backends: &BackendTable, now: TimePoint) -> RequestRefusal {
+    fn service_refusal(
+        &self,
+        backends: &BackendTable,
+        now: TimePoint,
+        random: &mut impl Rng,
+    ) -> RequestRefusal {
         match backends.service_obstacle(&self.request.service, now) {
+            ServiceObstacle::Cold { retry_after } => RequestRefusal {
+                reason: RefusalReason::BackendCold,
+                retry_after: Some(retry_after + random_spread(random)),
+            },
             ServiceObstacle::Evacuated => RefusalReason::Evacuated.into(),
             ServiceObstacle::NoBackend => RefusalReason::NoBackend.into(),
         }
--- a/crates/celerycrank-direct/src/entry/evacuation.rs
+++ b/crates/celerycrank-direct/src/entry/evacuation.rs
@@ -13,7 +13,8 @@
     let domains = records.iter();
     let domains = domains.filter_map(|record| decode_key(state, &record.key));
     let domains = domains.collect();
-    let change = state.backends.borrow_mut().replace_evacuated(domains);
+    let now = state.clock.now();
+    let change = state.backends.borrow_mut().replace_evacuated(domains, now);
     note_change(state, &change);
     Ok(())
 }
@@ -27,7 +28,7 @@
         let mut backends = state.backends.borrow_mut();
         match event {
             WatchEvent::Put(_) => backends.begin_evacuation(domain),
-            WatchEvent::Deleted { .. } => backends.end_evacuation(&domain),
+            WatchEvent::Deleted { .. } => backends.end_evacuation(&domain, state.clock.now()),
         }
     };
     note_change(state, &change);
--- a/crates/celerycrank-direct/src/entry/limits.rs
+++ b/crates/celerycrank-direct/src/entry/limits.rs
@@ -41,6 +41,13 @@
     listed_at: Cell<TimePoint>,
 }
 
+impl LimitSharing {
+    /// Has the entries asked for at once, since something has to be shared.
+    pub(super) fn ask_soon(&self) {
+        self.has_pending.notify_one();
+    }
+}
+
 /// Records the limit that a backend server names in an answer, or that it names none.
 pub(super) fn note_limit(state: &EntryState, backend: &BackendId, notice: LimitNotice) {
     let known = state.limit_of(backend);
@@ -86,9 +93,12 @@
         let backends = state.backends.borrow();
         let mut pending = state.limits.pending.borrow_mut();
         pending.retain(|backend, _| backends.registration(backend).is_some());
-        !pending.is_empty() || backends.iter().any(|it| it.limit().is_some())
+        let now = state.clock.now();
+        let mut shared = backends.iter();
+        !pending.is_empty() || shared.any(|it| it.limit().is_some() || it.is_cold_limited(now))
     };
     if !is_needed {
+        update_place(state);
         return;
     }
     let port = state.settings().peer.port();
@@ -154,5 +164,8 @@
     let index = index.and_then(|index| u32::try_from(index).ok());
     let place = index.and_then(|index| EntryPlace::new(index, count));
     let now = state.clock.now();
-    state.backends.borrow_mut().set_place(place, now);
+    let is_recent = now.since(state.limits.listed_at.get()) <= LIST_LIFETIME;
+    let mut backends = state.backends.borrow_mut();
+    backends.set_place(place, now);
+    backends.set_cold_place(place.filter(|_| is_recent), now);
 }
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -22,6 +22,7 @@
     pub(crate) evacuated_domains: IntGauge,
     pub(crate) evacuation_errors: IntCounter,
     pub(crate) withheld: IntCounter,
+    pub(crate) cold_errors: IntCounter,
     pub(crate) store_errors: IntCounter,
     pub(crate) configuration_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
@@ -94,6 +95,10 @@
                 "celerycrank_direct_withheld_total",
                 "attempts that ended before their send since the backend server may get no request",
             )?,
+            cold_errors: set.counter(
+                "celerycrank_direct_cold_faults_total",
+                "cold times in answers and registrations that cannot be read",
+            )?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
--- a/crates/celerycrank-direct/src/entry/retry.rs
+++ b/crates/celerycrank-direct/src/entry/retry.rs
@@ -110,6 +110,7 @@
 const fn refusal_reason(obstacle: SendObstacle) -> RefusalReason {
     match obstacle {
         SendObstacle::Evacuated => RefusalReason::Evacuated,
+        SendObstacle::Cold => RefusalReason::BackendCold,
         _ => RefusalReason::NoBackend,
     }
 }
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -11,8 +11,8 @@
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{ProcessClock, ShutdownFlag, TaskHandle};
 use celerycrank_serving::{
-    AccountTable, BackendTable, CallerBounds, CrashCollector, EntryCount, FreshnessGuard,
-    PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
+    AccountTable, BackendTable, CallerBounds, ColdBounds, ColdStart, CrashCollector, EntryCount,
+    FreshnessGuard, PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
 };
 use celerycrank_types::{
     BackendId, DecimalSpan, RequestRate, Revision, ServiceId, TimePoint, TimeSpan,
@@ -77,18 +77,23 @@
     pub(crate) limits: CallerBounds,
     /// Services with model engines, whose agents report their load.
     pub(crate) engine_services: Vec<ServiceId>,
+    /// How the backend servers of each service start.
+    cold_starts: HashMap<ServiceId, ColdStart>,
 }
 
 impl ConfigurationInForce {
     fn compile(configuration: &ServingConfiguration) -> Self {
         let engines = configuration.services.iter();
         let engines = engines.filter(|service| service.engine.is_some());
+        let cold_starts = configuration.services.iter();
+        let cold_starts = cold_starts.filter_map(|it| Some((it.service.clone(), it.cold_start?)));
         Self {
             revision: configuration.revision,
             routes: RouteTable::new(&configuration.routes, &configuration.closed_routes),
             accounts: AccountTable::new(&configuration.keys),
             limits: configuration.limits,
             engine_services: engines.map(|it| it.service.clone()).collect(),
+            cold_starts: cold_starts.collect(),
         }
     }
 }
@@ -165,6 +170,7 @@
         }
         self.retry_windows.borrow_mut().clear();
         *self.settings.borrow_mut() = Rc::new(settings);
+        self.update_cold_starts();
         tracing::info!("settings reloaded");
     }
 
@@ -175,16 +181,31 @@
 
     /// Puts a configuration in force if it is newer than the current one; returns whether it did.
     pub(crate) fn adopt(&self, configuration: &ServingConfiguration) -> bool {
-        let mut in_force = self.in_force.borrow_mut();
-        let is_newer = in_force
-            .as_ref()
-            .is_none_or(|known| configuration.revision > known.revision);
+        let known = self.in_force();
+        let is_newer = known.is_none_or(|known| configuration.revision > known.revision);
         if is_newer {
-            *in_force = Some(Rc::new(ConfigurationInForce::compile(configuration)));
+            let compiled = ConfigurationInForce::compile(configuration);
+            *self.in_force.borrow_mut() = Some(Rc::new(compiled));
+            self.update_cold_starts();
         }
         is_newer
     }
 
+    /// Applies what the configuration and the settings say about cold backend servers.
+    fn update_cold_starts(&self) {
+        let in_force = self.in_force();
+        let starts = in_force
+            .map(|it| it.cold_starts.clone())
+            .unwrap_or_default();
+        let bounds = self.settings().cold.map(|cold| ColdBounds {
+            overshoot: cold.overshoot.get(),
+            tolerance: cold.tolerance.get(),
+        });
+        let now = self.clock.now();
+        let mut backends = self.backends.borrow_mut();
+        backends.set_cold_starts(starts, bounds, now);
+    }
+
     /// Records that the key-value service still held the configuration in force at `asked_at`.
     pub(crate) fn confirm(&self, asked_at: TimePoint) {
         if let Some(guard) = self.freshness.borrow_mut().as_mut() {
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -84,7 +84,10 @@
     let mut records = snapshot.records;
     // Of two records with the same address, the one written last is the one in use there.
     records.sort_by_key(|record| record.revision);
-    let registrations = records.iter().filter_map(decode_registration).collect();
+    let registrations = records
+        .iter()
+        .filter_map(|it| decode_registration(state, it))
+        .collect();
     let now = state.clock.now();
     state.backends.borrow_mut().replace(registrations, now);
     state.has_read_backends.set(true);
@@ -116,9 +119,14 @@
             apply_new_clearances(state, record);
         }
     } else if key.starts_with(REGISTRATION_PREFIX)
-        && let Some(change) = decode_change(event)
+        && let Some(change) = decode_change(state, event)
     {
         log_change(&change);
+        if let RegistrationChange::Written(it) = &change
+            && it.warm_up_remaining > TimeSpan::ZERO
+        {
+            state.limits.ask_soon();
+        }
         let now = state.clock.now();
         state.backends.borrow_mut().apply(change, now);
     }
@@ -150,9 +158,16 @@
     true
 }
 
-fn decode_registration(record: &KeyValueRecord) -> Option<BackendRegistration> {
+fn decode_registration(state: &EntryState, record: &KeyValueRecord) -> Option<BackendRegistration> {
     match read_registration(&record.key, &record.value) {
-        Ok(registration) => Some(registration),
+        Ok((registration, error)) => {
+            if let Some(error) = error {
+                state.metrics.cold_errors.inc();
+                let backend = &registration.backend;
+                tracing::info!(%backend, fault = %error, "cold time of a backend server is ignored");
+            }
+            Some(registration)
+        }
         Err(error) => {
             tracing::warn!(key = %record.key, fault = %error, "entry names no backend server");
             None
@@ -160,9 +175,9 @@
     }
 }
 
-fn decode_change(event: &WatchEvent) -> Option<RegistrationChange> {
+fn decode_change(state: &EntryState, event: &WatchEvent) -> Option<RegistrationChange> {
     match event {
-        WatchEvent::Put(record) => match decode_registration(record) {
+        WatchEvent::Put(record) => match decode_registration(state, record) {
             Some(registration) => Some(RegistrationChange::Written(registration)),
             // A backend server whose record can no longer be read must not be used.
             None => Some(RegistrationChange::Removed(
@@ -178,7 +193,7 @@
 fn log_change(change: &RegistrationChange) {
     match change {
         RegistrationChange::Written(registration) => {
-            tracing::info!(backend = %registration.backend, service = %registration.service, address = %registration.address, state = ?registration.state, "backend server written");
+            tracing::info!(backend = %registration.backend, service = %registration.service, address = %registration.address, state = ?registration.state, cold_remaining = %registration.warm_up_remaining, "backend server written");
         }
         RegistrationChange::Removed(backend) => tracing::info!(%backend, "backend server removed"),
     }
--- a/crates/celerycrank-requests/src/retry.rs
+++ b/crates/celerycrank-requests/src/retry.rs
@@ -117,6 +117,7 @@
         | RefusalReason::NoRoute
         | RefusalReason::RouteClosed
         | RefusalReason::Evacuated
+        | RefusalReason::BackendCold
         | RefusalReason::OutsidePlan
         | RefusalReason::BadRequest
         | RefusalReason::HeaderTooLarge
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     BackendRegistration, EntryPlace, LimitNotice, LoadEstimate, RegistrationState, SendObstacle,
-    limit::RequestAllowance,
+    cold::ColdPace, limit::RequestAllowance,
 };
 
 /// Time for which a backend server may still be used as a last resort after its registration
@@ -42,6 +42,8 @@
     pub(crate) is_superseded: bool,
     /// Whether its failure domain is evacuated.
     pub(crate) is_evacuated: bool,
+    /// Until when it is cold, and what this entry may send to it meanwhile.
+    pub(crate) cold: ColdPace,
     /// End and length of the latest backoff.
     backoff: Option<(TimePoint, TimeSpan)>,
     /// Moving average of failed answers, from 0 to 1.
@@ -55,9 +57,10 @@
 }
 
 impl BackendState {
-    pub(crate) fn new(registration: BackendRegistration) -> Self {
+    pub(crate) fn new(registration: BackendRegistration, cold: ColdPace) -> Self {
         Self {
             registration,
+            cold,
             load: LoadEstimate::default(),
             removed_at: None,
             is_misdirected: false,
@@ -91,6 +94,18 @@
         allowance.map_or(Some(TimeSpan::ZERO), |it| it.time_until_room(now))
     }
 
+    /// The time for which it is still cold; `None` if it is not.
+    #[must_use]
+    pub fn cold_remaining(&self, now: TimePoint) -> Option<TimeSpan> {
+        self.cold.remaining(now)
+    }
+
+    /// Whether it is cold and the entries share the requests that it takes.
+    #[must_use]
+    pub fn is_cold_limited(&self, now: TimePoint) -> bool {
+        self.cold.is_limited(now)
+    }
+
     /// Why it is not sent requests; `None` if it may be sent some.
     #[must_use]
     pub fn obstacle(&self, now: TimePoint) -> Option<SendObstacle> {
@@ -102,6 +117,8 @@
             Some(SendObstacle::Removed)
         } else if self.is_evacuated {
             Some(SendObstacle::Evacuated)
+        } else if !self.cold.has_room(now) {
+            Some(SendObstacle::Cold)
         } else if self.removed_at.is_some() {
             Some(SendObstacle::RemovedRecently)
         } else if self.is_superseded {
--- a/crates/celerycrank-serving/src/configuration.rs
+++ b/crates/celerycrank-serving/src/configuration.rs
@@ -5,6 +5,8 @@
 use celerycrank_types::{AccountId, ByteSize, Revision, ServiceId, TimeSpan};
 use smallvec::SmallVec;
 
+use crate::ColdStart;
+
 /// One revision of the operators' configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServingConfiguration {
@@ -99,6 +101,8 @@
     pub max_connections: u32,
     /// Performance of its backend servers, if they are model engines.
     pub engine: Option<EngineProfile>,
+    /// How its backend servers start, if those that are cold take fewer requests.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Performance characteristics of a model engine.
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod choice;
 mod clearance;
+mod cold;
 mod configuration;
 mod crash;
 mod evacuation;
@@ -28,6 +29,7 @@
     budget::{EntryCount, RetryAllowance, RetryWindow},
     choice::{BackendChoice, ChoiceQuery, choose_backend},
     clearance::{ClearanceRecord, PartClearance},
+    cold::{ColdBounds, ColdStart},
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
--- a/crates/celerycrank-serving/src/limit.rs
+++ b/crates/celerycrank-serving/src/limit.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    pub(crate) const fn index(self) -> u32 {
+        self.index
+    }
+
+    pub(crate) const fn entries(self) -> u32 {
+        self.entries
+    }
+
     /// The position of the entry in the order in which entries use a backend server.
     ///
     /// It differs between backend servers, so that each entry may use some of them.
--- a/crates/celerycrank-serving/src/obstacle.rs
+++ b/crates/celerycrank-serving/src/obstacle.rs
@@ -1,5 +1,7 @@
 //! Decides whether a backend server may be sent requests, and why not.
 
+use celerycrank_types::TimeSpan;
+
 /// Why a backend server is not sent requests.
 ///
 /// The obstacles that no request overcomes come first.
@@ -13,6 +15,8 @@
     Removed,
     /// its failure domain is evacuated
     Evacuated,
+    /// it is cold, and this entry has sent its share of the requests that it takes
+    Cold,
     /// its registration was removed a moment ago
     RemovedRecently,
     /// another backend server registered later with its address
@@ -26,7 +30,9 @@
     #[must_use]
     pub const fn allows_last_resort(self) -> bool {
         match self {
-            Self::Draining | Self::Misdirected | Self::Removed | Self::Evacuated => false,
+            Self::Draining | Self::Misdirected | Self::Removed | Self::Evacuated | Self::Cold => {
+                false
+            }
             Self::RemovedRecently | Self::Superseded | Self::BackingOff => true,
         }
     }
@@ -35,6 +41,11 @@
 /// Why no backend server of a service can be chosen for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServiceObstacle {
+    /// The cold backend servers take no more requests of this entry now, and there is no other one.
+    Cold {
+        /// The time until one of them takes a request.
+        retry_after: TimeSpan,
+    },
     /// Every backend server that could be chosen is in an evacuated failure domain.
     Evacuated,
     /// There is no backend server that could be chosen.
--- a/crates/celerycrank-serving/src/registration.rs
+++ b/crates/celerycrank-serving/src/registration.rs
@@ -30,7 +30,7 @@
     pub state: RegistrationState,
     /// Identifies one incarnation; it changes whenever the backend server restarts.
     pub incarnation: u64,
-    /// Remaining warm-up time, during which it is slower than usual.
+    /// The time for which it is still cold when an entry receives this registration.
     pub warm_up_remaining: TimeSpan,
 }
 
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -5,11 +5,13 @@
     net::SocketAddr,
 };
 
-use celerycrank_types::{BackendId, DomainId, RequestRate, ServiceId, TimePoint};
+use celerycrank_types::{BackendId, DomainId, RequestRate, ServiceId, TimePoint, TimeSpan};
 
 use crate::{
-    BackendRegistration, BackendState, EntryPlace, EvacuationChange, LimitNotice,
-    RegistrationChange, SendObstacle, ServiceObstacle, evacuation::EvacuationSet,
+    BackendRegistration, BackendState, ColdBounds, ColdStart, EntryPlace, EvacuationChange,
+    LimitNotice, RegistrationChange, SendObstacle, ServiceObstacle,
+    cold::{ColdPace, ColdPolicy},
+    evacuation::EvacuationSet,
 };
 
 /// The backend servers known to an entry, by service.
@@ -21,6 +23,7 @@
     /// The place of this entry among all entries; `None` while it is unknown.
     place: Option<EntryPlace>,
     evacuated: EvacuationSet,
+    cold: ColdPolicy,
 }
 
 impl BackendTable {
@@ -38,7 +41,7 @@
     /// Applies a change to one registration.
     pub fn apply(&mut self, change: RegistrationChange, now: TimePoint) {
         match change {
-            RegistrationChange::Written(registration) => self.write(registration),
+            RegistrationChange::Written(registration) => self.write(registration, now),
             RegistrationChange::Removed(backend) => self.mark_removed(&backend, now),
         }
     }
@@ -57,7 +60,7 @@
             self.mark_removed(&backend, now);
         }
         for registration in registrations {
-            self.write(registration);
+            self.write(registration, now);
         }
     }
 
@@ -93,45 +96,93 @@
             .find(|state| state.registration.backend == *backend)
     }
 
+    /// Sets how the backend servers of each service start, and what all entries together may send to
+    /// a cold one.
+    pub fn set_cold_starts(
+        &mut self,
+        starts: HashMap<ServiceId, ColdStart>,
+        bounds: Option<ColdBounds>,
+        now: TimePoint,
+    ) {
+        self.cold.starts = starts;
+        self.cold.bounds = bounds;
+        self.update_cold_shares(now);
+    }
+
+    /// Sets the place of this entry among all entries, which share the requests that cold backend
+    /// servers take; `None` if it is not known for certain.
+    pub fn set_cold_place(&mut self, place: Option<EntryPlace>, now: TimePoint) {
+        if self.cold.place != place {
+            self.cold.place = place;
+            self.update_cold_shares(now);
+        }
+    }
+
+    /// Records how long a backend server is still cold; returns whether it was not known to be cold.
+    pub fn note_cold(&mut self, backend: &BackendId, remaining: TimeSpan, now: TimePoint) -> bool {
+        let Some(state) = self.find_mut(backend) else {
+            return false;
+        };
+        let was_cold = state.cold.remaining(now).is_some();
+        state.cold.note_remaining(remaining, now);
+        !was_cold && state.cold.remaining(now).is_some()
+    }
+
     /// Returns the evacuated failure domains.
     pub fn evacuated_domains(&self) -> impl Iterator<Item = &DomainId> {
         self.evacuated.iter()
     }
 
     /// Applies the complete list of evacuated failure domains.
-    pub fn replace_evacuated(&mut self, domains: BTreeSet<DomainId>) -> EvacuationChange {
+    pub fn replace_evacuated(
+        &mut self,
+        domains: BTreeSet<DomainId>,
+        now: TimePoint,
+    ) -> EvacuationChange {
         let change = self.evacuated.replace(domains);
-        self.apply_evacuation(&change);
+        self.apply_evacuation(&change, now);
         change
     }
 
     /// Records that the evacuation of a failure domain begins.
     pub fn begin_evacuation(&mut self, domain: DomainId) -> EvacuationChange {
         let change = self.evacuated.begin(domain);
-        self.apply_evacuation(&change);
+        self.apply_evacuation(&change, TimePoint::default());
         change
     }
 
     /// Records that the evacuation of a failure domain ends.
-    pub fn end_evacuation(&mut self, domain: &DomainId) -> EvacuationChange {
+    ///
+    /// Its backend servers count as cold: they may have become so shortly before, unobserved.
+    pub fn end_evacuation(&mut self, domain: &DomainId, now: TimePoint) -> EvacuationChange {
         let change = self.evacuated.end(domain);
-        self.apply_evacuation(&change);
+        self.apply_evacuation(&change, now);
         change
     }
 
-    /// Checks right before a request is sent that the obstacles which no request overcomes and that
-    /// may have arisen since the choice have not.
+    /// Checks right before a request is sent that no obstacle has arisen since the choice which no
+    /// request overcomes, and records the send.
     ///
     /// # Errors
     ///
     /// Fails with the obstacle for which nothing may be sent.
-    pub fn check_send(&self, chosen: &BackendRegistration) -> Result<(), SendObstacle> {
+    pub fn admit_send(
+        &mut self,
+        chosen: &BackendRegistration,
+        now: TimePoint,
+    ) -> Result<(), SendObstacle> {
         // The backend server may have registered in another failure domain since it was chosen.
         let current = self.registration(&chosen.backend).unwrap_or(chosen);
-        let mut domains = [&chosen.domain, &current.domain].into_iter();
-        if domains.any(|domain| self.evacuated.contains(domain)) {
+        let domains = [&chosen.domain, &current.domain];
+        if domains.iter().any(|it| self.evacuated.contains(it)) {
             return Err(SendObstacle::Evacuated);
         }
+        if let Some(state) = self.find_mut(&chosen.backend) {
+            if !state.cold.has_room(now) {
+                return Err(SendObstacle::Cold);
+            }
+            state.cold.take(now);
+        }
         Ok(())
     }
 
@@ -139,6 +190,11 @@
     #[must_use]
     pub fn service_obstacle(&self, service: &ServiceId, now: TimePoint) -> ServiceObstacle {
         let states = self.of_service(service).iter();
+        let cold = states.clone();
+        let cold = cold.filter(|state| state.obstacle(now) == Some(SendObstacle::Cold));
+        if let Some(retry_after) = cold.map(|state| state.cold.time_until_room(now)).min() {
+            return ServiceObstacle::Cold { retry_after };
+        }
         let obstacles = states.map(|state| state.obstacle(now));
         let is_evacuated = |it| it == Some(SendObstacle::Evacuated);
         let mut open = obstacles.clone();
@@ -236,7 +292,7 @@
         }
     }
 
-    fn write(&mut self, registration: BackendRegistration) {
+    fn write(&mut self, registration: BackendRegistration, now: TimePoint) {
         let has_changed_service = self
             .services_by_backend
             .get(&registration.backend)
@@ -255,15 +311,18 @@
         match position.map(|index| (index, &mut states[index])) {
             Some((_, state)) if state.registration.incarnation == registration.incarnation => {
                 state.is_evacuated = self.evacuated.contains(&registration.domain);
+                state
+                    .cold
+                    .note_remaining(registration.warm_up_remaining, now);
                 state.registration = registration;
                 state.removed_at = None;
             }
             Some((index, _)) => {
                 // A new incarnation has no history and counts as the latest registration.
                 states.remove(index);
-                states.push(new_state(&self.evacuated, registration));
+                states.push(new_state(&self.evacuated, &self.cold, registration, now));
             }
-            None => states.push(new_state(&self.evacuated, registration)),
+            None => states.push(new_state(&self.evacuated, &self.cold, registration, now)),
         }
         self.mark_superseded(&service, address);
     }
@@ -284,13 +343,24 @@
         }
     }
 
-    fn apply_evacuation(&mut self, change: &EvacuationChange) {
+    fn update_cold_shares(&mut self, now: TimePoint) {
+        for state in self.services.values_mut().flatten() {
+            let BackendRegistration {
+                service, backend, ..
+            } = &state.registration;
+            state.cold.set_share(self.cold.share(service, backend), now);
+        }
+    }
+
+    fn apply_evacuation(&mut self, change: &EvacuationChange, now: TimePoint) {
         for state in self.services.values_mut().flatten() {
             let domain = &state.registration.domain;
             if change.begun.contains(domain) {
                 state.is_evacuated = true;
             } else if change.ended.contains(domain) {
                 state.is_evacuated = false;
+                let span = self.cold.unobserved_span(&state.registration.service);
+                state.cold.note_remaining(span, now);
             }
         }
     }
@@ -312,9 +382,17 @@
 }
 
 /// Creates the state of a backend server that was not known, or whose process is new.
-fn new_state(evacuated: &EvacuationSet, registration: BackendRegistration) -> BackendState {
+fn new_state(
+    evacuated: &EvacuationSet,
+    policy: &ColdPolicy,
+    registration: BackendRegistration,
+    now: TimePoint,
+) -> BackendState {
     let is_evacuated = evacuated.contains(&registration.domain);
-    let mut state = BackendState::new(registration);
+    let share = policy.share(&registration.service, &registration.backend);
+    let mut cold = ColdPace::new(share, now);
+    cold.note_remaining(registration.warm_up_remaining, now);
+    let mut state = BackendState::new(registration, cold);
     state.is_evacuated = is_evacuated;
     state
 }
--- a/crates/celerycrank-serving/tests/evacuation.rs
+++ b/crates/celerycrank-serving/tests/evacuation.rs
@@ -73,7 +73,7 @@
     assert_eq!(choose(&table, &[]), None);
     let obstacle = table.service_obstacle(&service(), NOW);
     assert_eq!(obstacle, ServiceObstacle::Evacuated);
-    table.end_evacuation(&domain("a"));
+    table.end_evacuation(&domain("a"), NOW);
     assert_eq!(choose(&table, &[]).as_deref(), Some("w0"));
 }
 
@@ -82,17 +82,17 @@
 fn a_backend_server_that_was_chosen_before_the_evacuation_is_sent_nothing() {
     let mut table = table();
     let chosen = registration("w0", "a");
-    assert_eq!(table.check_send(&chosen), Ok(()));
+    assert_eq!(table.admit_send(&chosen, NOW), Ok(()));
     table.begin_evacuation(domain("a"));
-    assert_eq!(table.check_send(&chosen), Err(SendObstacle::Evacuated));
-    table.end_evacuation(&domain("a"));
+    assert_eq!(table.admit_send(&chosen, NOW), Err(SendObstacle::Evacuated));
+    table.end_evacuation(&domain("a"), NOW);
     // It registers in another failure domain, which is evacuated.
     table.begin_evacuation(domain("c"));
     table.apply(
         RegistrationChange::Written(registration("w0", "c")),
         TimePoint(1),
     );
-    assert_eq!(table.check_send(&chosen), Err(SendObstacle::Evacuated));
+    assert_eq!(table.admit_send(&chosen, NOW), Err(SendObstacle::Evacuated));
 }
 
 // Guards against backend servers that register, restart or move after the evacuation has begun.
@@ -123,7 +123,7 @@
     }
     assert_eq!(table.begin_evacuation(domain("a")).ignored, [domain("a")]);
     assert!(choose(&table, &[]).is_some());
-    let change = table.replace_evacuated([domain("b"), domain("d7")].into());
+    let change = table.replace_evacuated([domain("b"), domain("d7")].into(), NOW);
     assert_eq!(change.begun, [domain("b")]);
     assert_eq!(change.ended.len(), 255);
     assert_eq!(choose(&table, &[]).as_deref(), Some("w0"));
--- a/crates/celerycrank-types/src/outcome.rs
+++ b/crates/celerycrank-types/src/outcome.rs
@@ -80,6 +80,8 @@
         RouteClosed = "route_closed",
         /// Every backend server that could run the request is in an evacuated failure domain (503).
         Evacuated = "evacuated",
+        /// The backend servers are cold and take no more requests of this entry now (503).
+        BackendCold = "backend_cold",
     }
 }
 
