--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -46,6 +46,7 @@
     failures: f64,
     slowdown: f64,
     limit: Option<String>,
+    cold_remaining: Option<String>,
 }
 
 impl AdminHandler for EntryAdminHandler {
@@ -75,6 +76,7 @@
             failures: it.failure_rate(),
             slowdown: it.slowdown(now),
             limit: it.limit().map(|limit| limit.to_string()),
+            cold_remaining: it.cold_remaining(now).map(|span| span.to_string()),
         });
         let parts = state.quarantine.borrow().status(now).into_iter();
         let parts = parts.map(|it| PartStatus {
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -147,12 +147,13 @@
     }
 }
 
-/// Metrics of evacuated failure domains.
+/// Metrics of evacuated failure domains and of cold backend servers.
 #[derive(Debug)]
 pub(crate) struct EvacuationMetrics {
     pub(crate) evacuated_domains: IntGauge,
     pub(crate) evacuation_errors: IntCounter,
     pub(crate) withheld: IntCounter,
+    pub(crate) cold_errors: IntCounter,
 }
 
 impl EvacuationMetrics {
@@ -170,6 +171,10 @@
                 "celerycrank_direct_withheld_total",
                 "attempts that ended before their send since the backend server may get no request",
             )?,
+            cold_errors: set.counter(
+                "celerycrank_direct_cold_faults_total",
+                "cold times in answers and registrations that cannot be read",
+            )?,
         })
     }
 }
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod choice;
 mod clearance;
+mod cold;
 mod configuration;
 mod crash;
 mod evacuation;
@@ -38,6 +39,7 @@
     budget::{EntryCount, RetryAllowance, RetryWindow},
     choice::{BackendChoice, ChoiceQuery, LoadLimit, choose_backend, estimate_cost, has_place},
     clearance::{ClearanceRecord, PartClearance},
+    cold::{ColdBounds, ColdStart},
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
