Findings about both lists: warnings, places and what becomes stricter

check reported only errors, without their line. A plan that no account holds, a rate below one request or a share that grows for somebody else was seen after apply.

Finding has a severity, a stable code, a path and the position, which is found by descending through the raw values of the text. compare_lists says for each difference whom it restricts or favours. The assumed length of an answer moves from the entry to policy.rs, since the warning on rates needs it; its value and use are unchanged.

--- a/crates/celerycrank-config/src/check/error.rs
+++ b/crates/celerycrank-config/src/check/error.rs
@@ -63,6 +63,26 @@
     ReservedPrefix,
 }
 
+impl ValidationErrorKind {
+    /// Returns the stable name of the kind, which findings have as their code.
+    #[must_use]
+    pub const fn code(&self) -> &'static str {
+        match self {
+            Self::Syntax(_) => "json_syntax",
+            Self::Missing => "field_missing",
+            Self::UnknownField(_) => "field_unknown",
+            Self::DuplicateField => "field_duplicate",
+            Self::UnexpectedValue(_) | Self::ParseFailed(_) => "value_invalid",
+            Self::NotPositive => "value_not_positive",
+            Self::Empty => "value_empty",
+            Self::DuplicateValue(_) => "value_duplicate",
+            Self::UnknownPlan(_) => "plan_unknown",
+            Self::RepeatConflict(..) => "repeat_conflict",
+            Self::ReservedPrefix => "prefix_reserved",
+        }
+    }
+}
+
 /// The validation errors of both lists.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize)]
 pub struct ListErrors {
--- a/crates/celerycrank-config/src/check/node.rs
+++ b/crates/celerycrank-config/src/check/node.rs
@@ -1,12 +1,14 @@
 //! A JSON tree that keeps duplicate fields, so that validation can report them.
 
-use std::fmt;
+use std::{collections::BTreeSet, fmt};
 
 use serde::{
     Deserialize, Deserializer,
     de::{MapAccess, SeqAccess, Visitor},
 };
 
+use crate::check::schema::join;
+
 /// One JSON value.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum JsonNode {
@@ -60,6 +62,34 @@
     }
 }
 
+/// Returns the paths of all fields of a JSON text that occur more than once in their object; none
+/// if the text is not valid JSON.
+#[must_use]
+pub fn find_duplicate_fields(text: &str) -> Vec<String> {
+    let mut found = Vec::new();
+    if let Ok(node) = serde_json::from_str::<JsonNode>(text) {
+        collect_duplicates("", &node, &mut found);
+    }
+    found
+}
+
+fn collect_duplicates(path: &str, node: &JsonNode, found: &mut Vec<String>) {
+    for (index, item) in node.items().iter().enumerate() {
+        collect_duplicates(&format!("{path}[{index}]"), item, found);
+    }
+    let JsonNode::Object(fields) = node else {
+        return;
+    };
+    let mut names = BTreeSet::new();
+    for (name, value) in fields {
+        let field_path = join(path, name);
+        if !names.insert(name) {
+            found.push(field_path.clone());
+        }
+        collect_duplicates(&field_path, value, found);
+    }
+}
+
 struct NodeVisitor;
 
 impl<'de> Visitor<'de> for NodeVisitor {
--- a/crates/celerycrank-config/src/check/schema.rs
+++ b/crates/celerycrank-config/src/check/schema.rs
@@ -183,7 +183,7 @@
     ValidationErrorKind::UnexpectedValue(message.into())
 }
 
-fn join(path: &str, name: &str) -> String {
+pub(crate) fn join(path: &str, name: &str) -> String {
     if path.is_empty() {
         return name.to_owned();
     }
--- a/crates/celerycrank-config/src/lib.rs
+++ b/crates/celerycrank-config/src/lib.rs
@@ -7,6 +7,8 @@
 mod configuration;
 mod diff;
 mod direct;
+mod effect;
+mod finding;
 mod key;
 mod list;
 mod policy;
@@ -15,21 +17,23 @@
 
 pub use crate::{
     check::{
-        ListErrors, ListTexts, ValidationError, ValidationErrorKind, check_agent,
-        check_direct_entry, check_entry, check_lists, check_platform, check_rank_agent,
-        format_json,
+        LIST_FINDING_CODES, ListDocuments, ListErrors, ListTexts, ValidationError,
+        ValidationErrorKind, check_agent, check_direct_entry, check_entry, check_lists,
+        check_platform, check_rank_agent, error_finding, find_duplicate_fields, format_json,
     },
     configuration::Configuration,
     diff::{ListChange, diff_lists},
     direct::{DirectEntrySettings, RankAgentSettings, RetrySettings, StoreSettings},
+    effect::compare_lists,
+    finding::{CheckedDocument, Difference, Finding, Severity, Tendency, TextPosition, locate},
     key::{KeyHash, KeyHashError},
     list::{
         ClientAccount, CustomerList, ModelUse, PermittedUse, PlanDefinition, PlanList,
         PriorityClass, RepeatRule, ServiceUse,
     },
     policy::{
-        AccountIndex, CHAT_PATH, PolicyTable, RequestTarget, ResolvedOffer, ResolvedPolicy,
-        is_normalized_path,
+        AccountIndex, CHAT_PATH, DEFAULT_ANSWER_TOKENS, PolicyTable, RequestTarget, ResolvedOffer,
+        ResolvedPolicy, is_normalized_path,
     },
     record::{ChangeRecord, ConfigurationRecord, MAX_HISTORY},
     setting::{
--- a/crates/celerycrank-config/src/policy.rs
+++ b/crates/celerycrank-config/src/policy.rs
@@ -14,6 +14,9 @@
 /// Path of the chat-completions interface, whose requests name the model in the body.
 pub const CHAT_PATH: &str = "/v1/chat/completions";
 
+/// Assumed number of answer tokens if a request to a model does not set `max_tokens`.
+pub const DEFAULT_ANSWER_TOKENS: u64 = 256;
+
 /// Length of the hash prefix that selects a bucket.
 const BUCKET_BYTES: usize = 8;
 
--- a/crates/celerycrank-entry/src/resolve.rs
+++ b/crates/celerycrank-entry/src/resolve.rs
@@ -1,7 +1,8 @@
 //! Resolves the target of a request under its account's plan.
 
 use celerycrank_config::{
-    AccountIndex, CHAT_PATH, PolicyTable, RequestTarget, ResolvedOffer, ResolvedPolicy,
+    AccountIndex, CHAT_PATH, DEFAULT_ANSWER_TOKENS, PolicyTable, RequestTarget, ResolvedOffer,
+    ResolvedPolicy,
 };
 use celerycrank_routing::PromptPrefix;
 use celerycrank_types::{RefusalReason, TokenCount};
@@ -14,9 +15,6 @@
 /// Approximate number of prompt bytes per token.
 const BYTES_PER_TOKEN: u64 = 4;
 
-/// Assumed number of answer tokens if the request does not set `max_tokens`.
-const DEFAULT_ANSWER_TOKENS: u64 = 256;
-
 /// The resolved target of a request, and how its account's plan treats it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct ResolvedRequest {
