Check of configuration records: the same reader as the processes, warnings and differences

What read_configuration refuses or closes was seen in the log of an entry after the record was sent, and what it accepts without effect (a route behind another one, a key of two accounts, a target beyond its timeout) was not seen at all.

read_configuration now gives the path of each error. check_record takes its errors from this function, so that check and process cannot differ, adds the warnings of check_configuration and the differences of compare_configurations, and translates their places into fields of the record.

--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -5,8 +5,10 @@
 mod account;
 mod backend;
 mod budget;
+mod check;
 mod choice;
 mod clearance;
+mod compare;
 mod configuration;
 mod crash;
 mod event;
@@ -25,8 +27,13 @@
     account::AccountTable,
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
+    check::{
+        CONFIGURATION_WARNING_CODES, ConfigurationPlace, ConfigurationWarning, LimitField,
+        RouteField, ServiceField, check_configuration,
+    },
     choice::{BackendChoice, ChoiceQuery, choose_backend},
     clearance::{ClearanceRecord, PartClearance},
+    compare::compare_configurations,
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
