--- a/crates/celerycrank-cli/src/main.rs
+++ b/crates/celerycrank-cli/src/main.rs
@@ -42,7 +42,7 @@
     RankAgent(role::DirectArgs),
     /// Generate a certificate authority and process keys for a trial deployment.
     Keys(keys::KeysArgs),
-    /// Check the lists and settings and report every error.
+    /// Check lists, settings and configuration records, and compare them with the version in force.
     Check(operator::check::CheckArgs),
     /// Show what applying the lists would change.
     Diff(operator::diff::DiffArgs),
@@ -72,7 +72,9 @@
         ProcessCommand::DirectEntry(args) => exit_code(role::run_direct_entry(&args)),
         ProcessCommand::RankAgent(args) => exit_code(role::run_rank_agent(&args)),
         ProcessCommand::Keys(args) => exit_code(keys::make_keys(&args)),
-        ProcessCommand::Check(args) => operator::finish(format, operator::check::check(&args)),
+        ProcessCommand::Check(args) => {
+            operator::run(args.format(format), operator::check::check(&args))
+        }
         ProcessCommand::Diff(args) => operator::run(format, operator::diff::diff(&args)),
         ProcessCommand::Apply(args) => operator::run(format, operator::apply::apply(&args)),
         ProcessCommand::Show(args) => operator::run(format, operator::show::show(&args)),
--- a/crates/celerycrank-cli/src/operator/diff.rs
+++ b/crates/celerycrank-cli/src/operator/diff.rs
@@ -39,7 +39,7 @@
         return Ok(CommandReport::done(text, &json));
     }
     let text = format!("against revision {revision}:\n{}", format_changes(&changes));
-    Ok(CommandReport::new(ExitStatus::Differences, text, &json))
+    Ok(CommandReport::new(ExitStatus::Found, text, &json))
 }
 
 /// The changes that the lists would make to the configuration in force.
--- a/crates/celerycrank-cli/src/operator/directory.rs
+++ b/crates/celerycrank-cli/src/operator/directory.rs
@@ -27,8 +27,15 @@
     dir: PathBuf,
 }
 
-/// The customer list and the plan list.
+/// The files of both lists.
 #[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ListFiles {
+    pub(crate) customers: PathBuf,
+    pub(crate) plans: PathBuf,
+}
+
+/// The customer list and the plan list.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Deserialize)]
 pub(crate) struct ListPair {
     pub(crate) customers: CustomerList,
     pub(crate) plans: PlanList,
@@ -50,6 +57,18 @@
         &self.dir
     }
 
+    /// Returns the files of both lists; those of the working directory without a directory.
+    pub(crate) fn list_files(&self) -> ListFiles {
+        let path = |file| match self.dir.to_str() {
+            Some(".") => PathBuf::from(file),
+            _ => self.dir.join(file),
+        };
+        ListFiles {
+            customers: path(CUSTOMERS_FILE),
+            plans: path(PLANS_FILE),
+        }
+    }
+
     /// Reads and checks both lists.
     pub(crate) fn read_lists(&self) -> Result<Result<ListPair, ListErrors>, CommandError> {
         let customers = read(&self.dir.join(CUSTOMERS_FILE))?;
--- a/crates/celerycrank-cli/src/operator/report.rs
+++ b/crates/celerycrank-cli/src/operator/report.rs
@@ -21,7 +21,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ExitStatus {
     Done = 0,
-    Differences = 1,
+    /// `diff` has found differences, or `check` errors.
+    Found = 1,
+    /// `check` could not run; invalid command lines have the same code.
+    CannotRun = 2,
     Invalid = 3,
     Conflict = 4,
     Unavailable = 5,
@@ -86,6 +89,8 @@
     TooLarge(KeyValueError),
     /// say who you are with --author, or set USER
     NoAuthor,
+    /// give a directory, or the customer list and the plan list
+    ListFiles,
     /// no usable answer from {0}: {1}
     Process(Arc<str>, Arc<str>),
 }
@@ -107,7 +112,9 @@
     pub(crate) fn into_report(self) -> CommandReport {
         let exit = match self {
             Self::File(..) => ExitStatus::FileError,
-            Self::Invalid(..) | Self::TooLarge(_) | Self::NoAuthor => ExitStatus::Invalid,
+            Self::Invalid(..) | Self::TooLarge(_) | Self::NoAuthor | Self::ListFiles => {
+                ExitStatus::Invalid
+            }
             Self::ReadFailed(_)
             | Self::Service(_)
             | Self::VmList(_)
