--- a/crates/celerycrank-config/src/effect.rs
+++ b/crates/celerycrank-config/src/effect.rs
@@ -1,12 +1,12 @@
 //! What differs between two pairs of lists, and for which accounts it becomes stricter or laxer.
 
-use std::{fmt::Display, sync::Arc};
+use std::{collections::BTreeSet, fmt::Display, sync::Arc};
 
-use celerycrank_types::PlanId;
+use celerycrank_types::{ModelId, PlanId};
 
 use crate::{
     ClientAccount, CustomerList, Difference, ListChange, PermittedUse, PlanDefinition, PlanList,
-    RepeatRule, ServiceUse, Tendency, diff_lists,
+    RepeatRule, ServiceUse, Tendency, diff_lists, policy::find_service_use,
 };
 
 /// Returns what becomes stricter or laxer from one pair of lists to another, and for whom.
@@ -34,7 +34,7 @@
             ListChange::AccountPlan { account, from, to } => {
                 let subject = format!("account {account}");
                 let message = format!("plan {from} -> {to}");
-                differences.push(Difference::new(Tendency::Other, subject.clone(), message));
+                differences.push(Difference::new(Tendency::Changed, subject.clone(), message));
                 if let (Some(before), Some(after)) =
                     (find_plan(old.1, &from), find_plan(new.1, &to))
                 {
@@ -53,11 +53,11 @@
             }
             ListChange::PlanAdded { plan } => {
                 let subject = format!("plan {plan}");
-                differences.push(Difference::new(Tendency::Other, subject, "added"));
+                differences.push(Difference::new(Tendency::Changed, subject, "added"));
             }
             ListChange::PlanRemoved { plan } => {
                 let subject = format!("plan {plan}");
-                differences.push(Difference::new(Tendency::Other, subject, "removed"));
+                differences.push(Difference::new(Tendency::Changed, subject, "removed"));
             }
             // Changes of a plan are compared as a whole below.
             ListChange::PlanField { .. }
@@ -146,47 +146,71 @@
     after: &PlanDefinition,
     found: &mut Vec<(Tendency, String)>,
 ) {
-    for used in &before.uses {
-        match after.uses.iter().find(|other| is_same_use(used, other)) {
-            Some(other) => found.extend(compare_repeat(used, other)),
-            None => found.push((
-                Tendency::Stricter,
-                format!("may no longer use {}", describe(used)),
-            )),
-        }
+    for model in models(before).difference(&models(after)) {
+        let message = format!("may no longer use model {model}");
+        found.push((Tendency::Stricter, message));
     }
-    for used in &after.uses {
-        if !before.uses.iter().any(|other| is_same_use(used, other)) {
-            found.push((Tendency::Laxer, format!("may now use {}", describe(used))));
-        }
+    for model in models(after).difference(&models(before)) {
+        found.push((Tendency::Laxer, format!("may now use model {model}")));
+    }
+    for prefix in &prefixes(before) | &prefixes(after) {
+        let uses = [before, after].map(|plan| find_service_use(plan, prefix));
+        found.extend(compare_service(prefix, uses));
     }
 }
 
-fn is_same_use(one: &PermittedUse, other: &PermittedUse) -> bool {
-    match (one, other) {
-        (PermittedUse::Model(one), PermittedUse::Model(other)) => one == other,
-        (PermittedUse::Service(one), PermittedUse::Service(other)) => {
-            (&one.service, &one.prefix) == (&other.service, &other.prefix)
-        }
-        _ => false,
-    }
+fn models(plan: &PlanDefinition) -> BTreeSet<&ModelId> {
+    let models = plan.uses.iter().filter_map(|used| match used {
+        PermittedUse::Model(model) => Some(&model.model),
+        PermittedUse::Service(_) => None,
+    });
+    models.collect()
 }
 
-fn compare_repeat(before: &PermittedUse, after: &PermittedUse) -> Option<(Tendency, String)> {
-    let rule = |used: &PermittedUse| match used {
-        PermittedUse::Service(ServiceUse { repeat, .. }) => Some(*repeat),
+/// The prefixes of a plan's services, without the slash at their end, except for `/` itself.
+fn prefixes(plan: &PlanDefinition) -> BTreeSet<&str> {
+    let prefixes = plan.uses.iter().filter_map(|used| match used {
+        PermittedUse::Service(service) => Some(&*service.prefix),
         PermittedUse::Model(_) => None,
+    });
+    let prefixes = prefixes.map(|prefix| match prefix.trim_end_matches('/') {
+        "" => "/",
+        trimmed => trimmed,
+    });
+    prefixes.collect()
+}
+
+/// Compares what serves the requests at a prefix before and after.
+fn compare_service(
+    prefix: &str,
+    [before, after]: [Option<&ServiceUse>; 2],
+) -> Option<(Tendency, String)> {
+    let (before, after) = match (before, after) {
+        (Some(before), Some(after)) => (before, after),
+        (Some(before), None) => {
+            let message = format!("may no longer use service {} at {prefix}", before.service);
+            return Some((Tendency::Stricter, message));
+        }
+        (None, Some(after)) => {
+            let message = format!("may now use service {} at {prefix}", after.service);
+            return Some((Tendency::Laxer, message));
+        }
+        (None, None) => return None,
     };
-    let (from, to) = (rule(before)?, rule(after)?);
+    if before.service != after.service {
+        let (from, to) = (&before.service, &after.service);
+        let message = format!("requests at {prefix}: service {from} -> {to}");
+        return Some((Tendency::Changed, message));
+    }
     // Keyed calls without a key are refused; those that may be repeated are retried.
     let freedom = |rule| match rule {
         RepeatRule::Keyed => 0,
         RepeatRule::Never => 1,
         RepeatRule::Repeatable => 2,
     };
+    let (from, to) = (before.repeat, after.repeat);
     let message = format!(
-        "{}: repeat {} -> {}",
-        describe(before),
+        "requests at {prefix}: repeat {} -> {}",
         from.label(),
         to.label()
     );
@@ -208,7 +232,7 @@
         "sum of all shares {from} -> {to}; one share is a {} part of contended capacity",
         if to > from { "smaller" } else { "larger" }
     );
-    (from != to && from > 0).then(|| {
+    (from != to && from > 0 && to > 0).then(|| {
         Difference::new(
             Tendency::of_limit(&to, &from),
             "accounts with an unchanged share",
@@ -216,12 +240,3 @@
         )
     })
 }
-
-fn describe(used: &PermittedUse) -> String {
-    match used {
-        PermittedUse::Model(model) => format!("model {}", model.model),
-        PermittedUse::Service(service) => {
-            format!("service {} at {}", service.service, service.prefix)
-        }
-    }
-}
--- a/crates/celerycrank-config/src/finding.rs
+++ b/crates/celerycrank-config/src/finding.rs
@@ -147,7 +147,7 @@
     /// Some requests that were refused are served, or requests are served earlier.
     Laxer,
     /// Neither, or it depends on the requests.
-    Other,
+    Changed,
 }
 
 impl fmt::Display for Tendency {
@@ -155,7 +155,7 @@
         f.write_str(match self {
             Self::Stricter => "stricter",
             Self::Laxer => "laxer",
-            Self::Other => "changed",
+            Self::Changed => "changed",
         })
     }
 }
--- a/crates/celerycrank-config/src/policy.rs
+++ b/crates/celerycrank-config/src/policy.rs
@@ -217,15 +217,24 @@
     if !is_normalized_path(path) {
         return Err(RefusalReason::BadRequest);
     }
+    let longest = find_service_use(plan, path);
+    let found = longest.ok_or(RefusalReason::OutsidePlan)?;
+    let repeat = effective_repeat_rule(method, found.repeat);
+    Ok((ResolvedOffer::Service(found.service.clone()), repeat))
+}
+
+/// Returns the use of a service to which the requests of a path belong: the last one of the longest
+/// prefix.
+pub(crate) fn find_service_use<'plan>(
+    plan: &'plan PlanDefinition,
+    path: &str,
+) -> Option<&'plan ServiceUse> {
     let services = plan.uses.iter().filter_map(|permitted| match permitted {
         PermittedUse::Service(service) => Some(service),
         PermittedUse::Model(_) => None,
     });
     let covering = services.filter(|service| service.covers(path));
-    let longest = covering.max_by_key(|service| service.prefix.trim_end_matches('/').len());
-    let found = longest.ok_or(RefusalReason::OutsidePlan)?;
-    let repeat = effective_repeat_rule(method, found.repeat);
-    Ok((ResolvedOffer::Service(found.service.clone()), repeat))
+    covering.max_by_key(|service| service.prefix.trim_end_matches('/').len())
 }
 
 /// Applies `Never` instead of `Keyed` to read-only methods: they need no idempotency key but
--- a/crates/celerycrank-serving/src/check.rs
+++ b/crates/celerycrank-serving/src/check.rs
@@ -218,7 +218,7 @@
                 );
                 self.warn("route_hidden", place(RouteField::Prefix), message);
             }
-            Some(RouteMatch::Open(found)) if is_same(found) && is_host(&route.host) => {
+            Some(RouteMatch::Open(_)) if is_host(&route.host) => {
                 if let Some(character) = route.prefix.chars().find(|it| !is_in_paths(*it)) {
                     let message = format!("no path of a request contains {character:?}");
                     self.warn("route_unreachable", place(RouteField::Prefix), message);
--- a/crates/celerycrank-serving/src/compare.rs
+++ b/crates/celerycrank-serving/src/compare.rs
@@ -100,11 +100,15 @@
                 Tendency::Stricter,
                 "removed; its requests belong to a route that cannot be used".into(),
             ),
-            (_, Some(RouteMatch::Open(other))) => (
-                Tendency::Other,
+            (RouteMatch::Open(_), Some(RouteMatch::Open(other))) => (
+                Tendency::Changed,
                 format!("removed; its requests belong to the route `{}`", other.name),
             ),
-            (RouteMatch::Closed, _) => (Tendency::Other, "removed".into()),
+            (RouteMatch::Closed, Some(RouteMatch::Open(other))) => (
+                Tendency::Laxer,
+                format!("removed; its requests belong to the route `{}`", other.name),
+            ),
+            (RouteMatch::Closed, _) => (Tendency::Changed, "removed".into()),
         };
         self.add(tendency, &subject, message);
     }
@@ -123,7 +127,7 @@
                 "added; its requests belonged to a route that could not be used".into(),
             ),
             (RouteMatch::Open(_), Some(RouteMatch::Open(other))) => (
-                Tendency::Other,
+                Tendency::Changed,
                 format!("added; it takes requests of the route `{}`", other.name),
             ),
             (RouteMatch::Closed, Some(RouteMatch::Open(other))) => (
@@ -133,7 +137,7 @@
                     other.name
                 ),
             ),
-            (RouteMatch::Closed, _) => (Tendency::Other, "added, but cannot be used".into()),
+            (RouteMatch::Closed, _) => (Tendency::Changed, "added, but cannot be used".into()),
         };
         self.add(tendency, &subject, message);
     }
@@ -166,7 +170,7 @@
         let subject = &format!("route {}", after.name);
         if before.name != after.name {
             let message = format!("renamed from `{}`", before.name);
-            self.add(Tendency::Other, subject, message);
+            self.add(Tendency::Changed, subject, message);
         }
         let (from, to) = (before.semantics, after.semantics);
         if from != to {
@@ -174,7 +178,7 @@
             let tendency = match (from.is_stream() == to.is_stream(), to.may_repeat()) {
                 (true, true) => Tendency::Laxer,
                 (true, false) => Tendency::Stricter,
-                (false, _) => Tendency::Other,
+                (false, _) => Tendency::Changed,
             };
             self.add(tendency, subject, message);
         }
@@ -192,8 +196,8 @@
             (false, true) if needs_keys => {
                 self.add(Tendency::Laxer, subject, "its requests need no key");
             }
-            (true, false) => self.add(Tendency::Other, subject, "no longer anonymous"),
-            (false, true) => self.add(Tendency::Other, subject, "anonymous"),
+            (true, false) => self.add(Tendency::Changed, subject, "no longer anonymous"),
+            (false, true) => self.add(Tendency::Changed, subject, "anonymous"),
             _ => {}
         }
         self.compare_splits(subject, before, after);
@@ -223,7 +227,7 @@
             let (from, to) = (format!("{:.1}", part(&from)), format!("{:.1}", part(&to)));
             if from != to {
                 let message = format!("service {service}: {from} % -> {to} % of its requests");
-                self.add(Tendency::Other, subject, message);
+                self.add(Tendency::Changed, subject, message);
             }
         }
     }
@@ -233,7 +237,7 @@
             let subject = &format!("service {}", before.service);
             let Some(after) = new.iter().find(|it| it.service == before.service) else {
                 let message = "no longer listed; it has no limit of connections and no engines";
-                self.add(Tendency::Other, subject, message);
+                self.add(Tendency::Changed, subject, message);
                 continue;
             };
             let (from, to) = (before.max_connections, after.max_connections);
@@ -247,18 +251,27 @@
                     others.slots = to.slots;
                     if others != to {
                         let message = "performance of its engines differs";
-                        self.add(Tendency::Other, subject, message);
+                        self.add(Tendency::Changed, subject, message);
                     }
                 }
-                (Some(_), None) => self.add(Tendency::Other, subject, "no longer has engines"),
-                (None, Some(_)) => self.add(Tendency::Other, subject, "has engines"),
+                (Some(_), None) => self.add(Tendency::Changed, subject, "no longer has engines"),
+                (None, Some(_)) => self.add(Tendency::Changed, subject, "has engines"),
                 (None, None) => {}
             }
+            let compared = ServiceRule {
+                max_connections: after.max_connections,
+                engine: after.engine,
+                ..before.clone()
+            };
+            if compared != *after {
+                // Fields that are not compared one by one.
+                self.add(Tendency::Changed, subject, "other settings differ");
+            }
         }
         for after in new {
             if !old.iter().any(|it| it.service == after.service) {
                 let subject = format!("service {}", after.service);
-                self.add(Tendency::Other, &subject, "listed");
+                self.add(Tendency::Changed, &subject, "listed");
             }
         }
     }
@@ -325,7 +338,7 @@
         }
         for (owner, count) in moved {
             let message = format!("{count} of its keys belong to the account `{owner}`");
-            self.add(Tendency::Other, subject, message);
+            self.add(Tendency::Changed, subject, message);
         }
     }
 
@@ -335,7 +348,7 @@
             (from, to) if from != to => {
                 let text = |it: Option<u8>| it.map_or("of the route".into(), |it| it.to_string());
                 let message = format!("priority {} -> {}", text(from), text(to));
-                self.add(Tendency::Other, subject, message);
+                self.add(Tendency::Changed, subject, message);
             }
             _ => {}
         }
