--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -8,9 +8,11 @@
 mod answer_pace;
 mod backend;
 mod budget;
+mod check;
 mod choice;
 mod clearance;
 mod cold;
+mod compare;
 mod configuration;
 mod crash;
 mod evacuation;
@@ -37,9 +39,14 @@
     admission_queue::{AccountLoads, AccountShare, AdmissionQueue, WaitBand, WaitRank, WaitTicket},
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
+    check::{
+        CONFIGURATION_WARNING_CODES, ConfigurationPlace, ConfigurationWarning, LimitField,
+        RouteField, ServiceField, check_configuration,
+    },
     choice::{BackendChoice, ChoiceQuery, LoadLimit, choose_backend, estimate_cost, has_place},
     clearance::{ClearanceRecord, PartClearance},
     cold::{ColdBounds, ColdStart},
+    compare::compare_configurations,
     configuration::{
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
--- a/crates/celerycrank-serving/tests/admission.rs
+++ b/crates/celerycrank-serving/tests/admission.rs
@@ -78,6 +78,7 @@
     ServiceRule {
         service: service(),
         max_connections: 400,
+        cold_start: None,
         engine: Some(engine),
     }
 }
