The direct entry weighs which backend servers still hold a prompt

Need: model engines that keep prompts answer sooner, but the direct entry chooses by load alone among four random backend servers, so that a session's engine is rarely found again.

Change: celerycrank-routing gains an index of the backend servers that probably hold the beginnings of prompts (fed by answers that began, bounded, aged, evicted by tokens sent, empty for a new incarnation) and DelayEstimate, by which both kinds of entry weigh tokens to read against load. The feature is off unless the settings have prompt_cache; then no random number and no choice changes. Prefix-Hash is read with the number of tokens of each part; unreadable sizes leave the parts to the quarantine.

--- a/crates/celerycrank-config/src/check/setting.rs
+++ b/crates/celerycrank-config/src/check/setting.rs
@@ -46,6 +46,7 @@
     required("store", STORE),
     optional("revocation", text::<DecimalSpan>()),
     required("retries", RETRIES),
+    optional("prompt_cache", PROMPT_CACHE),
     required("grace", text::<DecimalSpan>()),
 ]);
 
@@ -71,6 +72,11 @@
     required("slack", text::<Fraction>()),
 ]);
 
+const PROMPT_CACHE: Schema = Schema::Object(&[
+    required("retention", SPAN),
+    required("memory", Schema::Text(check_part)),
+]);
+
 const LIMITS: Schema = Schema::Object(&[
     optional("header", SIZE),
     optional("body", SIZE),
@@ -211,6 +217,15 @@
     }
 }
 
+/// Accepts a fraction of a whole.
+fn check_part(text: &str) -> Result<(), ValidationErrorKind> {
+    match text.parse::<Fraction>() {
+        Ok(part) if part.get() <= 1.0 => Ok(()),
+        Ok(_) => Err(unexpected_value("a number from 0 to 1")),
+        Err(error) => Err(ValidationErrorKind::ParseFailed(error.to_string().into())),
+    }
+}
+
 fn check_size(text: &str) -> Result<(), ValidationErrorKind> {
     match text.parse::<ByteSize>() {
         Ok(ByteSize(0)) => Err(ValidationErrorKind::NotPositive),
--- a/crates/celerycrank-config/src/direct.rs
+++ b/crates/celerycrank-config/src/direct.rs
@@ -33,6 +33,10 @@
     pub revocation: Option<DecimalSpan>,
     /// Retry budget of all entries together.
     pub retries: RetrySettings,
+    /// What engines keep of the prompts that they have read.
+    ///
+    /// If absent, they keep nothing, and backend servers are chosen by their load alone.
+    pub prompt_cache: Option<PromptCacheSettings>,
     /// Time between the stop signal and the end of the process.
     pub grace: DecimalSpan,
 }
@@ -82,3 +86,13 @@
     /// Retries allowed in addition to the ratio.
     pub slack: Fraction,
 }
+
+/// What engines keep of the prompts that they have read.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PromptCacheSettings {
+    /// Time for which an engine keeps a prompt after its answer has begun.
+    pub retention: TimeSpan,
+    /// The part of an engine's KV cache that keeps prompts, from 0 to 1.
+    pub memory: Fraction,
+}
--- a/crates/celerycrank-config/src/lib.rs
+++ b/crates/celerycrank-config/src/lib.rs
@@ -21,7 +21,9 @@
     },
     configuration::Configuration,
     diff::{ListChange, diff_lists},
-    direct::{DirectEntrySettings, RankAgentSettings, RetrySettings, StoreSettings},
+    direct::{
+        DirectEntrySettings, PromptCacheSettings, RankAgentSettings, RetrySettings, StoreSettings,
+    },
     key::{KeyHash, KeyHashError},
     list::{
         ClientAccount, CustomerList, ModelUse, PermittedUse, PlanDefinition, PlanList,
--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -5,7 +5,7 @@
 use celerycrank_process::AdminHandler;
 use serde::Serialize;
 
-use super::state::EntryState;
+use super::{prompt_cache::PromptCacheStatus, state::EntryState};
 
 /// Serves the admin endpoints of an entry.
 pub(crate) struct EntryAdminHandler {
@@ -22,6 +22,7 @@
     requests: u32,
     backends: Vec<BackendStatus>,
     quarantined_parts: Vec<PartStatus>,
+    prompt_cache: PromptCacheStatus,
 }
 
 #[derive(Serialize)]
@@ -83,6 +84,7 @@
             requests: state.requests_in_flight.get(),
             backends: backends.collect(),
             quarantined_parts: parts.collect(),
+            prompt_cache: state.prompt_cache.status(&state.settings()),
         };
         serde_json::to_vec(&status).expect("plain fields encode into memory")
     }
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -128,7 +128,7 @@
                 Err(reason) => break Err(reason),
             }
         };
-        let backend = in_flight.backend.clone();
+        let (backend, holder) = (in_flight.backend.clone(), in_flight.holder);
         drop(in_flight);
         if let Err(reason) = read {
             let progress = if body.is_empty() {
@@ -142,7 +142,7 @@
             }
             continue;
         }
-        dispatch.note_begun(answer.head.status);
+        dispatch.note_begun(answer.head.status, holder);
         let is_failure = answer.head.status >= 500;
         let state = dispatch.state;
         state
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 
+use celerycrank_routing::HolderKey;
 use celerycrank_serving::{
     BackendChoice, BackendRegistration, ChoiceQuery, CrashedBackend, RequestSemantics,
     choose_backend,
@@ -13,6 +14,7 @@
     attempt::{AttemptError, OpenAnswer, open_attempt},
     crash::has_crashed,
     progress::{AnswerProgress, AttemptTrack, RequestError, RetryObstacle, SendRecord},
+    prompt_cache::HeldPrompt,
     refusal::{RequestRefusal, random_spread},
     request::AdmittedRequest,
     state::EntryState,
@@ -47,15 +49,19 @@
 pub(crate) struct InFlightGuard<'run> {
     state: &'run EntryState,
     pub(crate) backend: BackendId,
+    /// Identifies the incarnation of the backend server among those that hold prompts.
+    pub(crate) holder: HolderKey,
 }
 
 impl<'run> InFlightGuard<'run> {
-    fn new(state: &'run EntryState, backend: &BackendId) -> Self {
+    fn new(state: &'run EntryState, registration: &BackendRegistration) -> Self {
         let now = state.clock.now();
+        let backend = &registration.backend;
         state.backends.borrow_mut().begin(backend, now);
         Self {
             state,
             backend: backend.clone(),
+            holder: HolderKey::new(backend, registration.incarnation),
         }
     }
 }
@@ -111,7 +117,8 @@
             let registration = self.choose().map_err(|it| self.final_error(it))?;
             let backend = &registration.backend;
             self.tried.borrow_mut().push(backend.clone());
-            let in_flight = InFlightGuard::new(self.state, backend);
+            let in_flight = InFlightGuard::new(self.state, &registration);
+            self.state.note_prompt_sent(self.request, in_flight.holder);
             track.note_asked(backend, self.state.clock.now());
             let sending = self.sent.begin();
             let opened = open_attempt(
@@ -229,8 +236,9 @@
     /// Records that an answer with this status has begun.
     ///
     /// A failure says nothing about the prompt, which the backend server may not have read.
-    pub(crate) fn note_begun(&self, status: u16) {
+    pub(crate) fn note_begun(&self, status: u16, holder: HolderKey) {
         if (200..300).contains(&status) {
+            self.state.note_prompt_begun(self.request, holder);
             self.state.note_begun(&self.request.prompt_query());
         }
     }
@@ -250,16 +258,26 @@
     fn choose(&self) -> Result<BackendRegistration, RequestRefusal> {
         let settings = self.state.settings();
         let tried = self.tried.borrow();
+        let now = self.state.clock.now();
+        let held = self.state.held_prompt(self.request, &tried, now);
+        let prompt = held.as_ref().and_then(HeldPrompt::weighing);
         let query = ChoiceQuery {
             service: &self.request.service,
             domain: &settings.domain,
             tried: &tried,
-            now: self.state.clock.now(),
+            now,
+            prompt: prompt.as_ref(),
         };
         let backends = self.state.backends.borrow();
         let mut random = self.state.random.borrow_mut();
         match choose_backend(&backends, &query, &mut *random) {
-            BackendChoice::Chosen(state) => Ok(state.registration.clone()),
+            BackendChoice::Chosen(state) => {
+                if let Some(prompt) = &prompt {
+                    let outcome = prompt.outcome(state);
+                    self.state.note_prompt_outcome(self.request, state, outcome);
+                }
+                Ok(state.registration.clone())
+            }
             BackendChoice::Limited { retry_after } => Err(RequestRefusal {
                 reason: RefusalReason::BackendLimit,
                 // Those that are refused at the same time must not come back at the same time.
--- a/crates/celerycrank-direct/src/entry/live.rs
+++ b/crates/celerycrank-direct/src/entry/live.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use celerycrank_http::ResponseHead;
+use celerycrank_routing::HolderKey;
 use celerycrank_serving::EventReader;
 use celerycrank_types::{BackendId, UnknownReason};
 
@@ -47,6 +48,11 @@
         &self.in_flight.backend
     }
 
+    /// Identifies its incarnation among those that hold prompts.
+    pub(crate) fn holder(&self) -> HolderKey {
+        self.in_flight.holder
+    }
+
     /// The number of the last event that was returned.
     pub(crate) fn last_event(&self) -> Option<u64> {
         self.events.last_event()
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -19,6 +19,9 @@
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
+    pub(crate) holder_requests: IntCounter,
+    pub(crate) saved_tokens: IntCounter,
+    pub(crate) outweighed_holders: IntCounter,
     pub(crate) store_errors: IntCounter,
     pub(crate) configuration_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
@@ -79,6 +82,18 @@
                 "celerycrank_direct_quarantined_parts",
                 "prompt parts that are refused since they crash backend servers",
             )?,
+            holder_requests: set.counter(
+                "celerycrank_direct_prompt_holder_requests_total",
+                "requests sent to a backend server that probably holds the beginning of the prompt",
+            )?,
+            saved_tokens: set.counter(
+                "celerycrank_direct_prompt_tokens_saved_total",
+                "prompt tokens that these backend servers probably need not read again",
+            )?,
+            outweighed_holders: set.counter(
+                "celerycrank_direct_prompt_holders_outweighed_total",
+                "requests sent elsewhere since the wait at the holders outweighs what they save",
+            )?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod probe;
 mod process;
 mod progress;
+mod prompt_cache;
 mod quarantine;
 mod refusal;
 mod request;
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -23,6 +23,7 @@
     load::receive_loads,
     metrics::EntryMetrics,
     probe::serve_probes,
+    prompt_cache::PromptCache,
     quarantine::{collect_crashes, write_reports},
     state::EntryState,
     stop::{BALANCER_DELAY, StopSchedule},
@@ -136,6 +137,7 @@
         );
         let accepting = CallerAccept::start(&state, self.callers);
         tracing::info!(entry = %state.settings().entry, %listen, %probe, "entry serves");
+        PromptCache::log(state.settings().prompt_cache);
         select! {
             stopped = wait_for_stop_signal() => stopped.map_err(DirectError::Signal)?,
             error = tasks.failed() => return Err(DirectError::Task(error)),
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
+use celerycrank_routing::PromptBeginnings;
 use celerycrank_serving::{PromptQuery, RouteMatch, RouteRule};
 use celerycrank_types::{AccountId, PromptPartId, RefusalReason, Revision, ServiceId, TimePoint};
 use smallvec::SmallVec;
@@ -31,6 +32,8 @@
     pub(crate) last_event: Option<u64>,
     /// The parts of the prompt that other prompts may share, in order.
     pub(crate) shared_parts: SmallVec<[PromptPartId; 4]>,
+    /// The beginnings of the prompt, if backend servers may hold some of them.
+    pub(crate) beginnings: Option<PromptBeginnings>,
 }
 
 impl AdmittedRequest {
@@ -79,7 +82,9 @@
     if !state.admits_until(deadline) {
         return Err(RefusalReason::ShuttingDown);
     }
+    let beginnings = state.prompt_beginnings(&in_force, &service, &metadata);
     Ok(AdmittedRequest {
+        beginnings,
         attempt: metadata.attempt,
         revision: in_force.revision,
         deadline,
--- a/crates/celerycrank-direct/src/entry/resume.rs
+++ b/crates/celerycrank-direct/src/entry/resume.rs
@@ -39,7 +39,7 @@
         let mut live = Box::new(LiveStream::new(served, position.last_event));
         let reason = match read_first(&mut live, position).await {
             Ok(part) => {
-                dispatch.note_begun(live.head.status);
+                dispatch.note_begun(live.head.status, live.holder());
                 return Ok(StreamReading { live, part });
             }
             Err(reason) => reason,
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -11,8 +11,8 @@
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{ProcessClock, ShutdownFlag, TaskHandle};
 use celerycrank_serving::{
-    AccountTable, BackendTable, CallerBounds, CrashCollector, EntryCount, FreshnessGuard,
-    PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
+    AccountTable, BackendTable, CallerBounds, CrashCollector, EngineProfile, EntryCount,
+    FreshnessGuard, PartQuarantine, RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
 };
 use celerycrank_types::{
     BackendId, DecimalSpan, RequestRate, Revision, ServiceId, TimePoint, TimeSpan,
@@ -21,8 +21,8 @@
 use tokio::sync::Notify;
 
 use super::{
-    limits::LimitSharing, metrics::EntryMetrics, pool::ConnectionPool, quarantine::ReportQueue,
-    stop::StopSchedule,
+    limits::LimitSharing, metrics::EntryMetrics, pool::ConnectionPool, prompt_cache::PromptCache,
+    quarantine::ReportQueue, stop::StopSchedule,
 };
 
 /// State shared by the tasks of an entry, all of which run on one arbiter.
@@ -66,6 +66,8 @@
     pub(crate) limits: LimitSharing,
     /// Reports of crashes for the other entries.
     pub(crate) crash_reports: ReportQueue,
+    /// Which backend servers probably hold which prompts.
+    pub(crate) prompt_cache: PromptCache,
 }
 
 /// The configuration in force, compiled for lookups.
@@ -77,18 +79,24 @@
     pub(crate) limits: CallerBounds,
     /// Services with model engines, whose agents report their load.
     pub(crate) engine_services: Vec<ServiceId>,
+    /// Performance of the model engines of these services.
+    pub(crate) engines: HashMap<ServiceId, EngineProfile>,
 }
 
 impl ConfigurationInForce {
     fn compile(configuration: &ServingConfiguration) -> Self {
         let engines = configuration.services.iter();
         let engines = engines.filter(|service| service.engine.is_some());
+        let profiles = engines.clone();
+        let profiles =
+            profiles.filter_map(|service| Some((service.service.clone(), service.engine?)));
         Self {
             revision: configuration.revision,
             routes: RouteTable::new(&configuration.routes, &configuration.closed_routes),
             accounts: AccountTable::new(&configuration.keys),
             limits: configuration.limits,
             engine_services: engines.map(|it| it.service.clone()).collect(),
+            engines: profiles.collect(),
         }
     }
 }
@@ -131,6 +139,7 @@
             clearance_noted: Notify::new(),
             limits: LimitSharing::default(),
             crash_reports: ReportQueue::default(),
+            prompt_cache: PromptCache::new(settings.prompt_cache),
             settings: RefCell::new(Rc::new(settings)),
         }
     }
@@ -163,6 +172,9 @@
                 known.with_revocation_limit(span)
             });
         }
+        if settings.prompt_cache != known.prompt_cache {
+            self.prompt_cache.reload(settings.prompt_cache);
+        }
         self.retry_windows.borrow_mut().clear();
         *self.settings.borrow_mut() = Rc::new(settings);
         tracing::info!("settings reloaded");
--- a/crates/celerycrank-routing/src/router.rs
+++ b/crates/celerycrank-routing/src/router.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     backend::{BackendSpec, BackendState, LoadReport},
+    delay::DelayEstimate,
     demand::DemandMeter,
     holder::{BackendHandle, CacheEvent, HolderIndex},
     prefix::{BlockHash, PromptPrefix},
@@ -18,10 +19,6 @@
 /// Number of random candidates in addition to those from cache affinity.
 const RANDOM_CANDIDATES: usize = 2;
 
-/// Delay that a computed block causes to other requests, relative to its own cost, at a load of
-/// one.
-const MISS_WEIGHT: f64 = 6.0;
-
 /// Delay from other requests at a load of one, in units of the cost of computing a block.
 const CONTENTION_BLOCKS: f64 = 8.0;
 
@@ -438,13 +435,17 @@
         let warm_up_fraction = state.warm_up_fraction(now, self.settings.slow_start);
         let load = state.load(now, self.settings.mean_hold_time) / warm_up_fraction;
         let wait = (load - 1.0).max(0.0) * self.settings.mean_hold_time.as_secs_f64();
-        let compute = missing_blocks * block_cost * (1.0 + MISS_WEIGHT * load);
-        let contention = CONTENTION_BLOCKS * block_cost * load * load;
+        let estimate = DelayEstimate {
+            load,
+            wait,
+            reading: missing_blocks * block_cost,
+            crowding: CONTENTION_BLOCKS * block_cost,
+        };
         let domain_cost = if state.spec.domain == self.settings.domain {
             0.0
         } else {
             self.settings.domain_cost.as_secs_f64()
         };
-        wait + compute + contention + domain_cost
+        estimate.weighted_delay() + domain_cost
     }
 }
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of one backend server: its load, its health and its limit.
 
+use celerycrank_routing::HolderKey;
 use celerycrank_types::{RequestRate, TimePoint, TimeSpan};
 
 use crate::{
@@ -33,6 +34,8 @@
     pub registration: BackendRegistration,
     /// Its estimated load.
     pub load: LoadEstimate,
+    /// Identifies its incarnation among those that hold prompts.
+    pub(crate) holder: HolderKey,
     /// When its registration was removed.
     pub(crate) removed_at: Option<TimePoint>,
     /// Whether another process answered at its address. Only a registration of a new incarnation
@@ -55,6 +58,7 @@
 impl BackendState {
     pub(crate) fn new(registration: BackendRegistration) -> Self {
         Self {
+            holder: HolderKey::new(&registration.backend, registration.incarnation),
             registration,
             load: LoadEstimate::default(),
             removed_at: None,
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -9,10 +9,11 @@
 //!
 //! A backend server that names a limit is chosen only as far as this entry's share of it goes.
 
+use celerycrank_routing::MAX_PROMPT_HOLDERS;
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
 use rand::{Rng, seq::index::sample as sample_indices};
 
-use crate::{BackendState, BackendTable};
+use crate::{BackendState, BackendTable, PromptWeighing};
 
 /// Number of randomly drawn backend servers from which the least loaded one is chosen.
 const SAMPLE_SIZE: usize = 4;
@@ -37,6 +38,8 @@
     pub tried: &'query [BackendId],
     /// The current time.
     pub now: TimePoint,
+    /// The probable holders of the prompt, if there are any.
+    pub prompt: Option<&'query PromptWeighing<'query>>,
 }
 
 /// The result of a choice.
@@ -100,7 +103,10 @@
     random: &mut R,
 ) -> Option<&'table BackendState> {
     let mut best: Option<(f64, &BackendState)> = None;
-    for state in sample_states(states, random).into_iter().flatten() {
+    for state in sample_states(states, query.prompt, random)
+        .into_iter()
+        .flatten()
+    {
         // The random term keeps entries that see the same loads from all choosing the same
         // backend server.
         let cost = estimate_cost(state, query) + random.random_range(0.0..0.1);
@@ -111,17 +117,24 @@
     best.map(|(_, state)| state)
 }
 
-/// Draws a random sample without a list of all states, of which there may be many.
+/// Draws a random sample without a list of all states, of which there may be many, and adds the
+/// probable holders of the prompt.
 fn sample_states<'table, R: Rng>(
     states: impl Iterator<Item = &'table BackendState> + Clone,
+    prompt: Option<&PromptWeighing<'_>>,
     random: &mut R,
-) -> [Option<&'table BackendState>; SAMPLE_SIZE] {
-    let mut sample = [None; SAMPLE_SIZE];
+) -> [Option<&'table BackendState>; SAMPLE_SIZE + MAX_PROMPT_HOLDERS] {
+    let mut sample = [None; SAMPLE_SIZE + MAX_PROMPT_HOLDERS];
+    let mut holders = SAMPLE_SIZE..sample.len();
     let count = states.clone().count();
     let drawn = sample_indices(random, count, SAMPLE_SIZE.min(count));
     for (index, state) in states.enumerate() {
         if let Some(position) = drawn.iter().position(|it| it == index) {
             sample[position] = Some(state);
+        } else if prompt.is_some_and(|prompt| prompt.is_holder(state))
+            && let Some(position) = holders.next()
+        {
+            sample[position] = Some(state);
         }
     }
     sample
@@ -140,5 +153,7 @@
     if is_closed {
         cost += CLOSED_GROUP_COST;
     }
-    cost
+    cost + query
+        .prompt
+        .map_or(0.0, |prompt| prompt.cost(state, query.now))
 }
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod load;
 mod obstacle;
 mod occasion;
+mod prompt;
 mod quarantine;
 mod registration;
 mod route;
@@ -38,6 +39,7 @@
     limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport},
     obstacle::SendObstacle,
+    prompt::{PromptOutcome, PromptWeighing},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -75,6 +75,7 @@
         domain: &domain("a"),
         tried,
         now,
+        prompt: None,
     };
     let mut random = StdRng::seed_from_u64(1);
     let chosen = choose_backend(table, &query, &mut random).chosen();
@@ -425,6 +426,7 @@
                 domain: &domain("a"),
                 tried: &[],
                 now,
+                prompt: None,
             };
             let chosen = choose_backend(&tables[sender], &query, &mut random);
             let chosen = chosen
--- a/crates/celerycrank-serving/tests/limits.rs
+++ b/crates/celerycrank-serving/tests/limits.rs
@@ -60,6 +60,7 @@
         domain: &domain,
         tried: &[],
         now,
+        prompt: None,
     };
     choose_backend(table, &query, random)
 }
