Bench of the direct entry's choice with and without held prompts

Need: figures for the weighing of held prompts, beside those of the router, and the time of a decision.

--- a/crates/celerycrank-bench/src/routing.rs
+++ b/crates/celerycrank-bench/src/routing.rs
@@ -1,5 +1,6 @@
 //! Comparison of routing policies on a seeded trace.
 
+mod direct;
 mod engine;
 mod policy;
 mod run;
@@ -16,6 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use self::{
+    direct::DirectView,
     policy::PolicyKind,
     run::PolicyRun,
     trace::{TraceParameters, TraceRequest},
@@ -32,6 +34,9 @@
 /// Cache hit rate of prompt blocks that is assumed for the capacity.
 const REFERENCE_HIT_RATE: f64 = 0.5;
 
+/// Latency target for the first token, in milliseconds.
+const TARGET_MILLIS: u64 = 400;
+
 /// Number of batches of decisions; each batch is timed separately.
 const BATCH_COUNT: u32 = 200;
 
@@ -67,8 +72,10 @@
         measure_decision(args);
         return;
     }
-    println!("| load | policy | hit rate | p50 ms | p99 ms | moved on a departure |");
-    println!("|---|---|---|---|---|---|");
+    println!(
+        "| load | policy | hit rate | p50 ms | p99 ms | moved on a departure | tokens read | in time |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
     for load in LOAD_PERCENTS {
         compare_policies(args, load);
     }
@@ -80,12 +87,14 @@
         let run = PolicyRun::new(kind, &trace, args.workers, args.entries, args.seed);
         let result = run.simulate();
         println!(
-            "| {load}% | {} | {:.3} | {} | {} | {:.1}% |",
+            "| {load}% | {} | {:.3} | {} | {} | {:.1}% | {} | {:.1}% |",
             kind.name(),
             result.hit_rate,
             result.p50,
             result.p99,
             result.moved * 100.0,
+            result.read_blocks * engine::BLOCK_TOKENS,
+            result.in_time * 100.0,
         );
     }
 }
@@ -147,15 +156,52 @@
     let mut batches: Vec<f64> = (0..BATCH_COUNT)
         .map(|batch| time_batch(&mut router, &prompts, batch, &mut rng))
         .collect();
+    print_batches("router", args.workers, &mut batches);
+    for (name, is_weighed) in [
+        ("direct entry, load alone", false),
+        ("direct entry, held prompts", true),
+    ] {
+        let mut batches = time_direct(args.workers, is_weighed, &prompts, &mut rng);
+        print_batches(name, args.workers, &mut batches);
+    }
+}
+
+fn print_batches(name: &str, workers: usize, batches: &mut [f64]) {
     batches.sort_by(f64::total_cmp);
     println!(
-        "{} workers: {:.2} us a decision in the fastest batch, {:.2} in the median one",
-        args.workers,
+        "{name}, {workers} workers: {:.2} us a decision in the fastest batch, {:.2} in the median one",
         batches[0],
         batches[batches.len() / 2],
     );
 }
 
+/// Returns the mean durations of the direct entry's decisions in each batch, in microseconds.
+///
+/// The bookkeeping is not timed: it is done once for each request, while the load of every backend
+/// server is read for each decision.
+fn time_direct(
+    workers: usize,
+    is_weighed: bool,
+    prompts: &[PromptPrefix],
+    rng: &mut ChaCha8Rng,
+) -> Vec<f64> {
+    let mut view = DirectView::new(workers, 1, is_weighed);
+    let batches = (0..BATCH_COUNT).map(|batch| {
+        let now = time_point(f64::from(batch));
+        let mut took = Duration::ZERO;
+        for prefix in prompts {
+            let begin = Instant::now();
+            let worker = view.choose(now, prefix.blocks(), rng);
+            took += begin.elapsed();
+            view.note_sent(now, worker, prefix.blocks());
+            view.note_begun(now, worker, prefix.blocks());
+            view.note_finished(worker);
+        }
+        took.as_secs_f64() * MICROS_PER_SECOND / prompts.len() as f64
+    });
+    batches.collect()
+}
+
 /// Returns the mean duration of a decision and its bookkeeping in a batch, in microseconds.
 fn time_batch(
     router: &mut BackendRouter,
--- a/crates/celerycrank-bench/src/routing/engine.rs
+++ b/crates/celerycrank-bench/src/routing/engine.rs
@@ -9,7 +9,7 @@
 pub(super) const SLOTS: u32 = 16;
 
 /// Capacity of an engine's prefix cache, in blocks.
-const CACHE_BLOCKS: usize = 800;
+pub(super) const CACHE_BLOCKS: usize = 800;
 
 /// Prefill time per block that is not cached.
 pub(super) const BLOCK_SECONDS: f64 = 0.016;
--- a/crates/celerycrank-bench/src/routing/policy.rs
+++ b/crates/celerycrank-bench/src/routing/policy.rs
@@ -1,5 +1,7 @@
 //! Routing policies under comparison.
 
+use std::{cell::RefCell, rc::Rc};
+
 use celerycrank_routing::{
     BackendCondition, BackendRouter, BackendSpec, BlockHash, CacheEvent, LoadReport, RouteQuery,
     RouterSettings,
@@ -7,7 +9,7 @@
 use celerycrank_types::{BackendId, TimePoint};
 use rand_chacha::ChaCha8Rng;
 
-use super::{engine, trace::TraceRequest};
+use super::{direct::DirectView, engine, trace::TraceRequest};
 
 /// Virtual nodes per worker on the consistent hash ring.
 const RING_POINTS_PER_WORKER: u64 = 100;
@@ -26,15 +28,21 @@
     SessionHash,
     /// The router of celerycrank.
     Router,
+    /// The direct entry, by load alone.
+    Direct,
+    /// The direct entry, which weighs the prompts that backend servers hold.
+    DirectPrompts,
 }
 
 impl PolicyKind {
-    pub(super) const ALL: [Self; 5] = [
+    pub(super) const ALL: [Self; 7] = [
         Self::RoundRobin,
         Self::LeastLoaded,
         Self::PromptHash,
         Self::SessionHash,
         Self::Router,
+        Self::Direct,
+        Self::DirectPrompts,
     ];
 
     pub(super) const fn name(self) -> &'static str {
@@ -44,8 +52,15 @@
             Self::PromptHash => "hash of prompt",
             Self::SessionHash => "hash of session",
             Self::Router => "celerycrank",
+            Self::Direct => "direct entry, load alone",
+            Self::DirectPrompts => "direct entry, held prompts",
         }
     }
+
+    /// Whether all entries receive the loads of all workers at intervals.
+    pub(super) const fn has_load_reports(self) -> bool {
+        matches!(self, Self::Direct | Self::DirectPrompts)
+    }
 }
 
 /// An entry's view of the load of one worker.
@@ -72,10 +87,14 @@
     next_worker: usize,
     ring: Vec<(u64, usize)>,
     router: BackendRouter,
+    /// Shared with clones, which only choose.
+    direct: Rc<RefCell<DirectView>>,
 }
 
 impl EntryPolicy {
-    pub(super) fn new(kind: PolicyKind, workers: usize, first: usize) -> Self {
+    pub(super) fn new(kind: PolicyKind, workers: usize, entry: usize, entries: usize) -> Self {
+        let count = u32::try_from(entries).unwrap_or(u32::MAX);
+        let direct = DirectView::new(workers, count, kind == PolicyKind::DirectPrompts);
         let worker_names: Vec<BackendId> = (0..workers).map(worker_name).collect();
         let domain = "estremoz".parse().expect("a valid name");
         let mut policy = Self {
@@ -83,7 +102,8 @@
             worker_names,
             ready: vec![true; workers],
             loads: vec![WorkerLoad::default(); workers],
-            next_worker: first,
+            next_worker: entry * workers / entries,
+            direct: Rc::new(RefCell::new(direct)),
             ring: build_ring(workers),
             router: BackendRouter::new(RouterSettings::builder().domain(domain).build()),
         };
@@ -95,6 +115,9 @@
     }
 
     pub(super) fn set_ready(&mut self, now: TimePoint, worker: usize, ready: bool) {
+        if self.ready[worker] != ready {
+            self.direct.borrow_mut().set_ready(now, worker, ready);
+        }
         self.ready[worker] = ready;
         let condition = if ready {
             BackendCondition::Ready { since: now }
@@ -121,16 +144,28 @@
             PolicyKind::PromptHash => self.pick_on_ring(request.prefix.blocks()[0]),
             PolicyKind::SessionHash => self.pick_on_ring(request.session),
             PolicyKind::Router => self.pick_by_router(now, request, rng),
+            PolicyKind::Direct | PolicyKind::DirectPrompts => {
+                let (direct, blocks) = (self.direct.borrow(), request.prefix.blocks());
+                direct.choose(super::time_point(now), blocks, rng)
+            }
         }
     }
 
-    pub(super) fn note_sent(&mut self, worker: usize, request: &TraceRequest) {
+    pub(super) fn note_sent(&mut self, now: f64, worker: usize, request: &TraceRequest) {
+        let (now, blocks) = (super::time_point(now), request.prefix.blocks());
+        self.direct.borrow_mut().note_sent(now, worker, blocks);
         self.loads[worker].own_load += 1.0;
         self.router
             .note_sent(&self.worker_names[worker], &request.prefix);
     }
 
+    pub(super) fn note_begun(&mut self, now: f64, worker: usize, request: &TraceRequest) {
+        let (now, blocks) = (super::time_point(now), request.prefix.blocks());
+        self.direct.borrow_mut().note_begun(now, worker, blocks);
+    }
+
     pub(super) fn note_finished(&mut self, now: f64, worker: usize, request: &TraceRequest) {
+        self.direct.borrow_mut().note_finished(worker);
         self.loads[worker].own_load -= 1.0;
         self.router
             .note_answered(super::time_point(now), &request.prefix);
@@ -138,6 +173,8 @@
     }
 
     pub(super) fn note_load(&mut self, now: f64, worker: usize, report: LoadReport) {
+        let at = super::time_point(now);
+        self.direct.borrow_mut().note_load(at, worker, report);
         let load = &mut self.loads[worker];
         let total = f64::from(report.running) + f64::from(report.waiting);
         load.external_load = (total - load.own_load).max(0.0);
--- a/crates/celerycrank-bench/src/routing/run.rs
+++ b/crates/celerycrank-bench/src/routing/run.rs
@@ -33,6 +33,9 @@
 /// One-way network delay between an entry and an agent, in seconds.
 const NETWORK_DELAY_SECONDS: f64 = 0.000_5;
 
+/// Interval between the load reports of a worker to all entries, in seconds.
+const REPORT_INTERVAL_SECONDS: f64 = 0.2;
+
 /// Fraction of the trace that warms up the caches and is not measured.
 const WARM_UP: f64 = 0.25;
 
@@ -46,6 +49,10 @@
 pub(super) struct PolicyResult {
     /// Fraction of the prompt blocks that were found in a cache.
     pub(super) hit_rate: f64,
+    /// Number of prompt blocks that were not found in a cache.
+    pub(super) read_blocks: u64,
+    /// Fraction of the requests whose first token met the target.
+    pub(super) in_time: f64,
     /// Median time to first token, in milliseconds.
     pub(super) p50: u64,
     /// 99th percentile of the time to first token, in milliseconds.
@@ -76,6 +83,7 @@
     },
     Departure,
     Rejoin(usize),
+    LoadReports,
 }
 
 /// Simulation of one policy.
@@ -89,10 +97,12 @@
     next_event_number: u64,
     rng: ChaCha8Rng,
     measured_from: f64,
+    has_load_reports: bool,
     /// Latest request of each conversation that may continue.
     open_conversations: BTreeMap<u64, usize>,
     blocks: u64,
     cached: u64,
+    in_time: u64,
     first_token_delays: Histogram<u64>,
     compared_choices: u64,
     moved: u64,
@@ -110,7 +120,7 @@
         Self {
             trace,
             entries: (0..entries)
-                .map(|entry| EntryPolicy::new(kind, workers, entry * workers / entries))
+                .map(|entry| EntryPolicy::new(kind, workers, entry, entries))
                 .collect(),
             engines: (0..workers).map(|_| Engine::default()).collect(),
             event_queue: BinaryHeap::new(),
@@ -118,6 +128,8 @@
             next_event_number: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             measured_from: seconds * WARM_UP,
+            has_load_reports: kind.has_load_reports(),
+            in_time: 0,
             open_conversations: BTreeMap::new(),
             blocks: 0,
             cached: 0,
@@ -135,6 +147,9 @@
             self.schedule(departure, RunEvent::Departure);
             departure += DEPARTURE_INTERVAL_SECONDS;
         }
+        if self.has_load_reports {
+            self.schedule(0.0, RunEvent::LoadReports);
+        }
         for (index, request) in self.trace.iter().enumerate() {
             self.schedule(request.arrival, RunEvent::Arrival(index));
         }
@@ -146,6 +161,8 @@
             self.handle(f64::from_bits(time), event);
         }
         PolicyResult {
+            read_blocks: self.blocks - self.cached,
+            in_time: self.in_time as f64 / self.first_token_delays.len().max(1) as f64,
             hit_rate: self.cached as f64 / self.blocks.max(1) as f64,
             p50: self.first_token_delays.value_at_quantile(0.5),
             p99: self.first_token_delays.value_at_quantile(0.99),
@@ -167,7 +184,11 @@
                 self.engines[worker].waiting.push_back(request);
                 self.start_waiting(now, worker);
             }
-            RunEvent::FirstToken { request, worker } => self.report_load(now, request, worker),
+            RunEvent::FirstToken { request, worker } => {
+                let begun = &self.trace[request];
+                self.entries[begun.entry].note_begun(now, worker, begun);
+                self.report_load(now, request, worker);
+            }
             RunEvent::Finish { request, worker } => {
                 self.engines[worker].finish();
                 let ended = &self.trace[request];
@@ -184,6 +205,7 @@
             }
             RunEvent::Departure => self.remove_worker(now),
             RunEvent::Rejoin(worker) => self.set_ready(now, worker, true),
+            RunEvent::LoadReports => self.report_all(now),
         }
     }
 
@@ -191,7 +213,7 @@
         let request = &self.trace[index];
         let entry = &mut self.entries[request.entry];
         let worker = entry.choose(now, request, &mut self.rng);
-        entry.note_sent(worker, request);
+        entry.note_sent(now, worker, request);
         self.open_conversations.insert(request.conversation, index);
         let event = RunEvent::Delivery {
             request: index,
@@ -219,6 +241,7 @@
             self.blocks += blocks.len() as u64;
             self.cached += start.cached as u64;
             let delay = TimeSpan::from(Duration::from_secs_f64(first_token - request.arrival));
+            self.in_time += u64::from(delay <= TimeSpan::from_millis(super::TARGET_MILLIS));
             self.first_token_delays
                 .saturating_record(delay.0 / MICROS_PER_MILLI);
         }
@@ -261,6 +284,17 @@
         self.entries[self.trace[request].entry].note_load(now, worker, report);
     }
 
+    fn report_all(&mut self, now: f64) {
+        for (worker, engine) in self.engines.iter().enumerate() {
+            for entry in &mut self.entries {
+                entry.note_load(now, worker, engine.report());
+            }
+        }
+        if !self.event_queue.is_empty() {
+            self.schedule(now + REPORT_INTERVAL_SECONDS, RunEvent::LoadReports);
+        }
+    }
+
     fn remove_worker(&mut self, now: f64) {
         let worker = self.rng.random_range(0..self.engines.len());
         self.open_conversations
--- a/crates/celerycrank-config/tests/check.rs
+++ b/crates/celerycrank-config/tests/check.rs
@@ -2,7 +2,9 @@
 
 use std::fmt::Write;
 
-use celerycrank_config::{ListTexts, ValidationError, check_agent, check_entry, check_lists};
+use celerycrank_config::{
+    ListTexts, ValidationError, check_agent, check_direct_entry, check_entry, check_lists,
+};
 
 const GOOD: ListTexts<'_> = ListTexts {
     customers: include_str!("data/good-customers.json"),
@@ -57,6 +59,18 @@
     insta::assert_snapshot!("agent_errors", lines(&agent));
 }
 
+/// Guards against a part of the memory that is larger than the whole.
+#[test]
+fn the_memory_of_the_prompt_cache_is_a_part_of_the_whole() {
+    let errors = |memory: &str| {
+        let text = format!(r#"{{"prompt_cache": {{"retention": "60s", "memory": "{memory}"}}}}"#);
+        lines(&check_direct_entry(&text).unwrap_err())
+    };
+    assert!(!errors("0.9").contains("prompt_cache"));
+    assert!(errors("1.1").contains("prompt_cache.memory"));
+    assert!(errors("-1").contains("prompt_cache.memory"));
+}
+
 /// Validation must neither panic on corrupted lists nor accept one that cannot be parsed;
 /// `check_lists` panics in the second case.
 #[test]
--- a/crates/celerycrank-routing/src/prompt_index.rs
+++ b/crates/celerycrank-routing/src/prompt_index.rs
@@ -41,6 +41,10 @@
     pub fn new(backend: &BackendId, incarnation: u64) -> Self {
         Self(xxh3_64_with_seed(backend.as_str().as_bytes(), incarnation))
     }
+
+    const fn filter_bit(self) -> u64 {
+        1 << (self.0 % 64)
+    }
 }
 
 /// How long and how many prompt tokens an engine keeps.
@@ -113,6 +117,9 @@
 pub struct PromptHolders {
     /// The holders with the number of tokens that they hold, those of longer beginnings first.
     holders: SmallVec<[(HolderKey, u64); MAX_PROMPT_HOLDERS]>,
+    /// One bit for the low bits of each holder's key: a choice asks about every backend server, of
+    /// which few are holders.
+    filter: u64,
 }
 
 impl PromptHolders {
@@ -124,12 +131,21 @@
 
     /// Returns the number of prompt tokens that a backend server probably holds, if any.
     #[must_use]
+    #[inline]
     pub fn tokens_at(&self, holder: HolderKey) -> Option<u64> {
+        if self.filter & holder.filter_bit() == 0 {
+            return None;
+        }
         let mut holders = self.holders.iter();
         holders
             .find(|(known, _)| *known == holder)
             .map(|(_, tokens)| *tokens)
     }
+
+    fn add(&mut self, holder: HolderKey, tokens: u64) {
+        self.holders.push((holder, tokens));
+        self.filter |= holder.filter_bit();
+    }
 }
 
 /// A beginning held by one backend server.
@@ -238,18 +254,19 @@
         now: TimePoint,
     ) -> PromptHolders {
         let mut found = PromptHolders::default();
-        for beginning in prompt.beginnings.iter().rev() {
+        let beginnings = prompt.beginnings.iter().rev();
+        let fitting = beginnings.filter(|it| (1..=retention.tokens).contains(&it.tokens));
+        for beginning in fitting {
             let holdings = self.beginnings.peek(&beginning.key);
             // The latest holdings are last.
             for holding in holdings.into_iter().flatten().rev() {
                 if found.holders.len() == MAX_PROMPT_HOLDERS {
                     return found;
                 }
-                let is_held = beginning.tokens > 0
-                    && beginning.tokens <= retention.tokens
-                    && self.is_held(holding, retention, now);
-                if is_held && found.tokens_at(holding.holder).is_none() {
-                    found.holders.push((holding.holder, beginning.tokens));
+                if found.tokens_at(holding.holder).is_none()
+                    && self.is_held(holding, retention, now)
+                {
+                    found.add(holding.holder, beginning.tokens);
                 }
             }
         }
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -125,16 +125,21 @@
     random: &mut R,
 ) -> [Option<&'table BackendState>; SAMPLE_SIZE + MAX_PROMPT_HOLDERS] {
     let mut sample = [None; SAMPLE_SIZE + MAX_PROMPT_HOLDERS];
-    let mut holders = SAMPLE_SIZE..sample.len();
-    let count = states.clone().count();
+    let (drawn_states, holders) = sample.split_at_mut(SAMPLE_SIZE);
+    let mut holders = holders.iter_mut();
+    let counted = states.clone().inspect(|state| {
+        if prompt.is_some_and(|prompt| prompt.is_holder(state))
+            && let Some(place) = holders.next()
+        {
+            *place = Some(*state);
+        }
+    });
+    let count = counted.count();
     let drawn = sample_indices(random, count, SAMPLE_SIZE.min(count));
-    for (index, state) in states.enumerate() {
+    let end = drawn.iter().max().map_or(0, |last| last + 1);
+    for (index, state) in states.take(end).enumerate() {
         if let Some(position) = drawn.iter().position(|it| it == index) {
-            sample[position] = Some(state);
-        } else if prompt.is_some_and(|prompt| prompt.is_holder(state))
-            && let Some(position) = holders.next()
-        {
-            sample[position] = Some(state);
+            drawn_states[position] = Some(state);
         }
     }
     sample
--- a/crates/celerycrank-serving/src/prompt.rs
+++ b/crates/celerycrank-serving/src/prompt.rs
@@ -16,7 +16,7 @@
 
 /// The largest saving that counts, as a fraction of the slots: callers announce the sizes of
 /// prompts, and no announced size may crowd a backend server.
-const MAX_SAVING_FRACTION: f64 = 0.5;
+const MAX_SAVING_FRACTION: f64 = 1.0;
 
 /// What became of the probable holders of a prompt in a choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
