--- a/crates/celerycrank-routing/tests/prompt_index.rs
+++ b/crates/celerycrank-routing/tests/prompt_index.rs
@@ -9,12 +9,14 @@
 };
 
 fn at(seconds: u64) -> TimePoint {
-    TimePoint::default() + TimeSpan::from_secs(seconds)
+    TimePoint(seconds * 1_000_000)
 }
 
 fn holder(backend: u64, incarnation: u64) -> HolderKey {
-    let backend = format!("w{backend}").parse().expect("a valid name");
-    HolderKey::new(&backend, incarnation)
+    HolderKey::new(
+        &format!("w{backend}").parse().expect("a valid name"),
+        incarnation,
+    )
 }
 
 /// A prompt with these shared parts of 1,000 tokens each, and 100 tokens of its own.
--- a/crates/celerycrank-serving/tests/prompt_cache.rs
+++ b/crates/celerycrank-serving/tests/prompt_cache.rs
@@ -140,29 +140,22 @@
     }
 }
 
-/// An engine that keeps prompts, of which it evicts those that were used least recently.
-struct SimulatedEngine {
-    /// The tokens of each beginning that those before it do not have.
-    kept: LruCache<Vec<(u128, u64)>, u64>,
-    running: u32,
-    /// When the prompts of all requests so far have been read.
-    read_at: TimePoint,
-}
+/// An engine: the tokens of each beginning that it keeps and those before it do not have, the number of
+/// requests, and the time at which all prompts so far have been read.
+type SimulatedEngine = (LruCache<Vec<(u128, u64)>, u64>, u32, TimePoint);
 
-impl SimulatedEngine {
-    /// Reads a prompt; returns the number of tokens that were not held.
-    fn read(&mut self, parts: &[(u128, u64)]) -> u64 {
-        let mut missing = OWN_TOKENS;
-        for length in (1..=parts.len()).rev() {
-            let tokens = parts[length - 1].1;
-            let known = self.kept.put(parts[..length].to_vec(), tokens);
-            missing += if known.is_none() { tokens } else { 0 };
-        }
-        while self.kept.iter().map(|(_, tokens)| tokens).sum::<u64>() > RETENTION.tokens {
-            self.kept.pop_lru();
-        }
-        missing
+/// Reads a prompt; returns the number of tokens that were not held.
+fn read((kept, ..): &mut SimulatedEngine, parts: &[(u128, u64)]) -> u64 {
+    let mut missing = OWN_TOKENS;
+    for length in (1..=parts.len()).rev() {
+        let tokens = parts[length - 1].1;
+        let known = kept.put(parts[..length].to_vec(), tokens);
+        missing += if known.is_none() { tokens } else { 0 };
     }
+    while kept.iter().map(|(_, tokens)| tokens).sum::<u64>() > RETENTION.tokens {
+        kept.pop_lru();
+    }
+    missing
 }
 
 /// Returns the number of prompt tokens read, and the largest number of requests of one backend server
@@ -175,13 +168,9 @@
     let beginning = |session| if session % 5 < 2 { 0 } else { 1 + session % 40 };
     let sessions = (0..600).map(|it| vec![(1_000_000 + beginning(it), 2_000), (it, 400)]);
     let mut sessions = sessions.collect::<Vec<_>>();
-    let entries = (0..ENTRIES).map(|_| SimulatedEntry::new(BACKENDS));
-    let mut entries = entries.collect::<Vec<_>>();
-    let mut engines = [(); BACKENDS].map(|()| SimulatedEngine {
-        kept: LruCache::unbounded(),
-        running: 0,
-        read_at: TimePoint::default(),
-    });
+    let mut entries = [(); ENTRIES as usize].map(|()| SimulatedEntry::new(BACKENDS));
+    let engine = |()| (LruCache::unbounded(), 0, TimePoint::default());
+    let mut engines = [(); BACKENDS].map(engine);
     let mut sent = [0_u32; BACKENDS];
     let mut read_tokens = 0;
     let mut requests = Vec::new();
@@ -190,25 +179,22 @@
     let (mut now, mut reported_at) = (TimePoint(1), TimePoint(0));
     while requests.len() < REQUESTS {
         now = now + TimeSpan(random.random_range(0..10_000));
-        while let Some(Reverse((at, is_end, request))) = events.peek().copied() {
-            if at > now {
-                break;
-            }
-            events.pop();
+        while events.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            let Reverse((at, is_end, request)) = events.pop().expect("there is one");
             let (entry, number, prompt): &(usize, usize, _) = &requests[request];
+            let entry = &mut entries[*entry];
             if is_end {
-                engines[*number].running -= 1;
-                entries[*entry].table.finish(&backend(*number));
+                engines[*number].1 -= 1;
+                entry.table.finish(&backend(*number));
             } else {
-                let index = &mut entries[*entry].index;
-                index.note_begun(prompt, holder(*number), at);
+                entry.index.note_begun(prompt, holder(*number), at);
             }
         }
         if now.since(reported_at) >= TimeSpan::from_millis(200) {
             reported_at = now;
             for entry in &mut entries {
                 for (number, engine) in engines.iter().enumerate() {
-                    observe(&mut entry.table, number, engine.running, "", now);
+                    observe(&mut entry.table, number, engine.1, "", now);
                 }
             }
         }
@@ -220,14 +206,16 @@
         let entry = &mut entries[place];
         let (number, _) = entry.choose(&prompt, now, decision, &mut random);
         entry.table.begin(&backend(number), now);
-        let index = &mut entry.index;
-        index.note_sent(&prompt, holder(number), 150, ENTRIES, RETENTION, now);
+        let key = holder(number);
+        entry
+            .index
+            .note_sent(&prompt, key, 150, ENTRIES, RETENTION, now);
         let engine = &mut engines[number];
-        let missing = engine.read(session);
-        engine.running += 1;
-        engine.read_at = engine.read_at.max(now) + TimeSpan(missing * 50);
-        let end = engine.read_at + TimeSpan::from_secs(1);
-        events.push(Reverse((engine.read_at, false, requests.len())));
+        let missing = read(engine, session);
+        let begun = engine.2.max(now) + TimeSpan(missing * 50);
+        (engine.1, engine.2) = (engine.1 + 1, begun);
+        let end = begun + TimeSpan::from_secs(1);
+        events.push(Reverse((begun, false, requests.len())));
         events.push(Reverse((end, true, requests.len())));
         requests.push((place, number, prompt));
         sent[number] += 1;
@@ -266,8 +254,7 @@
         entry.index.note_begun(&prompt, holder(17), now);
         let mut choose = |entry: &SimulatedEntry| {
             let choices =
-                (0..50).map(|_| entry.choose(&prompt, now, Decision::Weighed, &mut random));
-            let choices = choices.collect::<Vec<_>>();
+                [(); 50].map(|()| entry.choose(&prompt, now, Decision::Weighed, &mut random));
             let hits = choices.iter().filter(|(number, _)| *number == 17).count();
             (hits, choices[0].1)
         };
