Sizes of prompt parts are read only with prompt_cache

Without the setting, the numbers of tokens in Prefix-Hash are not read at all, so that the feature costs nothing there.

--- a/crates/celerycrank-direct/src/entry/prompt_cache.rs
+++ b/crates/celerycrank-direct/src/entry/prompt_cache.rs
@@ -3,7 +3,8 @@
 use std::cell::RefCell;
 
 use celerycrank_config::{DirectEntrySettings, PromptCacheSettings};
-use celerycrank_platform::RequestMetadata;
+use celerycrank_http::RequestHead;
+use celerycrank_platform::{RequestMetadata, read_part_tokens};
 use celerycrank_routing::{
     HolderKey, PromptBeginnings, PromptHolders, PromptIndex, PromptRetention,
 };
@@ -12,6 +13,7 @@
 };
 use celerycrank_types::{BackendId, ServiceId, TimePoint, TimeSpan};
 use serde::Serialize;
+use smallvec::SmallVec;
 
 use super::{
     request::AdmittedRequest,
@@ -112,19 +114,22 @@
         in_force: &ConfigurationInForce,
         service: &ServiceId,
         metadata: &RequestMetadata,
+        head: &RequestHead,
     ) -> Option<PromptBeginnings> {
         self.settings().prompt_cache?;
         in_force.engines.get(service)?;
-        if let Err(error) = &metadata.part_tokens {
-            tracing::info!(
-                request = %metadata.attempt,
-                fault = %error,
-                "sizes of prompt parts are ignored"
-            );
+        let mut tokens = SmallVec::new();
+        if !metadata.shared_parts.is_empty() {
+            tokens = read_part_tokens(head).unwrap_or_else(|error| {
+                tracing::info!(
+                    request = %metadata.attempt,
+                    fault = %error,
+                    "sizes of prompt parts are ignored"
+                );
+                SmallVec::new()
+            });
         }
-        let tokens = metadata.part_tokens.iter().flatten();
-        let parts = metadata.shared_parts.iter().zip(tokens);
-        let parts = parts.map(|(part, tokens)| (*part, *tokens));
+        let parts = metadata.shared_parts.iter().copied().zip(tokens);
         let prompt_tokens = metadata.prompt.map(|prompt| prompt.prompt_tokens);
         Some(PromptBeginnings::new(service, parts, prompt_tokens))
     }
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -82,7 +82,7 @@
     if !state.admits_until(deadline) {
         return Err(RefusalReason::ShuttingDown);
     }
-    let beginnings = state.prompt_beginnings(&in_force, &service, &metadata);
+    let beginnings = state.prompt_beginnings(&in_force, &service, &metadata, &draft.head);
     Ok(AdmittedRequest {
         beginnings,
         attempt: metadata.attempt,
--- a/crates/celerycrank-routing/src/prompt_index.rs
+++ b/crates/celerycrank-routing/src/prompt_index.rs
@@ -17,7 +17,7 @@
 
 use crate::holder::BlockHasher;
 
-/// Maximum number of beginnings whose holders are tracked; about 10 MB.
+/// Maximum number of beginnings whose holders are tracked; with all their holders they take 11 MB.
 const MAX_BEGINNINGS: NonZeroUsize = NonZeroUsize::new(32_768).expect("not zero");
 
 /// Maximum number of backend servers whose sent tokens are counted.
