--- a/crates/celerycrank-config/src/direct.rs
+++ b/crates/celerycrank-config/src/direct.rs
@@ -37,6 +37,10 @@
     ///
     /// If absent, the entries share the rate that the configuration gives, without a burst.
     pub cold: Option<ColdSettings>,
+    /// What engines keep of the prompts that they have read.
+    ///
+    /// If absent, they keep nothing, and backend servers are chosen by their load alone.
+    pub prompt_cache: Option<PromptCacheSettings>,
     /// Time between the stop signal and the end of the process.
     pub grace: DecimalSpan,
 }
@@ -96,3 +100,13 @@
     /// Requests in addition.
     pub tolerance: Fraction,
 }
+
+/// What engines keep of the prompts that they have read.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PromptCacheSettings {
+    /// Time for which an engine keeps a prompt after its answer has begun.
+    pub retention: TimeSpan,
+    /// The part of an engine's KV cache that keeps prompts, from 0 to 1.
+    pub memory: Fraction,
+}
--- a/crates/celerycrank-config/src/lib.rs
+++ b/crates/celerycrank-config/src/lib.rs
@@ -23,7 +23,10 @@
     },
     configuration::Configuration,
     diff::{ListChange, diff_lists},
-    direct::{ColdSettings, DirectEntrySettings, RankAgentSettings, RetrySettings, StoreSettings},
+    direct::{
+        ColdSettings, DirectEntrySettings, PromptCacheSettings, RankAgentSettings, RetrySettings,
+        StoreSettings,
+    },
     effect::compare_lists,
     finding::{CheckedDocument, Difference, Finding, Severity, Tendency, TextPosition},
     key::{KeyHash, KeyHashError},
--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -5,7 +5,7 @@
 use celerycrank_process::AdminHandler;
 use serde::Serialize;
 
-use super::state::EntryState;
+use super::{prompt_cache::PromptCacheStatus, state::EntryState};
 
 /// Serves the admin endpoints of an entry.
 pub(crate) struct EntryAdminHandler {
@@ -23,6 +23,7 @@
     backends: Vec<BackendStatus>,
     evacuated_domains: Vec<String>,
     quarantined_parts: Vec<PartStatus>,
+    prompt_cache: PromptCacheStatus,
 }
 
 #[derive(Serialize)]
@@ -95,6 +96,7 @@
             backends: backends.collect(),
             evacuated_domains,
             quarantined_parts: parts.collect(),
+            prompt_cache: state.prompt_cache.status(&state.settings()),
         };
         serde_json::to_vec(&status).expect("plain fields encode into memory")
     }
--- a/crates/celerycrank-direct/src/entry/admission.rs
+++ b/crates/celerycrank-direct/src/entry/admission.rs
@@ -335,6 +335,7 @@
     while let Some(rank) = admission.queue.first_rank() {
         let settings = state.settings();
         let query = ChoiceQuery {
+            prompt: None,
             service,
             domain: &settings.domain,
             tried: &[],
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 
+use celerycrank_routing::HolderKey;
 use celerycrank_serving::{
     BackendChoice, BackendRegistration, BackendTable, ChoiceQuery, CrashedBackend, LoadLimit,
     RequestSemantics, ServiceObstacle, choose_backend,
@@ -17,6 +18,7 @@
     attempt::{AttemptError, OpenAnswer, open_attempt},
     crash::has_crashed,
     progress::{AnswerProgress, AttemptTrack, RequestError, RetryObstacle, SendRecord},
+    prompt_cache::HeldPrompt,
     refusal::{RequestRefusal, random_spread},
     request::AdmittedRequest,
     state::EntryState,
@@ -54,18 +56,22 @@
 pub(crate) struct InFlightGuard<'run> {
     state: &'run EntryState,
     pub(crate) backend: BackendId,
+    /// Identifies the incarnation of the backend server among those that hold prompts.
+    pub(crate) holder: HolderKey,
     service: ServiceId,
 }
 
 impl<'run> InFlightGuard<'run> {
-    fn new(state: &'run EntryState, service: &ServiceId, backend: &BackendId) -> Self {
+    fn new(state: &'run EntryState, registration: &BackendRegistration) -> Self {
         let now = state.clock.now();
+        let backend = &registration.backend;
         state.backends.borrow_mut().begin(backend, now);
-        wake_waiting(state, service);
+        wake_waiting(state, &registration.service);
         Self {
             state,
             backend: backend.clone(),
-            service: service.clone(),
+            holder: HolderKey::new(backend, registration.incarnation),
+            service: registration.service.clone(),
         }
     }
 }
@@ -124,7 +130,8 @@
             let registration = self.choose_admitted(last_event).await?;
             let backend = &registration.backend;
             self.tried.borrow_mut().push(backend.clone());
-            let in_flight = InFlightGuard::new(self.state, &self.request.service, backend);
+            let in_flight = InFlightGuard::new(self.state, &registration);
+            self.state.note_prompt_sent(self.request, in_flight.holder);
             track.note_asked(backend, self.state.clock.now());
             let sending = self.sent.begin();
             let opened = open_attempt(
@@ -260,8 +267,9 @@
     /// Records that an answer with this status has begun.
     ///
     /// A failure says nothing about the prompt, which the backend server may not have read.
-    pub(crate) fn note_begun(&self, status: u16) {
+    pub(crate) fn note_begun(&self, status: u16, holder: HolderKey) {
         if (200..300).contains(&status) {
+            self.state.note_prompt_begun(self.request, holder);
             self.state.note_begun(&self.request.prompt_query());
             self.note_first_event();
         }
@@ -339,17 +347,27 @@
     ) -> Result<Option<BackendRegistration>, RequestRefusal> {
         let settings = self.state.settings();
         let tried = self.tried.borrow();
+        let now = self.state.clock.now();
+        let held = self.state.held_prompt(self.request, &tried, now);
+        let prompt = held.as_ref().and_then(HeldPrompt::weighing);
         let query = ChoiceQuery {
             service: &self.request.service,
             domain: &settings.domain,
             tried: &tried,
             load_limit,
-            now: self.state.clock.now(),
+            now,
+            prompt: prompt.as_ref(),
         };
         let backends = self.state.backends.borrow();
         let mut random = self.state.random.borrow_mut();
         match choose_backend(&backends, &query, &mut *random) {
-            BackendChoice::Chosen(state) => Ok(Some(state.registration.clone())),
+            BackendChoice::Chosen(state) => {
+                if let Some(prompt) = &prompt {
+                    let outcome = prompt.outcome(state);
+                    self.state.note_prompt_outcome(self.request, state, outcome);
+                }
+                Ok(Some(state.registration.clone()))
+            }
             BackendChoice::Full => Ok(None),
             BackendChoice::Limited { retry_after } => Err(RequestRefusal {
                 reason: RefusalReason::BackendLimit,
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -152,4 +152,5 @@
             tracing::info!(%service, %group, closures, "group has stayed open and is used as before");
         }
     }
+    state.prompt_cache.note_load(&state.backends, now);
 }
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -21,6 +21,7 @@
     pub(crate) quarantined_parts: IntGauge,
     pub(crate) unstable_groups: IntGauge,
     pub(crate) evacuation: EvacuationMetrics,
+    pub(crate) prompts: PromptMetrics,
     pub(crate) store_errors: IntCounter,
     pub(crate) configuration_errors: IntCounter,
     pub(crate) datagrams_failed: IntCounter,
@@ -87,6 +88,7 @@
                 "lock-step groups that close repeatedly and are used last",
             )?,
             evacuation: EvacuationMetrics::register(&set)?,
+            prompts: PromptMetrics::register(&set)?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
                 "calls to the store that gave no answer to use",
@@ -178,3 +180,30 @@
         })
     }
 }
+
+/// Metrics of prompts that backend servers still hold.
+#[derive(Debug)]
+pub(crate) struct PromptMetrics {
+    pub(crate) holder_requests: IntCounter,
+    pub(crate) saved_tokens: IntCounter,
+    pub(crate) outweighed_holders: IntCounter,
+}
+
+impl PromptMetrics {
+    fn register(set: &MetricSet) -> Result<Self, MetricError> {
+        Ok(Self {
+            holder_requests: set.counter(
+                "celerycrank_direct_prompt_holder_requests_total",
+                "requests sent to a backend server that probably holds the beginning of the prompt",
+            )?,
+            saved_tokens: set.counter(
+                "celerycrank_direct_prompt_tokens_saved_total",
+                "prompt tokens that these backend servers probably need not read again",
+            )?,
+            outweighed_holders: set.counter(
+                "celerycrank_direct_prompt_holders_outweighed_total",
+                "requests sent elsewhere since the wait at the holders outweighs what they save",
+            )?,
+        })
+    }
+}
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -12,8 +12,8 @@
 use celerycrank_process::{ProcessClock, ShutdownFlag, TaskHandle};
 use celerycrank_serving::{
     AccountTable, AdmissionPolicy, BackendTable, CallerBounds, ColdBounds, ColdStart,
-    CrashCollector, EntryCount, FreshnessGuard, PartQuarantine, RetryAllowance, RetryWindow,
-    RouteTable, ServingConfiguration,
+    CrashCollector, EngineProfile, EntryCount, FreshnessGuard, PartQuarantine, RetryAllowance,
+    RetryWindow, RouteTable, ServingConfiguration,
 };
 use celerycrank_types::{
     BackendId, DecimalSpan, RequestRate, Revision, ServiceId, TimePoint, TimeSpan,
@@ -26,6 +26,7 @@
     limits::LimitSharing,
     metrics::EntryMetrics,
     pool::ConnectionPool,
+    prompt_cache::PromptCache,
     quarantine::ReportQueue,
     stop::StopSchedule,
 };
@@ -73,6 +74,8 @@
     pub(crate) limits: LimitSharing,
     /// Reports of crashes for the other entries.
     pub(crate) crash_reports: ReportQueue,
+    /// Which backend servers probably hold which prompts.
+    pub(crate) prompt_cache: PromptCache,
 }
 
 /// The configuration in force, compiled for lookups.
@@ -88,6 +91,8 @@
     pub(crate) engine_services: Vec<ServiceId>,
     /// How the backend servers of each service start.
     cold_starts: HashMap<ServiceId, ColdStart>,
+    /// Performance of the model engines of these services.
+    pub(crate) engines: HashMap<ServiceId, EngineProfile>,
 }
 
 impl ConfigurationInForce {
@@ -96,6 +101,9 @@
         let engines = engines.filter(|service| service.engine.is_some());
         let cold_starts = configuration.services.iter();
         let cold_starts = cold_starts.filter_map(|it| Some((it.service.clone(), it.cold_start?)));
+        let profiles = engines.clone();
+        let profiles =
+            profiles.filter_map(|service| Some((service.service.clone(), service.engine?)));
         Self {
             revision: configuration.revision,
             routes: RouteTable::new(&configuration.routes, &configuration.closed_routes),
@@ -104,6 +112,7 @@
             admissions: compile_policies(configuration),
             engine_services: engines.map(|it| it.service.clone()).collect(),
             cold_starts: cold_starts.collect(),
+            engines: profiles.collect(),
         }
     }
 }
@@ -147,6 +156,7 @@
             admission: AdmissionState::default(),
             limits: LimitSharing::default(),
             crash_reports: ReportQueue::default(),
+            prompt_cache: PromptCache::new(settings.prompt_cache),
             settings: RefCell::new(Rc::new(settings)),
         }
     }
@@ -179,6 +189,9 @@
                 known.with_revocation_limit(span)
             });
         }
+        if settings.prompt_cache != known.prompt_cache {
+            self.prompt_cache.reload(settings.prompt_cache);
+        }
         self.retry_windows.borrow_mut().clear();
         *self.settings.borrow_mut() = Rc::new(settings);
         self.update_cold_starts();
--- a/crates/celerycrank-serving/src/admission.rs
+++ b/crates/celerycrank-serving/src/admission.rs
@@ -20,6 +20,11 @@
 /// with the next reports; places for a few such intervals keep urgent requests from waiting.
 const RESERVE_SPAN: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// Maximum part of the places that the least urgent level leaves free.
+///
+/// More would leave its requests unserved while engines are idle.
+const MAX_RESERVE: f64 = 0.2;
+
 /// Time constant of the moving average of arrivals.
 const ARRIVAL_SPAN: TimeSpan = TimeSpan::from_secs(3);
 
@@ -135,6 +140,10 @@
         UrgencyLevel(reached.fold(0, |level, _| level + 1))
     }
 
+    fn last_level(&self) -> UrgencyLevel {
+        self.level(RequestPriority::new(u8::MAX, None))
+    }
+
     /// The shortest target for first events.
     #[must_use]
     pub const fn first_event_target(&self) -> TimeSpan {
@@ -163,6 +172,8 @@
         LoadLimit {
             requests: self.engine.slots,
             part: if is_most_urgent { 1.0 } else { ceiling.part() },
+            // Levels in between leave less, so that the less urgent ones do not use all that is left.
+            max_reserve: MAX_RESERVE * f64::from(level.0) / f64::from(self.last_level().0),
             entries: if entries > 1 { entries } else { 1 },
             reserve,
         }
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of one backend server: its load, its health and its limit.
 
+use celerycrank_routing::HolderKey;
 use celerycrank_types::{RequestRate, TimePoint, TimeSpan};
 
 use crate::{
@@ -33,6 +34,14 @@
     pub registration: BackendRegistration,
     /// Its estimated load.
     pub load: LoadEstimate,
+    /// Identifies its incarnation among those that hold prompts.
+    pub(crate) holder: HolderKey,
+    /// The bucket of this key, beside the flags that each choice reads.
+    pub(crate) holder_bucket: u8,
+    /// Requests per slot of its lock-step group, as of the last reports of the ranks.
+    ///
+    /// Four bytes, so that it does not move the flags that each choice reads to another line.
+    pub(crate) group_load: Option<f32>,
     /// When its registration was removed.
     pub(crate) removed_at: Option<TimePoint>,
     /// Whether another process answered at its address. Only a registration of a new incarnation
@@ -62,7 +71,11 @@
 
 impl BackendState {
     pub(crate) fn new(registration: BackendRegistration, cold: ColdPace) -> Self {
+        let holder = HolderKey::new(&registration.backend, registration.incarnation);
         Self {
+            holder,
+            holder_bucket: holder.bucket(),
+            group_load: None,
             registration,
             cold,
             load: LoadEstimate::default(),
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -13,10 +13,12 @@
 //!
 //! A backend server that names a limit is chosen only as far as this entry's share of it goes.
 
+use celerycrank_routing::MAX_PROMPT_HOLDERS;
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
 use rand::{Rng, seq::index::sample as sample_indices};
+use smallvec::SmallVec;
 
-use crate::{BackendState, BackendTable};
+use crate::{BackendState, BackendTable, PromptWeighing};
 
 /// Number of randomly drawn backend servers from which the least loaded one is chosen.
 const SAMPLE_SIZE: usize = 4;
@@ -29,11 +31,6 @@
 /// An entry whose callers have just come has few requests, and could send next to none otherwise.
 const MAX_SCALE: f64 = 2.0;
 
-/// Maximum part of the places that stays free for more urgent requests.
-///
-/// More would leave less urgent requests unserved while engines are idle.
-const MAX_RESERVE: f64 = 0.2;
-
 /// The smallest factor by which failures reduce the weight of a backend server.
 const MIN_RELIABILITY: f64 = 0.05;
 
@@ -68,6 +65,8 @@
     pub load_limit: Option<LoadLimit>,
     /// The current time.
     pub now: TimePoint,
+    /// The probable holders of the prompt, if there are any.
+    pub prompt: Option<&'query PromptWeighing<'query>>,
 }
 
 /// A limit on the requests that a backend server may hold.
@@ -85,6 +84,8 @@
     ///
     /// Others leave places in proportion to their part of the load.
     pub reserve: f64,
+    /// Maximum part of all places that stays free for more urgent requests, from 0 to 1.
+    pub max_reserve: f64,
 }
 
 /// The result of a choice.
@@ -169,7 +170,7 @@
     query: &ChoiceQuery<'_>,
     random: &mut R,
 ) -> Option<&'table BackendState> {
-    let sample = sample_states(states.clone(), random);
+    let sample = sample_states(states.clone(), query.prompt, random);
     let best = cheapest(sample, query, random);
     let mut sampled = sample.iter().flatten();
     let has_unstable = sampled.any(|state| state.is_in_unstable_group(query.now));
@@ -181,7 +182,7 @@
     if !has_unstable || with_room >= MIN_STABLE_SAMPLE {
         return best.map(|(_, state)| state);
     }
-    let sample = sample_states(states.filter(has_room), random);
+    let sample = sample_states(states.filter(has_room), query.prompt, random);
     let stable = cheapest(sample, query, random);
     let both = best.into_iter().chain(stable);
     let best = both.min_by(|(cost, _), (other, _)| cost.total_cmp(other));
@@ -190,7 +191,7 @@
 
 /// Returns the backend server of least cost, and its cost.
 fn cheapest<'table, R: Rng>(
-    sample: [Option<&'table BackendState>; SAMPLE_SIZE],
+    sample: [Option<&'table BackendState>; SAMPLE_SIZE + MAX_PROMPT_HOLDERS],
     query: &ChoiceQuery<'_>,
     random: &mut R,
 ) -> Option<(f64, &'table BackendState)> {
@@ -206,18 +207,32 @@
     best
 }
 
-/// Draws a random sample without a list of all states, of which there may be many.
+/// Draws a random sample without a list of all states, of which there may be many, and adds the
+/// probable holders of the prompt.
 fn sample_states<'table, R: Rng>(
-    states: impl Iterator<Item = &'table BackendState> + Clone,
+    mut states: impl Iterator<Item = &'table BackendState> + Clone,
+    prompt: Option<&PromptWeighing<'_>>,
     random: &mut R,
-) -> [Option<&'table BackendState>; SAMPLE_SIZE] {
-    let mut sample = [None; SAMPLE_SIZE];
-    let count = states.clone().count();
-    let drawn = sample_indices(random, count, SAMPLE_SIZE.min(count));
-    for (index, state) in states.enumerate() {
-        if let Some(position) = drawn.iter().position(|it| it == index) {
-            sample[position] = Some(state);
+) -> [Option<&'table BackendState>; SAMPLE_SIZE + MAX_PROMPT_HOLDERS] {
+    let mut sample = [None; SAMPLE_SIZE + MAX_PROMPT_HOLDERS];
+    let (drawn_states, holders) = sample.split_at_mut(SAMPLE_SIZE);
+    let mut holders = holders.iter_mut();
+    let counted = states.clone().inspect(|state| {
+        if prompt.is_some_and(|prompt| prompt.is_holder(state))
+            && let Some(place) = holders.next()
+        {
+            *place = Some(*state);
         }
+    });
+    let count = counted.count();
+    let drawn = sample_indices(random, count, SAMPLE_SIZE.min(count));
+    let drawn = drawn.iter().zip(drawn_states);
+    let mut drawn = drawn.collect::<SmallVec<[_; SAMPLE_SIZE]>>();
+    drawn.sort_unstable_by_key(|(index, _)| *index);
+    let mut passed = 0;
+    for (index, place) in drawn {
+        *place = states.nth(index - passed);
+        passed = index + 1;
     }
     sample
 }
@@ -235,7 +250,13 @@
     random: &mut R,
 ) -> Option<&'table BackendState> {
     let room = ServiceRoom::measure(states.clone(), limit, query.now)?;
-    let mut best: Option<(f64, &BackendState)> = None;
+    let has_room = |state: &&BackendState| room_weight(state, limit, room.scale, query.now) > 0.0;
+    let holders = states.clone().filter(|state| {
+        let is_holder = query.prompt.is_some_and(|prompt| prompt.is_holder(state));
+        is_holder && has_room(state)
+    });
+    let holders = holders.map(|state| (estimate_cost(state, query), state));
+    let mut best = holders.min_by(|(cost, _), (other, _)| cost.total_cmp(other));
     for _ in 0..ROOM_DRAWS {
         let mut drawn = random.random_range(0.0..room.weight);
         let state = states.clone().find(|state| {
@@ -289,7 +310,7 @@
         }
         let most = MAX_SCALE * f64::from(limit.entries);
         let scale = ((reported + 1.0) / (own + 1.0)).clamp(1.0, most.max(1.0));
-        let reserve = (scale * limit.reserve).min(capacity * MAX_RESERVE);
+        let reserve = (scale * limit.reserve).min(capacity * limit.max_reserve);
         let kept_free = reserve.max(capacity * (1.0 - limit.part));
         let free = places + scale * (ended - sent) - kept_free;
         let weights = states.map(|state| room_weight(state, limit, scale, now));
@@ -340,7 +361,9 @@
         // As much as a rank of a stable group costs whose slots are all in use.
         cost += f64::from(state.registration.slots) * pace;
     }
-    cost
+    cost + query
+        .prompt
+        .map_or(0.0, |prompt| prompt.cost(state, query.now))
 }
 
 /// Returns a slowdown factor that is finite and at least 1.
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -19,11 +19,13 @@
 mod event;
 mod evidence;
 mod freshness;
+mod group_load;
 mod limit;
 mod load;
 mod load_ceiling;
 mod obstacle;
 mod occasion;
+mod prompt;
 mod quarantine;
 mod registration;
 mod route;
@@ -56,10 +58,12 @@
     event::{EventError, EventReader},
     evidence::RefusedPart,
     freshness::FreshnessGuard,
+    group_load::GroupLoads,
     limit::{EntryPlace, LimitNotice},
     load::{LoadEstimate, LoadReport, RequestFlow},
     load_ceiling::LoadCeiling,
     obstacle::{SendObstacle, ServiceObstacle},
+    prompt::{PromptOutcome, PromptWeighing},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
     route::{RouteMatch, RouteTable},
--- a/crates/celerycrank-serving/tests/admission.rs
+++ b/crates/celerycrank-serving/tests/admission.rs
@@ -457,6 +457,7 @@
 
     fn send(&mut self, entry: usize, request: SimRequest, limit: Option<LoadLimit>) -> bool {
         let query = ChoiceQuery {
+            prompt: None,
             service: &service(),
             domain: &"a".parse().expect("a plain name"),
             tried: &[],
--- a/crates/celerycrank-serving/tests/cold.rs
+++ b/crates/celerycrank-serving/tests/cold.rs
@@ -72,6 +72,7 @@
 fn send(table: &mut BackendTable, now: TimePoint, random: &mut StdRng) -> bool {
     let domain = "a".parse().expect("a valid name");
     let query = ChoiceQuery {
+        prompt: None,
         service: &service(),
         domain: &domain,
         tried: &[],
--- a/crates/celerycrank-serving/tests/evacuation.rs
+++ b/crates/celerycrank-serving/tests/evacuation.rs
@@ -43,6 +43,7 @@
 fn choose(table: &BackendTable, tried: &[BackendId]) -> Option<String> {
     let mut random = StdRng::seed_from_u64(1);
     let query = ChoiceQuery {
+        prompt: None,
         service: &service(),
         domain: &domain("a"),
         tried,
--- a/crates/celerycrank-serving/tests/limits.rs
+++ b/crates/celerycrank-serving/tests/limits.rs
@@ -61,6 +61,7 @@
         tried: &[],
         load_limit: None,
         now,
+        prompt: None,
     };
     choose_backend(table, &query, random)
 }
--- a/crates/celerycrank-serving/tests/stability.rs
+++ b/crates/celerycrank-serving/tests/stability.rs
@@ -25,6 +25,7 @@
     let service: ServiceId = "llm".parse().expect("a valid name");
     let domain: DomainId = "a".parse().expect("a valid name");
     work(&ChoiceQuery {
+        prompt: None,
         service: &service,
         domain: &domain,
         tried: &[],
