The check of a direct entry's settings knows the bounds of cold starts

Since the merge of cold starts, entries whose settings have the object cold ended at their start (exit code 1, unknown field): the settings are read through a schema that lists every field. The test reads a file with all fields and fails if one is missing in the schema or in the file; red before with cold.

--- a/crates/celerycrank-config/src/check/setting.rs
+++ b/crates/celerycrank-config/src/check/setting.rs
@@ -46,6 +46,7 @@
     required("store", STORE),
     optional("revocation", text::<DecimalSpan>()),
     required("retries", RETRIES),
+    optional("cold", COLD),
     optional("prompt_cache", PROMPT_CACHE),
     required("grace", text::<DecimalSpan>()),
 ]);
@@ -72,6 +73,11 @@
     required("slack", text::<Fraction>()),
 ]);
 
+const COLD: Schema = Schema::Object(&[
+    required("overshoot", text::<Fraction>()),
+    required("tolerance", text::<Fraction>()),
+]);
+
 const PROMPT_CACHE: Schema = Schema::Object(&[
     required("retention", SPAN),
     required("memory", Schema::Text(check_part)),
--- a/crates/celerycrank-config/tests/check.rs
+++ b/crates/celerycrank-config/tests/check.rs
@@ -59,6 +59,20 @@
     insta::assert_snapshot!("agent_errors", lines(&agent));
 }
 
+/// Guards against a field of the settings that the check does not know, upon which the process that
+/// reads it does not start.
+#[test]
+fn the_check_knows_every_field_of_the_settings() {
+    let text = include_str!("data/full-direct-entry.json");
+    let settings = check_direct_entry(text).expect("all fields are known");
+    let value = serde_json::to_value(&settings).expect("it encodes");
+    let fields = value.as_object().expect("an object").values();
+    assert!(
+        fields.clone().all(|field| !field.is_null()),
+        "the file has to give every field: {value}"
+    );
+}
+
 /// Guards against a part of the memory that is larger than the whole.
 #[test]
 fn the_memory_of_the_prompt_cache_is_a_part_of_the_whole() {
