One memory budget for callers, and a bound on their connections

Callers that exceed the limits used up the memory and the descriptors of an entry: bodies were collected without a common bound, and grew by doubling.

CallerBudget decides who may hold how much: space is taken as bytes arrive, a quarter is kept for small requests, and the unfinished request that has stopped, is of the address that holds most, and is largest and oldest gives way (503 `overloaded`, not forwarded). At the bound of descriptors the longest idle connection is closed. Bodies are stored in blocks that are neither moved nor copied, idle connections have no read buffer, one read adds at most 4 KiB, and the kernel holds at most 128 KiB of what a caller sends. The product's own entry counts its bodies by the same module; the listener of probes has a bound of connections and a timeout.

--- a/crates/celerycrank-cli/tests/direct.rs
+++ b/crates/celerycrank-cli/tests/direct.rs
@@ -172,6 +172,7 @@
     process.wait_line("nothing has changed").await;
     let mut changed = settings(&store);
     changed["retries"]["ratio"] = json!("0.1");
+    changed["memory"] = json!("160MiB");
     write_settings("reload", &changed);
     process.signal(libc::SIGHUP);
     process.wait_line("settings reloaded").await;
--- a/crates/celerycrank-cli/tests/overload.rs
+++ b/crates/celerycrank-cli/tests/overload.rs
@@ -18,7 +18,7 @@
 
 use actix_rt::time::{sleep, timeout};
 use celerycrank_platform_standin::{BackendStandin, StoreStandin, TestCaller, TestRequest};
-use futures_util::future::join_all;
+use futures_util::future::{join_all, select_all};
 use serde_json::{Value, json};
 use tokio::{
     io::AsyncWriteExt,
@@ -67,7 +67,7 @@
     listen: SocketAddr,
     probe: SocketAddr,
     _turn: MutexGuard<'static, ()>,
-    _platform: (StoreStandin, BackendStandin),
+    platform: (StoreStandin, BackendStandin),
 }
 
 impl DirectProcess {
@@ -119,7 +119,7 @@
             listen: nowhere,
             probe: nowhere,
             _turn: turn,
-            _platform: (store, backend),
+            platform: (store, backend),
         };
         let line = process.wait_line("entry serves").await;
         let address = |name: &str| {
@@ -382,3 +382,31 @@
     assert_eq!(answer.map(|it| it.status), Some(200));
     process.check("largest").await;
 }
+
+// Guards against a request that gives way without an answer, or after it was forwarded.
+#[actix_rt::test]
+async fn a_body_that_gives_way_is_refused_as_not_run() {
+    const CALLERS: usize = 8;
+    let mut process = DirectProcess::start("gives-way").await;
+    let head = format!(
+        "POST /large/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: large\r\n\
+         Deadline-Ms: 20000\r\nCredential: secret\r\nContent-Length: {MAX_BODY}\r\n\r\n"
+    );
+    let body = vec![b'x'; MAX_BODY - 1];
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        let mut caller = TestCaller::connect(process.listen).await;
+        caller.send(head.as_bytes()).await;
+        caller.send(&body).await;
+        callers.push(caller);
+    }
+    let answers = callers.iter_mut().map(|it| Box::pin(it.read()));
+    let (answer, ..) = select_all(answers).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.reason.as_deref(), Some("overloaded"));
+    assert!(answer.retry_after.is_some());
+    let (_, backend) = &process.platform;
+    assert_eq!(backend.runs(), 0);
+    process.check("gives-way").await;
+}
--- a/crates/celerycrank-config/src/check/setting.rs
+++ b/crates/celerycrank-config/src/check/setting.rs
@@ -47,6 +47,7 @@
     optional("revocation", text::<DecimalSpan>()),
     required("retries", RETRIES),
     required("grace", text::<DecimalSpan>()),
+    optional("memory", SIZE),
 ]);
 
 const RANK_AGENT_SCHEMA: Schema = Schema::Object(&[
@@ -75,6 +76,7 @@
     optional("header", SIZE),
     optional("body", SIZE),
     optional("connections", Schema::Count),
+    optional("memory", SIZE),
     optional("header_timeout", SPAN),
     optional("body_timeout", SPAN),
     optional("write_timeout", SPAN),
--- a/crates/celerycrank-config/src/direct.rs
+++ b/crates/celerycrank-config/src/direct.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use celerycrank_types::{
-    DecimalSpan, DomainId, EntryId, Fraction, LinkRate, ServiceId, TimeSpan, VmId,
+    ByteSize, DecimalSpan, DomainId, EntryId, Fraction, LinkRate, ServiceId, TimeSpan, VmId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +35,11 @@
     pub retries: RetrySettings,
     /// Time between the stop signal and the end of the process.
     pub grace: DecimalSpan,
+    /// Memory of the process, of which callers may use a part.
+    ///
+    /// If absent, 128 MiB.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory: Option<ByteSize>,
 }
 
 /// Settings of the agent of a backend server to which entries connect directly.
--- a/crates/celerycrank-config/src/setting.rs
+++ b/crates/celerycrank-config/src/setting.rs
@@ -103,6 +103,9 @@
     /// Maximum number of open caller connections.
     #[builder(default = 4_096)]
     pub connections: u32,
+    /// Memory of the process, of which a quarter may be held by the bodies of callers.
+    #[builder(default = ByteSize(1 << 30))]
+    pub memory: ByteSize,
     /// Timeout for receiving a request head from a caller.
     #[builder(default = TimeSpan::from_secs(5))]
     pub header_timeout: TimeSpan,
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -22,6 +22,9 @@
 /// Maximum size of an answer that is buffered before any of it is passed on, in bytes.
 pub(crate) const MAX_BUFFERED_ANSWER: usize = 4 << 20;
 
+/// Maximum size of an answer that is copied behind its head, in bytes.
+const MAX_COPIED_ANSWER: usize = 16 << 10;
+
 /// Answers one request of a caller.
 pub(crate) async fn answer_request(
     state: &EntryState,
@@ -85,17 +88,23 @@
         WorkOutcome::Stopped => Err(stop_error(dispatch)),
         WorkOutcome::CallerLeft => return (RequestEnd::CallerLeft, ConnectionStep::Close),
     };
+    let mut rest = BytesMut::new();
     let (end, message) = match answered {
         Ok(answer) => {
             let framing = BodyFraming::Length(answer.body.len() as u64);
             let mut writer = write_answer_head(&answer.head, framing, is_last);
-            writer.put(&answer.body);
             let status = answer.head.status;
+            // A short body is sent with its head in one segment; a long one is not copied.
+            if answer.body.len() <= MAX_COPIED_ANSWER {
+                writer.put(&answer.body);
+            } else {
+                rest = answer.body;
+            }
             (RequestEnd::Answered(status), writer.into_bytes())
         }
         Err(error) => error_answer(state, request, error, is_last),
     };
-    if !caller.send(&message).await {
+    if !caller.send(&message).await || !caller.send(&rest).await {
         return (RequestEnd::CallerLeft, ConnectionStep::Close);
     }
     (end, next_step(!is_last))
@@ -123,7 +132,14 @@
                 Ok(Some(data)) if body.len() + data.len() > MAX_BUFFERED_ANSWER => {
                     break Err(UnknownReason::BadAnswer);
                 }
-                Ok(Some(data)) => body.extend_from_slice(&data),
+                Ok(Some(data)) => {
+                    body.extend_from_slice(&data);
+                    let earlier = failed.as_ref().map_or(0, |it| it.body.capacity());
+                    dispatch
+                        .request
+                        .space
+                        .hold_answer(earlier + body.capacity());
+                }
                 Ok(None) => break Ok(()),
                 Err(reason) => break Err(reason),
             }
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -149,16 +149,23 @@
         time_left: Some(time_left),
         backend: &registration.backend,
         last_event,
-        length: request.body.len(),
+        length: request.body.length,
     };
     let mut message = write_forwarded(&request.head, &metadata);
-    message.extend_from_slice(&request.body);
-    let is_long = message.len() > MAX_BUFFERED_MESSAGE;
+    let is_long = message.len() + request.body.length > MAX_BUFFERED_MESSAGE;
+    // A short body is sent with its head in one segment; a long one is not copied.
+    let mut blocks = request.body.blocks.as_slice();
+    if !is_long {
+        for block in blocks {
+            message.extend_from_slice(block);
+        }
+        blocks = &[];
+    }
     if is_long {
         await_late_reads(&stream, time_left);
     }
     sending.note_sent();
-    let mut stream = SendingStream::new(stream, message.freeze());
+    let mut stream = SendingStream::new(stream, message.freeze(), blocks);
     let mut answer = read_own_head(state, &mut stream, request, is_reused).await?;
     // The next request would wait until this one is read.
     answer.is_reusable &= !is_long;
--- a/crates/celerycrank-direct/src/entry/caller.rs
+++ b/crates/celerycrank-direct/src/entry/caller.rs
@@ -19,6 +19,7 @@
     body::read_body,
     refusal::{bad_request, refusal_answer},
     request::RequestDraft,
+    space::CallerSpace,
     state::{CountGuard, EntryState},
 };
 
@@ -26,6 +27,12 @@
 /// being answered.
 const MAX_PIPELINED_BYTES: usize = 64 << 10;
 
+/// The same while the memory for callers is used up.
+const MAX_PIPELINED_BYTES_UNDER_PRESSURE: usize = 4 << 10;
+
+/// The memory of the parsed fields of a head, in bytes.
+const HEAD_FIELD_BYTES: usize = 6 << 10;
+
 /// Maximum time for which a caller may read nothing of an answer that is being written.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -55,6 +62,10 @@
     pub(crate) deadline: Option<Instant>,
     /// Counts the answers that were given up since the caller did not read them.
     answers_unread: IntCounter,
+    /// The memory that the connection holds.
+    space: Rc<CallerSpace>,
+    /// The bytes held by the head and the body of the current request.
+    pub(crate) request_bytes: usize,
     /// Raised when the entry stops.
     shutdown: ShutdownFlag,
     /// Whether the kernel holds as much of an answer as it can.
@@ -62,7 +73,7 @@
 }
 
 impl CallerConnection {
-    fn new(state: &EntryState, socket: TcpStream) -> Self {
+    fn new(state: &EntryState, socket: TcpStream, space: Rc<CallerSpace>) -> Self {
         let stream = HttpStream::new(socket);
         if let Err(error) = stream.limit_unsent(MAX_UNSENT_BYTES) {
             tracing::info!(fault = %error, "cannot limit the unsent bytes of a connection");
@@ -71,6 +82,8 @@
             stream,
             deadline: None,
             answers_unread: state.metrics.answers_unread.clone(),
+            space,
+            request_bytes: 0,
             shutdown: state.shutdown.clone(),
             is_unlimited: false,
         }
@@ -86,17 +99,37 @@
         }
     }
 
+    /// Accounts for what the head, the body and the read buffer hold, after `arrived` more bytes.
+    pub(crate) fn hold_body(
+        &mut self,
+        body_bytes: usize,
+        arrived: usize,
+    ) -> Result<(), RefusalReason> {
+        let held = self.request_bytes + body_bytes + self.stream.buffer.capacity();
+        self.space.hold(held, arrived)
+    }
+
     /// Waits until the caller has closed its connection.
     ///
     /// Data that arrives meanwhile stays in the buffer for later requests.
     pub(crate) async fn disconnected(&mut self) {
         loop {
-            if self.stream.buffer.len() > MAX_PIPELINED_BYTES {
+            let limit = if self.space.is_used_up() {
+                MAX_PIPELINED_BYTES_UNDER_PRESSURE
+            } else {
+                MAX_PIPELINED_BYTES
+            };
+            if self.stream.buffer.len() > limit {
                 std::future::pending::<()>().await;
             }
             match self.stream.fill().await {
                 Ok(0) | Err(_) => return,
-                Ok(_) => {}
+                Ok(count) => {
+                    // A request that is being answered gets its space.
+                    if self.hold_body(0, count).is_err() {
+                        return;
+                    }
+                }
             }
         }
     }
@@ -139,15 +172,29 @@
     }
 
     /// Closes the connection in such a way that the caller can read everything that was written.
+    ///
+    /// Other connections may need its descriptor meanwhile, which ends the wait for the caller.
     async fn finish(mut self) {
         self.stream.shutdown().await;
+        self.stream.buffer.clear();
+        self.stream.release_buffer();
+        self.space.rest();
+        let end = self.space.end_flag();
+        // The flag is raised already for a request that gave way, whose caller must read so.
+        let is_refused = end.is_raised();
         let draining = async {
             while matches!(self.stream.fill().await, Ok(count) if count > 0) {
                 self.stream.buffer.clear();
             }
         };
         // A caller that keeps sending after the timeout loses nothing that it was promised.
-        let _ = timeout(LINGER_TIMEOUT, draining).await;
+        let _ = timeout(LINGER_TIMEOUT, async {
+            select! {
+                () = draining => {}
+                () = end.raised(), if !is_refused => {}
+            }
+        })
+        .await;
     }
 }
 
@@ -155,18 +202,22 @@
 enum HeadReadError {
     /// The caller or the entry has finished with the connection.
     Closed,
+    /// The connection was idle and is closed for another one.
+    Ended,
     /// The request is refused, and the caller is told why.
     Refused(RefusalReason),
 }
 
 /// Serves one connection until either side closes it.
-pub(crate) async fn serve_caller(state: Rc<EntryState>, socket: TcpStream) {
+pub(crate) async fn serve_caller(state: Rc<EntryState>, socket: TcpStream, space: Rc<CallerSpace>) {
     let _guard = CountGuard::new(&state.caller_connections);
-    let mut caller = CallerConnection::new(&state, socket);
+    let mut caller = CallerConnection::new(&state, socket, space);
     loop {
         let (head, arrival) = match read_head(&state, &mut caller).await {
             Ok(read) => read,
             Err(HeadReadError::Closed) => break,
+            // Nothing was written that the caller has not read.
+            Err(HeadReadError::Ended) => return,
             Err(HeadReadError::Refused(reason)) => {
                 let answer = refusal_answer(&state, None, reason, true);
                 caller.send(&answer).await;
@@ -193,14 +244,20 @@
     let limits = limits_in_force(state);
     state.metrics.requests.inc();
     let framing = BodyFraming::of_request(&head);
+    let end = caller.space.end_flag();
     let read = match framing {
         Ok(framing) => select! {
             read = read_body(caller, &head, framing, &limits) => read,
+            () = end.raised() => Err(RefusalReason::Overloaded),
             () = state.ending.raised() => Err(RefusalReason::ShuttingDown),
         },
         Err(error) => Err(bad_request(error)),
     };
-    let body = match read {
+    let completed = read.and_then(|body| {
+        caller.space.complete()?;
+        Ok(body)
+    });
+    let body = match completed {
         Ok(Some(body)) => body,
         Ok(None) => return ConnectionStep::Close,
         Err(reason) => {
@@ -213,6 +270,7 @@
         head,
         body,
         arrival,
+        space: Rc::clone(&caller.space),
     };
     Box::pin(answer_request(state, caller, draft)).await
 }
@@ -228,9 +286,16 @@
     state: &EntryState,
     caller: &mut CallerConnection,
 ) -> Result<(RequestHead, TimePoint), HeadReadError> {
+    caller.request_bytes = 0;
+    caller.stream.release_buffer();
+    caller.space.rest();
+    let end = caller.space.end_flag();
     if caller.stream.buffer.is_empty() {
         let idle_timeout = limits_in_force(state).idle_timeout;
-        let idle = timeout(idle_timeout.as_duration(), caller.stream.fill());
+        let idle = timeout(
+            idle_timeout.as_duration(),
+            caller.stream.fill_when_readable(),
+        );
         select! {
             // A request that has arrived is answered before the connection is closed.
             biased;
@@ -239,27 +304,45 @@
                 _ => return Err(HeadReadError::Closed),
             },
             () = state.shutdown.raised() => return Err(HeadReadError::Closed),
+            () = end.raised() => return Err(HeadReadError::Ended),
         }
     }
     let arrival = state.clock.now();
+    caller.space.begin();
     // A newer configuration may have been put in force while the connection was idle.
     let limits = limits_in_force(state);
     let limit = usize::try_from(limits.head.0).unwrap_or(usize::MAX);
     let reading = async {
+        let mut arrived = caller.stream.buffer.len();
         loop {
+            let capacity = caller.stream.buffer.capacity();
+            caller
+                .space
+                .hold(capacity, arrived)
+                .map_err(HeadReadError::Refused)?;
             match parse_request(&mut caller.stream.buffer, limit) {
-                Ok(Some(head)) => return Ok(head),
+                Ok(Some(head)) => {
+                    caller.request_bytes = capacity + HEAD_FIELD_BYTES;
+                    return Ok(head);
+                }
                 Ok(None) => {}
                 Err(HeadError::TooLarge | HeadError::TooManyFields) => {
                     return Err(HeadReadError::Refused(RefusalReason::HeaderTooLarge));
                 }
                 Err(error) => return Err(HeadReadError::Refused(bad_request(error))),
             }
-            if !matches!(caller.stream.fill().await, Ok(count) if count > 0) {
-                return Err(HeadReadError::Closed);
+            match caller.stream.fill().await {
+                Ok(count) if count > 0 => arrived = count,
+                _ => return Err(HeadReadError::Closed),
             }
         }
     };
+    let reading = async {
+        select! {
+            read = reading => read,
+            () = end.raised() => Err(HeadReadError::Refused(RefusalReason::Overloaded)),
+        }
+    };
     match timeout(limits.head_timeout.as_duration(), reading).await {
         Ok(Ok(head)) => Ok((head, arrival)),
         Ok(Err(end)) => Err(end),
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -16,6 +16,11 @@
     pub(crate) answers_unread: IntCounter,
     pub(crate) answers_skipped: IntCounter,
     pub(crate) ended_by_stop: IntCounter,
+    pub(crate) requests_gave_way: IntCounter,
+    pub(crate) idle_ended: IntCounter,
+    pub(crate) connections_refused: IntCounter,
+    pub(crate) probe_connections_ended: IntCounter,
+    pub(crate) caller_bytes: IntGauge,
     pub(crate) connections_made: IntCounter,
     pub(crate) crashes: IntCounter,
     pub(crate) quarantined_parts: IntGauge,
@@ -67,6 +72,26 @@
                 "celerycrank_direct_ended_by_stop_total",
                 "requests that the entry ended since the grace period of its stop was over",
             )?,
+            requests_gave_way: set.counter(
+                "celerycrank_direct_requests_gave_way_total",
+                "unfinished requests that were refused since the memory or descriptors for callers were used up",
+            )?,
+            idle_ended: set.counter(
+                "celerycrank_direct_idle_connections_ended_total",
+                "idle connections of callers that were closed since descriptors were used up",
+            )?,
+            connections_refused: set.counter(
+                "celerycrank_direct_connections_refused_total",
+                "connections of callers that were refused since descriptors were used up",
+            )?,
+            probe_connections_ended: set.counter(
+                "celerycrank_direct_probe_connections_ended_total",
+                "connections of the health checks that were closed since there were too many",
+            )?,
+            caller_bytes: set.gauge(
+                "celerycrank_direct_caller_bytes",
+                "memory held by requests and buffered answers of callers",
+            )?,
             connections_made: set.counter(
                 "celerycrank_direct_backend_connections_total",
                 "connections made to backend servers",
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod resume;
 mod retry;
 mod sending;
+mod space;
 mod state;
 mod stop;
 mod store;
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -1,14 +1,19 @@
 //! Lifecycle of the entry process: start, serve, shut down.
 
-use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    fmt,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_rt::time::sleep;
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{
-    HttpListener, ListenerLimits, RunningTask, ShutdownFlag, TaskSupervisor, serve_admin,
-    wait_for_stop_signal,
+    HttpListener, ListenerLimits, RunningTask, ShutdownFlag, TaskSupervisor, limit_receive_buffer,
+    serve_admin, wait_for_stop_signal,
 };
-use celerycrank_types::TimePoint;
+use celerycrank_types::{RefusalReason, TimePoint};
 use futures_util::FutureExt;
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
@@ -24,6 +29,8 @@
     metrics::EntryMetrics,
     probe::serve_probes,
     quarantine::{collect_crashes, write_reports},
+    refusal::refusal_answer,
+    space::CallerSpace,
     state::EntryState,
     stop::{BALANCER_DELAY, StopSchedule},
     store::watch_store,
@@ -65,6 +72,7 @@
         let callers = TcpListener::bind(settings.listen)
             .await
             .map_err(DirectError::Listen)?;
+        limit_receive_buffer(&callers).map_err(DirectError::Listen)?;
         let probes = TcpListener::bind(settings.probe)
             .await
             .map_err(DirectError::Probe)?;
@@ -216,7 +224,7 @@
         yield_now().await;
         for _ in 0..MAX_QUEUED_CONNECTIONS {
             match unconstrained(listener.accept()).now_or_never() {
-                Some(Ok((socket, _))) => spawn_caller(state, socket),
+                Some(Ok((socket, address))) => serve_accepted(state, socket, address.ip()).await,
                 Some(Err(error)) => {
                     tracing::warn!(fault = %error, "cannot accept the connection of a caller");
                     return;
@@ -227,15 +235,33 @@
     }
 }
 
-fn spawn_caller(state: &Rc<EntryState>, socket: TcpStream) {
-    let serving = serve_caller(Rc::clone(state), socket);
+/// Starts to serve a new connection, and lets the connection close that ends for it.
+async fn serve_accepted(state: &Rc<EntryState>, socket: TcpStream, address: IpAddr) {
+    spawn_caller(state, socket, address);
+    if state.space.take_ended_idle() {
+        // The number of open connections stays at its bound, however many are accepted at once.
+        yield_now().await;
+    }
+}
+
+/// Starts to serve a new connection, or refuses it.
+fn spawn_caller(state: &Rc<EntryState>, socket: TcpStream, address: IpAddr) {
+    let Some(space) = CallerSpace::open(state, address) else {
+        let answer = refusal_answer(state, None, RefusalReason::TooManyConnections, true);
+        // The empty send buffer takes this in one write.
+        if let Err(error) = socket.try_write(&answer) {
+            tracing::debug!(fault = %error, "refusal not written to a new caller");
+        }
+        return;
+    };
+    let serving = serve_caller(Rc::clone(state), socket, space);
     state.tasks.spawn("caller", serving, || {});
 }
 
 async fn accept_callers(state: Rc<EntryState>, listener: Rc<TcpListener>) {
     loop {
         match listener.accept().await {
-            Ok((socket, _)) => spawn_caller(&state, socket),
+            Ok((socket, address)) => serve_accepted(&state, socket, address.ip()).await,
             Err(error) => {
                 tracing::warn!(fault = %error, "cannot accept the connection of a caller");
                 sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -2,14 +2,17 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use bytes::Bytes;
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
 use celerycrank_serving::{PromptQuery, RouteMatch, RouteRule};
 use celerycrank_types::{AccountId, PromptPartId, RefusalReason, Revision, ServiceId, TimePoint};
 use smallvec::SmallVec;
 
-use super::state::{ConfigurationInForce, EntryState};
+use super::{
+    body::RequestBody,
+    space::CallerSpace,
+    state::{ConfigurationInForce, EntryState},
+};
 
 /// A request that was received in full and is allowed by a route.
 #[derive(Debug)]
@@ -17,7 +20,7 @@
     /// The caller's identifier for this attempt.
     pub(crate) attempt: Arc<str>,
     pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     pub(crate) route: Rc<RouteRule>,
     /// The revision of the configuration under which it was admitted.
     pub(crate) revision: Revision,
@@ -31,6 +34,8 @@
     pub(crate) last_event: Option<u64>,
     /// The parts of the prompt that other prompts may share, in order.
     pub(crate) shared_parts: SmallVec<[PromptPartId; 4]>,
+    /// The memory that its connection holds.
+    pub(crate) space: Rc<CallerSpace>,
 }
 
 impl AdmittedRequest {
@@ -54,8 +59,9 @@
 #[derive(Debug)]
 pub(crate) struct RequestDraft {
     pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     pub(crate) arrival: TimePoint,
+    pub(crate) space: Rc<CallerSpace>,
 }
 
 /// Admits a request, or returns the reason for its refusal.
@@ -88,6 +94,7 @@
         shared_parts: metadata.shared_parts,
         head: draft.head,
         body: draft.body,
+        space: draft.space,
         route,
         account,
         service,
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -22,7 +22,7 @@
 
 use super::{
     limits::LimitSharing, metrics::EntryMetrics, pool::ConnectionPool, quarantine::ReportQueue,
-    stop::StopSchedule,
+    space::SpaceLedger, stop::StopSchedule,
 };
 
 /// State shared by the tasks of an entry, all of which run on one arbiter.
@@ -48,6 +48,8 @@
     pub(crate) ending: ShutdownFlag,
     /// Number of open connections of callers.
     pub(crate) caller_connections: Cell<u32>,
+    /// The memory and the connections of callers.
+    pub(crate) space: SpaceLedger,
     /// Number of requests whose answer is not complete.
     pub(crate) requests_in_flight: Cell<u32>,
     in_force: RefCell<Option<Rc<ConfigurationInForce>>>,
@@ -121,6 +123,7 @@
             stop: Cell::new(None),
             ending: ShutdownFlag::default(),
             caller_connections: Cell::new(0),
+            space: SpaceLedger::new(&settings),
             requests_in_flight: Cell::new(0),
             in_force: RefCell::default(),
             retry_windows: RefCell::default(),
@@ -164,6 +167,7 @@
             });
         }
         self.retry_windows.borrow_mut().clear();
+        self.space.reload(&settings);
         *self.settings.borrow_mut() = Rc::new(settings);
         tracing::info!("settings reloaded");
     }
--- a/crates/celerycrank-entry/src/accept.rs
+++ b/crates/celerycrank-entry/src/accept.rs
@@ -1,6 +1,10 @@
 //! Receives a request from a caller and admits it before it is dispatched.
 
-use std::{rc::Rc, sync::Arc};
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    rc::Rc,
+    sync::Arc,
+};
 
 use actix_http::{
     Request, Response,
@@ -18,6 +22,7 @@
     dispatch::{AdmittedRequest, dispatch},
     refusal::refusal_response,
     resolve::resolve_request,
+    space::BodySpace,
     state::EntryState,
 };
 
@@ -40,6 +45,8 @@
     idempotency_key: Option<Arc<str>>,
     head: RequestHead,
     body: Bytes,
+    /// The memory that the body holds.
+    _space: Rc<BodySpace>,
 }
 
 /// Answers one request of a caller.
@@ -134,6 +141,8 @@
     arrival: TimePoint,
 ) -> Result<RequestDraft, RefusalReason> {
     let in_force = state.in_force().ok_or(RefusalReason::NoConfiguration)?;
+    let address = request.peer_addr().map(|address| address.ip());
+    let address = address.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
     let (message, payload) = request.into_parts();
     check_head_size(&message.headers, state.settings.limits.header.0)?;
     let api_key = read_api_key(&message.headers).ok_or(RefusalReason::UnknownKey)?;
@@ -143,7 +152,8 @@
         .authenticate(&api_key)
         .ok_or(RefusalReason::UnknownKey)?;
     let idempotency_key = read_idempotency_key(&message.headers)?;
-    let body = read_body(payload, &state.settings.limits).await?;
+    let space = BodySpace::open(&state.space, address)?;
+    let body = read_body(payload, &state.settings.limits, &space).await?;
     let path = message.uri.path_and_query();
     let head = RequestHead {
         method: message.method.as_str().into(),
@@ -156,6 +166,7 @@
         idempotency_key,
         head,
         body,
+        _space: Rc::new(space),
     })
 }
 
--- a/crates/celerycrank-entry/src/lib.rs
+++ b/crates/celerycrank-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod prompt;
 mod refusal;
 mod resolve;
+mod space;
 mod state;
 
 pub use crate::{error::EntryError, process::EntryProcess, prompt::prompt_prefix};
--- a/crates/celerycrank-entry/src/state.rs
+++ b/crates/celerycrank-entry/src/state.rs
@@ -15,7 +15,9 @@
 use celerycrank_types::{AccountId, RequestId, Revision, TokenCount};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use crate::{agents::AgentTable, allowance::AllowanceService, metrics::EntryMetrics};
+use crate::{
+    agents::AgentTable, allowance::AllowanceService, metrics::EntryMetrics, space::SpaceLedger,
+};
 
 /// State shared by the tasks of an entry, all of which run on one arbiter.
 pub(crate) struct EntryState {
@@ -28,6 +30,8 @@
     pub(crate) agents: RefCell<AgentTable>,
     pub(crate) random: RefCell<StdRng>,
     pub(crate) allowances: AllowanceService,
+    /// The memory that the bodies of callers hold.
+    pub(crate) space: Rc<SpaceLedger>,
     /// Whether the first round of agent discovery is complete and the entry is not shutting
     /// down.
     pub(crate) ready: Cell<bool>,
@@ -67,6 +71,8 @@
         sync: Rc<SyncState>,
         in_force: InForceCell,
     ) -> Self {
+        let space = SpaceLedger::new(&settings.limits, sync.clock());
+        let space = Rc::new(space);
         Self {
             clock: sync.clock(),
             shutdown: ShutdownFlag::default(),
@@ -76,6 +82,7 @@
             agents: RefCell::new(AgentTable::new(settings.domain.clone())),
             random: RefCell::new(StdRng::from_os_rng()),
             allowances: AllowanceService::default(),
+            space,
             ready: Cell::new(false),
             budgets: RefCell::default(),
             admitted: RefCell::default(),
--- a/crates/celerycrank-http/src/stream.rs
+++ b/crates/celerycrank-http/src/stream.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use bytes::BytesMut;
+use bytes::{BufMut, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -10,7 +10,7 @@
     select,
 };
 
-/// Space reserved in the buffer for each read, in bytes.
+/// Space reserved in the buffer for each read, and the most that one read adds to it, in bytes.
 const READ_SIZE: usize = 4 << 10;
 
 /// Timeouts that detect an unresponsive peer.
@@ -112,7 +112,34 @@
     /// Fails if the connection was reset.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_SIZE);
-        self.socket.read_buf(&mut self.buffer).await
+        let mut space = (&mut self.buffer).limit(READ_SIZE);
+        self.socket.read_buf(&mut space).await
+    }
+
+    /// Like [`Self::fill`], but holds no memory for the buffer until bytes have arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection was reset.
+    pub async fn fill_when_readable(&mut self) -> io::Result<usize> {
+        loop {
+            self.release_buffer();
+            self.socket.readable().await?;
+            self.buffer.reserve(READ_SIZE);
+            let mut space = (&mut self.buffer).limit(READ_SIZE);
+            match self.socket.try_read_buf(&mut space) {
+                // The socket may be reported as readable although it is not.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => return read,
+            }
+        }
+    }
+
+    /// Releases the memory of an empty buffer.
+    pub fn release_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
     }
 
     /// Writes all of these bytes.
@@ -145,10 +172,11 @@
     pub async fn send_or_fill(&mut self, bytes: &[u8]) -> io::Result<StreamStep> {
         self.buffer.reserve(READ_SIZE);
         let (mut reader, mut writer) = self.socket.split();
+        let mut space = (&mut self.buffer).limit(READ_SIZE);
         select! {
             biased;
             sent = writer.write(bytes) => sent.map(StreamStep::Sent),
-            received = reader.read_buf(&mut self.buffer) => received.map(StreamStep::Received),
+            received = reader.read_buf(&mut space) => received.map(StreamStep::Received),
         }
     }
 
--- a/crates/celerycrank-process/src/lib.rs
+++ b/crates/celerycrank-process/src/lib.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod caller;
 mod clock;
+mod descriptor;
 mod listener;
 mod log;
 mod metrics;
@@ -14,7 +15,8 @@
 pub use crate::{
     admin::{AdminHandler, serve_admin},
     clock::ProcessClock,
-    listener::{ConnectionEvent, HttpListener, ListenerLimits},
+    descriptor::descriptor_limit,
+    listener::{ConnectionEvent, HttpListener, ListenerLimits, limit_receive_buffer},
     log::LogBuffer,
     metrics::{LabelledCounter, MetricError, MetricSet},
     shutdown::{ShutdownFlag, on_reload_signal, wait_for_stop_signal},
--- a/crates/celerycrank-process/src/listener.rs
+++ b/crates/celerycrank-process/src/listener.rs
@@ -31,6 +31,11 @@
 /// megabytes: a caller that reads slowly would make no visible progress for a long time.
 const MAX_UNSENT_BYTES: u32 = 128 << 10;
 
+/// Number of bytes of a connection that the kernel holds until the process reads them.
+///
+/// It carries a body of 4 MiB within 4 s at a round-trip time of 100 ms.
+const MAX_UNREAD_BYTES: usize = 128 << 10;
+
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenerLimits {
@@ -79,8 +84,10 @@
         limits: ListenerLimits,
         shutdown: ShutdownFlag,
     ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        limit_receive_buffer(&listener)?;
         Ok(Self {
-            listener: TcpListener::bind(address).await?,
+            listener,
             limits,
             shutdown,
             open: Rc::default(),
@@ -172,6 +179,19 @@
     }
 }
 
+/// Limits the bytes that the kernel holds of each connection that this listener accepts and that the
+/// process has not read.
+///
+/// Set before connections are accepted, so that callers are offered a window of this size. Without
+/// it, the kernel holds up to several megabytes of each connection.
+///
+/// # Errors
+///
+/// Fails if the socket is closed.
+pub fn limit_receive_buffer(listener: &TcpListener) -> io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(MAX_UNREAD_BYTES)
+}
+
 fn configure_connection(stream: &TcpStream) -> io::Result<()> {
     // Nagle's algorithm would hold back small answers until earlier ones are acknowledged.
     stream.set_nodelay(true)?;
--- a/crates/celerycrank-requests/src/retry.rs
+++ b/crates/celerycrank-requests/src/retry.rs
@@ -126,6 +126,7 @@
         | RefusalReason::NoBackend
         | RefusalReason::ClaimUnavailable
         | RefusalReason::BackendLimit
+        | RefusalReason::Overloaded
         | RefusalReason::CrashingPrompt
         | RefusalReason::KeyExpired
         | RefusalReason::KeyReused
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -5,6 +5,7 @@
 mod account;
 mod backend;
 mod budget;
+mod caller_budget;
 mod choice;
 mod clearance;
 mod configuration;
@@ -25,6 +26,10 @@
     account::AccountTable,
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
+    caller_budget::{
+        BudgetBounds, CallerBudget, ConnectionNumber, EndReason, EndedConnection, NoRoomError,
+        SpaceDecision,
+    },
     choice::{BackendChoice, ChoiceQuery, choose_backend},
     clearance::{ClearanceRecord, PartClearance},
     configuration::{
--- a/crates/celerycrank-types/src/outcome.rs
+++ b/crates/celerycrank-types/src/outcome.rs
@@ -76,6 +76,9 @@
         CrashingPrompt = "crashing_prompt",
         /// The limits that the backend servers name do not allow another request now (503).
         BackendLimit = "backend_limit",
+        /// The unfinished request gave way to others when the memory or the descriptors for callers
+        /// were used up (503).
+        Overloaded = "overloaded",
         /// The request's route cannot be used, since the configuration of it cannot be read (503).
         RouteClosed = "route_closed",
     }
