--- a/crates/celerycrank-cli/tests/support/process.rs
+++ b/crates/celerycrank-cli/tests/support/process.rs
@@ -82,6 +82,15 @@
         success.is_some_and(|status| status.success())
     }
 
+    /// The peak of the resident memory in KiB.
+    pub fn peak_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process is alive");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let size = line.and_then(|line| line.split_whitespace().nth(1));
+        size.expect("the process is alive").parse().expect("a size")
+    }
+
     pub fn is_running(&mut self) -> bool {
         let status = self.child.try_wait().expect("the child can be reaped");
         status.is_none()
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -127,7 +127,10 @@
         };
         let (mut answer, in_flight) = (served.answer, served.in_flight);
         let mut body = BytesMut::new();
+        let space = &dispatch.request.space;
+        space.begin_answer();
         let read = loop {
+            space.answer_room().await;
             match answer.body.next().await {
                 Ok(Some(data)) if body.len() + data.len() > MAX_BUFFERED_ANSWER => {
                     break Err(UnknownReason::BadAnswer);
@@ -135,15 +138,13 @@
                 Ok(Some(data)) => {
                     body.extend_from_slice(&data);
                     let earlier = failed.as_ref().map_or(0, |it| it.body.capacity());
-                    dispatch
-                        .request
-                        .space
-                        .hold_answer(earlier + body.capacity());
+                    space.hold_answer(earlier + body.capacity());
                 }
                 Ok(None) => break Ok(()),
                 Err(reason) => break Err(reason),
             }
         };
+        space.end_answer();
         let backend = in_flight.backend.clone();
         drop(in_flight);
         if let Err(reason) = read {
--- a/crates/celerycrank-direct/src/entry/space.rs
+++ b/crates/celerycrank-direct/src/entry/space.rs
@@ -15,6 +15,8 @@
 };
 use celerycrank_types::{RefusalReason, TimePoint, TimeSpan};
 
+use tokio::sync::Notify;
+
 use super::state::EntryState;
 
 /// Minimum interval between two log lines about requests that give way.
@@ -28,6 +30,8 @@
     budget: RefCell<CallerBudget>,
     /// By connection, the flag that ends it.
     ends: RefCell<HashMap<ConnectionNumber, ShutdownFlag>>,
+    /// Wakes answers that wait for memory.
+    released: Notify,
     /// Whether an idle connection was ended since this was last asked.
     has_ended_idle: Cell<bool>,
     /// When the last log line was written.
@@ -41,6 +45,7 @@
         Self {
             budget: RefCell::new(CallerBudget::new(read_bounds(settings))),
             ends: RefCell::default(),
+            released: Notify::new(),
             has_ended_idle: Cell::new(false),
             logged_at: Cell::new(None),
             unlogged: Cell::new(0),
@@ -118,6 +123,7 @@
         self.answer.set(0);
         let now = self.state.clock.now();
         self.state.space.budget.borrow_mut().rest(self.number, now);
+        self.state.space.released.notify_waiters();
         self.show_held();
     }
 
@@ -142,6 +148,34 @@
         self.resize(arrived)
     }
 
+    /// Records that the answer is being read to its end before any of it is passed on.
+    pub(crate) fn begin_answer(&self) {
+        self.state
+            .space
+            .budget
+            .borrow_mut()
+            .begin_answer(self.number);
+    }
+
+    /// Records that the answer has been read.
+    pub(crate) fn end_answer(&self) {
+        self.state.space.budget.borrow_mut().end_answer(self.number);
+        self.state.space.released.notify_waiters();
+    }
+
+    /// Waits until more of the answer may be read.
+    pub(crate) async fn answer_room(&self) {
+        let ledger = &self.state.space;
+        loop {
+            // Created before the check, so that no wake-up is lost.
+            let released = ledger.released.notified();
+            if ledger.budget.borrow().may_read_answer(self.number) {
+                return;
+            }
+            released.await;
+        }
+    }
+
     /// Changes what the buffered answer holds.
     pub(crate) fn hold_answer(&self, bytes: usize) {
         self.answer.set(bytes as u64);
@@ -192,6 +226,7 @@
     fn drop(&mut self) {
         self.state.space.budget.borrow_mut().close(self.number);
         self.state.space.ends.borrow_mut().remove(&self.number);
+        self.state.space.released.notify_waiters();
         self.show_held();
     }
 }
--- a/crates/celerycrank-serving/src/caller_budget.rs
+++ b/crates/celerycrank-serving/src/caller_budget.rs
@@ -5,7 +5,7 @@
 //! use up the memory or the descriptors of the process.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     net::IpAddr,
 };
 
@@ -157,11 +157,15 @@
     connections: HashMap<ConnectionNumber, Connection>,
     by_address: HashMap<IpAddr, u64>,
     held: u64,
+    /// The sum over connections that hold no more than a small request.
+    small_held: u64,
     /// The number of connections that hold more than a small request.
     large: u64,
     /// Those of them whose requests are arriving.
     large_arriving: HashSet<ConnectionNumber>,
     answering: u64,
+    /// The connections whose answers are being read from backend servers.
+    reading_answers: BTreeSet<ConnectionNumber>,
     next_number: u64,
 }
 
@@ -174,9 +178,11 @@
             connections: HashMap::new(),
             by_address: HashMap::new(),
             held: 0,
+            small_held: 0,
             large: 0,
             large_arriving: HashSet::new(),
             answering: 0,
+            reading_answers: BTreeSet::new(),
             next_number: 0,
         }
     }
@@ -264,6 +270,29 @@
         Ok(ended)
     }
 
+    /// Records that an answer is being read from a backend server to its end before any of it is
+    /// passed on.
+    pub fn begin_answer(&mut self, number: ConnectionNumber) {
+        let phase = self.connections.get(&number).map(|it| it.phase);
+        if phase == Some(ConnectionPhase::Answering) {
+            self.reading_answers.insert(number);
+        }
+    }
+
+    /// Records that an answer has been read.
+    pub fn end_answer(&mut self, number: ConnectionNumber) {
+        self.reading_answers.remove(&number);
+    }
+
+    /// Whether more of an answer may be read now.
+    ///
+    /// Beyond the budget, only the answer of the oldest connection is read further, so that answers
+    /// do not wait for one another.
+    #[must_use]
+    pub fn may_read_answer(&self, number: ConnectionNumber) -> bool {
+        self.held < self.bounds.bytes || self.reading_answers.first() == Some(&number)
+    }
+
     /// Changes what a connection holds, after `arrived` more bytes of its request.
     ///
     /// A request that is being answered always gets its space, since it may have run.
@@ -329,7 +358,10 @@
             let large = self.large_arriving.iter();
             return self.find_least(large.map(|number| (number, &self.connections[number])), now);
         }
-        if self.connections[&number].is_large() {
+        // What is left is being answered and may hold more than the budget; small requests have
+        // their reserve even then.
+        let has_reserve = self.small_held <= self.bounds.reserve;
+        if self.connections[&number].is_large() || has_reserve {
             return None;
         }
         let arriving = self.connections.iter();
@@ -392,6 +424,7 @@
             return;
         }
         if connection.phase == ConnectionPhase::Answering {
+            self.reading_answers.remove(&number);
             self.answering -= 1;
         }
         if phase == ConnectionPhase::Answering {
@@ -418,10 +451,18 @@
         if connection.phase == ConnectionPhase::Ended {
             return;
         }
-        self.large -= u64::from(connection.is_large());
         let before = connection.held;
+        if connection.is_large() {
+            self.large -= 1;
+        } else {
+            self.small_held -= before;
+        }
         connection.held = held;
-        self.large += u64::from(connection.is_large());
+        if connection.is_large() {
+            self.large += 1;
+        } else {
+            self.small_held += held;
+        }
         self.held = self.held - before + held;
         let address = connection.address;
         let by_address = self.by_address.entry(address).or_default();
--- a/crates/celerycrank-serving/tests/caller_budget.rs
+++ b/crates/celerycrank-serving/tests/caller_budget.rs
@@ -115,6 +115,14 @@
     assert_eq!(hold(&mut budget, late, 70, 20), Err(NoRoomError));
     // An answer gets its space, although requests that are being answered cannot give way.
     assert_eq!(hold(&mut budget, large[0], 600, 30), Ok(vec![]));
+    budget.close(small[0]);
+    let small = begin(&mut budget, 2, 40);
+    assert_eq!(hold(&mut budget, small, 64, 40), Ok(vec![]));
+    // Beyond the budget, answers are read one after another.
+    large.iter().rev().for_each(|it| budget.begin_answer(*it));
+    assert_eq!(large.map(|it| budget.may_read_answer(it)), [true, false]);
+    budget.end_answer(large[0]);
+    assert!(budget.may_read_answer(large[1]));
 }
 
 // Guards against a bound that refuses a legal body although nobody else needs space.
