--- a/crates/celerycrank-config/src/check/setting.rs
+++ b/crates/celerycrank-config/src/check/setting.rs
@@ -49,6 +49,7 @@
     optional("cold", COLD),
     optional("prompt_cache", PROMPT_CACHE),
     required("grace", text::<DecimalSpan>()),
+    optional("memory", SIZE),
 ]);
 
 const RANK_AGENT_SCHEMA: Schema = Schema::Object(&[
@@ -87,6 +88,7 @@
     optional("header", SIZE),
     optional("body", SIZE),
     optional("connections", Schema::Count),
+    optional("memory", SIZE),
     optional("header_timeout", SPAN),
     optional("body_timeout", SPAN),
     optional("write_timeout", SPAN),
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use bytes::Bytes;
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
 use celerycrank_routing::PromptBeginnings;
@@ -12,7 +11,11 @@
 use celerycrank_types::{AccountId, PromptPartId, RefusalReason, Revision, ServiceId, TimePoint};
 use smallvec::SmallVec;
 
-use super::state::{ConfigurationInForce, EntryState};
+use super::{
+    body::RequestBody,
+    space::CallerSpace,
+    state::{ConfigurationInForce, EntryState},
+};
 
 /// A request that was received in full and is allowed by a route.
 #[derive(Debug)]
@@ -20,7 +23,7 @@
     /// The caller's identifier for this attempt.
     pub(crate) attempt: Arc<str>,
     pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     pub(crate) route: Rc<RouteRule>,
     /// The revision of the configuration under which it was admitted.
     pub(crate) revision: Revision,
@@ -39,6 +42,8 @@
     pub(crate) shared_parts: SmallVec<[PromptPartId; 4]>,
     /// The beginnings of the prompt, if backend servers may hold some of them.
     pub(crate) beginnings: Option<PromptBeginnings>,
+    /// The memory that its connection holds.
+    pub(crate) space: Rc<CallerSpace>,
 }
 
 impl AdmittedRequest {
@@ -68,8 +73,9 @@
 #[derive(Debug)]
 pub(crate) struct RequestDraft {
     pub(crate) head: RequestHead,
-    pub(crate) body: Bytes,
+    pub(crate) body: RequestBody,
     pub(crate) arrival: TimePoint,
+    pub(crate) space: Rc<CallerSpace>,
 }
 
 /// Admits a request, or returns the reason for its refusal.
@@ -106,6 +112,7 @@
         shared_parts: metadata.shared_parts,
         head: draft.head,
         body: draft.body,
+        space: draft.space,
         route,
         account,
         service,
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -28,6 +28,7 @@
     pool::ConnectionPool,
     prompt_cache::PromptCache,
     quarantine::ReportQueue,
+    space::SpaceLedger,
     stop::StopSchedule,
 };
 
@@ -54,6 +55,8 @@
     pub(crate) ending: ShutdownFlag,
     /// Number of open connections of callers.
     pub(crate) caller_connections: Cell<u32>,
+    /// The memory and the connections of callers.
+    pub(crate) space: SpaceLedger,
     /// Number of requests whose answer is not complete.
     pub(crate) requests_in_flight: Cell<u32>,
     in_force: RefCell<Option<Rc<ConfigurationInForce>>>,
@@ -145,6 +148,7 @@
             stop: Cell::new(None),
             ending: ShutdownFlag::default(),
             caller_connections: Cell::new(0),
+            space: SpaceLedger::new(&settings),
             requests_in_flight: Cell::new(0),
             in_force: RefCell::default(),
             retry_windows: RefCell::default(),
@@ -193,6 +197,7 @@
             self.prompt_cache.reload(settings.prompt_cache);
         }
         self.retry_windows.borrow_mut().clear();
+        self.space.reload(&settings);
         *self.settings.borrow_mut() = Rc::new(settings);
         self.update_cold_starts();
         tracing::info!("settings reloaded");
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer_pace;
 mod backend;
 mod budget;
+mod caller_budget;
 mod check;
 mod choice;
 mod clearance;
@@ -41,6 +42,10 @@
     admission_queue::{AccountLoads, AccountShare, AdmissionQueue, WaitBand, WaitRank, WaitTicket},
     backend::BackendState,
     budget::{EntryCount, RetryAllowance, RetryWindow},
+    caller_budget::{
+        BudgetBounds, CallerBudget, ConnectionNumber, EndReason, EndedConnection, NoRoomError,
+        SpaceDecision,
+    },
     check::{
         CONFIGURATION_WARNING_CODES, ConfigurationPlace, ConfigurationWarning, LimitField,
         RouteField, ServiceField, check_configuration,
