The failure rate of a backend server decreases without answers

A plain server that had failed some of its requests cost up to four requests more than the others and was not chosen under little load, so that no answer could show its recovery. The failure rate is now halved in each 3 s without an answer. A rate of zero stays exactly zero, so that the choice among servers without failures is as before.

--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -74,7 +74,7 @@
             obstacle: it.obstacle(now).map(|obstacle| obstacle.to_string()),
             own_requests: it.load.own(),
             requests: it.load.total(now),
-            failures: it.failure_rate(),
+            failures: it.failure_rate(now),
             slowdown: it.slowdown(now),
             limit: it.limit().map(|limit| limit.to_string()),
             cold_remaining: it.cold_remaining(now).map(|span| span.to_string()),
--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -164,7 +164,7 @@
         state
             .backends
             .borrow_mut()
-            .note_answer(&backend, is_failure);
+            .note_answer(&backend, is_failure, state.clock.now());
         if is_failure {
             dispatch.note_unanswered(track);
         } else {
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -225,7 +225,9 @@
         self.state.metrics.takeovers_begun.inc();
         let backend = track.backend();
         if let Some(backend) = &backend {
-            self.state.backends.borrow_mut().note_answer(backend, true);
+            let now = self.state.clock.now();
+            let mut backends = self.state.backends.borrow_mut();
+            backends.note_answer(backend, true, now);
         }
         tracing::info!(
             request = %self.request.attempt,
@@ -452,7 +454,7 @@
             AttemptError::NotSent => backends.note_unreachable(backend, now),
             AttemptError::Misdirected => backends.note_misdirected(backend),
             AttemptError::Broken(UnknownReason::BackendBroke) => backends.note_broken(backend, now),
-            AttemptError::Broken(_) => backends.note_answer(backend, true),
+            AttemptError::Broken(_) => backends.note_answer(backend, true, now),
             AttemptError::NotRun => backends.note_refused(backend, now),
             // What one request asks for says nothing about others.
             AttemptError::Unsuitable | AttemptError::Stale | AttemptError::TooLate => {}
--- a/crates/celerycrank-direct/src/entry/live.rs
+++ b/crates/celerycrank-direct/src/entry/live.rs
@@ -122,7 +122,7 @@
     pub(crate) fn release(self, state: &EntryState) {
         let is_failure = self.is_backend_failure();
         let mut backends = state.backends.borrow_mut();
-        backends.note_answer(self.backend(), is_failure);
+        backends.note_answer(self.backend(), is_failure, state.clock.now());
         drop(backends);
         self.body.release(state);
     }
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -24,6 +24,13 @@
 /// Weight of the newest answer in the moving average of the failure rate.
 const FAILURE_RATE_SMOOTHING: f64 = 0.2;
 
+/// Time without an answer in which the failure rate is halved, so that the backend server is tried
+/// again.
+///
+/// Without it, one that had failed half of its requests was not sent any of 20 in the seconds after its
+/// recovery, if the others had room.
+const FAILURE_RATE_HALF_LIFE: TimeSpan = TimeSpan::from_secs(3);
+
 /// Interval at which the other entries are notified that a limit is still named.
 const ANNOUNCEMENT_INTERVAL: TimeSpan = TimeSpan::from_secs(3);
 
@@ -55,8 +62,10 @@
     pub(crate) cold: ColdPace,
     /// End and length of the latest backoff.
     backoff: Option<(TimePoint, TimeSpan)>,
-    /// Moving average of failed answers, from 0 to 1.
+    /// Moving average of failed answers at the latest one, from 0 to 1.
     failure_rate: f64,
+    /// When the latest answer or failure was recorded.
+    answered_at: TimePoint,
     /// How fast it answers, if no agent reports that.
     pub(crate) pace: AnswerPace,
     /// When its lock-step group, which is unstable, will be stable if it stays open.
@@ -85,6 +94,7 @@
             is_evacuated: false,
             backoff: None,
             failure_rate: 0.0,
+            answered_at: TimePoint::default(),
             pace: AnswerPace::default(),
             unstable_until: None,
             allowance: None,
@@ -162,10 +172,14 @@
             .is_none_or(SendObstacle::allows_last_resort)
     }
 
-    /// Moving average of failed answers, from 0 to 1.
+    /// Moving average of failed answers, from 0 to 1, which decreases while there is no answer.
     #[must_use]
-    pub const fn failure_rate(&self) -> f64 {
-        self.failure_rate
+    pub fn failure_rate(&self, now: TimePoint) -> f64 {
+        if self.failure_rate <= 0.0 {
+            return 0.0;
+        }
+        let age = now.since(self.answered_at).as_secs_f64();
+        self.failure_rate * (-age / FAILURE_RATE_HALF_LIFE.as_secs_f64()).exp2()
     }
 
     /// Slowdown factor of its answers compared with the other backend servers of its service, as far
@@ -191,9 +205,11 @@
             && self.removed_at.is_none()
     }
 
-    pub(crate) fn note_answer(&mut self, is_failure: bool) {
+    pub(crate) fn note_answer(&mut self, is_failure: bool, now: TimePoint) {
         let sample = if is_failure { 1.0 } else { 0.0 };
-        self.failure_rate += (sample - self.failure_rate) * FAILURE_RATE_SMOOTHING;
+        let rate = self.failure_rate(now);
+        self.failure_rate = rate + (sample - rate) * FAILURE_RATE_SMOOTHING;
+        self.answered_at = now;
         if !is_failure {
             self.backoff = None;
         }
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -337,7 +337,7 @@
     let flow = state.load.unreported(now);
     let places = f64::from(limit.requests) - f64::from(state.load.reported(now));
     let places = places + f64::from(flow.ended) - scale * f64::from(flow.sent);
-    let reliability = 1.0 - state.failure_rate();
+    let reliability = 1.0 - state.failure_rate(now);
     places.max(0.0) * (reliability * reliability).max(MIN_RELIABILITY)
 }
 
@@ -350,7 +350,7 @@
     });
     let is_closed = report.is_some_and(|report| !report.is_open);
     let mut cost = (f64::from(state.load.total(query.now)) + 1.0) * pace;
-    cost += state.failure_rate() * FAILURE_COST;
+    cost += state.failure_rate(query.now) * FAILURE_COST;
     if state.registration.domain != *query.domain {
         cost += REMOTE_DOMAIN_COST;
     }
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -231,9 +231,9 @@
     }
 
     /// Records an answer and whether it was a failure of the backend server.
-    pub fn note_answer(&mut self, backend: &BackendId, is_failure: bool) {
+    pub fn note_answer(&mut self, backend: &BackendId, is_failure: bool, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
-            state.note_answer(is_failure);
+            state.note_answer(is_failure, now);
         }
     }
 
@@ -331,7 +331,7 @@
 
     /// Records that a backend server broke off its answer to a request.
     pub fn note_broken(&mut self, backend: &BackendId, now: TimePoint) {
-        self.note_answer(backend, true);
+        self.note_answer(backend, true, now);
         self.note_group_failure(backend, now);
     }
 
--- a/crates/celerycrank-serving/tests/decisions.rs
+++ b/crates/celerycrank-serving/tests/decisions.rs
@@ -278,7 +278,7 @@
         "used as a last resort"
     );
     for _ in 0..10 {
-        table.note_answer(&backend("z"), true);
+        table.note_answer(&backend("z"), true, at(0));
     }
     assert_eq!(choose(&table, &[], at(1_000)), Some(backend("y")));
     assert_eq!(
@@ -315,7 +315,7 @@
     table.replace(vec![registration("x", "a", 1)], at(0));
     for _ in 0..5 {
         table.begin(&backend("x"), at(0));
-        table.note_answer(&backend("x"), true);
+        table.note_answer(&backend("x"), true, at(0));
     }
     table.apply(
         RegistrationChange::Written(registration("x", "a", 2)),
@@ -323,7 +323,7 @@
     );
     let state = table.find_mut(&backend("x")).expect("known");
     assert_eq!(state.load.own(), 0);
-    assert!(state.failure_rate() < 0.01);
+    assert!(state.failure_rate(at(1)) < 0.01);
     // The end of a request to the previous incarnation has no effect.
     table.finish(&backend("x"));
     assert_eq!(table.find_mut(&backend("x")).expect("known").load.own(), 0);
--- a/crates/celerycrank-serving/tests/stability.rs
+++ b/crates/celerycrank-serving/tests/stability.rs
@@ -100,7 +100,8 @@
         let is_closed = report.is_some_and(|it| !it.is_open);
         let closed = f64::from(u8::from(is_closed)) * 50.0;
         let load = f64::from(state.load.total(now)) + 1.0;
-        let plain = load * report.map_or(1.0, |it| it.pace) + state.failure_rate() * 4.0 + closed;
+        let plain =
+            load * report.map_or(1.0, |it| it.pace) + state.failure_rate(now) * 4.0 + closed;
         let cost = with_query(now, |query| estimate_cost(state, query));
         assert!(cost.total_cmp(&plain).is_eq(), "{cost}, not {plain}");
     }
@@ -135,7 +136,7 @@
                 table.note_broken(&names[*rank], at(now));
                 cut_off[usize::try_from((now - 2_000) / 1_400).expect("small")] += 1;
             } else if *end <= now {
-                table.note_answer(&names[*rank], false);
+                table.note_answer(&names[*rank], false, at(now));
             }
             let is_running = is_open(*rank) && *end > now;
             if !is_running {
@@ -187,7 +188,7 @@
             let (table, name) = (&mut tables[*entry], &names[*server]);
             let (is_answered, waited) = (*end <= now, TimeSpan::from_millis(now - begun));
             if is_answered {
-                table.note_answer(name, false);
+                table.note_answer(name, false, at(now));
                 table.note_answer_time(name, waited, at(now));
             } else if now >= begun + 1_200 {
                 table.note_unanswered(name, waited, at(now));
@@ -239,6 +240,45 @@
     }
 }
 
+/// Plays an entry that sends 5 requests a second of 100 ms to three plain servers, the first of which
+/// fails a part of its requests until 20 s.
+///
+/// Returns how many of 100 requests the first server is sent from 10 s to 20 s, and from 30 s to 34 s.
+fn play_failures(seed: u64, part: f64) -> (i32, i32) {
+    let (names, mut random) = (names(3), StdRng::seed_from_u64(seed));
+    let mut table = table_of(&names);
+    let mut sent = [(0, 0), (0, 0)];
+    for now in (0..34_000).step_by(200) {
+        let server = choose(&table, &names, now, &mut random);
+        let is_failure = server == 0 && now < 20_000 && random.random_bool(part);
+        table.begin(&names[server], at(now));
+        table.finish(&names[server]);
+        table.note_answer(&names[server], is_failure, at(now + 100));
+        let phase = match now {
+            10_000..20_000 => 0,
+            30_000.. => 1,
+            _ => continue,
+        };
+        sent[phase].0 += i32::from(server == 0);
+        sent[phase].1 += 1;
+    }
+    let [failing, recovered] = sent.map(|(first, all)| 100 * first / all);
+    (failing, recovered)
+}
+
+/// Guards against a server that has failed some requests and is not tried again, and against one that
+/// goes on failing and is tried as often as the others.
+#[test]
+fn a_server_that_failed_requests_is_tried_again_after_a_while() {
+    for part in [0.5, 1.0] {
+        let runs = (0..8).map(|seed| play_failures(seed, part));
+        let runs = runs.collect::<Vec<_>>();
+        let mean = runs.iter().map(|(_, recovered)| recovered).sum::<i32>() / 8;
+        let most = runs.iter().map(|(failing, _)| failing).max();
+        assert!(mean >= 15 && most <= Some(&10), "{part} fail: {runs:?}");
+    }
+}
+
 #[test]
 fn the_time_to_stay_open_doubles_up_to_six_seconds() {
     let (mut table, names) = small_groups(2);
@@ -293,7 +333,7 @@
             let mut report = report(index / 2, round % 7, is_open);
             report.pace = 1.0 + f64::from(round % 3) / 2.0;
             table.observe_load(name, report, at(now));
-            table.note_answer(name, round % 9 == 0);
+            table.note_answer(name, round % 9 == 0, at(now));
         }
         check_plain_costs(&table, at(now));
         if round % 7 == 0 {
