Cold starts: no place from the lists of agents that have just started

After a power failure of engines and entries, an agent lists only the entries that have subscribed to its reports so far. An entry took its place from the first such list and used the share of one among few at a cold backend server. A place now counts only when lists have arrived for 3.5 s. Since a cold time may be shorter, entries ask for the list every second while any backend server has a limit when cold, and no longer only while one is cold.

--- a/crates/celerycrank-direct/src/entry/limits.rs
+++ b/crates/celerycrank-direct/src/entry/limits.rs
@@ -5,13 +5,13 @@
 //! begins or ends, so that one whose share is zero knows of the end too.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::HashMap,
     net::{IpAddr, SocketAddr},
 };
 
-use celerycrank_serving::{EntryPlace, LimitNotice};
-use celerycrank_types::{BackendId, RequestRate, TimePoint, TimeSpan};
+use celerycrank_serving::{EntryList, LimitNotice};
+use celerycrank_types::{BackendId, RequestRate};
 use rand::seq::IteratorRandom;
 use tokio::{net::UdpSocket, sync::Notify};
 
@@ -22,13 +22,6 @@
 /// since datagrams may be lost.
 const MAX_ASKED_AGENTS: usize = 3;
 
-/// Time for which a list of entries is preferred to a shorter one, whose agent may have started just
-/// now.
-const LIST_LIFETIME: TimeSpan = TimeSpan::from_millis(3_500);
-
-/// Maximum number of entries in a list.
-const MAX_ENTRIES: usize = 2_048;
-
 /// What an entry needs to share limits.
 #[derive(Debug, Default)]
 pub(crate) struct LimitSharing {
@@ -36,9 +29,7 @@
     pending: RefCell<HashMap<BackendId, Option<RequestRate>>>,
     /// Wakes the task that sends datagrams.
     pub(super) has_pending: Notify,
-    /// All entries, in the order of their addresses.
-    entries: RefCell<Vec<SocketAddr>>,
-    listed_at: Cell<TimePoint>,
+    entries: RefCell<EntryList>,
 }
 
 impl LimitSharing {
@@ -93,21 +84,15 @@
         let backends = state.backends.borrow();
         let mut pending = state.limits.pending.borrow_mut();
         pending.retain(|backend, _| backends.registration(backend).is_some());
-        let now = state.clock.now();
-        let mut shared = backends.iter();
-        !pending.is_empty() || shared.any(|it| it.limit().is_some() || it.is_cold_limited(now))
+        !pending.is_empty() || backends.needs_place()
     };
     if !is_needed {
         update_place(state);
         return;
     }
     let port = state.settings().peer.port();
-    let list_age = state.clock.now().since(state.limits.listed_at.get());
-    let count = if list_age > LIST_LIFETIME {
-        MAX_ASKED_AGENTS
-    } else {
-        1
-    };
+    let is_recent = state.limits.entries.borrow().is_recent(state.clock.now());
+    let count = if is_recent { 1 } else { MAX_ASKED_AGENTS };
     let asked = {
         let mut random = state.random.borrow_mut();
         agents.keys().choose_multiple(&mut *random, count)
@@ -120,22 +105,17 @@
 }
 
 /// Takes over a list of all entries from an agent.
-pub(super) fn note_entries(state: &EntryState, mut entries: Vec<SocketAddr>) {
-    entries.truncate(MAX_ENTRIES);
+pub(super) fn note_entries(state: &EntryState, entries: Vec<SocketAddr>) {
     let now = state.clock.now();
-    let is_old = now.since(state.limits.listed_at.get()) > LIST_LIFETIME;
-    if !is_old && entries.len() < state.limits.entries.borrow().len() {
-        return;
+    if state.limits.entries.borrow_mut().note(entries, now) {
+        update_place(state);
     }
-    *state.limits.entries.borrow_mut() = entries;
-    state.limits.listed_at.set(now);
-    update_place(state);
 }
 
 /// Notifies the other entries of limits that begin, go on or end.
 pub(super) async fn announce_limits(state: &EntryState, socket: &UdpSocket) {
     let own = state.settings().peer;
-    let others = state.limits.entries.borrow().clone();
+    let others = state.limits.entries.borrow().entries().to_vec();
     if others.is_empty() {
         return;
     }
@@ -158,14 +138,9 @@
 /// Computes the place of this entry among all entries.
 fn update_place(state: &EntryState) {
     let own = state.settings().peer;
-    let entries = state.limits.entries.borrow();
-    let index = entries.iter().position(|entry| *entry == own);
-    let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
-    let index = index.and_then(|index| u32::try_from(index).ok());
-    let place = index.and_then(|index| EntryPlace::new(index, count));
     let now = state.clock.now();
-    let is_recent = now.since(state.limits.listed_at.get()) <= LIST_LIFETIME;
+    let entries = state.limits.entries.borrow();
     let mut backends = state.backends.borrow_mut();
-    backends.set_place(place, now);
-    backends.set_cold_place(place.filter(|_| is_recent), now);
+    backends.set_place(entries.place(own), now);
+    backends.set_cold_place(entries.certain_place(own, now), now);
 }
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -129,10 +129,9 @@
         self.cold.remaining(now)
     }
 
-    /// Whether it is cold and the entries share the requests that it takes.
-    #[must_use]
-    pub fn is_cold_limited(&self, now: TimePoint) -> bool {
-        self.cold.is_limited(now)
+    /// Whether the entries share a limit of it, or the requests that it takes while it is cold.
+    pub(crate) fn is_shared(&self) -> bool {
+        self.allowance.is_some() || self.cold.has_share()
     }
 
     /// Why it is not sent requests; `None` if it may be sent some.
--- a/crates/celerycrank-serving/src/cold.rs
+++ b/crates/celerycrank-serving/src/cold.rs
@@ -163,9 +163,9 @@
         (now < self.until).then(|| self.until.since(now))
     }
 
-    /// Whether the backend server is cold and its requests are limited.
-    pub(crate) fn is_limited(&self, now: TimePoint) -> bool {
-        now < self.until && self.per_second.is_some()
+    /// Whether its requests are limited whenever it is cold.
+    pub(crate) fn has_share(&self) -> bool {
+        self.per_second.is_some()
     }
 
     pub(crate) fn set_share(&mut self, per_second: Option<f64>, now: TimePoint) {
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod compare;
 mod configuration;
 mod crash;
+mod entry_list;
 mod evacuation;
 mod event;
 mod evidence;
@@ -59,6 +60,7 @@
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
     },
     crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
+    entry_list::EntryList,
     evacuation::EvacuationChange,
     event::{EventError, EventReader},
     evidence::RefusedPart,
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -128,6 +128,15 @@
         }
     }
 
+    /// Whether the entries share something, so that each of them has to know its place.
+    ///
+    /// It must know its place before a backend server becomes cold: a list of entries counts only
+    /// when lists have arrived for longer than a cold time may be.
+    #[must_use]
+    pub fn needs_place(&self) -> bool {
+        self.iter().any(BackendState::is_shared)
+    }
+
     /// Records how long a backend server is still cold; returns whether it was not known to be cold.
     pub fn note_cold(&mut self, backend: &BackendId, remaining: TimeSpan, now: TimePoint) -> bool {
         let Some(state) = self.find_mut(backend) else {
--- a/crates/celerycrank-serving/tests/cold.rs
+++ b/crates/celerycrank-serving/tests/cold.rs
@@ -1,9 +1,12 @@
 //! Tests of the shares of the requests that cold backend servers take.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+};
 
 use celerycrank_serving::{
-    BackendRegistration, BackendTable, ChoiceQuery, ColdBounds, ColdStart, EntryPlace,
+    BackendRegistration, BackendTable, ChoiceQuery, ColdBounds, ColdStart, EntryList, EntryPlace,
     RegistrationChange, RegistrationState, ServiceObstacle, choose_backend,
 };
 use celerycrank_types::{BackendId, RequestRate, ServiceId, TimePoint, TimeSpan};
@@ -315,3 +318,67 @@
         assert!(most as f64 <= plan.bound(), "{entries} entries: {most}");
     }
 }
+
+/// Plays engines, their agents and entries that all start within a second after a power failure.
+///
+/// Every second each entry subscribes to all agents that run and asks some of them for the entries.
+/// Returns when the entries sent requests to one of the engines, which is cold all the time.
+fn play_common_start(plan: ColdPlan, entries: u16, seed: u64) -> Vec<TimePoint> {
+    const AGENTS: usize = 64;
+    let at = |millis| TimePoint::default() + TimeSpan::from_millis(millis);
+    let mut random = StdRng::seed_from_u64(seed);
+    let agents_from = [(); AGENTS].map(|()| random.random_range(0..1_000));
+    let mut subscribers = [(); AGENTS].map(|()| BTreeSet::new());
+    let started = (0..entries).map(|port| {
+        let start = random.random_range(0..1_000);
+        let table = plan.table(TimeSpan::from_secs(20), at(start));
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        (start, table, EntryList::default(), address)
+    });
+    let mut started = started.collect::<Vec<_>>();
+    let mut sent = Vec::new();
+    for millis in (0..10_000_u64).step_by(5) {
+        let now = at(millis);
+        for (start, table, list, own) in started.iter_mut().filter(|it| it.0 <= millis) {
+            if (millis - *start) / 5 % 200 == 0 {
+                for (subscribers, from) in subscribers.iter_mut().zip(agents_from) {
+                    // Datagrams are lost at times.
+                    if from <= millis && random.random_bool(0.9) {
+                        subscribers.insert(*own);
+                    }
+                }
+                for _ in 0..if list.is_recent(now) { 1 } else { 3 } {
+                    let asked = random.random_range(0..AGENTS);
+                    if agents_from[asked] <= millis {
+                        subscribers[asked].insert(*own);
+                        list.note(subscribers[asked].iter().copied().collect(), now);
+                    }
+                }
+                table.set_cold_place(list.certain_place(*own, now), now);
+            }
+            if send(table, now, &mut random) {
+                sent.push(now);
+            }
+        }
+    }
+    sent
+}
+
+// Guards against entries that have just started and take their place from the list of an agent to
+// which few entries have subscribed yet.
+#[test]
+fn entries_that_start_together_with_the_engines_keep_the_bound() {
+    let plan = ColdPlan::new(26.0, 1.5, 5.0);
+    for entries in [2, 8, 14, 24] {
+        for seed in 0..8 {
+            let sent = play_common_start(plan, entries, seed);
+            let most = largest_window(&sent);
+            assert!(most <= 44, "{entries} entries, seed {seed}: {most}");
+            let last = sent.iter().filter(|it| it.0 >= 9_000_000).count();
+            assert!(last >= 18, "{entries} entries, seed {seed}: {last}");
+        }
+    }
+    // They ask for their places before anything is cold.
+    assert!(plan.table(TimeSpan::ZERO, TimePoint(0)).needs_place());
+    assert!(!BackendTable::default().needs_place());
+}
