Cold starts: a backend server that may have restarted counts as cold

A backend server counted as warm if its new incarnation registered without cold_remaining_ms, and until that registration arrived: requests reached the new process without limit. The cold time and the token bucket were also lost when it changed its service, and no cold time began when it registered out of an evacuated failure domain.

It counts as cold for cold_start_s now when a new incarnation registers, when a connection to it fails and when it leaves an evacuated failure domain. A change of its service or incarnation keeps what it was sent. Services without cold_start_s are not affected.

The test a_backend_server_that_may_have_restarted_is_cold was red before, at its first check after a failed connection.

--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -341,6 +341,7 @@
     /// Records that a backend server broke off its answer to a request.
     pub fn note_broken(&mut self, backend: &BackendId, now: TimePoint) {
         self.note_answer(backend, true, now);
+        self.note_possible_restart(backend, now);
         self.note_group_failure(backend, now);
     }
 
@@ -412,9 +413,23 @@
         if let Some(state) = self.find_mut(backend) {
             state.note_unreachable(now);
         }
+        self.note_possible_restart(backend, now);
         self.note_group_failure(backend, now);
     }
 
+    /// Records that a connection failed, as it does when a process ends.
+    ///
+    /// The next process at the address may be there before its registration arrives.
+    fn note_possible_restart(&mut self, backend: &BackendId, now: TimePoint) {
+        let Some(service) = self.services_by_backend.get(backend) else {
+            return;
+        };
+        let span = self.cold.unobserved_span(service);
+        if span > TimeSpan::ZERO {
+            self.note_cold(backend, span, now);
+        }
+    }
+
     /// Records that a request failed as it does when the lock-step group of its backend server closes.
     fn note_group_failure(&mut self, backend: &BackendId, now: TimePoint) {
         let Some(service) = self.services_by_backend.get(backend).cloned() else {
@@ -445,9 +460,11 @@
             .services_by_backend
             .get(&registration.backend)
             .is_some_and(|service| *service != registration.service);
-        if has_changed_service {
-            self.remove(&registration.backend);
-        }
+        let moved = if has_changed_service {
+            self.remove(&registration.backend)
+        } else {
+            None
+        };
         self.services_by_backend
             .insert(registration.backend.clone(), registration.service.clone());
         let (service, address) = (registration.service.clone(), registration.address);
@@ -458,19 +475,29 @@
             .position(|backend| *backend == registration.backend);
         match position.map(|index| (index, &mut states[index])) {
             Some((_, state)) if state.registration.incarnation == registration.incarnation => {
+                let was_evacuated = state.is_evacuated;
                 state.is_evacuated = self.evacuated.contains(&registration.domain);
-                state
-                    .cold
-                    .note_remaining(registration.warm_up_remaining, now);
+                let remaining = if was_evacuated && !state.is_evacuated {
+                    let unobserved = self.cold.unobserved_span(&service);
+                    registration.warm_up_remaining.max(unobserved)
+                } else {
+                    registration.warm_up_remaining
+                };
+                state.cold.note_remaining(remaining, now);
                 state.registration = registration;
                 state.removed_at = None;
             }
             Some((index, _)) => {
                 // A new incarnation has no history and counts as the latest registration.
-                states.remove(index);
-                states.push(new_state(&self.evacuated, &self.cold, registration, now));
+                let previous = states.remove(index);
+                let (evacuated, cold) = (&self.evacuated, &self.cold);
+                let state = new_state(evacuated, cold, Some(previous), registration, now);
+                states.push(state);
+            }
+            None => {
+                let (evacuated, cold) = (&self.evacuated, &self.cold);
+                states.push(new_state(evacuated, cold, moved, registration, now));
             }
-            None => states.push(new_state(&self.evacuated, &self.cold, registration, now)),
         }
         self.mark_superseded(&service, address);
     }
@@ -519,26 +546,42 @@
         }
     }
 
-    fn remove(&mut self, backend: &BackendId) {
-        let Some(service) = self.services_by_backend.remove(backend) else {
-            return;
-        };
-        if let Some(states) = self.services.get_mut(&service) {
-            states.retain(|state| state.registration.backend != *backend);
-        }
+    fn remove(&mut self, backend: &BackendId) -> Option<BackendState> {
+        let service = self.services_by_backend.remove(backend)?;
+        let states = self.services.get_mut(&service)?;
+        let mut names = states.iter().map(|state| &state.registration.backend);
+        let position = names.position(|name| name == backend)?;
+        Some(states.remove(position))
     }
 }
 
-/// Creates the state of a backend server that was not known, or whose process is new.
+/// Creates the state of a backend server that was not known, whose process is new or which has changed
+/// its service.
+///
+/// Of the previous state only what it was sent and for how long it is cold stay valid: requests of a
+/// moment ago may have reached the new process.
 fn new_state(
     evacuated: &EvacuationSet,
     policy: &ColdPolicy,
+    previous: Option<BackendState>,
     registration: BackendRegistration,
     now: TimePoint,
 ) -> BackendState {
     let is_evacuated = evacuated.contains(&registration.domain);
     let share = policy.share(&registration.service, &registration.backend);
-    let mut cold = ColdPace::new(share, now);
+    let mut cold = match previous {
+        None => ColdPace::new(share, now),
+        Some(previous) => {
+            let was_evacuated = previous.is_evacuated && !is_evacuated;
+            let mut cold = previous.cold;
+            cold.set_share(share, now);
+            // Its registration may not say that it has just started.
+            if was_evacuated || previous.registration.incarnation != registration.incarnation {
+                cold.note_remaining(policy.unobserved_span(&registration.service), now);
+            }
+            cold
+        }
+    };
     cold.note_remaining(registration.warm_up_remaining, now);
     let mut state = BackendState::new(registration, cold);
     state.is_evacuated = is_evacuated;
--- a/crates/celerycrank-serving/tests/cold.rs
+++ b/crates/celerycrank-serving/tests/cold.rs
@@ -382,3 +382,41 @@
     assert!(plan.table(TimeSpan::ZERO, TimePoint(0)).needs_place());
     assert!(!BackendTable::default().needs_place());
 }
+
+// Guards against a backend server that has restarted and counts as warm: its registration does not
+// say that it is cold, or arrives late.
+#[test]
+fn a_backend_server_that_may_have_restarted_is_cold() {
+    let at = |millis| TimePoint::default() + TimeSpan::from_millis(millis);
+    let warm = || registration(TimeSpan::ZERO);
+    let new_table = || ColdPlan::new(26.0, 1.5, 5.0).table(TimeSpan::ZERO, at(0));
+    let cold_at = |table: &BackendTable, millis| {
+        let mut states = table.iter();
+        states.any(|state| state.cold_remaining(at(millis)).is_some())
+    };
+    let mut table = new_table();
+    assert!(!cold_at(&table, 0));
+    table.note_unreachable(&backend(), at(100));
+    assert!(cold_at(&table, 3_099) && !cold_at(&table, 3_100));
+    table.note_broken(&backend(), at(5_000));
+    assert!(cold_at(&table, 7_999) && !cold_at(&table, 8_000));
+    let mut restarted = warm();
+    restarted.incarnation = 2;
+    table.apply(RegistrationChange::Written(restarted.clone()), at(10_000));
+    assert!(cold_at(&table, 12_999) && !cold_at(&table, 13_000));
+    // The same process, in another service and back.
+    let mut elsewhere = restarted.clone();
+    elsewhere.service = "other".parse().expect("a valid name");
+    for written in [elsewhere, restarted.clone()] {
+        table.apply(RegistrationChange::Written(written), at(10_500));
+        assert!(cold_at(&table, 12_999) && !cold_at(&table, 13_000));
+    }
+    // It leaves an evacuated failure domain.
+    table.apply(RegistrationChange::Written(restarted.clone()), at(13_500));
+    assert!(!cold_at(&table, 13_500));
+    let domain = warm().domain;
+    table.begin_evacuation(domain);
+    restarted.domain = "b".parse().expect("a valid name");
+    table.apply(RegistrationChange::Written(restarted), at(14_000));
+    assert!(cold_at(&table, 16_999) && !cold_at(&table, 17_000));
+}
