Cold starts: a backend server that registers later gets a request at once

Each entry began with an empty bucket for every backend server that registered, also when it had been running for long. After a restart of all ranks under new names, every entry refused all requests until the buckets were full (0.54 s with 14 entries), which the bound does not need: an entry that sent a name nothing has its token. Now only the buckets of an entry that has just started are empty. A removed backend server is kept until its bucket is full, so that it cannot get a second token by registering again.

The test a_restarted_backend_server_takes_a_request_at_once was red before at its first send.

--- a/crates/celerycrank-serving/src/cold.rs
+++ b/crates/celerycrank-serving/src/cold.rs
@@ -58,6 +58,9 @@
     pub(crate) bounds: Option<ColdBounds>,
     /// The place of this entry among all entries; `None` if it is not known for certain.
     pub(crate) place: Option<EntryPlace>,
+    /// When the registrations were first read; this entry may have sent requests before, as another
+    /// process.
+    pub(crate) started_at: Option<TimePoint>,
 }
 
 impl ColdPolicy {
@@ -141,17 +144,24 @@
 }
 
 impl ColdPace {
-    /// Creates the pace of a backend server that becomes known.
+    /// Creates the pace of a backend server that becomes known, to which this process has sent nothing
+    /// since `started_at`.
     ///
-    /// It allows no request at once: this entry may have sent some before it restarted.
-    pub(crate) fn new(per_second: Option<f64>, now: TimePoint) -> Self {
+    /// Right after the start it allows no request: this entry may have sent some before it restarted.
+    pub(crate) fn new(per_second: Option<f64>, started_at: TimePoint) -> Self {
         Self {
             until: TimePoint(0),
             per_second,
-            next_at: filled_at(per_second, 1.0, now),
+            next_at: filled_at(per_second, 1.0, started_at),
         }
     }
 
+    /// Whether it may be forgotten: a new one would allow no more than this one.
+    pub(crate) fn is_forgettable(&self, now: TimePoint) -> bool {
+        // Without a share there is nothing to remember, and the bucket never fills.
+        self.per_second.is_none_or(|rate| rate <= 0.0) || now >= self.next_at
+    }
+
     /// Records that the backend server is cold for this time; an earlier notice of a longer time
     /// stays valid.
     pub(crate) fn note_remaining(&mut self, remaining: TimeSpan, now: TimePoint) {
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -58,6 +58,7 @@
 
     /// Applies the complete list of registrations; those missing from it count as removed.
     pub fn replace(&mut self, registrations: Vec<BackendRegistration>, now: TimePoint) {
+        self.cold.started_at.get_or_insert(now);
         let listed = registrations
             .iter()
             .map(|registration| registration.backend.clone());
@@ -74,12 +75,13 @@
         }
     }
 
-    /// Drops removed backend servers whose grace period has ended and that have no request of
-    /// this entry in flight.
+    /// Drops removed backend servers whose grace period has ended, that have no request of this
+    /// entry in flight and that could be sent a request at once if they registered again.
     pub fn prune_removed(&mut self, now: TimePoint) {
         for states in self.services.values_mut() {
             states.retain(|state| {
-                let is_prunable = state.is_grace_over(now) && state.load.own() == 0;
+                let is_unused = state.is_grace_over(now) && state.load.own() == 0;
+                let is_prunable = is_unused && state.cold.is_forgettable(now);
                 if is_prunable {
                     self.services_by_backend.remove(&state.registration.backend);
                 }
@@ -570,7 +572,7 @@
     let is_evacuated = evacuated.contains(&registration.domain);
     let share = policy.share(&registration.service, &registration.backend);
     let mut cold = match previous {
-        None => ColdPace::new(share, now),
+        None => ColdPace::new(share, policy.started_at.unwrap_or(now)),
         Some(previous) => {
             let was_evacuated = previous.is_evacuated && !is_evacuated;
             let mut cold = previous.cold;
--- a/crates/celerycrank-serving/tests/cold.rs
+++ b/crates/celerycrank-serving/tests/cold.rs
@@ -420,3 +420,34 @@
     table.apply(RegistrationChange::Written(restarted), at(14_000));
     assert!(cold_at(&table, 16_999) && !cold_at(&table, 17_000));
 }
+
+// Guards against entries that refuse every request after a restart of all ranks, although they have
+// sent these nothing in the last second.
+#[test]
+fn a_restarted_backend_server_takes_a_request_at_once() {
+    let at = |millis| TimePoint::default() + TimeSpan::from_millis(millis);
+    let mut random = StdRng::seed_from_u64(1);
+    let mut restarted = registration(TimeSpan::from_secs(3));
+    restarted.incarnation = 2;
+    let mut renamed = restarted.clone();
+    renamed.backend = "w2".parse().expect("a valid name");
+    for written in [restarted, renamed] {
+        let mut table = ColdPlan::new(26.0, 1.5, 5.0).table(TimeSpan::ZERO, at(0));
+        table.set_cold_place(EntryPlace::new(0, 14), at(0));
+        table.apply(RegistrationChange::Removed(backend()), at(4_000));
+        let change = RegistrationChange::Written(written);
+        table.apply(change.clone(), at(6_000));
+        assert!(send(&mut table, at(6_000), &mut random));
+        assert!(!send(&mut table, at(6_010), &mut random));
+        // It is removed and forgotten, and registers again.
+        let removed = table.of_service(&service());
+        let names = removed.iter().map(|it| it.registration.backend.clone());
+        for name in names.collect::<Vec<_>>() {
+            table.apply(RegistrationChange::Removed(name), at(4_500));
+        }
+        table.prune_removed(at(6_020));
+        table.apply(change, at(6_030));
+        assert!(!send(&mut table, at(6_040), &mut random));
+        assert!(send(&mut table, at(6_700), &mut random));
+    }
+}
