A load of the store is not undone by the changes before it

An entry polls changes from a revision before its load, so that the first polls return changes that the load includes. If a key of an evacuation had been deleted and written again, the deletion was applied after the load, and where a poll returns one change, requests reached the evacuated failure domain until the next poll, 250 ms or more later. A registration could go back to its earlier failure domain or incarnation in the same way. Changes that the load includes are not applied any more (ReadPrefixes).

The test changes_before_a_read_are_not_applied_after_it of celerycrank-client was run with the check left out and was red: all four changes were to be applied, where the load includes two of them.

--- a/crates/celerycrank-client/src/batch.rs
+++ b/crates/celerycrank-client/src/batch.rs
@@ -20,6 +20,29 @@
     pub revision: ModRevision,
 }
 
+/// Prefixes whose records were read after the revision from which changes are polled.
+///
+/// A poll returns the changes in between too. Applied after the records, they would for a moment bring
+/// back an earlier state, such as the deletion of a key that was written again since.
+#[derive(Debug, Clone, Default)]
+pub struct ReadPrefixes(Vec<(&'static str, ModRevision)>);
+
+impl ReadPrefixes {
+    /// Records the revision at which the records under a prefix were read.
+    pub fn note(&mut self, prefix: &'static str, revision: ModRevision) {
+        self.0.push((prefix, revision));
+    }
+
+    /// Whether the records that were read include a change.
+    #[must_use]
+    pub fn include(&self, event: &WatchEvent) -> bool {
+        let mut read = self.0.iter();
+        read.any(|(prefix, revision)| {
+            event.key().starts_with(prefix) && event.revision() <= *revision
+        })
+    }
+}
+
 impl KeyValueClient {
     /// Waits for changes under a prefix after a revision, for at most `wait`.
     ///
--- a/crates/celerycrank-client/src/lib.rs
+++ b/crates/celerycrank-client/src/lib.rs
@@ -18,7 +18,7 @@
 mod watch;
 
 pub use crate::{
-    batch::ChangeBatch,
+    batch::{ChangeBatch, ReadPrefixes},
     call::{CallCounters, KeyValueOperation},
     client::{
         Expected, KeyValueClient, KeyValueProtocol, MAX_VALUE_BYTES, RangeSnapshot, SwapOutcome,
--- a/crates/celerycrank-client/tests/key_value.rs
+++ b/crates/celerycrank-client/tests/key_value.rs
@@ -5,7 +5,7 @@
 use actix_rt::time::timeout;
 use celerycrank_client::{
     AnswerError, Expected, KeyValueClient, KeyValueError, KeyValueOperation, MAX_VALUE_BYTES,
-    ModRevision, RecordFeed, SendError, SwapOutcome, WatchEvent, WatchTarget,
+    ModRevision, ReadPrefixes, RecordFeed, SendError, SwapOutcome, WatchEvent, WatchTarget,
 };
 use celerycrank_standin::{KeyValueFaults, KeyValueStandin, OutageKind};
 use celerycrank_types::TimeSpan;
@@ -238,3 +238,29 @@
     let counts = standin.counts();
     assert_eq!((counts.reads, counts.watches, counts.waiting), (2, 2, 1));
 }
+
+// Guards against a change that is applied after a later state was read: the deletion of a key that was
+// written again would be in force until the next poll.
+#[actix_rt::test]
+async fn changes_before_a_read_are_not_applied_after_it() {
+    let (_standin, client) = start().await;
+    let first = client.compare_and_swap("a/x", Expected::Absent, "1".into());
+    let mut polled_from = written(first.await.unwrap());
+    client.delete("a/x").await.unwrap();
+    for key in ["a/x", "b/x"] {
+        let again = client.compare_and_swap(key, Expected::Absent, "2".into());
+        written(again.await.unwrap());
+    }
+    let mut read = ReadPrefixes::default();
+    read.note("a/", client.range("a/").await.unwrap().revision);
+    client.delete("a/x").await.unwrap();
+    let mut changes = Vec::new();
+    while changes.len() < 4 {
+        let poll = client.poll_changes("", polled_from, TIMEOUT);
+        let batch = poll.await.unwrap();
+        polled_from = batch.revision;
+        changes.extend(batch.events);
+    }
+    let is_applied = changes.iter().map(|event| !read.include(event));
+    assert_eq!(is_applied.collect::<Vec<_>>(), [false, false, true, true]);
+}
--- a/crates/celerycrank-direct/src/entry/evacuation.rs
+++ b/crates/celerycrank-direct/src/entry/evacuation.rs
@@ -1,22 +1,22 @@
 //! Applies the evacuations of failure domains in the key-value service.
 
-use celerycrank_client::{KeyValueError, WatchEvent};
+use celerycrank_client::{KeyValueError, ModRevision, WatchEvent};
 use celerycrank_platform::{EVACUATION_PREFIX, parse_evacuation_key};
 use celerycrank_serving::EvacuationChange;
 use celerycrank_types::DomainId;
 
 use super::state::EntryState;
 
-/// Reads all evacuations, which replace those known so far.
-pub(super) async fn read_evacuations(state: &EntryState) -> Result<(), KeyValueError> {
-    let records = state.store.range(EVACUATION_PREFIX).await?.records;
-    let domains = records.iter();
+/// Reads all evacuations, which replace those known so far; returns the revision of the read.
+pub(super) async fn read_evacuations(state: &EntryState) -> Result<ModRevision, KeyValueError> {
+    let snapshot = state.store.range(EVACUATION_PREFIX).await?;
+    let domains = snapshot.records.iter();
     let domains = domains.filter_map(|record| decode_key(state, &record.key));
     let domains = domains.collect();
     let now = state.clock.now();
     let change = state.backends.borrow_mut().replace_evacuated(domains, now);
     note_change(state, &change);
-    Ok(())
+    Ok(snapshot.revision)
 }
 
 /// Applies the beginning or end of an evacuation.
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_rt::time::sleep;
-use celerycrank_client::{KeyValueError, KeyValueRecord, WatchEvent};
+use celerycrank_client::{KeyValueError, KeyValueRecord, ModRevision, ReadPrefixes, WatchEvent};
 use celerycrank_platform::{
     CONFIGURATION_KEY, EVACUATION_PREFIX, REGISTRATION_PREFIX, parse_registration_key,
     read_configuration, read_registration,
@@ -56,8 +56,9 @@
     read_clearances(state).await?;
     read_crash_reports(state).await?;
     // Read first, so that no backend server is used before it is known whether it may be.
-    read_evacuations(state).await?;
-    read_backends(state).await?;
+    let mut read = ReadPrefixes::default();
+    read.note(EVACUATION_PREFIX, read_evacuations(state).await?);
+    read.note(REGISTRATION_PREFIX, read_backends(state).await?);
     backoff.record_success();
     loop {
         let asked_at = state.clock.now();
@@ -67,7 +68,7 @@
         let batch = poll.await?;
         backoff.record_success();
         revision = batch.revision;
-        for event in &batch.events {
+        for event in batch.events.iter().filter(|it| !read.include(it)) {
             apply_event(state, event, &mut is_newest);
         }
         state.backends.borrow_mut().prune_removed(state.clock.now());
@@ -81,7 +82,8 @@
     }
 }
 
-async fn read_backends(state: &EntryState) -> Result<(), KeyValueError> {
+/// Reads all registrations, which replace those known so far; returns the revision of the read.
+async fn read_backends(state: &EntryState) -> Result<ModRevision, KeyValueError> {
     let snapshot = state.store.range(REGISTRATION_PREFIX).await?;
     let mut records = snapshot.records;
     // Of two records with the same address, the one written last is the one in use there.
@@ -95,7 +97,7 @@
     state.has_read_backends.set(true);
     let backends = state.backends.borrow();
     log_unknown_domains(state, backends.evacuated_domains());
-    Ok(())
+    Ok(snapshot.revision)
 }
 
 /// Applies one change; `is_newest` tracks whether the configuration in force is the newest.
