A group in another state for a moment has not closed

A single report of a state other than open counted as a closure, so that a group whose ranks switch their expert map twice within 8 s, and report another state for a moment, became unstable and received no requests that fitted elsewhere. A closure now counts when a report 200 ms or more after the first one confirms it and no rank has reported the group open meanwhile, or when requests fail at two ranks, as before.

--- a/crates/celerycrank-serving/src/stability.rs
+++ b/crates/celerycrank-serving/src/stability.rs
@@ -32,6 +32,12 @@
 /// A rank reports a change after up to 300 ms; if the datagram is lost, after 600 ms more.
 const REPORT_GAP: TimeSpan = TimeSpan::from_millis(300);
 
+/// Time between the first and a further report of a closed group from which it has closed.
+///
+/// While its ranks switch their expert map, a group may be in another state for a moment. Ranks report a
+/// closure of 600 ms over 200 to 300 ms, and again if their load changes.
+const MIN_CLOSED_SPAN: TimeSpan = TimeSpan::from_millis(200);
+
 /// Time without evidence of a closure after which failed requests show another one.
 const FAILURE_GAP: TimeSpan = TimeSpan::from_millis(700);
 
@@ -85,21 +91,32 @@
     ) -> bool {
         let record = self.record_mut(service, group, now);
         if notice.is_open {
+            if !notice.was_open {
+                record.suspected_at = None;
+            }
             return false;
         }
-        let has_just_closed = notice.was_open;
-        let Some(closure) = &mut record.closure else {
-            // A group that has not been open is forming.
-            if has_just_closed {
-                record.closure = Some(Closure::first(now));
+        if let Some(began) = record.suspected_at(now) {
+            let is_confirmed = now.since(began) >= MIN_CLOSED_SPAN;
+            if is_confirmed {
+                record.note_closure(began, now);
             }
-            return has_just_closed;
-        };
-        let has_rank_reopened = notice.closed_before.is_some_and(|at| at >= closure.began);
-        let is_separate = has_rank_reopened || now.since(closure.last_seen) >= REPORT_GAP;
-        let is_next = has_just_closed && is_separate && closure.may_repeat(now);
-        closure.observe(is_next, now);
-        is_next
+            return is_confirmed;
+        }
+        // A group that has not been open is forming.
+        let has_just_closed = notice.was_open;
+        let is_next = record.closure.as_ref().is_none_or(|closure| {
+            let has_rank_reopened = notice.closed_before.is_some_and(|at| at >= closure.began);
+            let is_separate = has_rank_reopened || now.since(closure.last_seen) >= REPORT_GAP;
+            is_separate && closure.may_repeat(now)
+        });
+        record.suspected_at = (has_just_closed && is_next).then_some(now);
+        if record.suspected_at.is_none()
+            && let Some(closure) = &mut record.closure
+        {
+            closure.last_seen = now;
+        }
+        false
     }
 
     /// Records that a request failed at a rank as it does when the group closes; returns whether
@@ -121,12 +138,16 @@
         if !is_shared {
             return false;
         }
+        let suspected_at = record.suspected_at(now);
+        let is_next = record.closure.as_ref().is_none_or(|closure| {
+            let is_separate = now.since(closure.last_seen) >= FAILURE_GAP;
+            is_separate && closure.may_repeat(now)
+        });
         match &mut record.closure {
-            Some(closure) => {
-                let is_separate = now.since(closure.last_seen) >= FAILURE_GAP;
-                closure.observe(is_separate && closure.may_repeat(now), now);
+            Some(closure) if suspected_at.is_none() && !is_next => closure.last_seen = now,
+            _ => {
+                record.note_closure(suspected_at.unwrap_or(now), now);
             }
-            None => record.closure = Some(Closure::first(now)),
         }
         true
     }
@@ -209,6 +230,8 @@
 struct GroupRecord {
     /// The latest closure.
     closure: Option<Closure>,
+    /// When a rank first reported that the group is closed, if it may have been so for a moment only.
+    suspected_at: Option<TimePoint>,
     /// The latest failed request: its rank and when it failed.
     failed: Option<(BackendId, TimePoint)>,
     /// When the group was last named in a report or by a failure.
@@ -218,6 +241,26 @@
 }
 
 impl GroupRecord {
+    /// When the closure that is suspected began.
+    ///
+    /// A report of long ago belongs to another one, which nothing has confirmed.
+    fn suspected_at(&self, now: TimePoint) -> Option<TimePoint> {
+        let suspected_at = self.suspected_at;
+        suspected_at.filter(|at| now.since(*at) < MIN_CLOSURE_INTERVAL)
+    }
+
+    /// Records that the group has closed once more.
+    fn note_closure(&mut self, began: TimePoint, now: TimePoint) {
+        let previous = self.closure.as_ref();
+        let previous = previous.filter(|it| began.since(it.last_seen) < REPEAT_SPAN);
+        self.suspected_at = None;
+        self.closure = Some(Closure {
+            began,
+            last_seen: now,
+            repeats: previous.map_or(0, |it| (it.repeats + 1).min(MAX_REPEATS)),
+        });
+    }
+
     fn unstable_until(&self) -> Option<TimePoint> {
         let closure = self.closure.as_ref()?;
         let doublings = closure.repeats.checked_sub(1)?;
@@ -246,30 +289,8 @@
 const MAX_REPEATS: u32 = 3;
 
 impl Closure {
-    const fn first(now: TimePoint) -> Self {
-        Self {
-            began: now,
-            last_seen: now,
-            repeats: 0,
-        }
-    }
-
     /// Whether another closure may have begun.
     fn may_repeat(&self, now: TimePoint) -> bool {
         now.since(self.began) >= MIN_CLOSURE_INTERVAL
     }
-
-    /// Records that the group is closed, or that it has closed once more.
-    fn observe(&mut self, is_next: bool, now: TimePoint) {
-        if is_next {
-            let is_repeated = now.since(self.last_seen) < REPEAT_SPAN;
-            self.repeats = if is_repeated {
-                (self.repeats + 1).min(MAX_REPEATS)
-            } else {
-                0
-            };
-            self.began = now;
-        }
-        self.last_seen = now;
-    }
 }
