The table's evacuations and cold backend servers in a module of their own

The methods that only concern evacuated failure domains and cold backend servers move to table/exclusion.rs; nothing else changes.

--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -1,19 +1,17 @@
 //! The table of the backend servers known to an entry.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    net::SocketAddr,
-};
+mod exclusion;
 
-use celerycrank_types::{
-    BackendId, DomainId, GroupId, RequestRate, ServiceId, TimePoint, TimeSpan,
-};
+use std::{collections::HashMap, net::SocketAddr};
+
+use celerycrank_types::{BackendId, GroupId, RequestRate, ServiceId, TimePoint, TimeSpan};
 
+use self::exclusion::new_state;
 use crate::{
-    BackendRegistration, BackendState, ColdBounds, ColdStart, EntryPlace, EvacuationChange,
-    LimitNotice, LoadReport, RegistrationChange, SendObstacle, ServiceObstacle, StabilityChange,
+    BackendRegistration, BackendState, EntryPlace, LimitNotice, LoadReport, RegistrationChange,
+    StabilityChange,
     answer_pace::AnswerPace,
-    cold::{ColdPace, ColdPolicy},
+    cold::ColdPolicy,
     evacuation::EvacuationSet,
     stability::{GroupStability, RankNotice},
 };
@@ -108,125 +106,6 @@
             .find(|state| state.registration.backend == *backend)
     }
 
-    /// Sets how the backend servers of each service start, and what all entries together may send to
-    /// a cold one.
-    pub fn set_cold_starts(
-        &mut self,
-        starts: HashMap<ServiceId, ColdStart>,
-        bounds: Option<ColdBounds>,
-        now: TimePoint,
-    ) {
-        self.cold.starts = starts;
-        self.cold.bounds = bounds;
-        self.update_cold_shares(now);
-    }
-
-    /// Sets the place of this entry among all entries, which share the requests that cold backend
-    /// servers take; `None` if it is not known for certain.
-    pub fn set_cold_place(&mut self, place: Option<EntryPlace>, now: TimePoint) {
-        if self.cold.place != place {
-            self.cold.place = place;
-            self.update_cold_shares(now);
-        }
-    }
-
-    /// Whether the entries share something, so that each of them has to know its place.
-    ///
-    /// It must know its place before a backend server becomes cold: a list of entries counts only
-    /// when lists have arrived for longer than a cold time may be.
-    #[must_use]
-    pub fn needs_place(&self) -> bool {
-        self.iter().any(BackendState::is_shared)
-    }
-
-    /// Records how long a backend server is still cold; returns whether it was not known to be cold.
-    pub fn note_cold(&mut self, backend: &BackendId, remaining: TimeSpan, now: TimePoint) -> bool {
-        let Some(state) = self.find_mut(backend) else {
-            return false;
-        };
-        let was_cold = state.cold.remaining(now).is_some();
-        state.cold.note_remaining(remaining, now);
-        !was_cold && state.cold.remaining(now).is_some()
-    }
-
-    /// Returns the evacuated failure domains.
-    pub fn evacuated_domains(&self) -> impl Iterator<Item = &DomainId> {
-        self.evacuated.iter()
-    }
-
-    /// Applies the complete list of evacuated failure domains.
-    pub fn replace_evacuated(
-        &mut self,
-        domains: BTreeSet<DomainId>,
-        now: TimePoint,
-    ) -> EvacuationChange {
-        let change = self.evacuated.replace(domains);
-        self.apply_evacuation(&change, now);
-        change
-    }
-
-    /// Records that the evacuation of a failure domain begins.
-    pub fn begin_evacuation(&mut self, domain: DomainId) -> EvacuationChange {
-        let change = self.evacuated.begin(domain);
-        self.apply_evacuation(&change, TimePoint::default());
-        change
-    }
-
-    /// Records that the evacuation of a failure domain ends.
-    ///
-    /// Its backend servers count as cold: they may have become so shortly before, unobserved.
-    pub fn end_evacuation(&mut self, domain: &DomainId, now: TimePoint) -> EvacuationChange {
-        let change = self.evacuated.end(domain);
-        self.apply_evacuation(&change, now);
-        change
-    }
-
-    /// Checks right before a request is sent that no obstacle has arisen since the choice which no
-    /// request overcomes, and records the send.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the obstacle for which nothing may be sent.
-    pub fn admit_send(
-        &mut self,
-        chosen: &BackendRegistration,
-        now: TimePoint,
-    ) -> Result<(), SendObstacle> {
-        // The backend server may have registered in another failure domain since it was chosen.
-        let current = self.registration(&chosen.backend).unwrap_or(chosen);
-        let domains = [&chosen.domain, &current.domain];
-        if domains.iter().any(|it| self.evacuated.contains(it)) {
-            return Err(SendObstacle::Evacuated);
-        }
-        if let Some(state) = self.find_mut(&chosen.backend) {
-            if !state.cold.has_room(now) {
-                return Err(SendObstacle::Cold);
-            }
-            state.cold.take(now);
-        }
-        Ok(())
-    }
-
-    /// Returns why no backend server of a service can be chosen for a request.
-    #[must_use]
-    pub fn service_obstacle(&self, service: &ServiceId, now: TimePoint) -> ServiceObstacle {
-        let states = self.of_service(service).iter();
-        let cold = states.clone();
-        let cold = cold.filter(|state| state.obstacle(now) == Some(SendObstacle::Cold));
-        if let Some(retry_after) = cold.map(|state| state.cold.time_until_room(now)).min() {
-            return ServiceObstacle::Cold { retry_after };
-        }
-        let obstacles = states.map(|state| state.obstacle(now));
-        let is_evacuated = |it| it == Some(SendObstacle::Evacuated);
-        let mut open = obstacles.clone();
-        let has_open = open.any(|it| it.is_none_or(SendObstacle::allows_last_resort));
-        if !has_open && obstacles.into_iter().any(is_evacuated) {
-            ServiceObstacle::Evacuated
-        } else {
-            ServiceObstacle::NoBackend
-        }
-    }
-
     /// Records that a request is sent.
     pub fn begin(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
@@ -419,19 +298,6 @@
         self.note_group_failure(backend, now);
     }
 
-    /// Records that a connection failed, as it does when a process ends.
-    ///
-    /// The next process at the address may be there before its registration arrives.
-    fn note_possible_restart(&mut self, backend: &BackendId, now: TimePoint) {
-        let Some(service) = self.services_by_backend.get(backend) else {
-            return;
-        };
-        let span = self.cold.unobserved_span(service);
-        if span > TimeSpan::ZERO {
-            self.note_cold(backend, span, now);
-        }
-    }
-
     /// Records that a request failed as it does when the lock-step group of its backend server closes.
     fn note_group_failure(&mut self, backend: &BackendId, now: TimePoint) {
         let Some(service) = self.services_by_backend.get(backend).cloned() else {
@@ -520,28 +386,6 @@
         }
     }
 
-    fn update_cold_shares(&mut self, now: TimePoint) {
-        for state in self.services.values_mut().flatten() {
-            let BackendRegistration {
-                service, backend, ..
-            } = &state.registration;
-            state.cold.set_share(self.cold.share(service, backend), now);
-        }
-    }
-
-    fn apply_evacuation(&mut self, change: &EvacuationChange, now: TimePoint) {
-        for state in self.services.values_mut().flatten() {
-            let domain = &state.registration.domain;
-            if change.begun.contains(domain) {
-                state.is_evacuated = true;
-            } else if change.ended.contains(domain) {
-                state.is_evacuated = false;
-                let span = self.cold.unobserved_span(&state.registration.service);
-                state.cold.note_remaining(span, now);
-            }
-        }
-    }
-
     fn mark_removed(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
             state.removed_at.get_or_insert(now);
@@ -556,36 +400,3 @@
         Some(states.remove(position))
     }
 }
-
-/// Creates the state of a backend server that was not known, whose process is new or which has changed
-/// its service.
-///
-/// Of the previous state only what it was sent and for how long it is cold stay valid: requests of a
-/// moment ago may have reached the new process.
-fn new_state(
-    evacuated: &EvacuationSet,
-    policy: &ColdPolicy,
-    previous: Option<BackendState>,
-    registration: BackendRegistration,
-    now: TimePoint,
-) -> BackendState {
-    let is_evacuated = evacuated.contains(&registration.domain);
-    let share = policy.share(&registration.service, &registration.backend);
-    let mut cold = match previous {
-        None => ColdPace::new(share, policy.started_at.unwrap_or(now)),
-        Some(previous) => {
-            let was_evacuated = previous.is_evacuated && !is_evacuated;
-            let mut cold = previous.cold;
-            cold.set_share(share, now);
-            // Its registration may not say that it has just started.
-            if was_evacuated || previous.registration.incarnation != registration.incarnation {
-                cold.note_remaining(policy.unobserved_span(&registration.service), now);
-            }
-            cold
-        }
-    };
-    cold.note_remaining(registration.warm_up_remaining, now);
-    let mut state = BackendState::new(registration, cold);
-    state.is_evacuated = is_evacuated;
-    state
-}
