--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -1,19 +1,17 @@
 //! The table of the backend servers known to an entry.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    net::SocketAddr,
-};
+mod exclusion;
 
-use celerycrank_types::{
-    BackendId, DomainId, GroupId, RequestRate, ServiceId, TimePoint, TimeSpan,
-};
+use std::{collections::HashMap, net::SocketAddr};
 
+use celerycrank_types::{BackendId, GroupId, RequestRate, ServiceId, TimePoint, TimeSpan};
+
+use self::exclusion::new_state;
 use crate::{
-    BackendRegistration, BackendState, ColdBounds, ColdStart, EntryPlace, EvacuationChange,
-    LimitNotice, LoadReport, RegistrationChange, SendObstacle, ServiceObstacle, StabilityChange,
+    BackendRegistration, BackendState, EntryPlace, LimitNotice, LoadReport, RegistrationChange,
+    StabilityChange,
     answer_pace::AnswerPace,
-    cold::{ColdPace, ColdPolicy},
+    cold::ColdPolicy,
     evacuation::EvacuationSet,
     stability::{GroupStability, RankNotice},
 };
@@ -58,6 +56,7 @@
 
     /// Applies the complete list of registrations; those missing from it count as removed.
     pub fn replace(&mut self, registrations: Vec<BackendRegistration>, now: TimePoint) {
+        self.cold.started_at.get_or_insert(now);
         let listed = registrations
             .iter()
             .map(|registration| registration.backend.clone());
@@ -74,12 +73,13 @@
         }
     }
 
-    /// Drops removed backend servers whose grace period has ended and that have no request of
-    /// this entry in flight.
+    /// Drops removed backend servers whose grace period has ended, that have no request of this
+    /// entry in flight and that could be sent a request at once if they registered again.
     pub fn prune_removed(&mut self, now: TimePoint) {
         for states in self.services.values_mut() {
             states.retain(|state| {
-                let is_prunable = state.is_grace_over(now) && state.load.own() == 0;
+                let is_unused = state.is_grace_over(now) && state.load.own() == 0;
+                let is_prunable = is_unused && state.cold.is_forgettable(now);
                 if is_prunable {
                     self.services_by_backend.remove(&state.registration.backend);
                 }
@@ -106,116 +106,6 @@
             .find(|state| state.registration.backend == *backend)
     }
 
-    /// Sets how the backend servers of each service start, and what all entries together may send to
-    /// a cold one.
-    pub fn set_cold_starts(
-        &mut self,
-        starts: HashMap<ServiceId, ColdStart>,
-        bounds: Option<ColdBounds>,
-        now: TimePoint,
-    ) {
-        self.cold.starts = starts;
-        self.cold.bounds = bounds;
-        self.update_cold_shares(now);
-    }
-
-    /// Sets the place of this entry among all entries, which share the requests that cold backend
-    /// servers take; `None` if it is not known for certain.
-    pub fn set_cold_place(&mut self, place: Option<EntryPlace>, now: TimePoint) {
-        if self.cold.place != place {
-            self.cold.place = place;
-            self.update_cold_shares(now);
-        }
-    }
-
-    /// Records how long a backend server is still cold; returns whether it was not known to be cold.
-    pub fn note_cold(&mut self, backend: &BackendId, remaining: TimeSpan, now: TimePoint) -> bool {
-        let Some(state) = self.find_mut(backend) else {
-            return false;
-        };
-        let was_cold = state.cold.remaining(now).is_some();
-        state.cold.note_remaining(remaining, now);
-        !was_cold && state.cold.remaining(now).is_some()
-    }
-
-    /// Returns the evacuated failure domains.
-    pub fn evacuated_domains(&self) -> impl Iterator<Item = &DomainId> {
-        self.evacuated.iter()
-    }
-
-    /// Applies the complete list of evacuated failure domains.
-    pub fn replace_evacuated(
-        &mut self,
-        domains: BTreeSet<DomainId>,
-        now: TimePoint,
-    ) -> EvacuationChange {
-        let change = self.evacuated.replace(domains);
-        self.apply_evacuation(&change, now);
-        change
-    }
-
-    /// Records that the evacuation of a failure domain begins.
-    pub fn begin_evacuation(&mut self, domain: DomainId) -> EvacuationChange {
-        let change = self.evacuated.begin(domain);
-        self.apply_evacuation(&change, TimePoint::default());
-        change
-    }
-
-    /// Records that the evacuation of a failure domain ends.
-    ///
-    /// Its backend servers count as cold: they may have become so shortly before, unobserved.
-    pub fn end_evacuation(&mut self, domain: &DomainId, now: TimePoint) -> EvacuationChange {
-        let change = self.evacuated.end(domain);
-        self.apply_evacuation(&change, now);
-        change
-    }
-
-    /// Checks right before a request is sent that no obstacle has arisen since the choice which no
-    /// request overcomes, and records the send.
-    ///
-    /// # Errors
-    ///
-    /// Fails with the obstacle for which nothing may be sent.
-    pub fn admit_send(
-        &mut self,
-        chosen: &BackendRegistration,
-        now: TimePoint,
-    ) -> Result<(), SendObstacle> {
-        // The backend server may have registered in another failure domain since it was chosen.
-        let current = self.registration(&chosen.backend).unwrap_or(chosen);
-        let domains = [&chosen.domain, &current.domain];
-        if domains.iter().any(|it| self.evacuated.contains(it)) {
-            return Err(SendObstacle::Evacuated);
-        }
-        if let Some(state) = self.find_mut(&chosen.backend) {
-            if !state.cold.has_room(now) {
-                return Err(SendObstacle::Cold);
-            }
-            state.cold.take(now);
-        }
-        Ok(())
-    }
-
-    /// Returns why no backend server of a service can be chosen for a request.
-    #[must_use]
-    pub fn service_obstacle(&self, service: &ServiceId, now: TimePoint) -> ServiceObstacle {
-        let states = self.of_service(service).iter();
-        let cold = states.clone();
-        let cold = cold.filter(|state| state.obstacle(now) == Some(SendObstacle::Cold));
-        if let Some(retry_after) = cold.map(|state| state.cold.time_until_room(now)).min() {
-            return ServiceObstacle::Cold { retry_after };
-        }
-        let obstacles = states.map(|state| state.obstacle(now));
-        let is_evacuated = |it| it == Some(SendObstacle::Evacuated);
-        let mut open = obstacles.clone();
-        let has_open = open.any(|it| it.is_none_or(SendObstacle::allows_last_resort));
-        if !has_open && obstacles.into_iter().any(is_evacuated) {
-            ServiceObstacle::Evacuated
-        } else {
-            ServiceObstacle::NoBackend
-        }
-    }
-
     /// Records that a request is sent.
     pub fn begin(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
@@ -231,9 +121,9 @@
     }
 
     /// Records an answer and whether it was a failure of the backend server.
-    pub fn note_answer(&mut self, backend: &BackendId, is_failure: bool) {
+    pub fn note_answer(&mut self, backend: &BackendId, is_failure: bool, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
-            state.note_answer(is_failure);
+            state.note_answer(is_failure, now);
         }
     }
 
@@ -331,7 +221,8 @@
 
     /// Records that a backend server broke off its answer to a request.
     pub fn note_broken(&mut self, backend: &BackendId, now: TimePoint) {
-        self.note_answer(backend, true);
+        self.note_answer(backend, true, now);
+        self.note_possible_restart(backend, now);
         self.note_group_failure(backend, now);
     }
 
@@ -403,6 +294,7 @@
         if let Some(state) = self.find_mut(backend) {
             state.note_unreachable(now);
         }
+        self.note_possible_restart(backend, now);
         self.note_group_failure(backend, now);
     }
 
@@ -436,9 +328,11 @@
             .services_by_backend
             .get(&registration.backend)
             .is_some_and(|service| *service != registration.service);
-        if has_changed_service {
-            self.remove(&registration.backend);
-        }
+        let moved = if has_changed_service {
+            self.remove(&registration.backend)
+        } else {
+            None
+        };
         self.services_by_backend
             .insert(registration.backend.clone(), registration.service.clone());
         let (service, address) = (registration.service.clone(), registration.address);
@@ -449,19 +343,29 @@
             .position(|backend| *backend == registration.backend);
         match position.map(|index| (index, &mut states[index])) {
             Some((_, state)) if state.registration.incarnation == registration.incarnation => {
+                let was_evacuated = state.is_evacuated;
                 state.is_evacuated = self.evacuated.contains(&registration.domain);
-                state
-                    .cold
-                    .note_remaining(registration.warm_up_remaining, now);
+                let remaining = if was_evacuated && !state.is_evacuated {
+                    let unobserved = self.cold.unobserved_span(&service);
+                    registration.warm_up_remaining.max(unobserved)
+                } else {
+                    registration.warm_up_remaining
+                };
+                state.cold.note_remaining(remaining, now);
                 state.registration = registration;
                 state.removed_at = None;
             }
             Some((index, _)) => {
                 // A new incarnation has no history and counts as the latest registration.
-                states.remove(index);
-                states.push(new_state(&self.evacuated, &self.cold, registration, now));
+                let previous = states.remove(index);
+                let (evacuated, cold) = (&self.evacuated, &self.cold);
+                let state = new_state(evacuated, cold, Some(previous), registration, now);
+                states.push(state);
+            }
+            None => {
+                let (evacuated, cold) = (&self.evacuated, &self.cold);
+                states.push(new_state(evacuated, cold, moved, registration, now));
             }
-            None => states.push(new_state(&self.evacuated, &self.cold, registration, now)),
         }
         self.mark_superseded(&service, address);
     }
@@ -482,56 +386,17 @@
         }
     }
 
-    fn update_cold_shares(&mut self, now: TimePoint) {
-        for state in self.services.values_mut().flatten() {
-            let BackendRegistration {
-                service, backend, ..
-            } = &state.registration;
-            state.cold.set_share(self.cold.share(service, backend), now);
-        }
-    }
-
-    fn apply_evacuation(&mut self, change: &EvacuationChange, now: TimePoint) {
-        for state in self.services.values_mut().flatten() {
-            let domain = &state.registration.domain;
-            if change.begun.contains(domain) {
-                state.is_evacuated = true;
-            } else if change.ended.contains(domain) {
-                state.is_evacuated = false;
-                let span = self.cold.unobserved_span(&state.registration.service);
-                state.cold.note_remaining(span, now);
-            }
-        }
-    }
-
     fn mark_removed(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
             state.removed_at.get_or_insert(now);
         }
     }
 
-    fn remove(&mut self, backend: &BackendId) {
-        let Some(service) = self.services_by_backend.remove(backend) else {
-            return;
-        };
-        if let Some(states) = self.services.get_mut(&service) {
-            states.retain(|state| state.registration.backend != *backend);
-        }
+    fn remove(&mut self, backend: &BackendId) -> Option<BackendState> {
+        let service = self.services_by_backend.remove(backend)?;
+        let states = self.services.get_mut(&service)?;
+        let mut names = states.iter().map(|state| &state.registration.backend);
+        let position = names.position(|name| name == backend)?;
+        Some(states.remove(position))
     }
 }
-
-/// Creates the state of a backend server that was not known, or whose process is new.
-fn new_state(
-    evacuated: &EvacuationSet,
-    policy: &ColdPolicy,
-    registration: BackendRegistration,
-    now: TimePoint,
-) -> BackendState {
-    let is_evacuated = evacuated.contains(&registration.domain);
-    let share = policy.share(&registration.service, &registration.backend);
-    let mut cold = ColdPace::new(share, now);
-    cold.note_remaining(registration.warm_up_remaining, now);
-    let mut state = BackendState::new(registration, cold);
-    state.is_evacuated = is_evacuated;
-    state
-}
--- a/crates/celerycrank-serving/tests/cold.rs
+++ b/crates/celerycrank-serving/tests/cold.rs
@@ -1,9 +1,12 @@
 //! Tests of the shares of the requests that cold backend servers take.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+};
 
 use celerycrank_serving::{
-    BackendRegistration, BackendTable, ChoiceQuery, ColdBounds, ColdStart, EntryPlace,
+    BackendRegistration, BackendTable, ChoiceQuery, ColdBounds, ColdStart, EntryList, EntryPlace,
     RegistrationChange, RegistrationState, ServiceObstacle, choose_backend,
 };
 use celerycrank_types::{BackendId, RequestRate, ServiceId, TimePoint, TimeSpan};
@@ -315,3 +318,136 @@
         assert!(most as f64 <= plan.bound(), "{entries} entries: {most}");
     }
 }
+
+/// Plays engines, their agents and entries that all start within a second after a power failure.
+///
+/// Every second each entry subscribes to all agents that run and asks some of them for the entries.
+/// Returns when the entries sent requests to one of the engines, which is cold all the time.
+fn play_common_start(plan: ColdPlan, entries: u16, seed: u64) -> Vec<TimePoint> {
+    const AGENTS: usize = 64;
+    let at = |millis| TimePoint::default() + TimeSpan::from_millis(millis);
+    let mut random = StdRng::seed_from_u64(seed);
+    let agents_from = [(); AGENTS].map(|()| random.random_range(0..1_000));
+    let mut subscribers = [(); AGENTS].map(|()| BTreeSet::new());
+    let started = (0..entries).map(|port| {
+        let start = random.random_range(0..1_000);
+        let table = plan.table(TimeSpan::from_secs(20), at(start));
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        (start, table, EntryList::default(), address)
+    });
+    let mut started = started.collect::<Vec<_>>();
+    let mut sent = Vec::new();
+    for millis in (0..10_000_u64).step_by(5) {
+        let now = at(millis);
+        for (start, table, list, own) in started.iter_mut().filter(|it| it.0 <= millis) {
+            if (millis - *start) / 5 % 200 == 0 {
+                for (subscribers, from) in subscribers.iter_mut().zip(agents_from) {
+                    // Datagrams are lost at times.
+                    if from <= millis && random.random_bool(0.9) {
+                        subscribers.insert(*own);
+                    }
+                }
+                for _ in 0..if list.is_recent(now) { 1 } else { 3 } {
+                    let asked = random.random_range(0..AGENTS);
+                    if agents_from[asked] <= millis {
+                        subscribers[asked].insert(*own);
+                        list.note(subscribers[asked].iter().copied().collect(), now);
+                    }
+                }
+                table.set_cold_place(list.certain_place(*own, now), now);
+            }
+            if send(table, now, &mut random) {
+                sent.push(now);
+            }
+        }
+    }
+    sent
+}
+
+// Guards against entries that have just started and take their place from the list of an agent to
+// which few entries have subscribed yet.
+#[test]
+fn entries_that_start_together_with_the_engines_keep_the_bound() {
+    let plan = ColdPlan::new(26.0, 1.5, 5.0);
+    for entries in [2, 8, 14, 24] {
+        for seed in 0..8 {
+            let sent = play_common_start(plan, entries, seed);
+            let most = largest_window(&sent);
+            assert!(most <= 44, "{entries} entries, seed {seed}: {most}");
+            let last = sent.iter().filter(|it| it.0 >= 9_000_000).count();
+            assert!(last >= 18, "{entries} entries, seed {seed}: {last}");
+        }
+    }
+    // They ask for their places before anything is cold.
+    assert!(plan.table(TimeSpan::ZERO, TimePoint(0)).needs_place());
+    assert!(!BackendTable::default().needs_place());
+}
+
+// Guards against a backend server that has restarted and counts as warm: its registration does not
+// say that it is cold, or arrives late.
+#[test]
+fn a_backend_server_that_may_have_restarted_is_cold() {
+    let at = |millis| TimePoint::default() + TimeSpan::from_millis(millis);
+    let warm = || registration(TimeSpan::ZERO);
+    let new_table = || ColdPlan::new(26.0, 1.5, 5.0).table(TimeSpan::ZERO, at(0));
+    let cold_at = |table: &BackendTable, millis| {
+        let mut states = table.iter();
+        states.any(|state| state.cold_remaining(at(millis)).is_some())
+    };
+    let mut table = new_table();
+    assert!(!cold_at(&table, 0));
+    table.note_unreachable(&backend(), at(100));
+    assert!(cold_at(&table, 3_099) && !cold_at(&table, 3_100));
+    table.note_broken(&backend(), at(5_000));
+    assert!(cold_at(&table, 7_999) && !cold_at(&table, 8_000));
+    let mut restarted = warm();
+    restarted.incarnation = 2;
+    table.apply(RegistrationChange::Written(restarted.clone()), at(10_000));
+    assert!(cold_at(&table, 12_999) && !cold_at(&table, 13_000));
+    // The same process, in another service and back.
+    let mut elsewhere = restarted.clone();
+    elsewhere.service = "other".parse().expect("a valid name");
+    for written in [elsewhere, restarted.clone()] {
+        table.apply(RegistrationChange::Written(written), at(10_500));
+        assert!(cold_at(&table, 12_999) && !cold_at(&table, 13_000));
+    }
+    // It leaves an evacuated failure domain.
+    table.apply(RegistrationChange::Written(restarted.clone()), at(13_500));
+    assert!(!cold_at(&table, 13_500));
+    let domain = warm().domain;
+    table.begin_evacuation(domain);
+    restarted.domain = "b".parse().expect("a valid name");
+    table.apply(RegistrationChange::Written(restarted), at(14_000));
+    assert!(cold_at(&table, 16_999) && !cold_at(&table, 17_000));
+}
+
+// Guards against entries that refuse every request after a restart of all ranks, although they have
+// sent these nothing in the last second.
+#[test]
+fn a_restarted_backend_server_takes_a_request_at_once() {
+    let at = |millis| TimePoint::default() + TimeSpan::from_millis(millis);
+    let mut random = StdRng::seed_from_u64(1);
+    let mut restarted = registration(TimeSpan::from_secs(3));
+    restarted.incarnation = 2;
+    let mut renamed = restarted.clone();
+    renamed.backend = "w2".parse().expect("a valid name");
+    for written in [restarted, renamed] {
+        let mut table = ColdPlan::new(26.0, 1.5, 5.0).table(TimeSpan::ZERO, at(0));
+        table.set_cold_place(EntryPlace::new(0, 14), at(0));
+        table.apply(RegistrationChange::Removed(backend()), at(4_000));
+        let change = RegistrationChange::Written(written);
+        table.apply(change.clone(), at(6_000));
+        assert!(send(&mut table, at(6_000), &mut random));
+        assert!(!send(&mut table, at(6_010), &mut random));
+        // It is removed and forgotten, and registers again.
+        let removed = table.of_service(&service());
+        let names = removed.iter().map(|it| it.registration.backend.clone());
+        for name in names.collect::<Vec<_>>() {
+            table.apply(RegistrationChange::Removed(name), at(4_500));
+        }
+        table.prune_removed(at(6_020));
+        table.apply(change, at(6_030));
+        assert!(!send(&mut table, at(6_040), &mut random));
+        assert!(send(&mut table, at(6_700), &mut random));
+    }
+}
