Check: deeply nested files no longer overflow the stack

The positions of all values were collected recursively without a bound, after a syntax check that has none either: a file of 100,000 nested lists ended the command by SIGABRT. Values deeper than 128, where the readers refuse a document, now have the position of the value around them.

Red before: deep_nesting_has_a_position (stack overflow).

--- a/crates/celerycrank-config/src/finding.rs
+++ b/crates/celerycrank-config/src/finding.rs
@@ -16,6 +16,12 @@
 /// Maximum number of affected accounts that the text of a difference names.
 const MAX_NAMED_ACCOUNTS: usize = 5;
 
+/// Maximum depth of values whose positions are collected; deeper ones have that of the value around
+/// them.
+///
+/// It is the depth beyond which the readers of configurations refuse a document.
+const MAX_DEPTH: usize = 128;
+
 /// Whether the processes accept a configuration in spite of a finding.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -165,20 +171,34 @@
         });
     }
     let mut offsets = HashMap::new();
-    collect_offsets(String::new(), text.trim_start(), text, &mut offsets);
+    collect_offsets(String::new(), text.trim_start(), text, 0, &mut offsets);
     let ends = text.match_indices('\n').map(|(end, _)| end + 1);
     ValuePositions::Values(offsets, iter::once(0).chain(ends).collect())
 }
 
-/// Adds the offsets of a value of `text` and of all values in it.
-fn collect_offsets(path: String, value: &str, text: &str, offsets: &mut HashMap<String, usize>) {
-    if let Ok(items) = serde_json::from_str::<Vec<&RawValue>>(value) {
+/// Adds the offsets of a value of `text` and of the values in it, up to `MAX_DEPTH`.
+fn collect_offsets(
+    path: String,
+    value: &str,
+    text: &str,
+    depth: usize,
+    offsets: &mut HashMap<String, usize>,
+) {
+    if depth == MAX_DEPTH {
+        // The value itself is added below.
+    } else if let Ok(items) = serde_json::from_str::<Vec<&RawValue>>(value) {
         for (index, item) in items.into_iter().enumerate() {
-            collect_offsets(format!("{path}[{index}]"), item.get(), text, offsets);
+            collect_offsets(
+                format!("{path}[{index}]"),
+                item.get(),
+                text,
+                depth + 1,
+                offsets,
+            );
         }
     } else if let Ok(fields) = serde_json::from_str::<BTreeMap<Cow<'_, str>, &RawValue>>(value) {
         for (name, field) in fields {
-            collect_offsets(join(&path, &name), field.get(), text, offsets);
+            collect_offsets(join(&path, &name), field.get(), text, depth + 1, offsets);
         }
     }
     offsets.insert(path, value.as_ptr().addr() - text.as_ptr().addr());
--- a/crates/celerycrank-config/tests/findings.rs
+++ b/crates/celerycrank-config/tests/findings.rs
@@ -252,3 +252,13 @@
         "the syntax error"
     );
 }
+
+/// Guards against a file of deeply nested values that ends the command by a stack overflow.
+#[test]
+fn deep_nesting_has_a_position() {
+    for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
+        let text = format!("{}1{}", open.repeat(100_000), close.repeat(100_000));
+        let position = CheckedDocument::new("f.json", &text).locate("a.a[0]");
+        assert_eq!(position.map(|it| it.line), Some(1));
+    }
+}
