Check: an unreadable version in force is not quoted

The message now has the line and the column only, and KeyHashError no longer holds the text.

Test: an_unreadable_version_in_force_is_not_quoted. The leak was seen by running the command before the change; the test itself was written after it.

--- a/crates/celerycrank-cli/src/operator/check.rs
+++ b/crates/celerycrank-cli/src/operator/check.rs
@@ -235,7 +235,16 @@
         Some(path) if path.is_dir() => DirectoryArgs::at(path.clone()).read_valid_lists().map(Some),
         Some(path) => match serde_json::from_str::<ListPair>(&read(path)?) {
             Ok(lists) => Ok(Some(lists)),
-            Err(e) => Err(CommandError::Invalid(path.clone(), e.to_string().into())),
+            // The message of the error may quote an API key.
+            Err(e) => Err(CommandError::Invalid(
+                path.clone(),
+                format!(
+                    "it cannot be read as both lists at line {} column {}",
+                    e.line(),
+                    e.column()
+                )
+                .into(),
+            )),
         },
     }
 }
--- a/crates/celerycrank-cli/tests/check.rs
+++ b/crates/celerycrank-cli/tests/check.rs
@@ -2,6 +2,8 @@
 
 mod operator_session;
 
+use std::{fs, io::pipe, path::Path, process::Command};
+
 use operator_session::OperatorSession;
 use serde_json::{Value, json};
 
@@ -169,3 +171,50 @@
     session.run("ana", "check --against platform.json .").await;
     insta::assert_snapshot!(session.transcript());
 }
+
+/// Guards against a panic, and its exit code, when the reader of the output has ended, as in
+/// `celerycrank check ... | head`.
+#[test]
+fn a_closed_pipe_leaves_the_exit_code_as_it_is() {
+    for (format, file, code) in [
+        ("text", "no-such-directory", 2),
+        ("json", "no-such-directory", 2),
+        ("json", "tests/data", 2),
+    ] {
+        let (reader, writer) = pipe().unwrap();
+        drop(reader);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_celerycrank"));
+        command.args(["check", "--format", format, file]);
+        let output = command.stdout(writer).output().unwrap();
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{error}");
+        assert_eq!(error, "");
+    }
+}
+
+/// Guards against an API key that is printed because it stands in the version in force in place of
+/// its hash.
+#[test]
+fn an_unreadable_version_in_force_is_not_quoted() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../celerycrank-config/tests/data");
+    for keys in [r#"["secret-0"]"#, r#""secret-0""#] {
+        let account = format!(r#"{{"account": "a", "plan": "p", "keys": {keys}}}"#);
+        let lists =
+            format!(r#"{{"customers": {{"accounts": [{account}]}}, "plans": {{"plans": []}}}}"#);
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("unreadable-lists.json");
+        fs::write(&path, lists).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_celerycrank"));
+        command.arg("check").arg("--against").arg(&path);
+        command.args([
+            root.join("good-customers.json"),
+            root.join("good-plans.json"),
+        ]);
+        let output = command.output().unwrap();
+        let text = String::from_utf8_lossy(&output.stdout);
+        assert_eq!(output.status.code(), Some(2), "{text}");
+        assert!(
+            text.contains("line 1 column") && !text.contains("secret"),
+            "{text}"
+        );
+    }
+}
--- a/crates/celerycrank-config/src/key.rs
+++ b/crates/celerycrank-config/src/key.rs
@@ -9,9 +9,10 @@
 const HASH_BYTES: usize = 32;
 const HASH_PREFIX: &str = "sha256:";
 
-/// the key hash `{0}` is not `sha256:` followed by 32 bytes in unpadded base64
-#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
-pub struct KeyHashError(pub Arc<str>);
+/// the key hash is not `sha256:` followed by 32 bytes in unpadded base64
+// It does not contain the text, which may be the API key itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub struct KeyHashError;
 
 impl std::error::Error for KeyHashError {}
 
@@ -54,10 +55,10 @@
     type Err = KeyHashError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let error = || KeyHashError(text.into());
-        let encoded = text.strip_prefix(HASH_PREFIX).ok_or_else(error)?;
-        let bytes = STANDARD_NO_PAD.decode(encoded).ok().ok_or_else(error)?;
-        bytes.try_into().map(Self).ok().ok_or_else(error)
+        let encoded = text.strip_prefix(HASH_PREFIX).ok_or(KeyHashError)?;
+        let bytes = STANDARD_NO_PAD.decode(encoded);
+        let bytes = bytes.ok().ok_or(KeyHashError)?;
+        bytes.try_into().map(Self).ok().ok_or(KeyHashError)
     }
 }
 
