A closed pipe leaves the exit code of a command as it is

celerycrank ... | head panicked in print! and ended with 101. A reader that has ended is no error now; any other write error is reported on standard error, and the exit code still says what the command did.

Red before: a_closed_pipe_leaves_the_exit_code_as_it_is (101 in place of 2).

--- a/crates/celerycrank-cli/src/operator/mod.rs
+++ b/crates/celerycrank-cli/src/operator/mod.rs
@@ -16,7 +16,10 @@
 pub(crate) mod stop;
 mod time;
 
-use std::process::ExitCode;
+use std::{
+    io::{self, Write},
+    process::ExitCode,
+};
 
 pub(crate) use crate::operator::report::{CommandError, CommandReport, ReportFormat};
 
@@ -42,14 +45,23 @@
 }
 
 /// Prints a report or an error and returns the exit code.
+///
+/// A reader that has ended, as in `celerycrank check | head`, changes nothing about the exit code.
 pub(crate) fn finish(
     format: ReportFormat,
     result: Result<CommandReport, CommandError>,
 ) -> ExitCode {
     let report = result.unwrap_or_else(CommandError::into_report);
-    match format {
-        ReportFormat::Text => print!("{}", report.text),
-        ReportFormat::Json => println!("{}", report.json),
+    let mut output = io::stdout().lock();
+    let written = match format {
+        ReportFormat::Text => write!(output, "{}", report.text),
+        ReportFormat::Json => writeln!(output, "{}", report.json),
+    };
+    if let Err(error) = written.and_then(|()| output.flush())
+        && error.kind() != io::ErrorKind::BrokenPipe
+    {
+        // The exit code still says what the command did.
+        eprintln!("celerycrank: cannot write the report: {error}");
     }
     ExitCode::from(report.exit as u8)
 }
