--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -174,10 +174,23 @@
     let best = cheapest(sample, query, random);
     let mut sampled = sample.iter().flatten();
     let has_unstable = sampled.any(|state| state.is_in_unstable_group(query.now));
+    let has_closed = sample
+        .iter()
+        .flatten()
+        .any(|state| !is_open(state, query.now));
     let has_room = |state: &&BackendState| {
         let has_free_slot = state.load.total(query.now) < state.registration.slots;
         has_free_slot && !state.is_in_unstable_group(query.now)
     };
+    if query.prompt.is_some() && (has_unstable || has_closed) {
+        // What is weighed for a prompt may exceed the costs of closed and unstable groups.
+        let sound = states.clone();
+        let sound = sound.filter(|state| has_room(state) && is_open(state, query.now));
+        let sample = sample_states(sound, query.prompt, random);
+        if let Some((_, state)) = cheapest(sample, query, random) {
+            return Some(state);
+        }
+    }
     let with_room = sample.into_iter().flatten().filter(has_room).count();
     if !has_unstable || with_room >= MIN_STABLE_SAMPLE {
         return best.map(|(_, state)| state);
@@ -345,9 +358,7 @@
 #[must_use]
 pub fn estimate_cost(state: &BackendState, query: &ChoiceQuery<'_>) -> f64 {
     let report = state.load.report(query.now);
-    let pace = report.map_or(state.slowdown(query.now), |report| {
-        bounded_pace(report.pace)
-    });
+    let pace = expected_pace(state, query.now);
     let is_closed = report.is_some_and(|report| !report.is_open);
     let mut cost = (f64::from(state.load.total(query.now)) + 1.0) * pace;
     cost += state.failure_rate(query.now) * FAILURE_COST;
@@ -366,6 +377,12 @@
         .map_or(0.0, |prompt| prompt.cost(state, query.now))
 }
 
+/// Returns how much longer answers take at a backend server, from its report or from its answers.
+pub(crate) fn expected_pace(state: &BackendState, now: TimePoint) -> f64 {
+    let report = state.load.report(now);
+    report.map_or_else(|| state.slowdown(now), |report| bounded_pace(report.pace))
+}
+
 /// Returns a slowdown factor that is finite and at least 1.
 fn bounded_pace(pace: f64) -> f64 {
     // The comparison is false for a value that is no number.
