Admission: a request waits exactly as long as the choice says that all is full

The check before a wake-up differed from the choice that follows it. Waiting requests were not woken when no backend server was usable any more, when only those of last resort were, or when the stable groups had room and unstable ones held too much; they were refused as late afterwards. A request that had tried the only backend server with room was woken without a place. Its guard then woke the next one before the request had tried, so that two such requests could wake each other in a loop without a pause (read in the code, not reproduced).

`is_full` now gives the same result as `choose_backend`, with the backend servers that the waiting request has tried. A woken request wakes the next one only when it has taken its place, is refused or has lost its caller. A request that was displaced from a full queue is refused at once; before, its sender was held until the displacing request's own wait ended, and it then asked to wait again.

--- a/crates/celerycrank-direct/src/entry/admission.rs
+++ b/crates/celerycrank-direct/src/entry/admission.rs
@@ -4,7 +4,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    ops::RangeInclusive,
+    ops::{ControlFlow, RangeInclusive},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -13,10 +13,11 @@
 use celerycrank_serving::{
     AccountLoads, AdmissionPolicy, AdmissionQueue, ArrivalMeter, BackendRegistration, ChoiceQuery,
     FirstEventEstimate, LoadCeiling, LoadLimit, WaitBand, WaitBounds, WaitRank, WaitTicket,
-    has_place,
+    is_full,
 };
-use celerycrank_types::{AccountId, RefusalReason, ServiceId, TimePoint, TimeSpan};
+use celerycrank_types::{AccountId, BackendId, RefusalReason, ServiceId, TimePoint, TimeSpan};
 use rand::Rng;
+use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
 use super::{
@@ -36,6 +37,11 @@
 /// Time without a waiting request after which a service no longer counts as contended.
 const CALM_SPAN: TimeSpan = TimeSpan::from_secs(5);
 
+/// Maximum number of waiting requests that are passed over because no place is one for them.
+///
+/// It bounds the time of a wake-up. Only requests that were sent before are passed over.
+const MAX_PASSED_OVER: u32 = 8;
+
 /// The admission to all services of an entry that have a policy.
 #[derive(Debug, Default)]
 pub(crate) struct AdmissionState {
@@ -45,7 +51,7 @@
 /// The requests of one service that wait or are in flight.
 #[derive(Debug)]
 struct ServiceAdmission {
-    queue: AdmissionQueue<oneshot::Sender<()>>,
+    queue: AdmissionQueue<WaitingRequest>,
     loads: AccountLoads,
     arrivals: ArrivalMeter,
     first_event: FirstEventEstimate,
@@ -54,6 +60,15 @@
     contended_at: Option<TimePoint>,
 }
 
+/// A request in the queue.
+#[derive(Debug)]
+struct WaitingRequest {
+    /// Ends its wait.
+    waker: oneshot::Sender<WaitEnd>,
+    /// The backend servers that it has tried, whose places are none for it.
+    tried: SmallVec<[BackendId; 4]>,
+}
+
 impl Default for ServiceAdmission {
     fn default() -> Self {
         Self {
@@ -155,6 +170,8 @@
     state: &'run EntryState,
     service: &'run ServiceId,
     ticket: WaitTicket,
+    /// Whether the request knows how its wait ended.
+    is_over: bool,
 }
 
 impl Drop for WaitGuard<'_> {
@@ -164,16 +181,18 @@
         let admission = services.get_mut(self.service);
         let was_waiting = admission.is_some_and(|it| it.queue.remove(&self.ticket));
         drop(services);
-        if !was_waiting {
-            // The request may not use the place for which it was woken.
+        // Its caller left after it had been woken, so that the place is one for the next request. A
+        // request that goes on wakes the next one itself, when it has taken its place.
+        if !was_waiting && !self.is_over {
             wake_waiting(self.state, self.service);
         }
     }
 }
 
 /// How a request that waited goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum WaitEnd {
-    /// There may be a place.
+    /// There may be a place, or no reason to wait any more.
     Woken,
     /// The time for which it may wait in its band is over.
     Expired,
@@ -184,8 +203,8 @@
 impl RequestDispatch<'_> {
     /// Waits until a backend server has a place for the request, and chooses it.
     ///
-    /// A request that has been sent before, such as a stream that broke off, gets none that is free
-    /// only if it waits too long.
+    /// A request that has been sent before, such as a stream that broke off, is sent without a free
+    /// place if it has waited too long.
     pub(super) async fn wait_for_place(
         &self,
         policy: &AdmissionPolicy,
@@ -199,11 +218,12 @@
         };
         let arrived_at = Instant::now();
         let mut has_waited = false;
+        // Whether it was woken, so that the place is for this request.
+        let mut is_turn = false;
         loop {
             let rank = self.wait_rank(policy, bounds);
-            if !ranks_behind(state, &request.service, rank)
-                && let Some(chosen) = self.choose_within(Some(self.load_limit(policy, rank)))?
-            {
+            let is_behind = !is_turn && ranks_behind(state, &request.service, rank);
+            if !is_behind && let Some(chosen) = self.choose_in_turn(policy, rank)? {
                 if has_waited {
                     state.metrics.admission.admitted_late.inc();
                     let waited = arrived_at.elapsed().as_secs_f64();
@@ -212,7 +232,9 @@
                 return Ok(chosen);
             }
             has_waited = true;
-            match self.wait(rank).await {
+            let end = self.wait(rank, is_behind).await;
+            is_turn = end == WaitEnd::Woken;
+            match end {
                 WaitEnd::Woken => {}
                 WaitEnd::Expired if rank.band == WaitBand::InTime => {}
                 WaitEnd::Expired | WaitEnd::Crowded if !is_first => {
@@ -224,30 +246,60 @@
         }
     }
 
-    async fn wait(&self, rank: WaitRank) -> WaitEnd {
+    /// Chooses a backend server that has a place; `None` if there is none.
+    fn choose_in_turn(
+        &self,
+        policy: &AdmissionPolicy,
+        rank: WaitRank,
+    ) -> Result<Option<BackendRegistration>, RequestError> {
+        let chosen = self.choose_within(Some(self.load_limit(policy, rank)));
+        if chosen.is_err() {
+            // What refuses this request may refuse the next one, which must not wait for it.
+            wake_waiting(self.state, &self.request.service);
+        }
+        chosen
+    }
+
+    /// Waits in the queue. `is_behind` says that others rank before it, which may have a place.
+    async fn wait(&self, rank: WaitRank, is_behind: bool) -> WaitEnd {
         let (state, service) = (self.state, &self.request.service);
         let now = state.clock.now();
         let (waker, woken) = oneshot::channel();
+        let waiting = WaitingRequest {
+            waker,
+            tried: self.tried(),
+        };
         let pushed = state.admission.with(service, |admission| {
             if admission.contended_at.is_none() {
                 tracing::info!(%service, "requests wait for a place at the engines of a service");
             }
             admission.contended_at = Some(now);
-            admission.queue.push(rank, waker)
+            admission.queue.push(rank, waiting)
         });
-        // The sender of an evicted request is dropped, which wakes it; it finds the queue full.
-        let Ok((ticket, _evicted)) = pushed else {
+        let Ok((ticket, evicted)) = pushed else {
             return WaitEnd::Crowded;
         };
+        if let Some(evicted) = evicted {
+            // It fails only if the caller has just left.
+            let _ = evicted.waker.send(WaitEnd::Crowded);
+        }
         state.metrics.admission.waiting.inc();
-        let _guard = WaitGuard {
+        let mut guard = WaitGuard {
             state,
             service,
             ticket,
+            is_over: false,
         };
+        if is_behind {
+            wake_waiting(state, service);
+        }
         let wait = rank.due.since(now).as_duration().max(MIN_WAIT);
-        match timeout(wait, woken).await {
-            Ok(_) => WaitEnd::Woken,
+        let ended = timeout(wait, woken).await;
+        guard.is_over = true;
+        match ended {
+            Ok(Ok(end)) => end,
+            // The queue was dropped with the policy of its service.
+            Ok(Err(_)) => WaitEnd::Woken,
             Err(_) => WaitEnd::Expired,
         }
     }
@@ -321,9 +373,10 @@
     first.is_some_and(|first| first < rank)
 }
 
-/// Wakes the first waiting request of a service if there is a place for it.
+/// Wakes the first waiting request of a service for which there is a place.
 ///
-/// It wakes the next one when it has taken its place.
+/// It wakes the next one when it has taken its place. A request is also woken if it is to be refused
+/// because no backend server can be chosen any more.
 pub(crate) fn wake_waiting(state: &EntryState, service: &ServiceId) {
     let Some(policy) = state.admission_policy(service) else {
         return;
@@ -332,26 +385,52 @@
     let Some(admission) = services.get_mut(service) else {
         return;
     };
-    while let Some(rank) = admission.queue.first_rank() {
-        let settings = state.settings();
+    // Most calls find an empty queue.
+    while !admission.queue.is_empty() {
+        let Some(waiting) = take_next(state, &policy, service, admission) else {
+            return;
+        };
+        // It fails only if the caller has just left.
+        if waiting.waker.send(WaitEnd::Woken).is_ok() {
+            return;
+        }
+    }
+}
+
+/// Removes the first waiting request for which there is a place.
+fn take_next(
+    state: &EntryState,
+    policy: &AdmissionPolicy,
+    service: &ServiceId,
+    admission: &mut ServiceAdmission,
+) -> Option<WaitingRequest> {
+    let settings = state.settings();
+    let backends = state.backends.borrow();
+    let now = state.clock.now();
+    let entries = state.entry_count.borrow_mut().get(now);
+    let (arrivals, ceiling) = (&admission.arrivals, &admission.ceiling);
+    let mut passed_over = 0;
+    admission.queue.take_first(|rank, waiting| {
+        let reserve = arrivals.reserve(rank.level, now);
+        let limit = policy.load_limit(rank.level, ceiling, reserve, entries);
         let query = ChoiceQuery {
             prompt: None,
             service,
             domain: &settings.domain,
-            tried: &[],
-            load_limit: None,
-            now: state.clock.now(),
+            tried: &waiting.tried,
+            load_limit: Some(limit),
+            now,
         };
-        let limit = load_limit(state, &policy, admission, rank);
-        if !has_place(&state.backends.borrow(), &query, limit) {
-            return;
+        if !is_full(&backends, &query) {
+            return ControlFlow::Continue(true);
         }
-        let woken = admission.queue.pop_first();
-        // A request whose receiver is gone has just ended.
-        if woken.is_some_and(|(_, waker)| waker.send(()).is_ok()) {
-            return;
+        // One that has tried no backend server has as many places as any that rank behind it.
+        passed_over += 1;
+        if waiting.tried.is_empty() || passed_over > MAX_PASSED_OVER {
+            return ControlFlow::Break(());
         }
-    }
+        ControlFlow::Continue(false)
+    })
 }
 
 /// Wakes the first waiting request of each service if there is a place for it.
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// The backend servers that have been tried.
+    pub(super) fn tried(&self) -> SmallVec<[BackendId; 4]> {
+        self.tried.borrow().clone()
+    }
+
     /// The backend server that was tried last.
     pub(crate) fn last_tried(&self) -> Option<BackendId> {
         self.tried.borrow().last().cloned()
--- a/crates/celerycrank-serving/src/admission_queue.rs
+++ b/crates/celerycrank-serving/src/admission_queue.rs
@@ -1,6 +1,6 @@
 //! The requests of one service that wait at an entry for a place at a backend server.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::ControlFlow};
 
 use celerycrank_types::{AccountId, TimePoint};
 
@@ -112,6 +112,27 @@
         Some((ticket.rank, value))
     }
 
+    /// Removes the first request in order that `can_go` accepts.
+    ///
+    /// The search ends at the first one that `can_go` rejects with [`ControlFlow::Break`].
+    pub fn take_first(
+        &mut self,
+        mut can_go: impl FnMut(WaitRank, &T) -> ControlFlow<(), bool>,
+    ) -> Option<T> {
+        let mut found = None;
+        for (ticket, value) in &self.waiting {
+            match can_go(ticket.rank, value) {
+                ControlFlow::Continue(false) => {}
+                ControlFlow::Continue(true) => {
+                    found = Some(*ticket);
+                    break;
+                }
+                ControlFlow::Break(()) => break,
+            }
+        }
+        self.waiting.remove(&found?)
+    }
+
     /// Removes a request that no longer waits; returns whether it was waiting.
     pub fn remove(&mut self, ticket: &WaitTicket) -> bool {
         self.waiting.remove(ticket).is_some()
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -123,13 +123,7 @@
     query: &ChoiceQuery<'_>,
     random: &mut R,
 ) -> BackendChoice<'table> {
-    let states = table.of_service(query.service).iter();
-    let untried = states.filter(|state| !query.tried.contains(&state.registration.backend));
-    let has_usable = untried.clone().any(|state| state.is_usable(query.now));
-    let candidates = untried.filter(|state| match state.obstacle(query.now) {
-        None => true,
-        Some(obstacle) => !has_usable && obstacle.allows_last_resort(),
-    });
+    let candidates = candidates(table, query);
     let within_limits = candidates.clone();
     let mut within_limits = within_limits.filter(|state| state.is_within_limit(query.now));
     let chosen = match query.load_limit {
@@ -157,12 +151,38 @@
     }
 }
 
-/// Whether a load limit leaves a place at some usable backend server.
+/// Whether [`choose_backend`] would return [`BackendChoice::Full`].
+///
+/// A request that waits for a place is woken if not: also if it is to be refused because no backend
+/// server can be chosen any more.
 #[must_use]
-pub fn has_place(table: &BackendTable, query: &ChoiceQuery<'_>, limit: LoadLimit) -> bool {
+pub fn is_full(table: &BackendTable, query: &ChoiceQuery<'_>) -> bool {
+    let Some(limit) = query.load_limit else {
+        return false;
+    };
+    let within_limits = candidates(table, query).filter(|it| it.is_within_limit(query.now));
+    let stable = within_limits.clone();
+    let stable = stable.filter(|state| !state.is_in_unstable_group(query.now));
+    // The stable groups may have room while those that are used last hold too much.
+    within_limits.clone().next().is_some()
+        && ServiceRoom::measure(stable, limit, query.now).is_none()
+        && ServiceRoom::measure(within_limits, limit, query.now).is_none()
+}
+
+/// The backend servers that a request has not tried and that may receive it: the usable ones, or
+/// those of last resort if none is usable.
+fn candidates<'table, 'query>(
+    table: &'table BackendTable,
+    query: &ChoiceQuery<'query>,
+) -> impl Iterator<Item = &'table BackendState> + Clone + use<'table, 'query> {
+    let (tried, now) = (query.tried, query.now);
     let states = table.of_service(query.service).iter();
-    let usable = states.filter(|it| it.is_usable(query.now) && it.is_within_limit(query.now));
-    ServiceRoom::measure(usable, limit, query.now).is_some()
+    let untried = states.filter(move |state| !tried.contains(&state.registration.backend));
+    let has_usable = untried.clone().any(|state| state.is_usable(now));
+    untried.filter(move |state| match state.obstacle(now) {
+        None => true,
+        Some(obstacle) => !has_usable && obstacle.allows_last_resort(),
+    })
 }
 
 fn least_loaded<'table, R: Rng>(
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -50,7 +50,7 @@
         CONFIGURATION_WARNING_CODES, ConfigurationPlace, ConfigurationWarning, LimitField,
         RouteField, ServiceField, check_configuration,
     },
-    choice::{BackendChoice, ChoiceQuery, LoadLimit, choose_backend, estimate_cost, has_place},
+    choice::{BackendChoice, ChoiceQuery, LoadLimit, choose_backend, estimate_cost, is_full},
     clearance::{ClearanceRecord, PartClearance},
     cold::{ColdBounds, ColdStart},
     compare::compare_configurations,
