Admission: waiting requests are sent when their service has no policy any more

When a configuration took effect in which the requests of a service do not differ in urgency, its queue was dropped. The requests woke, created the queue again and waited in it; nothing woke them, since a service without a policy is passed over, so that they were refused as late.

They are now sent without a load limit. Red before: waiting_requests_are_sent_when_their_service_has_no_policy_any_more.

--- a/crates/celerycrank-direct/src/entry/admission.rs
+++ b/crates/celerycrank-direct/src/entry/admission.rs
@@ -221,6 +221,10 @@
         // Whether it was woken, so that the place is for this request.
         let mut is_turn = false;
         loop {
+            if has_waited && state.admission_policy(&request.service).is_none() {
+                // A new configuration does not limit the service any more.
+                return self.choose().map_err(|it| self.final_error(it));
+            }
             let rank = self.wait_rank(policy, bounds);
             let is_behind = !is_turn && ranks_behind(state, &request.service, rank);
             if !is_behind && let Some(chosen) = self.choose_in_turn(policy, rank)? {
