Admission: a key that is revoked while its request waits is refused

A request waits up to a quarter of its time. Before it was sent, only the freshness of the configuration was checked, not whether a newer one still holds the key under which the request was admitted. A request could thus be sent seconds after the revocation had taken effect.

After a wait, the key is looked up in the configuration in force; a request without a valid one is refused as unknown_key. Requests that were sent before (retries, resumed streams) go on as before. Red before: a_waiting_request_is_refused_when_its_key_is_revoked.

--- a/crates/celerycrank-direct/src/entry/admission.rs
+++ b/crates/celerycrank-direct/src/entry/admission.rs
@@ -221,7 +221,17 @@
         // Whether it was woken, so that the place is for this request.
         let mut is_turn = false;
         loop {
-            if has_waited && state.admission_policy(&request.service).is_none() {
+            let in_force = state.in_force().filter(|_| has_waited);
+            if is_first
+                && in_force
+                    .as_ref()
+                    .is_some_and(|it| !request.has_valid_key(it))
+            {
+                // Its place is one for the next request.
+                wake_waiting(state, &request.service);
+                return Err(self.final_error(RefusalReason::UnknownKey));
+            }
+            if in_force.is_some_and(|it| !it.admissions.contains_key(&request.service)) {
                 // A new configuration does not limit the service any more.
                 return self.choose().map_err(|it| self.final_error(it));
             }
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
+use bytes::Bytes;
 use celerycrank_http::RequestHead;
 use celerycrank_platform::RequestMetadata;
 use celerycrank_routing::PromptBeginnings;
@@ -29,6 +30,8 @@
     pub(crate) revision: Revision,
     /// The account that owns the caller's key; `None` on routes that require no key.
     pub(crate) account: Option<AccountId>,
+    /// The caller's key, if it sent one.
+    key: Option<Bytes>,
     pub(crate) service: ServiceId,
     pub(crate) priority: RequestPriority,
     /// The admission policy, if the requests of the service differ in urgency.
@@ -53,6 +56,16 @@
         Some(policy.level(self.priority))
     }
 
+    /// Whether the configuration in force still gives the caller's key to the same account.
+    pub(crate) fn has_valid_key(&self, in_force: &ConfigurationInForce) -> bool {
+        let Some(account) = &self.account else {
+            return true;
+        };
+        let key = self.key.as_ref();
+        let owner = key.and_then(|key| in_force.accounts.find(key));
+        owner.is_some_and(|(owner, _)| owner == account)
+    }
+
     /// The shared parts of the prompt at the requested service.
     pub(crate) fn prompt_query(&self) -> PromptQuery<'_> {
         PromptQuery {
@@ -103,6 +116,7 @@
     Ok(AdmittedRequest {
         beginnings,
         attempt: metadata.attempt,
+        key: metadata.key,
         revision: in_force.revision,
         priority,
         admission: in_force.admissions.get(&service).map(Rc::clone),
