Answers beyond the budget do not wait for a silent one

Beyond the budget of callers, only the answer of the oldest connection was read. If its backend server sent nothing, all other answers waited until their deadlines, short ones of ordinary requests too, and their callers were told that the outcome is unknown.

Small answers are now read within the reserve. Large ones take turns; one of which nothing arrives for 1 s passes its turn to the next one that asks.

Red before: small_answers_are_read_beside_a_large_one, a_silent_answer_passes_its_turn_on.

--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -127,7 +127,6 @@
         let (mut answer, in_flight) = (served.answer, served.in_flight);
         let mut body = BytesMut::new();
         let space = &dispatch.request.space;
-        space.begin_answer();
         let read = loop {
             space.answer_room().await;
             match answer.body.next().await {
--- a/crates/celerycrank-direct/src/entry/space.rs
+++ b/crates/celerycrank-direct/src/entry/space.rs
@@ -8,10 +8,12 @@
     rc::Rc,
 };
 
+use actix_rt::time::timeout;
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{ShutdownFlag, descriptor_limit};
 use celerycrank_serving::{
-    BudgetBounds, CallerBudget, ConnectionNumber, EndReason, EndedConnection, SpaceDecision,
+    BudgetBounds, CallerBudget, ConnectionNumber, EndReason, EndedConnection, STOPPED_TIMEOUT,
+    SpaceDecision,
 };
 use celerycrank_types::{RefusalReason, TimePoint, TimeSpan};
 
@@ -148,15 +150,6 @@
         self.resize(arrived)
     }
 
-    /// Records that the answer is being read to its end before any of it is passed on.
-    pub(crate) fn begin_answer(&self) {
-        self.state
-            .space
-            .budget
-            .borrow_mut()
-            .begin_answer(self.number);
-    }
-
     /// Records that the answer has been read.
     pub(crate) fn end_answer(&self) {
         self.state.space.budget.borrow_mut().end_answer(self.number);
@@ -169,10 +162,12 @@
         loop {
             // Created before the check, so that no wake-up is lost.
             let released = ledger.released.notified();
-            if ledger.budget.borrow().may_read_answer(self.number) {
+            let now = self.state.clock.now();
+            if ledger.budget.borrow_mut().may_read_answer(self.number, now) {
                 return;
             }
-            released.await;
+            // The answer whose turn it is may stop, of which there is no notice.
+            let _ = timeout(STOPPED_TIMEOUT.as_duration(), released).await;
         }
     }
 
--- a/crates/celerycrank-serving/src/caller_budget.rs
+++ b/crates/celerycrank-serving/src/caller_budget.rs
@@ -5,7 +5,7 @@
 //! use up the memory or the descriptors of the process.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{HashMap, HashSet},
     net::IpAddr,
 };
 
@@ -40,8 +40,9 @@
 /// makes progress.
 const MIN_PROGRESS_BYTES: u64 = 4 << 10;
 
-/// The time without progress after which a request counts as stopped.
-const STOPPED_TIMEOUT: TimeSpan = TimeSpan::from_secs(1);
+/// The time without progress after which a request counts as stopped, and after which an answer
+/// passes its turn on.
+pub const STOPPED_TIMEOUT: TimeSpan = TimeSpan::from_secs(1);
 
 /// The bounds of a [`CallerBudget`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -148,6 +149,14 @@
     }
 }
 
+/// The permission to read a large answer beyond the budget.
+#[derive(Debug, Clone, Copy)]
+struct AnswerTurn {
+    holder: ConnectionNumber,
+    /// When the holder last asked, which it does after each read.
+    asked_at: TimePoint,
+}
+
 /// Decides which callers may hold how much memory, and which connections stay open.
 ///
 /// Invariant: `held` and `by_address` are the sums over the connections that have not been ended.
@@ -164,8 +173,8 @@
     /// Those of them whose requests are arriving.
     large_arriving: HashSet<ConnectionNumber>,
     answering: u64,
-    /// The connections whose answers are being read from backend servers.
-    reading_answers: BTreeSet<ConnectionNumber>,
+    /// The large answer that is read beyond the budget.
+    answer_turn: Option<AnswerTurn>,
     next_number: u64,
 }
 
@@ -182,7 +191,7 @@
             large: 0,
             large_arriving: HashSet::new(),
             answering: 0,
-            reading_answers: BTreeSet::new(),
+            answer_turn: None,
             next_number: 0,
         }
     }
@@ -270,27 +279,43 @@
         Ok(ended)
     }
 
-    /// Records that an answer is being read from a backend server to its end before any of it is
-    /// passed on.
-    pub fn begin_answer(&mut self, number: ConnectionNumber) {
-        let phase = self.connections.get(&number).map(|it| it.phase);
-        if phase == Some(ConnectionPhase::Answering) {
-            self.reading_answers.insert(number);
-        }
-    }
-
     /// Records that an answer has been read.
     pub fn end_answer(&mut self, number: ConnectionNumber) {
-        self.reading_answers.remove(&number);
+        self.end_turn(number);
     }
 
-    /// Whether more of an answer may be read now.
+    /// Whether more of an answer may be read now; asked before each read.
     ///
-    /// Beyond the budget, only the answer of the oldest connection is read further, so that answers
-    /// do not wait for one another.
-    #[must_use]
-    pub fn may_read_answer(&self, number: ConnectionNumber) -> bool {
-        self.held < self.bounds.bytes || self.reading_answers.first() == Some(&number)
+    /// Beyond the budget, small answers are read within the reserve, and large ones one after
+    /// another, so that answers that are read in part do not all wait for the others. An answer
+    /// whose backend server sends nothing passes its turn on to the next one that asks.
+    pub fn may_read_answer(&mut self, number: ConnectionNumber, now: TimePoint) -> bool {
+        if self.held < self.bounds.bytes {
+            return true;
+        }
+        let is_small = self
+            .connections
+            .get(&number)
+            .is_some_and(|it| !it.is_large());
+        if is_small && self.small_held <= self.bounds.reserve {
+            return true;
+        }
+        let other = self.answer_turn.filter(|turn| turn.holder != number);
+        if other.is_some_and(|turn| now.since(turn.asked_at) < STOPPED_TIMEOUT) {
+            return false;
+        }
+        self.answer_turn = Some(AnswerTurn {
+            holder: number,
+            asked_at: now,
+        });
+        true
+    }
+
+    /// Ends the turn of an answer that is read no further.
+    fn end_turn(&mut self, number: ConnectionNumber) {
+        if self.answer_turn.is_some_and(|turn| turn.holder == number) {
+            self.answer_turn = None;
+        }
     }
 
     /// Changes what a connection holds, after `arrived` more bytes of its request.
@@ -424,13 +449,15 @@
             return;
         }
         if connection.phase == ConnectionPhase::Answering {
-            self.reading_answers.remove(&number);
             self.answering -= 1;
         }
         if phase == ConnectionPhase::Answering {
             self.answering += 1;
         }
         connection.phase = phase;
+        if phase != ConnectionPhase::Answering {
+            self.end_turn(number);
+        }
         self.update_arriving(number);
     }
 
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -44,7 +44,7 @@
     budget::{EntryCount, RetryAllowance, RetryWindow},
     caller_budget::{
         BudgetBounds, CallerBudget, ConnectionNumber, EndReason, EndedConnection, NoRoomError,
-        SpaceDecision,
+        STOPPED_TIMEOUT, SpaceDecision,
     },
     check::{
         CONFIGURATION_WARNING_CODES, ConfigurationPlace, ConfigurationWarning, LimitField,
--- a/crates/celerycrank-serving/tests/caller_budget.rs
+++ b/crates/celerycrank-serving/tests/caller_budget.rs
@@ -119,10 +119,62 @@
     let small = begin(&mut budget, 2, 40);
     assert_eq!(hold(&mut budget, small, 64, 40), Ok(vec![]));
     // Beyond the budget, answers are read one after another.
-    large.iter().rev().for_each(|it| budget.begin_answer(*it));
-    assert_eq!(large.map(|it| budget.may_read_answer(it)), [true, false]);
+    let may_read = large.map(|it| budget.may_read_answer(it, at(40)));
+    assert_eq!(may_read, [true, false]);
     budget.end_answer(large[0]);
-    assert!(budget.may_read_answer(large[1]));
+    assert!(budget.may_read_answer(large[1], at(40)));
+}
+
+/// A budget that is used up by two large requests whose answers are being read.
+fn two_large_answers() -> (CallerBudget, [ConnectionNumber; 2]) {
+    let mut budget = CallerBudget::new(BudgetBounds {
+        descriptors: 20,
+        ..BOUNDS
+    });
+    let large = [0, 1].map(|_| begin(&mut budget, 1, 0));
+    for number in large {
+        assert_eq!(hold(&mut budget, number, 400, 0), Ok(vec![]));
+        assert_eq!(budget.complete(number), Ok(None));
+    }
+    assert_eq!(hold(&mut budget, large[0], 600, 0), Ok(vec![]));
+    (budget, large)
+}
+
+// Guards against ordinary requests whose short answers wait for the large answer of another one.
+#[test]
+fn small_answers_are_read_beside_a_large_one() {
+    let (mut budget, large) = two_large_answers();
+    assert!(budget.may_read_answer(large[0], at(10)));
+    let small = [0, 1, 2, 3].map(|_| begin(&mut budget, 2, 10));
+    for number in small {
+        assert_eq!(hold(&mut budget, number, 40, 10), Ok(vec![]));
+        assert_eq!(budget.complete(number), Ok(None));
+        assert!(budget.may_read_answer(number, at(10)));
+    }
+    // An answer that grows beyond a small request waits like the other large ones.
+    assert_eq!(hold(&mut budget, small[0], 65, 20), Ok(vec![]));
+    assert!(!budget.may_read_answer(small[0], at(20)));
+    // Small answers together have no more than the reserve.
+    for number in &small[1..] {
+        assert_eq!(hold(&mut budget, *number, 64, 20), Ok(vec![]));
+    }
+    let last = begin(&mut budget, 3, 20);
+    assert_eq!(budget.complete(last), Ok(None));
+    assert_eq!(hold(&mut budget, last, 10, 20), Ok(vec![]));
+    assert!(!budget.may_read_answer(last, at(20)));
+}
+
+// Guards against answers that wait until their deadlines for one whose backend server is silent.
+#[test]
+fn a_silent_answer_passes_its_turn_on() {
+    let (mut budget, [silent, waiting]) = two_large_answers();
+    assert!(budget.may_read_answer(silent, at(0)));
+    assert!(!budget.may_read_answer(waiting, at(900)));
+    assert!(budget.may_read_answer(waiting, at(1_100)));
+    // It has been read, and keeps the turn while it makes progress.
+    assert!(budget.may_read_answer(waiting, at(2_000)));
+    assert!(!budget.may_read_answer(silent, at(2_900)));
+    assert!(budget.may_read_answer(silent, at(3_100)));
 }
 
 // Guards against a bound that refuses a legal body although nobody else needs space.
