An idle administration connection is closed for a new one

64 connections that stayed open after a request kept operators from the administration listener for 75 s. At the bound, the connection that was idle for the longest time is now closed. One on which a request is arriving or waits for its answer does not count as idle; if none is idle, the new one is refused as before.

The callers' listener of the product's own entry is unchanged: there a pause within an answer would count as idle.

Red before: the_longest_idle_connection_is_closed_for_a_new_one (503 for the new connection).

--- a/crates/celerycrank-entry/src/process.rs
+++ b/crates/celerycrank-entry/src/process.rs
@@ -72,6 +72,7 @@
         )?;
         let limits = ListenerLimits {
             connections: settings.limits.connections,
+            closes_idle: false,
             header_timeout: settings.limits.header_timeout.as_duration(),
             write_timeout: settings.limits.write_timeout.as_duration(),
         };
--- a/crates/celerycrank-process/src/admin.rs
+++ b/crates/celerycrank-process/src/admin.rs
@@ -15,6 +15,7 @@
     /// Limits of the admin listener.
     pub const ADMIN: Self = Self {
         connections: 64,
+        closes_idle: true,
         header_timeout: Duration::from_secs(5),
         write_timeout: Duration::from_secs(5),
     };
--- a/crates/celerycrank-process/src/caller.rs
+++ b/crates/celerycrank-process/src/caller.rs
@@ -11,10 +11,12 @@
 
 use actix_rt::{
     net::TcpStream,
-    time::{Sleep, sleep},
+    time::{Instant, Sleep, sleep},
 };
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::ShutdownFlag;
+
 /// State of a connection, shared by its stream and the listener.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct ConnectionState {
@@ -22,6 +24,20 @@
     pub(crate) used: Rc<Cell<bool>>,
     /// Whether the caller has closed the connection or a read of it has failed.
     pub(crate) closed: Rc<Cell<bool>>,
+    /// Whether bytes of a request have arrived that was not answered.
+    pub(crate) in_request: Rc<Cell<bool>>,
+    /// When bytes were last read or written.
+    pub(crate) active_at: Rc<Cell<Option<Instant>>>,
+    /// Raised to close the connection although its caller keeps it open.
+    pub(crate) end: ShutdownFlag,
+}
+
+impl ConnectionState {
+    /// Records that bytes were read or written.
+    pub(crate) fn note_activity(&self, in_request: bool) {
+        self.in_request.set(in_request);
+        self.active_at.set(Some(Instant::now()));
+    }
 }
 
 /// A TCP stream whose writes time out if the caller stops reading.
@@ -79,6 +95,8 @@
         let read_nothing = buf.filled().len() == before && buf.remaining() > 0;
         if read_nothing && poll.is_ready() {
             self.state.closed.set(true);
+        } else if poll.is_ready() {
+            self.state.note_activity(true);
         }
         poll
     }
@@ -93,6 +111,7 @@
         match Pin::new(&mut self.stream).poll_write(cx, buf) {
             Poll::Ready(result) => {
                 self.write_timer = None;
+                self.state.note_activity(false);
                 Poll::Ready(result)
             }
             Poll::Pending => self.poll_write_timeout(cx),
--- a/crates/celerycrank-process/src/listener.rs
+++ b/crates/celerycrank-process/src/listener.rs
@@ -10,6 +10,7 @@
 use actix_rt::net::{TcpListener, TcpStream};
 use actix_service::{Service, ServiceFactory, fn_service};
 use socket2::SockRef;
+use tokio::{select, task::yield_now};
 
 use crate::{
     ShutdownFlag,
@@ -41,6 +42,12 @@
 pub struct ListenerLimits {
     /// Maximum number of open connections.
     pub connections: u32,
+    /// Whether the connection that was idle for the longest time is closed for a new one beyond
+    /// that number.
+    ///
+    /// Only for listeners that write an answer without a pause, since a connection counts as idle
+    /// as soon as a part of an answer has been written.
+    pub closes_idle: bool,
     /// Maximum time for a caller to send a request head.
     pub header_timeout: Duration,
     /// Maximum time for which a write may wait for the caller to read.
@@ -142,12 +149,14 @@
         let service = factory.new_service(()).await;
         let service = Rc::new(service.expect("a service made from a function cannot fail"));
         let observe = Rc::new(observe);
+        let mut states = Vec::new();
         loop {
             let Ok((stream, address)) = self.listener.accept().await else {
                 actix_rt::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
-            if self.open.get() >= self.limits.connections {
+            let is_full = self.open.get() >= self.limits.connections;
+            if is_full && !(self.limits.closes_idle && end_longest_idle(&mut states)) {
                 observe(ConnectionEvent::TooMany);
                 refuse_connection(&stream);
                 continue;
@@ -157,16 +166,34 @@
             }
             let guard = ConnectionGuard::new(&self.open);
             let state = ConnectionState::default();
+            state.note_activity(false);
+            if self.limits.closes_idle {
+                states.retain(is_in_use);
+                states.push(state.clone());
+            }
             let stream = CallerStream::new(stream, self.limits.write_timeout, state.clone());
             let serving = service.call((stream, Some(address)));
             let observe = Rc::clone(&observe);
             let shutdown = self.shutdown.clone();
             actix_rt::spawn(async move {
                 let _guard = guard;
+                let serving = async {
+                    select! {
+                        // A request that has arrived is answered before the connection is closed.
+                        biased;
+                        served = serving => served,
+                        () = state.end.raised() => Ok(()),
+                    }
+                };
                 let event = match serving.await {
                     Err(error) => classify_error(&error),
                     // On a head timeout the HTTP service answers the caller but returns no error.
-                    Ok(()) if !state.used.get() && !state.closed.get() && !shutdown.is_raised() => {
+                    Ok(())
+                        if !state.used.get()
+                            && !state.closed.get()
+                            && !shutdown.is_raised()
+                            && !state.end.is_raised() =>
+                    {
                         Some(ConnectionEvent::HeadTimeout)
                     }
                     Ok(()) => None,
@@ -175,10 +202,32 @@
                     observe(event);
                 }
             });
+            if is_full {
+                // The task of the connection that ends for this one closes it.
+                yield_now().await;
+            }
         }
     }
 }
 
+/// Whether a connection is open; its task has references to its state.
+fn is_in_use(state: &ConnectionState) -> bool {
+    Rc::strong_count(&state.used) > 1
+}
+
+/// Ends the connection that was idle for the longest time; `false` if none is idle.
+fn end_longest_idle(states: &mut Vec<ConnectionState>) -> bool {
+    states.retain(is_in_use);
+    let idle = states.iter().enumerate();
+    let idle = idle.filter(|(_, it)| !it.in_request.get());
+    let Some((index, _)) = idle.min_by_key(|(_, it)| it.active_at.get()) else {
+        return false;
+    };
+    states.swap_remove(index).end.raise();
+    tracing::debug!("idle connection closed for a new one");
+    true
+}
+
 /// Limits the bytes that the kernel holds of each connection that this listener accepts and that the
 /// process has not read.
 ///
