Half heads do not keep new callers out until their timeouts

At the bound of descriptors, only idle connections were closed for new ones. Callers that send half a head on each of as many connections as may be open had all new connections refused for 3 s at a time, with half a body for 10 s.

If no connection is idle, the request that has been stopped for the longest time (less than 4 KiB in 1 s) now gives way with 503 (not run). At most 32 ended connections are open at once for this, since their callers have time to read the refusal.

Red before: the_request_stopped_for_the_longest_time_ends_for_a_new_connection, only_some_connections_end_at_once_for_new_ones.

--- a/crates/celerycrank-direct/src/entry/space.rs
+++ b/crates/celerycrank-direct/src/entry/space.rs
@@ -137,7 +137,13 @@
 
     /// Records that a request has arrived and will be forwarded.
     pub(crate) fn complete(&self) -> Result<(), RefusalReason> {
-        let completed = self.state.space.budget.borrow_mut().complete(self.number);
+        let now = self.state.clock.now();
+        let completed = self
+            .state
+            .space
+            .budget
+            .borrow_mut()
+            .complete(self.number, now);
         self.apply(SpaceDecision {
             is_granted: completed.is_ok(),
             ended: completed.into_iter().flatten().collect(),
--- a/crates/celerycrank-entry/src/space.rs
+++ b/crates/celerycrank-entry/src/space.rs
@@ -107,7 +107,8 @@
 
     /// Records that the request has arrived and will be forwarded.
     pub(crate) fn complete(&self) -> Result<(), RefusalReason> {
-        let completed = self.ledger.budget.borrow_mut().complete(self.number);
+        let now = self.ledger.clock.now();
+        let completed = self.ledger.budget.borrow_mut().complete(self.number, now);
         completed.ok().map(drop).ok_or(RefusalReason::Overloaded)
     }
 }
--- a/crates/celerycrank-serving/src/caller_budget.rs
+++ b/crates/celerycrank-serving/src/caller_budget.rs
@@ -44,6 +44,12 @@
 /// passes its turn on.
 pub const STOPPED_TIMEOUT: TimeSpan = TimeSpan::from_secs(1);
 
+/// The largest number of ended connections that may still have a descriptor when a stopped request
+/// is ended for its descriptor.
+///
+/// Their callers are sent a refusal, and have time to read it.
+const MAX_CLOSING: u64 = 32;
+
 /// The bounds of a [`CallerBudget`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BudgetBounds {
@@ -77,7 +83,7 @@
 /// Why a connection has to end although its caller did not close it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndReason {
-    /// Its unfinished request gives way to others.
+    /// Its unfinished request gives way to others, which need its memory or descriptor.
     Space,
     /// It was idle for the longest time, and descriptors are used up.
     Idle,
@@ -173,6 +179,8 @@
     /// Those of them whose requests are arriving.
     large_arriving: HashSet<ConnectionNumber>,
     answering: u64,
+    /// The number of connections that have been told to end and have not closed.
+    closing: u64,
     /// The large answer that is read beyond the budget.
     answer_turn: Option<AnswerTurn>,
     next_number: u64,
@@ -191,6 +199,7 @@
             large: 0,
             large_arriving: HashSet::new(),
             answering: 0,
+            closing: 0,
             answer_turn: None,
             next_number: 0,
         }
@@ -213,17 +222,17 @@
         self.held >= self.bounds.bytes - self.bounds.reserve
     }
 
-    /// Admits a new connection; at the bound, an idle one has to end for it.
+    /// Admits a new connection; at the bound, an idle or stopped one has to end for it.
     ///
     /// # Errors
     ///
-    /// Fails if there are too many connections and none of them is idle.
+    /// Fails if there are too many connections and none of them is idle or has stopped.
     pub fn open(
         &mut self,
         address: IpAddr,
         now: TimePoint,
     ) -> Result<(ConnectionNumber, Option<EndedConnection>), NoRoomError> {
-        let ended = self.make_descriptor_room()?;
+        let ended = self.make_descriptor_room(now)?;
         let number = ConnectionNumber(self.next_number);
         self.next_number += 1;
         let connection = Connection {
@@ -241,7 +250,9 @@
     /// Forgets a connection that has closed.
     pub fn close(&mut self, number: ConnectionNumber) {
         self.end(number);
-        self.connections.remove(&number);
+        if self.connections.remove(&number).is_some() {
+            self.closing -= 1;
+        }
     }
 
     /// Records that a connection is idle and holds nothing.
@@ -261,7 +272,7 @@
     }
 
     /// Records that a request has arrived completely and will be forwarded, for which it needs
-    /// another descriptor; an idle connection may have to end for it.
+    /// another descriptor; an idle or stopped connection may have to end for it.
     ///
     /// # Errors
     ///
@@ -269,12 +280,13 @@
     pub fn complete(
         &mut self,
         number: ConnectionNumber,
+        now: TimePoint,
     ) -> Result<Option<EndedConnection>, NoRoomError> {
         let phase = self.connections.get(&number).map(|it| it.phase);
         if phase != Some(ConnectionPhase::Arriving) {
             return Err(NoRoomError);
         }
-        let ended = self.make_descriptor_room()?;
+        let ended = self.make_descriptor_room(now)?;
         self.set_phase(number, ConnectionPhase::Answering);
         Ok(ended)
     }
@@ -413,8 +425,12 @@
         least.map(|(number, _)| *number)
     }
 
-    /// Ends the connection that was idle for the longest time if descriptors are used up.
-    fn make_descriptor_room(&mut self) -> Result<Option<EndedConnection>, NoRoomError> {
+    /// If descriptors are used up, ends the connection that was idle for the longest time; if none is
+    /// idle, the one whose arriving request has been stopped for the longest time.
+    fn make_descriptor_room(
+        &mut self,
+        now: TimePoint,
+    ) -> Result<Option<EndedConnection>, NoRoomError> {
         let open = self.connections.len() as u64;
         if open + self.answering < self.bounds.descriptors {
             return Ok(None);
@@ -426,12 +442,23 @@
                 ConnectionPhase::Idle(since) => Some((since, *number)),
                 _ => None,
             });
-        let (_, number) = idle.min().ok_or(NoRoomError)?;
+        let idle = idle.min().map(|(_, number)| (number, EndReason::Idle));
+        let stopped = || self.find_stopped(now).map(|it| (it, EndReason::Space));
+        let (number, reason) = idle.or_else(stopped).ok_or(NoRoomError)?;
         self.end(number);
-        Ok(Some(EndedConnection {
-            number,
-            reason: EndReason::Idle,
-        }))
+        Ok(Some(EndedConnection { number, reason }))
+    }
+
+    /// The arriving request that has been stopped for the longest time.
+    fn find_stopped(&self, now: TimePoint) -> Option<ConnectionNumber> {
+        if self.closing >= MAX_CLOSING {
+            return None;
+        }
+        let arriving = self.connections.iter();
+        let arriving = arriving.filter(|(_, it)| it.phase == ConnectionPhase::Arriving);
+        let stopped = arriving.filter(|(_, it)| it.has_stopped(now));
+        let longest = stopped.min_by_key(|(number, it)| (it.progress_at, **number));
+        longest.map(|(number, _)| *number)
     }
 
     /// Stops counting the space of a connection, which its task is about to release.
@@ -454,6 +481,9 @@
         if phase == ConnectionPhase::Answering {
             self.answering += 1;
         }
+        if phase == ConnectionPhase::Ended {
+            self.closing += 1;
+        }
         connection.phase = phase;
         if phase != ConnectionPhase::Answering {
             self.end_turn(number);
--- a/crates/celerycrank-serving/tests/caller_budget.rs
+++ b/crates/celerycrank-serving/tests/caller_budget.rs
@@ -61,7 +61,7 @@
     assert_eq!(budget.held(), 700 * KIB);
     // The ended one gets no space any more, and can no longer be forwarded.
     assert_eq!(hold(&mut budget, stopped, 201, 1_600), Err(NoRoomError));
-    assert_eq!(budget.complete(stopped), Err(NoRoomError));
+    assert_eq!(budget.complete(stopped, at(1_600)), Err(NoRoomError));
 }
 
 // Guards against a caller that keeps its space by sending a byte a second.
@@ -105,7 +105,7 @@
     let large = [0, 1].map(|_| begin(&mut budget, 1, 0));
     for number in large {
         assert_eq!(hold(&mut budget, number, 400, 0), Ok(vec![]));
-        assert_eq!(budget.complete(number), Ok(None));
+        assert_eq!(budget.complete(number, at(0)), Ok(None));
     }
     let small = [0, 1, 2].map(|_| begin(&mut budget, 2, 0));
     for number in small {
@@ -134,7 +134,7 @@
     let large = [0, 1].map(|_| begin(&mut budget, 1, 0));
     for number in large {
         assert_eq!(hold(&mut budget, number, 400, 0), Ok(vec![]));
-        assert_eq!(budget.complete(number), Ok(None));
+        assert_eq!(budget.complete(number, at(0)), Ok(None));
     }
     assert_eq!(hold(&mut budget, large[0], 600, 0), Ok(vec![]));
     (budget, large)
@@ -148,7 +148,7 @@
     let small = [0, 1, 2, 3].map(|_| begin(&mut budget, 2, 10));
     for number in small {
         assert_eq!(hold(&mut budget, number, 40, 10), Ok(vec![]));
-        assert_eq!(budget.complete(number), Ok(None));
+        assert_eq!(budget.complete(number, at(10)), Ok(None));
         assert!(budget.may_read_answer(number, at(10)));
     }
     // An answer that grows beyond a small request waits like the other large ones.
@@ -159,7 +159,7 @@
         assert_eq!(hold(&mut budget, *number, 64, 20), Ok(vec![]));
     }
     let last = begin(&mut budget, 3, 20);
-    assert_eq!(budget.complete(last), Ok(None));
+    assert_eq!(budget.complete(last, at(20)), Ok(None));
     assert_eq!(hold(&mut budget, last, 10, 20), Ok(vec![]));
     assert!(!budget.may_read_answer(last, at(20)));
 }
@@ -204,6 +204,42 @@
     assert_eq!(busy.open(address(2), at(40)), Err(NoRoomError));
 }
 
+// Guards against half heads that keep everybody out until their timeouts.
+#[test]
+fn the_request_stopped_for_the_longest_time_ends_for_a_new_connection() {
+    let mut budget = CallerBudget::new(BOUNDS);
+    let opened = (0..12).map(|now| begin(&mut budget, 1, now * 10));
+    let opened = opened.collect::<Vec<_>>();
+    // The oldest one makes progress.
+    assert_eq!(hold(&mut budget, opened[0], 8, 900), Ok(vec![]));
+    assert_eq!(budget.open(address(2), at(1_000)), Err(NoRoomError));
+    let (_, ended) = budget.open(address(2), at(1_050)).expect("one ends");
+    let (number, reason) = (opened[1], EndReason::Space);
+    assert_eq!(ended, Some(EndedConnection { number, reason }));
+}
+
+// Guards against descriptors beyond the bound while callers read their refusals.
+#[test]
+fn only_some_connections_end_at_once_for_new_ones() {
+    let bounds = BudgetBounds {
+        descriptors: 100,
+        ..BOUNDS
+    };
+    let mut budget = CallerBudget::new(bounds);
+    for _ in 0..100 {
+        begin(&mut budget, 1, 0);
+    }
+    let mut ended = Vec::new();
+    while let Ok((number, end)) = budget.open(address(2), at(2_000)) {
+        budget.begin(number, at(2_000));
+        ended.push(end.expect("one ends").number);
+    }
+    assert_eq!(ended.len(), 32);
+    budget.close(ended[0]);
+    budget.close(ended[1]);
+    assert!(budget.open(address(2), at(2_000)).is_ok());
+}
+
 // Guards against space that is never returned, whatever the order of events.
 #[test]
 fn the_accounts_hold_and_return_to_zero() {
@@ -239,7 +275,7 @@
                         budget.begin(number, now);
                     }
                     2 => {
-                        if let Ok(end) = budget.complete(number) {
+                        if let Ok(end) = budget.complete(number, now) {
                             ended.extend(end);
                             held.entry(number).and_modify(|it| it.1 = true);
                         }
