Overload tests count descriptors also after the ordinary answer

They are now counted once more after the answer, before which all earlier connections were accepted. Crowds and bounds are unchanged.

--- a/crates/celerycrank-cli/tests/overload.rs
+++ b/crates/celerycrank-cli/tests/overload.rs
@@ -185,6 +185,8 @@
             answer = caller.ask(&request) => answer,
             () = sampling => None,
         };
+        // All earlier connections were accepted before the one of this request.
+        descriptors = descriptors.max(self.descriptors());
         let peak = self.peak_kib();
         println!("{case}: peak {peak} KiB, {descriptors} descriptors");
         let status = answer.map(|it| it.status);
