--- a/crates/celerycrank-serving/src/caller_budget.rs
+++ b/crates/celerycrank-serving/src/caller_budget.rs
@@ -5,7 +5,7 @@
 //! use up the memory or the descriptors of the process.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{HashMap, HashSet},
     net::IpAddr,
 };
 
@@ -40,8 +40,15 @@
 /// makes progress.
 const MIN_PROGRESS_BYTES: u64 = 4 << 10;
 
-/// The time without progress after which a request counts as stopped.
-const STOPPED_TIMEOUT: TimeSpan = TimeSpan::from_secs(1);
+/// The time without progress after which a request counts as stopped, and after which an answer
+/// passes its turn on.
+pub const STOPPED_TIMEOUT: TimeSpan = TimeSpan::from_secs(1);
+
+/// The largest number of ended connections that may still have a descriptor when a stopped request
+/// is ended for its descriptor.
+///
+/// Their callers are sent a refusal, and have time to read it.
+const MAX_CLOSING: u64 = 32;
 
 /// The bounds of a [`CallerBudget`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,7 +83,7 @@
 /// Why a connection has to end although its caller did not close it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndReason {
-    /// Its unfinished request gives way to others.
+    /// Its unfinished request gives way to others, which need its memory or descriptor.
     Space,
     /// It was idle for the longest time, and descriptors are used up.
     Idle,
@@ -148,6 +155,14 @@
     }
 }
 
+/// The permission to read a large answer beyond the budget.
+#[derive(Debug, Clone, Copy)]
+struct AnswerTurn {
+    holder: ConnectionNumber,
+    /// When the holder last asked, which it does after each read.
+    asked_at: TimePoint,
+}
+
 /// Decides which callers may hold how much memory, and which connections stay open.
 ///
 /// Invariant: `held` and `by_address` are the sums over the connections that have not been ended.
@@ -164,8 +179,10 @@
     /// Those of them whose requests are arriving.
     large_arriving: HashSet<ConnectionNumber>,
     answering: u64,
-    /// The connections whose answers are being read from backend servers.
-    reading_answers: BTreeSet<ConnectionNumber>,
+    /// The number of connections that have been told to end and have not closed.
+    closing: u64,
+    /// The large answer that is read beyond the budget.
+    answer_turn: Option<AnswerTurn>,
     next_number: u64,
 }
 
@@ -182,7 +199,8 @@
             large: 0,
             large_arriving: HashSet::new(),
             answering: 0,
-            reading_answers: BTreeSet::new(),
+            closing: 0,
+            answer_turn: None,
             next_number: 0,
         }
     }
@@ -204,17 +222,17 @@
         self.held >= self.bounds.bytes - self.bounds.reserve
     }
 
-    /// Admits a new connection; at the bound, an idle one has to end for it.
+    /// Admits a new connection; at the bound, an idle or stopped one has to end for it.
     ///
     /// # Errors
     ///
-    /// Fails if there are too many connections and none of them is idle.
+    /// Fails if there are too many connections and none of them is idle or has stopped.
     pub fn open(
         &mut self,
         address: IpAddr,
         now: TimePoint,
     ) -> Result<(ConnectionNumber, Option<EndedConnection>), NoRoomError> {
-        let ended = self.make_descriptor_room()?;
+        let ended = self.make_descriptor_room(now)?;
         let number = ConnectionNumber(self.next_number);
         self.next_number += 1;
         let connection = Connection {
@@ -232,7 +250,9 @@
     /// Forgets a connection that has closed.
     pub fn close(&mut self, number: ConnectionNumber) {
         self.end(number);
-        self.connections.remove(&number);
+        if self.connections.remove(&number).is_some() {
+            self.closing -= 1;
+        }
     }
 
     /// Records that a connection is idle and holds nothing.
@@ -252,7 +272,7 @@
     }
 
     /// Records that a request has arrived completely and will be forwarded, for which it needs
-    /// another descriptor; an idle connection may have to end for it.
+    /// another descriptor; an idle or stopped connection may have to end for it.
     ///
     /// # Errors
     ///
@@ -260,37 +280,54 @@
     pub fn complete(
         &mut self,
         number: ConnectionNumber,
+        now: TimePoint,
     ) -> Result<Option<EndedConnection>, NoRoomError> {
         let phase = self.connections.get(&number).map(|it| it.phase);
         if phase != Some(ConnectionPhase::Arriving) {
             return Err(NoRoomError);
         }
-        let ended = self.make_descriptor_room()?;
+        let ended = self.make_descriptor_room(now)?;
         self.set_phase(number, ConnectionPhase::Answering);
         Ok(ended)
     }
 
-    /// Records that an answer is being read from a backend server to its end before any of it is
-    /// passed on.
-    pub fn begin_answer(&mut self, number: ConnectionNumber) {
-        let phase = self.connections.get(&number).map(|it| it.phase);
-        if phase == Some(ConnectionPhase::Answering) {
-            self.reading_answers.insert(number);
-        }
-    }
-
     /// Records that an answer has been read.
     pub fn end_answer(&mut self, number: ConnectionNumber) {
-        self.reading_answers.remove(&number);
+        self.end_turn(number);
     }
 
-    /// Whether more of an answer may be read now.
+    /// Whether more of an answer may be read now; asked before each read.
     ///
-    /// Beyond the budget, only the answer of the oldest connection is read further, so that answers
-    /// do not wait for one another.
-    #[must_use]
-    pub fn may_read_answer(&self, number: ConnectionNumber) -> bool {
-        self.held < self.bounds.bytes || self.reading_answers.first() == Some(&number)
+    /// Beyond the budget, small answers are read within the reserve, and large ones one after
+    /// another, so that answers that are read in part do not all wait for the others. An answer
+    /// whose backend server sends nothing passes its turn on to the next one that asks.
+    pub fn may_read_answer(&mut self, number: ConnectionNumber, now: TimePoint) -> bool {
+        if self.held < self.bounds.bytes {
+            return true;
+        }
+        let is_small = self
+            .connections
+            .get(&number)
+            .is_some_and(|it| !it.is_large());
+        if is_small && self.small_held <= self.bounds.reserve {
+            return true;
+        }
+        let other = self.answer_turn.filter(|turn| turn.holder != number);
+        if other.is_some_and(|turn| now.since(turn.asked_at) < STOPPED_TIMEOUT) {
+            return false;
+        }
+        self.answer_turn = Some(AnswerTurn {
+            holder: number,
+            asked_at: now,
+        });
+        true
+    }
+
+    /// Ends the turn of an answer that is read no further.
+    fn end_turn(&mut self, number: ConnectionNumber) {
+        if self.answer_turn.is_some_and(|turn| turn.holder == number) {
+            self.answer_turn = None;
+        }
     }
 
     /// Changes what a connection holds, after `arrived` more bytes of its request.
@@ -388,8 +425,12 @@
         least.map(|(number, _)| *number)
     }
 
-    /// Ends the connection that was idle for the longest time if descriptors are used up.
-    fn make_descriptor_room(&mut self) -> Result<Option<EndedConnection>, NoRoomError> {
+    /// If descriptors are used up, ends the connection that was idle for the longest time; if none is
+    /// idle, the one whose arriving request has been stopped for the longest time.
+    fn make_descriptor_room(
+        &mut self,
+        now: TimePoint,
+    ) -> Result<Option<EndedConnection>, NoRoomError> {
         let open = self.connections.len() as u64;
         if open + self.answering < self.bounds.descriptors {
             return Ok(None);
@@ -401,12 +442,23 @@
                 ConnectionPhase::Idle(since) => Some((since, *number)),
                 _ => None,
             });
-        let (_, number) = idle.min().ok_or(NoRoomError)?;
+        let idle = idle.min().map(|(_, number)| (number, EndReason::Idle));
+        let stopped = || self.find_stopped(now).map(|it| (it, EndReason::Space));
+        let (number, reason) = idle.or_else(stopped).ok_or(NoRoomError)?;
         self.end(number);
-        Ok(Some(EndedConnection {
-            number,
-            reason: EndReason::Idle,
-        }))
+        Ok(Some(EndedConnection { number, reason }))
+    }
+
+    /// The arriving request that has been stopped for the longest time.
+    fn find_stopped(&self, now: TimePoint) -> Option<ConnectionNumber> {
+        if self.closing >= MAX_CLOSING {
+            return None;
+        }
+        let arriving = self.connections.iter();
+        let arriving = arriving.filter(|(_, it)| it.phase == ConnectionPhase::Arriving);
+        let stopped = arriving.filter(|(_, it)| it.has_stopped(now));
+        let longest = stopped.min_by_key(|(number, it)| (it.progress_at, **number));
+        longest.map(|(number, _)| *number)
     }
 
     /// Stops counting the space of a connection, which its task is about to release.
@@ -424,13 +476,18 @@
             return;
         }
         if connection.phase == ConnectionPhase::Answering {
-            self.reading_answers.remove(&number);
             self.answering -= 1;
         }
         if phase == ConnectionPhase::Answering {
             self.answering += 1;
         }
+        if phase == ConnectionPhase::Ended {
+            self.closing += 1;
+        }
         connection.phase = phase;
+        if phase != ConnectionPhase::Answering {
+            self.end_turn(number);
+        }
         self.update_arriving(number);
     }
 
