--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -222,6 +222,12 @@
     best.map(|(_, state)| state)
 }
 
+/// Whether a backend server processes requests: its lock-step group is not forming or broken.
+fn is_open(state: &BackendState, now: TimePoint) -> bool {
+    let report = state.load.report(now);
+    report.is_none_or(|report| report.is_open)
+}
+
 /// Returns the backend server of least cost, and its cost.
 fn cheapest<'table, R: Rng>(
     sample: [Option<&'table BackendState>; SAMPLE_SIZE + MAX_PROMPT_HOLDERS],
--- a/crates/celerycrank-serving/src/prompt.rs
+++ b/crates/celerycrank-serving/src/prompt.rs
@@ -105,7 +105,7 @@
         let max_saving = MAX_SAVING_FRACTION * slots * self.turnover;
         let saved = saved.min(max_saving / DelayEstimate::reading_factor(stalled_load));
         // A request that fails there is read in full elsewhere.
-        let saved = saved * (1.0 - state.failure_rate());
+        let saved = saved * (1.0 - state.failure_rate(now));
         let reading = self.reading_time(self.prompt_tokens) * pace - saved;
         let estimate = DelayEstimate {
             load,
--- a/crates/celerycrank-serving/tests/prompt_cache.rs
+++ b/crates/celerycrank-serving/tests/prompt_cache.rs
@@ -322,7 +322,7 @@
     let mut entry = SimulatedEntry::new(8);
     entry.index.note_begun(&prompt, holder(0), now);
     for _ in 0..50 {
-        entry.table.note_answer(&backend(0), true);
+        entry.table.note_answer(&backend(0), true, now);
     }
     let choices = (0..200).map(|_| entry.choose(&prompt, now, Decision::Weighed, &mut random));
     assert_eq!(choices.filter(|(number, _)| *number == 0).count(), 0);
