Choice: held prompts yield to closed and unstable groups

What is weighed for a prompt is counted in the same unit as the costs of closed groups (50) and of unstable ones (their slots), and could exceed them: a holder in such a group was sent all of 200 requests while the other group had free slots. While a backend server of an open, stable group has a free slot, only such ones are weighed if the sample holds others. Without holders nothing changes.

Red before: a_holder_in_a_closed_or_unstable_group_yields_to_a_free_slot_elsewhere (200 in place of 0; the run ended at the closed group, so that the unstable one was not seen red by itself).

--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -178,6 +178,16 @@
         let has_free_slot = state.load.total(query.now) < state.registration.slots;
         has_free_slot && !state.is_in_unstable_group(query.now)
     };
+    let mut sampled = sample.iter().flatten();
+    if query.prompt.is_some() && (has_unstable || sampled.any(|state| !is_open(state, query.now))) {
+        // What is weighed for a prompt may exceed the costs of closed and unstable groups.
+        let sound = states.clone();
+        let sound = sound.filter(|state| has_room(state) && is_open(state, query.now));
+        let sample = sample_states(sound, query.prompt, random);
+        if let Some((_, state)) = cheapest(sample, query, random) {
+            return Some(state);
+        }
+    }
     let with_room = sample.into_iter().flatten().filter(has_room).count();
     if !has_unstable || with_room >= MIN_STABLE_SAMPLE {
         return best.map(|(_, state)| state);
--- a/crates/celerycrank-serving/tests/prompt_cache.rs
+++ b/crates/celerycrank-serving/tests/prompt_cache.rs
@@ -273,6 +273,45 @@
     }
 }
 
+/// Guards against a saving that outweighs the cost of a group that is closed or has closed
+/// repeatedly.
+#[test]
+fn a_holder_in_a_closed_or_unstable_group_yields_to_a_free_slot_elsewhere() {
+    let mut random = StdRng::seed_from_u64(SEED);
+    let prompt = prompt(&[(1, 90_000)]);
+    let closed = &[(0, true), (100, false)][..];
+    let unstable = &[
+        (0, true),
+        (100, false),
+        (400, true),
+        (800, false),
+        (1_100, true),
+    ][..];
+    for reports in [closed, unstable] {
+        let mut entry = SimulatedEntry::new(8);
+        let mut now = TimePoint::default();
+        for (millis, is_open) in reports {
+            now = TimePoint::default() + TimeSpan::from_millis(*millis);
+            for number in 0..8 {
+                let (running, group) = if number < 4 { (0, "bad") } else { (4, "good") };
+                let report = LoadReport {
+                    running,
+                    waiting: 0,
+                    pace: 1.0,
+                    group: group.parse().ok(),
+                    is_open: *is_open || number >= 4,
+                    entries: ENTRIES,
+                };
+                entry.table.observe_load(&backend(number), report, now);
+            }
+        }
+        entry.index.note_begun(&prompt, holder(0), now);
+        let choices = (0..200).map(|_| entry.choose(&prompt, now, Decision::Weighed, &mut random));
+        let bad = choices.filter(|(number, _)| *number < 4).count();
+        assert_eq!(bad, 0, "of 200 after {reports:?}");
+    }
+}
+
 /// Guards against a long prompt that is read by an idle rank of a group whose other ranks are full.
 #[test]
 fn the_reading_of_a_prompt_is_weighed_with_the_load_of_the_group() {
