Held prompts: a holder that fails requests saves nothing

The saving was counted in full at a holder whose requests fail, so that a session was sent there again and again: 200 of 200 requests after 50 failures. The saving now counts with the share of the requests that succeed. The pace is that of the choice by load: bounded where a report states it, and measured from answers where there is no report.

Red before: a_holder_that_fails_requests_saves_nothing (200 in place of 0).

--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -355,9 +355,7 @@
 #[must_use]
 pub fn estimate_cost(state: &BackendState, query: &ChoiceQuery<'_>) -> f64 {
     let report = state.load.report(query.now);
-    let pace = report.map_or(state.slowdown(query.now), |report| {
-        bounded_pace(report.pace)
-    });
+    let pace = expected_pace(state, query.now);
     let is_closed = report.is_some_and(|report| !report.is_open);
     let mut cost = (f64::from(state.load.total(query.now)) + 1.0) * pace;
     cost += state.failure_rate() * FAILURE_COST;
@@ -376,6 +374,12 @@
         .map_or(0.0, |prompt| prompt.cost(state, query.now))
 }
 
+/// Returns how much longer answers take at a backend server, from its report or from its answers.
+pub(crate) fn expected_pace(state: &BackendState, now: TimePoint) -> f64 {
+    let report = state.load.report(now);
+    report.map_or_else(|| state.slowdown(now), |report| bounded_pace(report.pace))
+}
+
 /// Returns a slowdown factor that is finite and at least 1.
 fn bounded_pace(pace: f64) -> f64 {
     // The comparison is false for a value that is no number.
--- a/crates/celerycrank-serving/src/prompt.rs
+++ b/crates/celerycrank-serving/src/prompt.rs
@@ -9,7 +9,7 @@
 use celerycrank_routing::{DelayEstimate, PromptHolders};
 use celerycrank_types::{TimePoint, TimeSpan};
 
-use crate::{BackendState, EngineProfile};
+use crate::{BackendState, EngineProfile, choice::expected_pace};
 
 /// Weight of each second by which the first event is predicted to miss its target.
 const LATENESS_WEIGHT: f64 = 4.0;
@@ -83,7 +83,7 @@
     pub(crate) fn cost(&self, state: &BackendState, now: TimePoint) -> f64 {
         let profile = self.profile;
         let report = state.load.report(now);
-        let pace = report.map_or(1.0, |report| report.pace.max(1.0));
+        let pace = expected_pace(state, now);
         let requests = f64::from(state.load.total(now)) + 1.0;
         let slots = f64::from(profile.slots);
         let passes = f64::from(profile.steps_per_pass);
@@ -104,6 +104,8 @@
         let saved = self.reading_time(held.unwrap_or(0)) * pace;
         let max_saving = MAX_SAVING_FRACTION * slots * self.turnover;
         let saved = saved.min(max_saving / DelayEstimate::reading_factor(stalled_load));
+        // A request that fails there is read in full elsewhere.
+        let saved = saved * (1.0 - state.failure_rate());
         let reading = self.reading_time(self.prompt_tokens) * pace - saved;
         let estimate = DelayEstimate {
             load,
--- a/crates/celerycrank-serving/tests/prompt_cache.rs
+++ b/crates/celerycrank-serving/tests/prompt_cache.rs
@@ -312,6 +312,22 @@
     }
 }
 
+/// Guards against a saving that is expected of a holder that fails its requests, and against a slow
+/// one without reports that is weighed as if it were not slow.
+#[test]
+fn a_holder_that_fails_requests_saves_nothing() {
+    let mut random = StdRng::seed_from_u64(SEED);
+    let now = TimePoint(1);
+    let prompt = prompt(&[(1, 90_000)]);
+    let mut entry = SimulatedEntry::new(8);
+    entry.index.note_begun(&prompt, holder(0), now);
+    for _ in 0..50 {
+        entry.table.note_answer(&backend(0), true);
+    }
+    let choices = (0..200).map(|_| entry.choose(&prompt, now, Decision::Weighed, &mut random));
+    assert_eq!(choices.filter(|(number, _)| *number == 0).count(), 0);
+}
+
 /// Guards against a long prompt that is read by an idle rank of a group whose other ranks are full.
 #[test]
 fn the_reading_of_a_prompt_is_weighed_with_the_load_of_the_group() {
