--- a/crates/celerycrank-serving/src/check.rs
+++ b/crates/celerycrank-serving/src/check.rs
@@ -3,14 +3,17 @@
 //! They name routes, services, accounts and keys without effect, and limits that contradict each
 //! other. What the processes do not accept is found by whoever reads the configuration.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use celerycrank_groups::MapShape;
 use celerycrank_types::{ByteSize, ServiceId, TimeSpan};
 
 use crate::{
-    AccountRule, EngineProfile, GroupProfile, KeyRequirement, RouteMatch, RouteRule, RouteTable,
-    ServiceRule, ServingConfiguration,
+    AccountRule, AdmissionPolicy, EngineProfile, GroupProfile, KeyRequirement, RouteMatch,
+    RouteRule, RouteTable, ServiceRule, ServingConfiguration,
 };
 
 /// The least urgent priority.
@@ -42,6 +45,7 @@
     "gap_target_missing",
     "attempts_without_repeat",
     "priority_out_of_range",
+    "priorities_of_accounts_only",
     "service_without_connections",
     "engine_without_slots",
     "engine_profile_zero",
@@ -338,10 +342,32 @@
             }
             if let Some(engine) = &rule.engine {
                 self.check_engine(index, engine);
+                self.check_priorities(index, configuration);
             }
         }
     }
 
+    /// Reports engines whose requests have different priorities by their accounts alone.
+    fn check_priorities(&mut self, index: usize, configuration: &ServingConfiguration) {
+        let service = &configuration.services[index];
+        let routes = &configuration.routes;
+        let accounts = configuration.keys.accounts();
+        let mut used = routes.iter().flat_map(|route| &route.services);
+        let is_used = used.any(|part| part.service == service.service);
+        let priorities = accounts.iter().filter_map(|account| account.priority);
+        let priorities = priorities.collect::<BTreeSet<_>>();
+        // `AdmissionPolicy` decides whether priorities count at a service.
+        if is_used
+            && priorities.len() > 1
+            && AdmissionPolicy::of_service(service, routes, accounts).is_none()
+        {
+            let message = "the priorities of accounts differ, but those of its routes do not; \
+                           requests are admitted without regard to priorities";
+            let place = ConfigurationPlace::Service(index, ServiceField::Name);
+            self.warn("priorities_of_accounts_only", place, message);
+        }
+    }
+
     fn check_engine(&mut self, index: usize, engine: &EngineProfile) {
         let place = |field| ConfigurationPlace::Service(index, field);
         if engine.slots == 0 {
--- a/crates/celerycrank-serving/src/compare.rs
+++ b/crates/celerycrank-serving/src/compare.rs
@@ -10,8 +10,8 @@
 use celerycrank_config::{Difference, Tendency};
 
 use crate::{
-    AccountRule, CallerBounds, KeyRequirement, RequestSemantics, RouteMatch, RouteRule, RouteTable,
-    ServiceRule, ServingConfiguration,
+    AccountRule, CallerBounds, ColdStart, KeyRequirement, RequestSemantics, RouteMatch, RouteRule,
+    RouteTable, ServiceRule, ServingConfiguration,
 };
 
 /// Returns what becomes stricter or laxer from one configuration to another, and for whom.
@@ -258,9 +258,11 @@
                 (None, Some(_)) => self.add(Tendency::Changed, subject, "has engines"),
                 (None, None) => {}
             }
+            self.compare_cold_starts(subject, before.cold_start, after.cold_start);
             let compared = ServiceRule {
                 max_connections: after.max_connections,
                 engine: after.engine,
+                cold_start: after.cold_start,
                 ..before.clone()
             };
             if compared != *after {
@@ -276,6 +278,23 @@
         }
     }
 
+    fn compare_cold_starts(
+        &mut self,
+        subject: &str,
+        from: Option<ColdStart>,
+        to: Option<ColdStart>,
+    ) {
+        if let (Some(from), Some(to)) = (from, to)
+            && from.span != to.span
+        {
+            // A cold backend server takes fewer requests for longer.
+            let message = format!("time for which it is cold {} -> {}", from.span, to.span);
+            self.add(Tendency::of_limit(&to.span, &from.span), subject, message);
+        }
+        let (from, to) = (from.map(|it| it.rate), to.map(|it| it.rate));
+        self.optional_limit(subject, "requests while cold", from.as_ref(), to.as_ref());
+    }
+
     fn compare_keys(&mut self, old: &KeyRequirement, new: &KeyRequirement) {
         let callers = "callers without a key";
         match (old, new) {
