Prompt index: parts without tokens take no place

A prompt of 64 parts, 63 of them of size 0, took 64 of the 32,768 places of the index, so that some 500 requests displaced what was known of all other prompts. A beginning that is no longer than the one before it saves nothing more and is not tracked. Parts that each announce at least one token still take a place each.

Red before: parts_without_tokens_take_no_place_in_the_index (64 in place of 1). what_requests_teach_is_bounded counted 64 beginnings whose lengths all saturate at the largest number; these are one beginning now. It checks that, and the bound of 64 with sizes that add up.

--- a/crates/celerycrank-routing/src/prompt_index.rs
+++ b/crates/celerycrank-routing/src/prompt_index.rs
@@ -73,7 +73,8 @@
 pub struct PromptBeginnings {
     /// The beginnings, the shortest first.
     ///
-    /// Invariant: no more than `MAX_PARTS`, and none longer than the prompt.
+    /// Invariant: no more than `MAX_PARTS`, each longer than the one before it, and none longer than
+    /// the prompt.
     beginnings: SmallVec<[Beginning; 4]>,
     /// Number of tokens of the whole prompt.
     tokens: u64,
@@ -105,6 +106,13 @@
         for beginning in &mut beginnings {
             beginning.tokens = beginning.tokens.min(tokens);
         }
+        // A beginning that is no longer than the one before it saves nothing more.
+        let mut length = 0;
+        beginnings.retain(|beginning| {
+            let is_longer = beginning.tokens > length;
+            length = beginning.tokens;
+            is_longer
+        });
         Self { beginnings, tokens }
     }
 
--- a/crates/celerycrank-routing/tests/prompt_index.rs
+++ b/crates/celerycrank-routing/tests/prompt_index.rs
@@ -69,6 +69,14 @@
     let huge = PromptBeginnings::new(&service, huge, None);
     index.note_sent(&huge, holder(0, 1), u64::MAX, u32::MAX, RETENTION, at(1));
     index.note_begun(&huge, holder(0, 1), at(1));
+    assert_eq!(index.len(), 1, "the sum of the sizes overflows");
+    let long = (0..5_000).map(|part| (PromptPartId(part), u64::MAX / 100));
+    index.note_begun(
+        &PromptBeginnings::new(&service, long, None),
+        holder(0, 1),
+        at(1),
+    );
+    // The first beginning of both prompts is the same.
     assert_eq!(index.len(), 64, "parts of one prompt");
     assert!(
         index.holders(&huge, RETENTION, at(1)).is_empty(),
--- a/crates/celerycrank-serving/tests/prompt_cache.rs
+++ b/crates/celerycrank-serving/tests/prompt_cache.rs
@@ -354,6 +354,17 @@
     }
 }
 
+/// Guards against callers that displace other prompts from the index by parts of no size.
+#[test]
+fn parts_without_tokens_take_no_place_in_the_index() {
+    let parts = (0..64).map(|id| (id, if id == 1 { 100 } else { 0 }));
+    let prompt = prompt(&parts.collect::<Vec<_>>());
+    let mut index = PromptIndex::default();
+    index.note_begun(&prompt, holder(0), TimePoint(1));
+    let holders = index.holders(&prompt, RETENTION, TimePoint(2));
+    assert_eq!((index.len(), holders.tokens_at(holder(0))), (1, Some(100)));
+}
+
 /// Guards against a change of the choice where the feature is off: the numbers are those of the
 /// code before it (25bb84c).
 #[test]
