Send nothing to backend servers that leave

A backend server that shuts down says so by `Server-Leaving: 1` in its answers, which no entry read. It was sent requests until the store no longer listed it, or longer while the store was down.

The entry that reads the field on the request's own answer, of any status, records the incarnation. `SendObstacle::Leaving` keeps it out of every choice, also of last resort, and `admit_send` checks it right before the bytes. Incarnations are remembered in a bounded set beside the table, since a registration may be removed and written again. Idle connections are closed at once, those in use after their answers. If all backend servers leave, requests are refused as `backend_leaving`, also those that wait for a place or have no send left.

--- a/crates/celerycrank-direct/src/entry/admission.rs
+++ b/crates/celerycrank-direct/src/entry/admission.rs
@@ -343,7 +343,9 @@
             now: state.clock.now(),
         };
         let limit = load_limit(state, &policy, admission, rank);
-        if !has_place(&state.backends.borrow(), &query, limit) {
+        let backends = state.backends.borrow();
+        // If the backend servers want no requests, those that wait are refused.
+        if !has_place(&backends, &query, limit) && !backends.is_closed(service, query.now) {
             return;
         }
         let woken = admission.queue.pop_first();
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
 use super::{
+    departure::read_leaving,
     limits::note_limit,
     own_head::{OwnHead, read_own_head},
     progress::SendGuard,
@@ -115,7 +116,8 @@
         let is_clean = self.decoder.is_complete()
             && self.is_persistent
             && self.stream.is_fully_sent()
-            && self.stream.stream.is_reusable();
+            && self.stream.stream.is_reusable()
+            && !state.backends.borrow().has_left(&self.registration);
         if is_clean {
             let (backend, address) = (&self.registration.backend, self.registration.address);
             let now = state.clock.now();
@@ -177,6 +179,7 @@
     answer.is_reusable &= !is_long;
     read_limit(state, registration, &answer.metadata, now);
     read_cold_remaining(state, registration, &answer.metadata);
+    read_leaving(state, registration, &answer.metadata);
     check_answer(request, stream, answer, registration)
 }
 
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -393,10 +393,20 @@
                 retry_after: Some(retry_after + random_spread(random)),
             },
             ServiceObstacle::Evacuated => RefusalReason::Evacuated.into(),
+            ServiceObstacle::Leaving => RefusalReason::BackendLeaving.into(),
             ServiceObstacle::NoBackend => RefusalReason::NoBackend.into(),
         }
     }
 
+    /// The refusal of a request that is not sent again, if the backend servers want no requests.
+    pub(super) fn closed_refusal(&self) -> Option<RequestRefusal> {
+        let now = self.state.clock.now();
+        let backends = self.state.backends.borrow();
+        let is_closed = backends.is_closed(&self.request.service, now);
+        let mut random = self.state.random.borrow_mut();
+        is_closed.then(|| self.service_refusal(&backends, now, &mut *random))
+    }
+
     async fn record_attempt_error(
         &self,
         backend: &BackendId,
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -22,6 +22,7 @@
     pub(crate) quarantined_parts: IntGauge,
     pub(crate) unstable_groups: IntGauge,
     pub(crate) evacuation: EvacuationMetrics,
+    pub(crate) departures: DepartureMetrics,
     pub(crate) prompts: PromptMetrics,
     pub(crate) store_errors: IntCounter,
     pub(crate) configuration_errors: IntCounter,
@@ -90,6 +91,7 @@
                 "lock-step groups that close repeatedly and are used last",
             )?,
             evacuation: EvacuationMetrics::register(&set)?,
+            departures: DepartureMetrics::register(&set)?,
             prompts: PromptMetrics::register(&set)?,
             store_errors: set.counter(
                 "celerycrank_direct_store_faults_total",
@@ -183,6 +185,28 @@
     }
 }
 
+/// Metrics of backend servers that shut down.
+#[derive(Debug)]
+pub(crate) struct DepartureMetrics {
+    pub(crate) leaving: IntCounter,
+    pub(crate) leaving_errors: IntCounter,
+}
+
+impl DepartureMetrics {
+    fn register(set: &MetricSet) -> Result<Self, MetricError> {
+        Ok(Self {
+            leaving: set.counter(
+                "celerycrank_direct_backends_leaving_total",
+                "backend servers that said in an answer that they are shutting down",
+            )?,
+            leaving_errors: set.counter(
+                "celerycrank_direct_leaving_faults_total",
+                "fields of answers about the shutdown of a backend server that cannot be read",
+            )?,
+        })
+    }
+}
+
 /// Metrics of prompts that backend servers still hold.
 #[derive(Debug)]
 pub(crate) struct PromptMetrics {
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod clearance;
 mod crash;
+mod departure;
 mod dispatch;
 mod evacuation;
 mod limits;
--- a/crates/celerycrank-direct/src/entry/pool.rs
+++ b/crates/celerycrank-direct/src/entry/pool.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Closes the idle connections to a backend server.
+    pub(crate) fn close_backend(&self, backend: &BackendId) {
+        self.idle.borrow_mut().remove(backend);
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn close_expired(&self, now: TimePoint) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/celerycrank-direct/src/entry/retry.rs
+++ b/crates/celerycrank-direct/src/entry/retry.rs
@@ -49,6 +49,7 @@
                 why = %obstacle,
                 "request is not sent again"
             );
+            let refusal = self.closed_refusal().unwrap_or_else(|| refusal.into());
             self.final_error(refusal)
         })
     }
@@ -111,6 +112,7 @@
     match obstacle {
         SendObstacle::Evacuated => RefusalReason::Evacuated,
         SendObstacle::Cold => RefusalReason::BackendCold,
+        SendObstacle::Leaving => RefusalReason::BackendLeaving,
         _ => RefusalReason::NoBackend,
     }
 }
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     BackendRegistration, EntryPlace, LimitNotice, LoadEstimate, RegistrationState, SendObstacle,
-    answer_pace::AnswerPace, cold::ColdPace, limit::RequestAllowance,
+    answer_pace::AnswerPace, cold::ColdPace, departure::IncarnationState, limit::RequestAllowance,
 };
 
 /// Time for which a backend server may still be used as a last resort after its registration
@@ -49,6 +49,8 @@
     pub(crate) is_misdirected: bool,
     /// Whether a backend server of the same service registered later with the same address.
     pub(crate) is_superseded: bool,
+    /// What is known of the end of its incarnation.
+    pub(crate) incarnation_state: IncarnationState,
     /// Whether its failure domain is evacuated.
     pub(crate) is_evacuated: bool,
     /// Until when it is cold, and what this entry may send to it meanwhile.
@@ -82,6 +84,7 @@
             removed_at: None,
             is_misdirected: false,
             is_superseded: false,
+            incarnation_state: IncarnationState::Staying,
             is_evacuated: false,
             backoff: None,
             failure_rate: 0.0,
@@ -128,7 +131,9 @@
     /// Why it is not sent requests; `None` if it may be sent some.
     #[must_use]
     pub fn obstacle(&self, now: TimePoint) -> Option<SendObstacle> {
-        if self.registration.state == RegistrationState::Draining {
+        if self.incarnation_state == IncarnationState::Leaving {
+            Some(SendObstacle::Leaving)
+        } else if self.registration.state == RegistrationState::Draining {
             Some(SendObstacle::Draining)
         } else if self.is_misdirected {
             Some(SendObstacle::Misdirected)
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod compare;
 mod configuration;
 mod crash;
+mod departure;
 mod evacuation;
 mod event;
 mod evidence;
--- a/crates/celerycrank-serving/src/obstacle.rs
+++ b/crates/celerycrank-serving/src/obstacle.rs
@@ -7,6 +7,8 @@
 /// The obstacles that no request overcomes come first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, displaydoc::Display)]
 pub enum SendObstacle {
+    /// it has said in an answer that it is shutting down
+    Leaving,
     /// it is shutting down
     Draining,
     /// another process answers at its address
@@ -30,9 +32,12 @@
     #[must_use]
     pub const fn allows_last_resort(self) -> bool {
         match self {
-            Self::Draining | Self::Misdirected | Self::Removed | Self::Evacuated | Self::Cold => {
-                false
-            }
+            Self::Leaving
+            | Self::Draining
+            | Self::Misdirected
+            | Self::Removed
+            | Self::Evacuated
+            | Self::Cold => false,
             Self::RemovedRecently | Self::Superseded | Self::BackingOff => true,
         }
     }
@@ -48,6 +53,8 @@
     },
     /// Every backend server that could be chosen is in an evacuated failure domain.
     Evacuated,
+    /// The backend servers have said that they are shutting down.
+    Leaving,
     /// There is no backend server that could be chosen.
     NoBackend,
 }
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -14,6 +14,7 @@
     LimitNotice, LoadReport, RegistrationChange, SendObstacle, ServiceObstacle, StabilityChange,
     answer_pace::AnswerPace,
     cold::{ColdPace, ColdPolicy},
+    departure::{DepartureSet, IncarnationState},
     evacuation::EvacuationSet,
     stability::{GroupStability, RankNotice},
 };
@@ -30,6 +31,7 @@
     groups: GroupStability,
     evacuated: EvacuationSet,
     cold: ColdPolicy,
+    departed: DepartureSet,
 }
 
 impl BackendTable {
@@ -170,6 +172,24 @@
         change
     }
 
+    /// Records that the incarnation to which a request was sent has answered that it is shutting down;
+    /// returns whether that was not known.
+    pub fn note_leaving(&mut self, sent_to: &BackendRegistration) -> bool {
+        let is_new = self.departed.note(sent_to);
+        if let Some(state) = self.find_mut(&sent_to.backend)
+            && state.registration.incarnation == sent_to.incarnation
+        {
+            state.incarnation_state = IncarnationState::Leaving;
+        }
+        is_new
+    }
+
+    /// Whether an incarnation has said that it is shutting down.
+    #[must_use]
+    pub fn has_left(&self, registration: &BackendRegistration) -> bool {
+        self.departed.contains(registration)
+    }
+
     /// Checks right before a request is sent that no obstacle has arisen since the choice which no
     /// request overcomes, and records the send.
     ///
@@ -187,6 +207,9 @@
         if domains.iter().any(|it| self.evacuated.contains(it)) {
             return Err(SendObstacle::Evacuated);
         }
+        if self.has_left(chosen) || self.has_left(current) {
+            return Err(SendObstacle::Leaving);
+        }
         if let Some(state) = self.find_mut(&chosen.backend) {
             if !state.cold.has_room(now) {
                 return Err(SendObstacle::Cold);
@@ -206,16 +229,26 @@
             return ServiceObstacle::Cold { retry_after };
         }
         let obstacles = states.map(|state| state.obstacle(now));
-        let is_evacuated = |it| it == Some(SendObstacle::Evacuated);
         let mut open = obstacles.clone();
         let has_open = open.any(|it| it.is_none_or(SendObstacle::allows_last_resort));
-        if !has_open && obstacles.into_iter().any(is_evacuated) {
+        let has = |obstacle| obstacles.clone().any(|it| it == Some(obstacle));
+        if has_open {
+            ServiceObstacle::NoBackend
+        } else if has(SendObstacle::Evacuated) {
             ServiceObstacle::Evacuated
+        } else if has(SendObstacle::Leaving) {
+            ServiceObstacle::Leaving
         } else {
             ServiceObstacle::NoBackend
         }
     }
 
+    /// Whether the backend servers of a service want no requests, so that none need wait for a place.
+    #[must_use]
+    pub fn is_closed(&self, service: &ServiceId, now: TimePoint) -> bool {
+        self.service_obstacle(service, now) == ServiceObstacle::Leaving
+    }
+
     /// Records that a request is sent.
     pub fn begin(&mut self, backend: &BackendId, now: TimePoint) {
         if let Some(state) = self.find_mut(backend) {
@@ -442,6 +475,7 @@
         self.services_by_backend
             .insert(registration.backend.clone(), registration.service.clone());
         let (service, address) = (registration.service.clone(), registration.address);
+        let backend = registration.backend.clone();
         let states = self.services.entry(service.clone()).or_default();
         let known = states.iter();
         let position = known
@@ -463,6 +497,14 @@
             }
             None => states.push(new_state(&self.evacuated, &self.cold, registration, now)),
         }
+        // One that has said that it is shutting down may be listed again.
+        let written = states
+            .iter_mut()
+            .find(|it| it.registration.backend == backend);
+        let left = written.filter(|it| self.departed.contains(&it.registration));
+        if let Some(state) = left {
+            state.incarnation_state = IncarnationState::Leaving;
+        }
         self.mark_superseded(&service, address);
     }
 
