Send nothing to backend servers that ask for a pause

A backend server that rejects a request names by `Retry-After` the time for which it wants none. No entry read it: after the backoff of 250 ms it was sent requests again.

`SendObstacle::Paused` keeps the backend server out of every choice, also of last resort, until the latest end that it has named; `admit_send` checks it right before the bytes. A new incarnation or a registration that is written again does not end the pause. If all backend servers pause, requests are refused as `backend_paused` with the shortest rest and a random part. After the pause, the cost and the weight of the backend server return to what they were over one second. Values that cannot be read are ignored, longer ones bounded, both with a log line and a count.

--- a/crates/celerycrank-direct/src/entry/admin.rs
+++ b/crates/celerycrank-direct/src/entry/admin.rs
@@ -48,6 +48,7 @@
     slowdown: f64,
     limit: Option<String>,
     cold_remaining: Option<String>,
+    pause_remaining: Option<String>,
 }
 
 impl AdminHandler for EntryAdminHandler {
@@ -78,6 +79,7 @@
             slowdown: it.slowdown(now),
             limit: it.limit().map(|limit| limit.to_string()),
             cold_remaining: it.cold_remaining(now).map(|span| span.to_string()),
+            pause_remaining: it.pause_remaining(now).map(|span| span.to_string()),
         });
         let parts = state.quarantine.borrow().status(now).into_iter();
         let parts = parts.map(|it| PartStatus {
--- a/crates/celerycrank-direct/src/entry/attempt.rs
+++ b/crates/celerycrank-direct/src/entry/attempt.rs
@@ -10,7 +10,7 @@
 use celerycrank_types::{TimePoint, TimeSpan, UnknownReason};
 
 use super::{
-    departure::read_leaving,
+    departure::{read_leaving, read_pause},
     limits::note_limit,
     own_head::{OwnHead, read_own_head},
     progress::SendGuard,
@@ -180,6 +180,7 @@
     read_limit(state, registration, &answer.metadata, now);
     read_cold_remaining(state, registration, &answer.metadata);
     read_leaving(state, registration, &answer.metadata);
+    read_pause(state, registration, &answer.metadata);
     check_answer(request, stream, answer, registration)
 }
 
--- a/crates/celerycrank-direct/src/entry/departure.rs
+++ b/crates/celerycrank-direct/src/entry/departure.rs
@@ -1,9 +1,12 @@
 //! Records what the answers of backend servers say about further requests.
 
 use celerycrank_platform::AnswerMetadata;
-use celerycrank_serving::BackendRegistration;
+use celerycrank_serving::{BackendRegistration, MAX_PAUSE};
 
-use super::{admission::wake_waiting, state::EntryState};
+use super::{
+    admission::{wake_all_waiting, wake_waiting},
+    state::EntryState,
+};
 
 /// Records that a backend server is shutting down, if it states that in an answer.
 ///
@@ -32,3 +35,45 @@
         }
     }
 }
+
+/// Records for how long a backend server wants no requests, if it rejects one so.
+pub(super) fn read_pause(
+    state: &EntryState,
+    registration: &BackendRegistration,
+    metadata: &AnswerMetadata,
+) {
+    let backend = &registration.backend;
+    match &metadata.pause {
+        Ok(Some(span)) if metadata.is_made_by(backend) => {
+            if *span > MAX_PAUSE {
+                state.metrics.departures.pause_errors.inc();
+                tracing::info!(%backend, %span, "pause of a backend server is shortened");
+            }
+            let now = state.clock.now();
+            let has_begun = state.backends.borrow_mut().note_pause(backend, *span, now);
+            if has_begun {
+                state.metrics.departures.pauses.inc();
+                let span = (*span).min(MAX_PAUSE);
+                tracing::info!(%backend, %span, "backend server asks for a pause");
+                wake_waiting(state, &registration.service);
+            }
+        }
+        Ok(_) => {}
+        Err(error) => {
+            state.metrics.departures.pause_errors.inc();
+            tracing::info!(%backend, fault = %error, "pause of a backend server is ignored");
+        }
+    }
+}
+
+/// Logs the backend servers whose pauses have ended and wakes the requests that wait for a place.
+pub(super) fn note_ended_pauses(state: &EntryState) {
+    let now = state.clock.now();
+    let ended = state.backends.borrow_mut().take_ended_pauses(now);
+    for backend in &ended {
+        tracing::info!(%backend, "pause of a backend server has ended");
+    }
+    if !ended.is_empty() {
+        wake_all_waiting(state);
+    }
+}
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -392,6 +392,10 @@
                 reason: RefusalReason::BackendCold,
                 retry_after: Some(retry_after + random_spread(random)),
             },
+            ServiceObstacle::Paused { retry_after } => RequestRefusal {
+                reason: RefusalReason::BackendPaused,
+                retry_after: Some(retry_after + random_spread(random)),
+            },
             ServiceObstacle::Evacuated => RefusalReason::Evacuated.into(),
             ServiceObstacle::Leaving => RefusalReason::BackendLeaving.into(),
             ServiceObstacle::NoBackend => RefusalReason::NoBackend.into(),
--- a/crates/celerycrank-direct/src/entry/load.rs
+++ b/crates/celerycrank-direct/src/entry/load.rs
@@ -14,6 +14,7 @@
 
 use super::{
     admission::{log_end_of_contention, wake_waiting},
+    departure::note_ended_pauses,
     limits::{announce_limits, ask_entries, note_announced_limit, note_entries},
     state::EntryState,
 };
@@ -36,6 +37,7 @@
                 announce_limits(&state, &socket).await;
                 log_end_of_contention(&state);
                 update_stability(&state);
+                note_ended_pauses(&state);
                 state.pool.close_expired(state.clock.now());
             }
             () = state.limits.has_pending.notified() => {
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -185,11 +185,13 @@
     }
 }
 
-/// Metrics of backend servers that shut down.
+/// Metrics of backend servers that shut down or ask for a pause.
 #[derive(Debug)]
 pub(crate) struct DepartureMetrics {
     pub(crate) leaving: IntCounter,
     pub(crate) leaving_errors: IntCounter,
+    pub(crate) pauses: IntCounter,
+    pub(crate) pause_errors: IntCounter,
 }
 
 impl DepartureMetrics {
@@ -203,6 +205,14 @@
                 "celerycrank_direct_leaving_faults_total",
                 "fields of answers about the shutdown of a backend server that cannot be read",
             )?,
+            pauses: set.counter(
+                "celerycrank_direct_pauses_total",
+                "pauses for which backend servers asked when they rejected a request",
+            )?,
+            pause_errors: set.counter(
+                "celerycrank_direct_pause_faults_total",
+                "pauses for which backend servers asked that cannot be read or are too long",
+            )?,
         })
     }
 }
--- a/crates/celerycrank-direct/src/entry/retry.rs
+++ b/crates/celerycrank-direct/src/entry/retry.rs
@@ -113,6 +113,7 @@
         SendObstacle::Evacuated => RefusalReason::Evacuated,
         SendObstacle::Cold => RefusalReason::BackendCold,
         SendObstacle::Leaving => RefusalReason::BackendLeaving,
+        SendObstacle::Paused => RefusalReason::BackendPaused,
         _ => RefusalReason::NoBackend,
     }
 }
--- a/crates/celerycrank-requests/src/retry.rs
+++ b/crates/celerycrank-requests/src/retry.rs
@@ -118,6 +118,7 @@
         | RefusalReason::RouteClosed
         | RefusalReason::Evacuated
         | RefusalReason::BackendCold
+        | RefusalReason::BackendPaused
         | RefusalReason::OutsidePlan
         | RefusalReason::BadRequest
         | RefusalReason::HeaderTooLarge
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -6,6 +6,7 @@
 use crate::{
     BackendRegistration, EntryPlace, LimitNotice, LoadEstimate, RegistrationState, SendObstacle,
     answer_pace::AnswerPace, cold::ColdPace, departure::IncarnationState, limit::RequestAllowance,
+    pause::SendPause,
 };
 
 /// Time for which a backend server may still be used as a last resort after its registration
@@ -53,6 +54,8 @@
     pub(crate) incarnation_state: IncarnationState,
     /// Whether its failure domain is evacuated.
     pub(crate) is_evacuated: bool,
+    /// Until when it wants no requests.
+    pub(crate) pause: SendPause,
     /// Until when it is cold, and what this entry may send to it meanwhile.
     pub(crate) cold: ColdPace,
     /// End and length of the latest backoff.
@@ -85,6 +88,7 @@
             is_misdirected: false,
             is_superseded: false,
             incarnation_state: IncarnationState::Staying,
+            pause: SendPause::default(),
             is_evacuated: false,
             backoff: None,
             failure_rate: 0.0,
@@ -116,6 +120,12 @@
         allowance.map_or(Some(TimeSpan::ZERO), |it| it.time_until_room(now))
     }
 
+    /// The time for which it wants no requests; `None` if it takes some.
+    #[must_use]
+    pub fn pause_remaining(&self, now: TimePoint) -> Option<TimeSpan> {
+        self.pause.remaining(now)
+    }
+
     /// The time for which it is still cold; `None` if it is not.
     #[must_use]
     pub fn cold_remaining(&self, now: TimePoint) -> Option<TimeSpan> {
@@ -141,6 +151,8 @@
             Some(SendObstacle::Removed)
         } else if self.is_evacuated {
             Some(SendObstacle::Evacuated)
+        } else if self.pause.remaining(now).is_some() {
+            Some(SendObstacle::Paused)
         } else if !self.cold.has_room(now) {
             Some(SendObstacle::Cold)
         } else if self.removed_at.is_some() {
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -34,6 +34,9 @@
 /// The smallest factor by which failures reduce the weight of a backend server.
 const MIN_RELIABILITY: f64 = 0.05;
 
+/// The smallest factor by which a pause that has just ended reduces the weight of a backend server.
+const MIN_RAMP_WEIGHT: f64 = 0.05;
+
 /// Number of ranks of stable groups with a free slot in a sample that also holds ranks of unstable
 /// groups; with fewer, more are drawn.
 const MIN_STABLE_SAMPLE: usize = 2;
@@ -338,7 +341,8 @@
     let places = f64::from(limit.requests) - f64::from(state.load.reported(now));
     let places = places + f64::from(flow.ended) - scale * f64::from(flow.sent);
     let reliability = 1.0 - state.failure_rate();
-    places.max(0.0) * (reliability * reliability).max(MIN_RELIABILITY)
+    let ramp = (1.0 - state.pause.ramp_left(now)).max(MIN_RAMP_WEIGHT);
+    places.max(0.0) * (reliability * reliability).max(MIN_RELIABILITY) * ramp
 }
 
 /// Estimated cost of sending one more request to a backend server, in requests.
@@ -361,6 +365,8 @@
         // As much as a rank of a stable group costs whose slots are all in use.
         cost += f64::from(state.registration.slots) * pace;
     }
+    // After a pause it is used gradually, although it is the least loaded one.
+    cost += state.pause.ramp_left(query.now) * f64::from(state.registration.slots) * pace;
     cost + query
         .prompt
         .map_or(0.0, |prompt| prompt.cost(state, query.now))
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -27,6 +27,7 @@
 mod load_ceiling;
 mod obstacle;
 mod occasion;
+mod pause;
 mod prompt;
 mod quarantine;
 mod registration;
@@ -69,6 +70,7 @@
     load::{LoadEstimate, LoadReport, RequestFlow},
     load_ceiling::LoadCeiling,
     obstacle::{SendObstacle, ServiceObstacle},
+    pause::MAX_PAUSE,
     prompt::{PromptOutcome, PromptWeighing},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
--- a/crates/celerycrank-serving/src/obstacle.rs
+++ b/crates/celerycrank-serving/src/obstacle.rs
@@ -17,6 +17,8 @@
     Removed,
     /// its failure domain is evacuated
     Evacuated,
+    /// it wants no requests for a time
+    Paused,
     /// it is cold, and this entry has sent its share of the requests that it takes
     Cold,
     /// its registration was removed a moment ago
@@ -37,6 +39,7 @@
             | Self::Misdirected
             | Self::Removed
             | Self::Evacuated
+            | Self::Paused
             | Self::Cold => false,
             Self::RemovedRecently | Self::Superseded | Self::BackingOff => true,
         }
@@ -51,6 +54,11 @@
         /// The time until one of them takes a request.
         retry_after: TimeSpan,
     },
+    /// The backend servers want no requests for a time.
+    Paused {
+        /// The time until one of them takes requests again.
+        retry_after: TimeSpan,
+    },
     /// Every backend server that could be chosen is in an evacuated failure domain.
     Evacuated,
     /// The backend servers have said that they are shutting down.
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -81,7 +81,10 @@
     pub fn prune_removed(&mut self, now: TimePoint) {
         for states in self.services.values_mut() {
             states.retain(|state| {
-                let is_prunable = state.is_grace_over(now) && state.load.own() == 0;
+                // One that registers again still wants no requests until the end of its pause.
+                let is_prunable = state.is_grace_over(now)
+                    && state.load.own() == 0
+                    && state.pause.remaining(now).is_none();
                 if is_prunable {
                     self.services_by_backend.remove(&state.registration.backend);
                 }
@@ -190,6 +193,26 @@
         self.departed.contains(registration)
     }
 
+    /// Records that a backend server wants no requests for a time, at most [`MAX_PAUSE`]; returns
+    /// whether a pause begins.
+    ///
+    /// It holds for later incarnations too.
+    ///
+    /// [`MAX_PAUSE`]: crate::MAX_PAUSE
+    pub fn note_pause(&mut self, backend: &BackendId, span: TimeSpan, now: TimePoint) -> bool {
+        let state = self.find_mut(backend);
+        state.is_some_and(|state| state.pause.extend(span, now))
+    }
+
+    /// Returns the backend servers whose pauses have ended since the last call.
+    pub fn take_ended_pauses(&mut self, now: TimePoint) -> Vec<BackendId> {
+        let ended = self.iter_mut().filter_map(|state| {
+            let has_ended = state.pause.take_end(now);
+            has_ended.then(|| state.registration.backend.clone())
+        });
+        ended.collect()
+    }
+
     /// Checks right before a request is sent that no obstacle has arisen since the choice which no
     /// request overcomes, and records the send.
     ///
@@ -211,6 +234,9 @@
             return Err(SendObstacle::Leaving);
         }
         if let Some(state) = self.find_mut(&chosen.backend) {
+            if state.pause.remaining(now).is_some() {
+                return Err(SendObstacle::Paused);
+            }
             if !state.cold.has_room(now) {
                 return Err(SendObstacle::Cold);
             }
@@ -234,6 +260,8 @@
         let has = |obstacle| obstacles.clone().any(|it| it == Some(obstacle));
         if has_open {
             ServiceObstacle::NoBackend
+        } else if let Some(retry_after) = self.shortest_pause(service, now) {
+            ServiceObstacle::Paused { retry_after }
         } else if has(SendObstacle::Evacuated) {
             ServiceObstacle::Evacuated
         } else if has(SendObstacle::Leaving) {
@@ -246,7 +274,18 @@
     /// Whether the backend servers of a service want no requests, so that none need wait for a place.
     #[must_use]
     pub fn is_closed(&self, service: &ServiceId, now: TimePoint) -> bool {
-        self.service_obstacle(service, now) == ServiceObstacle::Leaving
+        let obstacle = self.service_obstacle(service, now);
+        matches!(
+            obstacle,
+            ServiceObstacle::Leaving | ServiceObstacle::Paused { .. }
+        )
+    }
+
+    /// The time until the first of the paused backend servers takes requests again.
+    fn shortest_pause(&self, service: &ServiceId, now: TimePoint) -> Option<TimeSpan> {
+        let paused = self.of_service(service).iter();
+        let paused = paused.filter(|it| it.obstacle(now) == Some(SendObstacle::Paused));
+        paused.filter_map(|it| it.pause.remaining(now)).min()
     }
 
     /// Records that a request is sent.
@@ -465,6 +504,8 @@
     }
 
     fn write(&mut self, registration: BackendRegistration, now: TimePoint) {
+        let known = self.find_mut(&registration.backend);
+        let pause = known.map(|it| it.pause).unwrap_or_default();
         let has_changed_service = self
             .services_by_backend
             .get(&registration.backend)
@@ -497,13 +538,13 @@
             }
             None => states.push(new_state(&self.evacuated, &self.cold, registration, now)),
         }
-        // One that has said that it is shutting down may be listed again.
-        let written = states
-            .iter_mut()
-            .find(|it| it.registration.backend == backend);
-        let left = written.filter(|it| self.departed.contains(&it.registration));
-        if let Some(state) = left {
-            state.incarnation_state = IncarnationState::Leaving;
+        let mut written = states.iter_mut();
+        if let Some(state) = written.find(|it| it.registration.backend == backend) {
+            state.pause = pause;
+            // One that has said that it is shutting down may be listed again.
+            if self.departed.contains(&state.registration) {
+                state.incarnation_state = IncarnationState::Leaving;
+            }
         }
         self.mark_superseded(&service, address);
     }
--- a/crates/celerycrank-serving/tests/departures.rs
+++ b/crates/celerycrank-serving/tests/departures.rs
@@ -1,10 +1,10 @@
-//! Tests of backend servers that shut down, over random orders of events.
+//! Tests of backend servers that shut down or want no requests for a time, over random orders of events.
 
 use std::{collections::HashSet, net::SocketAddr};
 
 use celerycrank_serving::{
-    BackendChoice, BackendRegistration, BackendTable, ChoiceQuery, RegistrationChange,
-    RegistrationState, SendObstacle, ServiceObstacle, choose_backend,
+    BackendChoice, BackendRegistration, BackendTable, ChoiceQuery, MAX_PAUSE, RegistrationChange,
+    RegistrationState, SendObstacle, ServiceObstacle, choose_backend, estimate_cost,
 };
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimePoint, TimeSpan};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -43,6 +43,8 @@
     /// The latest incarnations.
     incarnations: [u64; BACKENDS],
     left: HashSet<(usize, u64)>,
+    /// Until when they want no requests.
+    paused_until: [TimePoint; BACKENDS],
 }
 
 impl Run {
@@ -53,6 +55,7 @@
             now: TimePoint::default() + TimeSpan::from_secs(1),
             incarnations: [1; BACKENDS],
             left: HashSet::new(),
+            paused_until: [TimePoint::default(); BACKENDS],
         };
         run.list_all();
         run
@@ -69,7 +72,7 @@
         let index = self.random.random_range(0..BACKENDS);
         let current = registration(index, self.incarnations[index]);
         let backend = current.backend.clone();
-        match self.random.random_range(0..11) {
+        match self.random.random_range(0..12) {
             0 => {
                 self.incarnations[index] += 1;
                 let next = registration(index, self.incarnations[index]);
@@ -101,6 +104,17 @@
                 self.now = self.now + span;
                 self.table.prune_removed(self.now);
             }
+            10 => {
+                let span = TimeSpan::from_millis(self.random.random_range(0..60_000));
+                // The request was in flight, so that its backend server is in the table.
+                if self.table.registration(&backend).is_some() {
+                    let was_paused = self.is_paused(index);
+                    let has_begun = self.table.note_pause(&backend, span, self.now);
+                    let until = self.now + span.min(MAX_PAUSE);
+                    self.paused_until[index] = self.paused_until[index].max(until);
+                    assert_eq!(has_begun, !was_paused && self.is_paused(index));
+                }
+            }
             _ => self.check(),
         }
     }
@@ -110,6 +124,10 @@
         self.table.apply(change, self.now);
     }
 
+    fn is_paused(&self, index: usize) -> bool {
+        self.now < self.paused_until[index]
+    }
+
     fn has_left(&self, registration: &BackendRegistration) -> bool {
         let index = registration.address.port() - 9_000;
         let key = (usize::from(index), registration.incarnation);
@@ -136,6 +154,8 @@
         let mut tried = Vec::new();
         while let Some(chosen) = self.choose(&tried) {
             assert!(!self.has_left(&chosen), "{chosen:?}");
+            let index = usize::from(chosen.address.port() - 9_000);
+            assert!(!self.is_paused(index), "{chosen:?}");
             tried.push(chosen.backend);
         }
         for index in 0..BACKENDS {
@@ -144,6 +164,8 @@
                 let admitted = self.table.admit_send(&chosen, self.now);
                 if self.has_left(&chosen) {
                     assert_eq!(admitted, Err(SendObstacle::Leaving));
+                } else if self.is_paused(index) {
+                    assert!(admitted.is_err());
                 }
             }
         }
@@ -152,6 +174,9 @@
         for (listed, obstacle) in obstacles.collect::<Vec<_>>() {
             let is_leaving = obstacle == Some(SendObstacle::Leaving);
             assert_eq!(is_leaving, self.has_left(&listed), "{listed:?}");
+            let index = usize::from(listed.address.port() - 9_000);
+            let is_paused = obstacle == Some(SendObstacle::Paused);
+            assert!(!is_paused || self.is_paused(index), "{listed:?}");
         }
     }
 }
@@ -159,7 +184,7 @@
 // Guards against a backend server that is sent requests after it has said that it shuts down, whatever
 // is listed, and against one that is not used after a new incarnation has registered.
 #[test]
-fn no_order_of_events_sends_a_request_to_a_leaving_backend_server() {
+fn no_order_of_events_sends_a_request_to_one_that_leaves_or_pauses() {
     for seed in 0..200 {
         let mut run = Run::new(seed);
         for _ in 0..EVENTS {
@@ -168,6 +193,7 @@
         for incarnation in &mut run.incarnations {
             *incarnation += 1;
         }
+        run.now = run.now + MAX_PAUSE;
         run.list_all();
         run.check();
         assert!(run.choose(&[]).is_some(), "seed {seed}");
@@ -188,3 +214,34 @@
     assert_eq!(obstacle, ServiceObstacle::Leaving);
     assert!(run.table.is_closed(&service(), run.now));
 }
+
+// Guards against a refusal that names another time than the shortest pause, and against a backend
+// server that gets all requests at the end of its pause since it is the least loaded one.
+#[test]
+fn a_backend_server_is_used_gradually_after_its_pause() {
+    let mut run = Run::new(1);
+    for index in 0..BACKENDS {
+        let pause = TimeSpan::from_secs(5 + index as u64);
+        let backend = registration(index, 1).backend;
+        assert!(run.table.note_pause(&backend, pause, run.now));
+    }
+    let retry_after = TimeSpan::from_secs(5);
+    let obstacle = run.table.service_obstacle(&service(), run.now);
+    assert_eq!(obstacle, ServiceObstacle::Paused { retry_after });
+    run.now = run.now + retry_after;
+    assert_eq!(run.table.take_ended_pauses(run.now).len(), 1);
+    assert!(run.table.take_ended_pauses(run.now).is_empty());
+    let costs = [0, 250, 500, 1_000, 2_000].map(|millis| {
+        let now = run.now + TimeSpan::from_millis(millis);
+        let query = ChoiceQuery {
+            prompt: None,
+            service: &service(),
+            domain: &domain(),
+            tried: &[],
+            load_limit: None,
+            now,
+        };
+        estimate_cost(&run.table.of_service(&service())[0], &query)
+    });
+    assert_eq!(format!("{costs:?}"), "[5.0, 4.0, 3.0, 1.0, 1.0]");
+}
--- a/crates/celerycrank-types/src/outcome.rs
+++ b/crates/celerycrank-types/src/outcome.rs
@@ -85,6 +85,8 @@
         Evacuated = "evacuated",
         /// The backend servers are cold and take no more requests of this entry now (503).
         BackendCold = "backend_cold",
+        /// The backend servers want no requests for a time (503).
+        BackendPaused = "backend_paused",
     }
 }
 
