--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -16,6 +16,7 @@
 mod compare;
 mod configuration;
 mod crash;
+mod departure;
 mod entry_list;
 mod evacuation;
 mod event;
@@ -27,6 +28,7 @@
 mod load_ceiling;
 mod obstacle;
 mod occasion;
+mod pause;
 mod prompt;
 mod quarantine;
 mod registration;
@@ -70,6 +72,7 @@
     load::{LoadEstimate, LoadReport, RequestFlow},
     load_ceiling::LoadCeiling,
     obstacle::{SendObstacle, ServiceObstacle},
+    pause::MAX_PAUSE,
     prompt::{PromptOutcome, PromptWeighing},
     quarantine::{PartQuarantine, PromptQuery, QuarantineChange, QuarantineStatus},
     registration::{BackendRegistration, RegistrationChange, RegistrationState},
--- a/crates/celerycrank-serving/src/obstacle.rs
+++ b/crates/celerycrank-serving/src/obstacle.rs
@@ -7,6 +7,8 @@
 /// The obstacles that no request overcomes come first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, displaydoc::Display)]
 pub enum SendObstacle {
+    /// it has said in an answer that it is shutting down
+    Leaving,
     /// it is shutting down
     Draining,
     /// another process answers at its address
@@ -15,6 +17,8 @@
     Removed,
     /// its failure domain is evacuated
     Evacuated,
+    /// it wants no requests for a time
+    Paused,
     /// it is cold, and this entry has sent its share of the requests that it takes
     Cold,
     /// its registration was removed a moment ago
@@ -30,9 +34,13 @@
     #[must_use]
     pub const fn allows_last_resort(self) -> bool {
         match self {
-            Self::Draining | Self::Misdirected | Self::Removed | Self::Evacuated | Self::Cold => {
-                false
-            }
+            Self::Leaving
+            | Self::Draining
+            | Self::Misdirected
+            | Self::Removed
+            | Self::Evacuated
+            | Self::Paused
+            | Self::Cold => false,
             Self::RemovedRecently | Self::Superseded | Self::BackingOff => true,
         }
     }
@@ -46,8 +54,15 @@
         /// The time until one of them takes a request.
         retry_after: TimeSpan,
     },
+    /// The backend servers want no requests for a time.
+    Paused {
+        /// The time until one of them takes requests again.
+        retry_after: TimeSpan,
+    },
     /// Every backend server that could be chosen is in an evacuated failure domain.
     Evacuated,
+    /// The backend servers have said that they are shutting down.
+    Leaving,
     /// There is no backend server that could be chosen.
     NoBackend,
 }
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -12,6 +12,7 @@
     StabilityChange,
     answer_pace::AnswerPace,
     cold::ColdPolicy,
+    departure::{DepartureSet, IncarnationState},
     evacuation::EvacuationSet,
     stability::{GroupStability, RankNotice},
 };
@@ -28,6 +29,7 @@
     groups: GroupStability,
     evacuated: EvacuationSet,
     cold: ColdPolicy,
+    departed: DepartureSet,
 }
 
 impl BackendTable {
@@ -79,7 +81,9 @@
         for states in self.services.values_mut() {
             states.retain(|state| {
                 let is_unused = state.is_grace_over(now) && state.load.own() == 0;
-                let is_prunable = is_unused && state.cold.is_forgettable(now);
+                // One that registers again still wants no requests until the end of its pause.
+                let is_paused = state.pause.remaining(now).is_some();
+                let is_prunable = is_unused && !is_paused && state.cold.is_forgettable(now);
                 if is_prunable {
                     self.services_by_backend.remove(&state.registration.backend);
                 }
@@ -324,6 +328,8 @@
     }
 
     fn write(&mut self, registration: BackendRegistration, now: TimePoint) {
+        let known = self.find_mut(&registration.backend);
+        let pause = known.map(|it| it.pause).unwrap_or_default();
         let has_changed_service = self
             .services_by_backend
             .get(&registration.backend)
@@ -336,6 +342,7 @@
         self.services_by_backend
             .insert(registration.backend.clone(), registration.service.clone());
         let (service, address) = (registration.service.clone(), registration.address);
+        let backend = registration.backend.clone();
         let states = self.services.entry(service.clone()).or_default();
         let known = states.iter();
         let position = known
@@ -367,6 +374,14 @@
                 states.push(new_state(evacuated, cold, moved, registration, now));
             }
         }
+        let mut written = states.iter_mut();
+        if let Some(state) = written.find(|it| it.registration.backend == backend) {
+            state.pause = pause;
+            // One that has said that it is shutting down may be listed again.
+            if self.departed.contains(&state.registration) {
+                state.incarnation_state = IncarnationState::Leaving;
+            }
+        }
         self.mark_superseded(&service, address);
     }
 
--- a/crates/celerycrank-serving/src/table/exclusion.rs
+++ b/crates/celerycrank-serving/src/table/exclusion.rs
@@ -1,4 +1,5 @@
-//! What the table knows of evacuated failure domains and of cold backend servers.
+//! What the table knows of evacuated failure domains, and of backend servers that are cold, leave or
+//! ask for a pause.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -9,6 +10,7 @@
     BackendRegistration, BackendState, ColdBounds, ColdStart, EntryPlace, EvacuationChange,
     SendObstacle, ServiceObstacle,
     cold::{ColdPace, ColdPolicy},
+    departure::IncarnationState,
     evacuation::EvacuationSet,
 };
 
@@ -86,6 +88,44 @@
         change
     }
 
+    /// Records that the incarnation to which a request was sent has answered that it is shutting down;
+    /// returns whether that was not known.
+    pub fn note_leaving(&mut self, sent_to: &BackendRegistration) -> bool {
+        let is_new = self.departed.note(sent_to);
+        if let Some(state) = self.find_mut(&sent_to.backend)
+            && state.registration.incarnation == sent_to.incarnation
+        {
+            state.incarnation_state = IncarnationState::Leaving;
+        }
+        is_new
+    }
+
+    /// Whether an incarnation has said that it is shutting down.
+    #[must_use]
+    pub fn has_left(&self, registration: &BackendRegistration) -> bool {
+        self.departed.contains(registration)
+    }
+
+    /// Records that a backend server wants no requests for a time, at most [`MAX_PAUSE`]; returns
+    /// whether a pause begins.
+    ///
+    /// It holds for later incarnations too.
+    ///
+    /// [`MAX_PAUSE`]: crate::MAX_PAUSE
+    pub fn note_pause(&mut self, backend: &BackendId, span: TimeSpan, now: TimePoint) -> bool {
+        let state = self.find_mut(backend);
+        state.is_some_and(|state| state.pause.extend(span, now))
+    }
+
+    /// Returns the backend servers whose pauses have ended since the last call.
+    pub fn take_ended_pauses(&mut self, now: TimePoint) -> Vec<BackendId> {
+        let ended = self.iter_mut().filter_map(|state| {
+            let has_ended = state.pause.take_end(now);
+            has_ended.then(|| state.registration.backend.clone())
+        });
+        ended.collect()
+    }
+
     /// Checks right before a request is sent that no obstacle has arisen since the choice which no
     /// request overcomes, and records the send.
     ///
@@ -103,7 +143,13 @@
         if domains.iter().any(|it| self.evacuated.contains(it)) {
             return Err(SendObstacle::Evacuated);
         }
+        if self.has_left(chosen) || self.has_left(current) {
+            return Err(SendObstacle::Leaving);
+        }
         if let Some(state) = self.find_mut(&chosen.backend) {
+            if state.pause.remaining(now).is_some() {
+                return Err(SendObstacle::Paused);
+            }
             if !state.cold.has_room(now) {
                 return Err(SendObstacle::Cold);
             }
@@ -122,16 +168,39 @@
             return ServiceObstacle::Cold { retry_after };
         }
         let obstacles = states.map(|state| state.obstacle(now));
-        let is_evacuated = |it| it == Some(SendObstacle::Evacuated);
         let mut open = obstacles.clone();
         let has_open = open.any(|it| it.is_none_or(SendObstacle::allows_last_resort));
-        if !has_open && obstacles.into_iter().any(is_evacuated) {
+        let has = |obstacle| obstacles.clone().any(|it| it == Some(obstacle));
+        if has_open {
+            ServiceObstacle::NoBackend
+        } else if let Some(retry_after) = self.shortest_pause(service, now) {
+            ServiceObstacle::Paused { retry_after }
+        } else if has(SendObstacle::Evacuated) {
             ServiceObstacle::Evacuated
+        } else if has(SendObstacle::Leaving) {
+            ServiceObstacle::Leaving
         } else {
             ServiceObstacle::NoBackend
         }
     }
 
+    /// Whether the backend servers of a service want no requests, so that none need wait for a place.
+    #[must_use]
+    pub fn is_closed(&self, service: &ServiceId, now: TimePoint) -> bool {
+        let obstacle = self.service_obstacle(service, now);
+        matches!(
+            obstacle,
+            ServiceObstacle::Leaving | ServiceObstacle::Paused { .. }
+        )
+    }
+
+    /// The time until the first of the paused backend servers takes requests again.
+    fn shortest_pause(&self, service: &ServiceId, now: TimePoint) -> Option<TimeSpan> {
+        let paused = self.of_service(service).iter();
+        let paused = paused.filter(|it| it.obstacle(now) == Some(SendObstacle::Paused));
+        paused.filter_map(|it| it.pause.remaining(now)).min()
+    }
+
     /// Records that a connection failed, as it does when a process ends.
     ///
     /// The next process at the address may be there before its registration arrives.
