--- a/crates/celerycrank-bench/src/routing.rs
+++ b/crates/celerycrank-bench/src/routing.rs
@@ -9,10 +9,10 @@
 use std::time::{Duration, Instant};
 
 use celerycrank_routing::{
-    BackendCondition, BackendRouter, BackendSpec, BlockHash, PromptPrefix, RouteQuery,
+    BackendCondition, BackendRouter, BackendSpec, BlockHash, LoadReport, PromptPrefix, RouteQuery,
     RouterSettings,
 };
-use celerycrank_types::{DomainId, TimePoint, TimeSpan};
+use celerycrank_types::{DomainId, TimePoint, TimeSpan, TokenCount};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -157,11 +157,14 @@
         .map(|batch| time_batch(&mut router, &prompts, batch, &mut rng))
         .collect();
     print_batches("router", args.workers, &mut batches);
-    for (name, is_weighed) in [
-        ("direct entry, load alone", false),
-        ("direct entry, held prompts", true),
+    let view = |is_weighed| DirectView::new(args.workers, 1, is_weighed);
+    for (name, mut view) in [
+        ("direct entry, load alone", view(false)),
+        ("direct entry, held prompts", view(true)),
+        ("direct entry, load limit", view(false).with_load_limit()),
+        ("direct entry, both", view(true).with_load_limit()),
     ] {
-        let mut batches = time_direct(args.workers, is_weighed, &prompts, &mut rng);
+        let mut batches = time_direct(&mut view, args.workers, &prompts, &mut rng);
         print_batches(name, args.workers, &mut batches);
     }
 }
@@ -180,14 +183,21 @@
 /// The bookkeeping is not timed: it is done once for each request, while the load of every backend
 /// server is read for each decision.
 fn time_direct(
+    view: &mut DirectView,
     workers: usize,
-    is_weighed: bool,
     prompts: &[PromptPrefix],
     rng: &mut ChaCha8Rng,
 ) -> Vec<f64> {
-    let mut view = DirectView::new(workers, 1, is_weighed);
+    let half_load = LoadReport {
+        running: engine::SLOTS / 2,
+        waiting: 0,
+        waiting_cost: TokenCount(0),
+    };
     let batches = (0..BATCH_COUNT).map(|batch| {
         let now = time_point(f64::from(batch));
+        for worker in 0..workers {
+            view.note_load(now, worker, half_load);
+        }
         let mut took = Duration::ZERO;
         for prefix in prompts {
             let begin = Instant::now();
@@ -196,6 +206,10 @@
             view.note_sent(now, worker, prefix.blocks());
             view.note_begun(now, worker, prefix.blocks());
             view.note_finished(worker);
+            // Twice, since the first report may not include the request.
+            for _ in 0..2 {
+                view.note_load(now, worker, half_load);
+            }
         }
         took.as_secs_f64() * MICROS_PER_SECOND / prompts.len() as f64
     });
--- a/crates/celerycrank-bench/src/routing/direct.rs
+++ b/crates/celerycrank-bench/src/routing/direct.rs
@@ -6,8 +6,9 @@
     BlockHash, HolderKey, LoadReport, PromptBeginnings, PromptIndex, PromptRetention,
 };
 use celerycrank_serving::{
-    BackendRegistration, BackendTable, ChoiceQuery, EngineProfile, LoadReport as AgentReport,
-    PromptWeighing, RegistrationChange, RegistrationState, choose_backend,
+    BackendRegistration, BackendTable, ChoiceQuery, EngineProfile, LoadLimit,
+    LoadReport as AgentReport, PromptWeighing, RegistrationChange, RegistrationState,
+    choose_backend,
 };
 use celerycrank_types::{DomainId, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use rand_chacha::ChaCha8Rng;
@@ -39,6 +40,8 @@
     incarnations: Vec<u64>,
     /// Number of entries.
     entries: u32,
+    /// The limit on what a worker may hold.
+    load_limit: Option<LoadLimit>,
 }
 
 impl DirectView {
@@ -60,6 +63,7 @@
             domain: "estremoz".parse().expect("a valid name"),
             incarnations: vec![0; workers],
             entries,
+            load_limit: None,
         };
         for worker in 0..workers {
             view.set_ready(TimePoint(0), worker, true);
@@ -67,6 +71,18 @@
         view
     }
 
+    /// Limits what the workers may hold, as for the requests of an urgency in between.
+    pub(super) const fn with_load_limit(mut self) -> Self {
+        self.load_limit = Some(LoadLimit {
+            requests: engine::SLOTS,
+            entries: self.entries,
+            part: 0.9,
+            reserve: 3.0,
+            max_reserve: 0.1,
+        });
+        self
+    }
+
     /// Registers a new incarnation of a worker, or removes its registration.
     pub(super) fn set_ready(&mut self, now: TimePoint, worker: usize, is_ready: bool) {
         let port = u16::try_from(worker + 1).expect("there are fewer workers than ports");
@@ -106,7 +122,7 @@
             PromptWeighing::new(holders, &self.profile, prompt.tokens(), TARGET)
         });
         let query = ChoiceQuery {
-            load_limit: None,
+            load_limit: self.load_limit,
             service: &self.service,
             domain: &self.domain,
             tried: &[],
--- a/crates/celerycrank-serving/src/choice.rs
+++ b/crates/celerycrank-serving/src/choice.rs
@@ -24,7 +24,7 @@
 const SAMPLE_SIZE: usize = 4;
 
 /// Number of backend servers that are drawn by their free places.
-const ROOM_DRAWS: u32 = 2;
+const ROOM_DRAWS: usize = 2;
 
 /// Maximum number of requests of all entries that one of this entry counts for, for each entry.
 ///
@@ -165,8 +165,8 @@
     let stable = stable.filter(|state| !state.is_in_unstable_group(query.now));
     // The stable groups may have room while those that are used last hold too much.
     within_limits.clone().next().is_some()
-        && ServiceRoom::measure(stable, limit, query.now).is_none()
-        && ServiceRoom::measure(within_limits, limit, query.now).is_none()
+        && !has_room(stable, limit, query.now)
+        && !has_room(within_limits, limit, query.now)
 }
 
 /// The backend servers that a request has not tried and that may receive it: the usable ones, or
@@ -269,80 +269,81 @@
     query: &ChoiceQuery<'_>,
     random: &mut R,
 ) -> Option<&'table BackendState> {
-    let room = ServiceRoom::measure(states.clone(), limit, query.now)?;
-    let has_room = |state: &&BackendState| room_weight(state, limit, room.scale, query.now) > 0.0;
-    let holders = states.clone().filter(|state| {
-        let is_holder = query.prompt.is_some_and(|prompt| prompt.is_holder(state));
-        is_holder && has_room(state)
-    });
-    let holders = holders.map(|state| (estimate_cost(state, query), state));
-    let mut best = holders.min_by(|(cost, _), (other, _)| cost.total_cmp(other));
-    for _ in 0..ROOM_DRAWS {
-        let mut drawn = random.random_range(0.0..room.weight);
-        let state = states.clone().find(|state| {
-            drawn -= room_weight(state, limit, room.scale, query.now);
-            drawn < 0.0
-        });
-        let Some(state) = state else { continue };
+    let scale = room_scale(states.clone(), limit, query.now)?;
+    let mut best: Option<(f64, &BackendState)> = None;
+    let mut add = |state| {
         let cost = estimate_cost(state, query);
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, state));
         }
+    };
+    // Each draw is replaced by the state at which the sum of the weights passes a threshold. Of all
+    // states passed so far, it is then each with a probability in proportion to its weight, without a
+    // random number for every state.
+    let mut draws = [(None, 0.0); ROOM_DRAWS];
+    let mut sum = 0.0;
+    for state in states.clone() {
+        let weight = room_weight(state, limit, scale, query.now);
+        if weight <= 0.0 {
+            continue;
+        }
+        sum += weight;
+        for (drawn, threshold) in &mut draws {
+            if sum > *threshold {
+                *drawn = Some(state);
+                *threshold = sum / random.random_range(f64::MIN_POSITIVE..1.0);
+            }
+        }
+        if query.prompt.is_some_and(|prompt| prompt.is_holder(state)) {
+            add(state);
+        }
     }
+    draws.into_iter().filter_map(|it| it.0).for_each(add);
     best.map(|(_, state)| state)
 }
 
-/// The free places of a service.
-#[derive(Debug, Clone, Copy)]
-struct ServiceRoom {
-    /// Requests of all entries for each one of this entry.
-    scale: f64,
-    /// Sum of the weights by which a backend server is drawn.
-    weight: f64,
+/// Whether a load limit leaves a place at one of these backend servers.
+fn has_room<'table>(
+    mut states: impl Iterator<Item = &'table BackendState> + Clone,
+    limit: LoadLimit,
+    now: TimePoint,
+) -> bool {
+    let scale = room_scale(states.clone(), limit, now);
+    scale.is_some_and(|scale| states.any(|state| room_weight(state, limit, scale, now) > 0.0))
 }
 
-impl ServiceRoom {
-    /// The free places; `None` if none is left.
-    ///
-    /// Every entry sees the same places and may send to them before the next report. Each counts
-    /// its own requests since the reports for the other entries too, in proportion to their part of the
-    /// load, so that all of them together send about as many as there are places.
-    fn measure<'table>(
-        states: impl Iterator<Item = &'table BackendState> + Clone,
-        limit: LoadLimit,
-        now: TimePoint,
-    ) -> Option<Self> {
-        let (mut places, mut sent, mut ended) = (0.0, 0.0, 0.0);
-        let mut capacity = 0.0;
-        let (mut reported, mut own) = (0.0, 0.0);
-        for state in states.clone() {
-            reported += f64::from(state.load.reported(now));
-            own += f64::from(state.load.own());
-            if is_open(state, now) {
-                let flow = state.load.unreported(now);
-                capacity += f64::from(limit.requests);
-                // Requests that wait at an engine count against the places that are free elsewhere:
-                // while there are any, reports are too old to fill every place.
-                places += f64::from(limit.requests) - f64::from(state.load.reported(now));
-                sent += f64::from(flow.sent);
-                ended += f64::from(flow.ended);
-            }
+/// The requests of all entries for each one of this entry; `None` if the service has no free places.
+///
+/// Every entry sees the same places and may send to them before the next report. Each counts
+/// its own requests since the reports for the other entries too, in proportion to their part of the
+/// load, so that all of them together send about as many as there are places.
+fn room_scale<'table>(
+    states: impl Iterator<Item = &'table BackendState>,
+    limit: LoadLimit,
+    now: TimePoint,
+) -> Option<f64> {
+    let (mut places, mut sent, mut ended) = (0.0, 0.0, 0.0);
+    let mut capacity = 0.0;
+    let (mut reported, mut own) = (0.0, 0.0);
+    for state in states {
+        let load = state.load.recent(now);
+        reported += f64::from(load.requests);
+        own += f64::from(state.load.own());
+        if load.is_open {
+            capacity += f64::from(limit.requests);
+            // Requests that wait at an engine count against the places that are free elsewhere:
+            // while there are any, reports are too old to fill every place.
+            places += f64::from(limit.requests) - f64::from(load.requests);
+            sent += f64::from(load.unreported.sent);
+            ended += f64::from(load.unreported.ended);
         }
-        let most = MAX_SCALE * f64::from(limit.entries);
-        let scale = ((reported + 1.0) / (own + 1.0)).clamp(1.0, most.max(1.0));
-        let reserve = (scale * limit.reserve).min(capacity * limit.max_reserve);
-        let kept_free = reserve.max(capacity * (1.0 - limit.part));
-        let free = places + scale * (ended - sent) - kept_free;
-        let weights = states.map(|state| room_weight(state, limit, scale, now));
-        let weight = weights.sum::<f64>();
-        (free > 0.0 && weight > 0.0).then_some(Self { scale, weight })
     }
-}
-
-/// Whether a backend server processes requests: its lock-step group is not forming or broken.
-fn is_open(state: &BackendState, now: TimePoint) -> bool {
-    let report = state.load.report(now);
-    report.is_none_or(|report| report.is_open)
+    let most = MAX_SCALE * f64::from(limit.entries);
+    let scale = ((reported + 1.0) / (own + 1.0)).clamp(1.0, most.max(1.0));
+    let reserve = (scale * limit.reserve).min(capacity * limit.max_reserve);
+    let kept_free = reserve.max(capacity * (1.0 - limit.part));
+    let free = places + scale * (ended - sent) - kept_free;
+    (free > 0.0).then_some(scale)
 }
 
 /// The weight by which a backend server is drawn: its free places, less those that all entries
@@ -351,11 +352,13 @@
 /// One that fails requests quickly always has free places; what remains of its weight shows when it
 /// has recovered.
 fn room_weight(state: &BackendState, limit: LoadLimit, scale: f64, now: TimePoint) -> f64 {
-    if !is_open(state, now) {
+    let load = state.load.recent(now);
+    // The lock-step group of one that is not open is forming or broken.
+    if !load.is_open {
         return 0.0;
     }
-    let flow = state.load.unreported(now);
-    let places = f64::from(limit.requests) - f64::from(state.load.reported(now));
+    let places = f64::from(limit.requests) - f64::from(load.requests);
+    let flow = load.unreported;
     let places = places + f64::from(flow.ended) - scale * f64::from(flow.sent);
     let reliability = 1.0 - state.failure_rate();
     places.max(0.0) * (reliability * reliability).max(MIN_RELIABILITY)
--- a/crates/celerycrank-serving/src/load.rs
+++ b/crates/celerycrank-serving/src/load.rs
@@ -31,6 +31,27 @@
     pub ended: u32,
 }
 
+impl RequestFlow {
+    /// The requests of both times.
+    const fn plus(self, other: Self) -> Self {
+        Self {
+            sent: self.sent.saturating_add(other.sent),
+            ended: self.ended.saturating_add(other.ended),
+        }
+    }
+}
+
+/// What an entry knows of the load of a backend server beside its own requests in flight.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RecentLoad {
+    /// Whether its lock-step group accepts requests.
+    pub(crate) is_open: bool,
+    /// Number of requests by the last report, or of this entry's requests without one.
+    pub(crate) requests: u32,
+    /// This entry's requests that the last report may not include.
+    pub(crate) unreported: RequestFlow,
+}
+
 /// The load of a backend server, from an entry's own requests and from those of other entries.
 #[derive(Debug, Default, Clone)]
 pub struct LoadEstimate {
@@ -52,13 +73,13 @@
     /// Records that this entry sent a request.
     pub fn begin(&mut self) {
         self.own += 1;
-        self.since_report.sent += 1;
+        self.since_report.sent = self.since_report.sent.saturating_add(1);
     }
 
     /// Records that a request of this entry has ended.
     pub fn finish(&mut self) {
         self.own = self.own.saturating_sub(1);
-        self.since_report.ended += 1;
+        self.since_report.ended = self.since_report.ended.saturating_add(1);
     }
 
     /// Returns the number of requests of this entry that are in flight.
@@ -109,8 +130,7 @@
     /// Returns the number of requests by the last report, or of this entry's requests without one.
     #[must_use]
     pub fn reported(&self, now: TimePoint) -> u32 {
-        self.report(now)
-            .map_or(self.own, |it| it.running.saturating_add(it.waiting))
+        self.recent(now).requests
     }
 
     /// Returns this entry's requests that the last report may not include.
@@ -119,12 +139,25 @@
     /// entry knows its own requests only, and none is unreported.
     #[must_use]
     pub fn unreported(&self, now: TimePoint) -> RequestFlow {
-        if self.report(now).is_none() {
-            return RequestFlow::default();
-        }
-        RequestFlow {
-            sent: self.before_report.sent + self.since_report.sent,
-            ended: self.before_report.ended + self.since_report.ended,
+        self.recent(now).unreported
+    }
+
+    /// Returns the requests by the last report and those that it may not include.
+    ///
+    /// It reads the report once, since a choice with a load limit reads the load of every backend
+    /// server twice.
+    pub(crate) fn recent(&self, now: TimePoint) -> RecentLoad {
+        let Some(report) = self.report(now) else {
+            return RecentLoad {
+                is_open: true,
+                requests: self.own,
+                unreported: RequestFlow::default(),
+            };
+        };
+        RecentLoad {
+            is_open: report.is_open,
+            requests: report.running.saturating_add(report.waiting),
+            unreported: self.before_report.plus(self.since_report),
         }
     }
 
