--- a/crates/celerycrank-serving/tests/load_ceiling.rs
+++ b/crates/celerycrank-serving/tests/load_ceiling.rs
@@ -5,10 +5,12 @@
 
 const TARGET: TimeSpan = TimeSpan::from_millis(400);
 
-/// Records a first event or a gap each 100 ms; returns the part after each.
-fn parts(ceiling: &mut LoadCeiling, start: u64, samples: [(bool, u64); 120]) -> Vec<f64> {
-    let samples = samples.into_iter().zip(start..);
-    let parts = samples.map(|((is_gap, millis), number)| {
+/// Number of first events or gaps that are recorded at once.
+const SAMPLES: u64 = 120;
+
+/// Records the same first event or gap each 100 ms; returns the part after each.
+fn parts(ceiling: &mut LoadCeiling, start: u64, (is_gap, millis): (bool, u64)) -> Vec<f64> {
+    let parts = (start..start + SAMPLES).map(|number| {
         let now = TimePoint(number * 100_000);
         let span = TimeSpan::from_millis(millis);
         if is_gap {
@@ -28,10 +30,10 @@
     // Gaps that are not clearly below the target are long: some streams have gaps of twice the mean.
     for is_gap in [false, true] {
         let mut ceiling = LoadCeiling::default();
-        let falling = parts(&mut ceiling, 1, [(is_gap, 450); 120]);
+        let falling = parts(&mut ceiling, 1, (is_gap, 450));
         assert!(falling.is_sorted_by(|one, next| one >= next));
         assert!((falling[119] - 0.5).abs() < 1e-9, "{}", falling[119]);
-        let rising = parts(&mut ceiling, 121, [(is_gap, 100); 120]);
+        let rising = parts(&mut ceiling, 121, (is_gap, 100));
         // The moving average needs some samples to fall below the limit.
         let rising = &rising[30..];
         assert!(rising.is_sorted());
@@ -43,7 +45,7 @@
 #[test]
 fn a_stall_is_no_gap() {
     let mut ceiling = LoadCeiling::default();
-    let stalls = parts(&mut ceiling, 1, [(true, 2_000); 120]);
+    let stalls = parts(&mut ceiling, 1, (true, 2_000));
     assert!(stalls.iter().all(|part| *part >= 1.0));
 }
 
