--- a/crates/celerycrank-serving/tests/prompt_cache.rs
+++ b/crates/celerycrank-serving/tests/prompt_cache.rs
@@ -312,8 +312,7 @@
     }
 }
 
-/// Guards against a saving that is expected of a holder that fails its requests, and against a slow
-/// one without reports that is weighed as if it were not slow.
+/// Guards against a saving that is expected of a holder that fails its requests.
 #[test]
 fn a_holder_that_fails_requests_saves_nothing() {
     let mut random = StdRng::seed_from_u64(SEED);
