--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -59,6 +59,7 @@
     let mut read = ReadPrefixes::default();
     read.note(EVACUATION_PREFIX, read_evacuations(state).await?);
     read.note(REGISTRATION_PREFIX, read_backends(state).await?);
+    wake_all_waiting(state);
     backoff.record_success();
     loop {
         let asked_at = state.clock.now();
