Admission: levels in between give up less to the ceiling

The ceiling cut all levels but the most urgent one alike, so that urgent kinds of ordinary accounts waited with the least urgent kind. Now a level gives up in proportion to its place among the levels.

--- a/crates/celerycrank-serving/src/admission.rs
+++ b/crates/celerycrank-serving/src/admission.rs
@@ -158,8 +158,8 @@
 
     /// The limit on what an engine may hold for a request of this level.
     ///
-    /// It leaves `reserve` places of the service free for each entry, and uses the part of the places
-    /// that the ceiling allows unless it is of the most urgent level.
+    /// It leaves `reserve` places of the service free for each entry. The least urgent level uses only
+    /// the part of the places that the ceiling allows, the most urgent one all of them.
     #[must_use]
     pub fn load_limit(
         &self,
@@ -168,12 +168,12 @@
         reserve: f64,
         entries: u32,
     ) -> LoadLimit {
-        let is_most_urgent = level == UrgencyLevel::default();
+        // Levels in between give up less, so that the less urgent ones do not use all that is left.
+        let depth = f64::from(level.0) / f64::from(self.last_level().0);
         LoadLimit {
             requests: self.engine.slots,
-            part: if is_most_urgent { 1.0 } else { ceiling.part() },
-            // Levels in between leave less, so that the less urgent ones do not use all that is left.
-            max_reserve: MAX_RESERVE * f64::from(level.0) / f64::from(self.last_level().0),
+            part: 1.0 - (1.0 - ceiling.part()) * depth,
+            max_reserve: MAX_RESERVE * depth,
             entries: if entries > 1 { entries } else { 1 },
             reserve,
         }
