--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -13,15 +13,18 @@
 
 use std::{env, fs, io, path::Path, process::ExitCode};
 
-use crate::poison::Prompts;
+use crate::{poison::Prompts, process::CrashPlan};
 
 fn main() -> ExitCode {
     let arguments = env::args().collect::<Vec<_>>();
-    if let [_, command, id, address, events] = arguments.as_slice()
+    if let [_, command, id, address, events, from] = arguments.as_slice()
         && command == "worker"
     {
-        let events = events.parse().unwrap_or_default();
-        let ended = process::run(id, address, events);
+        let plan = CrashPlan {
+            events: events.parse().unwrap_or_default(),
+            from_unix_ms: from.parse().unwrap_or_default(),
+        };
+        let ended = process::run(id, address, plan);
         return ended.map_or(ExitCode::from(2), |()| ExitCode::SUCCESS);
     }
     let [_, case, folder] = arguments.as_slice() else {
@@ -53,6 +56,7 @@
         "poison" => poison::run(&folders, Prompts::Short, 1, has_trouble),
         "blocks" => poison::run(&folders, Prompts::ManyBlocks, 0, has_trouble),
         "digits" => poison::run(&folders, Prompts::LongIds, 0, has_trouble),
+        "known" => poison::run(&folders, Prompts::Known, 0, has_trouble),
         // What the first case does without any event before the crash, to compare.
         "prompt-crash" => poison::run(&folders, Prompts::Short, 0, has_trouble),
         _ => Err(io::Error::other(format!("no such case: {case}"))),
--- a/review/standins-2/src/poison.rs
+++ b/review/standins-2/src/poison.rs
@@ -14,7 +14,7 @@
     Folders,
     client::{Ask, Channel},
     entry::{Entry, EntrySettings},
-    process::{DEADLY_PART, WorkerProcess},
+    process::{CrashPlan, DEADLY_PART, WorkerProcess, unix_millis},
     record::Record,
     store::Store,
 };
@@ -22,12 +22,18 @@
 const WORKERS: usize = 6;
 const MEMORY_MB: u64 = 260;
 const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
+/// Time for the start of all processes.
+const STARTING: Duration = Duration::from_secs(5);
 const CALM: Duration = Duration::from_secs(15);
 const TROUBLE: Duration = Duration::from_secs(45);
 /// Sound requests a second.
 const SOUND_PER_S: f64 = 12.0;
 /// Requests a second with the part that crashes workers.
 const DEADLY_PER_S: f64 = 2.0;
+/// The same for a part that much of the traffic asks for (`hot_key` names a share of .28).
+const HOT_DEADLY_PER_S: f64 = 4.5;
+/// Requests of the calm time, all of which are sound, less a second's.
+const CALM_REQUESTS: u32 = 168;
 const SOUND_CLIENTS: usize = 40;
 const DEADLY_CLIENTS: usize = 20;
 /// The number of requests with such a part that may reach workers.
@@ -66,18 +72,30 @@
     ManyBlocks,
     /// The IDs of the parts have 64 digits, as those of a usual hash function.
     LongIds,
+    /// As `Short`, but the part was answered before it began to crash workers.
+    Known,
 }
 
 impl Prompts {
+    /// Requests a second with the part that crashes workers.
+    fn deadly_per_s(self) -> f64 {
+        match self {
+            Self::Known => HOT_DEADLY_PER_S,
+            _ => DEADLY_PER_S,
+        }
+    }
+
     /// The parts of the prompt with this number.
     fn parts(self, is_deadly: bool, number: u32) -> String {
-        let second = if is_deadly {
+        // Sound requests have it one time in fifty, until it begins to crash workers.
+        let is_known = self == Self::Known && number < CALM_REQUESTS && number % 50 == 0;
+        let second = if is_deadly || is_known {
             DEADLY_PART.to_owned()
         } else {
             format!("bb{:02x}", number % 50)
         };
         match self {
-            Self::Short => format!("aa01:40,{second}:20,{number:08x}:600"),
+            Self::Short | Self::Known => format!("aa01:40,{second}:20,{number:08x}:600"),
             Self::ManyBlocks => {
                 let blocks = (0..40).map(|block| match block {
                     35 => format!("{second}:16,"),
@@ -105,10 +123,19 @@
     let record = Arc::new(Record::create(folders.record)?);
     let store = Store::start()?;
     store.put("op/config", MANIFEST.as_bytes());
+    // Workers are started, and the entry becomes ready, before the calm time begins.
+    let plan = CrashPlan {
+        events: events_before_crash,
+        from_unix_ms: match prompts {
+            Prompts::Known => unix_millis() + STARTING.as_millis() as u64 + CALM.as_millis() as u64,
+            _ => 0,
+        },
+    };
+    let started = Instant::now();
     let mut workers = Vec::new();
     for number in 0..WORKERS {
         let id = format!("i-{number:04x}");
-        let worker = WorkerProcess::start(&id, events_before_crash, &store, &record)?;
+        let worker = WorkerProcess::start(&id, plan, &store, &record)?;
         workers.push(worker);
     }
     let settings = EntrySettings {
@@ -116,7 +143,7 @@
         zone: "estremoz",
     };
     let entry = Entry::start(folders.temporary, store.address, &settings)?;
-    thread::sleep(Duration::from_secs(1));
+    thread::sleep(STARTING.saturating_sub(started.elapsed()));
     let is_over = Arc::new(AtomicBool::new(false));
     let sent = Arc::new(Mutex::new(Vec::<Sent>::new()));
     let number = Arc::new(AtomicU32::new(1));
@@ -124,7 +151,7 @@
     let mut clients = Vec::new();
     let kinds = [
         (false, SOUND_PER_S, SOUND_CLIENTS, began),
-        (true, DEADLY_PER_S, DEADLY_CLIENTS, began + CALM),
+        (true, prompts.deadly_per_s(), DEADLY_CLIENTS, began + CALM),
     ];
     for (is_deadly, per_s, count, first) in kinds {
         if is_deadly && !has_trouble {
--- a/review/standins-2/src/process.rs
+++ b/review/standins-2/src/process.rs
@@ -10,7 +10,7 @@
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use crate::{http::Connection, record::Record, store::Store};
@@ -31,6 +31,21 @@
 /// Time between the first event and the crash, in which it is sent.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// How a worker crashes on requests with the part that crashes workers.
+#[derive(Debug, Clone, Copy)]
+pub struct CrashPlan {
+    /// The number of events that it sends before it crashes.
+    pub events: u32,
+    /// From when on the part crashes workers, in Unix milliseconds.
+    pub from_unix_ms: u64,
+}
+
+/// The time of day in Unix milliseconds.
+pub fn unix_millis() -> u64 {
+    let time = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    time.map_or(0, |time| time.as_millis() as u64)
+}
+
 /// A worker process that is started again after each crash.
 pub struct WorkerProcess {
     /// Its ID.
@@ -40,17 +55,15 @@
     /// The number of times that it has crashed.
     pub crashes: AtomicU32,
     is_over: AtomicBool,
-    events_before_crash: u32,
+    plan: CrashPlan,
     record: Arc<Record>,
 }
 
 impl WorkerProcess {
     /// Starts the process, registers it, and keeps both going until `stop`.
-    ///
-    /// `events_before_crash` is the number of events that it sends before it crashes.
     pub fn start(
         id: &str,
-        events_before_crash: u32,
+        plan: CrashPlan,
         store: &Store,
         record: &Arc<Record>,
     ) -> io::Result<Arc<Self>> {
@@ -61,7 +74,7 @@
             child: Mutex::new(None),
             crashes: AtomicU32::new(0),
             is_over: AtomicBool::new(false),
-            events_before_crash,
+            plan,
             record: Arc::clone(record),
         });
         worker.spawn()?;
@@ -72,12 +85,14 @@
 
     fn spawn(self: &Arc<Self>) -> io::Result<()> {
         let program = env::current_exe()?;
-        let (address, events) = (
-            self.address.to_string(),
-            self.events_before_crash.to_string(),
-        );
+        let CrashPlan {
+            events,
+            from_unix_ms,
+        } = self.plan;
+        let plan = [events.to_string(), from_unix_ms.to_string()];
+        let address = self.address.to_string();
         let mut child = Command::new(program)
-            .args(["worker", &self.id, &address, &events])
+            .args(["worker", &self.id, &address, &plan[0], &plan[1]])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
@@ -140,7 +155,7 @@
 }
 
 /// Runs a worker in this process until it crashes or its standard input ends.
-pub fn run(id: &str, address: &str, events_before_crash: u32) -> io::Result<()> {
+pub fn run(id: &str, address: &str, plan: CrashPlan) -> io::Result<()> {
     let listener = TcpListener::bind(address)?;
     // It ends with the process that has started it.
     thread::spawn(|| {
@@ -151,12 +166,12 @@
     for socket in listener.incoming().flatten() {
         let id = Arc::clone(&id);
         // An error means that the other side has closed the connection.
-        thread::spawn(move || serve(&id, socket, events_before_crash));
+        thread::spawn(move || serve(&id, socket, plan));
     }
     Ok(())
 }
 
-fn serve(id: &str, socket: TcpStream, events_before_crash: u32) -> io::Result<()> {
+fn serve(id: &str, socket: TcpStream, plan: CrashPlan) -> io::Result<()> {
     let mut connection = Connection::new(socket, Duration::from_secs(10))?;
     while let Some(mut request) = connection.read_head()? {
         connection.read_body(&mut request)?;
@@ -169,7 +184,8 @@
             continue;
         }
         let parts = request.field("prefix-hash").unwrap_or_default();
-        let is_deadly = parts.split(',').any(|part| part.starts_with(DEADLY_PART));
+        let has_part = parts.split(',').any(|part| part.starts_with(DEADLY_PART));
+        let is_deadly = has_part && unix_millis() >= plan.from_unix_ms;
         {
             let mut out = io::stdout().lock();
             let kind = if is_deadly { "deadly" } else { "sound" };
@@ -185,7 +201,7 @@
         let last = request
             .field("last-event-id")
             .and_then(|it| it.parse().ok());
-        if is_deadly && events_before_crash == 0 {
+        if is_deadly && plan.events == 0 {
             std::process::exit(101);
         }
         let first = last.unwrap_or(0) + 1;
@@ -193,7 +209,7 @@
             let event = format!("id: {number}\ndata: {}\n\n", "t".repeat(60));
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             socket.write_all(chunk.as_bytes())?;
-            if is_deadly && number + 1 == first + events_before_crash {
+            if is_deadly && number + 1 == first + plan.events {
                 thread::sleep(CRASH_DELAY);
                 // The process ends; the kernel closes its listener and its connections.
                 std::process::exit(101);
