--- a/review/standins-2/src/entry.rs
+++ b/review/standins-2/src/entry.rs
@@ -4,6 +4,7 @@
     env, fs, io,
     io::Write,
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -130,13 +131,30 @@
     }
 }
 
+/// Option of `prctl`: the signal that a process gets when the one that has started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
 fn spawn(folder: &Path, settings: &Path) -> io::Result<Child> {
     let program = env::var("CELERYCRANK").unwrap_or("target/release/celerycrank".into());
     let log = fs::File::options()
         .create(true)
         .append(true)
         .open(folder.join("entry.log"))?;
-    Command::new(program)
+    let mut command = Command::new(program);
+    // SAFETY: the call only sets an attribute of the new process.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        });
+    }
+    command
         .arg("direct-entry")
         .env("CELERYCRANK_CONFIG", settings)
         .stdin(Stdio::null())
--- a/review/standins-2/src/process.rs
+++ b/review/standins-2/src/process.rs
@@ -22,7 +22,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// How long a worker that has crashed is down.
-const DOWN_TIME: Duration = Duration::from_secs(4);
+const DOWN_TIME: Duration = Duration::from_secs(5);
 
 const FIRST_EVENT: Duration = Duration::from_millis(120);
 const EVENTS: u32 = 12;
