An answer of the platform that ends before its length is lost

A read of a key that was answered with 404 and half a body gave "no such key" at revision 0, a VM list with its last byte missing was in force. A record or list that is cut inside its JSON was rejected before already, as it cannot be parsed.

Change: the clients of the key-value service and the VM list read bodies in one place, which compares what arrived with the length that the head announces. A call whose answer is cut off may have been carried out, as when no answer came.

Not covered: an answer in chunks that is cut between whole JSON and its last chunk, or a 404 in chunks that is cut, which the HTTP client does not tell.

--- a/crates/celerycrank-client/src/client.rs
+++ b/crates/celerycrank-client/src/client.rs
@@ -16,6 +16,7 @@
 use crate::{
     AnswerError, CallCounters, KeyValueError, KeyValueOperation, KeyValueRecord, LeaseId,
     ModRevision, SendError,
+    body::read_body,
     gateway::{
         Base64Bytes, DeleteResponse, GatewayRecord, IntegerString, PutRequest, RangeRequest,
         RangeResponse, TxnCompare, TxnOperation, TxnRequest, TxnResponse, prefix_end,
@@ -415,9 +416,8 @@
 async fn read_answer<T: DeserializeOwned>(
     response: &mut ClientResponse,
 ) -> Result<T, KeyValueError> {
-    let body = response.body().limit(MAX_ANSWER_BYTES).await;
-    let bytes =
-        body.map_err(|e| KeyValueError::Unknown(AnswerError::Lost(e.to_string().into())))?;
+    let body = read_body(response, MAX_ANSWER_BYTES).await;
+    let bytes = body.map_err(|e| KeyValueError::Unknown(AnswerError::Lost(e.into())))?;
     serde_json::from_slice(&bytes)
         .map_err(|e| KeyValueError::Unknown(AnswerError::Malformed(e.to_string().into())))
 }
--- a/crates/celerycrank-client/src/lib.rs
+++ b/crates/celerycrank-client/src/lib.rs
@@ -5,6 +5,7 @@
 //! and must stay on one arbiter thread.
 
 mod batch;
+mod body;
 mod call;
 mod client;
 mod error;
--- a/crates/celerycrank-client/src/platform.rs
+++ b/crates/celerycrank-client/src/platform.rs
@@ -14,6 +14,7 @@
 use crate::{
     AnswerError, Expected, KeyValueClient, KeyValueError, KeyValueOperation, KeyValueRecord,
     LeaseGrant, LeaseId, ModRevision, RangeSnapshot, SendError, SwapOutcome,
+    body::read_body,
     client::{MAX_ANSWER_BYTES, send_error},
 };
 
@@ -64,9 +65,8 @@
         };
         let mut response = sent.map_err(|e| send_error(&e))?;
         let status = response.status().as_u16();
-        let body = response.body().limit(MAX_ANSWER_BYTES).await;
-        let body =
-            body.map_err(|e| KeyValueError::Unknown(AnswerError::Lost(e.to_string().into())))?;
+        let body = read_body(&mut response, MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|e| KeyValueError::Unknown(AnswerError::Lost(e.into())))?;
         Ok((status, body))
     }
 
--- a/crates/celerycrank-client/src/vm.rs
+++ b/crates/celerycrank-client/src/vm.rs
@@ -11,7 +11,7 @@
 use celerycrank_types::{DomainId, ModelId, ServiceId, TimeSpan, VmId};
 use serde::Deserialize;
 
-use crate::line::LineStream;
+use crate::{body::read_body, line::LineStream};
 
 /// Maximum size of a VM list.
 const MAX_LIST_BYTES: usize = 64 << 20;
@@ -126,8 +126,8 @@
     /// Fetches the complete list in its published form.
     pub(crate) async fn fetch_list(&self) -> Result<SliceList, VmListError> {
         let mut response = self.get(&self.shared.url).await?;
-        let body = response.body().limit(MAX_LIST_BYTES).await;
-        let bytes = body.map_err(|e| VmListError::Unreachable(e.to_string().into()))?;
+        let body = read_body(&mut response, MAX_LIST_BYTES).await;
+        let bytes = body.map_err(|e| VmListError::Unreachable(e.into()))?;
         serde_json::from_slice::<SliceList>(&bytes).map_err(|e| malformed(&e.to_string()))
     }
 
