Interim responses are skipped in one place

HeadParser does it for all, with a bound of 16, and rejects a switch of protocols, which the engine's client took for an interim response.

--- a/crates/celerycrank-agent/src/backend.rs
+++ b/crates/celerycrank-agent/src/backend.rs
@@ -9,8 +9,8 @@
 use actix_rt::time::timeout;
 use bytes::{Bytes, BytesMut};
 use celerycrank_http::{
-    BodyDecoder, BodyFraming, BodyStep, FramingError, HttpStream, MessageWriter, ResponseHead,
-    is_hop_by_hop, parse_response,
+    BodyDecoder, BodyFraming, BodyStep, FramingError, HeadParser, HttpStream, MessageWriter,
+    ResponseHead, is_hop_by_hop,
 };
 use celerycrank_process::ProcessClock;
 use celerycrank_types::{RefusalReason, RequestId, UnknownReason};
@@ -26,9 +26,6 @@
 /// Maximum size of the head of an answer, in bytes.
 const MAX_ANSWER_HEAD: usize = 128 << 10;
 
-/// Maximum number of interim answers before a final one.
-const MAX_INTERIM_ANSWERS: u32 = 8;
-
 /// Size of the parts in which a request is sent, in bytes.
 const SEND_SIZE: usize = 64 << 10;
 
@@ -241,18 +238,11 @@
 
 /// Reads the head of the final answer, skipping interim answers.
 async fn read_head(stream: &mut HttpStream) -> Result<ResponseHead, BackendError> {
-    let mut interim = 0;
+    let mut parser = HeadParser::default();
     loop {
-        let parsed = parse_response(&mut stream.buffer, MAX_ANSWER_HEAD);
+        let parsed = parser.parse(&mut stream.buffer, MAX_ANSWER_HEAD);
         match parsed.map_err(bad_answer)? {
-            Some(head) if head.status == 101 => {
-                return Err(bad_answer("the backend server switches protocols"));
-            }
-            Some(head) if head.status >= 200 => return Ok(head),
-            Some(_) if interim == MAX_INTERIM_ANSWERS => {
-                return Err(bad_answer("too many interim answers"));
-            }
-            Some(_) => interim += 1,
+            Some(head) => return Ok(head),
             None if fill(stream).await? == 0 => {
                 return Err(incomplete_answer(FramingError::Truncated));
             }
--- a/crates/celerycrank-direct/src/agent/engine.rs
+++ b/crates/celerycrank-direct/src/agent/engine.rs
@@ -5,7 +5,7 @@
 use actix_rt::time::timeout;
 use bytes::{Bytes, BytesMut};
 use celerycrank_http::{
-    BodyDecoder, BodyFraming, BodyStep, HttpStream, MessageWriter, TcpTimeouts, parse_response,
+    BodyDecoder, BodyFraming, BodyStep, HeadParser, HttpStream, MessageWriter, TcpTimeouts,
 };
 
 /// Timeout for a GET request to the engine.
@@ -131,10 +131,11 @@
     stream: &mut HttpStream,
     method: &[u8],
 ) -> Result<(EngineAnswer, bool), CallError> {
+    let mut parser = HeadParser::default();
     let head = loop {
-        match parse_response(&mut stream.buffer, MAX_HEAD).map_err(unreadable)? {
-            Some(head) if head.status >= 200 => break head,
-            Some(_) => {}
+        let parsed = parser.parse(&mut stream.buffer, MAX_HEAD);
+        match parsed.map_err(unreadable)? {
+            Some(head) => break head,
             None => fill(stream).await?,
         }
     };
--- a/crates/celerycrank-direct/src/entry/own_head.rs
+++ b/crates/celerycrank-direct/src/entry/own_head.rs
@@ -4,7 +4,7 @@
 //! only if it is a refusal and the first answer on its connection, where no bytes of an earlier
 //! exchange can arrive. All other answers decide nothing: on a reused connection they are skipped.
 
-use celerycrank_http::{BodyDecoder, BodyFraming, BodyStep, ResponseHead, parse_response};
+use celerycrank_http::{BodyDecoder, BodyFraming, BodyStep, HeadParser, ResponseHead};
 use celerycrank_platform::{AnswerMetadata, read_answer};
 
 use super::{
@@ -17,9 +17,6 @@
 /// Maximum size of the head of an answer, in bytes.
 const MAX_ANSWER_HEAD: usize = 32 << 10;
 
-/// Maximum number of interim answers before the final one.
-const MAX_INTERIM_ANSWERS: u32 = 16;
-
 /// Maximum number of answers of no or another request that are skipped on a reused connection.
 const MAX_SURPLUS_ANSWERS: u32 = 4;
 
@@ -116,20 +113,11 @@
 
 /// Reads the head of the next final answer, skipping interim answers.
 async fn read_head(stream: &mut SendingStream) -> Result<ResponseHead, AttemptError> {
-    let mut interim = 0;
+    let mut parser = HeadParser::default();
     loop {
-        let parsed = parse_response(&mut stream.stream.buffer, MAX_ANSWER_HEAD);
+        let parsed = parser.parse(&mut stream.stream.buffer, MAX_ANSWER_HEAD);
         match parsed.map_err(|error| AttemptError::Broken(bad_answer(error)))? {
-            Some(head) if head.status == 101 => {
-                let error = "the backend server switches protocols";
-                return Err(AttemptError::Broken(bad_answer(error)));
-            }
-            Some(head) if head.status >= 200 => return Ok(head),
-            Some(_) if interim == MAX_INTERIM_ANSWERS => {
-                let error = "too many interim answers";
-                return Err(AttemptError::Broken(bad_answer(error)));
-            }
-            Some(_) => interim += 1,
+            Some(head) => return Ok(head),
             None => fill(stream).await?,
         }
     }
--- a/crates/celerycrank-http/src/head.rs
+++ b/crates/celerycrank-http/src/head.rs
@@ -27,6 +27,10 @@
     BareLineFeed,
     /// the status {0} is not between 100 and 599
     InvalidStatus(u16),
+    /// more than 16 interim responses precede the final one
+    TooManyInterim,
+    /// the sender switches protocols
+    SwitchedProtocol,
     /// the head is malformed: {0}
     Malformed(httparse::Error),
 }
--- a/crates/celerycrank-http/src/lib.rs
+++ b/crates/celerycrank-http/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod field;
 mod head;
+mod parser;
 mod stream;
 mod write;
 
@@ -16,6 +17,7 @@
     body::{BodyDecoder, BodyFraming, BodyStep, FramingError},
     field::{FieldList, HeaderField, is_hop_by_hop},
     head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response},
+    parser::HeadParser,
     stream::{HttpStream, StreamStep, TcpTimeouts},
     write::{MessageWriter, reason_phrase},
 };
--- a/crates/celerycrank-http/tests/framing.rs
+++ b/crates/celerycrank-http/tests/framing.rs
@@ -3,8 +3,8 @@
 use arbtest::arbtest;
 use bytes::BytesMut;
 use celerycrank_http::{
-    BodyDecoder, BodyFraming, BodyStep, FramingError, HeadError, MessageWriter, parse_request,
-    parse_response,
+    BodyDecoder, BodyFraming, BodyStep, FramingError, HeadError, HeadParser, MessageWriter,
+    parse_request, parse_response,
 };
 
 const LIMIT: usize = 16 << 10;
@@ -259,3 +259,23 @@
     );
     assert!(!head.is_persistent());
 }
+
+#[test]
+fn interim_responses_are_skipped_up_to_a_bound() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    let end = "HTTP/1.1 200 OK\r\n\r\n";
+    let parse = |text: &str| HeadParser::default().parse(&mut BytesMut::from(text), LIMIT);
+    for count in [0, 1, 16] {
+        let parsed = parse(&(interim.repeat(count) + end));
+        let head = parsed.expect("well-formed").expect("complete");
+        assert_eq!(head.status, 200, "{count}");
+    }
+    assert_eq!(parse(interim), Ok(None), "the final head is missing");
+    let parsed = parse(&(interim.repeat(17) + end));
+    assert_eq!(parsed, Err(HeadError::TooManyInterim));
+    let switched = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n";
+    assert_eq!(parse(switched), Err(HeadError::SwitchedProtocol));
+    let unknown = "HTTP/1.1 000 Unknown\r\n\r\n";
+    let parsed = parse(&(unknown.to_owned() + end));
+    assert_eq!(parsed, Err(HeadError::InvalidStatus(0)));
+}
