--- a/crates/celerycrank-http/tests/framing.rs
+++ b/crates/celerycrank-http/tests/framing.rs
@@ -97,6 +97,43 @@
     }
 }
 
+/// Whether a byte may stand in the name of a field.
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// Checks that a response is rejected, incomplete, or one of the protocol.
+fn assert_well_formed_or_rejected(response: &[u8]) {
+    let Ok(Some(head)) = parse_response(&mut BytesMut::from(response), LIMIT) else {
+        return;
+    };
+    let response = response.escape_ascii();
+    assert!((100..=599).contains(&head.status), "{response}");
+    for field in &head.fields {
+        let mut name = field.name.iter();
+        assert!(!field.name.is_empty(), "{response}");
+        assert!(name.all(|byte| is_token_byte(*byte)), "{response}");
+        let mut value = field.value.iter();
+        let is_text = |byte: &u8| !byte.is_ascii_control() || *byte == b'\t';
+        assert!(value.all(is_text), "{response}");
+    }
+}
+
+#[test]
+fn response_with_an_altered_byte_is_well_formed_or_rejected() {
+    const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nX-Field: a b\r\nContent-Length: 5\r\n\r\n";
+    for index in 0..RESPONSE.len() {
+        for byte in 0..=u8::MAX {
+            let mut replaced = RESPONSE.to_vec();
+            replaced[index] = byte;
+            assert_well_formed_or_rejected(&replaced);
+            let mut inserted = RESPONSE.to_vec();
+            inserted.insert(index, byte);
+            assert_well_formed_or_rejected(&inserted);
+        }
+    }
+}
+
 #[test]
 fn ambiguous_request_is_rejected() {
     let refused = [
