--- a/crates/celerycrank-http/src/parser.rs
+++ b/crates/celerycrank-http/src/parser.rs
@@ -7,6 +7,9 @@
 /// Maximum number of interim responses before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 16;
 
+/// The status of a response after which the connection carries another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Parses the heads of one answer, up to that of its final response.
 #[derive(Debug, Default)]
 pub struct HeadParser {
@@ -29,7 +32,7 @@
     ) -> Result<Option<ResponseHead>, HeadError> {
         while let Some(head) = parse_response(buffer, limit)? {
             match head.status {
-                101 => return Err(HeadError::SwitchedProtocol),
+                SWITCHING_PROTOCOLS => return Err(HeadError::SwitchedProtocol),
                 100..=199 if self.interim == MAX_INTERIM_RESPONSES => {
                     return Err(HeadError::TooManyInterim);
                 }
--- a/crates/celerycrank-http/src/stream.rs
+++ b/crates/celerycrank-http/src/stream.rs
@@ -128,7 +128,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection was lost.
+    /// Fails like [`Self::fill`].
     pub async fn fill_when_readable(&mut self) -> io::Result<usize> {
         loop {
             self.release_buffer();
