--- a/crates/celerycrank-direct/src/entry/answer.rs
+++ b/crates/celerycrank-direct/src/entry/answer.rs
@@ -1,10 +1,11 @@
 //! Handles one request: admits it, forwards it and returns the answer.
 
-use std::sync::Arc;
+use std::{rc::Rc, sync::Arc};
 
 use bytes::BytesMut;
 use celerycrank_http::{BodyFraming, ResponseHead};
 use celerycrank_platform::{read_request, write_answer_head};
+use celerycrank_serving::AnswerProgress;
 use celerycrank_types::{RefusalReason, TimePoint, UnknownReason};
 use tokio::select;
 
@@ -12,7 +13,7 @@
     caller::{CallerConnection, ConnectionStep},
     dispatch::RequestDispatch,
     outcome::{RequestEnd, log_refusal, record_end},
-    progress::{AnswerProgress, AttemptTrack, RequestError},
+    progress::{AttemptTrack, RequestError},
     refusal::{bad_request, refusal_answer, unknown_answer},
     request::{AdmittedRequest, RequestDraft, admit},
     state::EntryState,
@@ -143,7 +144,7 @@
             }
         };
         space.end_answer();
-        let (backend, holder) = (in_flight.backend.clone(), in_flight.holder);
+        let (sent_to, holder) = (Rc::clone(&in_flight.sent_to), in_flight.holder);
         drop(in_flight);
         if let Err(reason) = read {
             let progress = if body.is_empty() {
@@ -151,19 +152,20 @@
             } else {
                 AnswerProgress::Begun
             };
-            let retried = dispatch.retry_broken(&backend, reason, progress);
-            if let Err(error) = retried.await {
+            let retried = dispatch.retry_broken(&sent_to, reason, progress);
+            if let Err(error) = retried {
                 return failed.ok_or(error);
             }
             continue;
         }
         dispatch.note_begun(answer.head.status, holder);
+        dispatch.note_finished(answer.head.status, &sent_to, true);
         let is_failure = answer.head.status >= 500;
         let state = dispatch.state;
         state
             .backends
             .borrow_mut()
-            .note_answer(&backend, is_failure, state.clock.now());
+            .note_answer(&sent_to.backend, is_failure, state.clock.now());
         if is_failure {
             dispatch.note_unanswered(track);
         } else {
--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -1,14 +1,18 @@
 //! Sends a request to one backend server after another until one answers.
 
-use std::cell::{Cell, RefCell};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use celerycrank_routing::HolderKey;
 use celerycrank_serving::{
-    BackendChoice, BackendRegistration, BackendTable, ChoiceQuery, CrashedBackend, LoadLimit,
-    RequestSemantics, ServiceObstacle, choose_backend,
+    AnswerProgress, BackendChoice, BackendRegistration, BackendTable, ChoiceQuery, FinishedAnswer,
+    LoadLimit, RequestSemantics, ServiceObstacle, choose_backend,
 };
 use celerycrank_types::{
-    BackendId, RefusalReason, RetryReason, ServiceId, TimePoint, TimeSpan, UnknownReason,
+    BackendId, RefusalReason, RetryReason, TimePoint, TimeSpan, UnknownReason,
 };
 use rand::Rng;
 use smallvec::SmallVec;
@@ -16,8 +20,9 @@
 use super::{
     admission::{AccountGuard, wake_waiting},
     attempt::{AttemptError, OpenAnswer, open_attempt},
-    crash::has_crashed,
-    progress::{AnswerProgress, AttemptTrack, RequestError, RetryObstacle, SendRecord},
+    crash::{BrokenAttempt, backend_incarnation},
+    live::LiveStream,
+    progress::{AttemptTrack, RequestError, RetryObstacle, SendRecord},
     prompt_cache::HeldPrompt,
     refusal::{RequestRefusal, random_spread},
     request::AdmittedRequest,
@@ -55,31 +60,32 @@
 /// Counts a request as in flight at a backend server until dropped.
 pub(crate) struct InFlightGuard<'run> {
     state: &'run EntryState,
-    pub(crate) backend: BackendId,
+    /// The registration by which the backend server was chosen.
+    pub(crate) sent_to: Rc<BackendRegistration>,
     /// Identifies the incarnation of the backend server among those that hold prompts.
     pub(crate) holder: HolderKey,
-    service: ServiceId,
 }
 
 impl<'run> InFlightGuard<'run> {
-    fn new(state: &'run EntryState, registration: &BackendRegistration) -> Self {
+    fn new(state: &'run EntryState, registration: &Rc<BackendRegistration>) -> Self {
         let now = state.clock.now();
         let backend = &registration.backend;
         state.backends.borrow_mut().begin(backend, now);
         wake_waiting(state, &registration.service);
         Self {
             state,
-            backend: backend.clone(),
             holder: HolderKey::new(backend, registration.incarnation),
-            service: registration.service.clone(),
+            sent_to: Rc::clone(registration),
         }
     }
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
-        self.state.backends.borrow_mut().finish(&self.backend);
-        wake_waiting(self.state, &self.service);
+        let mut backends = self.state.backends.borrow_mut();
+        backends.finish(&self.sent_to.backend);
+        drop(backends);
+        wake_waiting(self.state, &self.sent_to.service);
     }
 }
 
@@ -132,7 +138,7 @@
     ) -> Result<ServedAnswer<'run>, RequestError> {
         loop {
             self.check_quarantine()?;
-            let registration = self.choose_admitted(last_event).await?;
+            let registration = Rc::new(self.choose_admitted(last_event).await?);
             let backend = &registration.backend;
             self.tried.borrow_mut().push(backend.clone());
             let in_flight = InFlightGuard::new(self.state, &registration);
@@ -154,33 +160,31 @@
                 sending.note_not_run();
             }
             drop((sending, in_flight));
-            let progress = AnswerProgress::at(last_event);
-            self.record_attempt_error(backend, error, progress).await;
+            self.record_attempt_error(&registration, error, AnswerProgress::NotBegun);
             self.check_retry(error)?;
         }
     }
 
     /// Records that an answer was cut off; returns an error unless the request may be sent to
     /// another backend server.
-    pub(crate) async fn retry_broken(
+    pub(crate) fn retry_broken(
         &self,
-        backend: &BackendId,
+        sent_to: &BackendRegistration,
         reason: UnknownReason,
         progress: AnswerProgress,
     ) -> Result<(), RequestError> {
-        self.record_broken(backend, reason, progress).await;
+        self.record_broken(sent_to, reason, progress);
         self.check_retry(AttemptError::Broken(reason))
     }
 
     /// Records that an answer was cut off.
-    pub(crate) async fn record_broken(
+    pub(crate) fn record_broken(
         &self,
-        backend: &BackendId,
+        sent_to: &BackendRegistration,
         reason: UnknownReason,
         progress: AnswerProgress,
     ) {
-        let error = AttemptError::Broken(reason);
-        self.record_attempt_error(backend, error, progress).await;
+        self.record_attempt_error(sent_to, AttemptError::Broken(reason), progress);
     }
 
     /// Takes a retry for an attempt beside one whose backend server is silent, or returns why the
@@ -275,13 +279,30 @@
     ///
     /// A failure says nothing about the prompt, which the backend server may not have read.
     pub(crate) fn note_begun(&self, status: u16, holder: HolderKey) {
-        if (200..300).contains(&status) {
+        if is_success(status) {
             self.state.note_prompt_begun(self.request, holder);
             self.state.note_begun(&self.request.prompt_query());
             self.note_first_event();
         }
     }
 
+    /// Records that a backend server has sent the end of a stream.
+    pub(crate) fn note_stream_end(&self, live: &LiveStream<'_>) {
+        self.note_finished(live.head.status, live.sent_to(), live.is_whole());
+    }
+
+    /// Records that a backend server has sent the end of an answer with this status.
+    pub(crate) fn note_finished(&self, status: u16, sent_to: &BackendRegistration, is_whole: bool) {
+        if is_success(status) && !self.request.shared_parts.is_empty() {
+            self.state.note_finished(FinishedAnswer {
+                backend: backend_incarnation(sent_to),
+                parts: self.request.shared_parts.clone(),
+                is_whole,
+                at: self.state.clock.now(),
+            });
+        }
+    }
+
     /// Whether another backend server may be asked that has not just refused or been unreachable.
     fn has_usable_backend(&self) -> bool {
         let now = self.state.clock.now();
@@ -418,12 +439,13 @@
         is_closed.then(|| self.service_refusal(&backends, now, &mut *random))
     }
 
-    async fn record_attempt_error(
+    fn record_attempt_error(
         &self,
-        backend: &BackendId,
+        sent_to: &BackendRegistration,
         error: AttemptError,
         progress: AnswerProgress,
     ) {
+        let backend = &sent_to.backend;
         self.last_error.set(Some(error));
         self.note_attempt_error(backend, error);
         tracing::info!(
@@ -435,34 +457,21 @@
             ?progress,
             "attempt failed"
         );
-        let is_suspect = error == AttemptError::Broken(UnknownReason::BackendBroke)
-            && progress == AnswerProgress::NotBegun
-            && !self.request.shared_parts.is_empty();
-        if is_suspect {
-            self.check_crash(backend).await;
+        match error {
+            AttemptError::Broken(UnknownReason::BackendBroke) => {
+                self.state
+                    .note_broken_attempt(sent_to, self.broken_attempt(progress));
+            }
+            AttemptError::NotSent => self.state.note_unreachable(sent_to),
+            _ => {}
         }
     }
 
-    /// Checks whether a backend server has crashed, before which it had this request.
-    async fn check_crash(&self, backend: &BackendId) {
-        let registration = self.state.backends.borrow().registration(backend).cloned();
-        let Some(registration) = registration else {
-            return;
-        };
-        if has_crashed(registration.address).await {
-            self.state.metrics.crashes.inc();
-            tracing::warn!(
-                request = %self.request.attempt,
-                %backend,
-                parts = self.request.parts_text(),
-                "backend server crashed before it answered"
-            );
-            let crashed = CrashedBackend {
-                service: registration.service,
-                backend: registration.backend,
-                incarnation: registration.incarnation,
-            };
-            self.state.note_crash(&crashed, &self.request.shared_parts);
+    fn broken_attempt(&self, progress: AnswerProgress) -> BrokenAttempt {
+        BrokenAttempt {
+            attempt: Arc::clone(&self.request.attempt),
+            parts: self.request.shared_parts.clone(),
+            progress,
         }
     }
 
@@ -485,3 +494,7 @@
         }
     }
 }
+
+const fn is_success(status: u16) -> bool {
+    matches!(status, 200..300)
+}
--- a/crates/celerycrank-direct/src/entry/live.rs
+++ b/crates/celerycrank-direct/src/entry/live.rs
@@ -1,9 +1,11 @@
 //! Reads a stream of events from one backend server.
 
+use std::rc::Rc;
+
 use bytes::{Bytes, BytesMut};
 use celerycrank_http::ResponseHead;
 use celerycrank_routing::HolderKey;
-use celerycrank_serving::EventReader;
+use celerycrank_serving::{BackendRegistration, EventReader};
 use celerycrank_types::{BackendId, UnknownReason};
 
 use super::{
@@ -22,6 +24,8 @@
     body: AnswerBody,
     in_flight: InFlightGuard<'run>,
     events: EventReader,
+    /// Whether it continues a stream that another backend server, or another attempt, has begun.
+    is_resumed: bool,
 }
 
 /// The next part of a stream.
@@ -40,12 +44,18 @@
             body: served.answer.body,
             in_flight: served.in_flight,
             events: EventReader::after(last_event),
+            is_resumed: last_event.is_some(),
         }
     }
 
     /// The backend server that sends it.
     pub(crate) fn backend(&self) -> &BackendId {
-        &self.in_flight.backend
+        &self.in_flight.sent_to.backend
+    }
+
+    /// The registration by which the backend server was chosen.
+    pub(crate) fn sent_to(&self) -> &Rc<BackendRegistration> {
+        &self.in_flight.sent_to
     }
 
     /// Identifies its incarnation among those that hold prompts.
@@ -58,6 +68,11 @@
         self.events.last_event()
     }
 
+    /// Whether this backend server sends the answer from its beginning.
+    pub(crate) fn is_whole(&self) -> bool {
+        !self.is_resumed
+    }
+
     /// Whether the backend server answers with a stream, not with a failure.
     pub(crate) fn is_stream(&self) -> bool {
         self.head.status == STREAM_STATUS
--- a/crates/celerycrank-direct/src/entry/metrics.rs
+++ b/crates/celerycrank-direct/src/entry/metrics.rs
@@ -80,7 +80,7 @@
             )?,
             crashes: set.counter(
                 "celerycrank_direct_backend_crashes_total",
-                "attempts that failed since their backend server crashed before its answer began",
+                "attempts that failed since their backend server crashed",
             )?,
             quarantined_parts: set.gauge(
                 "celerycrank_direct_quarantined_parts",
--- a/crates/celerycrank-direct/src/entry/pool.rs
+++ b/crates/celerycrank-direct/src/entry/pool.rs
@@ -77,6 +77,17 @@
         self.idle.borrow_mut().remove(backend);
     }
 
+    /// Closes the idle connections that a backend server has ended; returns whether there are any.
+    pub(crate) fn close_ended(&self, backend: &BackendId) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get_mut(backend) else {
+            return false;
+        };
+        let known = connections.len();
+        connections.retain_mut(|it| it.stream.is_reusable());
+        connections.len() < known
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn close_expired(&self, now: TimePoint) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -25,11 +25,12 @@
     admin::EntryAdminHandler,
     caller::serve_caller,
     clearance::write_clearances,
+    crash::check_crashes,
     load::receive_loads,
     metrics::EntryMetrics,
     probe::serve_probes,
     prompt_cache::PromptCache,
-    quarantine::{collect_crashes, write_reports},
+    quarantine::{collect_crashes, count_answers, write_reports},
     refusal::refusal_answer,
     space::CallerSpace,
     state::EntryState,
@@ -176,6 +177,12 @@
     });
     let watching = Rc::clone(state);
     tasks.spawn("store", move || watch_store(Rc::clone(&watching)));
+    let checking = Rc::clone(state);
+    tasks.spawn("crash checks", move || check_crashes(Rc::clone(&checking)));
+    let settling = Rc::clone(state);
+    tasks.spawn("finished answers", move || {
+        count_answers(Rc::clone(&settling))
+    });
     let collecting = Rc::clone(state);
     tasks.spawn("crashes", move || collect_crashes(Rc::clone(&collecting)));
     let writing = Rc::clone(state);
--- a/crates/celerycrank-direct/src/entry/progress.rs
+++ b/crates/celerycrank-direct/src/entry/progress.rs
@@ -123,25 +123,6 @@
     }
 }
 
-/// How far the answer to a request had come when an attempt failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum AnswerProgress {
-    /// No part of the answer has been received.
-    NotBegun,
-    /// A backend server has sent a part of the answer.
-    Begun,
-}
-
-impl AnswerProgress {
-    /// The progress of an answer of which the caller has the events up to `last_event`.
-    pub(crate) const fn at(last_event: Option<u64>) -> Self {
-        match last_event {
-            Some(_) => Self::Begun,
-            None => Self::NotBegun,
-        }
-    }
-}
-
 /// Why a request is not sent to another backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub(crate) enum RetryObstacle {
--- a/crates/celerycrank-direct/src/entry/quarantine.rs
+++ b/crates/celerycrank-direct/src/entry/quarantine.rs
@@ -14,8 +14,10 @@
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use celerycrank_client::{Expected, KeyValueError, KeyValueRecord, SwapOutcome};
-use celerycrank_serving::{CrashReport, CrashedBackend, PromptQuery, RefusedPart};
-use celerycrank_types::{EntryId, ModRevision, PromptPartId, TimePoint, TimeSpan};
+use celerycrank_serving::{
+    BackendIncarnation, CrashReport, FinishedAnswer, PresentPrompt, PromptQuery, RefusedPart,
+};
+use celerycrank_types::{EntryId, ModRevision, TimePoint, TimeSpan};
 use tokio::sync::Notify;
 
 use super::state::EntryState;
@@ -29,6 +31,9 @@
 /// Delay before a report that could not be written is written again.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// The shortest interval at which finished answers are counted.
+const COUNT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum number of reports that wait to be written.
 const MAX_WAITING_REPORTS: usize = 64;
 
@@ -39,24 +44,56 @@
             return;
         }
         let mut quarantine = self.quarantine.borrow_mut();
-        let is_released = quarantine.note_begun(query, self.clock.now());
-        if quarantine.has_pending() {
-            self.clearance_noted.notify_one();
+        quarantine.note_begun(query, self.clock.now());
+    }
+
+    /// Records that a backend server has sent the end of an answer, which is held back until it has
+    /// outlived it.
+    pub(super) fn note_finished(&self, answer: FinishedAnswer) {
+        if answer.is_whole {
+            self.note_whole(&answer);
         }
-        if is_released {
+        if self.finished_answers.borrow_mut().note(answer) {
+            self.answer_noted.notify_one();
+        }
+    }
+
+    fn note_whole(&self, answer: &FinishedAnswer) {
+        let query = answer_query(answer);
+        let mut quarantine = self.quarantine.borrow_mut();
+        if quarantine.note_whole(&query) {
             self.count_quarantined(quarantine.len());
             tracing::info!(
                 service = %query.service,
                 parts = ?query.parts,
-                "prompt part is no longer refused; an answer to it has begun"
+                "prompt part is no longer refused; a prompt with it was answered"
             );
         }
     }
 
-    /// Records that a backend server crashed while it held a prompt unanswered.
-    pub(super) fn note_crash(&self, crashed: &CrashedBackend, parts: &[PromptPartId]) {
+    /// Counts a finished answer, unless its backend server may have crashed since.
+    fn count_answer(&self, answer: FinishedAnswer) {
+        let is_counted = self.quarantine.borrow().is_outlived(&answer_query(&answer));
+        if !is_counted && self.suspect_ended(&answer.backend) {
+            self.finished_answers.borrow_mut().note(answer);
+        } else if answer.is_whole {
+            self.note_outlived(&answer);
+        }
+    }
+
+    fn note_outlived(&self, answer: &FinishedAnswer) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.note_outlived(&answer_query(answer), answer.at);
+        if quarantine.has_pending() {
+            self.clearance_noted.notify_one();
+        }
+    }
+
+    /// Records that a backend server crashed while it held a prompt.
+    pub(super) fn note_crash(&self, crashed: &BackendIncarnation, prompt: &PresentPrompt<'_>) {
         let now = self.clock.now();
-        if self.crashes.borrow_mut().note(crashed, parts, now) {
+        let mut collector = self.crashes.borrow_mut();
+        if collector.note(crashed, prompt, now) {
             self.crash_noted.notify_one();
         }
     }
@@ -88,6 +125,13 @@
     }
 }
 
+fn answer_query(answer: &FinishedAnswer) -> PromptQuery<'_> {
+    PromptQuery {
+        service: &answer.backend.service,
+        parts: &answer.parts,
+    }
+}
+
 /// Reads the reports of all entries, after their clearances.
 pub(super) async fn read_crash_reports(state: &EntryState) -> Result<(), KeyValueError> {
     let mut records = state.store.range(CRASH_PREFIX).await?.records;
@@ -180,6 +224,24 @@
     }
 }
 
+/// Counts finished answers once their backend servers have outlived them.
+pub(super) async fn count_answers(state: Rc<EntryState>) {
+    loop {
+        let due_at = state.finished_answers.borrow().due_at();
+        let Some(due_at) = due_at else {
+            state.answer_noted.notified().await;
+            continue;
+        };
+        let wait = state.clock.until(due_at).as_duration();
+        sleep(wait.max(COUNT_INTERVAL)).await;
+        let now = state.clock.now();
+        let outlived = state.finished_answers.borrow_mut().take_outlived(now);
+        for answer in outlived {
+            state.count_answer(answer);
+        }
+    }
+}
+
 /// Decides about crashes that this entry sees, and queues its reports.
 pub(super) async fn collect_crashes(state: Rc<EntryState>) {
     loop {
@@ -219,8 +281,8 @@
     }
 }
 
-fn report_key(entry: &EntryId, crashed: &CrashedBackend, number: u64) -> String {
-    let CrashedBackend {
+fn report_key(entry: &EntryId, crashed: &BackendIncarnation, number: u64) -> String {
+    let BackendIncarnation {
         backend,
         incarnation,
         ..
--- a/crates/celerycrank-direct/src/entry/request.rs
+++ b/crates/celerycrank-direct/src/entry/request.rs
@@ -14,6 +14,7 @@
 
 use super::{
     body::RequestBody,
+    crash::parts_text,
     space::CallerSpace,
     state::{ConfigurationInForce, EntryState},
 };
@@ -76,9 +77,7 @@
 
     /// The shared parts of the prompt, for log lines; `None` if there are none.
     pub(crate) fn parts_text(&self) -> Option<String> {
-        let parts = self.shared_parts.iter().map(PromptPartId::to_string);
-        let parts = parts.collect::<Vec<_>>();
-        (!parts.is_empty()).then(|| parts.join(","))
+        parts_text(&self.shared_parts)
     }
 }
 
--- a/crates/celerycrank-direct/src/entry/resume.rs
+++ b/crates/celerycrank-direct/src/entry/resume.rs
@@ -1,13 +1,16 @@
 //! Opens a stream at a backend server and reads it further; resumes it at another one if it breaks
 //! off.
 
+use std::rc::Rc;
+
+use celerycrank_serving::AnswerProgress;
 use celerycrank_types::UnknownReason;
 
 use super::{
     attempt::bad_answer,
     dispatch::RequestDispatch,
     live::{LiveStream, StreamPart},
-    progress::{AnswerProgress, AttemptTrack, RequestError},
+    progress::{AttemptTrack, RequestError},
 };
 
 /// A stream and the part of it that was read last.
@@ -44,10 +47,9 @@
             }
             Err(reason) => reason,
         };
-        let backend = live.backend().clone();
+        let sent_to = Rc::clone(live.sent_to());
         drop(live);
-        let progress = AnswerProgress::at(position.last_event);
-        dispatch.retry_broken(&backend, reason, progress).await?;
+        dispatch.retry_broken(&sent_to, reason, AnswerProgress::NotBegun)?;
     }
 }
 
@@ -82,15 +84,15 @@
     live: Box<LiveStream<'run>>,
     reason: UnknownReason,
 ) -> StreamResult<'run> {
-    let (backend, last_event) = (live.backend().clone(), live.last_event());
+    let (sent_to, last_event) = (Rc::clone(live.sent_to()), live.last_event());
     drop(live);
     let progress = AnswerProgress::Begun;
     // A stream whose events are not numbered cannot be resumed.
     if last_event.is_none() {
-        dispatch.record_broken(&backend, reason, progress).await;
+        dispatch.record_broken(&sent_to, reason, progress);
         return Err(RequestError::Unknown(reason));
     }
-    dispatch.retry_broken(&backend, reason, progress).await?;
+    dispatch.retry_broken(&sent_to, reason, progress)?;
     let position = StreamPosition {
         last_event,
         has_begun: true,
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -11,9 +11,9 @@
 use celerycrank_config::DirectEntrySettings;
 use celerycrank_process::{ProcessClock, ShutdownFlag, TaskHandle};
 use celerycrank_serving::{
-    AccountTable, AdmissionPolicy, BackendTable, CallerBounds, ColdBounds, ColdStart,
-    CrashCollector, EngineProfile, EntryCount, FreshnessGuard, PartQuarantine, RetryAllowance,
-    RetryWindow, RouteTable, ServingConfiguration,
+    AccountTable, AdmissionPolicy, AnswerCollector, BackendTable, CallerBounds, ColdBounds,
+    ColdStart, CrashCollector, EngineProfile, EntryCount, FreshnessGuard, PartQuarantine,
+    RetryAllowance, RetryWindow, RouteTable, ServingConfiguration,
 };
 use celerycrank_types::{
     BackendId, DecimalSpan, RequestRate, Revision, ServiceId, TimePoint, TimeSpan,
@@ -23,6 +23,7 @@
 
 use super::{
     admission::{AdmissionState, compile_policies},
+    crash::CrashChecks,
     limits::LimitSharing,
     metrics::EntryMetrics,
     pool::ConnectionPool,
@@ -65,6 +66,12 @@
     pub(crate) entry_count: RefCell<EntryCount>,
     /// The prompt parts that are refused since they crash backend servers.
     pub(crate) quarantine: RefCell<PartQuarantine>,
+    /// Finished answers that their backend servers have not outlived yet.
+    pub(crate) finished_answers: RefCell<AnswerCollector>,
+    /// Wakes the task that counts them.
+    pub(crate) answer_noted: Notify,
+    /// Backend servers that may have crashed.
+    pub(crate) crash_checks: CrashChecks,
     /// Crashes that this entry has just seen.
     pub(crate) crashes: RefCell<CrashCollector>,
     /// Wakes the task that decides about crashes.
@@ -154,6 +161,9 @@
             retry_windows: RefCell::default(),
             entry_count: RefCell::default(),
             quarantine: RefCell::default(),
+            finished_answers: RefCell::default(),
+            answer_noted: Notify::new(),
+            crash_checks: CrashChecks::default(),
             crashes: RefCell::default(),
             crash_noted: Notify::new(),
             clearance_noted: Notify::new(),
--- a/crates/celerycrank-direct/src/entry/stream.rs
+++ b/crates/celerycrank-direct/src/entry/stream.rs
@@ -50,6 +50,7 @@
         return (RequestEnd::CallerLeft, ConnectionStep::Close);
     }
     if is_complete {
+        dispatch.note_stream_end(&live);
         live.release(state);
         return (RequestEnd::Answered(status), next_step(!is_last));
     }
@@ -100,6 +101,7 @@
         live = reading.live;
         dispatch.note_answering(live.backend());
         if matches!(reading.part, StreamPart::End) {
+            dispatch.note_stream_end(&live);
             live.release(state);
             return if is_sent {
                 RelayOutcome::Complete
--- a/crates/celerycrank-serving/src/evidence.rs
+++ b/crates/celerycrank-serving/src/evidence.rs
@@ -10,13 +10,23 @@
 
 use crate::{CrashReport, occasion::OccasionCount};
 
-/// Number of crashes from which on a part is suspect, if no answer to a prompt with it has begun
-/// before.
+/// Number of crashes before an answer from which on a part is suspect, if no answer to a prompt with
+/// it has begun before.
 const MIN_CRASHES_OF_NEW_PART: u32 = 2;
 
-/// Number of occasions of crashes from which on any other part is suspect.
+/// Number of crashes, before or in an answer, from which on a part is suspect, if no whole answer to
+/// a prompt with it is known.
+///
+/// More, since sound prompts are in the middle of an answer longer than before it, and one that is cut
+/// off twice must not be refused.
+const MIN_CRASHES_WITHOUT_WHOLE_ANSWER: u32 = 4;
+
+/// Number of occasions of crashes before an answer from which on any other part is suspect.
 const MIN_OCCASIONS_OF_KNOWN_PART: u32 = 4;
 
+/// Number of occasions of crashes, before or in an answer, from which on any other part is suspect.
+const MIN_OCCASIONS_DESPITE_WHOLE_ANSWER: u32 = 6;
+
 /// Time for which a crash counts as evidence.
 const EVIDENCE_LIFETIME: TimeSpan = TimeSpan::from_secs(600);
 
@@ -43,19 +53,38 @@
     }
 }
 
-/// The answers to prompts with one part that are known to have begun.
+/// The answers to prompts with one part that are known.
 #[derive(Debug, Default, Clone, Copy)]
 struct AnswerHistory {
     /// When this entry last saw an answer begin.
     begun_at: Option<TimePoint>,
-    /// The latest crash report after which an answer began at any entry; zero if there is none.
+    /// When this entry last saw a whole answer that the backend server has outlived.
+    whole_at: Option<TimePoint>,
+    whole: WholeAnswers,
+    /// The latest crash report after which any entry saw a whole answer; zero if there is none.
     cleared_up_to: ModRevision,
 }
 
+/// Whether whole answers to prompts with one part are known.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum WholeAnswers {
+    #[default]
+    None,
+    /// This entry has seen some, but not that a backend server has outlived one.
+    Fresh,
+    /// Some entry has seen one.
+    Known,
+}
+
 impl AnswerHistory {
     /// Whether an answer began after a crash.
+    fn has_begun_after(&self, crash: &ObservedCrash) -> bool {
+        self.begun_at.is_some_and(|at| at >= crash.at) || self.has_followed(crash)
+    }
+
+    /// Whether a whole answer followed a crash.
     fn has_followed(&self, crash: &ObservedCrash) -> bool {
-        let is_seen = self.begun_at.is_some_and(|at| at >= crash.at);
+        let is_seen = self.whole_at.is_some_and(|at| at >= crash.at);
         let is_cleared = crash.recorded.is_some_and(|it| it <= self.cleared_up_to);
         is_seen || is_cleared
     }
@@ -76,26 +105,61 @@
 impl ObservedCrash {
     fn holds(&self, key: &PartKey) -> bool {
         let is_same_service = self.report.crashed.service == key.service;
-        is_same_service
-            && self
-                .report
-                .prompts()
-                .flatten()
-                .any(|part| *part == key.part)
+        is_same_service && self.report.parts().contains_key(&key.part)
     }
 }
 
-/// The evidence against a part; larger is stronger.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct PartEvidence {
-    /// Number of crashes at which a prompt with the part was present.
+/// Crashes of one kind at which a part was present.
+#[derive(Debug, Default, Clone, Copy)]
+struct CrashCount {
     crashes: u32,
-    /// The largest position of the part in these prompts. Fewer sound prompts share a later part.
-    position: usize,
+    occasions: OccasionCount,
+}
+
+impl CrashCount {
+    fn add(&mut self, at: TimePoint) {
+        self.crashes += 1;
+        self.occasions.add(at);
+    }
+}
+
+/// The crashes that count against a part.
+#[derive(Debug, Default, Clone, Copy)]
+struct PartEvidence {
+    /// Those at which an answer had not begun, and since which none has.
+    unanswered: CrashCount,
+    /// Those that no whole answer has followed, whether or not answers had begun.
+    all: CrashCount,
+    /// The largest position of the part in the prompts of these crashes.
+    position: u32,
     /// Number of these prompts.
     prompts: u32,
 }
 
+impl PartEvidence {
+    fn is_suspect(&self, answers: Option<&AnswerHistory>) -> bool {
+        let has_whole = answers.is_some_and(|it| it.whole != WholeAnswers::None);
+        let is_suspect_before = if answers.is_some() {
+            self.unanswered.occasions.total() >= MIN_OCCASIONS_OF_KNOWN_PART
+        } else {
+            self.unanswered.crashes >= MIN_CRASHES_OF_NEW_PART
+        };
+        let is_suspect_within = if has_whole {
+            self.all.occasions.total() >= MIN_OCCASIONS_DESPITE_WHOLE_ANSWER
+        } else {
+            self.all.crashes >= MIN_CRASHES_WITHOUT_WHOLE_ANSWER
+        };
+        is_suspect_before || is_suspect_within
+    }
+
+    /// The strength of the evidence; larger is stronger.
+    ///
+    /// Fewer sound prompts share a later part.
+    const fn strength(&self) -> (u32, u32, u32) {
+        (self.all.crashes, self.position, self.prompts)
+    }
+}
+
 /// A part that is refused from now on, and why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RefusedPart {
@@ -103,12 +167,19 @@
     pub part: PromptPartId,
     /// Number of crashes that count against it.
     pub crashes: u32,
-    /// Whether an answer to a prompt with it is known to have begun before.
+    /// Whether a whole answer to a prompt with it is known from before.
     pub is_known: bool,
 }
 
+/// A crash report that was read from the key-value service.
+#[derive(Debug, Clone, Copy)]
+struct ReadReport {
+    revision: ModRevision,
+    read_at: TimePoint,
+}
+
 /// The evidence against each part.
-type EvidenceMap = HashMap<PromptPartId, (PartEvidence, OccasionCount)>;
+type EvidenceMap = HashMap<PromptPartId, PartEvidence>;
 
 /// The crashes and answers that one entry knows of.
 #[derive(Debug)]
@@ -116,9 +187,9 @@
     answers: LruCache<PartKey, AnswerHistory>,
     /// Recent crashes, oldest first.
     crashes: VecDeque<ObservedCrash>,
-    /// The latest report that was read of a crash at which each part was present, until an answer to
-    /// a prompt with it begins.
-    unanswered: LruCache<PartKey, ModRevision>,
+    /// The latest report that was read of a crash at which each part was present, until a whole answer
+    /// to a prompt with it.
+    unanswered: LruCache<PartKey, ReadReport>,
 }
 
 impl Default for CrashEvidence {
@@ -132,35 +203,69 @@
 }
 
 impl CrashEvidence {
-    /// Records that an answer to a prompt with this part has begun; returns the latest crash report
-    /// that it follows, unless an earlier answer has followed it.
-    pub(crate) fn note_begun(&mut self, key: &PartKey, now: TimePoint) -> Option<ModRevision> {
-        let answers = self
-            .answers
-            .get_or_insert_mut(key.clone(), AnswerHistory::default);
-        answers.begun_at = Some(now);
-        self.unanswered.pop(key)
+    /// Records that an answer to a prompt with this part has begun.
+    pub(crate) fn note_begun(&mut self, key: PartKey, now: TimePoint) {
+        self.history_mut(key).begun_at = Some(now);
+    }
+
+    /// Records a whole answer to a prompt with this part, which the backend server has outlived;
+    /// returns the latest crash report that it follows, unless an earlier answer has followed it.
+    pub(crate) fn note_outlived(&mut self, key: &PartKey, at: TimePoint) -> Option<ModRevision> {
+        let answers = self.history_mut(key.clone());
+        answers.whole_at = answers.whole_at.max(Some(at));
+        answers.whole = WholeAnswers::Known;
+        let followed = self.unanswered.peek(key).filter(|it| it.read_at <= at)?;
+        let revision = followed.revision;
+        self.unanswered.pop(key);
+        Some(revision)
+    }
+
+    /// Records that this entry has just seen a whole answer to a prompt with this part.
+    pub(crate) fn note_fresh(&mut self, key: PartKey) {
+        let answers = self.history_mut(key);
+        if answers.whole == WholeAnswers::None {
+            answers.whole = WholeAnswers::Fresh;
+        }
     }
 
-    /// Records that answers to prompts with this part began before, at any entry.
-    pub(crate) fn note_known(&mut self, key: PartKey) {
-        self.answers.get_or_insert(key, AnswerHistory::default);
+    /// Records that a backend server did not outlive its answer to a prompt with this part.
+    fn withdraw_fresh(&mut self, key: PartKey) {
+        let answers = self.history_mut(key);
+        if answers.whole == WholeAnswers::Fresh {
+            answers.whole = WholeAnswers::None;
+        }
+    }
+
+    /// Records that some entry has seen a whole answer to a prompt with this part.
+    fn note_known(&mut self, key: PartKey) {
+        self.history_mut(key).whole = WholeAnswers::Known;
     }
 
     /// Records that an answer has followed all crashes up to a report.
     pub(crate) fn note_cleared(&mut self, key: &PartKey, up_to: ModRevision) {
-        let answers = self
-            .answers
-            .get_or_insert_mut(key.clone(), AnswerHistory::default);
+        let answers = self.history_mut(key.clone());
+        answers.whole = WholeAnswers::Known;
         answers.cleared_up_to = answers.cleared_up_to.max(up_to);
-        if self.unanswered.peek(key).is_some_and(|it| *it <= up_to) {
+        let unanswered = self.unanswered.peek(key);
+        if unanswered.is_some_and(|it| it.revision <= up_to) {
             self.unanswered.pop(key);
         }
     }
 
-    /// Whether an answer to a prompt with this part is known to have begun.
+    /// Whether this entry has seen a whole answer that the backend server has outlived.
+    pub(crate) fn is_outlived(&self, key: &PartKey) -> bool {
+        let answers = self.answers.peek(key);
+        answers.is_some_and(|it| it.whole_at.is_some())
+    }
+
+    /// Whether a whole answer to a prompt with this part is known.
     pub(crate) fn is_known(&self, key: &PartKey) -> bool {
-        self.answers.contains(key)
+        let answers = self.answers.peek(key);
+        answers.is_some_and(|it| it.whole == WholeAnswers::Known)
+    }
+
+    fn history_mut(&mut self, key: PartKey) -> &mut AnswerHistory {
+        self.answers.get_or_insert_mut(key, AnswerHistory::default)
     }
 
     /// Whether crashes are known at which this part was present, and an answer has followed each.
@@ -180,7 +285,7 @@
         }
     }
 
-    /// Adds a report to the known crashes; returns the index of its crash if it has new prompts.
+    /// Adds a report to the known crashes; returns the index of its crash if it says more.
     ///
     /// `recorded` is the revision of the report's record, if it was read from one.
     pub(crate) fn merge(
@@ -190,19 +295,25 @@
         now: TimePoint,
     ) -> Option<usize> {
         let service = report.crashed.service.clone();
+        for part in report.finished() {
+            self.withdraw_fresh(PartKey::new(&service, *part));
+        }
         for part in report.answered() {
             self.note_known(PartKey::new(&service, part));
         }
         if let Some(revision) = recorded {
-            self.note_unanswered(&report, revision);
+            let read = ReadReport {
+                revision,
+                read_at: now,
+            };
+            self.note_unanswered(&report, read);
         }
         let mut known = self.crashes.iter();
         if let Some(index) = known.position(|it| it.report.crashed == report.crashed) {
             let known = &mut self.crashes[index];
             known.recorded = known.recorded.or(recorded);
-            let prompts = report.prompts();
-            let added = prompts.filter(|prompt| known.report.add(prompt)).count();
-            return (added > 0).then_some(index);
+            let is_changed = known.report.merge(&report);
+            return is_changed.then_some(index);
         }
         if self.crashes.len() == MAX_CRASHES {
             self.crashes.pop_front();
@@ -216,16 +327,18 @@
         Some(self.crashes.len() - 1)
     }
 
-    /// Records which parts an answer has yet to begin for after a report was read.
-    fn note_unanswered(&mut self, report: &CrashReport, revision: ModRevision) {
-        for part in report.prompts().flatten() {
+    /// Records which parts have yet to be answered after a report was read.
+    fn note_unanswered(&mut self, report: &CrashReport, read: ReadReport) {
+        for part in report.parts().keys() {
             let key = PartKey::new(&report.crashed.service, *part);
             let answers = self.answers.peek(&key);
-            if answers.is_some_and(|it| it.cleared_up_to >= revision) {
+            if answers.is_some_and(|it| it.cleared_up_to >= read.revision) {
                 continue;
             }
-            let latest = self.unanswered.get_or_insert_mut(key, ModRevision::default);
-            *latest = revision.max(*latest);
+            let latest = self.unanswered.get_or_insert_mut(key, || read);
+            if read.revision > latest.revision {
+                *latest = read;
+            }
         }
     }
 
@@ -236,7 +349,7 @@
             return Vec::new();
         }
         let service = &crash.report.crashed.service;
-        let parts = crash.report.prompts().flatten();
+        let parts = crash.report.parts().keys();
         parts.map(|part| PartKey::new(service, *part)).collect()
     }
 
@@ -252,6 +365,19 @@
         }
     }
 
+    /// Records that a part is no longer quarantined, and that only these other parts explain crashes.
+    pub(crate) fn withdraw_explanation(
+        &mut self,
+        key: &PartKey,
+        explains: impl Fn(&PartKey) -> bool,
+    ) {
+        for crash in self.crashes.iter_mut().filter(|crash| crash.holds(key)) {
+            let service = &crash.report.crashed.service;
+            let mut parts = crash.report.parts().keys();
+            crash.is_explained = parts.any(|part| explains(&PartKey::new(service, *part)));
+        }
+    }
+
     /// The part with the strongest evidence, if it suffices for a quarantine.
     pub(crate) fn most_suspect(&self, service: &ServiceId) -> Option<RefusedPart> {
         let mut evidence = EvidenceMap::new();
@@ -261,43 +387,34 @@
         for crash in crashes {
             self.add_evidence(crash, &mut evidence);
         }
-        let suspects = evidence
-            .into_iter()
-            .filter_map(|(part, (evidence, occasions))| {
-                let is_known = self.is_known(&PartKey::new(service, part));
-                let is_suspect = if is_known {
-                    occasions.total() >= MIN_OCCASIONS_OF_KNOWN_PART
-                } else {
-                    evidence.crashes >= MIN_CRASHES_OF_NEW_PART
-                };
-                let refused = RefusedPart {
-                    part,
-                    crashes: evidence.crashes,
-                    is_known,
-                };
-                is_suspect.then_some((evidence, refused))
-            });
+        let suspects = evidence.into_iter().filter(|(part, evidence)| {
+            let answers = self.answers.peek(&PartKey::new(service, *part));
+            evidence.is_suspect(answers)
+        });
         // The part decides last, so that all entries choose the same one.
-        let most = suspects.max_by_key(|(evidence, refused)| (*evidence, refused.part));
-        most.map(|(_, refused)| refused)
+        let most = suspects.max_by_key(|(part, evidence)| (evidence.strength(), *part));
+        most.map(|(part, evidence)| RefusedPart {
+            part,
+            crashes: evidence.all.crashes,
+            is_known: self.is_known(&PartKey::new(service, part)),
+        })
     }
 
     /// Adds a crash to the evidence against the parts that no answer has followed.
     fn add_evidence(&self, crash: &ObservedCrash, evidence: &mut EvidenceMap) {
         let service = &crash.report.crashed.service;
-        let mut counted = Vec::new();
-        for (position, part) in crash.report.prompts().flat_map(|it| it.iter().enumerate()) {
+        for (part, presence) in crash.report.parts() {
             let answers = self.answers.peek(&PartKey::new(service, *part));
             if answers.is_some_and(|answers| answers.has_followed(crash)) {
                 continue;
             }
-            let (entry, occasions) = evidence.entry(*part).or_default();
-            entry.prompts += 1;
-            entry.position = entry.position.max(position);
-            if !counted.contains(part) {
-                entry.crashes += 1;
-                occasions.add(crash.at);
-                counted.push(*part);
+            let evidence = evidence.entry(*part).or_default();
+            evidence.all.add(crash.at);
+            evidence.position = evidence.position.max(presence.position);
+            evidence.prompts += presence.prompts();
+            let has_begun = answers.is_some_and(|answers| answers.has_begun_after(crash));
+            if presence.unanswered > 0 && !has_begun {
+                evidence.unanswered.add(crash.at);
             }
         }
     }
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -21,6 +21,7 @@
 mod evacuation;
 mod event;
 mod evidence;
+mod finished_answer;
 mod freshness;
 mod group_load;
 mod limit;
@@ -61,11 +62,15 @@
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
     },
-    crash::{CrashCollector, CrashReport, CrashReportError, CrashedBackend},
+    crash::{
+        AnswerProgress, BackendIncarnation, CrashCollector, CrashReport, CrashReportError,
+        PresentPrompt,
+    },
     entry_list::EntryList,
     evacuation::EvacuationChange,
     event::{EventError, EventReader},
     evidence::RefusedPart,
+    finished_answer::{AnswerCollector, FinishedAnswer},
     freshness::FreshnessGuard,
     group_load::GroupLoads,
     limit::{EntryPlace, LimitNotice},
--- a/crates/celerycrank-serving/src/quarantine.rs
+++ b/crates/celerycrank-serving/src/quarantine.rs
@@ -5,10 +5,12 @@
 //! crashes. Sound requests of the same callers share the other parts, and sound requests that
 //! wait at the same backend server lose it with the others.
 //!
-//! A part is quarantined after a few crashes at which a prompt with it was present unanswered, if
-//! no answer to a prompt with it has begun since. Crashes that a quarantined part explains count
-//! against no other part. Entries record both crashes and the answers that follow them, so that a
-//! process that starts does not take answered crashes for evidence.
+//! A part is quarantined after a few crashes at which a prompt with it was present, if no prompt with
+//! it has been answered since. A prompt is present as long as its answer is not whole: the crash of a
+//! backend server that has sent a part of the answer counts like any other, and the beginning of an
+//! answer speaks for a part only at crashes before any beginning. Crashes that a quarantined part
+//! explains count against no other part. Entries record both crashes and the answers that follow
+//! them, so that a process that starts does not take answered crashes for evidence.
 
 use std::num::NonZeroUsize;
 
@@ -158,17 +160,41 @@
         Some(until.since(now))
     }
 
-    /// Records that an answer to this prompt has begun, which clears its parts; returns whether one
-    /// of them was quarantined.
-    pub fn note_begun(&mut self, query: &PromptQuery<'_>, now: TimePoint) -> bool {
+    /// Records that an answer to this prompt has begun.
+    pub fn note_begun(&mut self, query: &PromptQuery<'_>, now: TimePoint) {
+        for key in query.keys() {
+            self.evidence.note_begun(key, now);
+        }
+    }
+
+    /// Records that this prompt was just answered as a whole, which ends the quarantine of its parts;
+    /// returns whether one of them was quarantined.
+    ///
+    /// The crashes that it explained count again, until the backend server has outlived the answer and
+    /// [`Self::note_outlived`] is called.
+    pub fn note_whole(&mut self, query: &PromptQuery<'_>) -> bool {
         let mut is_released = false;
         for key in query.keys() {
-            is_released |= self.quarantined.pop(&key).is_some();
-            if let Some(up_to) = self.evidence.note_begun(&key, now) {
+            is_released |= self.release_part(&key);
+            self.evidence.note_fresh(key);
+        }
+        is_released
+    }
+
+    /// Records that a backend server has outlived its whole answer of `at` to this prompt, which clears
+    /// the parts.
+    pub fn note_outlived(&mut self, query: &PromptQuery<'_>, at: TimePoint) {
+        for key in query.keys() {
+            if let Some(up_to) = self.evidence.note_outlived(&key, at) {
                 self.pending.put(key, up_to);
             }
         }
-        is_released
+    }
+
+    /// Whether backend servers have outlived whole answers to prompts with each part of this one.
+    #[must_use]
+    pub fn is_outlived(&self, query: &PromptQuery<'_>) -> bool {
+        query.keys().all(|key| self.evidence.is_outlived(&key))
     }
 
     /// Whether clearances have to be recorded for other entries.
@@ -207,10 +233,10 @@
         if pending.is_some_and(|up_to| *up_to <= clearance.up_to) {
             self.pending.pop(&key);
         }
-        self.evidence.is_cleared(&key) && self.quarantined.pop(&key).is_some()
+        self.evidence.is_cleared(&key) && self.release_part(&key)
     }
 
-    /// Adds to a report of this entry the parts to which it knows answers.
+    /// Adds to a report of this entry the parts to which it knows whole answers.
     pub fn describe_parts(&self, report: &mut CrashReport) {
         let service = report.crashed.service.clone();
         report.set_answered(|part| self.evidence.is_known(&PartKey::new(&service, part)));
@@ -267,6 +293,17 @@
         self.quarantined.is_empty()
     }
 
+    /// Ends the quarantine of a part; returns whether there was one.
+    fn release_part(&mut self, key: &PartKey) -> bool {
+        let is_released = self.quarantined.pop(key).is_some();
+        if is_released {
+            let quarantined = &self.quarantined;
+            let explains = |other: &PartKey| quarantined.contains(other);
+            self.evidence.withdraw_explanation(key, explains);
+        }
+        is_released
+    }
+
     /// Checks whether quarantined parts explain a crash; if so, renews their quarantine.
     fn explain<R: Rng>(&mut self, index: usize, now: TimePoint, random: &mut R) {
         for key in self.evidence.unexplained_parts(index) {
--- a/crates/celerycrank-serving/tests/quarantine.rs
+++ b/crates/celerycrank-serving/tests/quarantine.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use celerycrank_serving::{CrashCollector, CrashReport, CrashedBackend, QuarantineChange};
+use celerycrank_serving::{BackendIncarnation, CrashCollector, CrashReport, QuarantineChange};
 use celerycrank_types::{TimePoint, TimeSpan};
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use support::{COMMON, DEADLY, TestEntry, at, crashed, ids, refused, report};
+use support::{COMMON, DEADLY, TestEntry, at, crashed, ids, refused, report, unanswered};
 
 /// The longest first quarantine.
 const MAX_FIRST_QUARANTINE: TimeSpan = TimeSpan::from_secs(180);
@@ -33,7 +33,7 @@
 fn answers_that_begin_clear_a_part() {
     let mut entry = TestEntry::new(1);
     entry.crash(1, &[&[COMMON]], at(0));
-    assert!(!entry.begin(&[COMMON], at(10_000)));
+    assert!(!entry.answer(&[COMMON], at(10_000)));
     entry.crash(2, &[&[COMMON]], at(20_000));
     entry.crash(3, &[&[COMMON]], at(30_000));
     assert_eq!(entry.admit(&[COMMON], at(40_000)), Ok(()));
@@ -44,7 +44,7 @@
         ids(&[COMMON]),
         "a part that has begun before may crash backend servers later"
     );
-    assert!(entry.begin(&[COMMON], at(70_000)), "it is released");
+    assert!(entry.answer(&[COMMON], at(70_000)), "it is released");
     assert_eq!(entry.admit(&[COMMON], at(80_000)), Ok(()));
 }
 
@@ -58,11 +58,11 @@
     }
     let merged = entry.crash(1, &[&[9, DEADLY]], at(1));
     assert_eq!(merged, QuarantineChange::default());
-    let mut restarted = CrashReport::new(CrashedBackend {
+    let mut restarted = CrashReport::new(BackendIncarnation {
         incarnation: 2,
         ..crashed(1)
     });
-    restarted.add(&ids(&[DEADLY]));
+    restarted.add(&unanswered(&ids(&[DEADLY])));
     let change = entry.crash_report(restarted, at(2));
     assert_eq!(
         refused(&change),
@@ -92,7 +92,7 @@
     assert!(remaining >= TimeSpan::from_secs(240), "{remaining}");
     let trial = crash + remaining;
     assert_eq!(entry.admit(&[DEADLY], trial), Ok(()));
-    assert!(entry.begin(&[DEADLY], trial + TimeSpan::from_millis(200)));
+    assert!(entry.answer(&[DEADLY], trial + TimeSpan::from_millis(200)));
     for offset in 0..5 {
         let now = trial + TimeSpan::from_secs(1 + offset);
         assert_eq!(entry.admit(&[DEADLY], now), Ok(()), "it is sound now");
@@ -121,10 +121,10 @@
 #[test]
 fn one_failure_of_many_backend_servers_refuses_no_part_that_was_served_before() {
     let mut entry = TestEntry::new(1);
-    entry.begin(&[COMMON], at(0));
+    entry.answer(&[COMMON], at(0));
     let mut collector = CrashCollector::default();
     for backend in 0..16 {
-        collector.note(&crashed(backend), &ids(&[COMMON]), at(10));
+        collector.note(&crashed(backend), &unanswered(&ids(&[COMMON])), at(10));
     }
     for report in collector.take() {
         entry.crash_report(report, at(60));
@@ -138,7 +138,7 @@
 fn a_part_that_crashes_backend_servers_all_the_time_is_refused_though_it_was_served_before() {
     for interval in [20, 100, 250, 400, 1_000, 3_000] {
         let mut entry = TestEntry::new(1);
-        entry.begin(&[DEADLY], at(0));
+        entry.answer(&[DEADLY], at(0));
         let mut crash_times = (1..).map(|number| number * interval);
         let refused_at = crash_times.find(|millis| {
             let change = entry.crash(*millis, &[&[DEADLY]], at(*millis));
@@ -156,13 +156,13 @@
     for number in 0..2_000_u64 {
         let part = u128::from(number / 2) + 10;
         entry.crash(number, &[&[part]], at(number));
-        entry.begin(&[u128::from(number) + 100_000], at(number));
+        entry.answer(&[u128::from(number) + 100_000], at(number));
     }
     assert!(entry.quarantine.len() <= 256, "{}", entry.quarantine.len());
     for number in 0..20_000_u64 {
         let part = u128::from(number) + 200_000;
         entry.read_report(&report(number, &[&[part]]), number + 1, at(number));
-        entry.begin(&[part], at(number));
+        entry.answer(&[part], at(number));
     }
     let batches = std::iter::from_fn(|| Some(entry.quarantine.take_pending()));
     let batches = batches.take_while(|it| !it.is_empty()).collect::<Vec<_>>();
@@ -170,9 +170,8 @@
     assert!(batches.iter().map(Vec::len).sum::<usize>() <= 8_192);
     let mut report = CrashReport::new(crashed(1));
     for number in 0..1_000 {
-        report.add(&ids(&(0..100)
-            .map(|part| part + number)
-            .collect::<Vec<_>>()));
+        let parts = (0..100).map(|part| part + number).collect::<Vec<_>>();
+        report.add(&unanswered(&ids(&parts)));
     }
     assert_eq!(report.prompts().count(), 32);
     assert!(report.prompts().all(|prompt| prompt.len() == 32));
@@ -211,12 +210,12 @@
     let mut collector = CrashCollector::default();
     for backend in 0..6 {
         let own = 10 + u128::from(backend / 2);
-        collector.note(&crashed(backend), &ids(&[own]), at(0));
+        collector.note(&crashed(backend), &unanswered(&ids(&[own])), at(0));
     }
     assert_eq!(collector.take(), []);
     for backend in 0..6 {
         let own = 10 + u128::from(backend / 2);
-        collector.note(&crashed(backend), &ids(&[own, DEADLY]), at(0));
+        collector.note(&crashed(backend), &unanswered(&ids(&[own, DEADLY])), at(0));
     }
     let reports = collector.take();
     assert_eq!(reports.len(), 6);
@@ -280,7 +279,7 @@
                 reports.push((now + delay, entry, report.clone()));
             }
         } else if is_admitted {
-            entries[index].begin(&parts, now);
+            entries[index].answer(&parts, now);
         }
     }
     (late, f64::from(admitted) / f64::from(sound))
--- a/crates/celerycrank-serving/tests/restarts.rs
+++ b/crates/celerycrank-serving/tests/restarts.rs
@@ -16,7 +16,7 @@
     let mut clearances = Vec::new();
     for (revision, report) in (10..).zip(&reports) {
         entry.read_report(report, revision, at(revision * 100));
-        assert!(!entry.begin(&[COMMON], at(revision * 100 + 50)));
+        assert!(!entry.answer(&[COMMON], at(revision * 100 + 50)));
         clearances.extend(entry.quarantine.take_pending());
     }
     let mut restarted = TestEntry::new(2);
@@ -35,7 +35,7 @@
 #[test]
 fn a_restarted_entry_knows_the_parts_that_were_answered_before_the_crashes() {
     let mut entry = TestEntry::new(1);
-    entry.begin(&[COMMON], at(0));
+    entry.answer(&[COMMON], at(0));
     let reports = [1, 2].map(|backend| entry.see_crash(backend, &[&[COMMON]], at(10)));
     let mut restarted = TestEntry::new(2);
     for (revision, report) in (10..).zip(&reports) {
@@ -54,7 +54,7 @@
     for (revision, report) in &reports {
         entry.read_report(report, *revision, at(revision * 2_000));
     }
-    entry.begin(&[COMMON], at(30_000));
+    entry.answer(&[COMMON], at(30_000));
     for clearance in entry.quarantine.take_pending() {
         entry.quarantine.note_clearance(&clearance);
     }
@@ -94,7 +94,7 @@
     }
     let trial = at(181_000);
     assert_eq!(first.admit(&[DEADLY], trial), Ok(()));
-    assert!(first.begin(&[DEADLY], trial));
+    assert!(first.answer(&[DEADLY], trial));
     let clearances = first.quarantine.take_pending();
     second.read_report(&report(12, &[&[DEADLY]]), 12, trial);
     assert!(!second.quarantine.note_clearance(&clearances[0]));
@@ -115,8 +115,8 @@
     let (mut first, mut second) = (TestEntry::new(1), TestEntry::new(2));
     for entry in [&mut first, &mut second] {
         entry.read_report(&report(1, &[&[COMMON], &[7]]), 10, at(0));
-        entry.begin(&[COMMON, 7], at(10));
-        entry.begin(&[COMMON], at(20));
+        entry.answer(&[COMMON, 7], at(10));
+        entry.answer(&[COMMON], at(20));
     }
     let taken = first.quarantine.take_pending();
     assert_eq!(taken.len(), 2);
@@ -128,7 +128,7 @@
     }
     assert!(!second.quarantine.has_pending(), "another entry has");
     second.read_report(&report(1, &[&[COMMON], &[7]]), 10, at(30));
-    second.begin(&[COMMON, 7], at(40));
+    second.answer(&[COMMON, 7], at(40));
     assert!(!second.quarantine.has_pending(), "it was read before");
 }
 
@@ -236,7 +236,7 @@
                 other.read_report(&report, records.revision, now);
             }
         } else if is_admitted {
-            entry.begin(&parts, now);
+            entry.answer(&parts, now);
         }
         if step % 20 == 0 {
             let writer = random.random_range(0..ENTRIES);
--- a/crates/celerycrank-serving/tests/support/mod.rs
+++ b/crates/celerycrank-serving/tests/support/mod.rs
@@ -3,7 +3,8 @@
 #![allow(dead_code, reason = "no test file uses every item")]
 
 use celerycrank_serving::{
-    CrashReport, CrashedBackend, PartQuarantine, PromptQuery, QuarantineChange,
+    AnswerProgress, BackendIncarnation, CrashReport, PartQuarantine, PresentPrompt, PromptQuery,
+    QuarantineChange,
 };
 use celerycrank_types::{ModRevision, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use rand::{SeedableRng, rngs::StdRng};
@@ -19,8 +20,8 @@
     "llm".parse().expect("a valid name")
 }
 
-pub fn crashed(backend: u64) -> CrashedBackend {
-    CrashedBackend {
+pub fn crashed(backend: u64) -> BackendIncarnation {
+    BackendIncarnation {
         service: service(),
         backend: format!("w{backend}").parse().expect("a valid name"),
         incarnation: 1,
@@ -82,12 +83,47 @@
         self.quarantine.admit(&query, now)
     }
 
-    pub fn begin(&mut self, parts: &[u128], now: TimePoint) -> bool {
+    /// Sees a whole answer, which the backend server outlives; returns whether this ends a quarantine.
+    pub fn answer(&mut self, parts: &[u128], now: TimePoint) -> bool {
+        self.begin(parts, now);
+        let is_released = self.finish(parts);
+        self.outlive(parts, now);
+        is_released
+    }
+
+    /// Sees the end of a whole answer; returns whether this ends a quarantine.
+    pub fn finish(&mut self, parts: &[u128]) -> bool {
         let query = PromptQuery {
             service: &service(),
             parts: &ids(parts),
         };
-        self.quarantine.note_begun(&query, now)
+        self.quarantine.note_whole(&query)
+    }
+
+    /// Sees that a backend server has outlived its whole answer of `at`.
+    pub fn outlive(&mut self, parts: &[u128], at: TimePoint) {
+        let query = PromptQuery {
+            service: &service(),
+            parts: &ids(parts),
+        };
+        self.quarantine.note_outlived(&query, at);
+    }
+
+    /// Sees an answer begin.
+    pub fn begin(&mut self, parts: &[u128], now: TimePoint) {
+        let query = PromptQuery {
+            service: &service(),
+            parts: &ids(parts),
+        };
+        self.quarantine.note_begun(&query, now);
+    }
+}
+
+/// A prompt whose answer had not begun.
+pub fn unanswered(parts: &[PromptPartId]) -> PresentPrompt<'_> {
+    PresentPrompt {
+        parts,
+        progress: AnswerProgress::NotBegun,
     }
 }
 
@@ -98,7 +134,7 @@
 pub fn report(backend: u64, prompts: &[&[u128]]) -> CrashReport {
     let mut report = CrashReport::new(crashed(backend));
     for prompt in prompts {
-        report.add(&ids(prompt));
+        report.add(&unanswered(&ids(prompt)));
     }
     report
 }
