The planned end of a backend server is no crash

What callers would see: in a release with long answers, a worker that ends while it still holds requests counted as crashed, and what those prompts shared could be refused for two to three minutes.

Cause: a refused connection was the only sign of a crash. A worker that is draining, whose registration was removed, or that has said that it is shutting down, refuses connections after its planned end, too.

Change: only a backend server that is expected to run counts as crashed.

Result: planned_ends_of_backend_servers_are_no_crashes passes; on it failed, with reports of the planned ends in the store.

--- a/crates/celerycrank-direct/src/entry/crash.rs
+++ b/crates/celerycrank-direct/src/entry/crash.rs
@@ -185,12 +185,9 @@
     } = suspect;
     let has_crashed = has_crashed(address).await;
     let attempts = state.crash_checks.waiting.borrow_mut().remove(&incarnation);
-    let registration = state
-        .backends
-        .borrow()
-        .registration(&incarnation.backend)
-        .cloned();
-    if has_crashed && registration.is_some() {
+    // One that ends as planned also cuts the requests off that it still holds.
+    let is_planned = !state.backends.borrow().is_expected_to_run(&incarnation);
+    if has_crashed && !is_planned {
         state.note_crashed_backend(&incarnation, &attempts.unwrap_or_default());
     }
 }
--- a/crates/celerycrank-serving/src/table/exclusion.rs
+++ b/crates/celerycrank-serving/src/table/exclusion.rs
@@ -7,8 +7,8 @@
 
 use super::BackendTable;
 use crate::{
-    BackendRegistration, BackendState, ColdBounds, ColdStart, EntryPlace, EvacuationChange,
-    SendObstacle, ServiceObstacle,
+    BackendIncarnation, BackendRegistration, BackendState, ColdBounds, ColdStart, EntryPlace,
+    EvacuationChange, SendObstacle, ServiceObstacle,
     cold::{ColdPace, ColdPolicy},
     departure::IncarnationState,
     evacuation::EvacuationSet,
@@ -106,6 +106,24 @@
         self.departed.contains(registration)
     }
 
+    /// Whether an incarnation is expected to keep running: it is registered as ready, and has not said
+    /// that it is shutting down.
+    #[must_use]
+    pub fn is_expected_to_run(&self, incarnation: &BackendIncarnation) -> bool {
+        let BackendIncarnation {
+            service,
+            backend,
+            incarnation,
+        } = incarnation;
+        let states = self.of_service(service).iter();
+        let mut states = states.filter(|it| it.registration.backend == *backend);
+        states.any(|state| {
+            state.registration.incarnation == *incarnation
+                && state.is_available()
+                && state.incarnation_state != IncarnationState::Leaving
+        })
+    }
+
     /// Records that a backend server wants no requests for a time, at most [`MAX_PAUSE`]; returns
     /// whether a pause begins.
     ///
