A part refused by mistake takes no evidence from another one

What callers would see: requests with a deadly part in front of a new session, each sent to two workers, crash them for ever.

Cause: of the parts present at the same crashes the deepest is refused, which may be a session. From then on it explains both crashes, so that they count against no other part; the next request refuses the next session, and the part at fault never has the two crashes that it needs.

Change: a crash that a refused part explains counts against parts that were present at more crashes than that one. A part that was only present together with one refused later is released.

--- a/crates/celerycrank-direct/src/entry/quarantine.rs
+++ b/crates/celerycrank-direct/src/entry/quarantine.rs
@@ -114,6 +114,9 @@
             } = refused;
             tracing::warn!(%service, %part, crashes, is_known, "prompt part is refused; it crashes backend servers");
         }
+        for part in &change.superseded {
+            tracing::warn!(%service, %part, "prompt part is no longer refused; another one explains the crashes");
+        }
         for part in &change.evicted {
             tracing::warn!(%part, "prompt part is no longer refused; too many are");
         }
--- a/crates/celerycrank-serving/src/evidence.rs
+++ b/crates/celerycrank-serving/src/evidence.rs
@@ -8,7 +8,7 @@
 use celerycrank_types::{ModRevision, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use lru::LruCache;
 
-use crate::{CrashReport, occasion::OccasionCount};
+use crate::{CrashReport, crash::PartPresence, occasion::OccasionCount};
 
 /// Number of crashes before an answer from which on a part is suspect, if no answer to a prompt with
 /// it has begun before.
@@ -98,8 +98,8 @@
     at: TimePoint,
     /// The revision of the first report that was read; `None` if there is none yet.
     recorded: Option<ModRevision>,
-    /// Whether a quarantined part explains it.
-    is_explained: bool,
+    /// The quarantined part that explains it.
+    explained_by: Option<PromptPartId>,
 }
 
 impl ObservedCrash {
@@ -322,7 +322,7 @@
             report,
             at: now,
             recorded,
-            is_explained: false,
+            explained_by: None,
         });
         Some(self.crashes.len() - 1)
     }
@@ -345,7 +345,7 @@
     /// The parts present at a crash, unless it is explained.
     pub(crate) fn unexplained_parts(&self, index: usize) -> Vec<PartKey> {
         let crash = &self.crashes[index];
-        if crash.is_explained {
+        if crash.explained_by.is_some() {
             return Vec::new();
         }
         let service = &crash.report.crashed.service;
@@ -354,14 +354,14 @@
     }
 
     /// Records that a quarantined part explains a crash.
-    pub(crate) fn explain(&mut self, index: usize) {
-        self.crashes[index].is_explained = true;
+    pub(crate) fn explain(&mut self, index: usize, part: PromptPartId) {
+        self.crashes[index].explained_by = Some(part);
     }
 
     /// Records that a part explains all crashes at which it was present.
     pub(crate) fn explain_all(&mut self, key: &PartKey) {
         for crash in self.crashes.iter_mut().filter(|crash| crash.holds(key)) {
-            crash.is_explained = true;
+            crash.explained_by = Some(key.part);
         }
     }
 
@@ -371,25 +371,37 @@
         key: &PartKey,
         explains: impl Fn(&PartKey) -> bool,
     ) {
-        for crash in self.crashes.iter_mut().filter(|crash| crash.holds(key)) {
-            let service = &crash.report.crashed.service;
+        let held = self.crashes.iter_mut().filter(|crash| crash.holds(key));
+        for crash in held.filter(|crash| crash.explained_by == Some(key.part)) {
             let mut parts = crash.report.parts().keys();
-            crash.is_explained = parts.any(|part| explains(&PartKey::new(service, *part)));
+            let explaining = parts.find(|part| explains(&PartKey::new(&key.service, **part)));
+            crash.explained_by = explaining.copied();
         }
     }
 
+    /// Whether another part was present at all crashes at which this one was, of which there are some.
+    pub(crate) fn is_covered(&self, key: &PartKey, other: &PartKey) -> bool {
+        let mut held = self.crashes.iter().filter(|crash| crash.holds(key));
+        let mut covered = held.by_ref().map(|crash| crash.holds(other));
+        covered.next() == Some(true) && covered.all(|is_held| is_held)
+    }
+
     /// The part with the strongest evidence, if it suffices for a quarantine.
-    pub(crate) fn most_suspect(&self, service: &ServiceId) -> Option<RefusedPart> {
+    ///
+    /// Parts that are quarantined already are left out.
+    pub(crate) fn most_suspect(
+        &self,
+        service: &ServiceId,
+        is_quarantined: impl Fn(&PartKey) -> bool,
+    ) -> Option<RefusedPart> {
+        let counts = self.count_crashes(service);
         let mut evidence = EvidenceMap::new();
-        let crashes = self.crashes.iter();
-        let crashes =
-            crashes.filter(|it| !it.is_explained && it.report.crashed.service == *service);
-        for crash in crashes {
-            self.add_evidence(crash, &mut evidence);
+        for crash in self.crashes_of(service) {
+            self.add_evidence(crash, &counts, &mut evidence);
         }
         let suspects = evidence.into_iter().filter(|(part, evidence)| {
-            let answers = self.answers.peek(&PartKey::new(service, *part));
-            evidence.is_suspect(answers)
+            let key = PartKey::new(service, *part);
+            evidence.is_suspect(self.answers.peek(&key)) && !is_quarantined(&key)
         });
         // The part decides last, so that all entries choose the same one.
         let most = suspects.max_by_key(|(part, evidence)| (evidence.strength(), *part));
@@ -400,15 +412,52 @@
         })
     }
 
-    /// Adds a crash to the evidence against the parts that no answer has followed.
-    fn add_evidence(&self, crash: &ObservedCrash, evidence: &mut EvidenceMap) {
+    fn crashes_of(&self, service: &ServiceId) -> impl Iterator<Item = &ObservedCrash> {
+        let crashes = self.crashes.iter();
+        crashes.filter(|crash| crash.report.crashed.service == *service)
+    }
+
+    /// The parts present at a crash that no whole answer has followed.
+    fn unanswered_parts(
+        &self,
+        crash: &ObservedCrash,
+    ) -> impl Iterator<Item = (PromptPartId, PartPresence, Option<&AnswerHistory>)> {
         let service = &crash.report.crashed.service;
-        for (part, presence) in crash.report.parts() {
+        let parts = crash.report.parts().iter().map(|(part, presence)| {
             let answers = self.answers.peek(&PartKey::new(service, *part));
-            if answers.is_some_and(|answers| answers.has_followed(crash)) {
+            (*part, *presence, answers)
+        });
+        parts.filter(|(.., answers)| !answers.is_some_and(|it| it.has_followed(crash)))
+    }
+
+    /// The number of crashes at which each part was present, and that no whole answer has followed.
+    fn count_crashes(&self, service: &ServiceId) -> HashMap<PromptPartId, u32> {
+        let mut counts = HashMap::new();
+        for crash in self.crashes_of(service) {
+            for (part, ..) in self.unanswered_parts(crash) {
+                *counts.entry(part).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Adds a crash to the evidence against the parts that no answer has followed.
+    ///
+    /// A crash that a quarantined part explains counts only against parts that were present at more
+    /// crashes than that one, which may have been quarantined by mistake.
+    fn add_evidence(
+        &self,
+        crash: &ObservedCrash,
+        counts: &HashMap<PromptPartId, u32>,
+        evidence: &mut EvidenceMap,
+    ) {
+        let count_of = |part| counts.get(&part).copied().unwrap_or_default();
+        let explained = crash.explained_by.map(count_of);
+        for (part, presence, answers) in self.unanswered_parts(crash) {
+            if explained.is_some_and(|explained| count_of(part) <= explained) {
                 continue;
             }
-            let evidence = evidence.entry(*part).or_default();
+            let evidence = evidence.entry(part).or_default();
             evidence.all.add(crash.at);
             evidence.position = evidence.position.max(presence.position);
             evidence.prompts += presence.prompts();
--- a/crates/celerycrank-serving/src/quarantine.rs
+++ b/crates/celerycrank-serving/src/quarantine.rs
@@ -9,7 +9,8 @@
 //! it has been answered since. A prompt is present as long as its answer is not whole: the crash of a
 //! backend server that has sent a part of the answer counts like any other, and the beginning of an
 //! answer speaks for a part only at crashes before any beginning. Crashes that a quarantined part
-//! explains count against no other part. Entries record both crashes and the answers that follow
+//! explains count only against parts that were present at more of them, since a part that was refused
+//! by mistake must not take the evidence from the one that crashes backend servers. Entries record both crashes and the answers that follow
 //! them, so that a process that starts does not take answered crashes for evidence.
 
 use std::num::NonZeroUsize;
@@ -104,6 +105,8 @@
 pub struct QuarantineChange {
     /// Parts that are refused from now on.
     pub added: Vec<RefusedPart>,
+    /// Parts that are no longer refused, since one of those added explains all their crashes.
+    pub superseded: Vec<PromptPartId>,
     /// Parts that are no longer refused, since too many are.
     pub evicted: Vec<PromptPartId>,
 }
@@ -259,8 +262,9 @@
             return change;
         };
         self.explain(index, now, random);
-        while let Some(refused) = self.evidence.most_suspect(&service) {
+        while let Some(refused) = self.most_suspect(&service) {
             let key = PartKey::new(&service, refused.part);
+            change.superseded.extend(self.release_covered(&key));
             let evicted = self.quarantine(key, now, random);
             change.added.push(refused);
             change.evicted.extend(evicted);
@@ -310,7 +314,7 @@
             let Some(quarantined) = self.quarantined.get_mut(&key) else {
                 continue;
             };
-            self.evidence.explain(index);
+            self.evidence.explain(index, key.part);
             if now.since(quarantined.since) > SETTLING_SPAN {
                 quarantined.failed_trials = quarantined.failed_trials.saturating_add(1);
             }
@@ -318,6 +322,24 @@
         }
     }
 
+    fn most_suspect(&self, service: &ServiceId) -> Option<RefusedPart> {
+        let is_quarantined = |key: &PartKey| self.quarantined.contains(key);
+        self.evidence.most_suspect(service, is_quarantined)
+    }
+
+    /// Ends the quarantines of parts that were refused by mistake: those that were present only
+    /// together with a part that was present at more crashes.
+    fn release_covered(&mut self, suspect: &PartKey) -> Vec<PromptPartId> {
+        let quarantined = self.quarantined.iter().map(|(key, _)| key);
+        let covered = quarantined
+            .filter(|key| key.service == suspect.service && self.evidence.is_covered(key, suspect));
+        let covered = covered.cloned().collect::<Vec<_>>();
+        for key in &covered {
+            self.release_part(key);
+        }
+        covered.into_iter().map(|key| key.part).collect()
+    }
+
     fn quarantine<R: Rng>(
         &mut self,
         key: PartKey,
--- a/crates/celerycrank-serving/tests/crash_evidence.rs
+++ b/crates/celerycrank-serving/tests/crash_evidence.rs
@@ -76,6 +76,25 @@
     assert_eq!(refused(&change), ids(&[DEADLY]));
 }
 
+// Guards against a sound part that is refused by mistake, and from then on explains the crashes of the part
+// that is at fault: each deadly request, sent twice, would refuse another session.
+#[test]
+fn a_part_refused_by_mistake_does_not_take_the_evidence_from_another_one() {
+    const SESSION: u128 = 100;
+    let mut entry = TestEntry::new(1);
+    for number in 0..4 {
+        let prompt = [DEADLY, SESSION + u128::from(number / 2)];
+        entry.crash(number, &[&prompt], at(number * 300));
+    }
+    entry
+        .admit(&[DEADLY, SESSION + 2], at(1_000))
+        .expect_err("it crashes");
+    for request in 0..2 {
+        let sound = [COMMON, SESSION + request];
+        assert_eq!(entry.admit(&sound, at(1_000)), Ok(()), "{request}");
+    }
+}
+
 // Guards against answers that clear a part before their backend servers have outlived them, and against
 // answers held back without bound.
 #[test]
