All shared parts of a prompt count at a crash

Cause: a crash report cut each prompt off behind its 32nd part, to bound its size. The log named all 40 shared parts of the requests beside the crashes, and no part was refused; so the head was parsed, and no other part was taken for the cause.

Change: a report holds each part once, 4,096 in all. What entries of the version before read of it keeps its bounds.

New tests hold the bound (a report of 60,000 parts has 4,096, and fits into a value of the store) and what the version before reads.

--- a/crates/celerycrank-serving/src/crash.rs
+++ b/crates/celerycrank-serving/src/crash.rs
@@ -22,8 +22,8 @@
 /// Maximum number of parts of a prompt in that list.
 const MAX_LISTED_PARTS: usize = 32;
 
-/// Maximum number of parts in a report.
-const MAX_PARTS: usize = 1_024;
+/// Maximum number of parts in a report: more than fit into the head of a request of usual size.
+const MAX_PARTS: usize = 4_096;
 
 /// One incarnation of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -161,7 +161,7 @@
             AnswerProgress::Begun => {}
             AnswerProgress::Finished => self.finished.extend_from_slice(prompt.parts),
         }
-        for (position, part) in (0..).zip(prompt.parts).take(MAX_LISTED_PARTS) {
+        for (position, part) in (0..).zip(prompt.parts) {
             if let Some(presence) = self.presence_mut(*part) {
                 presence.add(position, prompt);
             }
--- a/crates/celerycrank-serving/tests/crash_evidence.rs
+++ b/crates/celerycrank-serving/tests/crash_evidence.rs
@@ -6,10 +6,12 @@
     AnswerCollector, AnswerProgress, CrashCollector, CrashReport, FinishedAnswer, PartClearance,
     PresentPrompt, QuarantineChange,
 };
-use celerycrank_types::TimeSpan;
+use celerycrank_types::{PromptPartId, TimeSpan};
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Deserialize;
+use serde_json::Value;
 use smallvec::SmallVec;
-use support::{COMMON, DEADLY, TestEntry, at, crashed, ids, refused, unanswered};
+use support::{COMMON, DEADLY, TestEntry, at, crashed, ids, refused, report, unanswered};
 
 /// A report of a crash in the middle of answers to these prompts.
 fn broken_off(backend: u64, prompts: &[&[u128]]) -> CrashReport {
@@ -95,6 +97,87 @@
     }
 }
 
+/// A prompt of 40 shared parts, of which the 36th is given.
+fn long_prompt(part: u128) -> Vec<u128> {
+    let parts = 1_000..1_040;
+    parts
+        .map(|it| if it == 1_035 { part } else { it })
+        .collect()
+}
+
+// Guards against a part that is never refused since it stands behind the first 32 of a prompt (review/8).
+#[test]
+fn a_part_behind_many_others_is_refused() {
+    let mut entry = TestEntry::new(1);
+    entry.answer(&long_prompt(7), at(0));
+    entry.crash(1, &[&long_prompt(DEADLY), &long_prompt(7)], at(1_000));
+    let second = entry.crash(2, &[&long_prompt(8), &long_prompt(DEADLY)], at(1_500));
+    assert_eq!(refused(&second), ids(&[DEADLY]));
+    assert_eq!(entry.admit(&long_prompt(7), at(2_000)), Ok(()));
+}
+
+/// The largest value that the platform's store takes, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+// Guards against reports that grow with what callers send, and are too large for the store.
+#[test]
+fn reports_of_prompts_with_more_parts_than_the_bound_are_bounded() {
+    let mut report = CrashReport::new(crashed(1));
+    for prompt in 0..20 {
+        let first = u128::MAX - prompt * 1_000;
+        let parts = (0..3_000).map(|number| first - number).collect::<Vec<_>>();
+        report.add(&unanswered(&ids(&parts)));
+    }
+    let entry = TestEntry::new(1);
+    entry.quarantine.describe_parts(&mut report);
+    let bytes = report.encode();
+    assert!(bytes.len() <= MAX_VALUE_BYTES, "{}", bytes.len());
+    assert_eq!(CrashReport::decode(&bytes), Ok(report));
+    let mut value = serde_json::from_slice::<Value>(&bytes).expect("it is JSON");
+    let parts = value["parts"].as_object_mut().expect("a map");
+    assert_eq!(parts.len(), 4_096);
+    parts.insert(
+        "1".into(),
+        parts["ffffffffffffffffffffffffffffffff"].clone(),
+    );
+    let error = CrashReport::decode(value.to_string().as_bytes());
+    error.expect_err("no entry writes so many");
+}
+
+/// A crash report as entries of the version before read it.
+#[derive(Debug, Deserialize)]
+struct EarlierReport {
+    prompts: Vec<Vec<PromptPartId>>,
+    answered: Option<Vec<PromptPartId>>,
+}
+
+// Guards against a rollout in which entries of the version before ignore the reports of new ones, or
+// count prompts that they would not report.
+#[test]
+fn entries_of_the_version_before_read_reports() {
+    let mut entry = TestEntry::new(1);
+    let many = (1..2_000).collect::<Vec<_>>();
+    entry.answer(&many, at(0));
+    let mut report = report(1, &[&many, &long_prompt(DEADLY)]);
+    report.add(&PresentPrompt {
+        progress: AnswerProgress::Begun,
+        ..unanswered(&ids(&[7_000]))
+    });
+    for number in 0..100 {
+        report.add(&unanswered(&ids(&[8_000 + number])));
+    }
+    entry.quarantine.describe_parts(&mut report);
+    let earlier = serde_json::from_slice::<EarlierReport>(&report.encode());
+    let EarlierReport { prompts, answered } = earlier.expect("they can read it");
+    assert_eq!(prompts.len(), 32);
+    assert_eq!(prompts[0], ids(&many[..32]));
+    assert_eq!(prompts[1], ids(&long_prompt(DEADLY)[..32]));
+    assert!(!prompts.contains(&ids(&[7_000])), "its answer had begun");
+    let answered = answered.expect("they would take all parts for answered");
+    assert!(answered.len() <= 1_024, "{}", answered.len());
+    assert!(answered.contains(&ids(&[1])[0]));
+}
+
 // Guards against answers that clear a part before their backend servers have outlived them, and against
 // answers held back without bound.
 #[test]
