Tests of answers without a status at the other readers of answers

On other systems a worker's answer with status 000 reached the client as an answer.

The new tests pass on the code before, since there is no fault; with status 200 in their answers both fail.

--- a/crates/celerycrank-client/tests/broken_answers.rs
+++ b/crates/celerycrank-client/tests/broken_answers.rs
@@ -7,8 +7,8 @@
 };
 
 use celerycrank_client::{
-    AnswerError, KeyValueClient, KeyValueError, KeyValueProtocol, ModRevision, VmListClient,
-    VmListError,
+    AnswerError, Expected, KeyValueClient, KeyValueError, KeyValueProtocol, ModRevision,
+    VmListClient, VmListError,
 };
 use celerycrank_types::TimeSpan;
 
@@ -106,3 +106,38 @@
         );
     }
 }
+
+/// An answer with this body and the status 000.
+fn without_status(body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 000 Unknown\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+// Guards against a write that counts as carried out, or as refused, though its answer has no status.
+#[actix_rt::test]
+async fn write_answered_without_a_status_is_unknown() {
+    for (protocol, body) in [
+        (KeyValueProtocol::Platform, r#"{"revision":7}"#),
+        (
+            KeyValueProtocol::Gateway,
+            r#"{"header":{"revision":"7"},"succeeded":true}"#,
+        ),
+    ] {
+        let address = serve(without_status(body));
+        let client = KeyValueClient::with_protocol(protocol, &[address.as_str().into()], TIMEOUT);
+        let swap = client.compare_and_swap("a", Expected::Absent, "one".into());
+        let written = swap.await;
+        assert!(
+            matches!(written, Err(KeyValueError::Unknown(_))),
+            "{protocol:?}: {written:?}"
+        );
+    }
+}
+
+// Guards against a list of VMs that is in force though its answer has no status.
+#[actix_rt::test]
+async fn vm_list_without_a_status_is_not_read() {
+    let address = serve(without_status("{\"items\":[]}"));
+    let client = VmListClient::new(address.into(), TIMEOUT);
+    client.fetch().await.expect_err("it has no status");
+}
