--- a/crates/celerycrank-serving/src/evidence.rs
+++ b/crates/celerycrank-serving/src/evidence.rs
@@ -8,24 +8,12 @@
 use celerycrank_types::{ModRevision, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use lru::LruCache;
 
-use crate::{CrashReport, crash::PartPresence, occasion::OccasionCount};
-
-/// Number of crashes before an answer from which on a part is suspect, if no answer to a prompt with
-/// it has begun before.
-const MIN_CRASHES_OF_NEW_PART: u32 = 2;
-
-/// Number of crashes, before or in an answer, from which on a part is suspect, if no whole answer to
-/// a prompt with it is known.
-///
-/// More, since sound prompts are in the middle of an answer longer than before it, and one that is cut
-/// off twice must not be refused.
-const MIN_CRASHES_WITHOUT_WHOLE_ANSWER: u32 = 4;
-
-/// Number of occasions of crashes before an answer from which on any other part is suspect.
-const MIN_OCCASIONS_OF_KNOWN_PART: u32 = 4;
-
-/// Number of occasions of crashes, before or in an answer, from which on any other part is suspect.
-const MIN_OCCASIONS_DESPITE_WHOLE_ANSWER: u32 = 6;
+use crate::{
+    CrashReport,
+    answer_history::{AnswerHistory, CrashMoment},
+    crash::PartPresence,
+    part_evidence::PartEvidence,
+};
 
 /// Time for which a crash counts as evidence.
 const EVIDENCE_LIFETIME: TimeSpan = TimeSpan::from_secs(600);
@@ -53,51 +41,11 @@
     }
 }
 
-/// The answers to prompts with one part that are known.
-#[derive(Debug, Default, Clone, Copy)]
-struct AnswerHistory {
-    /// When this entry last saw an answer begin.
-    begun_at: Option<TimePoint>,
-    /// When this entry last saw a whole answer that the backend server has outlived.
-    whole_at: Option<TimePoint>,
-    whole: WholeAnswers,
-    /// The latest crash report after which any entry saw a whole answer; zero if there is none.
-    cleared_up_to: ModRevision,
-}
-
-/// Whether whole answers to prompts with one part are known.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-enum WholeAnswers {
-    #[default]
-    None,
-    /// This entry has seen some, but not that a backend server has outlived one.
-    Fresh,
-    /// Some entry has seen one.
-    Known,
-}
-
-impl AnswerHistory {
-    /// Whether an answer began after a crash.
-    fn has_begun_after(&self, crash: &ObservedCrash) -> bool {
-        self.begun_at.is_some_and(|at| at >= crash.at) || self.has_followed(crash)
-    }
-
-    /// Whether a whole answer followed a crash.
-    fn has_followed(&self, crash: &ObservedCrash) -> bool {
-        let is_seen = self.whole_at.is_some_and(|at| at >= crash.at);
-        let is_cleared = crash.recorded.is_some_and(|it| it <= self.cleared_up_to);
-        is_seen || is_cleared
-    }
-}
-
 /// A crash, and the prompts that all entries together saw at the backend server.
 #[derive(Debug)]
 struct ObservedCrash {
     report: CrashReport,
-    /// When this entry saw the crash, or first read a report of it.
-    at: TimePoint,
-    /// The revision of the first report that was read; `None` if there is none yet.
-    recorded: Option<ModRevision>,
+    moment: CrashMoment,
     /// The quarantined part that explains it.
     explained_by: Option<PromptPartId>,
 }
@@ -109,57 +57,6 @@
     }
 }
 
-/// Crashes of one kind at which a part was present.
-#[derive(Debug, Default, Clone, Copy)]
-struct CrashCount {
-    crashes: u32,
-    occasions: OccasionCount,
-}
-
-impl CrashCount {
-    fn add(&mut self, at: TimePoint) {
-        self.crashes += 1;
-        self.occasions.add(at);
-    }
-}
-
-/// The crashes that count against a part.
-#[derive(Debug, Default, Clone, Copy)]
-struct PartEvidence {
-    /// Those at which an answer had not begun, and since which none has.
-    unanswered: CrashCount,
-    /// Those that no whole answer has followed, whether or not answers had begun.
-    all: CrashCount,
-    /// The largest position of the part in the prompts of these crashes.
-    position: u32,
-    /// Number of these prompts.
-    prompts: u32,
-}
-
-impl PartEvidence {
-    fn is_suspect(&self, answers: Option<&AnswerHistory>) -> bool {
-        let has_whole = answers.is_some_and(|it| it.whole != WholeAnswers::None);
-        let is_suspect_before = if answers.is_some() {
-            self.unanswered.occasions.total() >= MIN_OCCASIONS_OF_KNOWN_PART
-        } else {
-            self.unanswered.crashes >= MIN_CRASHES_OF_NEW_PART
-        };
-        let is_suspect_within = if has_whole {
-            self.all.occasions.total() >= MIN_OCCASIONS_DESPITE_WHOLE_ANSWER
-        } else {
-            self.all.crashes >= MIN_CRASHES_WITHOUT_WHOLE_ANSWER
-        };
-        is_suspect_before || is_suspect_within
-    }
-
-    /// The strength of the evidence; larger is stronger.
-    ///
-    /// Fewer sound prompts share a later part.
-    const fn strength(&self) -> (u32, u32, u32) {
-        (self.all.crashes, self.position, self.prompts)
-    }
-}
-
 /// A part that is refused from now on, and why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RefusedPart {
@@ -205,47 +102,27 @@
 impl CrashEvidence {
     /// Records that an answer to a prompt with this part has begun.
     pub(crate) fn note_begun(&mut self, key: PartKey, now: TimePoint) {
-        self.history_mut(key).begun_at = Some(now);
+        self.history_mut(key).note_begun(now);
+    }
+
+    /// Records that this entry has just seen a whole answer to a prompt with this part.
+    pub(crate) fn note_fresh(&mut self, key: PartKey) {
+        self.history_mut(key).note_fresh();
     }
 
     /// Records a whole answer to a prompt with this part, which the backend server has outlived;
     /// returns the latest crash report that it follows, unless an earlier answer has followed it.
     pub(crate) fn note_outlived(&mut self, key: &PartKey, at: TimePoint) -> Option<ModRevision> {
-        let answers = self.history_mut(key.clone());
-        answers.whole_at = answers.whole_at.max(Some(at));
-        answers.whole = WholeAnswers::Known;
+        self.history_mut(key.clone()).note_outlived(at);
         let followed = self.unanswered.peek(key).filter(|it| it.read_at <= at)?;
         let revision = followed.revision;
         self.unanswered.pop(key);
         Some(revision)
     }
 
-    /// Records that this entry has just seen a whole answer to a prompt with this part.
-    pub(crate) fn note_fresh(&mut self, key: PartKey) {
-        let answers = self.history_mut(key);
-        if answers.whole == WholeAnswers::None {
-            answers.whole = WholeAnswers::Fresh;
-        }
-    }
-
-    /// Records that a backend server did not outlive its answer to a prompt with this part.
-    fn withdraw_fresh(&mut self, key: PartKey) {
-        let answers = self.history_mut(key);
-        if answers.whole == WholeAnswers::Fresh {
-            answers.whole = WholeAnswers::None;
-        }
-    }
-
-    /// Records that some entry has seen a whole answer to a prompt with this part.
-    fn note_known(&mut self, key: PartKey) {
-        self.history_mut(key).whole = WholeAnswers::Known;
-    }
-
     /// Records that an answer has followed all crashes up to a report.
     pub(crate) fn note_cleared(&mut self, key: &PartKey, up_to: ModRevision) {
-        let answers = self.history_mut(key.clone());
-        answers.whole = WholeAnswers::Known;
-        answers.cleared_up_to = answers.cleared_up_to.max(up_to);
+        self.history_mut(key.clone()).note_cleared(up_to);
         let unanswered = self.unanswered.peek(key);
         if unanswered.is_some_and(|it| it.revision <= up_to) {
             self.unanswered.pop(key);
@@ -255,13 +132,13 @@
     /// Whether this entry has seen a whole answer that the backend server has outlived.
     pub(crate) fn is_outlived(&self, key: &PartKey) -> bool {
         let answers = self.answers.peek(key);
-        answers.is_some_and(|it| it.whole_at.is_some())
+        answers.is_some_and(AnswerHistory::is_outlived)
     }
 
     /// Whether a whole answer to a prompt with this part is known.
     pub(crate) fn is_known(&self, key: &PartKey) -> bool {
         let answers = self.answers.peek(key);
-        answers.is_some_and(|it| it.whole == WholeAnswers::Known)
+        answers.is_some_and(AnswerHistory::is_known)
     }
 
     fn history_mut(&mut self, key: PartKey) -> &mut AnswerHistory {
@@ -274,12 +151,12 @@
             return false;
         };
         let crashes = self.crashes.iter().filter(|crash| crash.holds(key));
-        let mut followed = crashes.map(|crash| answers.has_followed(crash));
+        let mut followed = crashes.map(|crash| answers.has_followed(&crash.moment));
         followed.next() == Some(true) && followed.all(|is_followed| is_followed)
     }
 
     pub(crate) fn drop_old_crashes(&mut self, now: TimePoint) {
-        let is_old = |crash: &ObservedCrash| now.since(crash.at) > EVIDENCE_LIFETIME;
+        let is_old = |crash: &ObservedCrash| now.since(crash.moment.at) > EVIDENCE_LIFETIME;
         while self.crashes.front().is_some_and(is_old) {
             self.crashes.pop_front();
         }
@@ -296,10 +173,11 @@
     ) -> Option<usize> {
         let service = report.crashed.service.clone();
         for part in report.finished() {
-            self.withdraw_fresh(PartKey::new(&service, *part));
+            self.history_mut(PartKey::new(&service, *part))
+                .withdraw_fresh();
         }
         for part in report.answered() {
-            self.note_known(PartKey::new(&service, part));
+            self.history_mut(PartKey::new(&service, part)).note_known();
         }
         if let Some(revision) = recorded {
             let read = ReadReport {
@@ -311,7 +189,7 @@
         let mut known = self.crashes.iter();
         if let Some(index) = known.position(|it| it.report.crashed == report.crashed) {
             let known = &mut self.crashes[index];
-            known.recorded = known.recorded.or(recorded);
+            known.moment.recorded = known.moment.recorded.or(recorded);
             let is_changed = known.report.merge(&report);
             return is_changed.then_some(index);
         }
@@ -320,8 +198,7 @@
         }
         self.crashes.push_back(ObservedCrash {
             report,
-            at: now,
-            recorded,
+            moment: CrashMoment { at: now, recorded },
             explained_by: None,
         });
         Some(self.crashes.len() - 1)
@@ -332,7 +209,7 @@
         for part in report.parts().keys() {
             let key = PartKey::new(&report.crashed.service, *part);
             let answers = self.answers.peek(&key);
-            if answers.is_some_and(|it| it.cleared_up_to >= read.revision) {
+            if answers.is_some_and(|it| it.is_cleared_up_to(read.revision)) {
                 continue;
             }
             let latest = self.unanswered.get_or_insert_mut(key, || read);
@@ -407,7 +284,7 @@
         let most = suspects.max_by_key(|(part, evidence)| (evidence.strength(), *part));
         most.map(|(part, evidence)| RefusedPart {
             part,
-            crashes: evidence.all.crashes,
+            crashes: evidence.crashes(),
             is_known: self.is_known(&PartKey::new(service, part)),
         })
     }
@@ -427,7 +304,7 @@
             let answers = self.answers.peek(&PartKey::new(service, *part));
             (*part, *presence, answers)
         });
-        parts.filter(|(.., answers)| !answers.is_some_and(|it| it.has_followed(crash)))
+        parts.filter(|(.., answers)| !answers.is_some_and(|it| it.has_followed(&crash.moment)))
     }
 
     /// The number of crashes at which each part was present, and that no whole answer has followed.
@@ -458,13 +335,7 @@
                 continue;
             }
             let evidence = evidence.entry(part).or_default();
-            evidence.all.add(crash.at);
-            evidence.position = evidence.position.max(presence.position);
-            evidence.prompts += presence.prompts();
-            let has_begun = answers.is_some_and(|answers| answers.has_begun_after(crash));
-            if presence.unanswered > 0 && !has_begun {
-                evidence.unanswered.add(crash.at);
-            }
+            evidence.add(&crash.moment, &presence, answers);
         }
     }
 }
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -5,6 +5,7 @@
 mod account;
 mod admission;
 mod admission_queue;
+mod answer_history;
 mod answer_pace;
 mod backend;
 mod budget;
@@ -16,6 +17,7 @@
 mod compare;
 mod configuration;
 mod crash;
+mod crash_collector;
 mod departure;
 mod entry_list;
 mod evacuation;
@@ -29,6 +31,7 @@
 mod load_ceiling;
 mod obstacle;
 mod occasion;
+mod part_evidence;
 mod pause;
 mod prompt;
 mod quarantine;
@@ -62,10 +65,8 @@
         AccountRule, CallerBounds, EngineProfile, GroupProfile, KeyRequirement, RequestSemantics,
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
     },
-    crash::{
-        AnswerProgress, BackendIncarnation, CrashCollector, CrashReport, CrashReportError,
-        PresentPrompt,
-    },
+    crash::{AnswerProgress, BackendIncarnation, CrashReport, CrashReportError, PresentPrompt},
+    crash_collector::CrashCollector,
     entry_list::EntryList,
     evacuation::EvacuationChange,
     event::{EventError, EventReader},
--- a/crates/celerycrank-serving/src/occasion.rs
+++ b/crates/celerycrank-serving/src/occasion.rs
@@ -2,7 +2,7 @@
 
 use celerycrank_types::{TimePoint, TimeSpan};
 
-use crate::crash::MAX_SIMULTANEOUS_CRASHES;
+use crate::crash_collector::MAX_SIMULTANEOUS_CRASHES;
 
 /// Time within which the crashes of more backend servers than crash at the same time by chance are
 /// one occasion.
