--- a/crates/celerycrank-serving/src/crash.rs
+++ b/crates/celerycrank-serving/src/crash.rs
@@ -1,4 +1,4 @@
-//! Reports of backend servers that crashed before they answered, as entries share them.
+//! Reports of backend servers that crashed, and of the prompts that they held, as entries share them.
 
 use std::{
     collections::{BTreeMap, btree_map::Entry},
