Only the parts of a crash are weighed when it is reported

A crash adds evidence against the parts present at it alone.

No decision is meant to change, but for parts whose answers an entry has forgotten: they are refused when a crash has them, no longer at any other one.

--- a/crates/celerycrank-serving/src/evidence.rs
+++ b/crates/celerycrank-serving/src/evidence.rs
@@ -7,6 +7,7 @@
 
 use celerycrank_types::{ModRevision, PromptPartId, ServiceId, TimePoint, TimeSpan};
 use lru::LruCache;
+use smallvec::SmallVec;
 
 use crate::{
     CrashReport,
@@ -75,9 +76,6 @@
     read_at: TimePoint,
 }
 
-/// The evidence against each part.
-type EvidenceMap = HashMap<PromptPartId, PartEvidence>;
-
 /// The crashes and answers that one entry knows of.
 #[derive(Debug)]
 pub(crate) struct CrashEvidence {
@@ -263,79 +261,78 @@
         covered.next() == Some(true) && covered.all(|is_held| is_held)
     }
 
-    /// The part with the strongest evidence, if it suffices for a quarantine.
+    /// The part with the strongest evidence among those present at a crash, if it suffices for a
+    /// quarantine.
     ///
-    /// Parts that are quarantined already are left out.
+    /// The crash says nothing against other parts. Parts that are quarantined already are left out.
     pub(crate) fn most_suspect(
         &self,
-        service: &ServiceId,
+        index: usize,
         is_quarantined: impl Fn(&PartKey) -> bool,
     ) -> Option<RefusedPart> {
-        let counts = self.count_crashes(service);
-        let mut evidence = EvidenceMap::new();
-        for crash in self.crashes_of(service) {
-            self.add_evidence(crash, &counts, &mut evidence);
-        }
-        let suspects = evidence.into_iter().filter(|(part, evidence)| {
+        let report = &self.crashes[index].report;
+        let service = &report.crashed.service;
+        let explaining = self.count_explaining(service);
+        let mut suspects = Vec::new();
+        for part in report.parts().keys() {
             let key = PartKey::new(service, *part);
-            evidence.is_suspect(self.answers.peek(&key)) && !is_quarantined(&key)
-        });
+            let evidence = self.weigh(&key, &explaining);
+            if !is_quarantined(&key) && evidence.is_suspect(self.answers.peek(&key)) {
+                suspects.push((key, evidence));
+            }
+        }
         // The part decides last, so that all entries choose the same one.
-        let most = suspects.max_by_key(|(part, evidence)| (evidence.strength(), *part));
-        most.map(|(part, evidence)| RefusedPart {
-            part,
+        let suspects = suspects.into_iter();
+        let most = suspects.max_by_key(|(key, evidence)| (evidence.strength(), key.part));
+        most.map(|(key, evidence)| RefusedPart {
+            part: key.part,
             crashes: evidence.crashes(),
-            is_known: self.is_known(&PartKey::new(service, part)),
+            is_known: self.is_known(&key),
         })
     }
 
-    fn crashes_of(&self, service: &ServiceId) -> impl Iterator<Item = &ObservedCrash> {
-        let crashes = self.crashes.iter();
-        crashes.filter(|crash| crash.report.crashed.service == *service)
-    }
-
-    /// The parts present at a crash that no whole answer has followed.
-    fn unanswered_parts(
+    /// The crashes at which a part was present, and that no whole answer has followed.
+    fn unanswered_crashes(
         &self,
-        crash: &ObservedCrash,
-    ) -> impl Iterator<Item = (PromptPartId, PartPresence, Option<&AnswerHistory>)> {
-        let service = &crash.report.crashed.service;
-        let parts = crash.report.parts().iter().map(|(part, presence)| {
-            let answers = self.answers.peek(&PartKey::new(service, *part));
-            (*part, *presence, answers)
+        key: &PartKey,
+    ) -> impl Iterator<Item = (&ObservedCrash, &PartPresence)> {
+        let answers = self.answers.peek(key);
+        let crashes = self.crashes.iter().filter_map(move |crash| {
+            let is_same_service = crash.report.crashed.service == key.service;
+            let presence = crash.report.parts().get(&key.part)?;
+            is_same_service.then_some((crash, presence))
         });
-        parts.filter(|(.., answers)| !answers.is_some_and(|it| it.has_followed(&crash.moment)))
+        crashes.filter(move |(crash, _)| !answers.is_some_and(|it| it.has_followed(&crash.moment)))
     }
 
-    /// The number of crashes at which each part was present, and that no whole answer has followed.
-    fn count_crashes(&self, service: &ServiceId) -> HashMap<PromptPartId, u32> {
+    /// The number of crashes at which each part was present that explains some at a service.
+    fn count_explaining(&self, service: &ServiceId) -> HashMap<PromptPartId, usize> {
         let mut counts = HashMap::new();
-        for crash in self.crashes_of(service) {
-            for (part, ..) in self.unanswered_parts(crash) {
-                *counts.entry(part).or_default() += 1;
-            }
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(|crash| crash.report.crashed.service == *service);
+        for part in crashes.filter_map(|crash| crash.explained_by) {
+            counts.entry(part).or_insert_with(|| {
+                let key = PartKey::new(service, part);
+                self.unanswered_crashes(&key).count()
+            });
         }
         counts
     }
 
-    /// Adds a crash to the evidence against the parts that no answer has followed.
+    /// The evidence against a part.
     ///
     /// A crash that a quarantined part explains counts only against parts that were present at more
     /// crashes than that one, which may have been quarantined by mistake.
-    fn add_evidence(
-        &self,
-        crash: &ObservedCrash,
-        counts: &HashMap<PromptPartId, u32>,
-        evidence: &mut EvidenceMap,
-    ) {
-        let count_of = |part| counts.get(&part).copied().unwrap_or_default();
-        let explained = crash.explained_by.map(count_of);
-        for (part, presence, answers) in self.unanswered_parts(crash) {
-            if explained.is_some_and(|explained| count_of(part) <= explained) {
-                continue;
+    fn weigh(&self, key: &PartKey, explaining: &HashMap<PromptPartId, usize>) -> PartEvidence {
+        let answers = self.answers.peek(key);
+        let crashes = self.unanswered_crashes(key).collect::<SmallVec<[_; 8]>>();
+        let mut evidence = PartEvidence::default();
+        for (crash, presence) in &crashes {
+            let explained = crash.explained_by.map(|part| explaining[&part]);
+            if explained.is_none_or(|explained| crashes.len() > explained) {
+                evidence.add(&crash.moment, presence, answers);
             }
-            let evidence = evidence.entry(part).or_default();
-            evidence.add(&crash.moment, &presence, answers);
         }
+        evidence
     }
 }
--- a/crates/celerycrank-serving/src/quarantine.rs
+++ b/crates/celerycrank-serving/src/quarantine.rs
@@ -262,7 +262,7 @@
             return change;
         };
         self.explain(index, now, random);
-        while let Some(refused) = self.most_suspect(&service) {
+        while let Some(refused) = self.most_suspect(index) {
             let key = PartKey::new(&service, refused.part);
             change.superseded.extend(self.release_covered(&key));
             let evicted = self.quarantine(key, now, random);
@@ -322,9 +322,9 @@
         }
     }
 
-    fn most_suspect(&self, service: &ServiceId) -> Option<RefusedPart> {
+    fn most_suspect(&self, index: usize) -> Option<RefusedPart> {
         let is_quarantined = |key: &PartKey| self.quarantined.contains(key);
-        self.evidence.most_suspect(service, is_quarantined)
+        self.evidence.most_suspect(index, is_quarantined)
     }
 
     /// Ends the quarantines of parts that were refused by mistake: those that were present only
