--- a/crates/celerycrank-serving/tests/crash_evidence.rs
+++ b/crates/celerycrank-serving/tests/crash_evidence.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use celerycrank_serving::{
-    AnswerCollector, AnswerProgress, CrashReport, FinishedAnswer, PresentPrompt, QuarantineChange,
+    AnswerCollector, AnswerProgress, CrashCollector, CrashReport, FinishedAnswer, PresentPrompt,
+    QuarantineChange,
 };
 use celerycrank_types::{PromptPartId, TimeSpan};
 use serde::Deserialize;
@@ -59,6 +60,27 @@
     assert_eq!(entry.admit(&[COMMON, 7], at(1_200)), Ok(()));
 }
 
+// Guards against a power failure of all backend servers before the first answer is whole, upon which
+// what all prompts share is refused.
+#[test]
+fn one_failure_of_all_backend_servers_in_first_answers_refuses_no_part() {
+    let mut entry = TestEntry::new(1);
+    entry.begin(&[COMMON], at(0));
+    let mut collector = CrashCollector::default();
+    let parts = ids(&[COMMON]);
+    let prompt = PresentPrompt {
+        progress: AnswerProgress::Begun,
+        ..unanswered(&parts)
+    };
+    for backend in 0..6 {
+        collector.note(&crashed(backend), &prompt, at(10));
+    }
+    for report in collector.take() {
+        entry.crash_report(report, at(60));
+    }
+    assert_eq!(entry.admit(&[COMMON], at(5_000)), Ok(()));
+}
+
 // Guards against a trial that ends a quarantine though its backend server crashes right after the answer.
 #[test]
 fn a_crash_right_after_a_whole_answer_renews_the_quarantine() {
