An entry logs that a backend server accepts connections after some have ended

Cause: a backend server that accepted the connection of the check counted as running, and nothing was logged.

Change: an info line with the address, in the branch that decides it.

--- a/crates/celerycrank-direct/src/entry/crash.rs
+++ b/crates/celerycrank-direct/src/entry/crash.rs
@@ -199,7 +199,10 @@
 /// network may be at fault.
 async fn has_crashed(address: SocketAddr) -> bool {
     let error = match timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => return false,
+        Ok(Ok(_)) => {
+            tracing::info!(%address, "backend server accepts connections after some have ended");
+            return false;
+        }
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return true,
         Ok(Err(error)) => error.to_string(),
         Err(_) => "timeout".to_owned(),
