A crash counts although the listener outlives the connections

Cause: when a connection had ended, the entry connected once and at once, and took one accepted connection for proof that the process lives. The kernel accepts for a process that is ending until its listener is closed, and for the next process at the address.

Change: CrashCheck holds the accepted connection for a second. It ends with the listener of a process that ends, upon which the next one is refused; it stays open at one that lives. A registration, or an answer, of another process at the address within three seconds shows a crash as well, unless the incarnation was draining, leaving or removed. Connections that were outlived by a second are no part of the crash. Requests do not wait for the check. Crashes are thereby recognized in any order in which the kernel closes sockets, within a second.

--- a/crates/celerycrank-direct/src/entry/dispatch.rs
+++ b/crates/celerycrank-direct/src/entry/dispatch.rs
@@ -20,7 +20,7 @@
 use super::{
     admission::{AccountGuard, wake_waiting},
     attempt::{AttemptError, OpenAnswer, open_attempt},
-    crash::{BrokenAttempt, backend_incarnation},
+    crash::BrokenAttempt,
     live::LiveStream,
     progress::{AttemptTrack, RequestError, RetryObstacle, SendRecord},
     prompt_cache::HeldPrompt,
@@ -295,7 +295,7 @@
     pub(crate) fn note_finished(&self, status: u16, sent_to: &BackendRegistration, is_whole: bool) {
         if is_success(status) && !self.request.shared_parts.is_empty() {
             self.state.note_finished(FinishedAnswer {
-                backend: backend_incarnation(sent_to),
+                backend: sent_to.to_incarnation(),
                 parts: self.request.shared_parts.clone(),
                 is_whole,
                 at: self.state.clock.now(),
@@ -463,6 +463,7 @@
                     .note_broken_attempt(sent_to, self.broken_attempt(progress));
             }
             AttemptError::NotSent => self.state.note_unreachable(sent_to),
+            AttemptError::Misdirected => self.state.crash_checks.note_fates(),
             _ => {}
         }
     }
@@ -472,6 +473,7 @@
             attempt: Arc::clone(&self.request.attempt),
             parts: self.request.shared_parts.clone(),
             progress,
+            at: self.state.clock.now(),
         }
     }
 
--- a/crates/celerycrank-direct/src/entry/mod.rs
+++ b/crates/celerycrank-direct/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod clearance;
 mod crash;
+mod crash_check;
 mod departure;
 mod dispatch;
 mod evacuation;
--- a/crates/celerycrank-direct/src/entry/process.rs
+++ b/crates/celerycrank-direct/src/entry/process.rs
@@ -25,7 +25,7 @@
     admin::EntryAdminHandler,
     caller::serve_caller,
     clearance::write_clearances,
-    crash::check_crashes,
+    crash_check::check_crashes,
     load::receive_loads,
     metrics::EntryMetrics,
     probe::serve_probes,
--- a/crates/celerycrank-direct/src/entry/quarantine.rs
+++ b/crates/celerycrank-direct/src/entry/quarantine.rs
@@ -34,6 +34,9 @@
 /// The shortest interval at which finished answers are counted.
 const COUNT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest time for which a finished answer is held back while its backend server is checked.
+const MAX_ANSWER_DELAY: TimeSpan = TimeSpan::from_secs(1);
+
 /// Maximum number of reports that wait to be written.
 const MAX_WAITING_REPORTS: usize = 64;
 
@@ -74,13 +77,20 @@
     /// Counts a finished answer, unless its backend server may have crashed since.
     fn count_answer(&self, answer: FinishedAnswer) {
         let is_counted = self.quarantine.borrow().is_outlived(&answer_query(&answer));
-        if !is_counted && self.suspect_ended(&answer.backend) {
+        if !is_counted && self.may_have_crashed(&answer) {
             self.finished_answers.borrow_mut().note(answer);
         } else if answer.is_whole {
             self.note_outlived(&answer);
         }
     }
 
+    /// Whether the backend server of a finished answer may have crashed right after it.
+    fn may_have_crashed(&self, answer: &FinishedAnswer) -> bool {
+        let age = self.clock.now().since(answer.at);
+        let is_checked = self.crash_checks.holds(&answer.backend);
+        age < MAX_ANSWER_DELAY && (is_checked || self.suspect_ended(&answer.backend))
+    }
+
     fn note_outlived(&self, answer: &FinishedAnswer) {
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.note_outlived(&answer_query(answer), answer.at);
--- a/crates/celerycrank-direct/src/entry/state.rs
+++ b/crates/celerycrank-direct/src/entry/state.rs
@@ -23,7 +23,7 @@
 
 use super::{
     admission::{AdmissionState, compile_policies},
-    crash::CrashChecks,
+    crash_check::CrashChecks,
     limits::LimitSharing,
     metrics::EntryMetrics,
     pool::ConnectionPool,
--- a/crates/celerycrank-direct/src/entry/store.rs
+++ b/crates/celerycrank-direct/src/entry/store.rs
@@ -95,6 +95,7 @@
         .collect();
     let now = state.clock.now();
     state.backends.borrow_mut().replace(registrations, now);
+    state.crash_checks.note_fates();
     state.has_read_backends.set(true);
     let backends = state.backends.borrow();
     log_unknown_domains(state, backends.evacuated_domains());
@@ -134,6 +135,7 @@
         }
         let now = state.clock.now();
         state.backends.borrow_mut().apply(change, now);
+        state.crash_checks.note_fates();
     }
 }
 
--- a/crates/celerycrank-serving/src/backend.rs
+++ b/crates/celerycrank-serving/src/backend.rs
@@ -221,6 +221,11 @@
             && self.removed_at.is_none()
     }
 
+    /// Whether it ends as planned: it is shutting down, or its registration was removed.
+    pub(crate) fn is_departing(&self) -> bool {
+        !self.is_available() || self.incarnation_state == IncarnationState::Leaving
+    }
+
     pub(crate) fn note_answer(&mut self, is_failure: bool, now: TimePoint) {
         let sample = if is_failure { 1.0 } else { 0.0 };
         let rate = self.failure_rate(now);
--- a/crates/celerycrank-serving/src/lib.rs
+++ b/crates/celerycrank-serving/src/lib.rs
@@ -17,12 +17,14 @@
 mod compare;
 mod configuration;
 mod crash;
+mod crash_check;
 mod crash_collector;
 mod departure;
 mod entry_list;
 mod evacuation;
 mod event;
 mod evidence;
+mod fate;
 mod finished_answer;
 mod freshness;
 mod group_load;
@@ -66,11 +68,13 @@
         RouteLocation, RouteRule, ServiceRule, ServingConfiguration, WeightedService,
     },
     crash::{AnswerProgress, BackendIncarnation, CrashReport, CrashReportError, PresentPrompt},
+    crash_check::{CheckStep, CheckVerdict, ConnectionSign, CrashCheck},
     crash_collector::CrashCollector,
     entry_list::EntryList,
     evacuation::EvacuationChange,
     event::{EventError, EventReader},
     evidence::RefusedPart,
+    fate::IncarnationFate,
     finished_answer::{AnswerCollector, FinishedAnswer},
     freshness::FreshnessGuard,
     group_load::GroupLoads,
--- a/crates/celerycrank-serving/src/registration.rs
+++ b/crates/celerycrank-serving/src/registration.rs
@@ -4,6 +4,8 @@
 
 use celerycrank_types::{BackendId, DomainId, ServiceId, TimeSpan};
 
+use crate::BackendIncarnation;
+
 /// The state that a backend server reports in its registration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RegistrationState {
@@ -34,6 +36,18 @@
     pub warm_up_remaining: TimeSpan,
 }
 
+impl BackendRegistration {
+    /// The incarnation that it is of.
+    #[must_use]
+    pub fn to_incarnation(&self) -> BackendIncarnation {
+        BackendIncarnation {
+            service: self.service.clone(),
+            backend: self.backend.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// A change to the registrations in the key-value service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RegistrationChange {
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -14,6 +14,7 @@
     cold::ColdPolicy,
     departure::{DepartureSet, IncarnationState},
     evacuation::EvacuationSet,
+    fate::ReplacedSet,
     stability::{GroupStability, RankNotice},
 };
 
@@ -30,6 +31,7 @@
     evacuated: EvacuationSet,
     cold: ColdPolicy,
     departed: DepartureSet,
+    replaced: ReplacedSet,
 }
 
 impl BackendTable {
@@ -285,11 +287,16 @@
         let Some(state) = self.find_mut(backend) else {
             return;
         };
+        let is_departing = state.is_departing();
         state.is_misdirected = true;
         let (service, address) = (
             state.registration.service.clone(),
             state.registration.address,
         );
+        let incarnation = state.registration.to_incarnation();
+        if !is_departing {
+            self.replaced.note(incarnation);
+        }
         self.mark_superseded(&service, address);
     }
 
@@ -328,6 +335,7 @@
     }
 
     fn write(&mut self, registration: BackendRegistration, now: TimePoint) {
+        self.note_replaced(&registration);
         let known = self.find_mut(&registration.backend);
         let pause = known.map(|it| it.pause).unwrap_or_default();
         let has_changed_service = self
@@ -385,6 +393,23 @@
         self.mark_superseded(&service, address);
     }
 
+    /// Records the incarnation that has ended unannounced, if a new one has taken its address.
+    ///
+    /// The key-value service may list an earlier incarnation again, which replaces none.
+    fn note_replaced(&mut self, registration: &BackendRegistration) {
+        let next = registration.to_incarnation();
+        let states = self.of_service(&registration.service).iter();
+        let is_listed = |it: &BackendState| it.registration.to_incarnation() == next;
+        if self.replaced.contains(&next) || states.clone().any(is_listed) {
+            return;
+        }
+        let mut same = states.filter(|it| it.registration.address == registration.address);
+        let replaced = same.find(|state| !state.is_departing() && !state.is_superseded);
+        if let Some(replaced) = replaced.map(|state| state.registration.to_incarnation()) {
+            self.replaced.note(replaced);
+        }
+    }
+
     /// Marks all backend servers at an address as superseded by the last one that is listed.
     ///
     /// A VM that restarts registers its backend server under another name before the
--- a/crates/celerycrank-serving/src/table/exclusion.rs
+++ b/crates/celerycrank-serving/src/table/exclusion.rs
@@ -8,7 +8,7 @@
 use super::BackendTable;
 use crate::{
     BackendIncarnation, BackendRegistration, BackendState, ColdBounds, ColdStart, EntryPlace,
-    EvacuationChange, SendObstacle, ServiceObstacle,
+    EvacuationChange, IncarnationFate, SendObstacle, ServiceObstacle,
     cold::{ColdPace, ColdPolicy},
     departure::IncarnationState,
     evacuation::EvacuationSet,
@@ -106,22 +106,20 @@
         self.departed.contains(registration)
     }
 
-    /// Whether an incarnation is expected to keep running: it is registered as ready, and has not said
-    /// that it is shutting down.
+    /// What has become of an incarnation.
     #[must_use]
-    pub fn is_expected_to_run(&self, incarnation: &BackendIncarnation) -> bool {
-        let BackendIncarnation {
-            service,
-            backend,
-            incarnation,
-        } = incarnation;
-        let states = self.of_service(service).iter();
-        let mut states = states.filter(|it| it.registration.backend == *backend);
-        states.any(|state| {
-            state.registration.incarnation == *incarnation
-                && state.is_available()
-                && state.incarnation_state != IncarnationState::Leaving
-        })
+    pub fn fate(&self, incarnation: &BackendIncarnation) -> IncarnationFate {
+        if self.replaced.contains(incarnation) {
+            return IncarnationFate::Replaced;
+        }
+        let mut states = self.of_service(&incarnation.service).iter();
+        let state = states.find(|it| it.registration.backend == incarnation.backend);
+        let is_current =
+            |it: &&BackendState| it.registration.incarnation == incarnation.incarnation;
+        match state.filter(is_current) {
+            Some(state) if !state.is_departing() => IncarnationFate::Running,
+            _ => IncarnationFate::Departing,
+        }
     }
 
     /// Records that a backend server wants no requests for a time, at most [`MAX_PAUSE`]; returns
