--- a/crates/celerycrank-serving/src/registration.rs
+++ b/crates/celerycrank-serving/src/registration.rs
@@ -37,6 +37,13 @@
 }
 
 impl BackendRegistration {
+    /// Whether another registration is of the same incarnation.
+    pub(crate) fn is_same_incarnation(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation
+            && self.backend == other.backend
+            && self.service == other.service
+    }
+
     /// The incarnation that it is of.
     #[must_use]
     pub fn to_incarnation(&self) -> BackendIncarnation {
--- a/crates/celerycrank-serving/src/table.rs
+++ b/crates/celerycrank-serving/src/table.rs
@@ -397,12 +397,12 @@
     ///
     /// The key-value service may list an earlier incarnation again, which replaces none.
     fn note_replaced(&mut self, registration: &BackendRegistration) {
-        let next = registration.to_incarnation();
-        let states = self.of_service(&registration.service).iter();
-        let is_listed = |it: &BackendState| it.registration.to_incarnation() == next;
-        if self.replaced.contains(&next) || states.clone().any(is_listed) {
+        let known = self.registration(&registration.backend);
+        let is_listed = known.is_some_and(|it| it.is_same_incarnation(registration));
+        if is_listed || self.replaced.contains(&registration.to_incarnation()) {
             return;
         }
+        let states = self.of_service(&registration.service).iter();
         let mut same = states.filter(|it| it.registration.address == registration.address);
         let replaced = same.find(|state| !state.is_departing() && !state.is_superseded);
         if let Some(replaced) = replaced.map(|state| state.registration.to_incarnation()) {
