--- a/crates/celerycrank-serving/src/crash_check.rs
+++ b/crates/celerycrank-serving/src/crash_check.rs
@@ -91,7 +91,7 @@
     Unproven,
 }
 
-/// What a check is about.
+/// What a check waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CheckPhase {
     /// A connection is due.
@@ -100,7 +100,7 @@
     Holding { since: TimePoint },
     /// Connections can prove nothing more.
     Waiting,
-    /// A connection was refused.
+    /// Nothing: a connection was refused.
     Refused,
 }
 
@@ -213,7 +213,8 @@
     }
 }
 
-/// The phase after this many connections of a check that have proved nothing.
+/// The phase that follows this many connections which have proved nothing: another one, after a delay, unless
+/// this was the last.
 fn connect_again(connections: u32, is_last: bool, now: TimePoint) -> CheckPhase {
     if is_last {
         return CheckPhase::Waiting;
