A backend server that finishes its answers after its replacement is no crash

Cause: a finished answer counted as one right before a crash as soon as another process had registered with the address, although no connection had ended. A process may finish its answers after that.

Change: as for a running backend server, an idle connection has to have ended.

Measured: backend_servers_that_finish_their_answers_after_the_next_registration_are_not_reported failed on the code before (reports of live backend servers) and passes; crash_checks.rs and crashes.rs of the stand-ins pass (10 and 14).

--- a/crates/celerycrank-direct/src/entry/crash.rs
+++ b/crates/celerycrank-direct/src/entry/crash.rs
@@ -54,14 +54,16 @@
         }
     }
 
-    /// Checks a backend server if it has ended connections that were idle, or was replaced; returns
-    /// whether it has.
+    /// Checks a backend server if it has ended connections that were idle; returns whether it has.
+    ///
+    /// One that was replaced may still finish its answers, so that the replacement alone shows nothing.
     pub(super) fn suspect_ended(&self, incarnation: &BackendIncarnation) -> bool {
         let backends = self.backends.borrow();
         let has_ended = match backends.fate(incarnation) {
-            IncarnationFate::Running => self.pool.close_ended(&incarnation.backend),
+            IncarnationFate::Running | IncarnationFate::Replaced => {
+                self.pool.close_ended(&incarnation.backend)
+            }
             IncarnationFate::Departing => false,
-            IncarnationFate::Replaced => true,
         };
         if has_ended && let Some(registration) = backends.registration(&incarnation.backend) {
             let now = self.clock.now();
